--- /dev/null
+++ b/src/waxwingwell/commands/main.py
@@ -0,0 +1,17 @@
+"""The command line's entry point."""
+
+from __future__ import annotations
+
+import fire
+
+from .. import __version__
+
+
+def show_version() -> str:
+    """Return the version of this package."""
+    return __version__
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    fire.Fire({"version": show_version}, name="waxwingwell")
--- /dev/null
+++ b/src/waxwingwell/decisions/tables.py
@@ -0,0 +1,118 @@
+"""The tables of an entry, which decisions read and systems run over.
+
+One ``Tables`` holds all that an entry's decisions depend on: a decision is
+replayable from it, the request and ``now`` alone. Monotonic seconds throughout.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from ..records import Announcement
+from ..records import Evidence
+from ..records import Priority
+from ..records import Rollout
+from ..records import UpstreamId
+from ..records import VersionId
+from ..records import VersionSpec
+from ..records import WorkKind
+from ..records import WorkspaceConfig
+from ..records import WorkspaceId
+
+
+@dataclass(slots=True)
+class UpstreamRow:
+    """What this entry knows of one upstream."""
+
+    announcement: Announcement
+    expires_at: float
+    """When the announcement's lease runs out."""
+    heard_at: float
+    """When the present load report was made, as far as is known."""
+    left: bool = False
+    """It said that it leaves, or its lease ran out; kept as a tombstone."""
+    dispatched: list[float] = field(default_factory=list)
+    """Times of own dispatches since the load report, oldest first."""
+    in_flight: int = 0
+    """This entry's requests running there."""
+    failures: int = 0
+    """Failures in a row."""
+    ejected_until: float = 0.0
+    prefixes: dict[str, float] = field(default_factory=dict)
+    """Prompt-prefix digest to the time it was last sent there."""
+
+
+@dataclass(slots=True)
+class WorkspaceDemand:
+    """Load of one workspace, here and at the other entries."""
+
+    in_flight: int = 0
+    tokens: float = 0.0
+    """Token bucket of admissions at this entry."""
+    refilled_at: float = 0.0
+    rate: float = 0.0
+    """Admissions a second at this entry, smoothed."""
+    elsewhere_in_flight: int = 0
+    elsewhere_rate: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request as the decisions see it."""
+
+    request: str
+    workspace: WorkspaceId
+    kind: WorkKind
+    priority: Priority
+    model: str = ""
+    """Model or version that the caller asked for; empty leaves it to the router."""
+    session: str = ""
+    pinned: VersionId = VersionId("")
+    stream: bool = False
+    repeatable: bool = True
+    service: str = ""
+    """Name of the plain service; empty for model work."""
+    prompt_tokens: int = 0
+    answer_tokens: int = 256
+    """Expected length of the answer."""
+    prefixes: tuple[str, ...] = ()
+    """Digests of the prompt's prefixes, longest first."""
+    prefix_tokens: tuple[int, ...] = ()
+    """Tokens that each of ``prefixes`` covers."""
+    data_centre: str = ""
+    """Data centre of the entry that decides."""
+    deadline: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer: the request was not run."""
+
+    code: str
+    """Machine-readable reason, for example ``version_withdrawn``."""
+    message: str
+    status: int
+    """HTTP status."""
+    retry_after: float | None = None
+    """Seconds after which it is worth coming back; None if it never is."""
+
+
+@dataclass(slots=True)
+class Tables:
+    """Everything that an entry's decisions read."""
+
+    config_version: int = 0
+    workspaces: dict[WorkspaceId, WorkspaceConfig] = field(default_factory=dict)
+    versions: dict[VersionId, VersionSpec] = field(default_factory=dict)
+    rollouts: dict[str, Rollout] = field(default_factory=dict)
+    """By model."""
+    evidence: dict[tuple[WorkspaceId, str, VersionId], Evidence] = field(
+        default_factory=dict
+    )
+    upstreams: dict[UpstreamId, UpstreamRow] = field(default_factory=dict)
+    demand: dict[WorkspaceId, WorkspaceDemand] = field(default_factory=dict)
+    distances: dict[str, float] = field(default_factory=dict)
+    """One-way seconds from this entry's data centre to each data centre."""
+    rating_heard_at: float = 0.0
+    """When a rating last arrived; old ratings make decisions cautious."""
--- /dev/null
+++ b/src/waxwingwell/state/__init__.py
@@ -0,0 +1,6 @@
+"""State: the replicated log, its storage, and the state machine it drives.
+
+May import ``decisions`` and ``records``; never ``adapters`` or a reactor.
+"""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests; the folders mirror the package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,54 @@
+"""Run every test with fixed seeds and print one plain closing line.
+
+Tests listed in KNOWN-RED.txt may fail; they are printed and do not change the verdict.
+"""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from pathlib import Path
+
+from hypothesis import settings
+
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_LIMIT = 3
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+
+
+def read_known_red() -> set[str]:
+    """Return the test ids that KNOWN-RED.txt names, one at the start of each line."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+
+    lines = [line for line in path.read_text().splitlines() if line.strip()]
+    if len(lines) > KNOWN_RED_LIMIT:
+        raise SystemExit(f"KNOWN-RED.txt holds more than {KNOWN_RED_LIMIT} lines")
+
+    for line in lines:
+        print(f"known red: {line}")
+
+    return {line.split()[0].rstrip(":,;") for line in lines}
+
+
+def run_tests(pattern: str) -> int:
+    """Run the tests whose file matches ``pattern``; return the exit code."""
+    settings.load_profile("ci")
+    known = read_known_red()
+    suite = unittest.TestLoader().discover(
+        str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT)
+    )
+    result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
+    bad = [case.id() for case, _ in result.failures + result.errors]
+    bad += [case.id() for case in result.unexpectedSuccesses]
+    new = [name for name in bad if not any(name.startswith(red) for red in known)]
+    passed = result.testsRun - len(bad) - len(result.skipped)
+    print(f"{passed} passed, {len(bad)} failed, {len(result.skipped)} skipped")
+    return 1 if new or result.testsRun == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests(sys.argv[1] if len(sys.argv) > 1 else "test_*.py"))
