--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benches: ratios against baselines in the same run."""
+
+from __future__ import annotations
