--- /dev/null
+++ b/src/waxwingwell_standins/balancer.py
@@ -0,0 +1,156 @@
+"""TCP balancer: gives new connections to the targets whose ``/readyz`` is good."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredList
+from twisted.internet.defer import succeed
+from twisted.internet.task import LoopingCall
+
+from .client import fetch_status
+from .client import make_agent
+from .listener import get_reactor
+from .pipes import Acceptor
+from .pipes import Pair
+from .pipes import PipeTable
+from .pipes import abort_pair
+from .pipes import connect_pair
+from .pipes import stop_pipes
+from .program import run_program
+from .settings import BalancerSettings
+
+
+HEALTH_PATH = "/readyz"
+
+
+@dataclass(slots=True)
+class Target:
+    """One target and its health."""
+
+    address: str
+    ready: bool = False
+    failures: int = 0
+    """Failed checks in a row."""
+    given: int = 0
+    """Connections given to it."""
+    check: Deferred[None] | None = None
+
+
+@dataclass(slots=True)
+class Balancer:
+    """A running balancer."""
+
+    settings: BalancerSettings
+    targets: list[Target]
+    pipes: PipeTable = field(default_factory=PipeTable)
+    agent: Any = None
+    turn: int = 0
+    loop: LoopingCall | None = None
+    first_check: Deferred[None] = field(default_factory=Deferred)
+    """Fires after the first check of every target."""
+    listening: Any = None
+
+    @property
+    def port(self) -> int:
+        """TCP port of the listener."""
+        return int(self.listening.getHost().port)
+
+    @property
+    def url(self) -> str:
+        """Base address."""
+        return f"http://{self.settings.host}:{self.port}"
+
+    def check_now(self) -> Deferred[None]:
+        """Check every target once; fires when all checks are over."""
+        return check_targets(self)
+
+    def stop(self) -> Deferred[None]:
+        """Stop at once."""
+        return stop_balancer(self)
+
+
+def start_balancer(settings: BalancerSettings) -> Balancer:
+    """Listen and check the targets now and at each interval."""
+    targets = [Target(address) for address in settings.targets]
+    balancer = Balancer(settings, targets, agent=make_agent(settings.timeout))
+    acceptor = Acceptor(balancer.pipes, lambda pair: give_pair(balancer, pair))
+    balancer.listening = get_reactor().listenTCP(
+        settings.port, acceptor, interface=settings.host
+    )
+    balancer.loop = LoopingCall(check_targets, balancer)
+    balancer.loop.start(settings.interval).addErrback(lambda _: None)
+    return balancer
+
+
+def stop_balancer(balancer: Balancer) -> Deferred[None]:
+    """Stop checks and connections."""
+    if balancer.loop is not None and balancer.loop.running:
+        balancer.loop.stop()
+
+    for target in balancer.targets:
+        if target.check is not None:
+            target.check.cancel()
+
+    return stop_pipes(balancer.pipes, balancer.listening)
+
+
+def check_targets(balancer: Balancer) -> Deferred[None]:
+    """Check every target that is not being checked yet."""
+    checks = [check_target(balancer, target) for target in balancer.targets]
+
+    def end(_: object) -> None:
+        if not balancer.first_check.called:
+            balancer.first_check.callback(None)
+
+    return DeferredList(checks, consumeErrors=True).addCallback(end)
+
+
+def check_target(balancer: Balancer, target: Target) -> Deferred[None]:
+    """Check one target and note the result."""
+    if target.check is not None:
+        return succeed(None)
+
+    url = f"http://{target.address}{HEALTH_PATH}"
+    answer: Deferred[Any] = fetch_status(
+        balancer.agent, url, timeout=balancer.settings.timeout
+    )
+
+    def end(result: object) -> None:
+        target.check = None
+        if isinstance(result, int) and result < 300:
+            target.failures = 0
+            target.ready = True
+            return
+
+        target.failures += 1
+        if target.failures >= balancer.settings.falls:
+            target.ready = False
+
+    target.check = answer
+    return answer.addBoth(end)
+
+
+def give_pair(balancer: Balancer, pair: Pair, tries: int = 0) -> None:
+    """Give a new connection to the next ready target, or cut it if there is none."""
+    ready = [target for target in balancer.targets if target.ready]
+    if tries >= len(ready):
+        abort_pair(pair)
+        return
+
+    target = ready[balancer.turn % len(ready)]
+    balancer.turn += 1
+    target.given += 1
+    connect_pair(
+        balancer.pipes,
+        pair,
+        target.address,
+        lambda: give_pair(balancer, pair, tries + 1),
+    )
+
+
+if __name__ == "__main__":
+    run_program(BalancerSettings, start_balancer)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the stand-ins."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/standins/support.py
@@ -0,0 +1,47 @@
+"""What the tests of the stand-ins share."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import treq
+
+from waxwingwell_standins.client import make_agent
+
+
+if TYPE_CHECKING:
+    from unittest import TestCase as AsyncTestCase
+
+    from waxwingwell_standins.client import Response
+else:
+    from twisted.trial.unittest import TestCase as AsyncTestCase
+
+
+__all__ = ["AsyncTestCase", "read_cut", "read_json", "send"]
+
+TIMEOUT = 5.0
+
+
+async def send(method: str, url: str, body: object = None, **headers: str) -> Response:
+    """Send one request on its own connection; ``_`` in a header name is a hyphen."""
+    named: Any = {key.replace("_", "-"): value for key, value in headers.items()}
+    data = None if body is None else msgspec.json.encode(body)
+    agent = make_agent(TIMEOUT)
+    return await treq.request(method, url, data=data, headers=named, agent=agent)
+
+
+async def read_json(response: Response) -> Any:  # noqa: ANN401
+    """Return the decoded body."""
+    return msgspec.json.decode(await treq.content(response))
+
+
+async def read_cut(response: Response) -> bytes:
+    """Return what came before the connection ended, whole or cut."""
+    parts: list[bytes] = []
+    with contextlib.suppress(Exception):
+        await treq.collect(response, parts.append)
+
+    return b"".join(parts)
