--- /dev/null
+++ b/src/waxwingwell/answers/__init__.py
@@ -0,0 +1,3 @@
+"""The questionnaire: answers about traffic and rules, and what follows from them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/waxwingwell/answers/models.py
@@ -0,0 +1,238 @@
+"""Answers to the questionnaire, as their JSON holds them.
+
+Every model is strict and refuses unknown keys. A field's description is the
+question that it answers.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+from typing import Literal
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import StringConstraints
+
+from ..records import PRIORITY_ORDER
+from ..records import Role
+
+
+QUESTIONNAIRE_VERSION = 1
+MAX_STAGES = 20
+MAX_REQUEST_BYTES = 64_000_000
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9_-]{0,63}$")]
+"""Lower-case letters, digits, hyphen and underscore."""
+
+VersionName = Annotated[
+    str,
+    StringConstraints(pattern=r"^[A-Za-z0-9._-]+@[A-Za-z0-9._-]+$", max_length=200),
+]
+"""A version of a model, written ``model@version``."""
+
+ModelOrVersion = Annotated[
+    str,
+    StringConstraints(pattern=r"^[A-Za-z0-9._-]+(@[A-Za-z0-9._-]+)?$", max_length=200),
+]
+Path = Annotated[str, StringConstraints(pattern=r"^/[^\s?#]*$", max_length=200)]
+Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+Share = Annotated[float, Field(gt=0, le=1)]
+Weight = Annotated[float, Field(ge=0, le=1000)]
+
+
+class Method(StrEnum):
+    """HTTP methods of calls to plain services."""
+
+    GET = "GET"
+    HEAD = "HEAD"
+    POST = "POST"
+    PUT = "PUT"
+    PATCH = "PATCH"
+    DELETE = "DELETE"
+
+
+class Pace(StrEnum):
+    """Ready-made roll-out paces."""
+
+    CAREFUL = "careful"
+    STEADY = "steady"
+    QUICK = "quick"
+
+
+class Section(BaseModel):
+    """Base of all answers: strict, closed and immutable."""
+
+    model_config = ConfigDict(
+        strict=True, extra="forbid", frozen=True, allow_inf_nan=False
+    )
+
+
+class KindAnswers(Section):
+    """One kind of work that models do."""
+
+    name: Name = Field(description="What is this kind of work called?")
+    what: str = Field(
+        default="", max_length=500, description="What is it, in your own words?"
+    )
+    quality_target: Share = Field(
+        description="Which mean rating (0 to 1) must its answers reach?"
+    )
+    waits_for_whole: bool = Field(
+        default=False,
+        description=(
+            "Can the caller wait for a whole answer? Then a cheap model may answer "
+            "first and a better one only if the rating asks for it."
+        ),
+    )
+
+
+class CallAnswers(Section):
+    """Calls of a plain service that are treated alike."""
+
+    name: Name = Field(description="What are these calls called?")
+    path: Path = Field(description="With which path do they begin?")
+    methods: tuple[Method, ...] = Field(
+        min_length=1, description="Which HTTP methods do they use?"
+    )
+    repeatable: bool = Field(
+        description="May such a call be repeated (is it idempotent)?"
+    )
+
+
+class ServiceAnswers(Section):
+    """One plain service."""
+
+    name: Name = Field(description="What is the service called?")
+    calls: tuple[CallAnswers, ...] = Field(
+        min_length=1, description="Which calls does it take?"
+    )
+
+
+class ModelAnswers(Section):
+    """Models and versions."""
+
+    allowed: tuple[VersionName, ...] = Field(
+        min_length=1, description="Which versions may do your work?"
+    )
+    never: tuple[ModelOrVersion, ...] = Field(
+        default=(), description="Which models or versions must never do it?"
+    )
+
+
+class WeightAnswers(Section):
+    """Weight of the three measures against each other; only the ratio matters."""
+
+    cost: Weight = Field(default=1.0, description="How much does cost matter?")
+    latency: Weight = Field(default=1.0, description="How much does latency matter?")
+    exposure: Weight = Field(
+        default=1.0, description="How much does exposure to bad versions matter?"
+    )
+
+
+class LimitAnswers(Section):
+    """Limits, shared between all entries."""
+
+    requests_per_second: float = Field(
+        default=50.0, gt=0, le=1e6, description="How many requests a second at most?"
+    )
+    max_in_flight: int = Field(
+        default=64, gt=0, le=1_000_000, description="How many at the same time?"
+    )
+    max_wait_seconds: float = Field(
+        default=10.0,
+        ge=0,
+        le=600,
+        description="Longer than which wait is a refusal better than an answer?",
+    )
+    max_body_bytes: int = Field(
+        default=1_000_000,
+        gt=0,
+        le=MAX_REQUEST_BYTES,
+        description="How large is the largest request body?",
+    )
+
+
+class RolloutAnswers(Section):
+    """How a new version takes over: a ready-made pace, or one of your own."""
+
+    pace: Pace | None = Field(
+        default=None, description="How fast: careful, steady or quick?"
+    )
+    stages: tuple[Share, ...] | None = Field(
+        default=None,
+        min_length=1,
+        max_length=MAX_STAGES,
+        description="Or: which share of new sessions at each stage, rising to 1?",
+    )
+    max_unrated: int | None = Field(
+        default=None,
+        gt=0,
+        le=100_000,
+        description="How many answers of a new version may be out without a rating?",
+    )
+    false_alarm: float | None = Field(
+        default=None,
+        gt=0,
+        lt=0.5,
+        description="Which chance of withdrawing a good version is acceptable?",
+    )
+    margin: float | None = Field(
+        default=None,
+        gt=0,
+        lt=1,
+        description="Which loss of mean rating makes a version bad?",
+    )
+
+
+class KeyAnswers(Section):
+    """One key, of which only the digest is kept."""
+
+    name: Name = Field(description="Who holds the key?")
+    sha256: Digest = Field(description="SHA-256 of the key, 64 hex digits")
+    role: Role = Field(
+        default=Role.CALLER, description="May its holder call, or operate as well?"
+    )
+    revoked: bool = Field(default=False, description="Is it revoked?")
+
+
+class Answers(Section):
+    """All answers of one workspace."""
+
+    questionnaire: Literal[1] = Field(
+        default=1, description="Version of the questionnaire that is answered"
+    )
+    workspace: Name = Field(description="What is the workspace called?")
+    team: str = Field(default="", max_length=200, description="Whose is it?")
+    kinds: tuple[KindAnswers, ...] = Field(
+        min_length=1, description="Which kinds of work do you send to models?"
+    )
+    default_kind: Name | None = Field(
+        default=None,
+        description="Which kind is a request that names none? (the first by default)",
+    )
+    services: tuple[ServiceAnswers, ...] = Field(
+        default=(), description="Which plain services do you call?"
+    )
+    who_waits: tuple[Annotated[tuple[Name, ...], Field(min_length=1)], ...] = Field(
+        min_length=1,
+        max_length=len(PRIORITY_ORDER),
+        description=(
+            "Who waits for whom? Groups of kinds and calls; those of a later group "
+            "wait for those of an earlier one."
+        ),
+    )
+    models: ModelAnswers = Field(description="Which models and versions?")
+    weights: WeightAnswers = Field(
+        default=WeightAnswers(), description="What matters how much?"
+    )
+    limits: LimitAnswers = Field(default=LimitAnswers(), description="Which limits?")
+    rollout: RolloutAnswers = Field(
+        default=RolloutAnswers(), description="How does a new version take over?"
+    )
+    data_centres: tuple[Name, ...] = Field(
+        default=(),
+        description="In which data centres may the work run? (none named: in all)",
+    )
+    keys: tuple[KeyAnswers, ...] = Field(default=(), description="Which keys?")
--- /dev/null
+++ b/tests/answers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the questionnaire."""
+
+from __future__ import annotations
