--- /dev/null
+++ b/src/waxwingwell/adapters/links.py
@@ -0,0 +1,356 @@
+"""Links: msgpack streams between our own processes, with calls and heartbeats.
+
+A link is one TCP connection in each direction of need. Both ends send heartbeats
+and replace a connection that has gone silent: a connection can go silent for good,
+without an error, while new ones work (something between the ends lost track of it).
+Protocol and versioning: docs/PROTOCOL.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+import msgpack
+import msgspec
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import connectionDone
+from zope.interface import implementer
+
+from ..messages import Beat
+from ..messages import Call
+from ..messages import Cast
+from ..messages import Hello
+from ..messages import Message
+from ..messages import Reply
+from .exceptions import LinkDownError
+from .exceptions import LinkLostError
+
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IConsumer
+    from twisted.internet.interfaces import IReactorTime
+    from twisted.internet.interfaces import ITCPTransport
+    from twisted.python.failure import Failure
+
+
+PROTOCOL_VERSION = 1
+MAX_FRAME = 64 * 1024 * 1024
+"""Bytes; a snapshot of the control state must fit."""
+
+Frame = Hello | Beat | Call | Reply | Cast
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """Seconds that govern a link."""
+
+    beat: float = 0.25
+    silent: float = 1.5
+    """Silence after which a connection is replaced."""
+    connect: float = 1.0
+    retry: float = 0.2
+    """Pause before the next attempt to connect."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHandlers:
+    """What a node does with what arrives."""
+
+    take_call: Callable[[str, Any], Deferred[Message]]
+    """Sender and body to the reply."""
+    take_cast: Callable[[str, Any], None]
+    body_type: Any
+    """Union of message types that this node understands."""
+
+
+@dataclass(slots=True)
+class LinkNode:
+    """What all links of one process share."""
+
+    name: str
+    reactor: Any
+    handlers: LinkHandlers
+    timing: LinkTiming
+    accepted: set[LinkProtocol] = field(default_factory=set)
+
+
+@implementer(IPushProducer)
+class LinkProtocol(Protocol):
+    """One connection: frames in, frames out, silence watched."""
+
+    def __init__(self, node: LinkNode) -> None:
+        self.node = node
+        self.remote = ""
+        self.closed: Deferred[None] = Deferred()
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME)
+        self._pending: dict[int, Deferred[Any]] = {}
+        self._number = 0
+        self._paused = False
+        self._heard_at = 0.0
+        self._sent_at = 0.0
+        self._timer: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Greet the other end and begin to watch for silence."""
+        transport = cast("ITCPTransport", self.transport)
+        transport.setTcpNoDelay(True)
+        cast("IConsumer", self.transport).registerProducer(self, True)
+        self._heard_at = self._seconds()
+        self.send_frame(Hello(node=self.node.name, protocol=PROTOCOL_VERSION))
+        self._watch()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take whatever frames are complete; a malformed one ends the connection."""
+        self._heard_at = self._seconds()
+        try:
+            self._unpacker.feed(data)
+            for item in self._unpacker:
+                self._take_frame(msgspec.convert(item, type=Frame))
+        except (msgspec.ValidationError, ValueError, msgpack.UnpackException) as error:
+            logger.warning("link: Dropped {}: bad frame, {}.", self.remote, error)
+            self.abort()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Fail what was under way: each call may have run at the other end."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+        pending, self._pending = self._pending, {}
+        for waiting in pending.values():
+            waiting.errback(LinkLostError(f"lost the link to {self.remote or '?'}"))
+
+        if not self.closed.called:
+            self.closed.callback(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the other end reads slowly."""
+        self._paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the other end has caught up."""
+        self._paused = False
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: ``connectionLost`` follows."""
+
+    def send_frame(self, frame: Frame) -> None:
+        """Write one frame."""
+        if self.transport is None:
+            return
+
+        self._sent_at = self._seconds()
+        self.transport.write(msgspec.msgpack.encode(frame))
+
+    def call(self, body: Message, *, timeout: float) -> Deferred[Any]:
+        """Send a call; the result is the reply's body.
+
+        Errors: ``LinkDownError`` if it was not sent, ``LinkLostError`` if no reply
+        came within ``timeout`` seconds or the connection went away.
+        """
+        answer: Deferred[Any] = Deferred()
+        # A reader that lags would make our memory grow without bound.
+        if self._paused:
+            answer.errback(LinkDownError(f"{self.remote} reads too slowly"))
+            return answer
+
+        self._number += 1
+        number = self._number
+        self._pending[number] = answer
+        self.send_frame(Call(number=number, body=body))
+        timer = self.node.reactor.callLater(timeout, self._expire, number)
+
+        def stop_timer(result: Any) -> Any:  # noqa: ANN401
+            if timer.active():
+                timer.cancel()
+
+            return result
+
+        answer.addBoth(stop_timer)
+        return answer
+
+    def cast(self, body: Message) -> None:
+        """Send a message without an answer; dropped while the reader lags."""
+        if not self._paused:
+            self.send_frame(Cast(body=body))
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self.transport is not None:
+            cast("ITCPTransport", self.transport).abortConnection()
+
+    def _take_frame(self, frame: Frame) -> None:
+        if isinstance(frame, Hello):
+            self._take_hello(frame)
+        elif isinstance(frame, Call):
+            self._take_call(frame)
+        elif isinstance(frame, Reply):
+            self._take_reply(frame)
+        elif isinstance(frame, Cast):
+            self.node.handlers.take_cast(self.remote, self._read_body(frame.body))
+
+    def _take_hello(self, hello: Hello) -> None:
+        self.remote = hello.node
+        if hello.protocol != PROTOCOL_VERSION:
+            logger.warning(
+                "link: {} speaks protocol {}, not {}.",
+                hello.node,
+                hello.protocol,
+                PROTOCOL_VERSION,
+            )
+            self.abort()
+
+    def _take_call(self, call: Call) -> None:
+        answer = self.node.handlers.take_call(self.remote, self._read_body(call.body))
+
+        def send_reply(body: Message) -> None:
+            self.send_frame(Reply(number=call.number, body=body))
+
+        def report(failure: Failure) -> None:
+            logger.error("link: A call failed: {}.", failure.getErrorMessage())
+
+        answer.addCallbacks(send_reply, report)
+
+    def _take_reply(self, reply: Reply) -> None:
+        waiting = self._pending.pop(reply.number, None)
+        if waiting is not None:
+            waiting.callback(self._read_body(reply.body))
+
+    def _read_body(self, body: Any) -> Any:  # noqa: ANN401
+        return msgspec.convert(
+            body, type=self.node.handlers.body_type, builtin_types=(bytes,)
+        )
+
+    def _expire(self, number: int) -> None:
+        waiting = self._pending.pop(number, None)
+        if waiting is not None:
+            waiting.errback(LinkLostError(f"{self.remote} did not answer in time"))
+
+    def _watch(self) -> None:
+        now = self._seconds()
+        timing = self.node.timing
+        if now - self._heard_at > timing.silent:
+            logger.warning("link: Replaced the silent link to {}.", self.remote or "?")
+            self.abort()
+            return
+
+        if now - self._sent_at >= timing.beat:
+            self.send_frame(Beat())
+
+        self._timer = self.node.reactor.callLater(timing.beat, self._watch)
+
+    def _seconds(self) -> float:
+        return float(self.node.reactor.seconds())
+
+
+class LinkFactory(Factory):
+    """Builds a protocol for each accepted connection."""
+
+    noisy = False
+
+    def __init__(self, node: LinkNode) -> None:
+        self.node = node
+
+    def buildProtocol(self, addr: object) -> LinkProtocol:  # noqa: N802
+        """Return a protocol that is remembered until it closes."""
+        protocol = LinkProtocol(self.node)
+        self.node.accepted.add(protocol)
+        protocol.closed.addCallback(lambda _: self.node.accepted.discard(protocol))
+        return protocol
+
+
+@dataclass(slots=True)
+class Link:
+    """A connection to one other node that is made again whenever it is lost."""
+
+    node: LinkNode
+    name: str
+    connect: Callable[[Factory], Deferred[Any]]
+    protocol: LinkProtocol | None = None
+    stopped: bool = False
+    on_up: Callable[[], None] = lambda: None
+
+
+class _ConnectingFactory(Factory):
+    noisy = False
+
+    def __init__(self, node: LinkNode) -> None:
+        self.node = node
+
+    def buildProtocol(self, addr: object) -> LinkProtocol:  # noqa: N802
+        return LinkProtocol(self.node)
+
+
+def open_link(
+    node: LinkNode, name: str, connect: Callable[[Factory], Deferred[Any]]
+) -> Link:
+    """Return a link to ``name`` and start to connect it."""
+    link = Link(node=node, name=name, connect=connect)
+    _connect_link(link)
+    return link
+
+
+def close_link(link: Link) -> None:
+    """End a link for good."""
+    link.stopped = True
+    if link.protocol is not None:
+        link.protocol.abort()
+
+
+def is_link_up(link: Link) -> bool:
+    """Tell whether there is a connection at this moment."""
+    return link.protocol is not None
+
+
+def call_link(link: Link, body: Message, *, timeout: float) -> Deferred[Any]:
+    """Call over the link; fails at once with ``LinkDownError`` if it is down."""
+    if link.protocol is None:
+        answer: Deferred[Any] = Deferred()
+        answer.errback(LinkDownError(f"no link to {link.name}"))
+        return answer
+
+    return link.protocol.call(body, timeout=timeout)
+
+
+def cast_link(link: Link, body: Message) -> None:
+    """Send without an answer; dropped if the link is down."""
+    if link.protocol is not None:
+        link.protocol.cast(body)
+
+
+def _connect_link(link: Link) -> None:
+    if link.stopped:
+        return
+
+    attempt = link.connect(_ConnectingFactory(link.node))
+    attempt.addTimeout(
+        link.node.timing.connect, cast("IReactorTime", link.node.reactor)
+    )
+
+    def hold(protocol: LinkProtocol) -> None:
+        if link.stopped:
+            protocol.abort()
+            return
+
+        link.protocol = protocol
+        protocol.remote = protocol.remote or link.name
+        protocol.closed.addCallback(lambda _: lose())
+        link.on_up()
+
+    def lose() -> None:
+        link.protocol = None
+        retry()
+
+    def retry(_: object = None) -> None:
+        if not link.stopped:
+            link.node.reactor.callLater(link.node.timing.retry, _connect_link, link)
+
+    attempt.addCallbacks(hold, retry)
