Decide upstream, admission, queue, retries and ejection

Cause: an entry needs these decisions before it can forward anything. Change: pure systems over the tables. The choice minimises the expected first token (report corrected by own dispatches and finishes, own prompts ahead, probable prefix, distance); load is bounded by priority, which keeps room for orders.

--- /dev/null
+++ b/src/waxwingwell/decisions/candidates.py
@@ -0,0 +1,140 @@
+"""Find the upstreams that may take a request.
+
+Small fleets are looked through whole. In large ones a sample of the holders and the
+probable homes of the prompt's prefixes are looked at, so that one decision's time
+does not grow with the fleet. The index is a hint: each candidate is checked against
+its own row, and where the sample finds none the whole table is looked through.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..records import UpstreamKind
+from .ejection import list_groups
+from .tables import UpstreamRow
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..records import UpstreamId
+    from ..records import VersionId
+    from .tables import Tables
+    from .tables import Work
+
+
+SAMPLE = 16
+"""Holders looked at in a large fleet, besides the homes of prefixes."""
+WHOLE_UP_TO = 32
+"""Fleets of this size are looked through whole."""
+STRIDE = 7919
+"""A prime, so that the steps of a sample meet different upstreams."""
+
+
+@dataclass(slots=True)
+class Candidates:
+    """Upstreams that may take a request, and one that could after a trial."""
+
+    rows: list[UpstreamRow] = field(default_factory=list)
+    ejected: UpstreamRow | None = None
+    """The ejected one that comes back first, if it alone stands in the way."""
+
+
+def find_candidates(
+    tables: Tables,
+    work: Work,
+    version: VersionId,
+    exclude: frozenset[UpstreamId],
+    *,
+    now: float,
+    draw: float,
+) -> Candidates:
+    """Return the upstreams that may take the work."""
+    if len(tables.upstreams) > WHOLE_UP_TO:
+        sample = sample_holders(tables, work, version, draw)
+        found = check_rows(tables, work, version, exclude, sample, now=now)
+        if found.rows:
+            return found
+
+    return check_rows(tables, work, version, exclude, tables.upstreams, now=now)
+
+
+def check_rows(
+    tables: Tables,
+    work: Work,
+    version: VersionId,
+    exclude: frozenset[UpstreamId],
+    upstreams: Iterable[UpstreamId],
+    *,
+    now: float,
+) -> Candidates:
+    """Return those of ``upstreams`` that may take the work."""
+    config = tables.workspaces.get(work.workspace)
+    allowed = config.data_centres if config else ()
+    found = Candidates()
+    for upstream in upstreams:
+        row = tables.upstreams.get(upstream)
+        if row is None or row.left or row.expires_at <= now or upstream in exclude:
+            continue
+
+        if allowed and row.announcement.data_centre not in allowed:
+            continue
+
+        if not serves(row, work, version):
+            continue
+
+        if row.ejected_until <= now:
+            found.rows.append(row)
+        elif found.ejected is None or row.ejected_until < found.ejected.ejected_until:
+            found.ejected = row
+
+    return found
+
+
+def serves(row: UpstreamRow, work: Work, version: VersionId) -> bool:
+    """Return whether the upstream has said that it serves what the work needs."""
+    announcement = row.announcement
+    if announcement.leaving:
+        return False
+
+    if work.service:
+        is_service = announcement.kind is UpstreamKind.SERVICE
+        return is_service and announcement.service == work.service
+
+    return announcement.kind is UpstreamKind.MODEL and version in announcement.versions
+
+
+def sample_holders(
+    tables: Tables, work: Work, version: VersionId, draw: float
+) -> dict[UpstreamId, None]:
+    """Return some holders by the index, without repeats."""
+    picked: dict[UpstreamId, None] = {}
+    for digest in work.prefixes[:2]:
+        for upstream in list(tables.homes.get(digest, ()))[-4:]:
+            picked[upstream] = None
+
+    holders = tables.holders.get(work.service or version, [])
+    if not holders:
+        return picked
+
+    start = int(draw * 1_000_003)
+    for step in range(min(SAMPLE, len(holders))):
+        picked[holders[(start + step * STRIDE) % len(holders)]] = None
+
+    return picked
+
+
+def index_upstreams(tables: Tables, now: float) -> None:
+    """Rebuild the index of holders; run it each tick and on each announcement."""
+    holders: dict[str, list[UpstreamId]] = {}
+    for upstream, row in tables.upstreams.items():
+        if row.left or row.expires_at <= now:
+            continue
+
+        for group in list_groups(row):
+            holders.setdefault(group, []).append(upstream)
+
+    tables.holders = holders
--- /dev/null
+++ b/src/waxwingwell/decisions/load.py
@@ -0,0 +1,124 @@
+"""Estimate an upstream's load now from a report that lags.
+
+A report tells what stood at ``heard_at``. Own dispatches and finishes since then are
+exact; those of the other entries are inferred from this entry's share of the demand.
+Failure guarded against: with the same stale report at every entry, all would send to
+the upstream that looked idle, until the next report shows it flooded. Counting the
+own dispatches since the report, scaled, makes each entry turn away by itself.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from typing import TYPE_CHECKING
+
+from ..records import Priority
+
+
+if TYPE_CHECKING:
+    from .tables import Tables
+    from .tables import UpstreamRow
+    from .tables import Work
+
+
+DEFAULT_TOKENS_PER_SECOND = 50.0
+DEFAULT_PREFILL_PER_SECOND = 8000.0
+DEFAULT_SERVICE_SECONDS = 0.05
+"""Time of one call of a plain service where nothing was reported."""
+OTHERS_WEIGHT = 0.5
+"""Trust in others doing as this entry did since the report; see the design note."""
+MAX_SCALE = 16.0
+KEPT_TIMES = 512
+"""Dispatch and finish times kept for one upstream."""
+
+BOUNDS = {
+    Priority.ORDER: 1.25,
+    Priority.QUESTION: 1.0,
+    Priority.TAG: 0.9,
+    Priority.REPORT: 0.8,
+}
+"""Load an upstream may carry, as a share of its capacity, once work of a priority is
+added. The steps keep room for the next higher priority at any time."""
+
+
+def estimate_scale(tables: Tables) -> float:
+    """Return the demand of all entries over the demand at this one, at least 1."""
+    here = 0.0
+    elsewhere = 0.0
+    for demand in tables.demand.values():
+        here += demand.rate
+        elsewhere += demand.elsewhere_rate
+
+    if elsewhere <= 0.0:
+        return 1.0
+
+    return min(1.0 + elsewhere / max(here, 0.001), MAX_SCALE)
+
+
+def estimate_outstanding(row: UpstreamRow, scale: float) -> float:
+    """Return the requests that the upstream holds now, running and queued."""
+    report = row.announcement.load
+    if report is None:
+        return row.in_flight * scale
+
+    sent = len(row.dispatched) - bisect_right(row.dispatched, row.heard_at)
+    ended = len(row.finished) - bisect_right(row.finished, row.heard_at)
+    change = (sent - ended) * (1.0 + (scale - 1.0) * OTHERS_WEIGHT)
+    return max(report.running + report.queued + change, float(row.in_flight))
+
+
+def limit_outstanding(row: UpstreamRow, priority: Priority) -> float:
+    """Return how many requests may be there once work of ``priority`` is added."""
+    return max(row.announcement.capacity * BOUNDS[priority], 1.0)
+
+
+def estimate_wait(
+    row: UpstreamRow, work: Work, outstanding: float, now: float
+) -> float:
+    """Return the seconds before the upstream begins with the work's own prompt."""
+    capacity = row.announcement.capacity
+    wait = 0.0
+    over = outstanding + 1.0 - capacity
+    if over > 0.0:
+        wait = over * estimate_service(row, work) / capacity
+
+    if work.service or work.priority is Priority.ORDER:
+        return wait
+
+    return wait + estimate_backlog(row, now)
+
+
+def estimate_service(row: UpstreamRow, work: Work) -> float:
+    """Return the seconds for which the work holds its place at the upstream."""
+    if work.service:
+        return DEFAULT_SERVICE_SECONDS
+
+    report = row.announcement.load
+    rate = report.tokens_per_second if report else 0.0
+    return work.answer_tokens / (rate or DEFAULT_TOKENS_PER_SECOND)
+
+
+def estimate_backlog(row: UpstreamRow, now: float) -> float:
+    """Return the seconds of prompt reading that stand before a new prompt."""
+    own = max(row.prefill_until - now, 0.0)
+    report = row.announcement.load
+    if report is None:
+        return own
+
+    rate = report.prefill_per_second or DEFAULT_PREFILL_PER_SECOND
+    reported = report.backlog_tokens / rate - (now - row.heard_at)
+    return max(reported, own)
+
+
+def get_prefill_rate(row: UpstreamRow) -> float:
+    """Return the prompt tokens a second that the upstream reads."""
+    report = row.announcement.load
+    rate = report.prefill_per_second if report else 0.0
+    return rate or DEFAULT_PREFILL_PER_SECOND
+
+
+def trim_times(times: list[float], since: float) -> None:
+    """Drop the times up to ``since`` in place, and the oldest beyond the cap."""
+    cut = max(bisect_right(times, since), len(times) - KEPT_TIMES)
+    if cut > 0:
+        del times[:cut]
--- /dev/null
+++ b/src/waxwingwell/decisions/queue.py
@@ -0,0 +1,224 @@
+"""The waiting queue of an entry: a table, and systems that run over it.
+
+Higher priorities go first, and among equals the workspace that holds least. The
+queue is bounded by the wait it implies, not by a count: places in it mean nothing
+to a caller, seconds do.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..records import PRIORITY_ORDER
+from ..records import Priority
+from .rates import decay_rate
+from .tables import Refusal
+from .tables import Waiting
+from .upstreams import BUSY
+from .upstreams import FINISH_WINDOW
+from .upstreams import UpstreamChoice
+from .upstreams import choose_upstream
+
+
+if TYPE_CHECKING:
+    from ..records import VersionId
+    from ..records import WorkspaceId
+    from .tables import Tables
+    from .tables import Work
+
+
+LEAST_FINISH_RATE = 0.2
+"""Finishes a second assumed where none was seen of late."""
+MOST_HELD = 0.5
+"""A workspace with more than this share of the running work goes after others."""
+SHED_MARGIN = 2.0
+"""Finishes may come this much faster than of late before work is shed early."""
+RANK = {priority: rank for rank, priority in enumerate(PRIORITY_ORDER)}
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A waiting request that has left the queue, and what becomes of it."""
+
+    waiting: Waiting
+    result: UpstreamChoice | Refusal
+    """Where to dispatch it now, or its final refusal."""
+
+
+def place_work(
+    tables: Tables, work: Work, version: VersionId, *, now: float, draw: float
+) -> UpstreamChoice | Refusal | Waiting:
+    """Place admitted work: at an upstream now, in the queue, or refuse it.
+
+    Work never passes those that wait already; call ``take_next`` after it.
+    """
+    if tables.waiting:
+        return put_waiting(tables, work, version, now)
+
+    result = choose_upstream(tables, work, version, now=now, draw=draw)
+    if isinstance(result, Refusal) and result.code == BUSY:
+        return put_waiting(tables, work, version, now)
+
+    return result
+
+
+def put_waiting(tables: Tables, work: Work, version: VersionId, now: float) -> Waiting:
+    """Let an admitted request wait; it leaves by ``take_next`` or ``shed_expired``."""
+    config = tables.workspaces.get(work.workspace)
+    expires_at = now + (config.limits.max_wait if config else 0.0)
+    if work.deadline:
+        expires_at = min(expires_at, work.deadline)
+
+    tables.waited += 1
+    waiting = Waiting(work, version, now, expires_at, tables.waited)
+    tables.waiting[work.request] = waiting
+    return waiting
+
+
+def remove_waiting(tables: Tables, request: str) -> Waiting | None:
+    """Take out a request whose caller has gone; None if it had left already."""
+    return tables.waiting.pop(request, None)
+
+
+def take_next(tables: Tables, now: float, draw: float) -> Taken | None:
+    """Take the next request that has room somewhere; None if none has.
+
+    Run it each tick and after each finish until it gives None. Whatever changed
+    while the request waited (a withdrawal, say) must be checked after it.
+    """
+    over = find_over_share(tables)
+    busy: set[tuple[str, WorkspaceId, Priority]] = set()
+    for waiting in sort_waiting(tables, over):
+        work = waiting.work
+        spot = (work.service or waiting.version, work.workspace, work.priority)
+        if spot in busy:
+            continue
+
+        if (work.workspace, work.priority) in over:
+            work = replace(work, priority=Priority.REPORT)
+
+        result = choose_upstream(tables, work, waiting.version, now=now, draw=draw)
+        if isinstance(result, Refusal) and result.code == BUSY:
+            busy.add(spot)
+            continue
+
+        del tables.waiting[work.request]
+        return Taken(waiting, result)
+
+    return None
+
+
+def sort_waiting(
+    tables: Tables, over: set[tuple[WorkspaceId, Priority]]
+) -> list[Waiting]:
+    """Return the waiting requests in the order in which they are served."""
+    held = {name: demand.in_flight for name, demand in tables.demand.items()}
+
+    def order(waiting: Waiting) -> tuple[bool, int, int, int]:
+        work = waiting.work
+        return (
+            (work.workspace, work.priority) in over,
+            RANK[work.priority],
+            held.get(work.workspace, 0),
+            waiting.number,
+        )
+
+    return sorted(tables.waiting.values(), key=order)
+
+
+def find_over_share(tables: Tables) -> set[tuple[WorkspaceId, Priority]]:
+    """Return the workspaces and priorities that must let others go first.
+
+    Failure guarded against: a workspace that floods the highest priority would, by
+    priority alone, keep all others out for good. So when its running work of a
+    priority and above fills most of the places and another workspace waits, its
+    further work of that priority goes last and keeps to the lowest bound.
+    """
+    names = {waiting.work.workspace for waiting in tables.waiting.values()}
+    if len(names) < 2:
+        return set()
+
+    running = count_running(tables)
+    total = sum(running.values())
+    over = set()
+    for name in names:
+        held = 0
+        for priority in PRIORITY_ORDER:
+            held += running.get((name, priority), 0)
+            if held > total * MOST_HELD:
+                over.add((name, priority))
+
+    return over
+
+
+def count_running(tables: Tables) -> dict[tuple[WorkspaceId, Priority], int]:
+    """Return the admitted requests that do not wait, by workspace and priority."""
+    running = {
+        (name, priority): count
+        for name, demand in tables.demand.items()
+        for priority, count in demand.held.items()
+    }
+    for waiting in tables.waiting.values():
+        spot = (waiting.work.workspace, waiting.work.priority)
+        running[spot] = max(running.get(spot, 0) - 1, 0)
+
+    return running
+
+
+def estimate_queue_wait(tables: Tables, work: Work, now: float) -> float:
+    """Return the seconds that new work would wait in this entry's queue.
+
+    Ahead of it stand its own workspace's waiting work of its priority and above, and
+    as much of each other workspace's, for the shares are fair: so a workspace that
+    floods the queue lengthens its own wait and not another's.
+    """
+    ahead: dict[WorkspaceId, int] = {}
+    rank = RANK[work.priority]
+    for waiting in tables.waiting.values():
+        if RANK[waiting.work.priority] <= rank:
+            name = waiting.work.workspace
+            ahead[name] = ahead.get(name, 0) + 1
+
+    if not ahead:
+        return 0.0
+
+    own = ahead.get(work.workspace, 0) + 1
+    count = sum(min(others, own) for others in ahead.values())
+    return count / estimate_finish_rate(tables, now)
+
+
+def estimate_finish_rate(tables: Tables, now: float) -> float:
+    """Return the finishes a second to reckon with at this entry."""
+    rate = decay_rate(tables.finish_rate, tables.finish_rated_at, FINISH_WINDOW, now)
+    return max(rate, LEAST_FINISH_RATE)
+
+
+def shed_expired(tables: Tables, now: float) -> list[Taken]:
+    """Take out those whose time is over or whose turn would come too late.
+
+    Higher priorities that arrived later push waiting work back. What can no longer be
+    served in time is refused at once rather than at the end of its wait.
+    """
+    rate = estimate_finish_rate(tables, now)
+    shed = []
+    place = 0
+    for waiting in sort_waiting(tables, find_over_share(tables)):
+        turn_at = now + place / (rate * SHED_MARGIN)
+        if now < waiting.expires_at and turn_at <= waiting.expires_at:
+            place += 1
+            continue
+
+        del tables.waiting[waiting.work.request]
+        shed.append(Taken(waiting, refuse_late(waiting, now)))
+
+    return shed
+
+
+def refuse_late(waiting: Waiting, now: float) -> Refusal:
+    """Return the refusal of a request that waited in vain."""
+    waited = max(now - waiting.arrived_at, 0.0)
+    return Refusal(
+        "overloaded", "no upstream had room in time", 503, min(max(waited, 1.0), 30.0)
+    )
--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -41,6 +41,27 @@
     ejected_until: float = 0.0
     prefixes: dict[str, float] = field(default_factory=dict)
     """Prompt-prefix digest to the time it was last sent there."""
+    finished: list[float] = field(default_factory=list)
+    """Times of own finishes since the load report, oldest first."""
+    prefill_until: float = 0.0
+    """When the prompts that this entry sent are expected to be read in."""
+    ejections: int = 0
+    """Ejections without a success since; each doubles the next one's length."""
+    probing: bool = False
+    """Back from an ejection on trial: one request at a time until one succeeds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits at this entry for room at an upstream."""
+
+    work: Work
+    version: VersionId
+    arrived_at: float
+    expires_at: float
+    """When it is refused if it was not dispatched by then."""
+    number: int
+    """Order of arrival, for a stable order among equals."""
 
 
 @dataclass(slots=True)
@@ -52,7 +73,11 @@
     """Token bucket of admissions at this entry."""
     refilled_at: float = 0.0
     rate: float = 0.0
-    """Admissions a second at this entry, smoothed."""
+    """Requests a second offered at this entry, smoothed; refused ones count too."""
+    rated_at: float = 0.0
+    """When ``rate`` was last smoothed."""
+    held: dict[Priority, int] = field(default_factory=dict)
+    """This entry's admitted requests by priority."""
     elsewhere_in_flight: int = 0
     elsewhere_rate: float = 0.0
 
@@ -114,5 +139,16 @@
     demand: dict[WorkspaceId, WorkspaceDemand] = field(default_factory=dict)
     distances: dict[str, float] = field(default_factory=dict)
     """One-way seconds from this entry's data centre to each data centre."""
+    waiting: dict[str, Waiting] = field(default_factory=dict)
+    """The waiting queue, by request id."""
+    waited: int = 0
+    """Requests that ever waited; numbers the next one."""
+    finish_rate: float = 0.0
+    """Finishes a second at this entry, smoothed."""
+    finish_rated_at: float = 0.0
+    holders: dict[str, list[UpstreamId]] = field(default_factory=dict)
+    """Upstreams by version or service: a hint, rebuilt by ``index_upstreams``."""
+    homes: dict[str, dict[UpstreamId, float]] = field(default_factory=dict)
+    """Prompt-prefix digest to the upstreams it was lately sent to; a hint."""
     rating_heard_at: float = 0.0
     """When a rating last arrived; old ratings make decisions cautious."""
--- /dev/null
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -0,0 +1,222 @@
+"""Choose the upstream for a request, and keep the table that the choice reads.
+
+The choice minimises the expected time to the first token: wait, prompt tokens not
+covered by a probable cached prefix, and the way there and back. Load is bounded: an
+upstream at its bound for the work's priority takes no more of it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..records import UpstreamId
+from .candidates import find_candidates
+from .ejection import SILENCE_WEIGHT
+from .ejection import lift_ejection
+from .ejection import note_failure
+from .ejection import note_success
+from .load import estimate_outstanding
+from .load import estimate_scale
+from .load import estimate_wait
+from .load import get_prefill_rate
+from .load import limit_outstanding
+from .load import trim_times
+from .prefixes import estimate_cached
+from .prefixes import find_home
+from .prefixes import remember_prefixes
+from .rates import count_event
+from .tables import Refusal
+
+
+if TYPE_CHECKING:
+    from ..records import VersionId
+    from .tables import Tables
+    from .tables import UpstreamRow
+    from .tables import Work
+
+
+NEAR_SECONDS = 0.004
+"""Estimates this close are equal; the draw or the session's home decides."""
+NEAR_SHARE = 0.1
+"""Estimates within this share of the best are equal as well."""
+BUSY = "busy"
+"""Code of the refusal that a place in the waiting queue may cure."""
+UNAVAILABLE = "no_upstream"
+BUSY_RETRY_AFTER = 1.0
+UNAVAILABLE_RETRY_AFTER = 5.0
+FINISH_WINDOW = 2.0
+"""Seconds over which finishes are smoothed into a rate."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChoice:
+    """The upstream that should take the work, and what is expected of it."""
+
+    upstream: UpstreamId
+    wait: float
+    """Seconds before it begins with the work."""
+    first_token: float
+    """Seconds to the first token at this entry."""
+    reason: str
+    """``home``, ``prefix``, ``load`` or ``only``; for traces and metrics."""
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What one upstream promises for one request, in seconds and tokens."""
+
+    upstream: UpstreamId
+    wait: float
+    first_token: float
+    cached: float
+
+
+def choose_upstream(
+    tables: Tables,
+    work: Work,
+    version: VersionId,
+    *,
+    exclude: frozenset[UpstreamId] = frozenset(),
+    now: float,
+    draw: float,
+) -> UpstreamChoice | Refusal:
+    """Return the best upstream for the work, or why there is none.
+
+    ``draw`` is uniform in [0, 1). ``version`` is not read for plain services. A
+    refusal with code ``busy`` may wait in the queue; any other is final.
+    """
+    found = find_candidates(tables, work, version, exclude, now=now, draw=draw)
+    if not found.rows and found.ejected is not None:
+        lift_ejection(found.ejected, now)
+        found.rows.append(found.ejected)
+
+    if not found.rows:
+        return Refusal(
+            UNAVAILABLE,
+            f"no upstream serves {work.service or version}",
+            503,
+            UNAVAILABLE_RETRY_AFTER,
+        )
+
+    home = find_home(work, (row.announcement.upstream for row in found.rows))
+    estimates = estimate_all(tables, work, found.rows, home, now)
+    if not estimates:
+        return Refusal(BUSY, "every upstream is at its bound", 503, BUSY_RETRY_AFTER)
+
+    return pick_estimate(estimates, home, draw)
+
+
+def estimate_all(
+    tables: Tables,
+    work: Work,
+    rows: list[UpstreamRow],
+    home: UpstreamId | None,
+    now: float,
+) -> list[Estimate]:
+    """Return the estimates of the upstreams that have room for the work."""
+    scale = estimate_scale(tables)
+    estimates = []
+    for row in rows:
+        outstanding = estimate_outstanding(row, scale)
+        if outstanding + 1.0 > limit_outstanding(row, work.priority):
+            continue
+
+        if row.probing and row.in_flight > 0:
+            continue
+
+        estimates.append(
+            estimate_row(tables, work, row, outstanding, home=home, now=now)
+        )
+
+    return estimates
+
+
+def estimate_row(
+    tables: Tables,
+    work: Work,
+    row: UpstreamRow,
+    outstanding: float,
+    *,
+    home: UpstreamId | None,
+    now: float,
+) -> Estimate:
+    """Return what one upstream promises for the work."""
+    announcement = row.announcement
+    upstream = announcement.upstream
+    wait = estimate_wait(row, work, outstanding, now)
+    way = 2.0 * tables.distances.get(announcement.data_centre, 0.0)
+    if not work.prompt_tokens:
+        return Estimate(upstream, wait, wait + way, 0.0)
+
+    cached = estimate_cached(row, work, is_home=upstream == home, now=now)
+    prefill = (work.prompt_tokens - cached) / get_prefill_rate(row)
+    return Estimate(upstream, wait, wait + prefill + way, cached)
+
+
+def pick_estimate(
+    estimates: list[Estimate], home: UpstreamId | None, draw: float
+) -> UpstreamChoice:
+    """Return the best estimate; among equals the session's home, else by the draw."""
+    best = min(estimate.first_token for estimate in estimates)
+    reach = best + max(NEAR_SECONDS, best * NEAR_SHARE)
+    near = [estimate for estimate in estimates if estimate.first_token <= reach]
+    at_home = [estimate for estimate in near if estimate.upstream == home]
+    if at_home:
+        return make_choice(at_home[0], "home")
+
+    chosen = near[int(draw * len(near))]
+    if len(estimates) == 1:
+        return make_choice(chosen, "only")
+
+    return make_choice(chosen, "prefix" if chosen.cached > 0.0 else "load")
+
+
+def make_choice(estimate: Estimate, reason: str) -> UpstreamChoice:
+    """Return the choice of an estimated upstream."""
+    return UpstreamChoice(
+        estimate.upstream, estimate.wait, estimate.first_token, reason
+    )
+
+
+def note_dispatch(
+    tables: Tables, upstream: UpstreamId, work: Work, *, now: float
+) -> None:
+    """Count a request that this entry sends to the upstream now."""
+    row = tables.upstreams.get(upstream)
+    if row is None:
+        return
+
+    cached = estimate_cached(row, work, is_home=False, now=now)
+    prefill = (work.prompt_tokens - cached) / get_prefill_rate(row)
+    row.prefill_until = max(row.prefill_until, now) + prefill
+    row.in_flight += 1
+    trim_times(row.dispatched, row.heard_at)
+    row.dispatched.append(now)
+    remember_prefixes(tables, upstream, work.prefixes, now)
+
+
+def note_finish(
+    tables: Tables, upstream: UpstreamId, *, failed: bool, now: float
+) -> None:
+    """Count the end of a dispatched request; ``failed`` by the upstream's fault."""
+    tables.finish_rate = count_event(
+        tables.finish_rate, tables.finish_rated_at, FINISH_WINDOW, now
+    )
+    tables.finish_rated_at = now
+    row = tables.upstreams.get(upstream)
+    if row is None:
+        return
+
+    row.in_flight = max(row.in_flight - 1, 0)
+    trim_times(row.finished, row.heard_at)
+    row.finished.append(now)
+    if failed:
+        note_failure(tables, upstream, weight=1, now=now)
+    else:
+        note_success(row)
+
+
+def note_silence(tables: Tables, upstream: UpstreamId, *, now: float) -> None:
+    """Count a progress deadline that passed; the request itself still has to end."""
+    note_failure(tables, upstream, weight=SILENCE_WEIGHT, now=now)
--- /dev/null
+++ b/tests/decisions/test_ejection.py
@@ -0,0 +1,110 @@
+"""Ejection and probing back."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingwell.decisions.ejection import FIRST_EJECTION
+from waxwingwell.decisions.upstreams import UpstreamChoice
+from waxwingwell.decisions.upstreams import choose_upstream
+from waxwingwell.decisions.upstreams import note_dispatch
+from waxwingwell.decisions.upstreams import note_finish
+from waxwingwell.decisions.upstreams import note_silence
+from waxwingwell.records import UpstreamId
+
+from .factories import VERSION
+from .factories import make_row
+from .factories import make_tables
+from .factories import make_work
+
+
+if TYPE_CHECKING:
+    from waxwingwell.decisions.tables import Tables
+
+
+A = UpstreamId("a")
+NAMES = [UpstreamId(name) for name in "abcd"]
+
+
+def make_four() -> Tables:
+    return make_tables(*(make_row(name) for name in NAMES))
+
+
+def fail_at(tables: Tables, upstream: UpstreamId, now: float) -> None:
+    note_dispatch(tables, upstream, make_work(), now=now)
+    note_finish(tables, upstream, failed=True, now=now)
+
+
+class TestEjection(unittest.TestCase):
+    def test_silent_upstream_is_ejected_and_probed(self) -> None:
+        """An upstream takes requests and never answers: it looks idle to everyone.
+
+        Two progress deadlines pass, so it is ejected. After the ejection it gets one
+        request at a time; another failure ejects it for twice as long, a success
+        takes it back.
+        """
+        tables = make_four()
+        row = tables.upstreams[A]
+        note_silence(tables, A, now=1.0)
+        self.assertEqual(row.ejected_until, 0.0)
+        note_silence(tables, A, now=2.0)
+        self.assertEqual(row.ejected_until, 2.0 + FIRST_EJECTION)
+        note_dispatch(tables, A, make_work(), now=8.0)
+        others = frozenset(NAMES[1:])
+        second = choose_upstream(
+            tables, make_work(), VERSION, exclude=others, now=8.0, draw=0.0
+        )
+        self.assertNotIsInstance(second, UpstreamChoice)
+        note_finish(tables, A, failed=True, now=9.0)
+        self.assertEqual(row.ejected_until, 9.0 + 2 * FIRST_EJECTION)
+        note_dispatch(tables, A, make_work(), now=20.0)
+        note_finish(tables, A, failed=False, now=21.0)
+        self.assertFalse(row.probing)
+        self.assertEqual((row.failures, row.ejections), (0, 0))
+
+    def test_success_clears_failures(self) -> None:
+        tables = make_four()
+        for now in range(6):
+            fail_at(tables, A, float(now))
+            note_dispatch(tables, A, make_work(), now=float(now))
+            note_finish(tables, A, failed=False, now=float(now))
+
+        self.assertEqual(tables.upstreams[A].ejected_until, 0.0)
+
+    def test_all_failing_leaves_half(self) -> None:
+        """A fault common to all (a cut link of this entry) fails every request.
+
+        Were each upstream ejected, callers would be refused long after the link is
+        back.
+        """
+        tables = make_four()
+        for now in range(20):
+            for name in NAMES:
+                fail_at(tables, name, 1.0 + now / 10)
+
+        staying = [row for row in tables.upstreams.values() if row.ejected_until <= 3.0]
+        self.assertEqual(len(staying), 2)
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(NAMES), st.booleans(), st.floats(0.0, 20.0)),
+            max_size=80,
+        )
+    )
+    def test_never_ejects_all(
+        self, events: list[tuple[UpstreamId, bool, float]]
+    ) -> None:
+        tables = make_four()
+        now = 1.0
+        for upstream, failed, pause in events:
+            now += pause
+            note_dispatch(tables, upstream, make_work(), now=now)
+            note_finish(tables, upstream, failed=failed, now=now)
+            staying = [
+                row for row in tables.upstreams.values() if row.ejected_until <= now
+            ]
+            self.assertGreaterEqual(len(staying), 2)
--- /dev/null
+++ b/tests/decisions/test_queue.py
@@ -0,0 +1,165 @@
+"""The waiting queue: order, fairness and bound."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingwell.decisions.admission import Admitted
+from waxwingwell.decisions.admission import admit
+from waxwingwell.decisions.admission import release
+from waxwingwell.decisions.queue import put_waiting
+from waxwingwell.decisions.queue import shed_expired
+from waxwingwell.decisions.queue import take_next
+from waxwingwell.decisions.upstreams import UpstreamChoice
+from waxwingwell.decisions.upstreams import note_dispatch
+from waxwingwell.decisions.upstreams import note_finish
+from waxwingwell.records import Limits
+from waxwingwell.records import Priority
+from waxwingwell.records import UpstreamId
+from waxwingwell.records import WorkspaceId
+
+from .factories import VERSION
+from .factories import make_config
+from .factories import make_row
+from .factories import make_tables
+from .factories import make_work
+
+
+if TYPE_CHECKING:
+    from waxwingwell.decisions.tables import Tables
+    from waxwingwell.decisions.tables import Work
+
+
+A = UpstreamId("a")
+LOUD, QUIET = WorkspaceId("loud"), WorkspaceId("quiet")
+LIMITS = Limits(requests_per_second=1000.0, max_in_flight=500, max_wait=5.0)
+
+
+def make_two() -> Tables:
+    return make_tables(
+        make_row("a", capacity=4, load=None),
+        configs=(make_config(LOUD, LIMITS), make_config(QUIET, LIMITS)),
+    )
+
+
+def take_all(tables: Tables, now: float) -> list[Work]:
+    """Dispatch all that has room, and return it in order."""
+    taken = []
+    while (next_one := take_next(tables, now, 0.5)) is not None:
+        assert isinstance(next_one.result, UpstreamChoice)
+        work = next_one.waiting.work
+        note_dispatch(tables, next_one.result.upstream, work, now=now)
+        taken.append(work)
+
+    return taken
+
+
+class TestQueue(unittest.TestCase):
+    def test_serves_higher_priorities_first(self) -> None:
+        tables = make_tables(make_row("a", capacity=40, load=None))
+        for priority in (
+            Priority.REPORT,
+            Priority.TAG,
+            Priority.QUESTION,
+            Priority.ORDER,
+        ):
+            put_waiting(tables, make_work(priority, priority=priority), VERSION, 1.0)
+
+        order = [work.priority for work in take_all(tables, 1.0)]
+        self.assertEqual(order, list(Priority))
+
+    def test_keeps_room_for_orders(self) -> None:
+        tables = make_two()
+        for number in range(20):
+            work = make_work(f"r{number}", workspace=LOUD, priority=Priority.REPORT)
+            put_waiting(tables, work, VERSION, 1.0)
+
+        self.assertEqual(len(take_all(tables, 1.0)), 3)
+        order = make_work("o", workspace=LOUD, priority=Priority.ORDER)
+        put_waiting(tables, order, VERSION, 1.0)
+        self.assertEqual(take_all(tables, 1.0), [order])
+
+    def test_flood_does_not_starve_another_workspace(self) -> None:
+        """One workspace sends twenty times as much as the engine bears, also orders.
+
+        Another sends one question a second. In order of arrival, or by priority
+        alone, its questions would stand behind the flood for good.
+        """
+        tables = make_two()
+        running: list[tuple[float, Work]] = []
+        served = {LOUD: 0, QUIET: 0}
+        refused = {LOUD: 0, QUIET: 0}
+        for tick in range(2000):
+            now = 1.0 + tick / 100
+            offered = [make_work(f"l{tick}", workspace=LOUD, priority=Priority.ORDER)]
+            if tick % 100 == 0:
+                offered.append(make_work(f"q{tick}", workspace=QUIET))
+
+            for work in offered:
+                if isinstance(admit(tables, work, now), Admitted):
+                    put_waiting(tables, work, VERSION, now)
+                else:
+                    refused[work.workspace] += 1
+
+            for ends_at, work in [pair for pair in running if pair[0] <= now]:
+                running.remove((ends_at, work))
+                note_finish(tables, A, failed=False, now=now)
+                release(tables, work, now)
+                served[work.workspace] += 1
+
+            for taken in shed_expired(tables, now):
+                release(tables, taken.waiting.work, now)
+                refused[taken.waiting.work.workspace] += 1
+
+            running += [(now + 0.8, work) for work in take_all(tables, now)]
+
+        self.assertGreaterEqual(served[QUIET], 18)
+        self.assertEqual(refused[QUIET], 0)
+        self.assertGreater(refused[LOUD], 1000)
+        self.assertGreater(served[LOUD], 50)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([LOUD, QUIET]),
+                st.sampled_from(list(Priority)),
+                st.floats(0.0, 0.3),
+                st.booleans(),
+            ),
+            max_size=120,
+        )
+    )
+    def test_queue_is_bounded_by_the_wait(
+        self, events: list[tuple[WorkspaceId, Priority, float, bool]]
+    ) -> None:
+        tables = make_two()
+        running: list[Work] = []
+        now = 1.0
+        gone: set[str] = set()
+        for number, (workspace, priority, pause, finishes) in enumerate(events):
+            now += pause
+            work = make_work(f"r{number}", workspace=workspace, priority=priority)
+            if isinstance(admit(tables, work, now), Admitted):
+                put_waiting(tables, work, VERSION, now)
+
+            if finishes and running:
+                note_finish(tables, A, failed=False, now=now)
+                release(tables, running.pop(), now)
+
+            shed = shed_expired(tables, now)
+            running += take_all(tables, now)
+            for taken in shed:
+                release(tables, taken.waiting.work, now)
+                self.assertNotIn(taken.waiting.work.request, gone)
+                gone.add(taken.waiting.work.request)
+
+            for waiting in tables.waiting.values():
+                self.assertGreater(waiting.expires_at, now)
+                self.assertLessEqual(now - waiting.arrived_at, LIMITS.max_wait)
+
+            held = sum(demand.in_flight for demand in tables.demand.values())
+            self.assertEqual(held, len(running) + len(tables.waiting))
