--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -41,6 +41,8 @@
     ejected_until: float = 0.0
     prefixes: dict[str, float] = field(default_factory=dict)
     """Prompt-prefix digest to the time it was last sent there."""
+    taken_at: float = 0.0
+    """When this entry took the announcement in."""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/waxwingwell/invariants.py
@@ -0,0 +1,78 @@
+"""The ten promises of the product, checked where the state changes.
+
+A check is always on and costs one comparison when it holds. A breach is logged and
+counted; it is raised only where ``raise_on_breach`` is set, as tests do, because a
+running process serves its callers better by going on than by stopping.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Promise(StrEnum):
+    """What must always hold, in the order of the brief."""
+
+    ALLOWED_VERSION = "a request runs only on a version its workspace allows"
+    NO_NEW_WORK_WHEN_WITHDRAWN = "a withdrawn version receives no new work"
+    SESSION_KEEPS_VERSION = "a session keeps the version it started on"
+    BILLED_ONCE = "each request is billed exactly once"
+    WHOLE_OWN_ANSWER = "a caller receives the whole answer to its own request"
+    NOT_RUN_DID_NOT_RUN = "a request refused as not run did not run"
+    AT_MOST_ONCE = "a non-idempotent request runs at most once"
+    NO_NEW_WORK_WHEN_LEAVING = "a leaving upstream receives no new work"
+    STOP_CUTS_NOTHING = "a planned stop cuts no request"
+    CONFIG_NEVER_REVERTS = "an accepted configuration is in force and never reverts"
+
+
+class BreachError(AssertionError):
+    """A promise was broken; raised only where ``raise_on_breach`` is set."""
+
+    def __init__(self, promise: Promise, detail: str) -> None:
+        """Keep the promise for the test that asserts on it."""
+        super().__init__(f"{promise.value}: {detail}")
+        self.promise = promise
+
+
+@dataclass(slots=True)
+class Breaches:
+    """Breaches counted since the process started."""
+
+    counts: Counter[Promise] = field(default_factory=Counter)
+    raise_on_breach: bool = False
+
+
+BREACHES = Breaches()
+"""The one table of this process; metrics read it and tests set its switch."""
+
+
+def check(promise: Promise, holds: bool, detail: str | Callable[[], str]) -> bool:
+    """Return ``holds``; count, log and perhaps raise a breach.
+
+    A callable ``detail`` is formatted only on a breach, which keeps checks cheap.
+    """
+    if holds:
+        return True
+
+    text = detail if isinstance(detail, str) else detail()
+    BREACHES.counts[promise] += 1
+    logger.error("invariants: {} ({}): {}", promise.name, promise.value, text)
+    if BREACHES.raise_on_breach:
+        raise BreachError(promise, text)
+
+    return False
+
+
+def count_breaches() -> int:
+    """Return the breaches of all promises together."""
+    return BREACHES.counts.total()
--- /dev/null
+++ b/src/waxwingwell/state/bills.py
@@ -0,0 +1,69 @@
+"""Bills: sums over settled ledger rows, each row taken in exactly once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..records import OutcomeKind
+from ..records import VersionId
+from ..records import WorkspaceId
+
+
+if TYPE_CHECKING:
+    from ..records import LedgerRow
+
+
+@dataclass(slots=True)
+class Bill:
+    """What one workspace owes for one version; plain services have an empty version."""
+
+    workspace: WorkspaceId
+    version: VersionId
+    requests: int = 0
+    """Rows taken in, whatever their outcome."""
+    completed: int = 0
+    failed: int = 0
+    unknown: int = 0
+    """Requests that may have run; they cost nothing here."""
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    cost: int = 0
+    """Micro-units of the workspace's currency."""
+
+
+@dataclass(slots=True)
+class BillTable:
+    """Bills by workspace and version, since the state began."""
+
+    bills: dict[tuple[WorkspaceId, VersionId], Bill] = field(default_factory=dict)
+
+
+def add_row(table: BillTable, row: LedgerRow) -> None:
+    """Add a final row to its bill; a row that did not run makes no bill."""
+    if row.outcome is OutcomeKind.NOT_RUN:
+        return
+
+    place = (row.workspace, row.version)
+    bill = table.bills.get(place)
+    if bill is None:
+        bill = Bill(row.workspace, row.version)
+        table.bills[place] = bill
+
+    bill.requests += 1
+    bill.completed += row.outcome is OutcomeKind.COMPLETED
+    bill.failed += row.outcome is OutcomeKind.FAILED
+    bill.unknown += row.outcome is OutcomeKind.MAY_HAVE_RUN
+    bill.prompt_tokens += row.usage.prompt_tokens
+    bill.answer_tokens += row.usage.answer_tokens
+    bill.cost += row.usage.cost
+
+
+def list_bills(table: BillTable, workspace: WorkspaceId | None = None) -> list[Bill]:
+    """Return the bills of one workspace, or of all, in a fixed order."""
+    return [
+        table.bills[place]
+        for place in sorted(table.bills)
+        if workspace is None or place[0] == workspace
+    ]
--- /dev/null
+++ b/src/waxwingwell/state/control.py
@@ -0,0 +1,21 @@
+"""The tables that the control state machine runs over."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from .catalogue import ConfigTable
+from .evidence import EvidenceTable
+from .ledger import Ledger
+from .pins import PinTable
+
+
+@dataclass(slots=True)
+class ControlState:
+    """All replicated state of one control group."""
+
+    config: ConfigTable = field(default_factory=ConfigTable)
+    ledger: Ledger = field(default_factory=Ledger)
+    pins: PinTable = field(default_factory=PinTable)
+    evidence: EvidenceTable = field(default_factory=EvidenceTable)
--- /dev/null
+++ b/src/waxwingwell/state/images.py
@@ -0,0 +1,170 @@
+"""Images: the whole control state as bytes, for snapshots of the log.
+
+Tables keyed by a tuple are saved as lists in their order. The order is part of the
+state: it decides what retention drops first.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..records import EntryId
+from ..records import Evidence
+from ..records import LedgerRow
+from ..records import RowStatus
+from ..records import WorkspaceId
+from .bills import Bill
+from .bills import BillTable
+from .catalogue import ConfigTable
+from .control import ControlState
+from .evidence import EvidenceTable
+from .evidence import Sender
+from .ledger import Ledger
+from .ledger import Retained
+from .pins import Pin
+from .pins import PinTable
+
+
+if TYPE_CHECKING:
+    from .ledger import RowKey
+
+
+IMAGE_FORMAT = 1
+"""Raised with each change of the form; an image of another form is refused."""
+
+
+class ImageError(Exception):
+    """The bytes are no image of the control state that this program reads."""
+
+
+class SavedAttempts(msgspec.Struct, frozen=True):
+    """Request ids of earlier attempts under one key."""
+
+    workspace: WorkspaceId
+    key: str
+    requests: tuple[str, ...]
+
+
+class SavedPin(msgspec.Struct, frozen=True):
+    """One session pin."""
+
+    workspace: WorkspaceId
+    session: str
+    pin: Pin
+
+
+class SavedLedger(msgspec.Struct, frozen=True, kw_only=True):
+    """The ledger without what can be found again from its rows."""
+
+    rows: list[LedgerRow]
+    swept: list[tuple[WorkspaceId, str, str]]
+    """Workspace, key, request."""
+    attempts: list[SavedAttempts]
+    clock: float
+    repeatable_kept: list[Retained]
+    others_kept: list[Retained]
+    answers_kept: list[Retained]
+    bills: list[Bill]
+
+
+class SavedState(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole control state."""
+
+    image_format: int
+    config: ConfigTable
+    ledger: SavedLedger
+    pins: list[SavedPin]
+    pins_clock: float
+    evidence: list[Evidence]
+    senders: dict[EntryId, Sender]
+
+
+def save_state(state: ControlState) -> bytes:
+    """Return the state as bytes that ``load_state`` reads."""
+    state.config.snapshot = None
+    saved = SavedState(
+        image_format=IMAGE_FORMAT,
+        config=state.config,
+        ledger=_save_ledger(state.ledger),
+        pins=[SavedPin(*place, pin) for place, pin in state.pins.pins.items()],
+        pins_clock=state.pins.clock,
+        evidence=list(state.evidence.sums.values()),
+        senders=state.evidence.senders,
+    )
+    return msgspec.msgpack.encode(saved)
+
+
+def _save_ledger(ledger: Ledger) -> SavedLedger:
+    """Return the ledger in the form of an image."""
+    return SavedLedger(
+        rows=list(ledger.rows.values()),
+        swept=[(*place, request) for place, request in ledger.swept.items()],
+        attempts=[
+            SavedAttempts(*place, requests)
+            for place, requests in ledger.attempts.items()
+        ],
+        clock=ledger.clock,
+        repeatable_kept=list(ledger.repeatable_kept),
+        others_kept=list(ledger.others_kept),
+        answers_kept=list(ledger.answers_kept),
+        bills=list(ledger.bills.bills.values()),
+    )
+
+
+def load_state(data: bytes) -> ControlState:
+    """Return the state that ``save_state`` saved; raise ``ImageError`` otherwise."""
+    try:
+        saved = msgspec.msgpack.decode(data, type=SavedState)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ImageError(f"not an image of the control state: {error}") from error
+
+    if saved.image_format != IMAGE_FORMAT:
+        text = f"image of form {saved.image_format}, this program reads {IMAGE_FORMAT}"
+        raise ImageError(text)
+
+    return ControlState(
+        config=saved.config,
+        ledger=_load_ledger(saved.ledger),
+        pins=PinTable(
+            pins={(row.workspace, row.session): row.pin for row in saved.pins},
+            clock=saved.pins_clock,
+        ),
+        evidence=EvidenceTable(
+            sums={
+                (row.workspace, row.kind, row.version): row for row in saved.evidence
+            },
+            senders=saved.senders,
+        ),
+    )
+
+
+def _load_ledger(saved: SavedLedger) -> Ledger:
+    """Return the ledger with its indexes built anew."""
+    rows: dict[RowKey, LedgerRow] = {}
+    open_rows: dict[EntryId, dict[RowKey, int]] = {}
+    for row in saved.rows:
+        place = (row.workspace, row.key)
+        rows[place] = row
+        if row.status is RowStatus.OPEN:
+            open_rows.setdefault(row.entry, {})[place] = row.entry_incarnation
+
+    return Ledger(
+        rows=rows,
+        open_rows=open_rows,
+        swept={(workspace, key): request for workspace, key, request in saved.swept},
+        attempts={(row.workspace, row.key): row.requests for row in saved.attempts},
+        clock=saved.clock,
+        repeatable_kept=deque(saved.repeatable_kept),
+        others_kept=deque(saved.others_kept),
+        answers_kept=deque(saved.answers_kept),
+        answer_bytes=_count_answers(saved.rows),
+        bills=BillTable({(row.workspace, row.version): row for row in saved.bills}),
+    )
+
+
+def _count_answers(rows: list[LedgerRow]) -> int:
+    """Return the bytes of all stored answers."""
+    return sum(len(row.answer.body) for row in rows if row.answer is not None)
--- /dev/null
+++ b/src/waxwingwell/state/machine.py
@@ -0,0 +1,79 @@
+"""The control state machine: one deterministic step for each committed command.
+
+No clock, no randomness and no I/O: every replica that applies the same log from the
+same state reaches an equal state. Times come with the commands; the leader stamps
+them with ``stamp_command`` when it proposes, so that one clock is used at a time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..messages import Change
+from ..messages import Command
+from ..messages import PinSession
+from ..messages import RecordEvidence
+from ..messages import Reserve
+from ..messages import Settle
+from ..messages import SettleAbandoned
+from .catalogue import make_snapshot as make_config_snapshot
+from .configuration import apply_change
+from .control import ControlState
+from .evidence import record_evidence
+from .images import load_state
+from .images import save_state
+from .ledger import reserve
+from .ledger import settle
+from .ledger import sweep
+from .pins import pin_session
+
+
+if TYPE_CHECKING:
+    from ..messages import ConfigSnapshot
+    from ..messages import Outcome
+
+
+def apply_command(state: ControlState, command: Command) -> Outcome:
+    """Apply one committed command and return what its sender is told."""
+    match command:
+        case Reserve():
+            return reserve(state.ledger, command)
+        case Settle():
+            return settle(state.ledger, command)
+        case PinSession():
+            return pin_session(state.pins, state.config, command)
+        case RecordEvidence():
+            return record_evidence(state.evidence, command)
+        case SettleAbandoned():
+            return sweep(state.ledger, command)
+        case _:
+            return apply_change(state.config, command)
+
+
+def stamp_command(command: Command, at: float) -> Command:
+    """Return the command with the proposing leader's wall clock in it."""
+    if isinstance(command, Reserve):
+        return Reserve(row=replace(command.row, reserved_at=at))
+
+    if isinstance(command, Change | Settle | SettleAbandoned | PinSession):
+        return msgspec.structs.replace(command, at=at)
+
+    return command
+
+
+def make_snapshot(state: ControlState) -> ConfigSnapshot:
+    """Return all configuration at the present version, as entries receive it."""
+    return make_config_snapshot(state.config)
+
+
+__all__ = [
+    "ControlState",
+    "apply_command",
+    "load_state",
+    "make_snapshot",
+    "save_state",
+    "stamp_command",
+]
--- /dev/null
+++ b/src/waxwingwell/state/pins.py
@@ -0,0 +1,135 @@
+"""Session pins: the first version a session was given stays.
+
+A pin is kept for ``PIN_KEPT`` seconds after the session was last pinned, by the
+largest time that commands carried. An entry that caches pins asks again at least
+once a day, which renews them. Beyond ``MAX_PINS`` new sessions are refused: dropping
+a live session's pin would move it to another version.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..invariants import Promise
+from ..invariants import check
+from ..messages import Pinned
+from ..messages import Rejected
+from ..records import Finding
+from ..records import VersionId
+from ..records import WorkspaceId
+from .catalogue import WITHDRAWN_STATUSES
+
+
+if TYPE_CHECKING:
+    from ..messages import PinSession
+    from .catalogue import ConfigTable
+
+
+PIN_KEPT = 7 * 86_400.0
+"""Seconds for which a pin is kept after its last use here."""
+
+MAX_PINS = 500_000
+"""Pins held; see docs/CAPACITY.md for the memory they take."""
+
+DROPPED_AT_ONCE = 8
+"""Pins past their retention that one command drops."""
+
+MAX_CLOCK_STEP = 60.0
+"""Most seconds by which one command moves the clock; guards against a wrong one."""
+
+PinKey = tuple[WorkspaceId, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Pin:
+    """The version of a session, and when it was last asked for."""
+
+    version: VersionId
+    used_at: float
+
+
+@dataclass(slots=True)
+class PinTable:
+    """Pins by (workspace, session), the one unused for longest first."""
+
+    pins: dict[PinKey, Pin] = field(default_factory=dict)
+    clock: float = 0.0
+
+
+def pin_session(
+    table: PinTable, config: ConfigTable, command: PinSession
+) -> Pinned | Rejected:
+    """Return the session's pin, which is the given version if it had none.
+
+    Failure guarded against: two entries pin one session at the same time, or one
+    pins it by a configuration that was just replaced. It would show as a session that
+    changes its version, or starts on a withdrawn one. The first pin in the log wins,
+    and a first pin is checked against the configuration at its place in the log.
+    """
+    _advance_clock(table, command.at)
+    place = (command.workspace, command.session)
+    present = table.pins.pop(place, None)
+    if present is not None:
+        table.pins[place] = replace(present, used_at=table.clock)
+        return Pinned(version=present.version)
+
+    findings = _check_pin(table, config, command)
+    if findings:
+        return Rejected(findings=tuple(findings))
+
+    table.pins[place] = Pin(command.version, table.clock)
+    return Pinned(version=command.version)
+
+
+def _check_pin(
+    table: PinTable, config: ConfigTable, command: PinSession
+) -> list[Finding]:
+    """Return every reason against a first pin."""
+    findings = []
+    if not command.session:
+        findings.append(Finding("session", "a session needs a name"))
+
+    workspace = config.workspaces.get(command.workspace)
+    if workspace is None:
+        text = f"no workspace {command.workspace}"
+        findings.append(Finding("workspace", text))
+    elif command.version not in workspace.allowed:
+        text = f"{command.version} is not allowed to {command.workspace}"
+        findings.append(Finding("version", text))
+
+    spec = config.versions.get(command.version)
+    if spec is None or spec.status in WITHDRAWN_STATUSES:
+        standing = "not in the catalogue" if spec is None else spec.status.value
+        text = f"{command.version} is {standing}; no session starts on it"
+        findings.append(Finding("version", text))
+
+    if len(table.pins) >= MAX_PINS:
+        findings.append(Finding("pins", f"{MAX_PINS} sessions are held; none free"))
+
+    return findings
+
+
+def _advance_clock(table: PinTable, at: float) -> None:
+    """Move the clock on and drop a few pins past their retention."""
+    if at > table.clock:
+        first = table.clock == 0.0
+        table.clock = at if first else min(at, table.clock + MAX_CLOCK_STEP)
+
+    for _ in range(DROPPED_AT_ONCE):
+        place = next(iter(table.pins), None)
+        if place is None or table.pins[place].used_at + PIN_KEPT > table.clock:
+            return
+
+        del table.pins[place]
+
+
+def check_pinned(pinned: VersionId, used: VersionId, session: str) -> bool:
+    """Check at dispatch that a pinned session runs on its own version."""
+    return check(
+        Promise.SESSION_KEEPS_VERSION,
+        not pinned or pinned == used,
+        lambda: f"session {session} is pinned to {pinned}, not {used}",
+    )
--- /dev/null
+++ b/src/waxwingwell/state/workspaces.py
@@ -0,0 +1,87 @@
+"""Changes of a workspace: its answers, and the configuration made from them."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..records import Finding
+from .catalogue import WITHDRAWN_STATUSES
+
+
+if TYPE_CHECKING:
+    from ..messages import ApplyAnswers
+    from ..records import WorkspaceConfig
+    from .catalogue import ConfigTable
+
+
+def check_answers(table: ConfigTable, change: ApplyAnswers) -> list[Finding]:
+    """Return every reason against a workspace's new configuration."""
+    config = change.config
+    findings = _check_allowed(table, config)
+    if not config.workspace:
+        findings.append(Finding("workspace", "a workspace needs a name"))
+
+    kinds = [kind.name for kind in config.kinds]
+    findings += [
+        Finding(f"kinds.{place}.name", f"the kind {name} is listed twice")
+        for place, name in enumerate(kinds)
+        if name in kinds[:place]
+    ]
+    if kinds and config.default_kind not in kinds:
+        text = f"{config.default_kind} is none of the kinds {', '.join(kinds)}"
+        findings.append(Finding("default_kind", text))
+
+    return findings
+
+
+def _check_allowed(table: ConfigTable, config: WorkspaceConfig) -> list[Finding]:
+    """Return findings on allowed versions.
+
+    A withdrawn version may stay in the list of a workspace that had it, since
+    routing refuses it anyway; it can't be added to another.
+    """
+    before = table.workspaces.get(config.workspace)
+    known = before.allowed if before is not None else ()
+    findings = []
+    for place, version in enumerate(config.allowed):
+        spec = table.versions.get(version)
+        if spec is None:
+            text = f"{version} is not in the catalogue; register it first"
+            findings.append(Finding(f"allowed.{place}", text))
+            continue
+
+        if spec.status in WITHDRAWN_STATUSES and version not in known:
+            text = f"{version} is {spec.status.value}; it takes no new work"
+            findings.append(Finding(f"allowed.{place}", text))
+
+    return findings
+
+
+def store_answers(table: ConfigTable, change: ApplyAnswers) -> None:
+    """Put the answers and their configuration in place together."""
+    config = replace(change.config, revision=change.expected_revision + 1)
+    table.answers[config.workspace] = change.answers
+    table.workspaces[config.workspace] = config
+
+
+def describe_workspace(table: ConfigTable, change: ApplyAnswers) -> str:
+    """Return in which fields the refused configuration differs from the present."""
+    current = table.workspaces.get(change.config.workspace)
+    if current is None:
+        return "no configuration"
+
+    differing = [
+        f"{item.name} is {getattr(current, item.name)!r}"
+        for item in fields(current)
+        if item.name not in ("workspace", "revision", "keys")
+        and getattr(current, item.name) != getattr(change.config, item.name)
+    ]
+    if current.keys != change.config.keys:
+        differing.append("keys differ")
+
+    if not differing:
+        return "the same configuration as the one asked for"
+
+    return "; ".join(differing)
