--- a/src/waxwingwell/adapters/entry/context.py
+++ b/src/waxwingwell/adapters/entry/context.py
@@ -2,30 +2,24 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TYPE_CHECKING
 from typing import Any
 
 from ...decisions.retries import RetryBudget
 from ...decisions.tables import Tables
+from ...records import VersionId
+from ...records import WorkspaceId
+from ...state.leases import ConfigLease
+from ..settings import EntrySettings
+from ..telemetry import Metrics
+from ..telemetry import Traces
 from .callers import CallerKeys
-
-
-if TYPE_CHECKING:
-    import random
-
-    from collections.abc import Callable
-
-    from ...records import VersionId
-    from ...records import WorkspaceId
-    from ...state.leases import ConfigLease
-    from ..settings import EntrySettings
-    from ..telemetry import Metrics
-    from ..telemetry import Traces
-    from .control_client import ControlClient
-    from .upstream_client import UpstreamClient
+from .control_client import ControlClient
+from .upstream_client import UpstreamClient
 
 
 MAX_PINS = 100_000
--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 
+from ...decisions.tables import Work
 from ...messages import AlreadyOpen
 from ...messages import AlreadySettled
 from ...messages import Pinned
@@ -31,7 +32,6 @@
 
 
 if TYPE_CHECKING:
-    from ...decisions.tables import Work
     from ...records import WorkspaceId
 
 
@@ -41,6 +41,7 @@
 """Seconds that an answer's end waits for its billing row."""
 SETTLE_TRIES = 200
 """Further attempts in the background, ``SETTLE_LIMIT`` seconds each."""
+CONTROL_UNAVAILABLE = "control_unavailable"
 RETRY_AFTER_CONTROL = 2.0
 """Seconds after which a caller may come back when no leader answered."""
 
@@ -93,7 +94,7 @@
     except ControlUnavailableError as error:
         raise Problem(
             status=503,
-            code="control_unavailable",
+            code=CONTROL_UNAVAILABLE,
             message="the request could not be recorded and was not run",
             retry_after=RETRY_AFTER_CONTROL,
         ) from error
@@ -184,7 +185,7 @@
     except ControlUnavailableError as error:
         raise Problem(
             status=503,
-            code="control_unavailable",
+            code=CONTROL_UNAVAILABLE,
             message="the session's version could not be recorded; nothing was run",
             retry_after=RETRY_AFTER_CONTROL,
         ) from error
--- a/src/waxwingwell/adapters/entry/relay.py
+++ b/src/waxwingwell/adapters/entry/relay.py
@@ -55,6 +55,9 @@
     held: list[bytes] = field(default_factory=list)
     last_part: bytes = b""
     """The end of the answer, kept back until the request is settled."""
+    recording: bool = False
+    """Keep a copy of what goes out, for the rating service."""
+    record: list[bytes] = field(default_factory=list)
     first_at: float | None = None
     """When the first event came from an engine."""
     source: Any = None
@@ -87,6 +90,9 @@
 
 def push_bytes(sink: Sink, data: bytes) -> None:
     """Send bytes to the caller, or hold them while the gate is shut."""
+    if sink.recording:
+        sink.record.append(data)
+
     if sink.gone or not data:
         return
 
--- a/src/waxwingwell/adapters/entry/streams.py
+++ b/src/waxwingwell/adapters/entry/streams.py
@@ -37,7 +37,16 @@
     completion_tokens: int = 0
 
 
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Item(msgspec.Struct):
+    delta: _Delta
+
+
 class _Chunk(msgspec.Struct):
+    choices: list[_Item] = msgspec.field(default_factory=list)
     usage: _Tokens | None = None
 
 
@@ -103,6 +112,17 @@
     stream.rest = b""
 
 
+def read_text(data: bytes) -> str:
+    """Return the answer's text from forwarded events; unreadable ones are skipped."""
+    parts = []
+    for block in data.split(EVENT_END):
+        chunk = _read_chunk(block)
+        if chunk is not None and chunk.choices:
+            parts.append(chunk.choices[0].delta.content or "")
+
+    return "".join(parts)
+
+
 def _read_number(stream: EventStream, block: bytes) -> int | Fault:
     if not block.startswith(stream.prefix):
         return Fault.CROSSED if block.startswith(b"id: ") else Fault.MALFORMED
@@ -119,19 +139,25 @@
 
 
 def _note_usage(stream: EventStream, block: bytes) -> None:
-    start = block.find(DATA_MARK)
-    try:
-        chunk = msgspec.json.decode(block[start + len(DATA_MARK) :], type=_Chunk)
-    except msgspec.DecodeError:
-        return
-
-    if chunk.usage is not None:
+    chunk = _read_chunk(block)
+    if chunk is not None and chunk.usage is not None:
         stream.usage = Usage(
             prompt_tokens=chunk.usage.prompt_tokens,
             answer_tokens=chunk.usage.completion_tokens,
         )
 
 
+def _read_chunk(block: bytes) -> _Chunk | None:
+    start = block.find(DATA_MARK)
+    if start < 0:
+        return None
+
+    try:
+        return msgspec.json.decode(block[start + len(DATA_MARK) :], type=_Chunk)
+    except msgspec.DecodeError:
+        return None
+
+
 def _join(blocks: list[bytes]) -> bytes:
     if not blocks:
         return b""
--- a/src/waxwingwell/adapters/entry/upstream_client.py
+++ b/src/waxwingwell/adapters/entry/upstream_client.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from ...decisions.tables import UpstreamRow
     from ...decisions.tables import Work
+    from .context import EntryContext
 
 
 CONNECT_TIMEOUT = 1.0
@@ -100,25 +101,29 @@
 
 
 async def send_call(
-    client: UpstreamClient, row: UpstreamRow, call: UpstreamCall
+    context: EntryContext, row: UpstreamRow, call: UpstreamCall, *, limit: float
 ) -> Any:
     """Send a call and return the response once its headers are here.
 
     Errors: ``AttemptError``; ``may_have_run`` is false only where the upstream
-    provably did no work: no connection was made, or it said so.
+    provably did no work: no connection was made, or it said so. ``limit`` is in
+    seconds up to the headers.
     """
+    client = context.client
     agent = client.reused if call.repeatable else client.fresh
     url = f"http://{row.announcement.host}:{row.announcement.port}{call.path}"
+    asked = treq.request(
+        call.method,
+        url,
+        headers=_make_headers(call),
+        data=call.body or None,
+        agent=agent,
+        unbuffered=True,
+        allow_redirects=False,
+    )
+    asked.addTimeout(limit, context.reactor)
     try:
-        response = await treq.request(
-            call.method,
-            url,
-            headers=_make_headers(call),
-            data=call.body or None,
-            agent=agent,
-            unbuffered=True,
-            allow_redirects=False,
-        )
+        response = await asked
     except (
         ConnectError,
         ConnectTimeoutError,
@@ -130,12 +135,23 @@
         raise AttemptError(repr(error), may_have_run=True) from error
 
     if response.code in NOT_RUN_STATUSES and _says_not_run(response):
-        response.deliverBody(Protocol())
+        drop_response(response)
         raise AttemptError(f"refused with {response.code}", may_have_run=False)
 
     return response
 
 
+class _Dropping(Protocol):
+    def connectionMade(self) -> None:  # noqa: N802
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+def drop_response(response: Any) -> None:
+    """Give a response up together with its connection."""
+    response.deliverBody(_Dropping())
+
+
 def read_header(response: Any, name: str) -> str:
     """Return a response header, or an empty text."""
     values = response.headers.getRawHeaders(name)
--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -50,6 +50,8 @@
     probing: bool = False
     """Back from an ejection on trial: one request at a time until one succeeds."""
 
+    taken_at: float = 0.0
+    """When this entry took the announcement in."""
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
--- a/tests/decisions/factories.py
+++ b/tests/decisions/factories.py
@@ -24,7 +24,7 @@
 NO_LOAD = LoadReport(tokens_per_second=50.0, prefill_per_second=8000.0)
 
 
-def make_row(name: str, **changes: Any) -> UpstreamRow:  # noqa: ANN401
+def make_row(name: str, **changes: Any) -> UpstreamRow:
     """Return a live upstream; fields of row and announcement may be changed."""
     announced: dict[str, Any] = {
         "upstream": UpstreamId(name),
@@ -77,7 +77,7 @@
     return tables
 
 
-def make_work(name: str = "r1", **changes: Any) -> Work:  # noqa: ANN401
+def make_work(name: str = "r1", **changes: Any) -> Work:
     """Return a question of 800 prompt tokens; any field may be changed."""
     priority = changes.pop("priority", Priority.QUESTION)
     kind = WorkKind(str(priority), priority, 0.8)
