Choose versions by confidence, and judge roll-outs by bets

Cause: version choice and roll-outs had no decisions yet. Change: choice of the cheapest version that meets its target with confidence, exploration under a budget paid in advance by credit, cascades with a threshold, evidence with increments, and a test of roll-outs valid under continuous looking.

--- /dev/null
+++ b/src/waxwingwell/decisions/bets.py
@@ -0,0 +1,91 @@
+"""Evidence against a mean, valid however often one looks.
+
+A bet against "the mean of ratings is at least m" multiplies its wealth by
+``1 + stake * (m - x)`` at each rating x. Under that claim the wealth is a
+supermartingale, so by Ville's inequality it ever reaches 1 / alpha with chance at
+most alpha. Source: Waudby-Smith and Ramdas, "Estimating means of bounded random
+variables by betting", JRSS B 86 (2024); Ville, 1939.
+
+Only sums are kept, so the wealth is bounded from below by
+``log(1 + z) >= z - z * z * (-log(1 - c) - c) / (c * c)`` for z >= -c, which is the
+lemma behind Fan, Grama and Liu, "Exponential inequalities for martingales with
+applications", EJP 20 (2015). A bound from below keeps the guarantee.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+LOW_STAKES = (0.3, 0.6, 1.25)
+"""Stakes against a candidate; fixed in advance, as the guarantee needs."""
+LEAST_BASELINE = 0.3
+"""Baseline below which ``LOW_STAKES`` could lose more than the wealth there is."""
+HIGH_STAKES = (0.08, 0.2, 0.5, 0.9)
+BISECTIONS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Sums:
+    """Number of ratings, their sum and the sum of their squares."""
+
+    rated: float
+    total: float
+    squares: float
+
+
+def bound_log_wealth(sums: Sums, mean: float, stake: float) -> float:
+    """Return a lower bound on the log wealth of betting that ratings fall short.
+
+    ``stake * (1 - mean)`` must be under 1.
+    """
+    worst = stake * (1.0 - mean)
+    gain = sums.rated * mean - sums.total
+    return stake * gain - _scale(worst) * stake * stake * _spread(sums, mean)
+
+
+def find_lower_bound(sums: Sums, alpha: float) -> float:
+    """Return a bound below the true mean at all times, but for chance ``alpha``."""
+    low = 0.0
+    high = 1.0
+    need = math.log(1.0 / alpha)
+    for _ in range(BISECTIONS):
+        middle = 0.5 * (low + high)
+        if _bet_above(sums, middle) >= need:
+            low = middle
+        else:
+            high = middle
+
+    return low
+
+
+def mix_log(logs: tuple[float, ...]) -> float:
+    """Return the log of the mean of the wealths whose logs are given."""
+    top = max(logs)
+    return top + math.log(sum(math.exp(item - top) for item in logs) / len(logs))
+
+
+def _bet_above(sums: Sums, mean: float) -> float:
+    """Return the log wealth of betting that ratings exceed ``mean``."""
+    gain = sums.total - sums.rated * mean
+    spread = _spread(sums, mean)
+    return mix_log(
+        tuple(
+            stake * gain - _scale(stake * mean) * stake * stake * spread
+            for stake in HIGH_STAKES
+        )
+    )
+
+
+def _spread(sums: Sums, mean: float) -> float:
+    spread = sums.squares - 2.0 * mean * sums.total + sums.rated * mean * mean
+    return max(0.0, spread)
+
+
+def _scale(worst: float) -> float:
+    """Return the factor of the quadratic term when a bet loses at most ``worst``."""
+    if worst < 1e-4:
+        return 0.5
+
+    return (-math.log1p(-worst) - worst) / (worst * worst)
--- /dev/null
+++ b/src/waxwingwell/decisions/eligibility.py
@@ -0,0 +1,191 @@
+"""Which versions a request may run on, before any thought of cost or quality."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from ..records import RolloutStatus
+from ..records import VersionStatus
+from .tables import Refusal
+
+
+if TYPE_CHECKING:
+    from ..records import Rollout
+    from ..records import VersionId
+    from ..records import VersionSpec
+    from ..records import WorkspaceConfig
+    from .tables import Tables
+    from .tables import Work
+
+
+HASH_RANGE = float(1 << 64)
+
+
+def get_standing(tables: Tables, spec: VersionSpec) -> VersionStatus:
+    """Return a version's status, with what its roll-out's end implies.
+
+    Failure: a roll-out ends and the version's own status has not followed yet.
+    A rolled-back candidate must then count as withdrawn, not as waiting.
+    """
+    if spec.status is not VersionStatus.CANDIDATE:
+        return spec.status
+
+    rollout = tables.rollouts.get(spec.model)
+    if rollout is None or rollout.candidate != spec.version:
+        return spec.status
+
+    if rollout.status is RolloutStatus.ROLLED_BACK:
+        return VersionStatus.WITHDRAWN
+
+    if rollout.status is RolloutStatus.COMPLETED:
+        return VersionStatus.ACTIVE
+
+    return spec.status
+
+
+def check_pinned(
+    tables: Tables, config: WorkspaceConfig, work: Work
+) -> VersionId | Refusal:
+    """Return the version a session is pinned to, or why it can't go on.
+
+    A session is never moved: the caller decides whether to start a new one.
+    """
+    spec = tables.versions.get(work.pinned)
+    if spec is None or get_standing(tables, spec) is VersionStatus.WITHDRAWN:
+        return refuse_withdrawn(work.pinned)
+
+    if spec.version not in config.allowed:
+        return _refuse_not_allowed(work.pinned)
+
+    if work.model and work.model not in (spec.model, spec.version):
+        message = f"the session keeps {spec.version}; {work.model} needs a new one"
+        return Refusal("session_pinned", message, 409)
+
+    return spec.version
+
+
+def check_dispatch(tables: Tables, work: Work, version: VersionId) -> Refusal | None:
+    """Return why ``version`` may no longer get ``work``, or None if it may.
+
+    Failure: a version is withdrawn while a request waits; dispatch must look again.
+    """
+    config = tables.workspaces.get(work.workspace)
+    if config is None or version not in config.allowed:
+        return _refuse_not_allowed(version)
+
+    spec = tables.versions.get(version)
+    standing = get_standing(tables, spec) if spec else VersionStatus.WITHDRAWN
+    if standing is VersionStatus.WITHDRAWN:
+        return refuse_withdrawn(version)
+
+    if standing is VersionStatus.ENDING and work.pinned != version:
+        return refuse_withdrawn(version)
+
+    return None
+
+
+def list_open(
+    tables: Tables, config: WorkspaceConfig, work: Work
+) -> tuple[VersionSpec, ...] | Refusal:
+    """Return the active versions that new work may use, or why there is none."""
+    specs = [
+        tables.versions[item] for item in config.allowed if item in tables.versions
+    ]
+    if work.model:
+        named = [spec for spec in specs if work.model in (spec.model, spec.version)]
+        if not named:
+            return _refuse_named(tables, work.model)
+
+        specs = named
+
+    opened = tuple(
+        spec for spec in specs if get_standing(tables, spec) is VersionStatus.ACTIVE
+    )
+    if opened:
+        return opened
+
+    return _refuse_closed(tables, work, specs)
+
+
+def refuse_withdrawn(version: str) -> Refusal:
+    """Return the refusal for work bound to a withdrawn version."""
+    return Refusal("version_withdrawn", f"version {version} is withdrawn", 410)
+
+
+def get_share(rollout: Rollout, config: WorkspaceConfig) -> float:
+    """Return the share of a workspace's new sessions that the candidate gets.
+
+    The roll-out's and the workspace's own pace both bound it; a workspace that
+    weighs exposure above the other measures moves more slowly.
+    """
+    if rollout.status is not RolloutStatus.RUNNING:
+        return 0.0
+
+    shares = [
+        _stage_share(pace.stages, rollout.stage) for pace in (rollout.pace, config.pace)
+    ]
+    return float(min(shares) ** max(1.0, 0.5 + 1.5 * get_exposure(config)))
+
+
+def get_exposure(config: WorkspaceConfig) -> float:
+    """Return the weight of exposure to bad versions, 0 to 1; a third is neutral."""
+    weighing = config.weighing
+    total = weighing.cost + weighing.latency + weighing.exposure
+    return weighing.exposure / total if total > 0 else 1 / 3
+
+
+def get_latency(config: WorkspaceConfig) -> float:
+    """Return the weight of latency, 0 to 1; a third is neutral."""
+    weighing = config.weighing
+    total = weighing.cost + weighing.latency + weighing.exposure
+    return weighing.latency / total if total > 0 else 1 / 3
+
+
+def place_session(rollout: Rollout, work: Work) -> float:
+    """Return the stable place of a session in a roll-out, 0 to under 1.
+
+    The place is the same at every entry and at every stage, so that each stage's
+    sessions hold those of the stage before. Work without a session places itself.
+    """
+    unit = work.session or work.request
+    return _hash_unit(f"{rollout.candidate}|{work.workspace}|{unit}")
+
+
+@functools.lru_cache(maxsize=4096)
+def _hash_unit(text: str) -> float:
+    return float(xxhash.xxh64_intdigest(text.encode())) / HASH_RANGE
+
+
+def _stage_share(stages: tuple[float, ...], stage: int) -> float:
+    if not stages or stage < 0:
+        return 0.0
+
+    return stages[min(stage, len(stages) - 1)]
+
+
+def _refuse_not_allowed(name: str) -> Refusal:
+    message = f"the workspace does not allow {name}"
+    return Refusal("model_not_allowed", message, 403)
+
+
+def _refuse_named(tables: Tables, name: str) -> Refusal:
+    if any(name in (spec.model, spec.version) for spec in tables.versions.values()):
+        return _refuse_not_allowed(name)
+
+    return Refusal("model_not_found", f"there is no model or version {name}", 404)
+
+
+def _refuse_closed(tables: Tables, work: Work, specs: list[VersionSpec]) -> Refusal:
+    standings = {get_standing(tables, spec) for spec in specs}
+    if work.model and VersionStatus.CANDIDATE not in standings:
+        return refuse_withdrawn(work.model)
+
+    if work.model:
+        message = f"{work.model} is being rolled out and can't be asked for yet"
+        return Refusal("version_in_rollout", message, 409)
+
+    message = "no version that the workspace allows is open for new work"
+    return Refusal("no_version_open", message, 503)
--- /dev/null
+++ b/src/waxwingwell/decisions/evidence.py
@@ -0,0 +1,252 @@
+"""Evidence: what was sent and rated, kept in the tables and flushed to the leader.
+
+``note_sent`` and ``note_rating`` change this entry's tables at once and collect
+increments. The leader adds the increments of all entries and sends the sums back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..records import Evidence
+from .quality import estimate_quality
+from .tables import Opinion
+from .tables import QualityAccount
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..records import VersionId
+    from ..records import WorkKind
+    from ..records import WorkspaceId
+    from .tables import Tables
+    from .tables import Work
+
+    Key = tuple[WorkspaceId, str, VersionId]
+
+CREDIT_CAP = 10.0
+"""Most rating points of credit, so that old merit does not pay for a bad turn."""
+DEBT_CAP = 50.0
+RECENT_MEMORY = 24.0
+"""Ratings that ``Opinion.recent_*`` remember, in the mean."""
+RECENT_LEAST = 12.0
+CHANGE_DEVIATIONS = 4.0
+"""Distance, in standard errors, at which the recent mean tells of a change."""
+LEAST_DEVIATION = 0.1
+OUTSTANDING_LIFE = 600.0
+"""Seconds after which a rating that never came stops counting as outstanding."""
+
+
+def add_evidence(left: Evidence, right: Evidence) -> Evidence:
+    """Return the sum of two rows of the same key."""
+    return replace(
+        left,
+        rated=left.rated + right.rated,
+        total=left.total + right.total,
+        squares=left.squares + right.squares,
+        sent=left.sent + right.sent,
+        to_rate=left.to_rate + right.to_rate,
+    )
+
+
+def note_sent(
+    tables: Tables,
+    work: Work,
+    version: VersionId,
+    *,
+    rate: bool,
+    now: float,
+    explored: bool = False,
+    served: bool = True,
+) -> None:
+    """Note that ``work`` was dispatched to ``version``, once per version tried.
+
+    ``rate`` tells whether its answer goes to the rating service. ``served`` is
+    False for a step of a cascade before its last.
+    """
+    key = (work.workspace, work.kind.name, version)
+    row = Evidence(version, work.workspace, work.kind.name, sent=1, to_rate=int(rate))
+    _add_row(tables, key, row)
+    account = get_account(tables, work.workspace, work.kind.name)
+    account.explored += int(explored)
+    if served:
+        account.sent += 1
+
+    if rate:
+        tables.outstanding.setdefault(version, []).append(now)
+        tables.cell_outstanding.setdefault(key, []).append(now)
+        return
+
+    if served:
+        estimate = estimate_quality(tables, work.workspace, work.kind.name, version)
+        _add_credit(account, estimate.mean - work.kind.quality_target)
+
+
+def note_rating(
+    tables: Tables,
+    workspace: WorkspaceId,
+    kind: WorkKind,
+    version: VersionId,
+    rating: float,
+    now: float,
+    *,
+    served: bool = True,
+) -> None:
+    """Take in one rating; ``served`` is False for an answer a cascade passed over.
+
+    A rating outside 0 to 1 is clipped: the tests below rely on the bounds.
+    """
+    value = min(1.0, max(0.0, rating))
+    key = (workspace, kind.name, version)
+    row = Evidence(version, workspace, kind.name, 1, value, value * value)
+    _add_row(tables, key, row)
+    _note_opinion(tables, key, row)
+    _drop_outstanding(tables, key)
+    tables.rating_heard_at = max(tables.rating_heard_at, now)
+    if served:
+        account = get_account(tables, workspace, kind.name)
+        _add_credit(account, value - kind.quality_target)
+
+
+def note_unrated(
+    tables: Tables, workspace: WorkspaceId, kind: WorkKind, version: VersionId
+) -> None:
+    """Note that an answer handed to the rating service will get no rating."""
+    key = (workspace, kind.name, version)
+    _add_row(tables, key, Evidence(version, workspace, kind.name, to_rate=-1))
+    _drop_outstanding(tables, key)
+
+
+def count_outstanding(tables: Tables, version: VersionId, now: float) -> int:
+    """Return the number of this entry's answers that still wait for a rating."""
+    return _count_fresh(tables.outstanding.get(version), now)
+
+
+def count_cell_outstanding(tables: Tables, key: Key, now: float) -> int:
+    """Return the same for one workspace and kind."""
+    return _count_fresh(tables.cell_outstanding.get(key), now)
+
+
+def take_increments(tables: Tables) -> tuple[Evidence, ...]:
+    """Return the rows to send as ``RecordEvidence`` under the next sequence.
+
+    Until ``confirm_increments`` the same rows come back, so that a resend under
+    the same sequence carries the same content.
+    """
+    if not tables.flushing:
+        tables.flushing = tables.increments
+        tables.increments = {}
+
+    return tuple(tables.flushing.values())
+
+
+def confirm_increments(tables: Tables) -> None:
+    """Forget the rows last taken: the leader has recorded them."""
+    tables.flushing = {}
+
+
+def merge_sums(tables: Tables, rows: Iterable[Evidence], now: float) -> None:
+    """Take the leader's sums over all entries, and add what it can't know yet.
+
+    Call ``confirm_increments`` first where the sums may hold the rows last taken.
+    """
+    for row in rows:
+        key = (row.workspace, row.kind, row.version)
+        merged = row
+        for mine in (tables.flushing.get(key), tables.increments.get(key)):
+            merged = merged if mine is None else add_evidence(merged, mine)
+
+        before = tables.evidence.get(key)
+        tables.evidence[key] = merged
+        change = _subtract(merged, before)
+        _note_opinion(tables, key, change)
+        if change.rated > 0:
+            tables.rating_heard_at = max(tables.rating_heard_at, now)
+
+
+def get_account(tables: Tables, workspace: WorkspaceId, kind: str) -> QualityAccount:
+    """Return the account of a workspace and kind, opened when missing."""
+    account = tables.accounts.get((workspace, kind))
+    if account is None:
+        account = tables.accounts[workspace, kind] = QualityAccount()
+
+    return account
+
+
+def _count_fresh(times: list[float] | None, now: float) -> int:
+    if not times:
+        return 0
+
+    if times[0] > now - OUTSTANDING_LIFE:
+        return len(times)
+
+    return sum(at > now - OUTSTANDING_LIFE for at in times)
+
+
+def _add_row(tables: Tables, key: Key, row: Evidence) -> None:
+    for table in (tables.evidence, tables.increments):
+        known = table.get(key)
+        table[key] = row if known is None else add_evidence(known, row)
+
+
+def _subtract(row: Evidence, before: Evidence | None) -> Evidence:
+    if before is None:
+        return row
+
+    return replace(
+        row,
+        rated=row.rated - before.rated,
+        total=row.total - before.total,
+        squares=row.squares - before.squares,
+    )
+
+
+def _add_credit(account: QualityAccount, surplus: float) -> None:
+    account.credit = min(CREDIT_CAP, max(-DEBT_CAP, account.credit + surplus))
+
+
+def _drop_outstanding(tables: Tables, key: Key) -> None:
+    for times in (tables.outstanding.get(key[2]), tables.cell_outstanding.get(key)):
+        if times:
+            times.pop(0)
+
+
+def _note_opinion(tables: Tables, key: Key, row: Evidence) -> None:
+    if row.rated <= 0:
+        return
+
+    opinion = tables.opinions.get(key)
+    if opinion is None:
+        opinion = tables.opinions[key] = Opinion()
+
+    kept = (1.0 - 1.0 / RECENT_MEMORY) ** row.rated
+    opinion.rated += row.rated
+    opinion.total += row.total
+    opinion.squares += row.squares
+    opinion.recent_rated = opinion.recent_rated * kept + row.rated
+    opinion.recent_total = opinion.recent_total * kept + row.total
+    _forget_before_change(opinion)
+
+
+def _forget_before_change(opinion: Opinion) -> None:
+    """Drop ratings from before a change for the worse.
+
+    Failure: a version turns bad after thousands of good ratings, and their mean
+    hides it. The recent mean falls within a dozen ratings. Idea: adaptive
+    windowing, Bifet and Gavalda, "Learning from time-changing data", SDM 2007.
+    """
+    if opinion.recent_rated < RECENT_LEAST or opinion.rated < 2 * RECENT_LEAST:
+        return
+
+    mean = opinion.total / opinion.rated
+    variance = max(0.0, opinion.squares / opinion.rated - mean * mean)
+    deviation = max(LEAST_DEVIATION, variance**0.5)
+    recent = opinion.recent_total / opinion.recent_rated
+    if mean - recent < CHANGE_DEVIATIONS * deviation / opinion.recent_rated**0.5:
+        return
+
+    opinion.rated = opinion.recent_rated
+    opinion.total = opinion.recent_total
+    opinion.squares = opinion.recent_rated * (recent * recent + deviation * deviation)
--- /dev/null
+++ b/src/waxwingwell/decisions/quality.py
@@ -0,0 +1,88 @@
+"""Estimates of a version's quality for one workspace and kind of work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from ..records import VersionId
+    from ..records import WorkspaceId
+    from .tables import Tables
+
+
+PRIOR_WEIGHT = 2.0
+"""Ratings that ``VersionSpec.quality_prior`` is worth."""
+POOL_WEIGHT = 4.0
+"""Most ratings that the workspace's other kinds together are worth."""
+PRIOR_VARIANCE = 0.04
+"""Variance of a single rating before any was seen."""
+VARIANCE_WEIGHT = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """Mean rating of a version, with its standard error and a rating's deviation."""
+
+    mean: float
+    error: float
+    deviation: float
+    rated: float
+
+
+def estimate_quality(
+    tables: Tables, workspace: WorkspaceId, kind: str, version: VersionId
+) -> Estimate:
+    """Estimate quality from own ratings, other kinds' ratings and the prior.
+
+    The other kinds and the prior weigh as a few ratings do, so that they count
+    where ratings are sparse and vanish where there are many.
+    """
+    spec = tables.versions[version]
+    weight = PRIOR_WEIGHT
+    total = PRIOR_WEIGHT * spec.quality_prior
+    own = tables.opinions.get((workspace, kind, version))
+    rated = own.rated if own else 0.0
+    if rated < PRIOR_VARIANCE / 0.0001:
+        pooled, pooled_total = _pool_kinds(tables, workspace, kind, version)
+        if pooled:
+            share = min(POOL_WEIGHT, pooled)
+            weight += share
+            total += share * pooled_total / pooled
+
+    if own is None:
+        deviation = PRIOR_VARIANCE**0.5
+        return Estimate(total / weight, deviation / weight**0.5, deviation, 0.0)
+
+    weight += own.rated
+    total += own.total
+    mean = total / weight
+    own_mean = own.total / own.rated
+    spread = max(0.0, own.squares - own.rated * own_mean * own_mean)
+    variance = (spread + VARIANCE_WEIGHT * PRIOR_VARIANCE) / (
+        own.rated + VARIANCE_WEIGHT
+    )
+    deviation = variance**0.5
+    return Estimate(mean, deviation / weight**0.5, deviation, own.rated)
+
+
+def _pool_kinds(
+    tables: Tables, workspace: WorkspaceId, kind: str, version: VersionId
+) -> tuple[float, float]:
+    config = tables.workspaces.get(workspace)
+    if config is None:
+        return 0.0, 0.0
+
+    rated = 0.0
+    total = 0.0
+    for other in config.kinds:
+        if other.name == kind:
+            continue
+
+        opinion = tables.opinions.get((workspace, other.name, version))
+        if opinion is not None:
+            rated += opinion.rated
+            total += opinion.total
+
+    return rated, total
--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -98,6 +98,30 @@
     """Seconds after which it is worth coming back; None if it never is."""
 
 
+@dataclass(slots=True)
+class Opinion:
+    """Ratings of one version for one workspace and kind since it last changed.
+
+    ``recent_*`` forget older ratings, so that a version turning bad shows soon.
+    """
+
+    rated: float = 0.0
+    total: float = 0.0
+    squares: float = 0.0
+    recent_rated: float = 0.0
+    recent_total: float = 0.0
+
+
+@dataclass(slots=True)
+class QualityAccount:
+    """What this entry served for one workspace and kind, against its target."""
+
+    credit: float = 0.0
+    """Sum of rating minus target over the answers served, clipped."""
+    sent: int = 0
+    explored: int = 0
+
+
 @dataclass(slots=True)
 class Tables:
     """Everything that an entry's decisions read."""
@@ -116,3 +140,27 @@
     """One-way seconds from this entry's data centre to each data centre."""
     rating_heard_at: float = 0.0
     """When a rating last arrived; old ratings make decisions cautious."""
+    rating_price: float = 0.0
+    """Micro-units that one rating costs."""
+    entries: int = 1
+    """Entries at work; each takes its part of the cap on unrated answers."""
+    opinions: dict[tuple[WorkspaceId, str, VersionId], Opinion] = field(
+        default_factory=dict
+    )
+    accounts: dict[tuple[WorkspaceId, str], QualityAccount] = field(
+        default_factory=dict
+    )
+    outstanding: dict[VersionId, list[float]] = field(default_factory=dict)
+    """Times of this entry's answers that wait for their rating, oldest first."""
+    cell_outstanding: dict[tuple[WorkspaceId, str, VersionId], list[float]] = field(
+        default_factory=dict
+    )
+    """The same for each workspace and kind."""
+    increments: dict[tuple[WorkspaceId, str, VersionId], Evidence] = field(
+        default_factory=dict
+    )
+    """This entry's evidence that was not yet handed out for flushing."""
+    flushing: dict[tuple[WorkspaceId, str, VersionId], Evidence] = field(
+        default_factory=dict
+    )
+    """Evidence handed out for flushing and not confirmed yet."""
--- /dev/null
+++ b/src/waxwingwell/decisions/versions.py
@@ -0,0 +1,375 @@
+"""Choice of version: the cheapest that meets the quality target with confidence.
+
+Design and what lost against it: docs/design/version-choice.md.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..records import VersionId
+from ..records import VersionStatus
+from ..records import WorkspaceConfig
+from .cascades import find_threshold
+from .eligibility import check_pinned
+from .eligibility import get_exposure
+from .eligibility import get_latency
+from .eligibility import get_share
+from .eligibility import get_standing
+from .eligibility import list_open
+from .eligibility import place_session
+from .evidence import CREDIT_CAP
+from .evidence import count_cell_outstanding
+from .evidence import count_outstanding
+from .quality import Estimate
+from .quality import estimate_quality
+from .tables import QualityAccount
+from .tables import Refusal
+from .tables import Work
+
+
+if TYPE_CHECKING:
+    from ..records import Rollout
+    from ..records import VersionSpec
+    from .tables import Tables
+
+
+RATING_STALE = 120.0
+"""Seconds without any rating after which the ratings count as stopped."""
+LEAST_RATED = 8.0
+"""Own ratings below which a version is unknown, whatever its prior says."""
+RATE_ALL_BELOW = 30.0
+"""Own ratings below which every answer is rated."""
+REJECT_DEVIATIONS = 2.5
+"""Standard errors below the target at which a version is no longer explored."""
+EXPLORE_CHANCE = 0.3
+EXPLORE_BASE = 60.0
+"""Answers for one workspace and kind that may always be explored."""
+EXPLORE_CREDIT = 0.5
+"""Rating points of credit that exploring needs: it is paid for in advance."""
+EXPLORE_OUTSTANDING = 12
+"""Cap on explored answers whose rating is outstanding, since ratings lag."""
+DEBT_RAISE = 0.01
+"""Rise of the target for each rating point of debt."""
+MOST_RAISE = 0.05
+STOPPED_RATE = 0.25
+"""Share of answers rated while ratings have stopped, to notice their return."""
+SECOND_DRAW = 7919.0
+"""Factor that turns one draw into a second one, independent enough for sampling."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionChoice:
+    """The versions to try, cheapest first, and how to treat their answers."""
+
+    plan: tuple[VersionId, ...]
+    threshold: float
+    """Rating at or above which a cascade stops; 0 for a single version."""
+    rate: bool
+    """Whether the answer that is served goes to the rating service.
+
+    The earlier answers of a cascade are always rated before they are served.
+    """
+    reason: str
+    explored: bool = False
+    """Whether the exploration budget pays for it."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Option:
+    """An open version with what is known of it for the request at hand."""
+
+    version: VersionId
+    cost: float
+    estimate: Estimate
+
+
+@dataclass(frozen=True, slots=True)
+class _Case:
+    """What all steps of one choice need."""
+
+    config: WorkspaceConfig
+    work: Work
+    options: tuple[_Option, ...]
+    account: QualityAccount
+    target: float
+    caution: float
+    """Standard errors by which a mean must exceed the target."""
+
+
+def choose_version(
+    tables: Tables, work: Work, *, now: float, draw: float
+) -> VersionChoice | Refusal:
+    """Choose the version, or cascade, that answers ``work``.
+
+    ``draw`` is uniform in 0 to 1. A refusal is final: the request was not run.
+    """
+    config = tables.workspaces.get(work.workspace)
+    if config is None:
+        message = f"there is no workspace {work.workspace}"
+        return Refusal("workspace_not_found", message, 404)
+
+    stopped = have_ratings_stopped(tables, now)
+    if work.pinned:
+        return _choose_pinned(tables, config, work, draw, stopped=stopped)
+
+    opened = list_open(tables, config, work)
+    if isinstance(opened, Refusal):
+        return opened
+
+    case = _build_case(tables, config, work, opened)
+    if stopped:
+        return _choose_blind(case, draw)
+
+    choice = _choose_by_quality(tables, case, now, draw)
+    return _offer_candidate(tables, case, choice, now)
+
+
+def have_ratings_stopped(tables: Tables, now: float) -> bool:
+    """Tell whether no rating came for so long that the evidence grows stale."""
+    return not tables.rating_heard_at or now - tables.rating_heard_at > RATING_STALE
+
+
+def should_pin(work: Work, choice: VersionChoice) -> bool:
+    """Tell whether the session must be pinned to the choice's version."""
+    return bool(work.session) and not work.pinned and len(choice.plan) == 1
+
+
+def get_sample_share(config: WorkspaceConfig) -> float:
+    """Return the share of a known version's answers to rate.
+
+    Exposure is found as fast as answers are rated, so its weight sets the share.
+    """
+    return 0.05 + 0.15 * get_exposure(config)
+
+
+def get_explore_limit(
+    config: WorkspaceConfig, account: QualityAccount, entries: int
+) -> float:
+    """Return how many answers of a workspace and kind may have been explored."""
+    freedom = 1.0 - get_exposure(config)
+    base = EXPLORE_BASE * freedom / max(1, entries)
+    return base + 0.05 * freedom * account.sent
+
+
+def _choose_pinned(
+    tables: Tables, config: WorkspaceConfig, work: Work, draw: float, *, stopped: bool
+) -> VersionChoice | Refusal:
+    version = check_pinned(tables, config, work)
+    if isinstance(version, Refusal):
+        return version
+
+    rollout = tables.rollouts.get(tables.versions[version].model)
+    watched = rollout is not None and rollout.candidate == version
+    share = STOPPED_RATE if stopped else get_sample_share(config)
+    rate = watched or _draw_again(draw) < share
+    return VersionChoice((version,), 0.0, rate, "the session keeps its version")
+
+
+def _build_case(
+    tables: Tables,
+    config: WorkspaceConfig,
+    work: Work,
+    opened: tuple[VersionSpec, ...],
+) -> _Case:
+    options = [
+        _Option(
+            spec.version,
+            spec.price_in * work.prompt_tokens + spec.price_out * work.answer_tokens,
+            estimate_quality(tables, work.workspace, work.kind.name, spec.version),
+        )
+        for spec in opened
+    ]
+    options.sort(key=lambda option: (option.cost, option.version))
+    account = tables.accounts.get((work.workspace, work.kind.name), QualityAccount())
+    raised = min(MOST_RAISE, max(0.0, -account.credit) * DEBT_RAISE)
+    full = 0.5 + 2.0 * get_exposure(config)
+    return _Case(
+        config=config,
+        work=work,
+        options=tuple(options),
+        account=account,
+        target=work.kind.quality_target + raised,
+        caution=full * (1.0 - max(-1.0, account.credit / CREDIT_CAP)),
+    )
+
+
+def _choose_by_quality(
+    tables: Tables, case: _Case, now: float, draw: float
+) -> VersionChoice:
+    main = _find_main(case)
+    explored = _find_explored(tables, case, main, now, draw)
+    if explored is not None:
+        reason = f"explores {explored.version}, whose quality is not known yet"
+        return VersionChoice((explored.version,), 0.0, True, reason, explored=True)
+
+    cascade = _find_cascade(tables, case, main)
+    if cascade is not None:
+        return cascade
+
+    known = main.estimate.rated >= RATE_ALL_BELOW
+    rate = not known or _draw_again(draw) < get_sample_share(case.config)
+    reason = "cheapest that meets the target with confidence"
+    if not _is_confident(case, main):
+        reason = "none meets the target with confidence; this is the best known"
+
+    return VersionChoice((main.version,), 0.0, rate, reason)
+
+
+def _choose_blind(case: _Case, draw: float) -> VersionChoice:
+    """Choose while ratings have stopped: nothing new, nothing that needs a rating.
+
+    Failure: the rating service is down, so a bad turn would not be seen and a
+    cascade would wait for ratings that never come. Only versions with ratings of
+    their own, or else the best expected one, get work, and the caution is doubled.
+    """
+    careful = replace(case, caution=2.0 * case.caution + 1.0)
+    main = _find_main(careful)
+    rate = _draw_again(draw) < STOPPED_RATE
+    reason = "ratings have stopped: no exploring, no candidate, no cascade"
+    return VersionChoice((main.version,), 0.0, rate, reason)
+
+
+def _is_confident(case: _Case, option: _Option) -> bool:
+    estimate = option.estimate
+    if estimate.rated < LEAST_RATED:
+        return False
+
+    return estimate.mean - case.caution * estimate.error >= case.target
+
+
+def _find_main(case: _Case) -> _Option:
+    """Return the cheapest confident option, or else the most promising one."""
+    for option in case.options:
+        if _is_confident(case, option):
+            return option
+
+    return max(case.options, key=lambda option: _bound_below(case, option))
+
+
+def _bound_below(case: _Case, option: _Option) -> float:
+    return option.estimate.mean - case.caution * option.estimate.error
+
+
+def _find_explored(
+    tables: Tables, case: _Case, main: _Option, now: float, draw: float
+) -> _Option | None:
+    """Return the cheapest version worth exploring, when budget and draw allow."""
+    limit = get_explore_limit(case.config, case.account, tables.entries)
+    if draw >= EXPLORE_CHANCE or case.account.explored + 1 > limit:
+        return None
+
+    if case.account.credit < EXPLORE_CREDIT:
+        return None
+
+    for option in case.options:
+        if option.cost >= main.cost:
+            return None
+
+        if _is_worth_exploring(tables, case, option, now):
+            return option
+
+    return None
+
+
+def _is_worth_exploring(
+    tables: Tables, case: _Case, option: _Option, now: float
+) -> bool:
+    estimate = option.estimate
+    if estimate.mean + REJECT_DEVIATIONS * estimate.error < case.target:
+        return False
+
+    key = (case.work.workspace, case.work.kind.name, option.version)
+    return count_cell_outstanding(tables, key, now) < EXPLORE_OUTSTANDING
+
+
+def _find_cascade(tables: Tables, case: _Case, main: _Option) -> VersionChoice | None:
+    """Return the cascade that undercuts ``main``, if any.
+
+    A session keeps one version and a stream shows its answer at once, so neither
+    can escalate.
+    """
+    work = case.work
+    if work.stream or work.session or not work.kind.waits_for_whole:
+        return None
+
+    best = max(case.options, key=lambda option: option.estimate.mean)
+    least = main.cost / (1.0 + 0.5 * get_latency(case.config))
+    found: VersionChoice | None = None
+    for strong in {main.version: main, best.version: best}.values():
+        target = case.target + case.caution * strong.estimate.error
+        for cheap in case.options:
+            if cheap.cost + tables.rating_price >= least or cheap.cost >= strong.cost:
+                break
+
+            if cheap.estimate.rated < LEAST_RATED:
+                continue
+
+            option = find_threshold(
+                cheap.estimate,
+                strong.estimate,
+                cheap_cost=cheap.cost,
+                strong_cost=strong.cost,
+                rating_price=tables.rating_price,
+                target=target,
+            )
+            if option is None or option.cost >= least:
+                continue
+
+            least = option.cost
+            found = VersionChoice(
+                (cheap.version, strong.version),
+                option.threshold,
+                strong.estimate.rated < RATE_ALL_BELOW,
+                "a cascade is expected to cost least",
+            )
+
+    return found
+
+
+def _offer_candidate(
+    tables: Tables, case: _Case, choice: VersionChoice, now: float
+) -> VersionChoice:
+    """Put a roll-out's candidate in its incumbent's place for its share of sessions.
+
+    Who asks for the incumbent by its full name gets it.
+    """
+    for rollout in tables.rollouts.values():
+        if rollout.incumbent not in choice.plan or case.work.model == rollout.incumbent:
+            continue
+
+        if not _is_candidate_open(tables, case, rollout, now):
+            continue
+
+        plan = tuple(
+            rollout.candidate if version == rollout.incumbent else version
+            for version in choice.plan
+        )
+        reason = f"new session in the share of stage {rollout.stage} of a roll-out"
+        return replace(choice, plan=plan, rate=True, reason=reason, explored=False)
+
+    return choice
+
+
+def _is_candidate_open(
+    tables: Tables, case: _Case, rollout: Rollout, now: float
+) -> bool:
+    candidate = tables.versions.get(rollout.candidate)
+    if candidate is None or rollout.candidate not in case.config.allowed:
+        return False
+
+    if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
+        return False
+
+    if place_session(rollout, case.work) >= get_share(rollout, case.config):
+        return False
+
+    cap = min(rollout.pace.max_unrated, case.config.pace.max_unrated)
+    part = max(1, cap // max(1, tables.entries))
+    return count_outstanding(tables, rollout.candidate, now) < part
+
+
+def _draw_again(draw: float) -> float:
+    return draw * SECOND_DRAW % 1.0
--- a/src/waxwingwell/records.py
+++ b/src/waxwingwell/records.py
@@ -193,6 +193,8 @@
     stage_at: float = 0.0
     """When the present stage began, on the leader's wall clock."""
     reason: str = ""
+    base: tuple[Evidence, ...] = ()
+    """Evidence of both versions when the present stage began."""
 
 
 class UpstreamKind(StrEnum):
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/decisions/test_evidence.py
@@ -0,0 +1,86 @@
+"""Evidence: increments, sums over entries, and what is outstanding."""
+
+from __future__ import annotations
+
+import unittest
+
+from waxwingwell.decisions.evidence import OUTSTANDING_LIFE
+from waxwingwell.decisions.evidence import add_evidence
+from waxwingwell.decisions.evidence import confirm_increments
+from waxwingwell.decisions.evidence import count_outstanding
+from waxwingwell.decisions.evidence import merge_sums
+from waxwingwell.decisions.evidence import note_rating
+from waxwingwell.decisions.evidence import note_sent
+from waxwingwell.decisions.evidence import note_unrated
+from waxwingwell.decisions.evidence import take_increments
+
+from .fixtures_quality import CHEAP
+from .fixtures_quality import QUESTION
+from .fixtures_quality import WORKSPACE
+from .fixtures_quality import feed
+from .fixtures_quality import make_tables
+from .fixtures_quality import make_work
+
+
+KEY = (WORKSPACE, "question", CHEAP)
+
+
+class TestIncrements(unittest.TestCase):
+    def test_a_resend_has_the_same_rows(self) -> None:
+        """An entry would count ratings twice, or lose them, after a lost answer.
+
+        Rows are taken and sent, the answer is lost, more ratings come, and the
+        entry sends again under the same sequence. Cause: the connection broke.
+        """
+        tables = make_tables()
+        feed(tables, CHEAP, (0.5, 0.7), 1.0)
+        first = take_increments(tables)
+        feed(tables, CHEAP, (0.9,), 2.0)
+        self.assertEqual(take_increments(tables), first)
+        confirm_increments(tables)
+        (row,) = take_increments(tables)
+        self.assertEqual((row.rated, row.sent, row.to_rate), (1, 1, 1))
+        self.assertAlmostEqual(row.total, 0.9)
+
+    def test_sums_keep_what_the_leader_has_not_seen(self) -> None:
+        tables = make_tables()
+        feed(tables, CHEAP, (0.5,), 1.0)
+        (flushed,) = take_increments(tables)
+        confirm_increments(tables)
+        feed(tables, CHEAP, (1.0,), 2.0)
+        others = add_evidence(flushed, flushed)
+        merge_sums(tables, (others,), 3.0)
+        self.assertEqual(tables.evidence[KEY].rated, 3)
+        self.assertAlmostEqual(tables.evidence[KEY].total, 2.0)
+        self.assertAlmostEqual(tables.opinions[KEY].total, 2.0)
+        self.assertEqual(tables.rating_heard_at, 3.0)
+
+    def test_outstanding(self) -> None:
+        tables = make_tables()
+        for now in (1.0, 2.0, 3.0):
+            note_sent(tables, make_work(), CHEAP, rate=True, now=now)
+
+        note_sent(tables, make_work(), CHEAP, rate=False, now=4.0)
+        self.assertEqual(count_outstanding(tables, CHEAP, 4.0), 3)
+        note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.5, 5.0)
+        self.assertEqual(count_outstanding(tables, CHEAP, 5.0), 2)
+        note_unrated(tables, WORKSPACE, QUESTION, CHEAP)
+        self.assertEqual(count_outstanding(tables, CHEAP, 5.0), 1)
+        late = 3.0 + OUTSTANDING_LIFE
+        self.assertEqual(count_outstanding(tables, CHEAP, late), 0)
+        row = tables.evidence[KEY]
+        self.assertEqual((row.sent, row.to_rate, row.rated), (4, 2, 1))
+
+    def test_ratings_out_of_range_are_clipped(self) -> None:
+        tables = make_tables()
+        feed(tables, CHEAP, (7.0, -3.0), 1.0)
+        self.assertEqual(tables.evidence[KEY].total, 1.0)
+        self.assertEqual(tables.evidence[KEY].squares, 1.0)
+
+    def test_credit_counts_served_answers_only(self) -> None:
+        tables = make_tables()
+        note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.1, 1.0, served=False)
+        self.assertNotIn((WORKSPACE, "question"), tables.accounts)
+        note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.9, 1.0)
+        account = tables.accounts[WORKSPACE, "question"]
+        self.assertAlmostEqual(account.credit, 0.2)
