--- /dev/null
+++ b/src/waxwingwell/adapters/bodies.py
@@ -0,0 +1,55 @@
+"""Every message that may travel over a link, as one union."""
+
+from __future__ import annotations
+
+from ..messages import Accepted
+from ..messages import AlreadyOpen
+from ..messages import AlreadySettled
+from ..messages import AskInForce
+from ..messages import Conflict
+from ..messages import Failed
+from ..messages import InForce
+from ..messages import LeaseBehind
+from ..messages import LeaseGranted
+from ..messages import NotLeader
+from ..messages import Pinned
+from ..messages import Recorded
+from ..messages import Rejected
+from ..messages import RenewLease
+from ..messages import Reserved
+from ..messages import Settled
+from ..messages import SpreadAnnouncements
+from ..messages import SpreadDemand
+from ..messages import Submit
+from ..messages import Swept
+from ..state.consensus.messages import AppendAnswer
+from ..state.consensus.messages import AppendEntries
+
+
+Outcomes = (
+    Accepted
+    | Conflict
+    | Rejected
+    | Reserved
+    | AlreadyOpen
+    | AlreadySettled
+    | Settled
+    | Swept
+    | Pinned
+    | Recorded
+)
+Body = (
+    Outcomes
+    | Submit
+    | RenewLease
+    | LeaseGranted
+    | LeaseBehind
+    | NotLeader
+    | AskInForce
+    | InForce
+    | Failed
+    | SpreadAnnouncements
+    | SpreadDemand
+    | AppendEntries
+    | AppendAnswer
+)
--- /dev/null
+++ b/src/waxwingwell/adapters/control/context.py
@@ -0,0 +1,47 @@
+"""What all parts of one control process share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from ...state.control import ControlState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...state.group import Group
+    from ...state.leases import EntryLeases
+    from ..links import Link
+    from ..settings import ControlSettings
+    from ..telemetry import Metrics
+
+
+@dataclass(slots=True)
+class StateHolder:
+    """The present control state; replaced as a whole by a snapshot."""
+
+    state: ControlState = field(default_factory=ControlState)
+
+
+@dataclass(slots=True)
+class ControlContext:
+    """One control process's settings, group, links and leases."""
+
+    settings: ControlSettings
+    reactor: Any
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    holder: StateHolder
+    group: Group
+    metrics: Metrics
+    links: dict[str, Link] = field(default_factory=dict)
+    leases: EntryLeases | None = None
+    """Only while this process leads; begun anew with each election."""
+    leases_term: int = 0
+    flush_due: bool = False
+    swept_at: float = 0.0
+    stepped_at: float = 0.0
--- /dev/null
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -0,0 +1,222 @@
+"""The control daemon: opens the group, its links and the administration API."""
+
+from __future__ import annotations
+
+import random
+
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from loguru import logger
+from twisted.internet.task import LoopingCall
+from twisted.internet.task import deferLater
+
+from ...messages import Command
+from ...state.consensus.records import Timing
+from ...state.group import Machine
+from ...state.group import leader_of
+from ...state.group import leads
+from ...state.group import open_group
+from ...state.group import transfer_leadership
+from ...state.machine import apply_command
+from ...state.machine import load_state
+from ...state.machine import save_state
+from ...state.storage import open_store
+from ..bodies import Body
+from ..clock import read_clock
+from ..clock import read_wall_clock
+from ..links import LinkFactory
+from ..links import LinkHandlers
+from ..links import LinkNode
+from ..links import LinkTiming
+from ..links import cast_link
+from ..links import close_link
+from ..links import open_link
+from ..telemetry import open_metrics
+from .admin import make_admin_site
+from .context import ControlContext
+from .context import StateHolder
+from .duties import TICK
+from .duties import run_tick
+from .service import run_flush
+from .service import take_call
+from .service import take_cast
+
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+    from ...messages import Message
+    from ...state.consensus.messages import ConsensusMessage
+    from ..settings import ControlSettings
+    from ..settings import Peer
+
+
+GROUP_ID = "control"
+HANDOVER_LIMIT = 2.0
+"""Seconds that a planned stop waits for another member to lead."""
+_COMMANDS = msgspec.msgpack.Decoder(Command)
+
+
+@dataclass(slots=True)
+class ControlDaemon:
+    """A running control process."""
+
+    context: ControlContext
+    node: LinkNode
+    link_port: Any
+    admin_port: Any
+    loop: LoopingCall
+
+
+def make_machine(holder: StateHolder) -> Machine:
+    """Return the closures by which the log drives the control state."""
+
+    def apply(index: int, command: bytes) -> bytes:
+        outcome = apply_command(holder.state, _COMMANDS.decode(command))
+        return msgspec.msgpack.encode(outcome)
+
+    def restore(data: bytes) -> None:
+        holder.state = load_state(data)
+
+    return Machine(
+        apply=apply, save=lambda: save_state(holder.state), restore=restore
+    )
+
+
+def start_control(settings: ControlSettings, reactor: Any) -> ControlDaemon:
+    """Open the data folder and begin to serve.
+
+    Errors: those of the store (a folder of another member, a corrupt file) and
+    ``CannotListenError``.
+    """
+    holder = StateHolder()
+    settings.data_folder.mkdir(parents=True, exist_ok=True)
+    links: dict[str, Any] = {}
+
+    def send(member: str, message: ConsensusMessage) -> None:
+        link = links.get(member)
+        if link is not None:
+            cast_link(link, message)
+
+    group = open_group(
+        group_id=GROUP_ID,
+        member=settings.node,
+        members=tuple(member.node for member in settings.members),
+        store=open_store(settings.data_folder, GROUP_ID),
+        machine=make_machine(holder),
+        send=send,
+        timing=Timing(),
+        random=random.SystemRandom(),
+        now=read_clock(),
+        bootstrap=not settings.join,
+    )
+    context = ControlContext(
+        settings=settings,
+        reactor=reactor,
+        clock=read_clock,
+        wall_clock=read_wall_clock,
+        holder=holder,
+        group=group,
+        metrics=open_metrics(settings.telemetry, settings.node),
+        links=links,
+    )
+    node = make_node(context)
+    link_port = reactor.listenTCP(
+        settings.links.port, LinkFactory(node), interface=settings.links.host
+    )
+    for member in settings.members:
+        if member.node != settings.node:
+            links[member.node] = open_link(
+                node, member.node, make_connector(reactor, member)
+            )
+
+    admin_port = reactor.listenTCP(
+        settings.admin.port, make_admin_site(context), interface=settings.admin.host
+    )
+    loop = LoopingCall(run_tick, context)
+    loop.start(TICK).addErrback(partial(_report_halt, reactor))
+    logger.info(
+        "control: {} serves links on {} and administration on {}.",
+        settings.node,
+        link_port.getHost().port,
+        admin_port.getHost().port,
+    )
+    return ControlDaemon(
+        context=context,
+        node=node,
+        link_port=link_port,
+        admin_port=admin_port,
+        loop=loop,
+    )
+
+
+def make_node(context: ControlContext) -> LinkNode:
+    """Return what the links of this process share."""
+    return LinkNode(
+        name=context.settings.node,
+        reactor=context.reactor,
+        handlers=LinkHandlers(
+            take_call=partial(_take_call, context),
+            take_cast=partial(take_cast, context),
+            body_type=Body,
+        ),
+        timing=LinkTiming(),
+    )
+
+
+def make_connector(reactor: Any, peer: Peer) -> Any:
+    """Return a function that connects a factory to a peer."""
+    from twisted.internet.endpoints import TCP4ClientEndpoint
+
+    endpoint = TCP4ClientEndpoint(reactor, peer.host, peer.port)
+    return endpoint.connect
+
+
+async def stop_control(daemon: ControlDaemon) -> None:
+    """Hand leadership over, then stop; no proposal under way is lost."""
+    context = daemon.context
+    await _hand_over(context)
+    run_flush(context)
+    if daemon.loop.running:
+        daemon.loop.stop()
+
+    for link in context.links.values():
+        close_link(link)
+
+    for accepted in list(daemon.node.accepted):
+        accepted.abort()
+
+    await daemon.admin_port.stopListening()
+    await daemon.link_port.stopListening()
+    context.group.store.close()
+    logger.info("control: {} stopped.", context.settings.node)
+
+
+async def _hand_over(context: ControlContext) -> None:
+    others = [name for name in context.links if name != context.settings.node]
+    if not leads(context.group, context.clock()) or not others:
+        return
+
+    deadline = context.clock() + HANDOVER_LIMIT
+    transfer_leadership(context.group, others[0], context.clock())
+    run_flush(context)
+    while context.clock() < deadline:
+        if leader_of(context.group) not in ("", context.settings.node):
+            return
+
+        await deferLater(context.reactor, TICK, lambda: None)
+
+
+def _take_call(context: ControlContext, sender: str, body: Any) -> Deferred[Message]:
+    return take_call(context, sender, body)
+
+
+def _report_halt(reactor: Any, failure: Any) -> None:
+    """Stop the process: a broken invariant must not be served on."""
+    logger.critical("control: Stopped by a fault: {}.", failure.getTraceback())
+    reactor.stop()
--- /dev/null
+++ b/src/waxwingwell/adapters/control/duties.py
@@ -0,0 +1,105 @@
+"""What the leader does of its own accord: leases, sweeps, roll-outs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ...decisions.rollouts import step_rollouts
+from ...messages import StepRollout
+from ...state.catalogue import name_rollout
+from ...state.evidence import list_evidence
+from ...state.group import leads
+from ...state.group import term_of
+from ...state.group import tick_group
+from ...state.leases import EntryLeases
+from ...state.leases import list_abandoned
+from ...state.ledger import list_open_entries
+from .service import request_flush
+from .service import submit
+
+
+if TYPE_CHECKING:
+    from ...messages import Message
+    from .context import ControlContext
+
+
+TICK = 0.02
+"""Seconds between two ticks of the replicated log."""
+SWEEP_EVERY = 1.0
+STEP_EVERY = 1.0
+OPERATOR = "leader"
+
+
+def run_tick(context: ControlContext) -> None:
+    """Do what is due now; called every ``TICK`` seconds."""
+    now = context.clock()
+    tick_group(context.group, now)
+    request_flush(context)
+    if not leads(context.group, now):
+        context.leases = None
+        return
+
+    _hold_leases(context, now)
+    _sweep_abandoned(context, now)
+    _step_rollouts(context, now)
+
+
+def _hold_leases(context: ControlContext, now: float) -> None:
+    term = term_of(context.group)
+    if context.leases is not None and context.leases_term == term:
+        return
+
+    logger.info("control: {} leads in term {}.", context.settings.node, term)
+    context.leases = EntryLeases(elected_at=now)
+    context.leases_term = term
+
+
+def _sweep_abandoned(context: ControlContext, now: float) -> None:
+    """Close the rows of entries that died, once their lease has run out."""
+    if context.leases is None or now - context.swept_at < SWEEP_EVERY:
+        return
+
+    context.swept_at = now
+    open_entries = list_open_entries(context.holder.state.ledger)
+    sweeps = list_abandoned(
+        context.leases, open_entries, now, at=context.wall_clock()
+    )
+    for sweep in sweeps:
+        logger.info("control: Sweeping open rows of {}.", sweep.entry)
+        submit(context, sweep)
+
+
+def _step_rollouts(context: ControlContext, now: float) -> None:
+    """Propose the roll-out steps that the evidence asks for.
+
+    The change id names roll-out, revision and step: a step proposed twice, by this
+    leader or by the next one, takes effect once.
+    """
+    if now - context.stepped_at < STEP_EVERY:
+        return
+
+    context.stepped_at = now
+    config = context.holder.state.config
+    evidence = list_evidence(context.holder.state.evidence)
+    steps = step_rollouts(config.rollouts, evidence, context.wall_clock())
+    for step in steps:
+        revision = config.revisions.get(name_rollout(step.model), 0)
+        name = f"{step.model}-{revision}-{step.status.value}-{step.stage}"
+        change = StepRollout(
+            change_id=f"auto-{name}",
+            operator=OPERATOR,
+            expected_revision=revision,
+            at=context.wall_clock(),
+            model=step.model,
+            stage=step.stage,
+            status=step.status.value,
+            reason=step.reason,
+        )
+        logger.info("control: Roll-out {}: {}.", name, step.reason)
+        submit(context, change).addCallback(_log_outcome)
+
+
+def _log_outcome(outcome: Message) -> None:
+    logger.info("control: Roll-out step: {}.", outcome)
--- /dev/null
+++ b/src/waxwingwell/adapters/control/service.py
@@ -0,0 +1,133 @@
+"""What a control process answers over its links."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+
+from ...messages import AskInForce
+from ...messages import Failed
+from ...messages import InForce
+from ...messages import Message
+from ...messages import NotLeader
+from ...messages import Outcome
+from ...messages import RenewLease
+from ...messages import Submit
+from ...state.consensus.messages import ConsensusMessage
+from ...state.evidence import list_evidence
+from ...state.group import Committed
+from ...state.group import NotLeading
+from ...state.group import ProposalOutcome
+from ...state.group import flush_group
+from ...state.group import leader_of
+from ...state.group import leads
+from ...state.group import propose
+from ...state.group import receive_message
+from ...state.leases import is_in_force
+from ...state.leases import renew_lease
+from ...state.machine import make_snapshot
+from ...state.machine import stamp_command
+
+
+if TYPE_CHECKING:
+    from ...messages import Command
+    from .context import ControlContext
+
+
+_OUTCOMES = msgspec.msgpack.Decoder(Outcome)
+
+
+def take_call(context: ControlContext, sender: str, body: Any) -> Deferred[Message]:
+    """Answer a call of an entry or of another control process."""
+    if isinstance(body, Submit):
+        return submit(context, body.command)
+
+    if isinstance(body, RenewLease):
+        return succeed(_renew(context, body))
+
+    if isinstance(body, AskInForce):
+        return succeed(ask_in_force(context, body.config_version))
+
+    return succeed(
+        Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
+    )
+
+
+def take_cast(context: ControlContext, sender: str, body: Any) -> None:
+    """Take in a message of the replicated log."""
+    if isinstance(body, ConsensusMessage):
+        receive_message(context.group, sender, body, context.clock())
+        request_flush(context)
+
+
+def submit(context: ControlContext, command: Command) -> Deferred[Message]:
+    """Put a command through the log; the result is its outcome.
+
+    Others: ``NotLeader`` if it provably did not run, ``Failed`` if it may have.
+    """
+    answer: Deferred[Message] = Deferred()
+    stamped = stamp_command(command, context.wall_clock())
+
+    def finish(outcome: ProposalOutcome) -> None:
+        if isinstance(outcome, Committed):
+            answer.callback(_OUTCOMES.decode(outcome.result))
+        elif isinstance(outcome, NotLeading):
+            answer.callback(NotLeader(leader=outcome.leader))
+        else:
+            answer.callback(Failed(reason="leadership was lost", may_have_run=True))
+
+    propose(context.group, msgspec.msgpack.encode(stamped), finish, context.clock())
+    request_flush(context)
+    return answer
+
+
+def ask_in_force(context: ControlContext, config_version: int) -> InForce | NotLeader:
+    """Tell whether a committed configuration is in force at every entry."""
+    now = context.clock()
+    if not leads(context.group, now) or context.leases is None:
+        return NotLeader(leader=leader_of(context.group))
+
+    if config_version > context.holder.state.config.config_version:
+        return InForce(in_force=False)
+
+    return is_in_force(context.leases, config_version, now)
+
+
+def request_flush(context: ControlContext) -> None:
+    """Flush once this turn is over: all that came in it shares one durable write."""
+    if context.flush_due:
+        return
+
+    context.flush_due = True
+    context.reactor.callLater(0, run_flush, context)
+
+
+def run_flush(context: ControlContext) -> None:
+    """Make everything since the last flush durable, then send and apply."""
+    context.flush_due = False
+    flush_group(context.group, context.clock())
+
+
+def _renew(context: ControlContext, message: RenewLease) -> Message:
+    """Grant or refuse a configuration lease.
+
+    Leadership is confirmed for ``now`` after the snapshot was read: a leader that
+    was cut off would otherwise grant leases on an old configuration.
+    """
+    snapshot = make_snapshot(context.holder.state)
+    now = context.clock()
+    if not leads(context.group, now) or context.leases is None:
+        return NotLeader(leader=leader_of(context.group))
+
+    return renew_lease(
+        context.leases,
+        message,
+        snapshot=snapshot,
+        now=now,
+        evidence=list_evidence(context.holder.state.evidence),
+    )
--- a/src/waxwingwell/adapters/entry/ratings.py
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -8,6 +8,7 @@
 import treq
 from loguru import logger
 from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
 
 from ...decisions.evidence import note_rating
 from ...decisions.evidence import note_unrated
@@ -86,7 +87,7 @@
     answering = treq.post(
         f"http://{address.host}:{address.port}/v1/ratings",
         data=msgspec.json.encode(asked),
-        headers={"content-type": ["application/json"]},
+        headers=Headers({"content-type": ["application/json"]}),
         agent=context.client.reused,
     )
     answering.addTimeout(RATING_TIMEOUT, context.reactor)
--- a/src/waxwingwell_standins/client.py
+++ b/src/waxwingwell_standins/client.py
@@ -27,8 +27,8 @@
 def make_agent(timeout: float) -> ClientAgent:
     """Return an agent that keeps no connection open; seconds to connect."""
     reactor = get_reactor()
-    pool: Any = HTTPConnectionPool(reactor, persistent=False)  # type: ignore[no-untyped-call]
-    agent: ClientAgent = Agent(reactor, connectTimeout=timeout, pool=pool)  # type: ignore[no-untyped-call]
+    pool: Any = HTTPConnectionPool(reactor, persistent=False)
+    agent: ClientAgent = Agent(reactor, connectTimeout=timeout, pool=pool)
     return agent
 
 
--- a/src/waxwingwell_standins/listener.py
+++ b/src/waxwingwell_standins/listener.py
@@ -55,13 +55,13 @@
     def log(self, request: Request) -> None:
         """Write nothing: a log line costs more than the request here."""
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build a channel and remember its transport until it is lost."""
         channel: Any = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
         lost: Deferred[None] = Deferred()
         connect, lose = channel.makeConnection, channel.connectionLost
 
-        def remember(transport: Any) -> None:  # noqa: ANN401
+        def remember(transport: Any) -> None:
             self.open_transports[transport] = lost
             connect(transport)
             channel.transport = transport
--- a/src/waxwingwell_standins/pipes.py
+++ b/src/waxwingwell_standins/pipes.py
@@ -167,13 +167,13 @@
         self.pair = pair
         self.on_failed = on_failed
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build the second connection."""
         return End(self.table, self.pair)
 
     def clientConnectionFailed(  # noqa: N802
         self,
-        connector: Any,  # noqa: ANN401
+        connector: Any,
         reason: Failure,
     ) -> None:
         """Tell that there is no second connection."""
@@ -190,7 +190,7 @@
         self.table = table
         self.on_pair = on_pair
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build the first connection and look for the second."""
         pair = Pair()
         self.table.pairs.append(pair)
@@ -210,7 +210,7 @@
     get_reactor().connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT)
 
 
-def stop_pipes(table: PipeTable, listening: Any) -> Deferred[None]:  # noqa: ANN401
+def stop_pipes(table: PipeTable, listening: Any) -> Deferred[None]:
     """Stop listening and cut every pair; fires once all have gone."""
     if listening is None:
         return succeed(None)
--- a/tests/standins/support.py
+++ b/tests/standins/support.py
@@ -33,7 +33,7 @@
     return await treq.request(method, url, data=data, headers=named, agent=agent)
 
 
-async def read_json(response: Response) -> Any:  # noqa: ANN401
+async def read_json(response: Response) -> Any:
     """Return the decoded body."""
     return msgspec.json.decode(await treq.content(response))
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -48,7 +48,7 @@
 class EngineTest(AsyncTestCase):
     """Each test talks to an engine over loopback."""
 
-    def start(self, **settings: Any) -> Engine:  # noqa: ANN401
+    def start(self, **settings: Any) -> Engine:
         engine = start_engine(EngineSettings(versions=(VERSION,), **settings))
         self.addCleanup(engine.stop)
         return engine
