--- /dev/null
+++ b/src/waxwingwell/state/consensus/membership.py
@@ -0,0 +1,133 @@
+"""Membership changes: one at a time, through the log, learners before voters."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .elections import tell_if_expelled
+from .records import REMOVED_KEPT
+from .records import EntryKind
+from .records import Membership
+from .records import Role
+from .records import name_of
+from .replica import append_entry
+
+
+if TYPE_CHECKING:
+    from .messages import JoinRequest
+    from .replica import Replica
+
+
+def may_change(replica: Replica) -> bool:
+    """Return whether the next change may begin.
+
+    Failure: two changes under way, or one begun before the term's first entry is
+    committed, let two majorities without a common member decide apart.
+    """
+    return (
+        replica.role is Role.LEADER
+        and replica.transfer is None
+        and replica.commit >= replica.first_of_term
+        and replica.commit >= replica.membership_index
+    )
+
+
+def with_learner(membership: Membership, member: str) -> Membership:
+    """Add a learner; it takes the place of a former learner of its name."""
+    name = name_of(member)
+    former = tuple(one for one in membership.learners if name_of(one) == name)
+    kept = tuple(one for one in membership.learners if one not in former)
+    return Membership(
+        voters=membership.voters,
+        learners=(*kept, member),
+        removed=(membership.removed + former)[-REMOVED_KEPT:],
+    )
+
+
+def with_voter(membership: Membership, member: str) -> Membership:
+    """Let a learner vote."""
+    return Membership(
+        voters=(*membership.voters, member),
+        learners=tuple(one for one in membership.learners if one != member),
+        removed=membership.removed,
+    )
+
+
+def without_member(membership: Membership, member: str) -> Membership:
+    """Drop a member for good."""
+    return Membership(
+        voters=tuple(one for one in membership.voters if one != member),
+        learners=tuple(one for one in membership.learners if one != member),
+        removed=(*membership.removed, member)[-REMOVED_KEPT:],
+    )
+
+
+def change_membership(replica: Replica, membership: Membership) -> int:
+    """Append a membership, which counts from now on; return its index."""
+    data = msgspec.msgpack.encode(membership)
+    return append_entry(replica, EntryKind.MEMBERSHIP, data)
+
+
+def receive_join(replica: Replica, request: JoinRequest) -> None:
+    """Take an empty member in as a learner, if the settings know its name."""
+    member = request.sender
+    membership = replica.membership
+    if replica.role is not Role.LEADER or tell_if_expelled(replica, member):
+        return
+
+    if member in membership.voters or member in membership.learners:
+        return
+
+    if name_of(member) not in replica.names or not may_change(replica):
+        return
+
+    change_membership(replica, with_learner(membership, member))
+
+
+def tend_members(replica: Replica, now: float) -> None:
+    """Repair: let a caught-up learner vote, after removing whom it replaces.
+
+    Failure: a disk is lost and its member returns empty. Its former id is removed
+    only once the new one holds the log, so that the time in which a second loss
+    stops progress is one round trip; two changes, since exchanging a voter in one
+    would leave two majorities without a common member.
+    """
+    if not replica.timing.repair or not may_change(replica):
+        return
+
+    learner = find_caught_up(replica, now)
+    if not learner:
+        return
+
+    membership = replica.membership
+    former = find_former(membership, learner)
+    if former == replica.member:
+        return
+
+    if former:
+        change_membership(replica, without_member(membership, former))
+        return
+
+    change_membership(replica, with_voter(membership, learner))
+
+
+def find_caught_up(replica: Replica, now: float) -> str:
+    """Return a learner that holds all that is committed and answers, or ""."""
+    for learner in replica.membership.learners:
+        progress = replica.progress.get(learner)
+        if progress is None or progress.match < replica.commit:
+            continue
+
+        if now < progress.acknowledged_at + replica.timing.election_min:
+            return learner
+
+    return ""
+
+
+def find_former(membership: Membership, learner: str) -> str:
+    """Return the voter of the learner's name, which lost its disk, or ""."""
+    name = name_of(learner)
+    former = [voter for voter in membership.voters if name_of(voter) == name]
+    return former[0] if former else ""
--- /dev/null
+++ b/src/waxwingwell/state/consensus/snapshots.py
@@ -0,0 +1,124 @@
+"""Snapshots: compaction of the log, and sending one to a member left behind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .checks import check
+from .log import compact_log
+from .log import entry_at
+from .log import last_index
+from .log import term_at
+from .messages import InstallSnapshot
+from .messages import SnapshotAnswer
+from .records import EntryKind
+from .records import Membership
+from .records import Snapshot
+from .replica import follow_leader
+from .replica import use_membership
+
+
+if TYPE_CHECKING:
+    from .replica import Progress
+    from .replica import Replica
+
+
+def take_snapshot(replica: Replica, data: bytes) -> None:
+    """Let ``data`` stand for the applied entries, and drop all but a tail of them."""
+    index = replica.applied
+    term = term_at(replica.log, index)
+    check(term is not None, "the applied entry is held", member=replica.member)
+    membership, membership_index = membership_at(replica, index)
+    replica.snapshot = Snapshot(
+        index=index,
+        term=term or 0,
+        membership=membership,
+        membership_index=membership_index,
+        data=data,
+    )
+    replica.snapshot_dirty = True
+    base = max(replica.log.base_index, index - replica.timing.snapshot_tail)
+    compact_log(replica.log, base, term_at(replica.log, base) or 0)
+
+
+def membership_at(replica: Replica, index: int) -> tuple[Membership, int]:
+    """Return the membership that holds after ``index``, and where it was set."""
+    for place in range(index, replica.log.base_index, -1):
+        entry = entry_at(replica.log, place)
+        if entry.kind is EntryKind.MEMBERSHIP:
+            return msgspec.msgpack.decode(entry.data, type=Membership), place
+
+    if replica.snapshot is None:
+        return Membership(), 0
+
+    return replica.snapshot.membership, replica.snapshot.membership_index
+
+
+def send_snapshot(
+    replica: Replica, member: str, progress: Progress, now: float
+) -> None:
+    """Queue the snapshot, unless one is on its way."""
+    if now < progress.snapshot_sent_at + replica.timing.snapshot_retry:
+        return
+
+    snapshot = replica.snapshot
+    if snapshot is None:
+        return
+
+    progress.snapshot_sent_at = now
+    message = InstallSnapshot(
+        group=replica.group,
+        sender=replica.member,
+        target=member,
+        term=replica.term,
+        snapshot=snapshot,
+        sent_at=now,
+    )
+    replica.outbox.append(message)
+
+
+def receive_snapshot(replica: Replica, message: InstallSnapshot, now: float) -> None:
+    """Take the leader's snapshot in place of the log that it covers."""
+    if message.term < replica.term:
+        answer_snapshot(replica, message, 0)
+        return
+
+    follow_leader(replica, message.sender, message.term, now)
+    if message.snapshot.index > replica.commit:
+        install_snapshot(replica, message.snapshot)
+
+    answer_snapshot(replica, message, message.snapshot.index)
+
+
+def install_snapshot(replica: Replica, snapshot: Snapshot) -> None:
+    """Replace state and log; entries after the snapshot stay if they follow it."""
+    log = replica.log
+    if term_at(log, snapshot.index) != snapshot.term:
+        log.entries.clear()
+        log.base_index = snapshot.index
+        replica.unwritten_from = snapshot.index + 1
+        replica.durable = min(replica.durable, snapshot.index)
+
+    compact_log(log, snapshot.index, snapshot.term)
+    replica.unwritten_from = max(replica.unwritten_from, snapshot.index + 1)
+    replica.snapshot = snapshot
+    replica.snapshot_dirty = True
+    replica.machine_stale = True
+    replica.commit = snapshot.index
+    membership, index = membership_at(replica, last_index(log))
+    use_membership(replica, membership, index)
+
+
+def answer_snapshot(replica: Replica, message: InstallSnapshot, match: int) -> None:
+    """Queue the answer; it leaves after the snapshot is synced."""
+    answer = SnapshotAnswer(
+        group=replica.group,
+        sender=replica.member,
+        target=message.sender,
+        term=replica.term,
+        sent_at=message.sent_at,
+        match=match,
+    )
+    replica.outbox.append(answer)
--- /dev/null
+++ b/tests/state/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the state layer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/state/consensus/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the replicated log."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/state/test_storage.py
@@ -0,0 +1,150 @@
+"""Storage on real files: whole batches, clear errors, nothing made up."""
+
+from __future__ import annotations
+
+import random
+import sqlite3
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.state.consensus.fakes import Node
+from tests.state.consensus.fakes import make_machine
+from waxwingwell.state.consensus.records import Entry
+from waxwingwell.state.consensus.records import EntryKind
+from waxwingwell.state.consensus.records import HardState
+from waxwingwell.state.consensus.records import Membership
+from waxwingwell.state.consensus.records import Snapshot
+from waxwingwell.state.consensus.records import Timing
+from waxwingwell.state.exceptions import CorruptStorageError
+from waxwingwell.state.exceptions import StorageError
+from waxwingwell.state.group import Committed
+from waxwingwell.state.group import Group
+from waxwingwell.state.group import flush_group
+from waxwingwell.state.group import leads
+from waxwingwell.state.group import open_group
+from waxwingwell.state.group import propose
+from waxwingwell.state.storage import Batch
+from waxwingwell.state.storage import Loaded
+from waxwingwell.state.storage import Store
+from waxwingwell.state.storage import open_store
+
+
+ENTRIES = tuple(Entry(1, EntryKind.COMMAND, b"%d" % number) for number in range(5))
+SNAPSHOT = Snapshot(3, 1, Membership(("a",)), 1, b"state")
+
+
+class StorageTest(unittest.TestCase):
+    """One file in a folder of its own."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+        self.store = self.open()
+
+    def open(self) -> Store:
+        store = open_store(self.folder, "main")
+        self.addCleanup(store.close)
+        return store
+
+    def reopen(self) -> Loaded:
+        self.store.close()
+        self.store = self.open()
+        return self.store.load()
+
+    def write_all(self) -> None:
+        state = HardState(1, "a")
+        self.store.write(Batch(member="a~1", hard_state=state))
+        self.store.write(Batch(first=1, entries=ENTRIES))
+
+    def test_batches_come_back(self) -> None:
+        self.write_all()
+        other = Entry(2, EntryKind.NO_OP, b"")
+        self.store.write(Batch(hard_state=HardState(2, "b"), first=5, entries=(other,)))
+        loaded = self.reopen()
+        self.assertEqual(loaded.member, "a~1")
+        self.assertEqual(loaded.hard_state, HardState(2, "b"))
+        self.assertEqual(loaded.entries, (*ENTRIES[:4], other))
+
+    def test_a_snapshot_drops_what_it_covers(self) -> None:
+        self.write_all()
+        self.store.write(Batch(snapshot=SNAPSHOT, base_index=2, base_term=1))
+        loaded = self.reopen()
+        self.assertEqual(loaded.snapshot, SNAPSHOT)
+        self.assertEqual((loaded.base_index, loaded.base_term), (2, 1))
+        self.assertEqual(loaded.entries, ENTRIES[2:])
+
+    def test_damage_is_found_at_the_start(self) -> None:
+        cases = (
+            ("gap", "DELETE FROM entry WHERE place = 3", "entry 3 is missing"),
+            ("entry", "UPDATE entry SET data = x'00' WHERE place = 2", "of entry 2"),
+            ("marker", "DELETE FROM marker", "without the member id"),
+            ("term", "UPDATE hard_state SET term = 0", "later term"),
+        )
+        for name, damage, expected in cases:
+            with self.subTest(name):
+                folder = self.folder / name
+                store = open_store(folder, "main")
+                store.write(Batch(member="a~1", hard_state=HardState(1, "a")))
+                store.write(Batch(first=1, entries=ENTRIES))
+                store.close()
+                database = sqlite3.connect(folder / "main.sqlite")
+                database.execute(damage)
+                database.commit()
+                database.close()
+                store = open_store(folder, "main")
+                self.addCleanup(store.close)
+                with self.assertRaisesRegex(CorruptStorageError, expected):
+                    store.load()
+
+    def test_a_file_that_is_no_database_is_reported(self) -> None:
+        self.folder.joinpath("other.sqlite").write_bytes(b"garbage" * 1000)
+        with self.assertRaises(CorruptStorageError):
+            open_store(self.folder, "other")
+
+    def test_a_second_process_is_turned_away(self) -> None:
+        self.write_all()
+        with self.assertRaisesRegex(StorageError, "locked"):
+            open_store(self.folder, "main")
+
+    def test_several_groups_lie_side_by_side(self) -> None:
+        self.write_all()
+        other = open_store(self.folder, "ledger-1")
+        self.addCleanup(other.close)
+        self.assertEqual(other.load(), Loaded())
+
+    def test_a_group_of_one_restarts_with_all_it_accepted(self) -> None:
+        """Hundreds of changes are accepted, one a flush; the process ends.
+
+        It starts again from its folder and must hold every change, in order.
+        """
+        node = Node("solo")
+        group = self.open_solo(node)
+        for number in range(300):
+            outcomes: list[object] = []
+            propose(group, b"%d" % number, outcomes.append, 1.0)
+            flush_group(group, 1.0)
+            self.assertIsInstance(outcomes[0], Committed)
+
+        applied = list(node.applied)
+        self.reopen()
+        node.applied = []
+        again = self.open_solo(node)
+        self.assertTrue(leads(again, 1.0))
+        self.assertEqual(again.replica.member, group.replica.member)
+        self.assertEqual([c for _, c in node.applied], [c for _, c in applied])
+
+    def open_solo(self, node: Node) -> Group:
+        return open_group(
+            group_id="main",
+            member="solo",
+            members=("solo",),
+            store=self.store,
+            machine=make_machine(node),
+            send=lambda target, message: None,
+            timing=Timing(snapshot_entries=80, snapshot_tail=10),
+            random=random.Random(1),
+            now=1.0,
+            bootstrap=True,
+        )
