--- a/src/waxwingwell/state/leases.py
+++ b/src/waxwingwell/state/leases.py
@@ -29,6 +29,7 @@
 
     from ..messages import ConfigSnapshot
     from ..records import Evidence
+    from .ledger import OpenIncarnations
 
 
 LEASE_DURATION = 4.0
@@ -174,7 +175,11 @@
 
 
 def list_abandoned(
-    leases: EntryLeases, open_entries: Mapping[EntryId, int], now: float, *, at: float
+    leases: EntryLeases,
+    open_entries: Mapping[EntryId, OpenIncarnations],
+    now: float,
+    *,
+    at: float,
 ) -> tuple[SettleAbandoned, ...]:
     """Return sweeps for entries with open rows and no lease that may still hold.
 
@@ -189,12 +194,14 @@
         if row.expires_at > now:
             live[entry] = min(incarnation, live.get(entry, incarnation))
 
-    return tuple(
-        SettleAbandoned(
-            entry=entry, below_incarnation=live.get(entry, newest + 1), at=at
-        )
-        for entry, newest in open_entries.items()
-    )
+    sweeps = []
+    for entry, incarnations in open_entries.items():
+        below = live.get(entry, incarnations.newest + 1)
+        if incarnations.oldest < below:
+            sweep = SettleAbandoned(entry=entry, below_incarnation=below, at=at)
+            sweeps.append(sweep)
+
+    return tuple(sweeps)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingwell/state/ledger.py
+++ b/src/waxwingwell/state/ledger.py
@@ -84,6 +84,14 @@
     drop_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class OpenIncarnations:
+    """The oldest and the newest incarnation of an entry that has open rows."""
+
+    oldest: int
+    newest: int
+
+
 @dataclass(slots=True)
 class Ledger:
     """Rows by (workspace, key), with what retention and sweeping need."""
@@ -354,6 +362,9 @@
         del ledger.rows[place]
 
 
-def list_open_entries(ledger: Ledger) -> dict[EntryId, int]:
-    """Return the entries with open rows, and the highest incarnation of each."""
-    return {entry: max(rows.values()) for entry, rows in ledger.open_rows.items()}
+def list_open_entries(ledger: Ledger) -> dict[EntryId, OpenIncarnations]:
+    """Return the entries with open rows, and the incarnations that opened them."""
+    return {
+        entry: OpenIncarnations(min(rows.values()), max(rows.values()))
+        for entry, rows in ledger.open_rows.items()
+    }
--- /dev/null
+++ b/tests/state/test_demand.py
@@ -0,0 +1,58 @@
+"""Tests of workspace demand as entries tell it to each other."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from waxwingwell.decisions.tables import Tables
+from waxwingwell.decisions.tables import WorkspaceDemand
+from waxwingwell.state.demand import DEMAND_KEPT
+from waxwingwell.state.demand import SENDER_KEPT
+from waxwingwell.state.demand import DemandMemory
+from waxwingwell.state.demand import make_demand
+from waxwingwell.state.demand import sum_demand
+from waxwingwell.state.demand import take_demand
+
+from .commands import BOLE
+from .commands import CMC
+from .commands import DEMO
+
+
+if TYPE_CHECKING:
+    from waxwingwell.messages import SpreadDemand
+
+
+def make_message(in_flight: int, sequence: int, incarnation: int = 1) -> SpreadDemand:
+    """Return another entry's demand."""
+    tables = Tables(demand={DEMO: WorkspaceDemand(in_flight=in_flight, rate=2.0)})
+    return make_demand(tables, entry=CMC, incarnation=incarnation, sequence=sequence)
+
+
+class DemandTest(unittest.TestCase):
+    def test_newest_word_of_each_entry_counts(self) -> None:
+        memory, tables = DemandMemory(), Tables()
+        messages = (
+            make_message(5, 2),
+            make_message(9, 1),
+            make_message(1, 1, incarnation=2),
+            make_message(8, 3),
+        )
+        taken = [take_demand(memory, tables, message, 1.0) for message in messages]
+        self.assertEqual(taken, [True, False, True, False])
+        demand = tables.demand[DEMO]
+        self.assertEqual((demand.elsewhere_in_flight, demand.elsewhere_rate), (1, 2.0))
+
+    def test_silent_entry_stops_counting(self) -> None:
+        memory, tables = DemandMemory(), Tables()
+        take_demand(memory, tables, make_message(5, 1), 1.0)
+        sum_demand(memory, tables, 1.0 + DEMAND_KEPT)
+        self.assertEqual(tables.demand[DEMO].elsewhere_in_flight, 0)
+        self.assertFalse(take_demand(memory, tables, make_message(5, 1), 2.0))
+        sum_demand(memory, tables, 1.0 + SENDER_KEPT)
+        self.assertFalse(memory.rows)
+
+    def test_own_demand_leaves_out_idle_workspaces(self) -> None:
+        tables = Tables(demand={DEMO: WorkspaceDemand(elsewhere_in_flight=4)})
+        message = make_demand(tables, entry=BOLE, incarnation=1, sequence=1)
+        self.assertEqual(message.workspaces, ())
--- /dev/null
+++ b/tests/state/test_fencing.py
@@ -0,0 +1,39 @@
+"""Tests of an entry's memory of fencing numbers."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from waxwingwell.records import UpstreamId
+from waxwingwell.state import fencing
+from waxwingwell.state.fencing import FencingMemory
+from waxwingwell.state.fencing import accept_order
+
+
+ENGINE = UpstreamId("engine")
+
+
+class FencingTest(unittest.TestCase):
+    def test_old_leader_is_refused(self) -> None:
+        """A withdrawn version is loaded again by a leader that was replaced.
+
+        Order: leader of term 3 frozen, leader of term 4 orders, the old one wakes and
+        orders. Cause: the engine ignores fencing numbers.
+        """
+        memory = FencingMemory()
+        numbers = (3, 4, 3, 4, 5, 4)
+        taken = [accept_order(memory, ENGINE, number) for number in numbers]
+        self.assertEqual(taken, [True, True, False, True, True, False])
+        self.assertTrue(accept_order(memory, UpstreamId("other"), 1))
+
+    def test_forgotten_upstream_keeps_the_highest_number(self) -> None:
+        memory = FencingMemory()
+        with mock.patch.object(fencing, "MAX_UPSTREAMS", 2):
+            accept_order(memory, ENGINE, 9)
+            for name in ("a", "b", "c"):
+                accept_order(memory, UpstreamId(name), 9)
+
+            self.assertEqual(len(memory.highest), 2)
+            self.assertFalse(accept_order(memory, ENGINE, 8))
+            self.assertTrue(accept_order(memory, ENGINE, 9))
--- /dev/null
+++ b/tests/state/test_leases.py
@@ -0,0 +1,182 @@
+"""Tests of configuration leases on both sides."""
+
+from __future__ import annotations
+
+from waxwingwell.messages import ConfigSnapshot
+from waxwingwell.messages import InForce
+from waxwingwell.messages import LeaseBehind
+from waxwingwell.messages import LeaseGranted
+from waxwingwell.state.leases import ConfigLease
+from waxwingwell.state.leases import EntryLeases
+from waxwingwell.state.leases import ExpiredEntry
+from waxwingwell.state.leases import begin_renewal
+from waxwingwell.state.leases import finish_renewal
+from waxwingwell.state.leases import get_longest_hold
+from waxwingwell.state.leases import is_in_force
+from waxwingwell.state.leases import list_abandoned
+from waxwingwell.state.leases import list_expired_entries
+from waxwingwell.state.leases import may_admit
+from waxwingwell.state.leases import renew_lease
+from waxwingwell.state.leases import take_snapshot
+from waxwingwell.state.ledger import OpenIncarnations
+
+from .commands import BOLE
+from .commands import CMC
+from .commands import StateTestCase
+
+
+def make_snapshot(version: int) -> ConfigSnapshot:
+    """Return an empty configuration of a version."""
+    return ConfigSnapshot(
+        config_version=version, workspaces=(), versions=(), rollouts=()
+    )
+
+
+def renew(
+    leases: EntryLeases, lease: ConfigLease, version: int, now: float
+) -> LeaseGranted | LeaseBehind:
+    """Renew without delay at a leader that has ``version``."""
+    renewal = begin_renewal(lease, now)
+    answer = renew_lease(
+        leases, renewal.message, snapshot=make_snapshot(version), now=now
+    )
+    if isinstance(answer, LeaseGranted):
+        finish_renewal(lease, renewal.number, answer, now)
+    else:
+        take_snapshot(lease, answer.snapshot)
+
+    return answer
+
+
+class EntrySideTest(StateTestCase):
+    def test_nothing_is_admitted_before_the_first_grant(self) -> None:
+        lease = ConfigLease(BOLE, 1)
+        self.assertFalse(may_admit(lease, 0.0))
+        leases = EntryLeases(elected_at=0.0)
+        self.assertIsInstance(renew(leases, lease, 3, 10.0), LeaseBehind)
+        self.assertFalse(may_admit(lease, 10.0))
+        self.assertIsInstance(renew(leases, lease, 3, 10.1), LeaseGranted)
+        self.assertTrue(may_admit(lease, 10.1))
+        self.assertFalse(may_admit(lease, 10.1 + leases.duration))
+
+    def test_lease_counts_from_the_sending(self) -> None:
+        """An entry admits work by a configuration that was replaced long ago.
+
+        Order: the entry sends a renewal, the answer is held up on the way for 3 s,
+        the entry is cut off. Cause: counting from the arrival, it would admit for 3 s
+        more than the leader waits before it says "in force".
+        """
+        lease = ConfigLease(BOLE, 1, config_version=3)
+        renewal = begin_renewal(lease, 0.0)
+        granted = LeaseGranted(duration=4.0, config_version=3)
+        finish_renewal(lease, renewal.number, granted, 3.0)
+        self.assertTrue(may_admit(lease, 3.9))
+        self.assertFalse(may_admit(lease, 4.0))
+
+    def test_answers_in_any_order(self) -> None:
+        lease = ConfigLease(BOLE, 1, config_version=3)
+        first = begin_renewal(lease, 0.0)
+        second = begin_renewal(lease, 1.0)
+        granted = LeaseGranted(duration=4.0, config_version=3)
+        self.assertTrue(finish_renewal(lease, second.number, granted, 1.1))
+        self.assertTrue(finish_renewal(lease, first.number, granted, 1.2))
+        self.assertFalse(finish_renewal(lease, first.number, granted, 1.3))
+        self.assertEqual(lease.expires_at, 5.0)
+
+    def test_grant_for_a_newer_revision_is_no_lease(self) -> None:
+        lease = ConfigLease(BOLE, 1, config_version=3)
+        renewal = begin_renewal(lease, 0.0)
+        granted = LeaseGranted(duration=4.0, config_version=4)
+        self.assertFalse(finish_renewal(lease, renewal.number, granted, 0.1))
+        self.assertFalse(may_admit(lease, 0.1))
+
+    def test_no_step_back(self) -> None:
+        lease = ConfigLease(BOLE, 1, config_version=5)
+        for version in (4, 5):
+            with self.subTest(version):
+                self.assertFalse(take_snapshot(lease, make_snapshot(version)))
+                self.assertEqual(lease.config_version, 5)
+
+        self.assertTrue(take_snapshot(lease, make_snapshot(6)))
+
+
+class LeaderSideTest(StateTestCase):
+    def test_in_force_waits_for_a_lease_that_may_hold(self) -> None:
+        """An entry is cut off just after it renewed, then a version is withdrawn.
+
+        Order: grant at 10, change accepted at 10.5, all others acknowledge. Cause of
+        the fault guarded against: "in force" while the entry cut off still admits.
+        """
+        leases = EntryLeases(elected_at=0.0)
+        bole = ConfigLease(BOLE, 1, config_version=3)
+        cmc = ConfigLease(CMC, 1, config_version=3)
+        renew(leases, bole, 3, 10.0)
+        renew(leases, cmc, 3, 10.0)
+        renew(leases, cmc, 4, 10.6)
+        renew(leases, cmc, 4, 10.7)
+        expected = InForce(in_force=False, waiting=(BOLE,))
+        self.assertEqual(is_in_force(leases, 4, 10.8), expected)
+        self.assertTrue(may_admit(bole, 13.9))
+        self.assertFalse(is_in_force(leases, 4, 13.9).in_force)
+        after = 10.0 + get_longest_hold(leases)
+        self.assertFalse(may_admit(bole, after))
+        self.assertTrue(is_in_force(leases, 4, after).in_force)
+
+    def test_new_leader_claims_nothing_at_first(self) -> None:
+        leases = EntryLeases(elected_at=100.0)
+        self.assertFalse(is_in_force(leases, 1, 103.9).in_force)
+        later = 100.0 + get_longest_hold(leases)
+        self.assertTrue(is_in_force(leases, 1, later).in_force)
+
+    def test_old_process_beside_the_new_one_counts(self) -> None:
+        """A frozen entry process is replaced by a new one, and then wakes up.
+
+        Order: old process granted at 10, frozen; the new one acknowledges the change
+        at 11; the old one wakes at 12. Cause: one row an entry would forget the old
+        process, which admits until its lease runs out.
+        """
+        leases = EntryLeases(elected_at=0.0)
+        old = ConfigLease(BOLE, 1, config_version=3)
+        new = ConfigLease(BOLE, 2, config_version=4)
+        renew(leases, old, 3, 10.0)
+        renew(leases, new, 4, 11.0)
+        self.assertTrue(may_admit(old, 12.0))
+        self.assertFalse(is_in_force(leases, 4, 12.0).in_force)
+        self.assertIsInstance(renew(leases, old, 4, 12.0), LeaseBehind)
+
+    def test_entry_ahead_of_the_leader_gets_no_lease(self) -> None:
+        leases = EntryLeases(elected_at=0.0)
+        lease = ConfigLease(BOLE, 1, config_version=9)
+        self.assertIsInstance(renew(leases, lease, 8, 10.0), LeaseBehind)
+        self.assertEqual(lease.config_version, 9)
+        self.assertFalse(may_admit(lease, 10.0))
+
+    def test_expired_entries_are_swept(self) -> None:
+        leases = EntryLeases(elected_at=0.0)
+        renew(leases, ConfigLease(BOLE, 3, config_version=1), 1, 10.0)
+        renew(leases, ConfigLease(CMC, 5, config_version=1), 1, 13.0)
+        self.assertEqual(list_expired_entries(leases, 15.0), (ExpiredEntry(BOLE, 3),))
+        open_entries = {BOLE: OpenIncarnations(3, 3), CMC: OpenIncarnations(4, 5)}
+        swept = {
+            sweep.entry: sweep.below_incarnation
+            for sweep in list_abandoned(leases, open_entries, 15.0, at=1.0)
+        }
+        self.assertEqual(swept, {BOLE: 4, CMC: 5})
+        live = {CMC: OpenIncarnations(5, 5)}
+        self.assertEqual(list_abandoned(leases, live, 15.0, at=1.0), ())
+
+    def test_new_leader_sweeps_nothing_at_first(self) -> None:
+        leases = EntryLeases(elected_at=100.0)
+        open_entries = {BOLE: OpenIncarnations(3, 3)}
+        self.assertEqual(list_abandoned(leases, open_entries, 103.0, at=1.0), ())
+        later = 100.0 + get_longest_hold(leases)
+        (sweep,) = list_abandoned(leases, open_entries, later, at=1.0)
+        self.assertEqual(sweep.below_incarnation, 4)
+
+    def test_old_records_are_dropped(self) -> None:
+        leases = EntryLeases(elected_at=0.0)
+        for number in range(50):
+            lease = ConfigLease(BOLE, number, config_version=1)
+            renew(leases, lease, 1, number * 1000.0)
+
+        self.assertLess(len(leases.rows), 6)
--- /dev/null
+++ b/tests/state/test_ledger.py
@@ -0,0 +1,284 @@
+"""Tests of the ledger: one row a key, settled and billed once, whoever died."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from unittest import mock
+
+from waxwingwell.messages import AlreadyOpen
+from waxwingwell.messages import AlreadySettled
+from waxwingwell.messages import Command
+from waxwingwell.messages import Rejected
+from waxwingwell.messages import Reserved
+from waxwingwell.messages import Settled
+from waxwingwell.messages import Swept
+from waxwingwell.records import OutcomeKind
+from waxwingwell.records import RowStatus
+from waxwingwell.state import ledger
+from waxwingwell.state.bills import list_bills
+from waxwingwell.state.machine import ControlState
+from waxwingwell.state.machine import apply_command
+from waxwingwell.state.machine import load_state
+from waxwingwell.state.machine import save_state
+
+from .commands import CMC
+from .commands import DEMO
+from .commands import StateTestCase
+from .commands import abandon
+from .commands import reserve
+from .commands import settle
+
+
+COMPLETED = OutcomeKind.COMPLETED
+NOT_RUN = OutcomeKind.NOT_RUN
+FAILED = OutcomeKind.FAILED
+MAY_HAVE_RUN = OutcomeKind.MAY_HAVE_RUN
+PLACE = (DEMO, "order-1")
+
+
+def sum_bills(state: ControlState) -> tuple[int, int]:
+    """Return requests on all bills, and their cost."""
+    bills = list_bills(state.ledger.bills)
+    return sum(bill.requests for bill in bills), sum(bill.cost for bill in bills)
+
+
+@dataclass(frozen=True)
+class Death:
+    """An entry dies at one step of a request, and the caller resends elsewhere."""
+
+    step: str
+    log: tuple[Command, ...]
+    """What reached the log before the death and the sweep."""
+    repeatable: bool
+    resend: type
+    """How a resend under the same key is answered."""
+    status: RowStatus | None
+    outcome: OutcomeKind | None = None
+    billed: tuple[int, int] = (0, 0)
+
+
+def list_deaths() -> tuple[Death, ...]:
+    """Return the death of an entry at each step, for both kinds of request."""
+    order = reserve("r1")
+    lookup = reserve("r1", repeatable=True)
+    settled = RowStatus.SETTLED
+    unknown = RowStatus.UNKNOWN
+    opened = RowStatus.OPEN
+    return (
+        Death("before the reservation", (), False, Reserved, opened, None),
+        Death("before the reservation", (), True, Reserved, opened, None),
+        Death("reserved, answer lost", (order,), False, AlreadySettled, unknown,
+              MAY_HAVE_RUN),
+        Death("reserved twice", (order, order), False, AlreadySettled, unknown,
+              MAY_HAVE_RUN),
+        Death("dispatched", (order,), False, AlreadySettled, unknown, MAY_HAVE_RUN),
+        Death("dispatched", (lookup,), True, AlreadySettled, settled, FAILED),
+        Death("answered, not settled", (order,), False, AlreadySettled, unknown,
+              MAY_HAVE_RUN),
+        Death("answered, not settled", (lookup,), True, AlreadySettled, settled,
+              FAILED),
+        Death("settled", (order, settle("r1")), False, AlreadySettled, settled,
+              COMPLETED, (1, 7)),
+        Death("settled", (lookup, settle("r1")), True, AlreadySettled, settled,
+              COMPLETED, (1, 7)),
+        Death("settled twice", (order, settle("r1"), settle("r1")), False,
+              AlreadySettled, settled, COMPLETED, (1, 7)),
+        Death("settled as not run", (order, settle("r1", NOT_RUN)), False, Reserved,
+              opened),
+        Death("settled as not run", (lookup, settle("r1", NOT_RUN)), True, Reserved,
+              opened),
+        Death("settled as failed", (order, settle("r1", FAILED, cost=0)), False,
+              AlreadySettled, settled, FAILED, (1, 0)),
+        Death("settled as unknown", (order, settle("r1", MAY_HAVE_RUN, cost=0)), False,
+              AlreadySettled, unknown, MAY_HAVE_RUN, (1, 0)),
+        Death("settled after the sweep", (order, abandon(2), settle("r1")), False,
+              AlreadySettled, settled, COMPLETED, (1, 7)),
+        Death("settled after the sweep", (lookup, abandon(2), settle("r1")), True,
+              AlreadySettled, settled, COMPLETED, (1, 7)),
+        Death("settled twice after the sweep",
+              (order, abandon(2), settle("r1"), settle("r1", cost=9)), False,
+              AlreadySettled, settled, COMPLETED, (1, 7)),
+        Death("settled after the sweep as not run",
+              (order, abandon(2), settle("r1", NOT_RUN)), False, Reserved, opened),
+        Death("late doubled reservation",
+              (order, settle("r1", NOT_RUN), order), False, Reserved, opened),
+    )  # fmt: skip
+
+
+class DeathTest(StateTestCase):
+    def test_entry_dies_at_each_step(self) -> None:
+        """A golfer's club order is resent after the entry that carried it died.
+
+        Order: the entry dies at a step, its lease runs out, control sweeps its rows,
+        the caller resends the order to another entry. Cause of the fault guarded
+        against: without the row the order would run twice, or be billed twice or not.
+        """
+        for death in list_deaths():
+            for reload in (False, True):
+                with self.subTest(
+                    death.step, repeatable=death.repeatable, reload=reload
+                ):
+                    self.check_death(death, reload)
+
+    def check_death(self, death: Death, reload: bool) -> None:
+        state = ControlState()
+        for command in death.log:
+            apply_command(state, command)
+
+        if reload:
+            state = load_state(save_state(state))
+
+        apply_command(state, abandon(2))
+        again = reserve("r2", entry=CMC, repeatable=death.repeatable, at=13.0)
+        outcome = apply_command(state, again)
+        self.assertIsInstance(outcome, death.resend)
+        row = state.ledger.rows[PLACE]
+        self.assertIs(row.status, death.status)
+        if death.outcome is not None:
+            self.assertIs(row.outcome, death.outcome)
+
+        self.assertEqual(sum_bills(state), death.billed)
+
+
+class LedgerTest(StateTestCase):
+    def test_two_entries_at_once(self) -> None:
+        """A caller's phone sends one order twice, and the balancer splits the two.
+
+        Order: both entries reserve the key, one after the other in the log; the first
+        settles, then the second entry's settle arrives. Cause: a row owned by both
+        would let the fans run twice.
+        """
+        state = ControlState()
+        self.assertEqual(apply_command(state, reserve("r1")), Reserved())
+        second = apply_command(state, reserve("r2", entry=CMC))
+        assert isinstance(second, AlreadyOpen)
+        self.assertEqual(second.row.request, "r1")
+        wrong = apply_command(state, settle("r2"))
+        assert isinstance(wrong, Settled)
+        self.assertFalse(wrong.changed)
+        self.assertIs(state.ledger.rows[PLACE].status, RowStatus.OPEN)
+        apply_command(state, settle("r1"))
+        third = apply_command(state, reserve("r2", entry=CMC))
+        assert isinstance(third, AlreadySettled)
+        assert third.row.answer is not None
+        self.assertEqual(third.row.answer.body, b"clubs ordered")
+        self.assertEqual(sum_bills(state), (1, 7))
+
+    def test_delayed_reservation_of_an_earlier_attempt(self) -> None:
+        """A refused order can't be sent again, and stays "running" for ever.
+
+        Order: attempt 1 reserved, refused as not run; attempt 2 likewise; then a
+        doubled reservation of attempt 1 arrives. Cause: it opens a row whose attempt
+        ended long ago, so that nobody settles it.
+        """
+        state = ControlState()
+        for request in ("r1", "r2"):
+            apply_command(state, reserve(request))
+            apply_command(state, settle(request, NOT_RUN))
+
+        self.assertIsInstance(apply_command(state, reserve("r1")), AlreadySettled)
+        self.assertEqual(apply_command(state, reserve("r3")), Reserved())
+
+    def test_rejections(self) -> None:
+        cases = (
+            ("another body", reserve("r2", digest="x"), "key"),
+            ("repeatable now", reserve("r2", repeatable=True), "key"),
+            ("empty key", reserve("r2", key=""), "key"),
+            ("long key", reserve("r2", key="k" * 300), "key"),
+            ("no request id", reserve("", key="k"), "request"),
+            ("unknown key", settle("r1", key="never"), "key"),
+        )
+        for name, command, place in cases:
+            with self.subTest(name):
+                state = ControlState()
+                apply_command(state, reserve("r1"))
+                outcome = apply_command(state, command)
+                assert isinstance(outcome, Rejected)
+                self.assertEqual(outcome.findings[0].place, place)
+
+    def test_sweep_spares_the_living(self) -> None:
+        state = ControlState()
+        apply_command(state, reserve("r1", key="a", incarnation=1))
+        apply_command(state, reserve("r2", key="b", incarnation=2))
+        apply_command(state, reserve("r3", key="c", entry=CMC))
+        self.assertEqual(apply_command(state, abandon(2)), Swept(rows=1))
+        self.assertEqual(apply_command(state, abandon(2)), Swept(rows=0))
+        statuses = [row.status for row in state.ledger.rows.values()]
+        self.assertEqual(statuses, [RowStatus.UNKNOWN, RowStatus.OPEN, RowStatus.OPEN])
+
+    def test_full_ledger_refuses(self) -> None:
+        state = ControlState()
+        with mock.patch.object(ledger, "MAX_ROWS", 2):
+            apply_command(state, reserve("r1", key="a"))
+            apply_command(state, reserve("r2", key="b"))
+            outcome = apply_command(state, reserve("r3", key="c"))
+            again = apply_command(state, reserve("r1", key="a"))
+
+        assert isinstance(outcome, Rejected)
+        self.assertEqual(outcome.findings[0].place, "ledger")
+        self.assertEqual(again, Reserved())
+
+
+class RetentionTest(StateTestCase):
+    def run_until(self, state: ControlState, at: float) -> None:
+        """Bring the ledger's clock to ``at`` by commands that change no row."""
+        while state.ledger.clock < at:
+            apply_command(state, abandon(0, at=at))
+
+    def test_rows_are_dropped_after_their_time(self) -> None:
+        cases = (
+            ("repeatable", True, ledger.REPEATABLE_KEPT),
+            ("other", False, ledger.REPLAY_WINDOW),
+        )
+        for name, repeatable, kept in cases:
+            with self.subTest(name):
+                state = ControlState()
+                apply_command(state, reserve("r1", repeatable=repeatable))
+                apply_command(state, settle("r1", at=11.0))
+                self.run_until(state, 11.0 + kept - 1)
+                self.assertIn(PLACE, state.ledger.rows)
+                self.run_until(state, 11.0 + kept)
+                self.assertNotIn(PLACE, state.ledger.rows)
+                self.assertEqual(sum_bills(state), (1, 7))
+                self.assertEqual(state.ledger.answer_bytes, 0)
+
+    def test_swept_row_is_billed_when_dropped(self) -> None:
+        state = ControlState()
+        apply_command(state, reserve("r1"))
+        apply_command(state, abandon(2))
+        self.assertEqual(sum_bills(state), (0, 0))
+        self.run_until(state, 12.0 + ledger.REPLAY_WINDOW)
+        self.assertEqual(sum_bills(state), (1, 0))
+        self.assertEqual(list_bills(state.ledger.bills)[0].unknown, 1)
+        self.assertFalse(state.ledger.swept)
+
+    def test_open_rows_stay(self) -> None:
+        state = ControlState()
+        apply_command(state, reserve("r1"))
+        self.run_until(state, 3 * ledger.REPLAY_WINDOW)
+        self.assertIn(PLACE, state.ledger.rows)
+
+    def test_one_wrong_clock_does_not_end_the_window(self) -> None:
+        """A club order is built twice after a VM's clock jumped by a year.
+
+        Order: order settled; a command stamped a year ahead; the order is resent.
+        Cause: the jump would end the replay window of every row at once.
+        """
+        state = ControlState()
+        apply_command(state, reserve("r1"))
+        apply_command(state, settle("r1"))
+        apply_command(state, settle("r1", at=365 * 86_400.0))
+        self.assertIsInstance(apply_command(state, reserve("r2")), AlreadySettled)
+
+    def test_answers_keep_to_their_budget(self) -> None:
+        state = ControlState()
+        with mock.patch.object(ledger, "ANSWER_BUDGET", 250):
+            for number in range(5):
+                key = f"order-{number}"
+                apply_command(state, reserve(f"r{number}", key=key))
+                apply_command(state, settle(f"r{number}", key=key, body=b"x" * 100))
+
+        kept = [row.answer is not None for row in state.ledger.rows.values()]
+        self.assertEqual(kept, [False, False, False, True, True])
+        self.assertEqual(state.ledger.answer_bytes, 200)
+        self.assertEqual(load_state(save_state(state)), state)
