--- /dev/null
+++ b/src/waxwingwell/adapters/entry/attempts.py
@@ -0,0 +1,114 @@
+"""One attempt at an upstream, counted in the tables and traced as a hop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from opentelemetry.trace import SpanKind
+from opentelemetry.trace import StatusCode
+
+from ...decisions.upstreams import note_dispatch
+from ...decisions.upstreams import note_finish
+from ...invariants import Promise
+from ...invariants import check
+from ..telemetry import make_traceparent
+from ..telemetry import start_span
+from .relay import End
+from .relay import RelayProtocol
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .upstream_client import drop_response
+from .upstream_client import read_header
+from .upstream_client import send_call
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from opentelemetry.trace import Span
+
+    from ...decisions.tables import UpstreamRow
+    from ...decisions.tables import Work
+    from ...records import UpstreamId
+    from .context import EntryContext
+    from .relay import Sink
+    from .streams import EventStream
+
+
+HEADERS_FACTOR = 4.0
+"""Progress timeouts that response headers may take; a queue is ahead of them."""
+
+
+def find_row(context: EntryContext, upstream: UpstreamId, now: float) -> UpstreamRow:
+    """Return a live upstream's row; ``AttemptError`` if it has left meanwhile."""
+    row = context.tables.upstreams.get(upstream)
+    if row is None or row.left or row.expires_at <= now:
+        raise AttemptError(f"{upstream} has left", may_have_run=False)
+
+    check(
+        Promise.NO_NEW_WORK_WHEN_LEAVING,
+        not row.announcement.leaving,
+        lambda: f"work for leaving {upstream}",
+    )
+    return row
+
+
+async def run_attempt(
+    context: EntryContext,
+    work: Work,
+    upstream: UpstreamId,
+    make_call: Callable[[str | None], UpstreamCall],
+    span: Span,
+) -> Any:
+    """Dispatch to an upstream and return its response.
+
+    The caller of this function reports the end by ``end_attempt``; a failure before
+    the response is counted here. Errors: ``AttemptError``.
+    """
+    row = find_row(context, upstream, context.clock())
+    hop = start_span(
+        context.traces, "upstream.attempt", kind=SpanKind.CLIENT, parent=span
+    )
+    hop.set_attribute("upstream", upstream)
+    call = make_call(make_traceparent(hop))
+    note_dispatch(context.tables, upstream, work, now=context.clock())
+    limit = context.settings.progress_timeout * HEADERS_FACTOR
+    try:
+        response = await send_call(context, row, call, limit=limit)
+        check_answer(response, call)
+    except AttemptError as error:
+        hop.set_status(StatusCode.ERROR, str(error))
+        end_attempt(context, upstream, failed=True)
+        raise
+    finally:
+        hop.end()
+
+    return response
+
+
+def check_answer(response: Any, call: UpstreamCall) -> None:
+    """Refuse an answer that names another request: it has crossed with ours."""
+    named = read_header(response, "x-request-id")
+    if named and named != call.request:
+        drop_response(response)
+        raise AttemptError(f"answer of another request, {named}", may_have_run=True)
+
+
+def end_attempt(context: EntryContext, upstream: UpstreamId, *, failed: bool) -> None:
+    """Count the end of an attempt; ``failed`` by the upstream's fault."""
+    note_finish(context.tables, upstream, failed=failed, now=context.clock())
+
+
+async def relay_body(
+    context: EntryContext, response: Any, stream: EventStream, sink: Sink
+) -> End:
+    """Relay a response's events until it ends, one way or another."""
+    relay = RelayProtocol(
+        stream,
+        sink,
+        reactor=context.reactor,
+        progress_timeout=context.settings.progress_timeout,
+    )
+    response.deliverBody(relay)
+    return await relay.ended
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/placement.py
@@ -0,0 +1,94 @@
+"""Placement of work: an upstream now, a wait in the queue, or a refusal."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+
+from ...decisions.queue import place_work
+from ...decisions.queue import remove_waiting
+from ...decisions.queue import shed_expired
+from ...decisions.queue import take_next
+from ...decisions.tables import Refusal
+from ...decisions.tables import Waiting
+from ...decisions.upstreams import UpstreamChoice
+from ...decisions.upstreams import choose_upstream
+from .replies import make_problem
+
+
+if TYPE_CHECKING:
+    from ...decisions.tables import Work
+    from ...records import UpstreamId
+    from ...records import VersionId
+    from .context import EntryContext
+
+
+CALLER_GONE = Refusal("caller_gone", "the caller went away while waiting", 499)
+
+
+@dataclass(slots=True)
+class Placements:
+    """Requests that wait for a place, by request id."""
+
+    waiting: dict[str, Deferred[UpstreamChoice | Refusal]] = field(default_factory=dict)
+
+
+async def place_request(
+    context: EntryContext,
+    placements: Placements,
+    work: Work,
+    version: VersionId,
+    exclude: frozenset[UpstreamId],
+) -> UpstreamChoice:
+    """Return where to dispatch; ``Problem`` is the final refusal."""
+    now = context.clock()
+    draw = context.random.random()
+    result: UpstreamChoice | Refusal | Waiting
+    if exclude:
+        result = choose_upstream(
+            context.tables, work, version, exclude=exclude, now=now, draw=draw
+        )
+    else:
+        result = place_work(context.tables, work, version, now=now, draw=draw)
+
+    if isinstance(result, Waiting):
+        answer: Deferred[UpstreamChoice | Refusal] = Deferred()
+        placements.waiting[work.request] = answer
+        run_queue(context, placements)
+        result = await answer
+
+    if isinstance(result, Refusal):
+        raise make_problem(result)
+
+    return result
+
+
+def run_queue(context: EntryContext, placements: Placements) -> None:
+    """Hand out what has room and refuse what can't be served in time."""
+    now = context.clock()
+    for taken in shed_expired(context.tables, now):
+        _answer(placements, taken.waiting.work.request, taken.result)
+
+    while context.tables.waiting:
+        next_one = take_next(context.tables, now, context.random.random())
+        if next_one is None:
+            return
+
+        _answer(placements, next_one.waiting.work.request, next_one.result)
+
+
+def leave_queue(context: EntryContext, placements: Placements, request: str) -> None:
+    """Drop a waiting request whose caller has gone."""
+    if remove_waiting(context.tables, request) is not None:
+        _answer(placements, request, CALLER_GONE)
+
+
+def _answer(
+    placements: Placements, request: str, result: UpstreamChoice | Refusal
+) -> None:
+    waiting = placements.waiting.pop(request, None)
+    if waiting is not None:
+        waiting.callback(result)
