--- /dev/null
+++ b/src/waxwingwell/adapters/entry/checks.py
@@ -0,0 +1,96 @@
+"""Checks at admission and again at dispatch, after every wait."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...invariants import Promise
+from ...invariants import check
+from ...records import VersionId
+from ...records import VersionStatus
+from ...records import WorkspaceConfig
+from ...records import WorkspaceId
+from ...state.leases import may_admit
+from .replies import Problem
+
+
+if TYPE_CHECKING:
+    from ...decisions.tables import Work
+    from .context import EntryContext
+
+
+LEASE_RETRY_AFTER = 2.0
+"""Seconds until an entry that lost its lease has had time to renew it."""
+
+
+def check_lease(context: EntryContext) -> None:
+    """Refuse work while this entry's configuration may be out of date."""
+    if may_admit(context.lease, context.clock()):
+        return
+
+    raise Problem(
+        status=503,
+        code="configuration_lease_expired",
+        message="this entry can't confirm its configuration; nothing was run",
+        retry_after=LEASE_RETRY_AFTER,
+    )
+
+
+def get_config(context: EntryContext, workspace: WorkspaceId) -> WorkspaceConfig:
+    """Return a workspace's configuration; ``Problem`` 403 if it has none."""
+    config = context.tables.workspaces.get(workspace)
+    if config is None:
+        raise Problem(
+            status=403,
+            code="unknown_workspace",
+            message=f"workspace {workspace!r} is not configured",
+        )
+
+    return config
+
+
+def check_dispatch(context: EntryContext, work: Work, version: VersionId) -> None:
+    """Check lease, allowance and withdrawal at the moment of dispatch.
+
+    A version may be withdrawn while a request waits in the queue or for its row; it
+    was open at admission and is not any more. The sleep of a frozen process ends
+    here too: its lease has run out.
+    """
+    check_lease(context)
+    config = get_config(context, work.workspace)
+    if version not in config.allowed:
+        raise Problem(
+            status=403,
+            code="model_not_allowed",
+            message=f"{version} is not allowed in this workspace any more",
+        )
+
+    if not _takes_work(context, version, pinned=work.pinned == version):
+        raise Problem(
+            status=409,
+            code="version_withdrawn",
+            message=f"{version} has been withdrawn",
+        )
+
+
+def assert_dispatch(context: EntryContext, work: Work, version: VersionId) -> None:
+    """Assert the promises about versions where work leaves for an upstream."""
+    config = context.tables.workspaces.get(work.workspace)
+    check(
+        Promise.ALLOWED_VERSION,
+        config is not None and version in config.allowed,
+        lambda: f"{work.request} left for {version}, not allowed there",
+    )
+    check(
+        Promise.NO_NEW_WORK_WHEN_WITHDRAWN,
+        _takes_work(context, version, pinned=work.pinned == version),
+        lambda: f"{work.request} left for withdrawn {version}",
+    )
+
+
+def _takes_work(context: EntryContext, version: VersionId, *, pinned: bool) -> bool:
+    spec = context.tables.versions.get(version)
+    if spec is None or spec.status == VersionStatus.WITHDRAWN:
+        return False
+
+    return spec.status != VersionStatus.ENDING or pinned
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/whole.py
@@ -0,0 +1,268 @@
+"""Chats answered whole: one version, or a cascade that rates and escalates."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import treq
+
+from ...decisions.evidence import note_sent
+from ...decisions.retries import DispatchState
+from ...decisions.retries import is_retry_safe
+from ...decisions.retries import may_retry
+from ...records import OutcomeKind
+from ...records import UpstreamId
+from ...records import Usage
+from ...records import VersionId
+from .attempts import end_attempt
+from .attempts import run_attempt
+from .chats import make_upstream_body
+from .checks import assert_dispatch
+from .checks import check_dispatch
+from .choice import price_usage
+from .placement import place_request
+from .ratings import rate_answer
+from .ratings import rate_later
+from .replies import Problem
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .upstream_client import make_call
+
+
+if TYPE_CHECKING:
+    from opentelemetry.trace import Span
+
+    from ...decisions.tables import Work
+    from .chats import Chat
+    from .choice import ChosenWork
+    from .context import EntryContext
+    from .placement import Placements
+
+
+CHAT_PATH = "/v1/chat/completions"
+MAX_ANSWER = 16_000_000
+"""Bytes of a whole answer."""
+RETRY_AFTER_FAILURE = 1.0
+
+
+class _Message(msgspec.Struct):
+    content: str | None = None
+
+
+class _ChoiceItem(msgspec.Struct):
+    message: _Message
+
+
+class _Tokens(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Completion(msgspec.Struct):
+    choices: list[_ChoiceItem]
+    usage: _Tokens = msgspec.field(default_factory=_Tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A whole answer with what it used, over all versions that were tried."""
+
+    body: bytes
+    text: str
+    version: VersionId
+    upstream: UpstreamId
+    usage: Usage
+    rating: float | None = None
+
+
+async def answer_whole(
+    context: EntryContext,
+    placements: Placements,
+    chat: Chat,
+    chosen: ChosenWork,
+    span: Span,
+) -> WholeAnswer:
+    """Run the plan's versions in turn until one answers well enough.
+
+    Errors: ``Problem``. A later version that can't be had doesn't lose the answer of
+    an earlier one: the best there is goes out.
+    """
+    spent = Usage()
+    best: WholeAnswer | None = None
+    for place, version in enumerate(chosen.choice.plan):
+        last = place + 1 == len(chosen.choice.plan)
+        try:
+            answer = await _answer_by(context, placements, chat, chosen, version, span)
+        except Problem:
+            if best is None:
+                raise
+
+            break
+
+        spent = _add_usage(spent, answer.usage)
+        _note_sent(context, chosen, version, served=last, rate=not last)
+        if last:
+            if chosen.choice.rate:
+                rate_later(context, chosen.work, version, chat.prompt, answer.text)
+
+            best = answer
+            break
+
+        rating = await rate_answer(
+            context, chosen.work, version, chat.prompt, answer.text, served=False
+        )
+        best = replace(answer, rating=rating)
+        if rating is not None and rating >= chosen.choice.threshold:
+            break
+
+    assert best is not None
+    return replace(best, usage=spent)
+
+
+async def _answer_by(
+    context: EntryContext,
+    placements: Placements,
+    chat: Chat,
+    chosen: ChosenWork,
+    version: VersionId,
+    span: Span,
+) -> WholeAnswer:
+    work = chosen.work
+    body = make_upstream_body(chat, version)
+
+    def build(traceparent: str | None) -> UpstreamCall:
+        return make_call(work, path=CHAT_PATH, body=body, traceparent=traceparent)
+
+    excluded: frozenset[UpstreamId] = frozenset()
+    while True:
+        choice = await place_request(context, placements, work, version, excluded)
+        check_dispatch(context, work, version)
+        assert_dispatch(context, work, version)
+        try:
+            response = await run_attempt(context, work, choice.upstream, build, span)
+            data = await _read_body(context, response, choice.upstream)
+        except AttemptError as error:
+            excluded |= {choice.upstream}
+            check_retry(context, error, repeatable=True)
+            continue
+
+        if response.code != 200:
+            raise make_upstream_problem(response.code, data)
+
+        return _read_answer(context, data, version, choice.upstream)
+
+
+def check_retry(
+    context: EntryContext, error: AttemptError, *, repeatable: bool
+) -> None:
+    """Return if one more attempt is safe and within the budget, or raise."""
+    state = DispatchState.SENT if error.may_have_run else DispatchState.NOT_SENT
+    safe = is_retry_safe(repeatable, state)
+    if safe and may_retry(context.budget, context.clock()):
+        context.metrics.count("retries", 1)
+        return
+
+    if not error.may_have_run:
+        outcome = OutcomeKind.NOT_RUN
+    elif repeatable:
+        outcome = OutcomeKind.FAILED
+    else:
+        outcome = OutcomeKind.MAY_HAVE_RUN
+
+    raise Problem(
+        status=502 if error.may_have_run else 503,
+        code="upstream_failed",
+        message=f"the upstream failed: {error}",
+        outcome=outcome,
+        retry_after=RETRY_AFTER_FAILURE,
+    )
+
+
+def make_upstream_problem(status: int, data: bytes) -> Problem:
+    """Return the problem that tells a caller of an engine's own error answer."""
+    return Problem(
+        status=status if 400 <= status < 500 else 502,
+        code="upstream_error",
+        message=f"the engine answered {status}: {data[:200].decode(errors='replace')}",
+        outcome=OutcomeKind.FAILED,
+        retry_after=None if 400 <= status < 500 else RETRY_AFTER_FAILURE,
+    )
+
+
+async def _read_body(
+    context: EntryContext, response: Any, upstream: UpstreamId
+) -> bytes:
+    reading = treq.content(response)
+    reading.addTimeout(context.settings.progress_timeout * 4, context.reactor)
+    try:
+        data: bytes = await reading
+    except Exception as error:
+        end_attempt(context, upstream, failed=True)
+        raise AttemptError(repr(error), may_have_run=True) from error
+
+    if len(data) > MAX_ANSWER:
+        end_attempt(context, upstream, failed=True)
+        raise AttemptError("the answer is too long", may_have_run=True)
+
+    end_attempt(context, upstream, failed=response.code >= 500)
+    return data
+
+
+def _read_answer(
+    context: EntryContext, data: bytes, version: VersionId, upstream: UpstreamId
+) -> WholeAnswer:
+    try:
+        completion = msgspec.json.decode(data, type=_Completion)
+        text = completion.choices[0].message.content or ""
+    except (msgspec.DecodeError, IndexError) as error:
+        raise Problem(
+            status=502,
+            code="upstream_malformed",
+            message=f"the engine's answer can't be read: {error}",
+            outcome=OutcomeKind.FAILED,
+            retry_after=RETRY_AFTER_FAILURE,
+        ) from error
+
+    tokens = completion.usage
+    usage = Usage(
+        prompt_tokens=tokens.prompt_tokens, answer_tokens=tokens.completion_tokens
+    )
+    return WholeAnswer(
+        body=data,
+        text=text,
+        version=version,
+        upstream=upstream,
+        usage=price_usage(context, version, usage),
+    )
+
+
+def _add_usage(left: Usage, right: Usage) -> Usage:
+    return Usage(
+        prompt_tokens=left.prompt_tokens + right.prompt_tokens,
+        answer_tokens=left.answer_tokens + right.answer_tokens,
+        cost=left.cost + right.cost,
+    )
+
+
+def _note_sent(
+    context: EntryContext,
+    chosen: ChosenWork,
+    version: VersionId,
+    *,
+    served: bool,
+    rate: bool,
+) -> None:
+    work: Work = chosen.work
+    note_sent(
+        context.tables,
+        work,
+        version,
+        rate=rate or (served and chosen.choice.rate),
+        now=context.clock(),
+        explored=served and chosen.choice.explored,
+        served=served,
+    )
