Mark refusals as not run; load from the weight store; answers name what they revise

Cause: the entry takes a 503 for 'not run' only with X-Outcome: not_run, and a change of answers needs the revision that it was made on.

--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -4,13 +4,10 @@
 
 import hashlib
 import hmac
-
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
-
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
@@ -41,6 +38,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings import OperatorKey
     from .context import ControlContext
 
--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import random
-
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
-
 from loguru import logger
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
@@ -83,9 +81,7 @@
     def restore(data: bytes) -> None:
         holder.state = load_state(data)
 
-    return Machine(
-        apply=apply, save=lambda: save_state(holder.state), restore=restore
-    )
+    return Machine(apply=apply, save=lambda: save_state(holder.state), restore=restore)
 
 
 def start_control(settings: ControlSettings, reactor: Any) -> ControlDaemon:
--- a/src/waxwingwell/answers/findings.py
+++ b/src/waxwingwell/answers/findings.py
@@ -41,13 +41,13 @@
 def check_answers(
     data: bytes,
     *,
-    versions: Collection[str],
+    versions: Collection[str] | None,
     data_centres: Collection[str] | None = None,
 ) -> Result[Answers, tuple[Finding, ...]]:
     """Return the answers, or every finding about them.
 
-    ``versions`` are the known version ids; ``data_centres`` the known data centres,
-    None if they are not known here.
+    ``versions`` are the known version ids and ``data_centres`` the known data
+    centres; None if they are not known here, and then they are not checked.
     """
     raw, findings = parse_answers(data)
     if raw is None:
@@ -130,14 +130,19 @@
 
 
 def find_unknown(
-    draft: Draft, versions: Collection[str], data_centres: Collection[str] | None
+    draft: Draft,
+    versions: Collection[str] | None,
+    data_centres: Collection[str] | None,
 ) -> list[Finding]:
     """Return findings about versions and data centres that nobody knows."""
-    findings = [
-        Finding(item.place, f"the version {item.name!r} is not registered")
-        for item in draft.allowed
-        if item.name not in versions
-    ]
+    findings: list[Finding] = []
+    if versions is not None:
+        findings += [
+            Finding(item.place, f"the version {item.name!r} is not registered")
+            for item in draft.allowed
+            if item.name not in versions
+        ]
+
     if data_centres is not None:
         findings += [
             Finding(item.place, f"there is no data centre {item.name!r}")
--- a/src/waxwingwell/answers/models.py
+++ b/src/waxwingwell/answers/models.py
@@ -203,6 +203,11 @@
     questionnaire: Literal[1] = Field(
         default=1, description="Version of the questionnaire that is answered"
     )
+    revises: int = Field(
+        default=0,
+        ge=0,
+        description="Which revision do these answers revise? (0: a new workspace)",
+    )
     workspace: Name = Field(description="What is the workspace called?")
     team: str = Field(default="", max_length=200, description="Whose is it?")
     kinds: tuple[KindAnswers, ...] = Field(
--- a/src/waxwingwell_standins/listener.py
+++ b/src/waxwingwell_standins/listener.py
@@ -32,6 +32,7 @@
 
 LOOPBACK = "127.0.0.1"
 JSON_TYPE = b"application/json"
+OUTCOME_HEADER = b"X-Outcome"
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
@@ -134,8 +135,15 @@
     code: str,
     message: str,
     retry_after: float | None = None,
+    not_run: bool = False,
 ) -> bytes:
-    """Return an error in the shape of the OpenAI API."""
+    """Return an error in the shape of the OpenAI API.
+
+    ``not_run`` marks a refusal after which nothing was done.
+    """
+    if not_run:
+        request.setHeader(OUTCOME_HEADER, b"not_run")
+
     if retry_after is not None:
         request.setHeader(b"Retry-After", f"{retry_after:g}".encode())
 
--- a/src/waxwingwell_standins/pipes.py
+++ b/src/waxwingwell_standins/pipes.py
@@ -109,9 +109,7 @@
         lost = self.table.lost.pop(self)
         for end in self.pair.ends:
             if end is not self and not self.pair.silent:
-                transport: Any = end.transport
-                transport.unregisterProducer()
-                transport.loseConnection()
+                call_later(self.table, self.pair.delay, closer(end))
 
         if all(end not in self.table.lost for end in self.pair.ends):
             forget_pair(self.table, self.pair)
@@ -119,6 +117,18 @@
         lost.callback(None)
 
 
+def closer(end: End) -> Callable[[], None]:
+    """Return a function that closes a connection after its last bytes."""
+
+    def close() -> None:
+        transport: Any = end.transport
+        if end in end.table.lost:
+            transport.unregisterProducer()
+            transport.loseConnection()
+
+    return close
+
+
 def pass_on(end: End, data: bytes) -> None:
     """Write bytes to the other connection of the pair."""
     for other in end.pair.ends:
--- a/src/waxwingwell_standins/program.py
+++ b/src/waxwingwell_standins/program.py
@@ -43,7 +43,12 @@
         running = start(read_settings(Path(settings), kind))
         reactor: Any = get_reactor()
         reactor.addSystemEventTrigger("before", "shutdown", running.stop)
-        print(msgspec.json.encode({"port": running.port}).decode(), flush=True)
+        ports = {"port": running.port}
+        control = getattr(running, "control", None)
+        if control is not None:
+            ports["control_port"] = control.port
+
+        print(msgspec.json.encode(ports).decode(), flush=True)
         reactor.run()
 
     fire.Fire(serve)
--- a/src/waxwingwell_standins/service.py
+++ b/src/waxwingwell_standins/service.py
@@ -213,6 +213,7 @@
         code="overloaded",
         message="the service takes no work now; nothing was run",
         retry_after=REFUSAL_DELAY,
+        not_run=True,
     )
 
 
--- a/src/waxwingwell_standins/settings.py
+++ b/src/waxwingwell_standins/settings.py
@@ -42,7 +42,9 @@
     kv_transfer: bool = False
     checks_fencing: bool = True
     load_time: float = 0.0
-    """Until an ordered version is loaded."""
+    """Until an ordered version is loaded, beside the download of its weights."""
+    weights: str = ""
+    """Base address of the weight store; empty loads without it."""
     keep: float = 60.0
     """Time for which a stream can be resumed after its end."""
     cached_prefixes: int = 256
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -139,6 +139,7 @@
         engine = self.start(faults=EngineFaults(times=1, refuse=True))
         refused = await send("POST", engine.url + "/v1/chat/completions", ASK)
         self.assertEqual(refused.code, 503)
+        self.assertEqual(refused.headers.getRawHeaders("X-Outcome"), ["not_run"])
         await treq.content(refused)
         self.assertEqual(engine.runs, {})
 
--- a/tests/standins/test_services.py
+++ b/tests/standins/test_services.py
@@ -107,6 +107,19 @@
         waits = [take_token(store, start + after) for after in (0.0, 0.25, 0.5)]
         self.assertEqual(waits, [0.0, 0.25, 0.0])
 
+    async def test_engine_loads_from_the_store(self) -> None:
+        store = start_weights(WeightSettings())
+        self.addCleanup(store.stop)
+        engine = start_engine(EngineSettings(weights=store.url))
+        self.addCleanup(engine.stop)
+        order = {"fencing": 1, "versions": ["a@1"]}
+        answer = await send("PUT", engine.url + "/v1/versions", order)
+        self.assertEqual((await read_json(answer))["loading"], ["a@1"])
+        while "a@1" not in engine.orders.loaded:
+            await treq.content(await send("GET", engine.url + "/v1/versions"))
+
+        self.assertEqual(store.served, {"a@1": 1})
+
 
 class AnnouncerTest(AsyncTestCase):
     """Announcements reach an entry, rise in sequence and say that it leaves."""
