Add the commands over the administration API

Ruled out: taking the revision at apply time, since a second operator's answers would then overwrite the first's; the file names the revision that it revises.

--- /dev/null
+++ b/src/waxwingwell/adapters/admin_views.py
@@ -0,0 +1,116 @@
+"""What the administration API shows, as JSON; the command line reads the same."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..records import Finding
+from ..records import Rollout
+from ..records import UpstreamKind
+from ..records import VersionSpec
+from ..records import WorkspaceConfig
+
+
+class ErrorView(msgspec.Struct, frozen=True):
+    """Body of an answer that is neither a view nor an outcome."""
+
+    error: str = ""
+    reason: str = ""
+    """Of a ``Failed`` outcome."""
+    findings: tuple[Finding, ...] = ()
+
+
+class ConfigView(msgspec.Struct, frozen=True):
+    """All configuration, with the revision that each subject stands at."""
+
+    config_version: int
+    workspaces: tuple[WorkspaceConfig, ...] = ()
+    versions: tuple[VersionSpec, ...] = ()
+    rollouts: tuple[Rollout, ...] = ()
+    revisions: dict[str, int] = msgspec.field(default_factory=dict)
+    """By subject, as ``state.catalogue`` names it."""
+
+
+class AnswersView(msgspec.Struct, frozen=True):
+    """A workspace's answers and the revision they stand at."""
+
+    revision: int
+    answers: msgspec.Raw
+
+
+class HistoryView(msgspec.Struct, frozen=True):
+    """One accepted revision of a workspace's answers."""
+
+    revision: int
+    operator: str
+    at: float
+    """Seconds since the epoch."""
+    change_id: str = ""
+
+
+class AuditView(msgspec.Struct, frozen=True):
+    """One change on the audit trail, whatever became of it."""
+
+    at: float
+    operator: str
+    subject: str
+    outcome: str
+    change_id: str = ""
+    revision: int = 0
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """One upstream, as the entries know it."""
+
+    upstream: str
+    kind: UpstreamKind
+    data_centre: str
+    address: str
+    lease_left: float
+    """Seconds; 0 or less once it has run out."""
+    versions: tuple[str, ...] = ()
+    service: str = ""
+    capacity: int = 0
+    running: int = 0
+    queued: int = 0
+    leaving: bool = False
+    ejected: bool = False
+
+
+class SessionView(msgspec.Struct, frozen=True):
+    """One session and the version that it keeps."""
+
+    workspace: str
+    session: str
+    version: str
+    at: float
+    """Start in seconds since the epoch."""
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """One process of the system."""
+
+    node: str
+    role: str
+    """``voter``, ``learner`` or ``entry``."""
+    state: str
+    """``up``, ``down``, ``draining`` or ``drained``."""
+    address: str = ""
+    in_flight: int = 0
+
+
+class MembersChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /admin/v1/members``."""
+
+    action: str
+    """``add``, ``remove`` or ``drain``."""
+    node: str
+    change_id: str
+    host: str = ""
+    port: int = 0
+
+
+class MembersReply(msgspec.Struct, frozen=True):
+    """The members after a change was taken in; it may take time to be done."""
+
+    members: tuple[MemberView, ...] = ()
--- /dev/null
+++ b/src/waxwingwell/commands/connection.py
@@ -0,0 +1,68 @@
+"""Finds the administration API by the environment.
+
+``WAXWINGWELL_ADMIN`` holds its addresses with commas between them (by default the
+embedded role's), ``WAXWINGWELL_KEY`` the operator's key or ``WAXWINGWELL_KEY_FILE``
+a file with it, ``WAXWINGWELL_CA_FILE`` the certificates to trust. A key is never an
+argument, since other users of a machine can read those.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from ..adapters.admin_client import AdminClient
+from ..adapters.admin_transport import make_transport
+from .exits import ExitCode
+from .exits import leave
+
+
+DEFAULT_ADDRESS = "http://127.0.0.1:8081"
+ADDRESS_VARIABLE = "WAXWINGWELL_ADMIN"
+KEY_VARIABLE = "WAXWINGWELL_KEY"
+KEY_FILE_VARIABLE = "WAXWINGWELL_KEY_FILE"
+CA_FILE_VARIABLE = "WAXWINGWELL_CA_FILE"
+
+
+def open_client() -> AdminClient:
+    """Return a client of the administration API; opens no connection yet."""
+    text = os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS)
+    addresses = tuple(part.strip() for part in text.split(",") if part.strip())
+    for address in addresses:
+        if not address.startswith(("http://", "https://")):
+            message = f"{ADDRESS_VARIABLE}: {address!r} is no http(s) address"
+            leave(ExitCode.BAD_INPUT, message)
+
+    try:
+        send = make_transport(os.environ.get(CA_FILE_VARIABLE, ""))
+    except OSError as error:
+        leave(ExitCode.BAD_INPUT, f"{CA_FILE_VARIABLE}: {error}")
+
+    return AdminClient(addresses=addresses, key=read_key(), send=send)
+
+
+def read_key() -> str:
+    """Return the operator's key."""
+    key = os.environ.get(KEY_VARIABLE, "").strip()
+    if key:
+        return check_key(KEY_VARIABLE, key)
+
+    path = os.environ.get(KEY_FILE_VARIABLE, "")
+    if not path:
+        message = f"set {KEY_VARIABLE} or {KEY_FILE_VARIABLE} to an operator's key"
+        leave(ExitCode.BAD_INPUT, message)
+
+    try:
+        key = Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        leave(ExitCode.BAD_INPUT, f"{KEY_FILE_VARIABLE}: {error}")
+
+    return check_key(KEY_FILE_VARIABLE, key)
+
+
+def check_key(place: str, key: str) -> str:
+    """Return a key that a header can carry."""
+    if not key or not key.isascii() or not key.isprintable():
+        leave(ExitCode.BAD_INPUT, f"{place}: a key is one line of ASCII")
+
+    return key
--- /dev/null
+++ b/src/waxwingwell/commands/rollout.py
@@ -0,0 +1,209 @@
+"""``waxwingwell rollout``: versions come and go; and ``register`` for new ones."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..adapters.admin_client import fetch_view
+from ..adapters.admin_views import ConfigView
+from ..answers.generation import PACES
+from ..answers.models import Pace
+from ..messages import RegisterVersion
+from ..messages import StartRollout
+from ..messages import StepRollout
+from ..messages import WithdrawVersion
+from ..records import RolloutStatus
+from ..records import VersionId
+from ..records import VersionSpec
+from ..state.catalogue import name_rollout
+from ..state.catalogue import name_version
+from .changes import OPERATOR
+from .changes import make_change
+from .changes import make_change_id
+from .connection import open_client
+from .exits import ExitCode
+from .exits import leave
+from .exits import unwrap_or_leave
+from .output import print_json
+from .output import print_table
+from .output import show_time
+
+
+if TYPE_CHECKING:
+    from ..adapters.admin_client import AdminClient
+    from ..records import Rollout
+
+
+def show(json: bool = False) -> None:
+    """Show where each model's roll-out stands."""
+    view = fetch_config(open_client())
+    if json:
+        print_json(view.rollouts)
+        return
+
+    print_table(
+        ("model", "candidate", "incumbent", "status", "share", "since (UTC)", "reason"),
+        [
+            (
+                row.model,
+                row.candidate,
+                row.incumbent,
+                row.status,
+                f"{row.pace.stages[row.stage]:.0%}",
+                show_time(row.stage_at),
+                row.reason,
+            )
+            for row in view.rollouts
+        ],
+    )
+
+
+def start(
+    model: str,
+    candidate: str,
+    incumbent: str,
+    pace: str = "steady",
+    revision: int = -1,
+    wait: bool = True,
+    change_id: str = "",
+) -> None:
+    """Begin to move a model's new sessions from one version to another."""
+    if pace not in tuple(Pace):
+        leave(ExitCode.BAD_INPUT, f"pace: {pace!r} is none of {', '.join(Pace)}")
+
+    client = open_client()
+    view = fetch_config(client)
+    change = StartRollout(
+        change_id=make_change_id(str(change_id)),
+        operator=OPERATOR,
+        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        at=time.time(),
+        model=str(model),
+        candidate=VersionId(str(candidate)),
+        incumbent=VersionId(str(incumbent)),
+        pace=PACES[Pace(pace)],
+    )
+    make_change(client, change, wait=wait)
+
+
+def pause(model: str, reason: str = "", revision: int = -1, wait: bool = True) -> None:
+    """Keep a roll-out at its stage until it is resumed."""
+    step(model, RolloutStatus.PAUSED, reason, revision, wait)
+
+
+def resume(model: str, reason: str = "", revision: int = -1, wait: bool = True) -> None:
+    """Let a paused roll-out go on from its stage."""
+    step(model, RolloutStatus.RUNNING, reason, revision, wait)
+
+
+def step(
+    model: str, status: RolloutStatus, reason: str, revision: int, wait: bool
+) -> None:
+    """Change a roll-out's status at its present stage."""
+    client = open_client()
+    view = fetch_config(client)
+    change = StepRollout(
+        change_id=make_change_id(),
+        operator=OPERATOR,
+        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        at=time.time(),
+        model=str(model),
+        stage=find_rollout(view, str(model)).stage,
+        status=status.value,
+        reason=str(reason),
+    )
+    make_change(client, change, wait=wait)
+
+
+def withdraw(
+    version: str,
+    graceful: bool = False,
+    revision: int = -1,
+    wait: bool = True,
+    change_id: str = "",
+) -> None:
+    """Withdraw a version at once, or with ``--graceful`` let its sessions end."""
+    client = open_client()
+    view = fetch_config(client)
+    change = WithdrawVersion(
+        change_id=make_change_id(str(change_id)),
+        operator=OPERATOR,
+        expected_revision=choose_revision(view, name_version(str(version)), revision),
+        at=time.time(),
+        version=VersionId(str(version)),
+        graceful=graceful,
+    )
+    make_change(client, change, wait=wait)
+
+
+def register(
+    version: str,
+    price_in: float,
+    price_out: float,
+    quality_prior: float = 0.5,
+    revision: int = -1,
+    wait: bool = True,
+    change_id: str = "",
+) -> None:
+    """Register a version (``model@version``) or correct its prices and prior.
+
+    Prices are micro-units for one token.
+    """
+    client = open_client()
+    view = fetch_config(client)
+    name = VersionId(str(version))
+    before = [spec.status for spec in view.versions if spec.version == name]
+    try:
+        spec = VersionSpec(
+            version=name,
+            model=name.partition("@")[0],
+            price_in=float(price_in),
+            price_out=float(price_out),
+            quality_prior=float(quality_prior),
+        )
+    except ValueError as error:
+        leave(ExitCode.BAD_INPUT, f"a price or prior is no number: {error}")
+
+    if before:
+        spec = replace(spec, status=before[0])
+
+    change = RegisterVersion(
+        change_id=make_change_id(str(change_id)),
+        operator=OPERATOR,
+        expected_revision=choose_revision(view, name_version(name), revision),
+        at=time.time(),
+        spec=spec,
+    )
+    make_change(client, change, wait=wait)
+
+
+def fetch_config(client: AdminClient) -> ConfigView:
+    """Return all configuration."""
+    return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
+
+
+def choose_revision(view: ConfigView, subject: str, given: int) -> int:
+    """Return the revision that a change is made on: as given, or as just read."""
+    return view.revisions.get(subject, 0) if given < 0 else int(given)
+
+
+def find_rollout(view: ConfigView, model: str) -> Rollout:
+    """Return a model's roll-out."""
+    for row in view.rollouts:
+        if row.model == model:
+            return row
+
+    leave(ExitCode.REFUSED, f"there is no roll-out of {model!r}")
+    return None
+
+
+ROLLOUT = {
+    "show": show,
+    "start": start,
+    "pause": pause,
+    "resume": resume,
+    "withdraw": withdraw,
+}
+"""The group's commands by name."""
--- /dev/null
+++ b/tests/adapters/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the adapters."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/adapters/test_admin_transport.py
@@ -0,0 +1,73 @@
+"""Requests to the administration API over real connections."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler
+from http.server import HTTPServer
+from typing import Any
+
+from waxwingwell.adapters.admin_transport import Unreachable
+from waxwingwell.adapters.admin_transport import WireReply
+from waxwingwell.adapters.admin_transport import WireRequest
+from waxwingwell.adapters.admin_transport import make_transport
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Answers by path, and notes the keys that it was sent."""
+
+    keys: list[str | None] = []
+
+    def do_GET(self) -> None:
+        self.keys.append(self.headers["Authorization"])
+        if self.path == "/moved":
+            self.send_response(302)
+            self.send_header("Location", "/good")
+        elif self.path == "/busy":
+            self.send_response(503)
+            self.send_header("Retry-After", "2")
+        else:
+            self.send_response(200)
+
+        self.send_header("Content-Length", "2")
+        self.end_headers()
+        self.wfile.write(b"{}")
+
+    def log_message(self, *_: Any) -> None:
+        """Write nothing."""
+
+
+class TransportTest(unittest.TestCase):
+    """The server runs in a thread of its own."""
+
+    def setUp(self) -> None:
+        Handler.keys.clear()
+        self.server = HTTPServer(("127.0.0.1", 0), Handler)
+        thread = threading.Thread(target=self.server.serve_forever, args=(0.01,))
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.url = f"http://127.0.0.1:{self.server.server_port}"
+
+    def test_replies(self) -> None:
+        cases = (
+            ("/good", WireReply(200, b"{}")),
+            ("/busy", WireReply(503, b"{}", 2.0)),
+            ("/moved", WireReply(302, b"{}")),
+        )
+        send = make_transport()
+        for path, expected in cases:
+            with self.subTest(path):
+                reply = send(WireRequest("GET", self.url + path, "secret"))
+                self.assertEqual(reply, expected)
+
+        self.assertEqual(Handler.keys, ["Bearer secret"] * 3)
+
+    def test_nothing_listens(self) -> None:
+        free = HTTPServer(("127.0.0.1", 0), Handler)
+        port = free.server_port
+        free.server_close()
+        reply = make_transport()(WireRequest("GET", f"http://127.0.0.1:{port}/", "k"))
+        self.assertIsInstance(reply, Unreachable)
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the command line."""
+
+from __future__ import annotations
