Serve the whole path thin: embedded role, control and entry daemons

Cause: everything grows from one request served end to end. Change: entry (chats, services, announcements, lease, spread), control daemon, administration API, embedded role with stand-ins, serve command.

--- a/src/waxwingwell/adapters/bodies.py
+++ b/src/waxwingwell/adapters/bodies.py
@@ -24,6 +24,15 @@
 from ..messages import Swept
 from ..state.consensus.messages import AppendAnswer
 from ..state.consensus.messages import AppendEntries
+from ..state.consensus.messages import Expelled
+from ..state.consensus.messages import InstallSnapshot
+from ..state.consensus.messages import JoinRequest
+from ..state.consensus.messages import Probe
+from ..state.consensus.messages import ProbeAnswer
+from ..state.consensus.messages import RequestVote
+from ..state.consensus.messages import SnapshotAnswer
+from ..state.consensus.messages import TimeoutNow
+from ..state.consensus.messages import VoteAnswer
 
 
 Outcomes = (
@@ -50,6 +59,15 @@
     | Failed
     | SpreadAnnouncements
     | SpreadDemand
-    | AppendEntries
     | AppendAnswer
+    | AppendEntries
+    | Expelled
+    | InstallSnapshot
+    | JoinRequest
+    | Probe
+    | ProbeAnswer
+    | RequestVote
+    | SnapshotAnswer
+    | TimeoutNow
+    | VoteAnswer
 )
--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -4,13 +4,10 @@
 
 import hashlib
 import hmac
-
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
-
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
@@ -27,6 +24,7 @@
 from ...messages import Rejected
 from ...messages import Submit
 from ...records import Finding
+from ...records import WorkspaceId
 from ...state.bills import list_bills
 from ...state.catalogue import name_workspace
 from ...state.group import leader_of
@@ -41,6 +39,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings import OperatorKey
     from .context import ControlContext
 
@@ -173,7 +173,7 @@
         request: Request, operator: OperatorKey, workspace: str
     ) -> bytes:
         config = context.holder.state.config
-        answers = config.answers.get(workspace)
+        answers = config.answers.get(WorkspaceId(workspace))
         if answers is None or operator.workspace not in ("", workspace):
             return write_json(request, AdminError("unknown workspace"), status=404)
 
--- a/src/waxwingwell/adapters/control/answers.py
+++ b/src/waxwingwell/adapters/control/answers.py
@@ -82,6 +82,6 @@
         halted=context.group.halted,
         members=members,
         entries=entries,
-        open_rows=len(context.holder.state.ledger.open),
+        open_rows=sum(map(len, context.holder.state.ledger.open_rows.values())),
         breaches={name.value: count for name, count in BREACHES.counts.items()},
     )
--- a/src/waxwingwell/adapters/control/context.py
+++ b/src/waxwingwell/adapters/control/context.py
@@ -2,22 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TYPE_CHECKING
 from typing import Any
 
 from ...state.control import ControlState
-
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ...state.group import Group
-    from ...state.leases import EntryLeases
-    from ..links import Link
-    from ..settings import ControlSettings
-    from ..telemetry import Metrics
+from ...state.group import Group
+from ...state.leases import EntryLeases
+from ..links import Link
+from ..settings import ControlSettings
+from ..telemetry import Metrics
 
 
 @dataclass(slots=True)
--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import random
-
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
-
 from loguru import logger
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
@@ -83,9 +82,7 @@
     def restore(data: bytes) -> None:
         holder.state = load_state(data)
 
-    return Machine(
-        apply=apply, save=lambda: save_state(holder.state), restore=restore
-    )
+    return Machine(apply=apply, save=lambda: save_state(holder.state), restore=restore)
 
 
 def start_control(settings: ControlSettings, reactor: Any) -> ControlDaemon:
@@ -191,8 +188,8 @@
     for accepted in list(daemon.node.accepted):
         accepted.abort()
 
-    await daemon.admin_port.stopListening()
-    await daemon.link_port.stopListening()
+    await maybeDeferred(daemon.admin_port.stopListening)
+    await maybeDeferred(daemon.link_port.stopListening)
     context.group.store.close()
     logger.info("control: {} stopped.", context.settings.node)
 
--- a/src/waxwingwell/adapters/control/duties.py
+++ b/src/waxwingwell/adapters/control/duties.py
@@ -63,9 +63,7 @@
 
     context.swept_at = now
     open_entries = list_open_entries(context.holder.state.ledger)
-    sweeps = list_abandoned(
-        context.leases, open_entries, now, at=context.wall_clock()
-    )
+    sweeps = list_abandoned(context.leases, open_entries, now, at=context.wall_clock())
     for sweep in sweeps:
         logger.info("control: Sweeping open rows of {}.", sweep.entry)
         submit(context, sweep)
--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/announcements.py
@@ -0,0 +1,101 @@
+"""Where upstreams announce themselves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from klein import Klein
+
+from ...records import Announcement
+from ...records import Finding
+from ...state.membership import get_lease
+from ...state.membership import take_announcement
+from .replies import JSON
+from .replies import Problem
+from .replies import write_problem
+
+
+if TYPE_CHECKING:
+    from .context import EntryContext
+
+
+MAX_ANNOUNCEMENT = 65_536
+"""Bytes."""
+
+
+class AnnouncementTaken(msgspec.Struct, frozen=True):
+    """Answer to an announcement."""
+
+    taken: bool
+    """False for one that is late, doubled or of an old incarnation."""
+    lease: float
+    """Seconds that the announcement holds here."""
+
+
+def make_upstream_app(context: EntryContext) -> Klein:
+    """Return the application that upstreams use."""
+    app = Klein()
+
+    @app.route("/v1/upstreams/announce", methods=["POST"])
+    def take(request: Any) -> bytes:
+        body = request.content.read(MAX_ANNOUNCEMENT + 1)
+        try:
+            announcement = read_announcement(body)
+        except Problem as problem:
+            return write_problem(request, problem)
+
+        taken = take_announcement(context.tables, announcement, 0.0, context.clock())
+        request.setHeader("content-type", JSON)
+        reply = AnnouncementTaken(taken=taken, lease=get_lease(announcement))
+        return msgspec.json.encode(reply)
+
+    return app
+
+
+def read_announcement(body: bytes) -> Announcement:
+    """Return a checked announcement; ``Problem`` 400 names the fault's place."""
+    if len(body) > MAX_ANNOUNCEMENT:
+        raise Problem(
+            status=413, code="body_too_large", message="body: too long", param="body"
+        )
+
+    try:
+        announcement = msgspec.json.decode(body, type=Announcement)
+    except msgspec.DecodeError as error:
+        raise Problem(
+            status=400, code="invalid_announcement", message=str(error), param="body"
+        ) from error
+
+    findings = _find_faults(announcement)
+    if findings:
+        raise Problem(
+            status=400,
+            code="invalid_announcement",
+            message="; ".join(f"{item.place}: {item.message}" for item in findings),
+            findings=findings,
+            param=findings[0].place,
+        )
+
+    return announcement
+
+
+def _find_faults(announcement: Announcement) -> tuple[Finding, ...]:
+    faults = []
+    if not announcement.upstream:
+        faults.append(Finding(place="upstream", message="must not be empty"))
+
+    if not 0 < announcement.port < 65536:
+        faults.append(Finding(place="port", message="must be 1 to 65535"))
+
+    if not announcement.lease > 0:
+        faults.append(Finding(place="lease", message="must be above 0 seconds"))
+
+    if announcement.capacity < 1:
+        faults.append(Finding(place="capacity", message="must be at least 1"))
+
+    if not announcement.versions and not announcement.service:
+        faults.append(Finding(place="versions", message="name versions or a service"))
+
+    return tuple(faults)
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -0,0 +1,228 @@
+"""The entry daemon: listeners, links, periodic work, and the planned stop."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import maybeDeferred
+from twisted.internet.defer import succeed
+from twisted.internet.task import LoopingCall
+from twisted.internet.task import deferLater
+
+from ...messages import Failed
+from ...messages import Message
+from ...records import EntryId
+from ...state.leases import ConfigLease
+from ..bodies import Body
+from ..clock import read_clock
+from ..clock import read_wall_clock
+from ..control.daemon import make_connector
+from ..links import LinkFactory
+from ..links import LinkHandlers
+from ..links import LinkNode
+from ..links import LinkTiming
+from ..links import close_link
+from ..links import open_link
+from ..telemetry import open_metrics
+from ..telemetry import open_traces
+from .announcements import make_upstream_app
+from .context import EntryContext
+from .control_client import ControlClient
+from .placement import Placements
+from .sites import make_site
+from .upkeep import EVIDENCE_EVERY
+from .upkeep import SPREAD_EVERY
+from .upkeep import TICK
+from .upkeep import Upkeep
+from .upkeep import flush_evidence
+from .upkeep import renew_on
+from .upkeep import run_tick
+from .upkeep import spread_news
+from .upkeep import take_news
+from .upstream_client import open_upstream_client
+from .web import make_caller_app
+
+
+if TYPE_CHECKING:
+    from ..settings import EntrySettings
+
+
+DRAIN_POLL = 0.05
+"""Seconds between two looks at what still runs."""
+
+
+@dataclass(slots=True)
+class EntryDaemon:
+    """A running entry."""
+
+    context: EntryContext
+    node: LinkNode
+    upkeep: Upkeep
+    placements: Placements
+    caller_port: Any
+    upstream_port: Any
+    link_port: Any
+    loops: list[LoopingCall]
+
+
+def start_entry(settings: EntrySettings, reactor: Any) -> EntryDaemon:
+    """Open listeners and links; work is admitted once a lease is granted."""
+    incarnation = time.time_ns() // 1000
+    context = EntryContext(
+        settings=settings,
+        reactor=reactor,
+        clock=read_clock,
+        wall_clock=read_wall_clock,
+        random=random.SystemRandom(),
+        incarnation=incarnation,
+        control=ControlClient(reactor=reactor, clock=read_clock),
+        client=open_upstream_client(reactor),
+        lease=ConfigLease(entry=EntryId(settings.node), incarnation=incarnation),
+        metrics=open_metrics(settings.telemetry, settings.node),
+        traces=open_traces(settings.telemetry, settings.node),
+    )
+    context.tables.distances = {
+        name: value / 1000 for name, value in settings.distances_ms.items()
+    }
+    context.tables.entries = 1 + len(settings.entries)
+    upkeep = Upkeep()
+    placements = Placements()
+    node = _make_node(context, upkeep)
+    daemon = EntryDaemon(
+        context=context,
+        node=node,
+        upkeep=upkeep,
+        placements=placements,
+        caller_port=_listen(
+            context, settings.callers, make_caller_app(context, placements)
+        ),
+        upstream_port=_listen(context, settings.upstreams, make_upstream_app(context)),
+        link_port=reactor.listenTCP(
+            settings.links.port, LinkFactory(node), interface=settings.links.host
+        ),
+        loops=[],
+    )
+    _open_links(daemon)
+    _start_loops(daemon)
+    logger.info(
+        "entry: {} serves callers on {} and upstreams on {}.",
+        settings.node,
+        daemon.caller_port.getHost().port,
+        daemon.upstream_port.getHost().port,
+    )
+    return daemon
+
+
+async def stop_entry(daemon: EntryDaemon) -> None:
+    """Stop without cutting a request.
+
+    The health check goes red first and new connections are served on until the
+    balancer has noticed; connections close at a response boundary; what runs ends.
+    """
+    context = daemon.context
+    settings = context.settings
+    context.draining = True
+    logger.info("entry: {} drains {} requests.", settings.node, context.running)
+    await deferLater(context.reactor, settings.drain_notice, lambda: None)
+    await maybeDeferred(daemon.caller_port.stopListening)
+    deadline = context.clock() + settings.drain_limit
+    while context.running + context.unsettled > 0 and context.clock() < deadline:
+        await deferLater(context.reactor, DRAIN_POLL, lambda: None)
+
+    if context.running:
+        logger.error("entry: {} requests were cut by the limit.", context.running)
+
+    await flush_evidence(context, daemon.upkeep)
+    await close_entry(daemon)
+
+
+async def close_entry(daemon: EntryDaemon) -> None:
+    """Close everything at once."""
+    daemon.upkeep.stopped = True
+    for loop in daemon.loops:
+        if loop.running:
+            loop.stop()
+
+    for link in (
+        *daemon.context.control.links.values(),
+        *daemon.upkeep.entries.values(),
+    ):
+        close_link(link)
+
+    for accepted in list(daemon.node.accepted):
+        accepted.abort()
+
+    for port in (daemon.caller_port, daemon.upstream_port, daemon.link_port):
+        await maybeDeferred(port.stopListening)
+
+    await daemon.context.client.close()
+    daemon.context.traces.close()
+    logger.info("entry: {} stopped.", daemon.context.settings.node)
+
+
+def _listen(context: EntryContext, listener: Any, app: Any) -> Any:
+    site = make_site(
+        app, max_body=context.settings.max_body, timeout=context.settings.idle_timeout
+    )
+    return context.reactor.listenTCP(listener.port, site, interface=listener.host)
+
+
+def _make_node(context: EntryContext, upkeep: Upkeep) -> LinkNode:
+    def take_call(sender: str, body: Any) -> Deferred[Message]:
+        return succeed(
+            Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
+        )
+
+    def take_cast(sender: str, body: Any) -> None:
+        take_news(context, upkeep, body)
+
+    return LinkNode(
+        name=context.settings.node,
+        reactor=context.reactor,
+        handlers=LinkHandlers(take_call=take_call, take_cast=take_cast, body_type=Body),
+        timing=LinkTiming(),
+    )
+
+
+def _open_links(daemon: EntryDaemon) -> None:
+    context = daemon.context
+    for peer in context.settings.control:
+        context.control.links[peer.node] = open_link(
+            daemon.node, peer.node, make_connector(context.reactor, peer)
+        )
+
+    for peer in context.settings.entries:
+        daemon.upkeep.entries[peer.node] = open_link(
+            daemon.node, peer.node, make_connector(context.reactor, peer)
+        )
+
+
+def _start_loops(daemon: EntryDaemon) -> None:
+    context, upkeep = daemon.context, daemon.upkeep
+    renew_on(context, upkeep)
+    _start_loop(daemon, TICK, partial(run_tick, context, daemon.placements, upkeep))
+    _start_loop(daemon, SPREAD_EVERY, partial(spread_news, context, upkeep))
+
+    def flush() -> Deferred[None]:
+        return Deferred.fromCoroutine(flush_evidence(context, upkeep))
+
+    _start_loop(daemon, EVIDENCE_EVERY, flush)
+
+
+def _start_loop(daemon: EntryDaemon, every: float, work: Any) -> None:
+    loop = LoopingCall(work)
+    loop.start(every).addErrback(partial(_report_fault, daemon))
+    daemon.loops.append(loop)
+
+
+def _report_fault(daemon: EntryDaemon, failure: Any) -> None:
+    """Stop the process: without its upkeep an entry must not go on serving."""
+    logger.critical("entry: Stopped by a fault: {}.", failure.getTraceback())
+    daemon.context.reactor.stop()
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -0,0 +1,187 @@
+"""What an entry does of its own accord: lease, evidence, spread, queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from ...decisions.candidates import index_upstreams
+from ...decisions.evidence import confirm_increments
+from ...decisions.evidence import merge_sums
+from ...decisions.evidence import take_increments
+from ...messages import ConfigSnapshot
+from ...messages import LeaseBehind
+from ...messages import LeaseGranted
+from ...messages import RecordEvidence
+from ...messages import SpreadAnnouncements
+from ...messages import SpreadDemand
+from ...records import EntryId
+from ...state.demand import DemandMemory
+from ...state.demand import make_demand
+from ...state.demand import sum_demand
+from ...state.demand import take_demand
+from ...state.leases import begin_renewal
+from ...state.leases import check_taken
+from ...state.leases import finish_renewal
+from ...state.leases import may_admit
+from ...state.leases import take_snapshot
+from ...state.membership import expire_upstreams
+from ...state.membership import list_spread
+from ...state.membership import take_spread
+from ..exceptions import ControlUnavailableError
+from ..links import Link
+from ..links import cast_link
+from .callers import index_keys
+from .control_client import ask_leader
+from .control_client import submit_command
+from .placement import run_queue
+
+
+if TYPE_CHECKING:
+    from .context import EntryContext
+    from .placement import Placements
+
+
+RENEW_EVERY = 1.0
+RENEW_RETRY = 0.1
+"""Seconds until the next renewal while the entry has no lease."""
+RENEW_LIMIT = 1.0
+EVIDENCE_EVERY = 1.0
+EVIDENCE_LIMIT = 2.0
+SPREAD_EVERY = 0.5
+SPREAD_OVERLAP = 1.5
+"""Seconds: each spread repeats what the last one or two told, as casts may be lost."""
+TICK = 0.01
+"""Seconds between two runs of the queue's systems."""
+
+
+@dataclass(slots=True)
+class Upkeep:
+    """What the periodic work of one entry remembers."""
+
+    entries: dict[str, Link] = field(default_factory=dict)
+    memory: DemandMemory = field(default_factory=DemandMemory)
+    spread_at: float = 0.0
+    sequence: int = 0
+    demand_sequence: int = 0
+    stopped: bool = False
+
+
+def renew_on(context: EntryContext, upkeep: Upkeep) -> None:
+    """Renew the configuration lease now, and again in due time."""
+    if upkeep.stopped:
+        return
+
+    done = Deferred.fromCoroutine(renew_once(context))
+    done.addErrback(lambda failure: logger.error("entry: Renewal: {}.", failure))
+
+    def again(_: object) -> None:
+        held = may_admit(context.lease, context.clock())
+        pause = RENEW_EVERY if held else RENEW_RETRY
+        context.reactor.callLater(pause, renew_on, context, upkeep)
+
+    done.addCallback(again)
+
+
+async def renew_once(context: EntryContext) -> None:
+    """Ask for the lease, taking newer configuration first where there is any."""
+    for _ in range(2):
+        renewal = begin_renewal(context.lease, context.clock())
+        try:
+            reply = await ask_leader(
+                context.control, renewal.message, limit=RENEW_LIMIT
+            )
+        except ControlUnavailableError:
+            context.metrics.count("lease.unanswered", 1)
+            return
+
+        if isinstance(reply, LeaseGranted):
+            finish_renewal(context.lease, renewal.number, reply, context.clock())
+            merge_sums(context.tables, reply.evidence, context.clock())
+            return
+
+        if not isinstance(reply, LeaseBehind):
+            return
+
+        if not apply_snapshot(context, reply.snapshot):
+            return
+
+
+def apply_snapshot(context: EntryContext, snapshot: ConfigSnapshot) -> bool:
+    """Replace the configuration in the tables by a newer one."""
+    tables = context.tables
+    before = tables.config_version
+    if not take_snapshot(context.lease, snapshot):
+        return False
+
+    check_taken(before, snapshot.config_version, context.lease.entry)
+    tables.config_version = snapshot.config_version
+    tables.workspaces = {item.workspace: item for item in snapshot.workspaces}
+    tables.versions = {item.version: item for item in snapshot.versions}
+    tables.rollouts = {item.model: item for item in snapshot.rollouts}
+    index_keys(context.keys, tables.workspaces)
+    logger.info("entry: Configuration {} taken.", snapshot.config_version)
+    return True
+
+
+async def flush_evidence(context: EntryContext, upkeep: Upkeep) -> None:
+    """Send what was learnt of versions; a resend carries the same sequence."""
+    rows = take_increments(context.tables)
+    if not rows:
+        return
+
+    command = RecordEvidence(
+        entry=EntryId(context.settings.node),
+        incarnation=context.incarnation,
+        sequence=upkeep.sequence + 1,
+        rows=rows,
+    )
+    try:
+        await submit_command(context.control, command, limit=EVIDENCE_LIMIT)
+    except ControlUnavailableError:
+        return
+
+    upkeep.sequence += 1
+    confirm_increments(context.tables)
+
+
+def spread_news(context: EntryContext, upkeep: Upkeep) -> None:
+    """Tell the other entries of upstreams and demand heard of here."""
+    now = context.clock()
+    since, upkeep.spread_at = upkeep.spread_at - SPREAD_OVERLAP, now
+    news = list_spread(context.tables, since, now)
+    upkeep.demand_sequence += 1
+    demand = make_demand(
+        context.tables,
+        entry=EntryId(context.settings.node),
+        incarnation=context.incarnation,
+        sequence=upkeep.demand_sequence,
+    )
+    for link in upkeep.entries.values():
+        if news.announcements:
+            cast_link(link, news)
+
+        cast_link(link, demand)
+
+
+def take_news(context: EntryContext, upkeep: Upkeep, body: Any) -> None:
+    """Take in what another entry tells."""
+    now = context.clock()
+    if isinstance(body, SpreadAnnouncements):
+        take_spread(context.tables, body, 0.0, now)
+    elif isinstance(body, SpreadDemand):
+        take_demand(upkeep.memory, context.tables, body, now)
+
+
+def run_tick(context: EntryContext, placements: Placements, upkeep: Upkeep) -> None:
+    """Run the systems that keep the tables current."""
+    now = context.clock()
+    expire_upstreams(context.tables, now)
+    index_upstreams(context.tables, now)
+    sum_demand(upkeep.memory, context.tables, now)
+    run_queue(context, placements)
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from .. import __version__
+from .serve import serve
 
 
 def show_version() -> str:
@@ -14,4 +15,4 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    fire.Fire({"version": show_version}, name="waxwingwell")
+    fire.Fire({"serve": serve, "version": show_version}, name="waxwingwell")
--- /dev/null
+++ b/src/waxwingwell/embedded/fleet.py
@@ -0,0 +1,93 @@
+"""The stand-in fleet of the embedded role."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from waxwingwell_standins.engine import Engine
+from waxwingwell_standins.engine import start_engine
+from waxwingwell_standins.rating import RatingService
+from waxwingwell_standins.rating import start_rating
+from waxwingwell_standins.service import Service
+from waxwingwell_standins.service import start_service
+from waxwingwell_standins.settings import AnnounceSettings
+from waxwingwell_standins.settings import EngineSettings
+from waxwingwell_standins.settings import RatingSettings
+from waxwingwell_standins.settings import ServiceSettings
+
+from ..records import VersionId
+from ..records import VersionSpec
+
+
+DATA_CENTRE = "local"
+SERVICE = "bookings"
+TOKEN_INTERVAL = 0.01
+"""Seconds between two tokens of a stand-in engine."""
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The running stand-ins."""
+
+    engines: list[Engine]
+    service: Service
+    rating: RatingService
+
+
+def list_versions() -> tuple[VersionSpec, ...]:
+    """Return the demo's catalogue: a cheap model and a strong one."""
+    return (
+        _make_spec("swift@1", price=1.0, quality=0.74),
+        _make_spec("swift@2", price=1.0, quality=0.74),
+        _make_spec("heron@1", price=10.0, quality=0.9),
+        _make_spec("heron@2", price=10.0, quality=0.9),
+    )
+
+
+def start_rater(*, port: int = 0) -> RatingService:
+    """Start the rating service, which knows the versions' true quality."""
+    qualities = {"swift@1": 0.74, "swift@2": 0.78, "heron@1": 0.9, "heron@2": 0.92}
+    return start_rating(RatingSettings(port=port, qualities=qualities, spread=0.08))
+
+
+def start_fleet(announce_url: str, rating: RatingService) -> Fleet:
+    """Start two engines and a plain service that announce themselves."""
+    versions = tuple(str(spec.version) for spec in list_versions())
+    engines = [
+        start_engine(
+            EngineSettings(
+                versions=versions,
+                token_interval=TOKEN_INTERVAL,
+                announce=_make_announce(f"engine-{number}", announce_url),
+            )
+        )
+        for number in (1, 2)
+    ]
+    service = start_service(
+        ServiceSettings(
+            service=SERVICE, announce=_make_announce("bookings-1", announce_url)
+        )
+    )
+    return Fleet(engines=engines, service=service, rating=rating)
+
+
+async def stop_fleet(fleet: Fleet) -> None:
+    """Stop every stand-in."""
+    parts: list[Any] = [*fleet.engines, fleet.service, fleet.rating]
+    for part in parts:
+        await part.stop()
+
+
+def _make_announce(name: str, url: str) -> AnnounceSettings:
+    return AnnounceSettings(upstream=name, data_centre=DATA_CENTRE, entries=(url,))
+
+
+def _make_spec(version: str, *, price: float, quality: float) -> VersionSpec:
+    return VersionSpec(
+        version=VersionId(version),
+        model=version.partition("@")[0],
+        price_in=price,
+        price_out=price * 2,
+        quality_prior=quality,
+    )
