Explore by expected improvement; rate escalated answers apart; add the fakes

Change: explore by saving times expected improvement; a prior of 3 ratings in place of 6; ratings after an escalation are a kind of their own; dear answers rated more.

--- a/src/waxwingwell/decisions/cascades.py
+++ b/src/waxwingwell/decisions/cascades.py
@@ -30,7 +30,7 @@
 
 def find_threshold(
     cheap: Estimate,
-    strong: Estimate,
+    strong: float,
     *,
     cheap_cost: float,
     strong_cost: float,
@@ -39,11 +39,12 @@
 ) -> CascadeOption | None:
     """Return the cheapest threshold that meets ``target``, or None if none does.
 
-    Cost rises with the threshold, and quality does up to the strong version's mean:
-    the least threshold that meets the target is the cheapest. Costs are in the same
-    unit; the cheap answer and its rating are always paid for.
+    ``strong`` is the mean quality of escalated answers. Cost rises with the
+    threshold, and quality does up to ``strong``: the least threshold that meets the
+    target is the cheapest. Costs are in the same unit; the cheap answer and its
+    rating are always paid for.
     """
-    high = strong.mean
+    high = strong
     if _serve(cheap, strong, high)[1] < target:
         return None
 
@@ -60,10 +61,10 @@
     return CascadeOption(high, cost, quality)
 
 
-def _serve(cheap: Estimate, strong: Estimate, threshold: float) -> tuple[float, float]:
+def _serve(cheap: Estimate, strong: float, threshold: float) -> tuple[float, float]:
     """Return the chance that the cheap answer is served, and the mean quality."""
     stop = _exceed(cheap, threshold)
-    quality = _served_above(cheap, threshold, stop) + (1.0 - stop) * strong.mean
+    quality = _served_above(cheap, threshold, stop) + (1.0 - stop) * strong
     return stop, quality
 
 
--- a/src/waxwingwell/decisions/evidence.py
+++ b/src/waxwingwell/decisions/evidence.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 from ..records import Evidence
+from .quality import estimate_escalated
 from .quality import estimate_quality
+from .quality import name_escalated
 from .tables import Opinion
 from .tables import QualityAccount
 
@@ -60,14 +62,17 @@
     now: float,
     explored: bool = False,
     served: bool = True,
+    escalated: bool = False,
 ) -> None:
     """Note that ``work`` was dispatched to ``version``, once per version tried.
 
     ``rate`` tells whether its answer goes to the rating service. ``served`` is
-    False for a step of a cascade before its last.
+    False for a step of a cascade before its last, ``escalated`` is True for a step
+    after its first.
     """
-    key = (work.workspace, work.kind.name, version)
-    row = Evidence(version, work.workspace, work.kind.name, sent=1, to_rate=int(rate))
+    kind = name_escalated(work.kind.name) if escalated else work.kind.name
+    key = (work.workspace, kind, version)
+    row = Evidence(version, work.workspace, kind, sent=1, to_rate=int(rate))
     _add_row(tables, key, row)
     account = get_account(tables, work.workspace, work.kind.name)
     account.explored += int(explored)
@@ -80,7 +85,13 @@
         return
 
     if served:
-        estimate = estimate_quality(tables, work.workspace, work.kind.name, version)
+        name = work.kind.name
+        estimate = estimate_quality(tables, work.workspace, name, version)
+        if escalated:
+            estimate = estimate_escalated(
+                tables, work.workspace, name, version, estimate
+            )
+
         _add_credit(account, estimate.mean - work.kind.quality_target)
 
 
@@ -93,14 +104,16 @@
     now: float,
     *,
     served: bool = True,
+    escalated: bool = False,
 ) -> None:
     """Take in one rating; ``served`` is False for an answer a cascade passed over.
 
     A rating outside 0 to 1 is clipped: the tests below rely on the bounds.
     """
     value = min(1.0, max(0.0, rating))
-    key = (workspace, kind.name, version)
-    row = Evidence(version, workspace, kind.name, 1, value, value * value)
+    name = name_escalated(kind.name) if escalated else kind.name
+    key = (workspace, name, version)
+    row = Evidence(version, workspace, name, 1, value, value * value)
     _add_row(tables, key, row)
     _note_opinion(tables, key, row)
     _drop_outstanding(tables, key)
@@ -111,11 +124,17 @@
 
 
 def note_unrated(
-    tables: Tables, workspace: WorkspaceId, kind: WorkKind, version: VersionId
+    tables: Tables,
+    workspace: WorkspaceId,
+    kind: WorkKind,
+    version: VersionId,
+    *,
+    escalated: bool = False,
 ) -> None:
     """Note that an answer handed to the rating service will get no rating."""
-    key = (workspace, kind.name, version)
-    _add_row(tables, key, Evidence(version, workspace, kind.name, to_rate=-1))
+    name = name_escalated(kind.name) if escalated else kind.name
+    key = (workspace, name, version)
+    _add_row(tables, key, Evidence(version, workspace, name, to_rate=-1))
     _drop_outstanding(tables, key)
 
 
--- a/src/waxwingwell/decisions/quality.py
+++ b/src/waxwingwell/decisions/quality.py
@@ -12,13 +12,17 @@
     from .tables import Tables
 
 
-PRIOR_WEIGHT = 2.0
+PRIOR_WEIGHT = 1.0
 """Ratings that ``VersionSpec.quality_prior`` is worth."""
-POOL_WEIGHT = 4.0
+POOL_WEIGHT = 2.0
 """Most ratings that the workspace's other kinds together are worth."""
 PRIOR_VARIANCE = 0.04
 """Variance of a single rating before any was seen."""
 VARIANCE_WEIGHT = 8.0
+ESCALATED_LOSS = 0.05
+"""Loss of a version on escalated requests, which are the hard ones, before any."""
+ESCALATED_WEIGHT = 4.0
+ESCALATED_SUFFIX = "+escalated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +71,31 @@
     return Estimate(mean, deviation / weight**0.5, deviation, own.rated)
 
 
+def name_escalated(kind: str) -> str:
+    """Return the kind under which escalated answers are rated.
+
+    Failure: escalated requests are the hard ones, so their ratings would make a
+    strong version look worse for all requests than it is. They are kept apart.
+    """
+    return kind + ESCALATED_SUFFIX
+
+
+def estimate_escalated(
+    tables: Tables,
+    workspace: WorkspaceId,
+    kind: str,
+    version: VersionId,
+    whole: Estimate,
+) -> Estimate:
+    """Estimate the quality of ``version`` on escalated requests alone."""
+    own = tables.opinions.get((workspace, name_escalated(kind), version))
+    rated = own.rated if own else 0.0
+    total = own.total if own else 0.0
+    weight = ESCALATED_WEIGHT + rated
+    mean = (ESCALATED_WEIGHT * (whole.mean - ESCALATED_LOSS) + total) / weight
+    return Estimate(mean, whole.deviation / weight**0.5, whole.deviation, rated)
+
+
 def _pool_kinds(
     tables: Tables, workspace: WorkspaceId, kind: str, version: VersionId
 ) -> tuple[float, float]:
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -24,6 +25,7 @@
 from .evidence import count_cell_outstanding
 from .evidence import count_outstanding
 from .quality import Estimate
+from .quality import estimate_escalated
 from .quality import estimate_quality
 from .tables import QualityAccount
 from .tables import Refusal
@@ -42,10 +44,12 @@
 """Own ratings below which a version is unknown, whatever its prior says."""
 RATE_ALL_BELOW = 30.0
 """Own ratings below which every answer is rated."""
-REJECT_DEVIATIONS = 2.5
+REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
-EXPLORE_CHANCE = 0.3
-EXPLORE_BASE = 60.0
+CASCADE_REACH = 0.25
+"""How far below the target a version may be and still open a cascade."""
+EXPLORE_CHANCE = 0.5
+EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
 EXPLORE_CREDIT = 0.5
 """Rating points of credit that exploring needs: it is paid for in advance."""
@@ -54,6 +58,8 @@
 DEBT_RAISE = 0.01
 """Rise of the target for each rating point of debt."""
 MOST_RAISE = 0.05
+RATING_SHARE = 0.02
+"""Share of an answer's cost for which a rating is always worth its price."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -137,12 +143,17 @@
     return bool(work.session) and not work.pinned and len(choice.plan) == 1
 
 
-def get_sample_share(config: WorkspaceConfig) -> float:
+def get_sample_share(config: WorkspaceConfig, cost: float, price: float) -> float:
     """Return the share of a known version's answers to rate.
 
-    Exposure is found as fast as answers are rated, so its weight sets the share.
+    Exposure is found as fast as answers are rated, so its weight sets the share;
+    dear answers are rated more often, since a rating adds little to their cost.
     """
-    return 0.05 + 0.15 * get_exposure(config)
+    share = 0.05 + 0.15 * get_exposure(config)
+    if price <= 0.0:
+        return share
+
+    return min(1.0, max(share, RATING_SHARE * cost / price))
 
 
 def get_explore_limit(
@@ -163,7 +174,9 @@
 
     rollout = tables.rollouts.get(tables.versions[version].model)
     watched = rollout is not None and rollout.candidate == version
-    share = STOPPED_RATE if stopped else get_sample_share(config)
+    cost = _get_cost(tables.versions[version], work)
+    share = get_sample_share(config, cost, tables.rating_price)
+    share = STOPPED_RATE if stopped else share
     rate = watched or _draw_again(draw) < share
     return VersionChoice((version,), 0.0, rate, "the session keeps its version")
 
@@ -177,7 +190,7 @@
     options = [
         _Option(
             spec.version,
-            spec.price_in * work.prompt_tokens + spec.price_out * work.answer_tokens,
+            _get_cost(spec, work),
             estimate_quality(tables, work.workspace, work.kind.name, spec.version),
         )
         for spec in opened
@@ -196,6 +209,10 @@
     )
 
 
+def _get_cost(spec: VersionSpec, work: Work) -> float:
+    return spec.price_in * work.prompt_tokens + spec.price_out * work.answer_tokens
+
+
 def _choose_by_quality(
     tables: Tables, case: _Case, now: float, draw: float
 ) -> VersionChoice:
@@ -205,12 +222,11 @@
         reason = f"explores {explored.version}, whose quality is not known yet"
         return VersionChoice((explored.version,), 0.0, True, reason, explored=True)
 
-    cascade = _find_cascade(tables, case, main)
+    cascade = _find_cascade(tables, case, main, draw)
     if cascade is not None:
         return cascade
 
-    known = main.estimate.rated >= RATE_ALL_BELOW
-    rate = not known or _draw_again(draw) < get_sample_share(case.config)
+    rate = _draw_rate(tables, case, main, main.estimate, draw)
     reason = "cheapest that meets the target with confidence"
     if not _is_confident(case, main):
         reason = "none meets the target with confidence; this is the best known"
@@ -218,6 +234,16 @@
     return VersionChoice((main.version,), 0.0, rate, reason)
 
 
+def _draw_rate(
+    tables: Tables, case: _Case, option: _Option, estimate: Estimate, draw: float
+) -> bool:
+    if estimate.rated < RATE_ALL_BELOW:
+        return True
+
+    share = get_sample_share(case.config, option.cost, tables.rating_price)
+    return _draw_again(draw) < share
+
+
 def _choose_blind(case: _Case, draw: float) -> VersionChoice:
     """Choose while ratings have stopped: nothing new, nothing that needs a rating.
 
@@ -256,7 +282,7 @@
 def _find_explored(
     tables: Tables, case: _Case, main: _Option, now: float, draw: float
 ) -> _Option | None:
-    """Return the cheapest version worth exploring, when budget and draw allow."""
+    """Return the version most worth exploring, when budget and draw allow."""
     limit = get_explore_limit(case.config, case.account, tables.entries)
     if draw >= EXPLORE_CHANCE or case.account.explored + 1 > limit:
         return None
@@ -264,41 +290,69 @@
     if case.account.credit < EXPLORE_CREDIT:
         return None
 
+    best: _Option | None = None
+    worth = 0.0
     for option in case.options:
         if option.cost >= main.cost:
-            return None
+            break
 
-        if _is_worth_exploring(tables, case, option, now):
-            return option
+        found = (main.cost - option.cost) * _get_promise(case, option)
+        if found > worth and _may_wait(tables, case, option, now):
+            best = option
+            worth = found
 
-    return None
+    return best
 
 
-def _is_worth_exploring(
-    tables: Tables, case: _Case, option: _Option, now: float
-) -> bool:
+def _get_promise(case: _Case, option: _Option) -> float:
+    """Return by how much a version is expected to exceed the target, if it does.
+
+    This is the expected improvement (Jones, Schonlau and Welch, 1998): it is small
+    for what is known to miss the target and for what is known too well to surprise.
+    """
     estimate = option.estimate
-    if estimate.mean + REJECT_DEVIATIONS * estimate.error < case.target:
-        return False
+    least = case.target
+    if _may_cascade(case.work) and estimate.rated < EXPLORE_OUTSTANDING:
+        least -= CASCADE_REACH
+
+    distance = (estimate.mean - least) / estimate.error
+    if distance < -REJECT_DEVIATIONS:
+        return 0.0
+
+    density = math.exp(-0.5 * distance * distance) / math.sqrt(2.0 * math.pi)
+    chance = 0.5 * math.erfc(-distance / math.sqrt(2.0))
+    return estimate.error * (density + distance * chance)
 
+
+def _may_wait(tables: Tables, case: _Case, option: _Option, now: float) -> bool:
+    """Tell whether few enough explored answers wait for their rating."""
     key = (case.work.workspace, case.work.kind.name, option.version)
     return count_cell_outstanding(tables, key, now) < EXPLORE_OUTSTANDING
 
 
-def _find_cascade(tables: Tables, case: _Case, main: _Option) -> VersionChoice | None:
-    """Return the cascade that undercuts ``main``, if any.
+def _may_cascade(work: Work) -> bool:
+    """Tell whether the caller can wait for an answer to be rated and replaced.
 
-    A session keeps one version and a stream shows its answer at once, so neither
-    can escalate.
+    A session keeps one version and a stream shows its answer at once.
     """
+    return work.kind.waits_for_whole and not work.stream and not work.session
+
+
+def _find_cascade(
+    tables: Tables, case: _Case, main: _Option, draw: float
+) -> VersionChoice | None:
+    """Return the cascade that undercuts ``main``, if any."""
     work = case.work
-    if work.stream or work.session or not work.kind.waits_for_whole:
+    if not _may_cascade(work):
         return None
 
     best = max(case.options, key=lambda option: option.estimate.mean)
     least = main.cost / (1.0 + 0.5 * get_latency(case.config))
     found: VersionChoice | None = None
     for strong in {main.version: main, best.version: best}.values():
+        escalated = estimate_escalated(
+            tables, work.workspace, work.kind.name, strong.version, strong.estimate
+        )
         target = case.target + case.caution * strong.estimate.error
         for cheap in case.options:
             if cheap.cost + tables.rating_price >= least or cheap.cost >= strong.cost:
@@ -309,7 +363,7 @@
 
             option = find_threshold(
                 cheap.estimate,
-                strong.estimate,
+                escalated.mean,
                 cheap_cost=cheap.cost,
                 strong_cost=strong.cost,
                 rating_price=tables.rating_price,
@@ -322,7 +376,7 @@
             found = VersionChoice(
                 (cheap.version, strong.version),
                 option.threshold,
-                strong.estimate.rated < RATE_ALL_BELOW,
+                _draw_rate(tables, case, strong, escalated, draw),
                 "a cascade is expected to cost least",
             )
 
--- /dev/null
+++ b/src/waxwingwell/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments that drive the real decisions over table-level fakes."""
