Run control, entries and stand-ins as separate processes

Cause: the thin path must hold as separate processes on loopback. Conclusion: the base for tests that kill and freeze processes.

--- /dev/null
+++ b/scripts/topology.py
@@ -0,0 +1,310 @@
+"""The processes of a small deployment: controls, entries and stand-ins."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import urllib.error
+import urllib.request
+from typing import Any
+
+from .launcher import DATA_CENTRES
+from .launcher import HOST
+from .launcher import OPERATOR_KEY
+from .launcher import Deployment
+from .launcher import add_process
+from .launcher import get_status
+from .launcher import start_process
+from .launcher import take_port
+from .launcher import wait_until
+from .launcher import write_settings
+
+
+CALLER_KEY = "caller-of-the-launcher"
+WORKSPACE = "studio"
+SERVICE = "bookings"
+VERSIONS = ("swift@1", "swift@2", "heron@1", "heron@2")
+PRICES = {"swift": 1.0, "heron": 10.0}
+
+
+def hash_text(text: str) -> str:
+    """Return the SHA-256 hex digest of a key."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def name_nodes(role: str, count: int) -> tuple[str, ...]:
+    """Return the names of a role's processes."""
+    return tuple(f"{role}-{number}" for number in range(1, count + 1))
+
+
+def make_peer(deployment: Deployment, node: str) -> dict[str, Any]:
+    """Return a process's link address as settings name it."""
+    port = take_port(deployment, f"{node}.links")
+    return {"node": node, "host": HOST, "port": port}
+
+
+def add_controls(deployment: Deployment, count: int) -> None:
+    """Note the control processes."""
+    nodes = name_nodes("control", count)
+    for place, node in enumerate(nodes):
+        add_control(deployment, node, nodes, DATA_CENTRES[place % len(DATA_CENTRES)])
+
+
+def add_control(
+    deployment: Deployment, node: str, nodes: tuple[str, ...], data_centre: str
+) -> None:
+    """Note one control process."""
+    settings = {
+        "role": "control",
+        "node": node,
+        "data_centre": data_centre,
+        "data_folder": str(deployment.folder / f"{node}.data"),
+        "links": {"host": HOST, "port": take_port(deployment, f"{node}.links")},
+        "admin": {"host": HOST, "port": take_port(deployment, f"{node}.admin")},
+        "members": [make_peer(deployment, name) for name in nodes],
+        "operators": [{"name": "launcher", "digest": hash_text(OPERATOR_KEY)}],
+    }
+    path = write_settings(deployment, node, settings)
+    add_process(
+        deployment, node, ["waxwingwell", "serve", "control", "--settings", str(path)]
+    )
+
+
+def add_entries(deployment: Deployment, count: int, controls: int) -> None:
+    """Note the entry processes."""
+    nodes = name_nodes("entry", count)
+    for place, node in enumerate(nodes):
+        settings = {
+            "role": "entry",
+            "node": node,
+            "data_centre": DATA_CENTRES[place % len(DATA_CENTRES)],
+            "callers": {"host": HOST, "port": take_port(deployment, f"{node}.callers")},
+            "upstreams": {
+                "host": HOST,
+                "port": take_port(deployment, f"{node}.upstreams"),
+            },
+            "links": {"host": HOST, "port": take_port(deployment, f"{node}.links")},
+            "control": [
+                make_peer(deployment, name) for name in name_nodes("control", controls)
+            ],
+            "entries": [make_peer(deployment, name) for name in nodes if name != node],
+            "distances_ms": dict.fromkeys(DATA_CENTRES, 3.0),
+            "rating": {"host": HOST, "port": take_port(deployment, "rating.http")},
+            "progress_timeout": 1.0,
+            "drain_notice": 0.5,
+        }
+        path = write_settings(deployment, node, settings)
+        add_process(
+            deployment, node, ["waxwingwell", "serve", "entry", "--settings", str(path)]
+        )
+
+
+def add_standins(
+    deployment: Deployment, *, engines: int, entries: int, interval: float = 0.01
+) -> None:
+    """Note engines, the plain service and the rating service."""
+    nodes = name_nodes("entry", entries)
+    urls = [f"http://{HOST}:{take_port(deployment, f'{n}.upstreams')}" for n in nodes]
+    for place, name in enumerate(name_nodes("engine", engines)):
+        # Each upstream begins with another entry, as behind a balancer.
+        turned = urls[place % len(urls) :] + urls[: place % len(urls)]
+        _add_standin(
+            deployment,
+            "engine",
+            name,
+            {
+                "versions": VERSIONS,
+                "token_interval": interval,
+                "port": take_port(deployment, f"{name}.http"),
+                "announce": _announce(name, place, turned),
+            },
+        )
+
+    _add_standin(
+        deployment,
+        "service",
+        "service-1",
+        {
+            "service": SERVICE,
+            "port": take_port(deployment, "service-1.http"),
+            "announce": _announce("service-1", 0, urls),
+        },
+    )
+    _add_standin(
+        deployment, "rating", "rating", {"port": take_port(deployment, "rating.http")}
+    )
+
+
+def start_system(deployment: Deployment) -> None:
+    """Start all noted processes, give the first configuration, wait until ready."""
+    for name in deployment.processes:
+        start_process(deployment, name)
+
+    configure(deployment)
+    for name in deployment.processes:
+        if name.startswith("entry"):
+            wait_ready(deployment, name)
+
+
+def wait_ready(deployment: Deployment, entry: str) -> None:
+    """Wait until an entry answers a chat and a lookup: it knows its upstreams."""
+    base = f"http://{HOST}:{deployment.ports[f'{entry}.callers']}"
+    body = {"messages": [{"role": "user", "content": "ready?"}], "max_tokens": 1}
+    lookup = f"{base}/v1/services/{SERVICE}/orders/none"
+
+    def answers() -> bool:
+        chat = f"{base}/v1/chat/completions"
+        return (
+            get_status(chat, key=CALLER_KEY, body=body) == 200
+            and get_status(lookup, key=CALLER_KEY) == 404
+        )
+
+    wait_until(answers, f"{entry} ready")
+
+
+def configure(deployment: Deployment) -> None:
+    """Register the versions and the workspace."""
+    for version in VERSIONS:
+        price = PRICES[version.partition("@")[0]]
+        spec = {
+            "version": version,
+            "model": version.partition("@")[0],
+            "price_in": price,
+            "price_out": price * 2,
+            "quality_prior": 0.9 if price > 1 else 0.75,
+        }
+        send_change(deployment, "RegisterVersion", f"register-{version}", spec=spec)
+
+    send_change(
+        deployment,
+        "ApplyAnswers",
+        "workspace",
+        answers="e30=",
+        config=make_workspace(),
+    )
+
+
+def make_workspace() -> dict[str, Any]:
+    """Return the configuration of the launcher's workspace."""
+    return {
+        "workspace": WORKSPACE,
+        "revision": 1,
+        "allowed": VERSIONS,
+        "kinds": [
+            {"name": "question", "priority": "question", "quality_target": 0.6},
+            {
+                "name": "report",
+                "priority": "report",
+                "quality_target": 0.7,
+                "waits_for_whole": True,
+            },
+        ],
+        "services": [
+            {
+                "service": SERVICE,
+                "path_prefix": "/",
+                "methods": ["GET"],
+                "repeatable": True,
+            },
+            {
+                "service": SERVICE,
+                "path_prefix": "/",
+                "methods": ["POST"],
+                "repeatable": False,
+            },
+        ],
+        "keys": [{"name": "launcher", "digest": hash_text(CALLER_KEY)}],
+        "limits": {"requests_per_second": 5000.0, "max_in_flight": 2000},
+    }
+
+
+def send_change(
+    deployment: Deployment,
+    kind: str,
+    change_id: str,
+    *,
+    expected_revision: int = 0,
+    **fields: Any,
+) -> Any:
+    """Send a change to whichever control process answers; return its outcome."""
+    command = {
+        "type": kind,
+        "change_id": change_id,
+        "operator": "launcher",
+        "expected_revision": expected_revision,
+        "at": 0.0,
+        **fields,
+    }
+    found: list[Any] = []
+
+    def attempt() -> bool:
+        outcome = _post_command(deployment, command)
+        if outcome is not None:
+            found.append(outcome)
+
+        return outcome is not None
+
+    wait_until(attempt, f"{kind} {change_id}")
+    return found[0]
+
+
+def list_admins(deployment: Deployment) -> list[str]:
+    """Return the base addresses of the administration APIs."""
+    return [
+        f"http://{HOST}:{port}"
+        for name, port in deployment.ports.items()
+        if name.endswith(".admin")
+    ]
+
+
+def read_admin(deployment: Deployment, path: str) -> Any:
+    """Return a view of the administration API from whichever process answers."""
+    for base in list_admins(deployment):
+        request = urllib.request.Request(
+            base + path, headers={"Authorization": f"Bearer {OPERATOR_KEY}"}
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=3) as answer:
+                return json.load(answer)
+        except OSError:
+            continue
+
+    return None
+
+
+def _post_command(deployment: Deployment, command: Any) -> Any:
+    for base in list_admins(deployment):
+        request = urllib.request.Request(
+            f"{base}/admin/v1/commands",
+            data=json.dumps(command).encode(),
+            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+            method="POST",
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                return json.load(answer)
+        except urllib.error.HTTPError as error:
+            if error.code in (409, 422):
+                return json.load(error)
+        except OSError:
+            continue
+
+    return None
+
+
+def _announce(name: str, place: int, urls: list[str]) -> dict[str, Any]:
+    return {
+        "upstream": name,
+        "data_centre": DATA_CENTRES[place % len(DATA_CENTRES)],
+        "entries": urls,
+        "lease": 3.0,
+    }
+
+
+def _add_standin(
+    deployment: Deployment, module: str, name: str, settings: dict[str, Any]
+) -> None:
+    path = write_settings(deployment, name, settings)
+    add_process(
+        deployment, name, [f"waxwingwell_standins.{module}", "--settings", str(path)]
+    )
--- /dev/null
+++ b/src/waxwingwell/__main__.py
@@ -0,0 +1,9 @@
+"""Run the command line as ``python -m waxwingwell``."""
+
+from __future__ import annotations
+
+from .commands.main import main
+
+
+if __name__ == "__main__":
+    main()
