--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from loguru import logger
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
@@ -187,8 +188,8 @@
     for accepted in list(daemon.node.accepted):
         accepted.abort()
 
-    await daemon.admin_port.stopListening()
-    await daemon.link_port.stopListening()
+    await maybeDeferred(daemon.admin_port.stopListening)
+    await maybeDeferred(daemon.link_port.stopListening)
     context.group.store.close()
     logger.info("control: {} stopped.", context.settings.node)
 
