--- a/scripts/topology.py
+++ b/scripts/topology.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 import json
 import urllib.error
@@ -179,42 +180,50 @@
         deployment,
         "ApplyAnswers",
         "workspace",
-        answers="e30=",
-        config=make_workspace(),
+        answers=base64.b64encode(json.dumps(make_answers()).encode()).decode(),
+        config={"workspace": WORKSPACE, "revision": 1, "allowed": [], "kinds": []},
     )
 
 
-def make_workspace() -> dict[str, Any]:
-    """Return the configuration of the launcher's workspace."""
+def make_answers() -> dict[str, Any]:
+    """Return the questionnaire's answers of the launcher's workspace."""
     return {
+        "questionnaire": 1,
         "workspace": WORKSPACE,
-        "revision": 1,
-        "allowed": VERSIONS,
+        "team": "The launcher's studio",
         "kinds": [
-            {"name": "question", "priority": "question", "quality_target": 0.6},
+            {"name": "question", "what": "Questions", "quality_target": 0.6},
             {
                 "name": "report",
-                "priority": "report",
+                "what": "Reports",
                 "quality_target": 0.7,
                 "waits_for_whole": True,
             },
         ],
+        "default_kind": "question",
         "services": [
             {
-                "service": SERVICE,
-                "path_prefix": "/",
-                "methods": ["GET"],
-                "repeatable": True,
-            },
-            {
-                "service": SERVICE,
-                "path_prefix": "/",
-                "methods": ["POST"],
-                "repeatable": False,
-            },
+                "name": SERVICE,
+                "calls": [
+                    {
+                        "name": "order",
+                        "path": "/orders",
+                        "methods": ["POST"],
+                        "repeatable": False,
+                    },
+                    {
+                        "name": "lookup",
+                        "path": "/",
+                        "methods": ["GET"],
+                        "repeatable": True,
+                    },
+                ],
+            }
         ],
-        "keys": [{"name": "launcher", "digest": hash_text(CALLER_KEY)}],
-        "limits": {"requests_per_second": 5000.0, "max_in_flight": 2000},
+        "who_waits": [["order", "lookup"], ["question"], ["report"]],
+        "models": {"allowed": list(VERSIONS)},
+        "limits": {"requests_per_second": 5000, "max_in_flight": 2000},
+        "keys": [{"name": "launcher", "sha256": hash_text(CALLER_KEY)}],
     }
 
 
--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -9,10 +9,14 @@
 
 import msgspec
 from klein import Klein
+from returns.result import Failure
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
+from ...answers.findings import check_answers
+from ...answers.generation import generate_config
 from ...messages import Accepted
+from ...messages import ApplyAnswers
 from ...messages import AskInForce
 from ...messages import Change
 from ...messages import Command
@@ -141,6 +145,13 @@
         if fault is not None:
             return write_json(request, fault, status=403)
 
+        if isinstance(command, ApplyAnswers):
+            generated = generate_change(context, command)
+            if isinstance(generated, Rejected):
+                return write_json(request, generated, status=422)
+
+            command = generated
+
         if isinstance(command, Change):
             command = msgspec.structs.replace(command, operator=operator.name)
 
@@ -167,6 +178,11 @@
     async def show_config(request: Request, operator: OperatorKey) -> bytes:
         return write_json(request, make_snapshot(context.holder.state))
 
+    @app.route("/admin/v1/revisions", methods=["GET"])
+    @guard(context)
+    async def show_revisions(request: Request, operator: OperatorKey) -> bytes:
+        return write_json(request, context.holder.state.config.revisions)
+
     @app.route("/admin/v1/answers/<workspace>", methods=["GET"])
     @guard(context)
     async def show_answers(
@@ -199,6 +215,23 @@
         return write_json(request, status)
 
 
+def generate_change(
+    context: ControlContext, change: ApplyAnswers
+) -> ApplyAnswers | Rejected:
+    """Generate the configuration from the answers, whatever the sender filled in.
+
+    So the answers and the configuration can't come apart, and revising the answers
+    is the only way to change a workspace.
+    """
+    known = context.holder.state.config.versions
+    checked = check_answers(change.answers, versions=frozenset(known))
+    if isinstance(checked, Failure):
+        return Rejected(findings=checked.failure())
+
+    config = generate_config(checked.unwrap(), change.expected_revision + 1)
+    return msgspec.structs.replace(change, config=config)
+
+
 def guard(context: ControlContext) -> Callable[[Any], Any]:
     """Return a decorator that lets a route run for known operators only."""
 
--- a/src/waxwingwell/adapters/entry/checks.py
+++ b/src/waxwingwell/adapters/entry/checks.py
@@ -67,7 +67,7 @@
 
     if not _takes_work(context, version, pinned=work.pinned == version):
         raise Problem(
-            status=409,
+            status=410,
             code="version_withdrawn",
             message=f"{version} has been withdrawn",
         )
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from .. import __version__
+from .demo import demo
 from .serve import serve
 
 
@@ -15,4 +16,5 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    fire.Fire({"serve": serve, "version": show_version}, name="waxwingwell")
+    commands = {"demo": demo, "serve": serve, "version": show_version}
+    fire.Fire(commands, name="waxwingwell")
--- a/src/waxwingwell/embedded/fleet.py
+++ b/src/waxwingwell/embedded/fleet.py
@@ -18,6 +18,7 @@
 
 from ..records import VersionId
 from ..records import VersionSpec
+from ..records import VersionStatus
 
 
 DATA_CENTRE = "local"
@@ -38,16 +39,16 @@
 def list_versions() -> tuple[VersionSpec, ...]:
     """Return the demo's catalogue: a cheap model and a strong one."""
     return (
-        _make_spec("swift@1", price=1.0, quality=0.74),
-        _make_spec("swift@2", price=1.0, quality=0.74),
-        _make_spec("heron@1", price=10.0, quality=0.9),
-        _make_spec("heron@2", price=10.0, quality=0.9),
+        _make_spec("small@1", price=1.0, quality=0.74),
+        _make_spec("small@2", price=1.0, quality=0.74, status=VersionStatus.CANDIDATE),
+        _make_spec("large@1", price=10.0, quality=0.9),
+        _make_spec("large@2", price=10.0, quality=0.9),
     )
 
 
 def start_rater(*, port: int = 0) -> RatingService:
     """Start the rating service, which knows the versions' true quality."""
-    qualities = {"swift@1": 0.74, "swift@2": 0.78, "heron@1": 0.9, "heron@2": 0.92}
+    qualities = {"small@1": 0.74, "small@2": 0.78, "large@1": 0.9, "large@2": 0.92}
     return start_rating(RatingSettings(port=port, qualities=qualities, spread=0.08))
 
 
@@ -83,11 +84,18 @@
     return AnnounceSettings(upstream=name, data_centre=DATA_CENTRE, entries=(url,))
 
 
-def _make_spec(version: str, *, price: float, quality: float) -> VersionSpec:
+def _make_spec(
+    version: str,
+    *,
+    price: float,
+    quality: float,
+    status: VersionStatus = VersionStatus.ACTIVE,
+) -> VersionSpec:
     return VersionSpec(
         version=VersionId(version),
         model=version.partition("@")[0],
         price_in=price,
         price_out=price * 2,
         quality_prior=quality,
+        status=status,
     )
--- a/src/waxwingwell/embedded/system.py
+++ b/src/waxwingwell/embedded/system.py
@@ -42,7 +42,8 @@
 from .workspace import DEMO_KEY
 from .workspace import OPERATOR_KEY
 from .workspace import WORKSPACE
-from .workspace import make_demo_answers
+from .workspace import make_demo_config
+from .workspace import read_demo_answers
 
 
 if TYPE_CHECKING:
@@ -127,7 +128,7 @@
             await send_command(system, _make_registration(place))
 
     if WorkspaceId(WORKSPACE) not in config.workspaces:
-        answers, demo = make_demo_answers()
+        answers = read_demo_answers()
         await send_command(
             system,
             ApplyAnswers(
@@ -136,7 +137,7 @@
                 expected_revision=0,
                 at=0.0,
                 answers=answers,
-                config=demo,
+                config=make_demo_config(answers),
             ),
         )
 
--- a/src/waxwingwell/embedded/workspace.py
+++ b/src/waxwingwell/embedded/workspace.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from ..records import Priority
-from ..records import ServiceRule
-from ..records import VersionId
-from ..records import WorkKind
-from ..records import WorkspaceConfig
-from ..records import WorkspaceId
+from importlib import resources
+from typing import TYPE_CHECKING
+
+from ..answers.findings import check_answers
+from ..answers.generation import generate_config
+from .fleet import list_versions
+
+
+if TYPE_CHECKING:
+    from ..records import WorkspaceConfig
 
 
 WORKSPACE = "demo"
@@ -15,23 +19,16 @@
 """Accepted by the embedded role only, which listens on loopback only."""
 OPERATOR_KEY = "demo-operator-key"
 """Of the administration API; accepted by the embedded role only."""
+ANSWERS = "demo.json"
+
+
+def read_demo_answers() -> bytes:
+    """Return the demo's answers to the questionnaire, as JSON."""
+    return resources.files(__package__ or "").joinpath(ANSWERS).read_bytes()
 
 
-def make_demo_answers() -> tuple[bytes, WorkspaceConfig]:
-    """Return the demo's answers and the configuration generated from them."""
-    config = WorkspaceConfig(
-        workspace=WorkspaceId(WORKSPACE),
-        revision=1,
-        allowed=tuple(
-            VersionId(name) for name in ("swift@1", "swift@2", "heron@1", "heron@2")
-        ),
-        kinds=(
-            WorkKind("question", Priority.QUESTION, 0.7),
-            WorkKind("report", Priority.REPORT, 0.85, waits_for_whole=True),
-        ),
-        services=(
-            ServiceRule("bookings", "/", ("GET",), repeatable=True),
-            ServiceRule("bookings", "/", ("POST",), repeatable=False),
-        ),
-    )
-    return b"{}", config
+def make_demo_config(answers: bytes) -> WorkspaceConfig:
+    """Return the configuration generated from the demo's answers."""
+    versions = frozenset(spec.version for spec in list_versions())
+    checked = check_answers(answers, versions=versions).unwrap()
+    return generate_config(checked, revision=1)
