Begin each roll-out stage with the evidence of its versions

Cause: the roll-out judgement weighs ratings since the stage began apart from older ones, and expects Rollout.base; membership kept finishes and ejections of a process that an upstream was before its restart. Change: base is set when a stage begins, not on a pause or its end; a new incarnation starts with no history. Conclusion: the judgement has its durable base.

--- a/src/waxwingwell/state/configuration.py
+++ b/src/waxwingwell/state/configuration.py
@@ -35,6 +35,7 @@
 
 
 if TYPE_CHECKING:
+    from ..records import Evidence
     from .catalogue import ConfigTable
 
 
@@ -54,9 +55,12 @@
 
 
 def apply_change(
-    table: ConfigTable, change: ConfigChange
+    table: ConfigTable, change: ConfigChange, evidence: tuple[Evidence, ...] = ()
 ) -> Accepted | Conflict | Rejected:
-    """Apply a change if its revision stands and nothing speaks against it."""
+    """Apply a change if its revision stands and nothing speaks against it.
+
+    ``evidence`` is what the stages of a roll-out begin with.
+    """
     faults = _check_header(change)
     if faults:
         return Rejected(findings=tuple(faults + find_faults(table, change)))
@@ -66,7 +70,7 @@
     if past is not None:
         return _answer_resend(past, digest)
 
-    outcome = _try_change(table, change)
+    outcome = _try_change(table, change, evidence)
     table.changes[change.change_id] = PastChange(digest, outcome)
     while len(table.changes) > CHANGES_KEPT:
         del table.changes[next(iter(table.changes))]
@@ -95,7 +99,7 @@
 
 
 def _try_change(
-    table: ConfigTable, change: ConfigChange
+    table: ConfigTable, change: ConfigChange, evidence: tuple[Evidence, ...]
 ) -> Accepted | Conflict | Rejected:
     """Compare the revision, collect findings, then swap."""
     subject = name_subject(change)
@@ -108,7 +112,7 @@
     if findings:
         return Rejected(findings=tuple(findings))
 
-    _carry_out(table, change)
+    _carry_out(table, change, evidence)
     revision = raise_revision(table, subject, change)
     table.config_version += 1
     return Accepted(
@@ -156,7 +160,9 @@
     return findings
 
 
-def _carry_out(table: ConfigTable, change: ConfigChange) -> None:
+def _carry_out(
+    table: ConfigTable, change: ConfigChange, evidence: tuple[Evidence, ...]
+) -> None:
     """Alter the table; nothing speaks against the change any more."""
     match change:
         case ApplyAnswers():
@@ -166,9 +172,9 @@
         case WithdrawVersion():
             versions.withdraw_version(table, change)
         case StartRollout():
-            rollouts.start_rollout(table, change)
+            rollouts.start_rollout(table, change, evidence)
         case StepRollout():
-            rollouts.step_rollout(table, change)
+            rollouts.step_rollout(table, change, evidence)
 
 
 def describe_current(table: ConfigTable, change: ConfigChange) -> str:
--- a/src/waxwingwell/state/machine.py
+++ b/src/waxwingwell/state/machine.py
@@ -22,6 +22,7 @@
 from .catalogue import make_snapshot as make_config_snapshot
 from .configuration import apply_change
 from .control import ControlState
+from .evidence import list_evidence
 from .evidence import record_evidence
 from .images import load_state
 from .images import save_state
@@ -50,7 +51,7 @@
         case SettleAbandoned():
             return sweep(state.ledger, command)
         case _:
-            return apply_change(state.config, command)
+            return apply_change(state.config, command, list_evidence(state.evidence))
 
 
 def stamp_command(command: Command, at: float) -> Command:
--- a/src/waxwingwell/state/membership.py
+++ b/src/waxwingwell/state/membership.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from ..decisions.load import trim_times
 from ..decisions.tables import UpstreamRow
 from ..invariants import Promise
 from ..invariants import check
@@ -81,9 +82,13 @@
 def _forget_incarnation(row: UpstreamRow) -> None:
     """Forget what held for the process that an upstream was before its restart."""
     row.dispatched.clear()
+    row.finished.clear()
+    row.prefixes.clear()
+    row.prefill_until = 0.0
     row.failures = 0
+    row.ejections = 0
     row.ejected_until = 0.0
-    row.prefixes.clear()
+    row.probing = False
 
 
 def _replace_announcement(
@@ -102,7 +107,8 @@
     row.expires_at = expires_at
     row.heard_at = announced_at - max(0.0, lag)
     row.left = announcement.leaving
-    row.dispatched[:] = [at for at in row.dispatched if at > row.heard_at]
+    trim_times(row.dispatched, row.heard_at)
+    trim_times(row.finished, row.heard_at)
 
 
 def mark_left(tables: Tables, upstream: UpstreamId, now: float) -> bool:
--- a/src/waxwingwell/state/rollouts.py
+++ b/src/waxwingwell/state/rollouts.py
@@ -16,6 +16,7 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
+from ..decisions.rollouts import take_base
 from ..records import Finding
 from ..records import Rollout
 from ..records import RolloutPace
@@ -29,6 +30,7 @@
 if TYPE_CHECKING:
     from ..messages import StartRollout
     from ..messages import StepRollout
+    from ..records import Evidence
     from ..records import VersionId
     from .catalogue import ConfigTable
 
@@ -86,9 +88,11 @@
     return []
 
 
-def start_rollout(table: ConfigTable, change: StartRollout) -> None:
+def start_rollout(
+    table: ConfigTable, change: StartRollout, evidence: tuple[Evidence, ...]
+) -> None:
     """Put the roll-out in place and mark its candidate as one."""
-    table.rollouts[change.model] = Rollout(
+    rollout = Rollout(
         model=change.model,
         candidate=change.candidate,
         incumbent=change.incumbent,
@@ -96,6 +100,8 @@
         started_at=change.at,
         stage_at=change.at,
     )
+    base = take_base(rollout, evidence)
+    table.rollouts[change.model] = replace(rollout, base=base)
     set_status(table, change.candidate, VersionStatus.CANDIDATE, change)
 
 
@@ -173,17 +179,25 @@
     return [Finding("stage", text)]
 
 
-def step_rollout(table: ConfigTable, change: StepRollout) -> None:
-    """Carry out a move that ``check_step`` allows."""
+def step_rollout(
+    table: ConfigTable, change: StepRollout, evidence: tuple[Evidence, ...]
+) -> None:
+    """Carry out a move that ``check_step`` allows.
+
+    Another stage begins with the evidence as it stands; a pause or its end begins
+    none, so that it hides no rating from the judgement of the stage.
+    """
     rollout = table.rollouts[change.model]
     status = RolloutStatus(change.status)
     back = status is RolloutStatus.ROLLED_BACK
+    moved = not back and change.stage != rollout.stage
     table.rollouts[change.model] = replace(
         rollout,
         stage=rollout.stage if back else change.stage,
         status=status,
-        stage_at=change.at,
+        stage_at=change.at if moved else rollout.stage_at,
         reason=change.reason,
+        base=take_base(rollout, evidence) if moved else rollout.base,
     )
     if back:
         set_status(table, rollout.candidate, VersionStatus.WITHDRAWN, change)
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -28,6 +28,8 @@
 from .commands import register
 from .commands import reserve
 from .commands import settle
+from .commands import start
+from .commands import step
 
 
 def make_evidence(sequence: int, incarnation: int = 1) -> RecordEvidence:
@@ -97,6 +99,20 @@
         (row,) = state.evidence.sums.values()
         self.assertEqual((row.rated, row.sent, row.total), (3, 6, 1.5))
 
+    def test_stage_begins_with_the_evidence_of_its_versions(self) -> None:
+        state = make_state()
+        apply_command(state, make_evidence(1))
+        apply_command(state, start("s", 0))
+        self.assertEqual(state.config.rollouts["heron"].base[0].rated, 1)
+        apply_command(state, make_evidence(2))
+        apply_command(state, step("pause", 1, 0, "paused"))
+        apply_command(state, step("resume", 2, 0, "running"))
+        rollout = state.config.rollouts["heron"]
+        self.assertEqual((rollout.base[0].rated, rollout.stage_at), (1, 3.0))
+        apply_command(state, step("on", 3, 1, "running"))
+        rollout = state.config.rollouts["heron"]
+        self.assertEqual((rollout.base[0].rated, rollout.stage_at), (2, 4.0))
+
     def test_first_pin_wins(self) -> None:
         state = make_state()
         self.assertEqual(apply_command(state, pin("s", OLD)), Pinned(version=OLD))
