--- /dev/null
+++ b/tests/state/runs/test_configuration.py
@@ -0,0 +1,176 @@
+"""Randomised run: operators race, resend and lose answers; replicas stay equal."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from waxwingwell.messages import Accepted
+from waxwingwell.messages import Change
+from waxwingwell.messages import Command
+from waxwingwell.messages import Conflict
+from waxwingwell.messages import Outcome
+from waxwingwell.records import RolloutStatus
+from waxwingwell.records import VersionId
+from waxwingwell.records import VersionStatus
+from waxwingwell.state.catalogue import WITHDRAWN_STATUSES
+from waxwingwell.state.machine import ControlState
+from waxwingwell.state.machine import apply_command
+from waxwingwell.state.machine import load_state
+from waxwingwell.state.machine import save_state
+
+from ..commands import NEW
+from ..commands import OLD
+from ..commands import answers
+from ..commands import make_state
+from ..commands import pin
+from ..commands import register
+from ..commands import start
+from ..commands import step
+from ..commands import withdraw
+from .support import Run
+from .support import RunTestCase
+
+
+VERSIONS = st.sampled_from((OLD, NEW, VersionId("heron@3")))
+BEHIND = st.integers(0, 2)
+"""How many revisions an operator's reading is behind."""
+FINAL = (RolloutStatus.COMPLETED, RolloutStatus.ROLLED_BACK)
+
+
+class ConfigurationRun(Run):
+    """Any order of changes, each on a revision that may be old, and of resends."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.state = make_state()
+        self.replica = make_state()
+        self.base = self.state.config.config_version
+        self.sent: list[tuple[Command, Outcome]] = []
+        self.taken: dict[tuple[str, int], str] = {}
+        self.statuses: dict[VersionId, VersionStatus] = {}
+        self.ended: dict[str, tuple[VersionId, RolloutStatus]] = {}
+
+    def read_revision(self, subject: str, behind: int) -> int:
+        return max(0, self.state.config.revisions.get(subject, 0) - behind)
+
+    def send(self, command: Command) -> None:
+        before = self.state.config.config_version
+        outcome = apply_command(self.state, command)
+        self.replica_outcome = apply_command(self.replica, command)
+        assert self.replica_outcome == outcome
+        after = self.state.config.config_version
+        assert after == before + isinstance(outcome, Accepted)
+        if isinstance(command, Change) and isinstance(outcome, Accepted):
+            place = (outcome.subject, outcome.revision)
+            assert outcome.revision == command.expected_revision + 1, outcome
+            assert place not in self.taken, f"two ancestors of {place}"
+            self.taken[place] = command.change_id
+
+        if isinstance(outcome, Conflict):
+            assert outcome.current
+
+        self.sent.append((command, outcome))
+
+    def name_change(self) -> str:
+        return f"change {len(self.sent)}"
+
+    @rule(allowed=st.lists(VERSIONS, unique=True), behind=BEHIND)
+    def revise_answers(self, allowed: list[VersionId], behind: int) -> None:
+        expected = self.read_revision("workspace:demo", behind)
+        self.send(answers(self.name_change(), expected, *allowed))
+
+    @rule(version=VERSIONS, behind=BEHIND, status=st.sampled_from(VersionStatus))
+    def register_version(
+        self, version: VersionId, behind: int, status: VersionStatus
+    ) -> None:
+        expected = self.read_revision(f"version:{version}", behind)
+        name = self.name_change()
+        self.send(register(version, change_id=name, expected=expected, status=status))
+
+    @rule(version=VERSIONS, behind=BEHIND, graceful=st.booleans())
+    def withdraw_version(self, version: VersionId, behind: int, graceful: bool) -> None:
+        expected = self.read_revision(f"version:{version}", behind)
+        self.send(withdraw(self.name_change(), expected, version, graceful=graceful))
+
+    @rule(behind=BEHIND)
+    def start_rollout(self, behind: int) -> None:
+        self.send(
+            start(self.name_change(), self.read_revision("rollout:heron", behind))
+        )
+
+    @rule(behind=BEHIND, on=st.integers(-1, 1), status=st.sampled_from(RolloutStatus))
+    def step_rollout(self, behind: int, on: int, status: RolloutStatus) -> None:
+        rollout = self.state.config.rollouts.get("heron")
+        stage = rollout.stage + on if rollout is not None else 0
+        expected = self.read_revision("rollout:heron", behind)
+        self.send(step(self.name_change(), expected, stage, status.value))
+
+    @rule(version=VERSIONS, session=st.sampled_from("abc"))
+    def pin_session(self, version: VersionId, session: str) -> None:
+        self.send(pin(session, version))
+
+    @precondition(lambda self: self.sent)
+    @rule(data=st.data())
+    def resend(self, data: st.DataObject) -> None:
+        command, outcome = data.draw(st.sampled_from(self.sent))
+        if not isinstance(command, Change):
+            return
+
+        before = save_state(self.state)
+        assert apply_command(self.state, command) == outcome
+        assert apply_command(self.replica, command) == outcome
+        assert save_state(self.state) == before
+
+    @rule()
+    def restart_replica(self) -> None:
+        self.replica = load_state(save_state(self.replica))
+
+    @invariant()
+    def replicas_are_equal(self) -> None:
+        if hasattr(self, "state"):
+            assert self.state == self.replica
+
+    @invariant()
+    def withdrawn_stays_withdrawn(self) -> None:
+        for version, spec in self.get_state().config.versions.items():
+            before = self.statuses.get(version)
+            if before in WITHDRAWN_STATUSES:
+                assert spec.status in WITHDRAWN_STATUSES, f"{version} came back"
+
+            if before is VersionStatus.WITHDRAWN:
+                assert spec.status is before, f"{version} came back"
+
+            self.statuses[version] = spec.status
+
+    @invariant()
+    def rollouts_end_once(self) -> None:
+        rollout = self.get_state().config.rollouts.get("heron")
+        if rollout is None:
+            return
+
+        ended = self.ended.get("heron")
+        if ended is not None and ended[0] == rollout.candidate:
+            assert ended[1] is rollout.status, "a roll-out left its final status"
+
+        if rollout.status in FINAL:
+            self.ended["heron"] = (rollout.candidate, rollout.status)
+            status = self.get_state().config.versions[rollout.candidate].status
+            back = rollout.status is RolloutStatus.ROLLED_BACK
+            assert not back or status in WITHDRAWN_STATUSES
+
+    def get_state(self) -> ControlState:
+        return self.state if hasattr(self, "state") else ControlState()
+
+
+class ConfigurationRunTest(RunTestCase):
+    def test_run(self) -> None:
+        """An operator's change is lost, applied twice, or undoes a withdrawal.
+
+        Order: any. Cause: operators read equal revisions, resend after lost answers,
+        and the roll-out steps by itself at the same time.
+        """
+        self.run_machine(ConfigurationRun)
--- /dev/null
+++ b/tests/state/runs/test_ledger.py
@@ -0,0 +1,227 @@
+"""Randomised run: entries die, messages are late, doubled and lost; orders run once."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from waxwingwell.messages import AlreadySettled
+from waxwingwell.messages import Command
+from waxwingwell.messages import Reserve
+from waxwingwell.messages import Reserved
+from waxwingwell.messages import Settle
+from waxwingwell.records import EntryId
+from waxwingwell.records import OutcomeKind
+from waxwingwell.records import RowStatus
+from waxwingwell.state.bills import list_bills
+from waxwingwell.state.machine import ControlState
+from waxwingwell.state.machine import apply_command
+from waxwingwell.state.machine import load_state
+from waxwingwell.state.machine import save_state
+
+from ..commands import BOLE
+from ..commands import CMC
+from ..commands import abandon
+from ..commands import reserve
+from ..commands import settle
+from .support import Run
+from .support import RunTestCase
+
+
+ENTRIES = st.sampled_from((BOLE, CMC))
+KEYS = ("order-1", "order-2", "lookup-1")
+COST = 7
+
+
+@dataclass
+class Attempt:
+    """One attempt as its entry sees it."""
+
+    request: str
+    key: str
+    entry: EntryId
+    incarnation: int
+    reserved: bool = False
+    dispatched: bool = False
+    ended: bool = False
+    refused: bool = False
+
+
+@dataclass
+class World:
+    """Entries, messages on the way, and what really ran."""
+
+    state: ControlState = field(default_factory=ControlState)
+    incarnations: dict[EntryId, int] = field(default_factory=lambda: {BOLE: 1, CMC: 1})
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    on_the_way: list[Command] = field(default_factory=list)
+    ran: Counter[str] = field(default_factory=Counter)
+    """Dispatches by key."""
+    told_not_run: set[str] = field(default_factory=set)
+    """Requests whose caller was told "not run"."""
+    billable: dict[str, int] = field(default_factory=dict)
+    """Cost by key, as the entry that settled it said."""
+
+
+class LedgerRun(Run):
+    """Attempts under few keys through two entries, over a network that loses order."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.world = World()
+
+    def is_alive(self, attempt: Attempt) -> bool:
+        return self.world.incarnations[attempt.entry] == attempt.incarnation
+
+    @rule(key=st.sampled_from(KEYS), entry=ENTRIES)
+    def attempt(self, key: str, entry: EntryId) -> None:
+        world = self.world
+        request = f"r{len(world.attempts)}"
+        incarnation = world.incarnations[entry]
+        world.attempts[request] = Attempt(request, key, entry, incarnation)
+        world.on_the_way.append(
+            reserve(
+                request,
+                key=key,
+                entry=entry,
+                incarnation=incarnation,
+                repeatable=key.startswith("lookup"),
+            )
+        )
+
+    @precondition(lambda self: self.world.on_the_way)
+    @rule(data=st.data(), again=st.booleans(), answer_lost=st.booleans())
+    def deliver(self, data: st.DataObject, again: bool, answer_lost: bool) -> None:
+        world = self.world
+        place = data.draw(st.integers(0, len(world.on_the_way) - 1))
+        command = world.on_the_way[place]
+        if not again:
+            del world.on_the_way[place]
+
+        outcome = apply_command(world.state, command)
+        if isinstance(command, Settle):
+            return
+
+        assert isinstance(command, Reserve)
+        attempt = world.attempts[command.row.request]
+        if answer_lost or not self.is_alive(attempt) or attempt.ended:
+            return
+
+        if isinstance(outcome, Reserved):
+            attempt.reserved = True
+        elif isinstance(outcome, AlreadySettled):
+            self.check_told(outcome)
+
+    def check_told(self, outcome: AlreadySettled) -> None:
+        """Check that what a caller is told of its key on a resend is true."""
+        row = outcome.row
+        if row.outcome is OutcomeKind.NOT_RUN:
+            assert not self.world.attempts[row.request].dispatched, row
+
+    @precondition(lambda self: self.list_attempts(dispatched=False))
+    @rule(data=st.data())
+    def dispatch(self, data: st.DataObject) -> None:
+        attempt = data.draw(st.sampled_from(self.list_attempts(dispatched=False)))
+        attempt.dispatched = True
+        self.world.ran[attempt.key] += 1
+
+    @precondition(lambda self: self.list_attempts(dispatched=True))
+    @rule(data=st.data())
+    def finish(self, data: st.DataObject) -> None:
+        attempt = data.draw(st.sampled_from(self.list_attempts(dispatched=True)))
+        attempt.ended = True
+        message = settle(attempt.request, key=attempt.key, cost=COST)
+        self.world.on_the_way.append(message)
+
+    @precondition(lambda self: self.list_attempts(dispatched=False))
+    @rule(data=st.data())
+    def refuse(self, data: st.DataObject) -> None:
+        attempt = data.draw(st.sampled_from(self.list_attempts(dispatched=False)))
+        attempt.ended = True
+        attempt.refused = True
+        self.world.told_not_run.add(attempt.request)
+        message = settle(attempt.request, OutcomeKind.NOT_RUN, key=attempt.key)
+        self.world.on_the_way.append(message)
+
+    def list_attempts(self, *, dispatched: bool) -> list[Attempt]:
+        """Return reserved attempts of living entries that have not ended."""
+        return [
+            attempt
+            for attempt in self.world.attempts.values()
+            if attempt.reserved
+            and not attempt.ended
+            and attempt.dispatched is dispatched
+            and self.is_alive(attempt)
+        ]
+
+    @rule(entry=ENTRIES, swept=st.booleans())
+    def kill(self, entry: EntryId, swept: bool) -> None:
+        self.world.incarnations[entry] += 1
+        if swept:
+            self.sweep(entry=entry, too_early=False)
+
+    @rule(entry=ENTRIES, too_early=st.booleans())
+    def sweep(self, entry: EntryId, too_early: bool) -> None:
+        """Sweep dead incarnations, or a living one that is merely cut off."""
+        below = self.world.incarnations[entry] + too_early
+        apply_command(self.world.state, abandon(below, entry=entry))
+
+    @rule()
+    def restart_control(self) -> None:
+        world = self.world
+        loaded = load_state(save_state(world.state))
+        assert loaded == world.state
+        world.state = loaded
+
+    @invariant()
+    def orders_run_at_most_once(self) -> None:
+        for key, count in self.get_world().ran.items():
+            if key.startswith("order"):
+                assert count <= 1, f"{key} ran {count} times"
+
+    @invariant()
+    def not_run_did_not_run(self) -> None:
+        world = self.get_world()
+        for request in world.told_not_run:
+            assert not world.attempts[request].dispatched
+
+        for row in world.state.ledger.rows.values():
+            if row.status is RowStatus.SETTLED and row.outcome is OutcomeKind.NOT_RUN:
+                assert not world.attempts[row.request].dispatched
+
+    @invariant()
+    def each_key_is_billed_once(self) -> None:
+        state = self.get_world().state
+        rows = state.ledger.rows.values()
+        final = [
+            row
+            for row in rows
+            if row.status is not RowStatus.OPEN
+            and row.outcome is not OutcomeKind.NOT_RUN
+            and (row.workspace, row.key) not in state.ledger.swept
+        ]
+        bills = list_bills(state.ledger.bills)
+        assert sum(bill.requests for bill in bills) == len(final)
+        assert sum(bill.cost for bill in bills) == sum(row.usage.cost for row in final)
+        ran = sum(count > 0 for count in self.get_world().ran.values())
+        assert sum(bill.completed for bill in bills) <= ran
+
+    def get_world(self) -> World:
+        return self.world if hasattr(self, "world") else World()
+
+
+class LedgerRunTest(RunTestCase):
+    def test_run(self) -> None:
+        """Fans run twice, or an order is billed twice or not at all.
+
+        Order: any. Cause: two entries under one key, entries that die or are cut off
+        at any step, reservations and settles that come late, twice, or not at all.
+        """
+        self.run_machine(LedgerRun)
