--- a/src/waxwingwell/decisions/queue.py
+++ b/src/waxwingwell/decisions/queue.py
@@ -89,19 +89,19 @@
     while the request waited (a withdrawal, say) must be checked after it.
     """
     over = find_over_share(tables)
-    busy: set[tuple[str, WorkspaceId, Priority]] = set()
+    full: dict[tuple[str, tuple[str, ...]], int] = {}
     for waiting in sort_waiting(tables, over):
         work = waiting.work
-        spot = (work.service or waiting.version, work.workspace, work.priority)
-        if spot in busy:
-            continue
-
         if (work.workspace, work.priority) in over:
             work = replace(work, priority=Priority.REPORT)
 
+        spot = (work.service or waiting.version, list_allowed(tables, work))
+        if full.get(spot, len(RANK)) <= RANK[work.priority]:
+            continue
+
         result = choose_upstream(tables, work, waiting.version, now=now, draw=draw)
         if isinstance(result, Refusal) and result.code == BUSY:
-            busy.add(spot)
+            full[spot] = RANK[work.priority]
             continue
 
         del tables.waiting[work.request]
@@ -110,6 +110,12 @@
     return None
 
 
+def list_allowed(tables: Tables, work: Work) -> tuple[str, ...]:
+    """Return the data centres where the work may run; empty allows all."""
+    config = tables.workspaces.get(work.workspace)
+    return config.data_centres if config else ()
+
+
 def sort_waiting(
     tables: Tables, over: set[tuple[WorkspaceId, Priority]]
 ) -> list[Waiting]:
--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -53,6 +53,7 @@
     taken_at: float = 0.0
     """When this entry took the announcement in."""
 
+
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """A request that waits at this entry for room at an upstream."""
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -99,24 +99,24 @@
             UNAVAILABLE_RETRY_AFTER,
         )
 
-    home = find_home(work, (row.announcement.upstream for row in found.rows))
-    estimates = estimate_all(tables, work, found.rows, home, now)
-    if not estimates:
+    open_rows = find_room(tables, work, found.rows)
+    if not open_rows:
         return Refusal(BUSY, "every upstream is at its bound", 503, BUSY_RETRY_AFTER)
 
+    home = find_home(work, (row.announcement.upstream for row in found.rows))
+    estimates = [
+        estimate_row(tables, work, row, outstanding, home=home, now=now)
+        for row, outstanding in open_rows
+    ]
     return pick_estimate(estimates, home, draw)
 
 
-def estimate_all(
-    tables: Tables,
-    work: Work,
-    rows: list[UpstreamRow],
-    home: UpstreamId | None,
-    now: float,
-) -> list[Estimate]:
-    """Return the estimates of the upstreams that have room for the work."""
+def find_room(
+    tables: Tables, work: Work, rows: list[UpstreamRow]
+) -> list[tuple[UpstreamRow, float]]:
+    """Return the upstreams with room for the work, and what each holds now."""
     scale = estimate_scale(tables)
-    estimates = []
+    found = []
     for row in rows:
         outstanding = estimate_outstanding(row, scale)
         if outstanding + 1.0 > limit_outstanding(row, work.priority):
@@ -125,11 +125,9 @@
         if row.probing and row.in_flight > 0:
             continue
 
-        estimates.append(
-            estimate_row(tables, work, row, outstanding, home=home, now=now)
-        )
+        found.append((row, outstanding))
 
-    return estimates
+    return found
 
 
 def estimate_row(
--- /dev/null
+++ b/src/waxwingwell/experiments/traffic.py
@@ -0,0 +1,181 @@
+"""Traffic of the experiments: sessions with growing prompts, orders, tags, reports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..decisions.tables import Work
+from ..records import Priority
+from ..records import WorkKind
+from ..records import WorkspaceId
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+
+@dataclass(frozen=True, slots=True)
+class KindShape:
+    """Sizes of one kind of work, in tokens; means of exponential parts."""
+
+    priority: Priority
+    share: float
+    """Of the requests, sessions' later turns included."""
+    prompt: int
+    answer: int
+    turns: int = 1
+    """Turns of a session; 1 for work without one."""
+    spread: float = 1.0
+    """Exponential part of the answer's length; the rest is fixed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """A deployment: its data centres, engines, entries and traffic."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    one_way: float
+    """Seconds between two data centres."""
+    engines: int
+    entries: int
+    capacity: int
+    """Requests that one engine runs side by side at full speed."""
+    decode_rate: float
+    """Tokens a second of one request at light load."""
+    prefill_rate: float
+    cache_tokens: int
+    """Prefix cache of one engine."""
+    shapes: tuple[KindShape, ...]
+    workspaces: int = 10
+    think_time: float = 12.0
+    """Seconds between two turns of a session."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of the traffic, the same for every policy of a seed."""
+
+    at: float
+    work: Work
+    entry: int
+    answer: int
+    """Tokens that the answer has; the policies know only the kind's mean."""
+
+
+ENTOTO = Profile(
+    name="entoto",
+    data_centres=("bole", "kazanchis", "cmc"),
+    one_way=0.004,
+    engines=6,
+    entries=8,
+    capacity=16,
+    decode_rate=50.0,
+    prefill_rate=16_000.0,
+    cache_tokens=150_000,
+    shapes=(
+        KindShape(Priority.ORDER, 0.10, 300, 40, spread=0.3),
+        KindShape(Priority.QUESTION, 0.60, 2000, 150, turns=8),
+        KindShape(Priority.TAG, 0.15, 400, 20),
+        KindShape(Priority.REPORT, 0.15, 3000, 600),
+    ),
+)
+FRIO = Profile(
+    name="frio",
+    data_centres=("balcarce", "tandil", "mdp"),
+    one_way=0.003,
+    engines=9,
+    entries=9,
+    capacity=16,
+    decode_rate=40.0,
+    prefill_rate=12_000.0,
+    cache_tokens=150_000,
+    shapes=(
+        KindShape(Priority.ORDER, 0.08, 250, 40, spread=0.3),
+        KindShape(Priority.QUESTION, 0.47, 1500, 120, turns=6),
+        KindShape(Priority.TAG, 0.30, 500, 20),
+        KindShape(Priority.REPORT, 0.15, 4000, 700),
+    ),
+)
+PROFILES = {profile.name: profile for profile in (ENTOTO, FRIO)}
+TEMPLATE_TOKENS = 250
+"""Tokens of the workspace's own instructions at the start of each prompt."""
+FULL_SPEED = 0.78
+"""Decode speed of an engine that is full and reads prompts most of the time."""
+TURN_TOKENS = 60
+"""Tokens that a caller adds in each later turn."""
+
+
+def compute_capacity(profile: Profile, shapes: Sequence[KindShape]) -> float:
+    """Return the requests a second that full batches bear, were ``shapes`` all.
+
+    The shares of ``shapes`` need not add up to 1: the result is for all shares.
+    """
+    rate = profile.decode_rate * FULL_SPEED
+    seconds = sum(shape.share * shape.answer / rate for shape in shapes)
+    return profile.engines * profile.capacity / seconds
+
+
+def make_traffic(
+    profile: Profile,
+    random: Random,
+    *,
+    load: float,
+    duration: float,
+    only_sessions: bool = False,
+) -> list[Request]:
+    """Return requests at ``load`` times what the engines can bear, by time."""
+    requests: list[Request] = []
+    shapes = [shape for shape in profile.shapes if shape.turns > 1 or not only_sessions]
+    per_second = compute_capacity(profile, shapes) * load
+    for shape in shapes:
+        rate = per_second * shape.share / shape.turns
+        lead = shape.turns * profile.think_time
+        at = -lead
+        while (at := at + random.expovariate(rate)) < duration:
+            requests += make_session(profile, shape, random, at, duration)
+
+    requests.sort(key=lambda request: request.at)
+    return requests
+
+
+def make_session(
+    profile: Profile, shape: KindShape, random: Random, start: float, duration: float
+) -> list[Request]:
+    """Return a session's requests within [0, duration)."""
+    workspace = WorkspaceId(f"w{int(profile.workspaces * random.random() ** 2)}")
+    name = f"{random.getrandbits(48):012x}"
+    kind = WorkKind(shape.priority.value, shape.priority, 0.8)
+    body = 50 + int(random.expovariate(1.0 / shape.prompt))
+    tokens = [TEMPLATE_TOKENS + body]
+    digests = [f"{name}.0"]
+    requests = []
+    at = start
+    for turn in range(shape.turns):
+        varied = shape.spread * random.expovariate(1.0)
+        answer = max(int(shape.answer * (1.0 - shape.spread + varied)), 4)
+        if 0.0 <= at < duration:
+            work = Work(
+                request=f"{name}.{turn}",
+                workspace=workspace,
+                kind=kind,
+                priority=shape.priority,
+                session=name if shape.turns > 1 else "",
+                stream=True,
+                repeatable=shape.priority is not Priority.ORDER,
+                prompt_tokens=tokens[-1],
+                answer_tokens=shape.answer,
+                prefixes=(*reversed(digests), f"template.{workspace}"),
+                prefix_tokens=(*reversed(tokens), TEMPLATE_TOKENS),
+            )
+            requests.append(
+                Request(at, work, random.randrange(profile.entries), answer)
+            )
+
+        at += answer / profile.decode_rate + random.expovariate(1 / profile.think_time)
+        tokens.append(tokens[-1] + answer + TURN_TOKENS)
+        digests.append(f"{name}.{turn + 1}")
+
+    return requests
