--- a/src/waxwingwell/adapters/admin_client.py
+++ b/src/waxwingwell/adapters/admin_client.py
@@ -188,5 +188,8 @@
     except msgspec.DecodeError:
         view = ErrorView()
 
-    message = view.error or view.reason or f"the answer has status {reply.status}"
+    message = view.error or view.reason
+    if not message:
+        message = f"the administration API answers with status {reply.status}"
+
     return Problem(ProblemKind.REFUSED, message, view.findings)
--- a/src/waxwingwell/adapters/admin_views.py
+++ b/src/waxwingwell/adapters/admin_views.py
@@ -21,14 +21,12 @@
 
 
 class ConfigView(msgspec.Struct, frozen=True):
-    """All configuration, with the revision that each subject stands at."""
+    """All configuration."""
 
     config_version: int
     workspaces: tuple[WorkspaceConfig, ...] = ()
     versions: tuple[VersionSpec, ...] = ()
     rollouts: tuple[Rollout, ...] = ()
-    revisions: dict[str, int] = msgspec.field(default_factory=dict)
-    """By subject, as ``state.catalogue`` names it."""
 
 
 class AnswersView(msgspec.Struct, frozen=True):
--- a/src/waxwingwell/commands/answers.py
+++ b/src/waxwingwell/commands/answers.py
@@ -136,6 +136,9 @@
     def show_conflict() -> tuple[str, ...]:
         now = find_workspace(fetch_config(client), answers.workspace)
         lines = describe_differences(now, config)
+        if not lines:
+            return ("what is there now means the same as your answers",)
+
         return ("from what is there now to your answers:", *lines)
 
     make_change(client, change, wait=wait, show_conflict=show_conflict)
--- a/src/waxwingwell/commands/rollout.py
+++ b/src/waxwingwell/commands/rollout.py
@@ -74,11 +74,10 @@
         leave(ExitCode.BAD_INPUT, f"pace: {pace!r} is none of {', '.join(Pace)}")
 
     client = open_client()
-    view = fetch_config(client)
     change = StartRollout(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        expected_revision=choose_revision(client, name_rollout(str(model)), revision),
         at=time.time(),
         model=str(model),
         candidate=VersionId(str(candidate)),
@@ -107,7 +106,7 @@
     change = StepRollout(
         change_id=make_change_id(),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        expected_revision=choose_revision(client, name_rollout(str(model)), revision),
         at=time.time(),
         model=str(model),
         stage=find_rollout(view, str(model)).stage,
@@ -126,11 +125,10 @@
 ) -> None:
     """Withdraw a version at once, or with ``--graceful`` let its sessions end."""
     client = open_client()
-    view = fetch_config(client)
     change = WithdrawVersion(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_version(str(version)), revision),
+        expected_revision=choose_revision(client, name_version(str(version)), revision),
         at=time.time(),
         version=VersionId(str(version)),
         graceful=graceful,
@@ -172,7 +170,7 @@
     change = RegisterVersion(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_version(name), revision),
+        expected_revision=choose_revision(client, name_version(name), revision),
         at=time.time(),
         spec=spec,
     )
@@ -184,9 +182,13 @@
     return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
 
 
-def choose_revision(view: ConfigView, subject: str, given: int) -> int:
+def choose_revision(client: AdminClient, subject: str, given: int) -> int:
     """Return the revision that a change is made on: as given, or as just read."""
-    return view.revisions.get(subject, 0) if given < 0 else int(given)
+    if given >= 0:
+        return int(given)
+
+    revisions = unwrap_or_leave(fetch_view(client, "/revisions", dict[str, int]))
+    return revisions.get(subject, 0)
 
 
 def find_rollout(view: ConfigView, model: str) -> Rollout:
--- a/tests/commands/fake_admin.py
+++ b/tests/commands/fake_admin.py
@@ -92,10 +92,12 @@
                     workspaces=tuple(self.table.workspaces.values()),
                     versions=tuple(self.table.versions.values()),
                     rollouts=tuple(self.table.rollouts.values()),
-                    revisions=self.table.revisions,
                 )
             )
 
+        if path == "/revisions":
+            return reply(self.table.revisions)
+
         if path.startswith("/in-force"):
             self.behind -= 1
             waiting = (EntryId("entry-2"),) if self.behind >= 0 else ()
