--- a/src/waxwingwell/commands/answers.py
+++ b/src/waxwingwell/commands/answers.py
@@ -26,6 +26,7 @@
 from .changes import OPERATOR
 from .changes import make_change
 from .changes import make_change_id
+from .connection import fetch_config
 from .connection import open_client
 from .exits import ExitCode
 from .exits import leave
@@ -170,11 +171,6 @@
         leave(ExitCode.REFUSED, "nothing was changed")
 
 
-def fetch_config(client: AdminClient) -> ConfigView:
-    """Return all configuration."""
-    return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
-
-
 def fetch_answers(client: AdminClient, workspace: str) -> dict[str, Any]:
     """Return a workspace's answers, made to revise their present revision."""
     view = unwrap_or_leave(
--- a/src/waxwingwell/commands/connection.py
+++ b/src/waxwingwell/commands/connection.py
@@ -12,9 +12,12 @@
 from pathlib import Path
 
 from ..adapters.admin_client import AdminClient
+from ..adapters.admin_client import fetch_view
 from ..adapters.admin_transport import make_transport
+from ..adapters.admin_views import ConfigView
 from .exits import ExitCode
 from .exits import leave
+from .exits import unwrap_or_leave
 
 
 DEFAULT_ADDRESS = "http://127.0.0.1:8081"
@@ -41,6 +44,11 @@
     return AdminClient(addresses=addresses, key=read_key(), send=send)
 
 
+def fetch_config(client: AdminClient) -> ConfigView:
+    """Return all configuration."""
+    return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
+
+
 def read_key() -> str:
     """Return the operator's key."""
     key = os.environ.get(KEY_VARIABLE, "").strip()
--- a/src/waxwingwell/commands/rollout.py
+++ b/src/waxwingwell/commands/rollout.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ..adapters.admin_client import fetch_view
-from ..adapters.admin_views import ConfigView
 from ..answers.generation import PACES
 from ..answers.models import Pace
 from ..messages import RegisterVersion
@@ -22,6 +21,7 @@
 from .changes import OPERATOR
 from .changes import make_change
 from .changes import make_change_id
+from .connection import fetch_config
 from .connection import open_client
 from .exits import ExitCode
 from .exits import leave
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from ..adapters.admin_client import AdminClient
+    from ..adapters.admin_views import ConfigView
     from ..records import Rollout
 
 
@@ -177,11 +178,6 @@
     make_change(client, change, wait=wait)
 
 
-def fetch_config(client: AdminClient) -> ConfigView:
-    """Return all configuration."""
-    return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
-
-
 def choose_revision(client: AdminClient, subject: str, given: int) -> int:
     """Return the revision that a change is made on: as given, or as just read."""
     if given >= 0:
--- a/tests/standins/support.py
+++ b/tests/standins/support.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import treq
+from twisted.internet.protocol import Protocol
 
 from waxwingwell_standins.client import make_agent
 
@@ -20,11 +21,19 @@
     from twisted.trial.unittest import TestCase as AsyncTestCase
 
 
-__all__ = ["AsyncTestCase", "read_cut", "read_json", "send"]
+__all__ = ["AsyncTestCase", "Dropping", "read_cut", "read_json", "send"]
 
 TIMEOUT = 5.0
 
 
+class Dropping(Protocol):
+    """Takes a body by cutting its connection."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
 async def send(method: str, url: str, body: object = None, **headers: str) -> Response:
     """Send one request on its own connection; ``_`` in a header name is a hyphen."""
     named: Any = {key.replace("_", "-"): value for key, value in headers.items()}
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -10,10 +10,12 @@
 from waxwingwell_standins.engine import Engine
 from waxwingwell_standins.engine import start_engine
 from waxwingwell_standins.faults import EngineFaults
+from waxwingwell_standins.jobs import JobStatus
 from waxwingwell_standins.settings import EngineSettings
 from waxwingwell_standins.text import make_answer
 
 from .support import AsyncTestCase
+from .support import Dropping
 from .support import read_cut
 from .support import read_json
 from .support import send
@@ -22,6 +24,8 @@
 VERSION = "putter@1"
 ASK = {"model": VERSION, "messages": [{"role": "user", "content": "which loft?"}]}
 PROMPT = "user: which loft?"
+MANY = 200
+"""Requests within which a lost connection is noticed."""
 
 
 def split_events(data: bytes) -> list[tuple[str, bytes]]:
@@ -100,6 +104,38 @@
         )
         self.assertEqual(engine.runs, {"r-2": 1})
 
+    async def test_resume_after_silence(self) -> None:
+        """A connection goes silent after event 2 and stays open; a new one works."""
+        engine = self.start(faults=EngineFaults(times=1, silent_after=2))
+        ask = {**ASK, "stream": True}
+        url = engine.url + "/v1/chat/completions"
+        silent = await send("POST", url, ask, X_Request_Id="r-4")
+        parts: list[bytes] = []
+        over = treq.collect(silent, parts.append)
+        over.addErrback(lambda _: None)
+        resumed = await send("GET", engine.url + "/v1/streams/r-4?after=2")
+        second = split_events(await treq.content(resumed))
+        self.assertFalse(over.called)
+        first = split_events(b"".join(parts))
+        self.assertEqual([name for name, _ in first], ["r-4:1", "r-4:2"])
+        self.assertEqual(
+            join_text(first + second), "".join(make_answer(VERSION, PROMPT, 0))
+        )
+
+    async def test_caller_gone_without_resume(self) -> None:
+        """An engine that can't resume stops when its caller has gone."""
+        engine = self.start(token_interval=10.0, resume=False)
+        ask = {**ASK, "stream": True}
+        url = engine.url + "/v1/chat/completions"
+        response = await send("POST", url, ask, X_Request_Id="r-5")
+        response.deliverBody(Dropping())
+        for _ in range(MANY):
+            await treq.content(await send("GET", engine.url + "/v1/load"))
+            if not engine.tables.running:
+                break
+
+        self.assertEqual(engine.tables.jobs["r-5"].status, JobStatus.CANCELLED)
+
     async def test_cancel_ends_the_run(self) -> None:
         engine = self.start(token_interval=10.0)
         ask = {**ASK, "stream": True}
--- a/tests/standins/test_services.py
+++ b/tests/standins/test_services.py
@@ -115,8 +115,10 @@
         order = {"fencing": 1, "versions": ["a@1"]}
         answer = await send("PUT", engine.url + "/v1/versions", order)
         self.assertEqual((await read_json(answer))["loading"], ["a@1"])
-        while "a@1" not in engine.orders.loaded:
+        for _ in range(200):
             await treq.content(await send("GET", engine.url + "/v1/versions"))
+            if "a@1" in engine.orders.loaded:
+                break
 
         self.assertEqual(store.served, {"a@1": 1})
 
