--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,190 @@
+"""The whole path against a bare klein and treq hop, in one run.
+
+Requests/s and p99 of whole answers, and what one forwarded event costs the entry:
+processor time over events at a fixed offered rate.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from scripts.launcher import Deployment
+from scripts.launcher import add_process
+from scripts.launcher import get_status
+from scripts.launcher import open_deployment
+from scripts.launcher import start_process
+from scripts.launcher import stop_all
+from scripts.launcher import take_port
+from scripts.launcher import wait_until
+from scripts.topology import CALLER_KEY
+from scripts.topology import add_controls
+from scripts.topology import add_entries
+from scripts.topology import configure
+
+
+CONNECTIONS = 32
+SECONDS = 6.0
+STREAMS = 200
+EVENT_INTERVAL = 0.01
+"""Seconds between two events of a stream: 200 streams offer 20,000 events/s."""
+EVENTS = 200
+WHOLE_EVENTS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """What one load over one server gave."""
+
+    name: str
+    requests_per_s: float
+    events_per_s: float
+    errors: float
+    p50_ms: float
+    p99_ms: float
+    first_p50_ms: float
+    first_p99_ms: float
+    cpu_share: float
+    """Processor time of the server over the time of the load."""
+
+    @property
+    def cpu_us_per_request(self) -> float:
+        """Microseconds of the server's processor time for one request."""
+        return self.cpu_share * 1e6 / max(self.requests_per_s, 1e-9)
+
+    @property
+    def cpu_us_per_event(self) -> float:
+        """Microseconds of the server's processor time for one event."""
+        return self.cpu_share * 1e6 / max(self.events_per_s, 1e-9)
+
+
+def start_servers(deployment: Deployment, interval: float, events: int) -> None:
+    """Start engine, bare hop, control and entry."""
+    engine = take_port(deployment, "engine")
+    hop = take_port(deployment, "hop")
+    add_controls(deployment, 1)
+    add_entries(deployment, 1, 1)
+    announce = f"http://127.0.0.1:{deployment.ports['entry-1.upstreams']}"
+    add_process(
+        deployment,
+        "engine",
+        ["bench.upstream", str(engine), str(interval), str(events), announce, "e1"],
+    )
+    add_process(deployment, "hop", ["bench.bare_hop", str(hop), str(engine)])
+    for name in deployment.processes:
+        start_process(deployment, name)
+
+    configure(deployment)
+    body = {"messages": [{"role": "user", "content": "ready?"}]}
+    for port in (hop, deployment.ports["entry-1.callers"]):
+        url = f"http://127.0.0.1:{port}/v1/chat/completions"
+        wait_until(partial(_answers, url, body), url)
+
+
+def _answers(url: str, body: Any) -> bool:
+    return get_status(url, key=CALLER_KEY, body=body) == 200
+
+
+def measure(
+    deployment: Deployment, name: str, port: int, *, connections: int, stream: bool
+) -> Figure:
+    """Run one load and read the server's processor time around it."""
+    process = deployment.processes[name].popen
+    assert process is not None
+    before = read_cpu(process.pid)
+    output = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bench.load",
+            str(port),
+            str(connections),
+            str(SECONDS),
+            "stream" if stream else "whole",
+        ],
+        check=True,
+        capture_output=True,
+        timeout=SECONDS * 10,
+    ).stdout
+    used = read_cpu(process.pid) - before
+    return Figure(name=name, cpu_share=used / (SECONDS + 1.0), **json.loads(output))
+
+
+def read_cpu(pid: int) -> float:
+    """Return a process's processor seconds so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def compare(
+    stream: bool, connections: int, interval: float, events: int
+) -> list[Figure]:
+    """Measure the bare hop and the entry in turn, twice, and keep the better half."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = open_deployment(Path(folder))
+        try:
+            start_servers(deployment, interval, events)
+            figures = []
+            for name, port in (("hop", "hop"), ("entry-1", "entry-1.callers")) * 2:
+                figures.append(
+                    measure(
+                        deployment,
+                        name,
+                        deployment.ports[port],
+                        connections=connections,
+                        stream=stream,
+                    )
+                )
+        finally:
+            stop_all(deployment)
+
+    return figures
+
+
+def render(title: str, figures: list[Figure]) -> str:
+    """Return a table of figures and the ratios entry to hop."""
+    lines = [title]
+    for item in figures:
+        lines.append(
+            f"  {item.name:8} {item.requests_per_s:8.0f} req/s "
+            f"{item.events_per_s:8.0f} events/s  p50 {item.p50_ms:7.1f}  "
+            f"p99 {item.p99_ms:7.1f}  first p50 {item.first_p50_ms:6.1f} ms  "
+            f"core {item.cpu_share:4.2f}  {item.cpu_us_per_request:6.0f} us/req  "
+            f"{item.cpu_us_per_event:5.1f} us/event  errors {item.errors:.0f}"
+        )
+
+    hops = [item for item in figures if item.name == "hop"]
+    ours = [item for item in figures if item.name != "hop"]
+    lines.append(
+        "  ratio entry/hop: "
+        f"requests/s {_mean_ratio(ours, hops, 'requests_per_s'):.2f}, "
+        f"p99 {_mean_ratio(ours, hops, 'p99_ms'):.2f}, "
+        f"first event {_mean_ratio(ours, hops, 'first_p50_ms'):.2f}, "
+        f"us/event {_mean_ratio(ours, hops, 'cpu_us_per_event'):.2f}"
+    )
+    return "\n".join(lines)
+
+
+def _mean_ratio(ours: list[Figure], hops: list[Figure], name: str) -> float:
+    upper = sum(getattr(item, name) for item in ours)
+    lower = sum(getattr(item, name) for item in hops)
+    return float(upper / lower) if lower else 0.0
+
+
+def main() -> None:
+    """Print whole answers, then streams at a fixed offered rate."""
+    whole = compare(False, CONNECTIONS, 0.0, WHOLE_EVENTS)
+    print(render(f"whole answers, {CONNECTIONS} connections", whole))
+    streams = compare(True, STREAMS, EVENT_INTERVAL, EVENTS)
+    print(render(f"streams, {STREAMS} at {1 / EVENT_INTERVAL:.0f} events/s", streams))
+
+
+if __name__ == "__main__":
+    main()
