--- /dev/null
+++ b/tests/state/consensus/test_failures.py
@@ -0,0 +1,393 @@
+"""Named failures of members, disks and links."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.state.consensus.fakes import STEP
+from tests.state.consensus.fakes import Cluster
+from tests.state.consensus.fakes import await_leader
+from tests.state.consensus.fakes import await_voters
+from tests.state.consensus.fakes import commands
+from tests.state.consensus.fakes import crash
+from tests.state.consensus.fakes import group_of
+from tests.state.consensus.fakes import heal
+from tests.state.consensus.fakes import lease_holders
+from tests.state.consensus.fakes import lose_disk
+from tests.state.consensus.fakes import make_cluster
+from tests.state.consensus.fakes import partition
+from tests.state.consensus.fakes import put
+from tests.state.consensus.fakes import run_for
+from tests.state.consensus.fakes import run_until
+from tests.state.consensus.fakes import start_node
+from waxwingwell.state.consensus.messages import RequestVote
+from waxwingwell.state.consensus.records import Role
+from waxwingwell.state.group import Committed
+from waxwingwell.state.group import NotLeading
+from waxwingwell.state.group import ProposalLost
+from waxwingwell.state.group import leads
+from waxwingwell.state.group import receive_message
+from waxwingwell.state.group import remove_member
+from waxwingwell.state.group import term_of
+from waxwingwell.state.group import transfer_leadership
+
+
+def make_settled(size: int = 3) -> tuple[Cluster, str, list[str]]:
+    """Return a cluster whose members all vote, its leader, and the others."""
+    cluster = make_cluster(size)
+    await_voters(cluster)
+    run_for(cluster, 0.5)
+    leader = await_leader(cluster)
+    return cluster, leader, [name for name in cluster.names if name != leader]
+
+
+def accept(cluster: Cluster, name: str, command: bytes) -> None:
+    """Put a command and run until it is accepted."""
+    outcomes = put(cluster, name, command)
+    run_until(cluster, lambda: bool(outcomes))
+    assert isinstance(outcomes[0], Committed), outcomes
+
+
+class LostDiskTest(unittest.TestCase):
+    """Disks that are emptied, together with other losses."""
+
+    def test_a_lost_disk_gives_no_vote_under_its_former_id(self) -> None:
+        """A change is accepted by two of three members, then one loses its disk.
+
+        It comes back empty while the other is cut off. With its former vote, it and
+        the third member, which missed the change, would elect a leader without the
+        change, and an accepted configuration would revert.
+        """
+        cluster, leader, (second, third) = make_settled()
+        partition(cluster, (leader, second), (third,))
+        accept(cluster, leader, b"change")
+        lose_disk(cluster, second)
+        partition(cluster, (leader,), (second, third))
+        start_node(cluster, second)
+        run_for(cluster, 10.0)
+        self.assertEqual(lease_holders(cluster), [])
+        heal(cluster)
+        await_voters(cluster)
+        run_for(cluster, 0.5)
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name), [b"change"])
+
+    def test_an_emptied_member_returns_as_voter_under_a_fresh_id(self) -> None:
+        """A VM's disk is replaced and its process started on the empty folder.
+
+        Operators see it come back without doing anything: it joins as a learner,
+        its former id is removed, and it votes.
+        """
+        cluster, leader, (second, _) = make_settled()
+        accept(cluster, leader, b"a")
+        former = group_of(cluster, second).replica.member
+        lose_disk(cluster, second)
+        accept(cluster, leader, b"b")
+        start_node(cluster, second)
+        await_voters(cluster)
+        group = group_of(cluster, second)
+        self.assertNotEqual(group.replica.member, former)
+        membership = group_of(cluster, leader).replica.membership
+        self.assertIn(former, membership.removed)
+        self.assertEqual(len(membership.voters), 3)
+        self.assertEqual(commands(cluster, second), [b"a", b"b"])
+
+    def test_a_second_disk_is_lost_right_after_a_repair(self) -> None:
+        """One disk is lost and repaired; at once another VM loses its own.
+
+        Callers see a fail-over at most: the repaired member votes, so that it and
+        the one that never failed go on, and nothing accepted is lost.
+        """
+        cluster, leader, (second, third) = make_settled()
+        for lost in (second, third, leader):
+            accept(cluster, await_leader(cluster), b"before " + lost.encode())
+            lose_disk(cluster, lost)
+            run_for(cluster, 0.1)
+            start_node(cluster, lost)
+            await_voters(cluster)
+
+        run_for(cluster, 0.5)
+        wanted = [b"before " + name.encode() for name in (second, third, leader)]
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name), wanted)
+
+    def test_a_second_member_fails_amid_a_repair(self) -> None:
+        """One disk is lost; before its member has caught up, another VM stops.
+
+        Progress stops, as two of three were lost, and nothing is accepted by the
+        one that is left. Once the stopped VM is back, with its disk, all goes on.
+        """
+        cluster, leader, (second, third) = make_settled()
+        accept(cluster, leader, b"a")
+        lose_disk(cluster, second)
+        crash(cluster, third)
+        start_node(cluster, second)
+        outcomes = put(cluster, leader, b"b")
+        run_for(cluster, 5.0)
+        self.assertEqual(outcomes, [ProposalLost()])
+        self.assertEqual(lease_holders(cluster), [])
+        start_node(cluster, third)
+        await_voters(cluster)
+        run_for(cluster, 0.5)
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name)[:1], [b"a"])
+
+    def test_an_emptied_founder_founds_no_second_group(self) -> None:
+        """The first VM's disk is lost, and its settings still say ``bootstrap``.
+
+        It starts while the others can't be reached. If it founded a group of its
+        own it would answer operators with an empty configuration.
+        """
+        cluster, leader, _ = make_settled()
+        accept(cluster, leader, b"a")
+        founder = cluster.names[0]
+        lose_disk(cluster, founder)
+        partition(cluster, (founder,), cluster.names[1:])
+        start_node(cluster, founder)
+        run_for(cluster, 5.0)
+        self.assertEqual(group_of(cluster, founder).replica.membership.voters, ())
+        self.assertNotIn(founder, lease_holders(cluster))
+        heal(cluster)
+        await_voters(cluster)
+        run_for(cluster, 0.5)
+        self.assertEqual(commands(cluster, founder), [b"a"])
+
+    def test_a_founder_that_was_told_of_a_group_joins_it(self) -> None:
+        """The first VM's disk is lost while the group has no leader.
+
+        One of the others answers that it belongs to a group, one is down. Nobody may
+        be asked to found anew.
+        """
+        cluster, leader, _ = make_settled()
+        accept(cluster, leader, b"a")
+        founder, second, third = cluster.names
+        lose_disk(cluster, founder)
+        crash(cluster, third)
+        start_node(cluster, founder)
+        run_for(cluster, 2.0)
+        lose_disk(cluster, third)
+        start_node(cluster, third)
+        run_for(cluster, 5.0)
+        self.assertEqual(lease_holders(cluster), [])
+        self.assertEqual(commands(cluster, founder), [])
+        self.assertIn(b"a", held(cluster, second))
+
+    def test_a_learner_forgotten_by_the_next_leader_asks_again(self) -> None:
+        """A replaced disk's member is taken in, and the leader dies at once.
+
+        Its successor never heard of the learner. Without asking again the VM would
+        stay out for ever while its process looks healthy.
+        """
+        cluster, leader, (second, *rest) = make_settled(5)
+        lose_disk(cluster, second)
+        run_for(cluster, 0.1)
+        partition(cluster, (leader, second), tuple(rest))
+        start_node(cluster, second)
+        group = group_of(cluster, second)
+        run_until(cluster, lambda: bool(group.replica.log.entries))
+        crash(cluster, leader)
+        heal(cluster)
+        member = group.replica.member
+        run_until(cluster, lambda: votes_somewhere(cluster, member))
+
+
+class LeaderTest(unittest.TestCase):
+    """Leaders that are cut off, frozen, stopped or handed over."""
+
+    def test_a_leader_cut_off_stops_leading_before_another_starts(self) -> None:
+        """The leader's VM sits on the far side of a partition and believes on.
+
+        Orders to engines from two leaders would fight. Its lease ends before the
+        others may vote; later it takes no proposals, and those it took are lost.
+        """
+        cluster, leader, others = make_settled()
+        old = group_of(cluster, leader)
+        partition(cluster, (leader,), tuple(others))
+        cut_at = cluster.now
+        outcomes = put(cluster, leader, b"lost")
+        run_until(cluster, lambda: not leads(old, cluster.now))
+        self.assertLess(cluster.now - cut_at, cluster.timing.election_min)
+        self.assertEqual(lease_holders(cluster), [])
+        fresh = await_leader(cluster)
+        self.assertGreaterEqual(
+            cluster.now - cut_at, cluster.timing.election_min - cluster.timing.heartbeat
+        )
+        run_for(cluster, 1.0)
+        self.assertEqual(outcomes, [ProposalLost()])
+        self.assertEqual(put(cluster, leader, b"refused"), [NotLeading("")])
+        accept(cluster, fresh, b"kept")
+        heal(cluster)
+        run_for(cluster, 1.0)
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name), [b"kept"])
+
+    def test_a_frozen_leader_knows_when_it_wakes(self) -> None:
+        """The leader's process is stopped for long and goes on where it was.
+
+        Before it has read any message it would still act as leader; the clock alone
+        must tell it that its lease is over, and its fencing number is the lower.
+        """
+        cluster, leader, _ = make_settled()
+        old = group_of(cluster, leader)
+        cluster.nodes[leader].frozen = True
+        run_for(cluster, cluster.timing.election_min)
+        fresh = await_leader(cluster)
+        cluster.nodes[leader].frozen = False
+        self.assertFalse(leads(old, cluster.now))
+        self.assertLess(term_of(old), term_of(group_of(cluster, fresh)))
+        run_for(cluster, 1.0)
+        self.assertIs(old.replica.role, Role.FOLLOWER)
+
+    def test_a_member_back_from_a_partition_unseats_nobody(self) -> None:
+        """A VM was cut off for long and its timer ran out many times.
+
+        Callers would see a fail-over when it is back, if its term had grown.
+        """
+        cluster, leader, (second, third) = make_settled()
+        term = term_of(group_of(cluster, leader))
+        partition(cluster, (leader, third), (second,))
+        run_for(cluster, 20.0)
+        heal(cluster)
+        run_for(cluster, 2.0)
+        self.assertEqual(lease_holders(cluster), [leader])
+        self.assertEqual(term_of(group_of(cluster, leader)), term)
+
+    def test_a_member_that_hears_nobody_unseats_nobody(self) -> None:
+        """Messages to one VM vanish, while its own still reach the others.
+
+        It can't hear the leader and asks for votes for ever. The others, who hear
+        the leader, must not follow it into an election.
+        """
+        cluster, leader, (second, third) = make_settled()
+        term = term_of(group_of(cluster, leader))
+        cluster.cut.update({(leader, second), (third, second)})
+        run_for(cluster, 10.0)
+        self.assertEqual(lease_holders(cluster), [leader])
+        self.assertEqual(term_of(group_of(cluster, leader)), term)
+
+    def test_a_leader_that_hears_nobody_gives_way(self) -> None:
+        """Messages to the leader vanish, while its heartbeats still arrive.
+
+        Followers are content and nothing commits: callers wait for ever unless the
+        leader notices that no majority answers it.
+        """
+        cluster, leader, others = make_settled()
+        cluster.cut.update((name, leader) for name in others)
+        run_until(
+            cluster, lambda: any(name in others for name in lease_holders(cluster))
+        )
+
+    def test_a_restarted_member_keeps_the_promise_it_forgot(self) -> None:
+        """A follower answers a heartbeat, restarts at once, and is asked for a vote.
+
+        If it voted, a second leader would hold a lease while the first, paused by
+        then, still holds its own.
+        """
+        cluster, leader, (second, third) = make_settled()
+        partition(cluster, (leader,), (second, third))
+        crash(cluster, second)
+        start_node(cluster, second)
+        old = group_of(cluster, leader)
+        self.assertTrue(leads(old, cluster.now))
+        replica = group_of(cluster, third).replica
+        request = RequestVote(
+            group="main",
+            sender=replica.member,
+            target=group_of(cluster, second).replica.member,
+            term=replica.term + 1,
+            last_index=replica.durable,
+            last_term=replica.term,
+        )
+        asked = group_of(cluster, second)
+        receive_message(asked, third, request, cluster.now)
+        self.assertNotEqual(asked.replica.voted_for, replica.member)
+
+    def test_a_late_hand_over_makes_no_second_leader(self) -> None:
+        """A planned stop hands leadership over, but the message is late.
+
+        The old leader must not take its lease up again meanwhile: the message may
+        still arrive and the others vote within the lease.
+        """
+        cluster, leader, (second, third) = make_settled()
+        old = group_of(cluster, leader)
+        self.assertTrue(transfer_leadership(old, second, cluster.now))
+        partition(cluster, (leader, third), (second,))
+        run_for(cluster, cluster.timing.election_max / 2)
+        self.assertFalse(leads(old, cluster.now))
+        self.assertEqual(put(cluster, leader, b"a"), [NotLeading(leader)])
+        run_for(cluster, cluster.timing.election_max)
+        heal(cluster)
+        self.assertGreater(term_of(group_of(cluster, await_leader(cluster))), 1)
+
+    def test_a_removed_member_is_told_and_stops(self) -> None:
+        """An operator removes a member whose process is down; it starts again.
+
+        It must neither vote nor ask for votes, and say in its log what to do.
+        """
+        cluster, leader, (second, _) = make_settled()
+        crash(cluster, second)
+        group = group_of(cluster, leader)
+        outcomes: list[object] = []
+        members = group.replica.membership.voters
+        former = next(one for one in members if one.startswith(second))
+        remove_member(group, former, outcomes.append, cluster.now)
+        run_for(cluster, 0.5)
+        self.assertIsInstance(outcomes[0], Committed)
+        start_node(cluster, second)
+        run_for(cluster, 3.0)
+        self.assertTrue(group_of(cluster, second).replica.expelled)
+        self.assertEqual(len(group.replica.membership.voters), 2)
+
+
+class StorageFailureTest(unittest.TestCase):
+    """Disks that refuse."""
+
+    def test_a_full_disk_of_the_leader_loses_no_change(self) -> None:
+        """The leader's disk is full: a write fails while callers wait.
+
+        It must answer that the outcome is unknown, send nothing that rests on the
+        failed write, and give way; the others go on without it.
+        """
+        cluster, leader, _others = make_settled()
+        accept(cluster, leader, b"a")
+        cluster.nodes[leader].disk.full = True
+        outcomes = put(cluster, leader, b"b")
+        run_for(cluster, STEP)
+        group = group_of(cluster, leader)
+        self.assertEqual(outcomes, [ProposalLost()])
+        self.assertIn("full", group.halted)
+        self.assertFalse(leads(group, cluster.now))
+        fresh = await_leader(cluster)
+        accept(cluster, fresh, b"c")
+        self.assertEqual(put(cluster, leader, b"d"), [NotLeading("")])
+        cluster.nodes[leader].disk.full = False
+        start_node(cluster, leader)
+        run_for(cluster, 1.0)
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name), [b"a", b"c"])
+
+    def test_a_full_disk_of_a_follower_acknowledges_nothing(self) -> None:
+        """A follower's disk is full, the other follower is down.
+
+        An acknowledgement from memory would let the leader accept a change that one
+        disk alone holds.
+        """
+        cluster, leader, (second, third) = make_settled()
+        crash(cluster, third)
+        cluster.nodes[second].disk.full = True
+        outcomes = put(cluster, leader, b"a")
+        run_for(cluster, 3.0)
+        self.assertEqual(outcomes, [ProposalLost()])
+
+
+def votes_somewhere(cluster: Cluster, member: str) -> bool:
+    """Return whether a leader counts ``member`` among the voters."""
+    return any(
+        member in group_of(cluster, name).replica.membership.voters
+        for name in lease_holders(cluster)
+    )
+
+
+def held(cluster: Cluster, name: str) -> list[bytes]:
+    """Return what the entries on a member's disk hold."""
+    return [entry.data for entry in cluster.nodes[name].disk.loaded.entries]
