--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -20,11 +20,13 @@
 from tests.state.consensus.fakes import run_for
 from tests.state.consensus.fakes import run_until
 from tests.state.consensus.fakes import start_node
+from tests.state.consensus.fakes import step
 from waxwingwell.state.consensus.messages import RequestVote
 from waxwingwell.state.consensus.records import Role
 from waxwingwell.state.group import Committed
 from waxwingwell.state.group import NotLeading
 from waxwingwell.state.group import ProposalLost
+from waxwingwell.state.group import flush_group
 from waxwingwell.state.group import leads
 from waxwingwell.state.group import receive_message
 from waxwingwell.state.group import remove_member
@@ -379,6 +381,28 @@
         run_for(cluster, 3.0)
         self.assertEqual(outcomes, [ProposalLost()])
 
+    def test_a_slow_sync_is_no_longer_lease(self) -> None:
+        """The leader's disk takes seconds for one sync; the process waits for it.
+
+        What it sends afterwards was due before. The lease must not count from then,
+        since the others have elected a leader meanwhile.
+        """
+        cluster, leader, _ = make_settled()
+        group = group_of(cluster, leader)
+        outcomes = put(cluster, leader, b"a")
+        began = cluster.now
+        cluster.nodes[leader].frozen = True
+        run_for(cluster, 2.0)
+        fresh = await_leader(cluster)
+        flush_group(group, began)
+        cluster.nodes[leader].frozen = False
+        self.assertFalse(leads(group, cluster.now))
+        for _ in range(50):
+            step(cluster)
+            self.assertEqual(lease_holders(cluster), [fresh])
+
+        self.assertEqual(outcomes, [ProposalLost()])
+
 
 def votes_somewhere(cluster: Cluster, member: str) -> bool:
     """Return whether a leader counts ``member`` among the voters."""
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import resource
 import sqlite3
 import tempfile
 import unittest
@@ -103,6 +104,51 @@
         with self.assertRaises(CorruptStorageError):
             open_store(self.folder, "other")
 
+    def test_a_torn_tail_leaves_whole_batches(self) -> None:
+        """Power is lost amid a write: any part of its bytes may be on the disk.
+
+        The batch was not promised yet. It must be there whole or not at all; half
+        of it would be a log with a vote that doesn't belong to it.
+        """
+        self.write_all()
+        before = self.store.load()
+        paths = [self.folder / "main.sqlite", self.folder / "main.sqlite-wal"]
+        old = [path.read_bytes() for path in paths]
+        late = (Entry(2, EntryKind.COMMAND, b"late" * 3000),)
+        self.store.write(Batch(hard_state=HardState(2, "b"), first=6, entries=late))
+        after = self.store.load()
+        new = [path.read_bytes() for path in paths]
+        self.assertEqual(old[0], new[0])
+        start, end = len(old[1]), len(new[1])
+        self.assertGreater(end, start)
+        for cut in (*range(start, end, 997), end - 1, end):
+            for rest in (b"", b"\xff" * (end - cut)):
+                with self.subTest(cut=cut, rest=len(rest)):
+                    torn = new[1][:cut] + rest
+                    loaded = load_copy(self.folder / "copy", new[0], torn)
+                    self.assertIn(loaded, (before, after))
+                    self.assertEqual(loaded == after, cut == end)
+
+    def test_a_full_disk_is_an_error_and_leaves_what_was_there(self) -> None:
+        """The folder's disk is full amid a batch; later there is room again.
+
+        The batch must fail with our error, so that nothing is promised on it, and a
+        restart must find what was synced before.
+        """
+        self.write_all()
+        before = self.store.load()
+        size = (self.folder / "main.sqlite-wal").stat().st_size
+        limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+        big = (Entry(1, EntryKind.COMMAND, bytes(1 << 20)),)
+        resource.setrlimit(resource.RLIMIT_FSIZE, (size + 8192, limits[1]))
+        try:
+            with self.assertRaises(StorageError):
+                self.store.write(Batch(first=6, entries=big))
+        finally:
+            resource.setrlimit(resource.RLIMIT_FSIZE, limits)
+
+        self.assertEqual(self.reopen(), before)
+
     def test_a_second_process_is_turned_away(self) -> None:
         self.write_all()
         with self.assertRaisesRegex(StorageError, "locked"):
@@ -148,3 +194,15 @@
             now=1.0,
             bootstrap=True,
         )
+
+
+def load_copy(folder: Path, database: bytes, journal: bytes) -> Loaded:
+    """Return what a store finds in files with these bytes."""
+    folder.mkdir(exist_ok=True)
+    (folder / "main.sqlite").write_bytes(database)
+    (folder / "main.sqlite-wal").write_bytes(journal)
+    store = open_store(folder, "main")
+    try:
+        return store.load()
+    finally:
+        store.close()
