--- a/src/waxwingwell/state/images.py
+++ b/src/waxwingwell/state/images.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -129,7 +130,9 @@
         config=saved.config,
         ledger=_load_ledger(saved.ledger),
         pins=PinTable(
-            pins={(row.workspace, row.session): row.pin for row in saved.pins},
+            pins=OrderedDict(
+                ((row.workspace, row.session), row.pin) for row in saved.pins
+            ),
             clock=saved.pins_clock,
         ),
         evidence=EvidenceTable(
--- a/src/waxwingwell/state/ledger.py
+++ b/src/waxwingwell/state/ledger.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from sys import intern
 from typing import TYPE_CHECKING
 
 from ..invariants import Promise
@@ -29,7 +30,9 @@
 from ..records import LedgerRow
 from ..records import OutcomeKind
 from ..records import RowStatus
+from ..records import UpstreamId
 from ..records import Usage
+from ..records import VersionId
 from ..records import WorkspaceId
 from .bills import BillTable
 from .bills import add_row
@@ -69,6 +72,8 @@
 DROPPED_AT_ONCE = 8
 """Rows past their retention that one command drops, so that none takes long."""
 
+NO_USAGE = Usage()
+
 RowKey = tuple[WorkspaceId, str]
 
 ReserveOutcome = Reserved | AlreadyOpen | AlreadySettled | Rejected
@@ -195,16 +200,32 @@
         before is None or before.outcome is OutcomeKind.NOT_RUN,
         lambda: f"{place} opened again after {before and before.outcome}",
     )
-    ledger.rows[place] = replace(
+    ledger.rows[place] = row if _is_blank(row) else _make_blank(row)
+    ledger.open_rows.setdefault(row.entry, {})[place] = row.entry_incarnation
+    return Reserved()
+
+
+def _is_blank(row: LedgerRow) -> bool:
+    """Tell whether a row is open and says nothing of an end; saves a copy of it."""
+    return (
+        row.status is RowStatus.OPEN
+        and row.outcome is OutcomeKind.FAILED
+        and row.answer is None
+        and row.usage == NO_USAGE
+        and row.settled_at == 0.0
+    )
+
+
+def _make_blank(row: LedgerRow) -> LedgerRow:
+    """Return the row as an open one."""
+    return replace(
         row,
         status=RowStatus.OPEN,
         outcome=OutcomeKind.FAILED,
-        usage=Usage(),
+        usage=NO_USAGE,
         answer=None,
         settled_at=0.0,
     )
-    ledger.open_rows.setdefault(row.entry, {})[place] = row.entry_incarnation
-    return Reserved()
 
 
 def settle(ledger: Ledger, command: Settle) -> Settled | Rejected:
@@ -222,7 +243,7 @@
     if row.status is not RowStatus.OPEN and ledger.swept.get(place) != row.request:
         return Settled(row=row, changed=False)
 
-    if command.outcome is OutcomeKind.NOT_RUN and command.usage != Usage():
+    if command.outcome is OutcomeKind.NOT_RUN and command.usage != NO_USAGE:
         text = "a request that did not run has no usage"
         return Rejected(findings=(Finding("usage", text),))
 
@@ -237,17 +258,20 @@
     """Return the row as its entry settles it.
 
     A row that was swept while its entry was merely cut off is settled here too: the
-    entry alone knows how the request ended, and it is on no bill yet.
+    entry alone knows how the request ended, and it is on no bill yet. Names that few
+    rows differ in are shared, which makes a settled row smaller.
     """
     outcome = command.outcome
     unknown = outcome is OutcomeKind.MAY_HAVE_RUN and not row.repeatable
     return replace(
         row,
+        workspace=WorkspaceId(intern(row.workspace)),
+        entry=EntryId(intern(row.entry)),
         status=RowStatus.UNKNOWN if unknown else RowStatus.SETTLED,
         outcome=outcome,
         usage=command.usage,
-        version=command.version or row.version,
-        upstream=command.upstream or row.upstream,
+        version=VersionId(intern(command.version or row.version)),
+        upstream=UpstreamId(intern(command.upstream or row.upstream)),
         answer=None if row.repeatable else command.answer,
         settled_at=ledger.clock,
     )
--- a/src/waxwingwell/state/pins.py
+++ b/src/waxwingwell/state/pins.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -53,9 +54,13 @@
 
 @dataclass(slots=True)
 class PinTable:
-    """Pins by (workspace, session), the one unused for longest first."""
+    """Pins by (workspace, session), the one unused for longest first.
 
-    pins: dict[PinKey, Pin] = field(default_factory=dict)
+    A plain dict finds its first item by going over all places freed before it, which
+    takes long when sessions come back in the order of their age.
+    """
+
+    pins: OrderedDict[PinKey, Pin] = field(default_factory=OrderedDict)
     clock: float = 0.0
 
 
@@ -71,9 +76,10 @@
     """
     _advance_clock(table, command.at)
     place = (command.workspace, command.session)
-    present = table.pins.pop(place, None)
+    present = table.pins.get(place)
     if present is not None:
         table.pins[place] = replace(present, used_at=table.clock)
+        table.pins.move_to_end(place)
         return Pinned(version=present.version)
 
     findings = _check_pin(table, config, command)
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -6,6 +6,7 @@
 from waxwingwell.messages import InForce
 from waxwingwell.messages import LeaseBehind
 from waxwingwell.messages import LeaseGranted
+from waxwingwell.state.leases import DRIFT
 from waxwingwell.state.leases import ConfigLease
 from waxwingwell.state.leases import EntryLeases
 from waxwingwell.state.leases import ExpiredEntry
@@ -122,6 +123,32 @@
         self.assertFalse(may_admit(bole, after))
         self.assertTrue(is_in_force(leases, 4, after).in_force)
 
+    def test_clocks_that_run_apart(self) -> None:
+        """A withdrawal is said to be in force 40 ms before an entry stops admitting.
+
+        Order: an entry whose clock runs slow renews, is cut off, and a leader whose
+        clock runs fast waits out the lease. Cause: both count the same seconds.
+        """
+        slow, fast = 1.0 - DRIFT / 2, 1.0 + DRIFT / 2
+        for entry_rate, leader_rate in ((slow, fast), (1.0, 1.0), (fast, slow)):
+            with self.subTest(entry=entry_rate, leader=leader_rate):
+                leases = EntryLeases(elected_at=0.0)
+                lease = ConfigLease(BOLE, 1, config_version=1)
+                renewal = begin_renewal(lease, 100.0 * entry_rate)
+                granted = renew_lease(
+                    leases,
+                    renewal.message,
+                    snapshot=make_snapshot(1),
+                    now=100.0 * leader_rate,
+                )
+                assert isinstance(granted, LeaseGranted)
+                finish_renewal(lease, renewal.number, granted, 100.0 * entry_rate)
+                for step in range(500):
+                    time = 100.0 + step / 100
+                    claimed = is_in_force(leases, 2, time * leader_rate).in_force
+                    admits = may_admit(lease, time * entry_rate)
+                    self.assertFalse(claimed and admits, time)
+
     def test_new_leader_claims_nothing_at_first(self) -> None:
         leases = EntryLeases(elected_at=100.0)
         self.assertFalse(is_in_force(leases, 1, 103.9).in_force)
