Let tags and reports fill more of an upstream

Cause: at 1.25 times the load the low bounds left places empty. Change: bounds 0.85 and 0.95 of the capacity for reports and tags, from 0.8 and 0.9.

--- a/src/waxwingwell/decisions/load.py
+++ b/src/waxwingwell/decisions/load.py
@@ -34,8 +34,8 @@
 BOUNDS = {
     Priority.ORDER: 1.25,
     Priority.QUESTION: 1.0,
-    Priority.TAG: 0.9,
-    Priority.REPORT: 0.8,
+    Priority.TAG: 0.95,
+    Priority.REPORT: 0.85,
 }
 """Load an upstream may carry, as a share of its capacity, once work of a priority is
 added. The steps keep room for the next higher priority at any time."""
