--- a/src/waxwingwell/decisions/queue.py
+++ b/src/waxwingwell/decisions/queue.py
@@ -33,11 +33,6 @@
 """Finishes a second assumed where none was seen of late."""
 MOST_HELD = 0.5
 """A workspace with more than this share of the running work goes after others."""
-MATCH_LOOK = 8
-"""Peers looked at for one whose prompt is cached where there is room."""
-MATCH_SECONDS = 1.0
-"""A request that waited longer is not passed by its peers for their cache."""
-MATCH_SHARE = 0.5
 SHED_MARGIN = 2.0
 """Finishes may come this much faster than of late before work is shed early."""
 RANK = {priority: rank for rank, priority in enumerate(PRIORITY_ORDER)}
@@ -95,12 +90,7 @@
     """
     over = find_over_share(tables)
     full: dict[tuple[str, tuple[str, ...]], int] = {}
-    best: Taken | None = None
-    looked = 0
     for waiting in sort_waiting(tables, over):
-        if best is not None and not is_peer(waiting, best.waiting, over):
-            break
-
         work = waiting.work
         if (work.workspace, work.priority) in over:
             work = replace(work, priority=Priority.REPORT)
@@ -114,37 +104,10 @@
             full[spot] = RANK[work.priority]
             continue
 
-        looked += 1
-        best = best or Taken(waiting, result)
-        if fits_cache(waiting, result):
-            best = Taken(waiting, result)
-            break
-
-        if looked >= MATCH_LOOK or now - best.waiting.arrived_at > MATCH_SECONDS:
-            break
-
-    if best is not None:
-        del tables.waiting[best.waiting.work.request]
-
-    return best
-
-
-def is_peer(
-    waiting: Waiting, first: Waiting, over: set[tuple[WorkspaceId, Priority]]
-) -> bool:
-    """Return whether two waiting requests may pass one another."""
-    work = waiting.work
-    return work.priority is first.work.priority and (
-        (work.workspace, work.priority) in over
-    ) == ((first.work.workspace, first.work.priority) in over)
-
-
-def fits_cache(waiting: Waiting, result: UpstreamChoice | Refusal) -> bool:
-    """Return whether the upstream with room holds most of the prompt."""
-    if isinstance(result, Refusal):
-        return True
+        del tables.waiting[work.request]
+        return Taken(waiting, result)
 
-    return result.cached >= MATCH_SHARE * waiting.work.prompt_tokens
+    return None
 
 
 def list_allowed(tables: Tables, work: Work) -> tuple[str, ...]:
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -60,8 +60,6 @@
     """Seconds to the first token at this entry."""
     reason: str
     """``home``, ``prefix``, ``load`` or ``only``; for traces and metrics."""
-    cached: float = 0.0
-    """Prompt tokens expected in its cache."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,11 +173,7 @@
 def make_choice(estimate: Estimate, reason: str) -> UpstreamChoice:
     """Return the choice of an estimated upstream."""
     return UpstreamChoice(
-        estimate.upstream,
-        estimate.wait,
-        estimate.first_token,
-        reason,
-        estimate.cached,
+        estimate.upstream, estimate.wait, estimate.first_token, reason
     )
 
 
