--- a/src/waxwingwell/decisions/ejection.py
+++ b/src/waxwingwell/decisions/ejection.py
@@ -28,19 +28,8 @@
 MAX_EJECTED_SHARE = 0.5
 
 
-def note_success(tables: Tables, row: UpstreamRow, now: float) -> None:
-    """Clear the failures of an upstream that served a request.
-
-    Failure guarded against: after a fault common to all, those ejected would stay
-    away for long while the others carry all load. An upstream that failed enough to
-    be ejected, and was kept only because too few would have stayed, shows by its
-    success that the fault is over; so all others come back on trial.
-    """
-    if row.failures >= FAILURES_TO_EJECT and not row.probing:
-        for peer in tables.upstreams.values():
-            if peer.ejected_until > now:
-                lift_ejection(peer, now)
-
+def note_success(row: UpstreamRow) -> None:
+    """Clear the failures of an upstream that served a request."""
     row.failures = 0
     row.ejections = 0
     row.probing = False
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -212,7 +212,7 @@
     if failed:
         note_failure(tables, upstream, weight=1, now=now)
     else:
-        note_success(tables, row, now)
+        note_success(row)
 
 
 def note_silence(tables: Tables, upstream: UpstreamId, *, now: float) -> None:
