Send no order to an upstream that has just failed

Cause: orders may not be sent again, yet were spent on finding out whether an upstream is well. The experiment's silent engines now go on reporting, since the harder case is one that looks idle. Change: work that is not idempotent keeps to upstreams without recent failures.

--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -127,7 +127,20 @@
 
         found.append((row, outstanding))
 
-    return found
+    return found if work.repeatable else keep_trusted(found)
+
+
+def keep_trusted(
+    found: list[tuple[UpstreamRow, float]],
+) -> list[tuple[UpstreamRow, float]]:
+    """Return the upstreams without a recent failure, or all if each has one.
+
+    Failure guarded against: an order sent to an upstream that has just failed, or
+    comes back on trial, may be lost, and may not be sent again. Idempotent work finds
+    out whether the upstream is well.
+    """
+    trusted = [pair for pair in found if not pair[0].probing and not pair[0].failures]
+    return trusted or found
 
 
 def estimate_row(
--- a/src/waxwingwell/experiments/feeds.py
+++ b/src/waxwingwell/experiments/feeds.py
@@ -52,12 +52,10 @@
         return
 
     now = world.clock.now
-    if not engine.silent:
-        report = report_load(engine)
-        call_at(
-            world.clock, now + REPORT_LAG, lambda: hear_load(world, engine, report, now)
-        )
-
+    report = report_load(engine)
+    call_at(
+        world.clock, now + REPORT_LAG, lambda: hear_load(world, engine, report, now)
+    )
     call_at(world.clock, now + REPORT_EVERY, lambda: feed_load(world, engine))
 
 
--- a/tests/decisions/test_upstreams.py
+++ b/tests/decisions/test_upstreams.py
@@ -151,6 +151,26 @@
 
         self.assertEqual(len(homes), 1)
 
+    def test_sends_no_order_to_one_that_just_failed(self) -> None:
+        """An upstream fails a question; the next order would be sent there as well.
+
+        Orders run at most once, so a lost one can't be sent again. Questions go on to
+        show whether the upstream is well.
+        """
+        cases = {"failed": {"failures": 1}, "on trial": {"probing": True}}
+        for name, changes in cases.items():
+            with self.subTest(name):
+                near = make_row("a", **changes)
+                tables = make_tables(near, make_row("b", data_centre="cmc"))
+                chosen = [
+                    choose_upstream(tables, work, VERSION, now=1.0, draw=0.0)
+                    for work in (make_work(repeatable=False), make_work())
+                ]
+                names = [
+                    one.upstream for one in chosen if isinstance(one, UpstreamChoice)
+                ]
+                self.assertEqual(names, [B, A])
+
     def test_turns_away_from_a_stale_report(self) -> None:
         """Ten requests arrive between two load reports.
 
