--- a/src/waxwingwell/experiments/__init__.py
+++ b/src/waxwingwell/experiments/__init__.py
@@ -1,3 +1,1 @@
-"""Seeded experiments that drive the real decision code over table-level fakes."""
-
-from __future__ import annotations
+"""Seeded experiments that drive the real decisions over table-level fakes."""
--- a/src/waxwingwell/experiments/engines.py
+++ b/src/waxwingwell/experiments/engines.py
@@ -18,7 +18,7 @@
 from ..records import LoadReport
 from .events import Clock
 from .events import call_at
-from .traffic import Request
+from .fleet_traffic import Request
 
 
 CHUNK_TOKENS = 512
--- a/src/waxwingwell/experiments/entries.py
+++ b/src/waxwingwell/experiments/entries.py
@@ -22,11 +22,11 @@
 from ..records import WorkspaceId
 from .engines import Engine
 from .engines import count_cached
-from .traffic import Request
+from .fleet_traffic import Request
 
 
 if TYPE_CHECKING:
-    from .traffic import Profile
+    from .fleet_traffic import Profile
 
 
 VERSION = VersionId("assistant@1")
--- a/src/waxwingwell/experiments/fleet.py
+++ b/src/waxwingwell/experiments/fleet.py
@@ -12,6 +12,7 @@
 
 from .entries import LEAST_IN_FLIGHT
 from .entries import REAL
+from .fleet_traffic import PROFILES
 from .measures import Measures
 from .measures import Spread
 from .measures import spread_values
@@ -22,7 +23,6 @@
 from .scenarios import STORM_LOAD
 from .scenarios import SWEEP_LOADS
 from .scenarios import run_scenario
-from .traffic import PROFILES
 
 
 if TYPE_CHECKING:
--- a/src/waxwingwell/experiments/scenarios.py
+++ b/src/waxwingwell/experiments/scenarios.py
@@ -13,8 +13,8 @@
 from .entries import REAL
 from .entries import Policy
 from .events import call_at
+from .fleet_traffic import make_traffic
 from .measures import measure_run
-from .traffic import make_traffic
 from .world import Storm
 from .world import make_world
 from .world import run_world
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from .engines import Engine
+    from .fleet_traffic import Profile
     from .measures import Measures
-    from .traffic import Profile
 
 
 WARM_UP = 25.0
--- a/src/waxwingwell/experiments/traffic.py
+++ b/src/waxwingwell/experiments/traffic.py
@@ -1,181 +1,271 @@
-"""Traffic of the experiments: sessions with growing prompts, orders, tags, reports."""
+"""One policy over one world's traffic: cost, quality and exposure."""
 
 from __future__ import annotations
 
+import heapq
+import random
 from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..decisions.tables import Work
-from ..records import Priority
-from ..records import WorkKind
-from ..records import WorkspaceId
+from ..decisions.evidence import note_rating
+from ..decisions.evidence import note_sent
+from ..decisions.evidence import note_unrated
+from ..decisions.tables import Refusal
+from ..decisions.versions import choose_version
+from ..records import VersionId
+from .worlds import KINDS
+from .worlds import RATING_PRICE
+from .worlds import Cell
+from .worlds import World
+from .worlds import draw_answers
+from .worlds import find_oracle_plan
+from .worlds import make_request
 
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-    from random import Random
+    from collections.abc import Callable
 
+    from ..decisions.tables import Work
 
-@dataclass(frozen=True, slots=True)
-class KindShape:
-    """Sizes of one kind of work, in tokens; means of exponential parts."""
+    Policy = Callable[[World, Work, Cell, float, dict[VersionId, float]], "Served"]
 
-    priority: Priority
-    share: float
-    """Of the requests, sessions' later turns included."""
-    prompt: int
-    answer: int
-    turns: int = 1
-    """Turns of a session; 1 for work without one."""
-    spread: float = 1.0
-    """Exponential part of the answer's length; the rest is fixed."""
+REQUESTS = 5000
+"""Requests of each workspace and kind."""
+GAP = 0.05
+"""Seconds between two requests of the deployment."""
+RATING_LAG = 10.0
+"""Mean seconds until a rating arrives; exponential."""
+MISSING = 0.05
+"""Share of ratings that never arrive."""
+SESSION_LENGTH = 4
 
 
 @dataclass(frozen=True, slots=True)
-class Profile:
-    """A deployment: its data centres, engines, entries and traffic."""
-
-    name: str
-    data_centres: tuple[str, ...]
-    one_way: float
-    """Seconds between two data centres."""
-    engines: int
-    entries: int
-    capacity: int
-    """Requests that one engine runs side by side at full speed."""
-    decode_rate: float
-    """Tokens a second of one request at light load."""
-    prefill_rate: float
-    cache_tokens: int
-    """Prefix cache of one engine."""
-    shapes: tuple[KindShape, ...]
-    workspaces: int = 10
-    think_time: float = 12.0
-    """Seconds between two turns of a session."""
+class Served:
+    """What one request cost, and the answer that was served."""
 
+    cost: float
+    quality: float
+    version: VersionId
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """One request of the traffic, the same for every policy of a seed."""
-
-    at: float
-    work: Work
-    entry: int
-    answer: int
-    """Tokens that the answer has; the policies know only the kind's mean."""
-
-
-ENTOTO = Profile(
-    name="entoto",
-    data_centres=("bole", "kazanchis", "cmc"),
-    one_way=0.004,
-    engines=6,
-    entries=8,
-    capacity=16,
-    decode_rate=50.0,
-    prefill_rate=16_000.0,
-    cache_tokens=150_000,
-    shapes=(
-        KindShape(Priority.ORDER, 0.10, 300, 40, spread=0.3),
-        KindShape(Priority.QUESTION, 0.60, 2000, 150, turns=8),
-        KindShape(Priority.TAG, 0.15, 400, 20),
-        KindShape(Priority.REPORT, 0.15, 3000, 600),
-    ),
-)
-FRIO = Profile(
-    name="frio",
-    data_centres=("balcarce", "tandil", "mdp"),
-    one_way=0.003,
-    engines=9,
-    entries=9,
-    capacity=16,
-    decode_rate=40.0,
-    prefill_rate=12_000.0,
-    cache_tokens=150_000,
-    shapes=(
-        KindShape(Priority.ORDER, 0.08, 250, 40, spread=0.3),
-        KindShape(Priority.QUESTION, 0.47, 1500, 120, turns=6),
-        KindShape(Priority.TAG, 0.30, 500, 20),
-        KindShape(Priority.REPORT, 0.15, 4000, 700),
-    ),
-)
-PROFILES = {profile.name: profile for profile in (ENTOTO, FRIO)}
-TEMPLATE_TOKENS = 250
-"""Tokens of the workspace's own instructions at the start of each prompt."""
-FULL_SPEED = 0.78
-"""Decode speed of an engine that is full and reads prompts most of the time."""
-TURN_TOKENS = 60
-"""Tokens that a caller adds in each later turn."""
-
-
-def compute_capacity(profile: Profile, shapes: Sequence[KindShape]) -> float:
-    """Return the requests a second that full batches bear, were ``shapes`` all.
-
-    The shares of ``shapes`` need not add up to 1: the result is for all shares.
-    """
-    rate = profile.decode_rate * FULL_SPEED
-    seconds = sum(shape.share * shape.answer / rate for shape in shapes)
-    return profile.engines * profile.capacity / seconds
-
-
-def make_traffic(
-    profile: Profile,
-    random: Random,
-    *,
-    load: float,
-    duration: float,
-    only_sessions: bool = False,
-) -> list[Request]:
-    """Return requests at ``load`` times what the engines can bear, by time."""
-    requests: list[Request] = []
-    shapes = [shape for shape in profile.shapes if shape.turns > 1 or not only_sessions]
-    per_second = compute_capacity(profile, shapes) * load
-    for shape in shapes:
-        rate = per_second * shape.share / shape.turns
-        lead = shape.turns * profile.think_time
-        at = -lead
-        while (at := at + random.expovariate(rate)) < duration:
-            requests += make_session(profile, shape, random, at, duration)
-
-    requests.sort(key=lambda request: request.at)
-    return requests
-
-
-def make_session(
-    profile: Profile, shape: KindShape, random: Random, start: float, duration: float
-) -> list[Request]:
-    """Return a session's requests within [0, duration)."""
-    workspace = WorkspaceId(f"w{int(profile.workspaces * random.random() ** 2)}")
-    name = f"{random.getrandbits(48):012x}"
-    kind = WorkKind(shape.priority.value, shape.priority, 0.8)
-    body = 50 + int(random.expovariate(1.0 / shape.prompt))
-    tokens = [TEMPLATE_TOKENS + body]
-    digests = [f"{name}.0"]
-    requests = []
-    at = start
-    for turn in range(shape.turns):
-        varied = shape.spread * random.expovariate(1.0)
-        answer = max(int(shape.answer * (1.0 - shape.spread + varied)), 4)
-        if 0.0 <= at < duration:
-            work = Work(
-                request=f"{name}.{turn}",
-                workspace=workspace,
-                kind=kind,
-                priority=shape.priority,
-                session=name if shape.turns > 1 else "",
-                stream=True,
-                repeatable=shape.priority is not Priority.ORDER,
-                prompt_tokens=tokens[-1],
-                answer_tokens=shape.answer,
-                prefixes=(*reversed(digests), f"template.{workspace}"),
-                prefix_tokens=(*reversed(tokens), TEMPLATE_TOKENS),
-            )
-            requests.append(
-                Request(at, work, random.randrange(profile.entries), answer)
+
+@dataclass(frozen=True, order=True, slots=True)
+class UnderWay:
+    """A rating under way, ordered by the time when it is due."""
+
+    due: float
+    number: int
+    cell: Cell
+    version: VersionId
+    rating: float
+    missing: bool
+    escalated: bool
+
+
+@dataclass(slots=True)
+class Tally:
+    """Sums over the traffic of one policy."""
+
+    cost: float = 0.0
+    exposed: int = 0
+    """Answers by the version that turned bad, after its turn."""
+    waits: float = 0.0
+    """Answers awaited one after the other, summed over requests."""
+    requests: int = 0
+    quality: dict[Cell, list[float]] = field(default_factory=dict)
+    """Sum and number of answers."""
+    ratings: list[UnderWay] = field(default_factory=list)
+    plans: dict[Cell, tuple[bool, tuple[VersionId, ...], float]] = field(
+        default_factory=dict
+    )
+    """The oracle's plan of each cell, with the world's state it holds for."""
+    chance: random.Random = field(default_factory=random.Random)
+
+
+def run_traffic(world: World, name: str, seed: int) -> Tally:
+    """Send the same requests through the policy called ``name``."""
+    tally = Tally(chance=random.Random(f"{name}/{seed}"))
+    world.turned = False
+    world.rng.seed(f"traffic/{seed}")
+    cells = [
+        (workspace, kind) for workspace in world.tables.workspaces for kind in KINDS
+    ]
+    total = REQUESTS * len(cells)
+    turn_at = int(total * world.rng.uniform(0.3, 0.7))
+    pins: dict[str, VersionId] = {}
+    for number in range(total):
+        now = 1000.0 + number * GAP
+        world.turned = number >= turn_at
+        workspace, kind = cells[number % len(cells)]
+        cell = (workspace, kind.name)
+        answers = draw_answers(world, cell)
+        work = make_request(workspace, kind, str(number))
+        if kind.name == "question":
+            session = f"{workspace}/{number // (len(cells) * SESSION_LENGTH)}"
+            work = replace(work, session=session, stream=True)
+            if session in pins:
+                work = replace(work, pinned=pins[session])
+
+        _deliver_ratings(world, tally, now)
+        served = POLICIES[name](world, tally, work, cell, now, answers)
+        if work.session:
+            pins.setdefault(work.session, served.version)
+
+        _count(world, tally, cell, served)
+
+    return tally
+
+
+def _serve_router(
+    world: World,
+    tally: Tally,
+    work: Work,
+    cell: Cell,
+    now: float,
+    answers: dict[VersionId, float],
+) -> Served:
+    tables = world.tables
+    choice = choose_version(tables, work, now=now, draw=tally.chance.random())
+    if isinstance(choice, Refusal):
+        raise AssertionError(choice.message)
+
+    tally.waits += len(choice.plan) - 1
+    cost = 0.0
+    for version in choice.plan[:-1]:
+        cost += world.prices[version] + RATING_PRICE
+        note_sent(tables, work, version, rate=True, now=now, served=False)
+        if tally.chance.random() < MISSING:
+            note_unrated(tables, work.workspace, work.kind, version)
+            continue
+
+        stops = answers[version] >= choice.threshold
+        note_rating(
+            tables,
+            work.workspace,
+            work.kind,
+            version,
+            answers[version],
+            now,
+            served=stops,
+        )
+        if stops:
+            tally.waits -= 1.0
+            return Served(cost, answers[version], version)
+
+    last = choice.plan[-1]
+    cost += world.prices[last]
+    escalated = len(choice.plan) > 1
+    note_sent(
+        tables,
+        work,
+        last,
+        rate=choice.rate,
+        now=now,
+        explored=choice.explored,
+        escalated=escalated,
+    )
+    if choice.rate:
+        cost += RATING_PRICE
+        due = now + tally.chance.expovariate(1.0 / RATING_LAG)
+        missing = tally.chance.random() < MISSING
+        rating = UnderWay(
+            due, tally.requests, cell, last, answers[last], missing, escalated
+        )
+        heapq.heappush(tally.ratings, rating)
+
+    return Served(cost, answers[last], last)
+
+
+def _serve_best(
+    world: World,
+    tally: Tally,
+    work: Work,
+    cell: Cell,
+    now: float,
+    answers: dict[VersionId, float],
+) -> Served:
+    best = world.versions[-1]
+    return Served(world.prices[best], answers[best], best)
+
+
+def _serve_cheapest(
+    world: World,
+    tally: Tally,
+    work: Work,
+    cell: Cell,
+    now: float,
+    answers: dict[VersionId, float],
+) -> Served:
+    cheapest = world.versions[0]
+    return Served(world.prices[cheapest], answers[cheapest], cheapest)
+
+
+def _serve_oracle(
+    world: World,
+    tally: Tally,
+    work: Work,
+    cell: Cell,
+    now: float,
+    answers: dict[VersionId, float],
+) -> Served:
+    known = tally.plans.get(cell)
+    if known is None or known[0] != world.turned:
+        found = find_oracle_plan(world, cell)
+        known = tally.plans[cell] = (world.turned, found.plan, found.threshold)
+
+    _, plan, threshold = known
+    cost = 0.0
+    for version in plan[:-1]:
+        cost += world.prices[version] + RATING_PRICE
+        if answers[version] >= threshold:
+            return Served(cost, answers[version], version)
+
+        tally.waits += 1.0
+
+    last = plan[-1]
+    return Served(cost + world.prices[last], answers[last], last)
+
+
+POLICIES = {
+    "router": _serve_router,
+    "always best": _serve_best,
+    "always cheapest": _serve_cheapest,
+    "oracle": _serve_oracle,
+}
+
+
+def _deliver_ratings(world: World, tally: Tally, now: float) -> None:
+    kinds = {kind.name: kind for kind in KINDS}
+    while tally.ratings and tally.ratings[0].due <= now:
+        item = heapq.heappop(tally.ratings)
+        workspace, name = item.cell
+        if item.missing:
+            note_unrated(
+                world.tables,
+                workspace,
+                kinds[name],
+                item.version,
+                escalated=item.escalated,
             )
+            continue
+
+        note_rating(
+            world.tables,
+            workspace,
+            kinds[name],
+            item.version,
+            item.rating,
+            item.due,
+            escalated=item.escalated,
+        )
 
-        at += answer / profile.decode_rate + random.expovariate(1 / profile.think_time)
-        tokens.append(tokens[-1] + answer + TURN_TOKENS)
-        digests.append(f"{name}.{turn + 1}")
 
-    return requests
+def _count(world: World, tally: Tally, cell: Cell, served: Served) -> None:
+    tally.requests += 1
+    tally.cost += served.cost
+    tally.exposed += int(world.turned and served.version == world.turning)
+    sums = tally.quality.setdefault(cell, [0.0, 0.0])
+    sums[0] += served.quality
+    sums[1] += 1.0
--- a/src/waxwingwell/experiments/world.py
+++ b/src/waxwingwell/experiments/world.py
@@ -39,8 +39,8 @@
 from .events import call_at
 from .events import run_until
 from .feeds import start_feeds
-from .traffic import Profile
-from .traffic import Request
+from .fleet_traffic import Profile
+from .fleet_traffic import Request
 
 
 TICK = 0.1
--- a/src/waxwingwell_standins/listener.py
+++ b/src/waxwingwell_standins/listener.py
@@ -32,6 +32,7 @@
 
 LOOPBACK = "127.0.0.1"
 JSON_TYPE = b"application/json"
+OUTCOME_HEADER = b"X-Outcome"
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
@@ -55,13 +56,13 @@
     def log(self, request: Request) -> None:
         """Write nothing: a log line costs more than the request here."""
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build a channel and remember its transport until it is lost."""
         channel: Any = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
         lost: Deferred[None] = Deferred()
         connect, lose = channel.makeConnection, channel.connectionLost
 
-        def remember(transport: Any) -> None:  # noqa: ANN401
+        def remember(transport: Any) -> None:
             self.open_transports[transport] = lost
             connect(transport)
             channel.transport = transport
@@ -134,8 +135,15 @@
     code: str,
     message: str,
     retry_after: float | None = None,
+    not_run: bool = False,
 ) -> bytes:
-    """Return an error in the shape of the OpenAI API."""
+    """Return an error in the shape of the OpenAI API.
+
+    ``not_run`` marks a refusal after which nothing was done.
+    """
+    if not_run:
+        request.setHeader(OUTCOME_HEADER, b"not_run")
+
     if retry_after is not None:
         request.setHeader(b"Retry-After", f"{retry_after:g}".encode())
 
--- a/src/waxwingwell_standins/pipes.py
+++ b/src/waxwingwell_standins/pipes.py
@@ -109,9 +109,7 @@
         lost = self.table.lost.pop(self)
         for end in self.pair.ends:
             if end is not self and not self.pair.silent:
-                transport: Any = end.transport
-                transport.unregisterProducer()
-                transport.loseConnection()
+                call_later(self.table, self.pair.delay, closer(end))
 
         if all(end not in self.table.lost for end in self.pair.ends):
             forget_pair(self.table, self.pair)
@@ -119,6 +117,18 @@
         lost.callback(None)
 
 
+def closer(end: End) -> Callable[[], None]:
+    """Return a function that closes a connection after its last bytes."""
+
+    def close() -> None:
+        transport: Any = end.transport
+        if end in end.table.lost:
+            transport.unregisterProducer()
+            transport.loseConnection()
+
+    return close
+
+
 def pass_on(end: End, data: bytes) -> None:
     """Write bytes to the other connection of the pair."""
     for other in end.pair.ends:
@@ -167,13 +177,13 @@
         self.pair = pair
         self.on_failed = on_failed
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build the second connection."""
         return End(self.table, self.pair)
 
     def clientConnectionFailed(  # noqa: N802
         self,
-        connector: Any,  # noqa: ANN401
+        connector: Any,
         reason: Failure,
     ) -> None:
         """Tell that there is no second connection."""
@@ -190,7 +200,7 @@
         self.table = table
         self.on_pair = on_pair
 
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: ANN401, N802
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Build the first connection and look for the second."""
         pair = Pair()
         self.table.pairs.append(pair)
@@ -210,7 +220,7 @@
     get_reactor().connectTCP(host, int(port), factory, timeout=CONNECT_TIMEOUT)
 
 
-def stop_pipes(table: PipeTable, listening: Any) -> Deferred[None]:  # noqa: ANN401
+def stop_pipes(table: PipeTable, listening: Any) -> Deferred[None]:
     """Stop listening and cut every pair; fires once all have gone."""
     if listening is None:
         return succeed(None)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -48,7 +48,7 @@
 class EngineTest(AsyncTestCase):
     """Each test talks to an engine over loopback."""
 
-    def start(self, **settings: Any) -> Engine:  # noqa: ANN401
+    def start(self, **settings: Any) -> Engine:
         engine = start_engine(EngineSettings(versions=(VERSION,), **settings))
         self.addCleanup(engine.stop)
         return engine
@@ -139,6 +139,7 @@
         engine = self.start(faults=EngineFaults(times=1, refuse=True))
         refused = await send("POST", engine.url + "/v1/chat/completions", ASK)
         self.assertEqual(refused.code, 503)
+        self.assertEqual(refused.headers.getRawHeaders("X-Outcome"), ["not_run"])
         await treq.content(refused)
         self.assertEqual(engine.runs, {})
 
