--- /dev/null
+++ b/src/waxwingwell/commands/experiment.py
@@ -0,0 +1,94 @@
+"""``waxwingwell experiment``: measure the decisions against baselines."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+DEFAULT_SEEDS = 20
+
+
+class Report(Protocol):
+    """What each experiment gives."""
+
+    def render(self) -> str:
+        """Return the report as text."""
+
+    def to_json(self) -> str:
+        """Return the report as JSON."""
+
+
+def run_experiment(
+    name: str,
+    profile: str = "entoto",
+    seeds: int = DEFAULT_SEEDS,
+    out: str = "",
+    plot: bool = False,
+) -> None:
+    """Run an experiment and print its report.
+
+    Args:
+        name: ``fleet`` (upstreams, priorities, overload) or ``quality`` (versions,
+            roll-outs).
+        profile: ``entoto`` or ``frio``.
+        seeds: how many seeded runs each figure rests on; 20 or more for a claim.
+        out: folder for the JSON report and the plots; made if it is missing.
+        plot: draw plots into ``out`` as well (needs matplotlib).
+    """
+    runners = {"fleet": run_fleet_experiment, "quality": run_quality_experiment}
+    if name not in runners:
+        raise SystemExit(f"experiment: name: {name!r} is not one of {sorted(runners)}")
+
+    if plot and not out:
+        raise SystemExit("experiment: plot: needs a folder, say --out=FOLDER")
+
+    report = run_or_leave(runners[name], profile, seeds)
+    print(report.render())
+    if out:
+        write_report(report, Path(out), f"{name}-{profile}", plot=plot)
+
+
+def run_or_leave(run: Callable[[str, int], Report], profile: str, seeds: int) -> Report:
+    """Run an experiment; a wrong argument ends the command with its reason."""
+    try:
+        return run(profile, seeds)
+    except ValueError as error:
+        raise SystemExit(f"experiment: {error}") from None
+
+
+def run_fleet_experiment(profile: str, seeds: int) -> Report:
+    """Run the fleet experiment."""
+    from ..experiments.fleet import run_fleet
+
+    return run_fleet(profile, seeds, note=print)
+
+
+def run_quality_experiment(profile: str, seeds: int) -> Report:
+    """Run the quality experiment."""
+    from ..experiments.quality import run_quality
+
+    report: Report = run_quality(profile, seeds)
+    return report
+
+
+def write_report(report: Report, folder: Path, stem: str, *, plot: bool) -> None:
+    """Write the report as JSON, and its plots if they are wanted."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{stem}.json"
+    path.write_text(report.to_json() + "\n")
+    print(f"written: {path}")
+    if not plot:
+        return
+
+    from ..experiments.fleet import FleetReport
+    from ..experiments.plots import plot_fleet
+
+    if isinstance(report, FleetReport):
+        for drawn in plot_fleet(report, folder, stem):
+            print(f"written: {drawn}")
--- a/src/waxwingwell/decisions/admission.py
+++ b/src/waxwingwell/decisions/admission.py
@@ -13,6 +13,7 @@
 
 from .queue import estimate_queue_wait
 from .rates import count_event
+from .rates import decay_rate
 from .tables import Refusal
 from .tables import WorkspaceDemand
 
@@ -27,6 +28,8 @@
 """Length of a burst at full rate that the token bucket lets through."""
 RATE_WINDOW = 3.0
 """Seconds over which the offered rate is smoothed."""
+LEAST_RATE = 0.001
+"""Requests a second below which a workspace counts as idle."""
 MIN_SHARE = 0.02
 """Share of a limit that an entry may use although it has had no demand of late."""
 MIN_RETRY_AFTER = 0.5
@@ -66,6 +69,18 @@
     return Admitted(wait)
 
 
+def smooth_demand(tables: Tables, now: float) -> None:
+    """Let the offered rates decay; run it each tick, before demand is told to others.
+
+    Failure guarded against: a rate is counted up by requests only, so an entry whose
+    callers have gone would keep its old share of a limit from the others for good.
+    """
+    for demand in tables.demand.values():
+        rate = decay_rate(demand.rate, demand.rated_at, RATE_WINDOW, now)
+        demand.rate = rate if rate >= LEAST_RATE else 0.0
+        demand.rated_at = max(now, demand.rated_at)
+
+
 def check_limits(demand: WorkspaceDemand, limits: Limits, work: Work) -> Refusal | None:
     """Return why the workspace's own limits stand against one more request."""
     if demand.in_flight >= share_in_flight(demand, limits):
--- a/src/waxwingwell/experiments/feeds.py
+++ b/src/waxwingwell/experiments/feeds.py
@@ -9,7 +9,6 @@
 from ..decisions.load import trim_times
 from ..decisions.prefixes import note_evicted
 from ..decisions.prefixes import remember_prefixes
-from ..decisions.rates import decay_rate
 from ..records import UpstreamId
 from .engines import report_load
 from .events import call_at
@@ -33,7 +32,6 @@
 """Share of cache events that never arrive."""
 DEMAND_EVERY = 0.5
 DEMAND_LAG = 0.2
-RATE_WINDOW = 3.0
 
 
 def start_feeds(world: World) -> None:
@@ -108,7 +106,7 @@
     now = world.clock.now
     for workspace in world.entries[0].tables.demand:
         rows = [entry.tables.demand[workspace] for entry in world.entries]
-        rates = [decay_rate(row.rate, row.rated_at, RATE_WINDOW, now) for row in rows]
+        rates = [row.rate for row in rows]
         held = [row.in_flight for row in rows]
         for row, rate, count in zip(rows, rates, held, strict=True):
             heard = partial(hear_demand, row, sum(rates) - rate, sum(held) - count)
--- a/src/waxwingwell/experiments/world.py
+++ b/src/waxwingwell/experiments/world.py
@@ -10,6 +10,7 @@
 
 from ..decisions.admission import admit
 from ..decisions.admission import release
+from ..decisions.admission import smooth_demand
 from ..decisions.queue import place_work
 from ..decisions.queue import remove_waiting
 from ..decisions.queue import shed_expired
@@ -155,6 +156,7 @@
 def run_ticks(world: World, entry: Entry) -> None:
     """Run an entry's systems now and every tick."""
     now = world.clock.now
+    smooth_demand(entry.tables, now)
     for taken in shed_expired(entry.tables, now):
         finish_call(world, world.calls[taken.waiting.work.request], "refused")
 
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -10,6 +10,7 @@
 from waxwingwell.decisions.admission import Admitted
 from waxwingwell.decisions.admission import admit
 from waxwingwell.decisions.admission import release
+from waxwingwell.decisions.admission import smooth_demand
 from waxwingwell.decisions.queue import put_waiting
 from waxwingwell.decisions.tables import Refusal
 from waxwingwell.decisions.tables import WorkspaceDemand
@@ -81,6 +82,22 @@
         self.assertLessEqual(admitted, 60)
         self.assertGreaterEqual(admitted, 40)
 
+    def test_idle_entry_gives_its_share_back(self) -> None:
+        """A workspace's callers move from one entry to another.
+
+        Did the old entry go on telling its rate, the new one would keep to half of
+        the limit for good.
+        """
+        tables = make_tables()
+        for number in range(20):
+            admit(tables, make_work(f"r{number}"), 1.0)
+
+        self.assertGreater(tables.demand[WORKSPACE].rate, 5.0)
+        for second in range(2, 60):
+            smooth_demand(tables, float(second))
+
+        self.assertEqual(tables.demand[WORKSPACE].rate, 0.0)
+
     @given(
         events=st.lists(
             st.tuples(st.booleans(), st.floats(0.0, 2.0), st.integers(0, 5)),
--- a/tests/decisions/test_upstreams.py
+++ b/tests/decisions/test_upstreams.py
@@ -157,7 +157,10 @@
         Orders run at most once, so a lost one can't be sent again. Questions go on to
         show whether the upstream is well.
         """
-        cases = {"failed": {"failures": 1}, "on trial": {"probing": True}}
+        cases: dict[str, dict[str, Any]] = {
+            "failed": {"failures": 1},
+            "on trial": {"probing": True},
+        }
         for name, changes in cases.items():
             with self.subTest(name):
                 near = make_row("a", **changes)
