Make one choice cheaper

Change: prefixes shorter than a nearly sure one are not looked at, bounds are read once for a choice, empty time lists are not searched.

--- a/src/waxwingwell/decisions/load.py
+++ b/src/waxwingwell/decisions/load.py
@@ -61,15 +61,23 @@
     if report is None:
         return row.in_flight * scale
 
-    sent = len(row.dispatched) - bisect_right(row.dispatched, row.heard_at)
-    ended = len(row.finished) - bisect_right(row.finished, row.heard_at)
-    change = (sent - ended) * (1.0 + (scale - 1.0) * OTHERS_WEIGHT)
-    return max(report.running + report.queued + change, float(row.in_flight))
+    since = row.heard_at
+    change = count_since(row.dispatched, since) - count_since(row.finished, since)
+    scaled = change * (1.0 + (scale - 1.0) * OTHERS_WEIGHT)
+    return max(report.running + report.queued + scaled, float(row.in_flight))
 
 
-def limit_outstanding(row: UpstreamRow, priority: Priority) -> float:
-    """Return how many requests may be there once work of ``priority`` is added."""
-    return max(row.announcement.capacity * BOUNDS[priority], 1.0)
+def count_since(times: list[float], since: float) -> int:
+    """Return how many of the times, oldest first, are later than ``since``."""
+    if not times or times[0] > since:
+        return len(times)
+
+    return len(times) - bisect_right(times, since)
+
+
+def limit_outstanding(row: UpstreamRow, share: float) -> float:
+    """Return how many requests may be there, for a bound out of ``BOUNDS``."""
+    return max(row.announcement.capacity * share, 1.0)
 
 
 def estimate_wait(
--- a/src/waxwingwell/decisions/prefixes.py
+++ b/src/waxwingwell/decisions/prefixes.py
@@ -28,6 +28,8 @@
 """Seconds in which that chance falls to 1/e."""
 HOME_HIT = 0.6
 """Chance that another entry has sent the prefix to the session's home."""
+SURE = 0.06
+"""Chance of a miss below which shorter prefixes are not looked at."""
 KEPT_PREFIXES = 4096
 """Prefixes remembered for one upstream; the oldest are dropped."""
 KEPT_HOMES = 20_000
@@ -44,15 +46,16 @@
     for digest, tokens in zip(work.prefixes, work.prefix_tokens, strict=False):
         sent_at = known.get(digest)
         if sent_at is not None:
-            chance = HIT_START * exp((sent_at - now) / HIT_DECAY)
+            chance = HIT_START * exp(min(sent_at - now, 0.0) / HIT_DECAY)
         elif is_home:
             chance = HOME_HIT
         else:
             continue
 
-        chance = min(chance, HIT_START)
         expected += missing * chance * tokens
         missing *= 1.0 - chance
+        if missing < SURE:
+            break
 
     return min(expected, float(work.prompt_tokens))
 
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -16,6 +16,7 @@
 from .ejection import lift_ejection
 from .ejection import note_failure
 from .ejection import note_success
+from .load import BOUNDS
 from .load import estimate_outstanding
 from .load import estimate_scale
 from .load import estimate_wait
@@ -62,7 +63,7 @@
     """``home``, ``prefix``, ``load`` or ``only``; for traces and metrics."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Estimate:
     """What one upstream promises for one request, in seconds and tokens."""
 
@@ -116,10 +117,11 @@
 ) -> list[tuple[UpstreamRow, float]]:
     """Return the upstreams with room for the work, and what each holds now."""
     scale = estimate_scale(tables)
+    share = BOUNDS[work.priority]
     found = []
     for row in rows:
         outstanding = estimate_outstanding(row, scale)
-        if outstanding + 1.0 > limit_outstanding(row, work.priority):
+        if outstanding + 1.0 > limit_outstanding(row, share):
             continue
 
         if row.probing and row.in_flight > 0:
