Plan the loads of versions ahead of roll-out stages

Cause: a stage must not begin before its weights are there, and the weight store is rate-limited. Change: plan_loads gives desired-state orders; holders for the next stage are loaded during the present one, spread over data centres, one load at a time for each upstream; loads that never end are given up and tried elsewhere.

--- /dev/null
+++ b/src/waxwingwell/decisions/loading.py
@@ -0,0 +1,283 @@
+"""Decide which upstreams should hold which versions, ahead of a roll-out's stages.
+
+The result is desired state: an order names every version that an upstream should
+hold and is repeated until the upstream reports it. Only reported versions are ever
+routed to. Failure guarded against: a stage that begins before its weights are there
+sends its sessions to the few holders, and a whole fleet loading at once takes the
+weight store's rate from the load that is needed first.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from dataclasses import dataclass
+from dataclasses import field
+from math import ceil
+from typing import TYPE_CHECKING
+
+from ..records import RolloutStatus
+from ..records import UpstreamId
+from ..records import UpstreamKind
+from ..records import VersionId
+from ..records import VersionStatus
+
+
+if TYPE_CHECKING:
+    from ..records import Rollout
+    from .tables import Tables
+    from .tables import UpstreamRow
+
+
+MIN_HOLDERS = 2
+"""Holders of each version that takes work, so that one may fail."""
+MAX_VERSIONS = 4
+"""Versions that one upstream is asked to hold at once."""
+LOAD_TIMEOUT = 300.0
+"""Seconds after which an ordered load that was not reported is given up."""
+MINUTE = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStore:
+    """What the weight store bears, as the operators know it."""
+
+    loads_per_minute: float = 6.0
+    max_at_once: int = 2
+
+
+@dataclass(slots=True)
+class Loading:
+    """Loads that were ordered; kept by whoever leads, empty for a new leader."""
+
+    ordered: dict[tuple[UpstreamId, VersionId], float] = field(default_factory=dict)
+    """When each load that is not reported yet was first ordered."""
+    starts: list[float] = field(default_factory=list)
+    """Times of the orders of the last minute, oldest first."""
+    given_up: dict[tuple[UpstreamId, VersionId], float] = field(default_factory=dict)
+    """When a load timed out; it is tried elsewhere, and here only after a while."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """All versions that one upstream should hold."""
+
+    upstream: UpstreamId
+    versions: tuple[VersionId, ...]
+    fencing: int = 0
+    """Filled in by the leader that sends it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Holders that a version should have, and those it has or will have."""
+
+    version: VersionId
+    wanted: int
+    held: int
+
+
+def plan_loads(
+    tables: Tables, loading: Loading, store: WeightStore, now: float
+) -> list[LoadOrder]:
+    """Return an order for each upstream that does not hold what it should.
+
+    Run it each tick; it starts new loads within the store's rate and repeats the
+    orders that are not fulfilled yet.
+    """
+    rows = list_live(tables, now)
+    settle_loads(loading, rows, now)
+    while has_load_room(loading, store, now):
+        need = find_greatest_need(tables, loading, rows)
+        if need is None:
+            break
+
+        row = pick_holder(loading, rows, need.version)
+        if row is None:
+            break
+
+        loading.ordered[row.announcement.upstream, need.version] = now
+        loading.starts.append(now)
+
+    return make_orders(tables, loading, rows)
+
+
+def list_live(tables: Tables, now: float) -> list[UpstreamRow]:
+    """Return the model engines that may be given orders."""
+    return [
+        row
+        for row in tables.upstreams.values()
+        if not row.left
+        and row.expires_at > now
+        and not row.announcement.leaving
+        and row.announcement.kind is UpstreamKind.MODEL
+    ]
+
+
+def settle_loads(loading: Loading, rows: list[UpstreamRow], now: float) -> None:
+    """Forget the loads that are reported or whose upstream is gone; time out others."""
+    held = {row.announcement.upstream: row.announcement.versions for row in rows}
+    for spot, ordered_at in list(loading.ordered.items()):
+        upstream, version = spot
+        if upstream not in held or version in held[upstream]:
+            del loading.ordered[spot]
+        elif now - ordered_at > LOAD_TIMEOUT:
+            del loading.ordered[spot]
+            loading.given_up[spot] = now
+
+    for spot, since in list(loading.given_up.items()):
+        if now - since > LOAD_TIMEOUT:
+            del loading.given_up[spot]
+
+
+def has_load_room(loading: Loading, store: WeightStore, now: float) -> bool:
+    """Return whether the weight store bears one more load now."""
+    del loading.starts[: bisect_right(loading.starts, now - MINUTE)]
+    if len(loading.ordered) >= store.max_at_once:
+        return False
+
+    return len(loading.starts) + 1 <= store.loads_per_minute
+
+
+def find_greatest_need(
+    tables: Tables, loading: Loading, rows: list[UpstreamRow]
+) -> Need | None:
+    """Return the version that lacks the greatest share of its holders, if any does."""
+    needs = [
+        need for need in list_needs(tables, loading, rows) if need.held < need.wanted
+    ]
+    if not needs:
+        return None
+
+    return min(needs, key=lambda need: (need.held / need.wanted, need.version))
+
+
+def list_needs(tables: Tables, loading: Loading, rows: list[UpstreamRow]) -> list[Need]:
+    """Return what each version of the catalogue that takes work should have."""
+    needs = []
+    for version, spec in tables.versions.items():
+        if spec.status in (VersionStatus.ENDING, VersionStatus.WITHDRAWN):
+            continue
+
+        rollout = find_rollout(tables, version)
+        wanted = min(count_wanted(rollout, rows), len(rows))
+        coming = sum(1 for _, ordered in loading.ordered if ordered == version)
+        needs.append(Need(version, wanted, count_holders(rows, version) + coming))
+
+    return needs
+
+
+def find_rollout(tables: Tables, version: VersionId) -> Rollout | None:
+    """Return the roll-out that brings the version in, if there is one."""
+    for rollout in tables.rollouts.values():
+        if rollout.candidate == version:
+            return rollout
+
+    return None
+
+
+def count_wanted(rollout: Rollout | None, rows: list[UpstreamRow]) -> int:
+    """Return the holders a version should have, one stage of its roll-out ahead."""
+    if rollout is None:
+        return MIN_HOLDERS
+
+    if rollout.status is RolloutStatus.ROLLED_BACK:
+        return 0
+
+    stages = rollout.pace.stages
+    if rollout.status is RolloutStatus.COMPLETED:
+        share = 1.0
+    elif rollout.status is RolloutStatus.PAUSED:
+        share = stages[min(rollout.stage, len(stages) - 1)]
+    else:
+        share = stages[min(rollout.stage + 1, len(stages) - 1)]
+
+    return count_for_share(rollout, rows, share)
+
+
+def count_for_share(rollout: Rollout, rows: list[UpstreamRow], share: float) -> int:
+    """Return the holders that a share of the incumbent's sessions needs."""
+    serving = {rollout.incumbent, rollout.candidate}
+    pool = sum(1 for row in rows if serving & set(row.announcement.versions))
+    return max(ceil(share * pool), MIN_HOLDERS)
+
+
+def is_stage_loaded(tables: Tables, rollout: Rollout, stage: int, now: float) -> bool:
+    """Return whether enough upstreams report the candidate for a stage to begin."""
+    rows = list_live(tables, now)
+    stages = rollout.pace.stages
+    wanted = count_for_share(rollout, rows, stages[min(stage, len(stages) - 1)])
+    return count_holders(rows, rollout.candidate) >= min(wanted, len(rows))
+
+
+def count_holders(rows: list[UpstreamRow], version: VersionId) -> int:
+    """Return how many upstreams report the version."""
+    return sum(1 for row in rows if version in row.announcement.versions)
+
+
+def pick_holder(
+    loading: Loading, rows: list[UpstreamRow], version: VersionId
+) -> UpstreamRow | None:
+    """Return the upstream that should load the version next, if any may.
+
+    Data centres without a holder go first, then the upstream that holds least. One
+    load at a time for each upstream, since loading slows its answers.
+    """
+    loading_now = {upstream for upstream, _ in loading.ordered}
+    spread: dict[str, int] = {}
+    for row in rows:
+        name = row.announcement.upstream
+        if version in row.announcement.versions or (name, version) in loading.ordered:
+            place = row.announcement.data_centre
+            spread[place] = spread.get(place, 0) + 1
+
+    free = [
+        row
+        for row in rows
+        if version not in row.announcement.versions
+        and row.announcement.upstream not in loading_now
+        and (row.announcement.upstream, version) not in loading.given_up
+        and len(row.announcement.versions) < MAX_VERSIONS
+    ]
+    return min(
+        free,
+        key=lambda row: (
+            spread.get(row.announcement.data_centre, 0),
+            len(row.announcement.versions),
+            row.announcement.upstream,
+        ),
+        default=None,
+    )
+
+
+def make_orders(
+    tables: Tables, loading: Loading, rows: list[UpstreamRow]
+) -> list[LoadOrder]:
+    """Return the orders whose desired state differs from the reported one."""
+    orders = []
+    for row in rows:
+        announcement = row.announcement
+        kept = {
+            version
+            for version in announcement.versions
+            if not should_drop(tables, version)
+        }
+        coming = {
+            version
+            for upstream, version in loading.ordered
+            if upstream == announcement.upstream
+        }
+        desired = kept | coming
+        if desired != set(announcement.versions):
+            orders.append(LoadOrder(announcement.upstream, tuple(sorted(desired))))
+
+    return orders
+
+
+def should_drop(tables: Tables, version: VersionId) -> bool:
+    """Return whether no upstream should hold the version any more.
+
+    A version that ends gracefully stays for its sessions; one that the catalogue does
+    not know is left alone, for the catalogue at hand may be older than the upstream.
+    """
+    spec = tables.versions.get(version)
+    return spec is not None and spec.status is VersionStatus.WITHDRAWN
