--- a/src/waxwingwell/commands/experiment.py
+++ b/src/waxwingwell/commands/experiment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from importlib import import_module
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -12,6 +13,11 @@
 
 
 DEFAULT_SEEDS = 20
+RUNNERS = {
+    "fleet": ("..experiments.fleet", "run_fleet"),
+    "quality": ("..experiments.quality", "run_quality"),
+}
+"""Module and function of each experiment; imported only when it is run."""
 
 
 class Report(Protocol):
@@ -41,19 +47,27 @@
         out: folder for the JSON report and the plots; made if it is missing.
         plot: draw plots into ``out`` as well (needs matplotlib).
     """
-    runners = {"fleet": run_fleet_experiment, "quality": run_quality_experiment}
-    if name not in runners:
-        raise SystemExit(f"experiment: name: {name!r} is not one of {sorted(runners)}")
+    if name not in RUNNERS:
+        raise SystemExit(f"experiment: name: {name!r} is not one of {sorted(RUNNERS)}")
 
     if plot and not out:
         raise SystemExit("experiment: plot: needs a folder, say --out=FOLDER")
 
-    report = run_or_leave(runners[name], profile, seeds)
+    report = run_or_leave(load_runner(name), profile, seeds)
     print(report.render())
     if out:
         write_report(report, Path(out), f"{name}-{profile}", plot=plot)
 
 
+def load_runner(name: str) -> Callable[[str, int], Report]:
+    """Return an experiment's function."""
+    module, function = RUNNERS[name]
+    runner: Callable[[str, int], Report] = getattr(
+        import_module(module, __package__), function
+    )
+    return runner
+
+
 def run_or_leave(run: Callable[[str, int], Report], profile: str, seeds: int) -> Report:
     """Run an experiment; a wrong argument ends the command with its reason."""
     try:
@@ -62,21 +76,6 @@
         raise SystemExit(f"experiment: {error}") from None
 
 
-def run_fleet_experiment(profile: str, seeds: int) -> Report:
-    """Run the fleet experiment."""
-    from ..experiments.fleet import run_fleet
-
-    return run_fleet(profile, seeds, note=print)
-
-
-def run_quality_experiment(profile: str, seeds: int) -> Report:
-    """Run the quality experiment."""
-    from ..experiments.quality import run_quality
-
-    report: Report = run_quality(profile, seeds)
-    return report
-
-
 def write_report(report: Report, folder: Path, stem: str, *, plot: bool) -> None:
     """Write the report as JSON, and its plots if they are wanted."""
     folder.mkdir(parents=True, exist_ok=True)
--- /dev/null
+++ b/tests/experiments/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the experiments."""
+
+from __future__ import annotations
