Rank cascades by an optimistic cheap version; leave a trap when in debt

Change: without a confident version the most promising one is tried; cascades are ranked by the cheap version's mean plus one standard error; latency's toll on a cascade is 0.1 in place of 0.5, since its callers wait for whole answers.

--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -13,6 +13,7 @@
 from ..records import VersionId
 from ..records import VersionStatus
 from ..records import WorkspaceConfig
+from .cascades import CascadeOption
 from .cascades import find_threshold
 from .eligibility import check_pinned
 from .eligibility import get_exposure
@@ -46,8 +47,8 @@
 """Own ratings below which every answer is rated."""
 REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
-CASCADE_REACH = 0.25
-"""How far below the target a version may be and still open a cascade."""
+LATENCY_TOLL = 0.1
+"""Part of a cost that a cascade must save to make up for its second answer."""
 EXPLORE_CHANCE = 0.5
 EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
@@ -252,7 +253,7 @@
     their own, or else the best expected one, get work, and the caution is doubled.
     """
     careful = replace(case, caution=2.0 * case.caution + 1.0)
-    main = _find_main(careful)
+    main = _find_safest(careful)
     rate = _draw_again(draw) < STOPPED_RATE
     reason = "ratings have stopped: no exploring, no candidate, no cascade"
     return VersionChoice((main.version,), 0.0, rate, reason)
@@ -267,16 +268,30 @@
 
 
 def _find_main(case: _Case) -> _Option:
-    """Return the cheapest confident option, or else the most promising one."""
+    """Return the cheapest confident option, or else the most promising one.
+
+    Failure: the best version known misses the target, and a better but unknown one
+    never gets a request because caution counts against it. Its chances count here.
+    """
     for option in case.options:
         if _is_confident(case, option):
             return option
 
-    return max(case.options, key=lambda option: _bound_below(case, option))
+    return max(
+        case.options, key=lambda option: option.estimate.mean + option.estimate.error
+    )
 
 
-def _bound_below(case: _Case, option: _Option) -> float:
-    return option.estimate.mean - case.caution * option.estimate.error
+def _find_safest(case: _Case) -> _Option:
+    """Return the cheapest confident option, or else the one least likely to be bad."""
+    for option in case.options:
+        if _is_confident(case, option):
+            return option
+
+    return max(
+        case.options,
+        key=lambda option: option.estimate.mean - case.caution * option.estimate.error,
+    )
 
 
 def _find_explored(
@@ -311,11 +326,7 @@
     for what is known to miss the target and for what is known too well to surprise.
     """
     estimate = option.estimate
-    least = case.target
-    if _may_cascade(case.work) and estimate.rated < EXPLORE_OUTSTANDING:
-        least -= CASCADE_REACH
-
-    distance = (estimate.mean - least) / estimate.error
+    distance = (estimate.mean - case.target) / estimate.error
     if distance < -REJECT_DEVIATIONS:
         return 0.0
 
@@ -341,46 +352,67 @@
 def _find_cascade(
     tables: Tables, case: _Case, main: _Option, draw: float
 ) -> VersionChoice | None:
-    """Return the cascade that undercuts ``main``, if any."""
+    """Return the cascade that undercuts ``main``, if any.
+
+    Pairs are ranked with an optimistic mean of the cheap version: its answers are
+    rated before they are served, so that trying it costs little quality. The
+    threshold comes from the mean itself.
+    """
     work = case.work
     if not _may_cascade(work):
         return None
 
-    best = max(case.options, key=lambda option: option.estimate.mean)
-    least = main.cost / (1.0 + 0.5 * get_latency(case.config))
-    found: VersionChoice | None = None
-    for strong in {main.version: main, best.version: best}.values():
+    least = main.cost / (1.0 + LATENCY_TOLL * get_latency(case.config))
+    found: tuple[_Option, _Option, Estimate] | None = None
+    for strong in case.options:
+        if strong is not main and strong.estimate.mean < case.target:
+            continue
+
         escalated = estimate_escalated(
             tables, work.workspace, work.kind.name, strong.version, strong.estimate
         )
-        target = case.target + case.caution * strong.estimate.error
         for cheap in case.options:
             if cheap.cost + tables.rating_price >= least or cheap.cost >= strong.cost:
                 break
 
-            if cheap.estimate.rated < LEAST_RATED:
-                continue
-
-            option = find_threshold(
-                cheap.estimate,
-                escalated.mean,
-                cheap_cost=cheap.cost,
-                strong_cost=strong.cost,
-                rating_price=tables.rating_price,
-                target=target,
+            bright = replace(
+                cheap.estimate, mean=cheap.estimate.mean + cheap.estimate.error
             )
-            if option is None or option.cost >= least:
-                continue
-
-            least = option.cost
-            found = VersionChoice(
-                (cheap.version, strong.version),
-                option.threshold,
-                _draw_rate(tables, case, strong, escalated, draw),
-                "a cascade is expected to cost least",
+            option = _weigh_cascade(
+                tables, case, bright, escalated, (cheap.cost, strong.cost)
             )
+            if option is not None and option.cost < least:
+                least = option.cost
+                found = (cheap, strong, escalated)
+
+    if found is None:
+        return None
 
-    return found
+    cheap, strong, escalated = found
+    option = _weigh_cascade(
+        tables, case, cheap.estimate, escalated, (cheap.cost, strong.cost)
+    )
+    threshold = option.threshold if option else escalated.mean
+    rate = _draw_rate(tables, case, strong, escalated, draw)
+    reason = "a cascade is expected to cost least"
+    return VersionChoice((cheap.version, strong.version), threshold, rate, reason)
+
+
+def _weigh_cascade(
+    tables: Tables,
+    case: _Case,
+    cheap: Estimate,
+    escalated: Estimate,
+    costs: tuple[float, float],
+) -> CascadeOption | None:
+    return find_threshold(
+        cheap,
+        escalated.mean,
+        cheap_cost=costs[0],
+        strong_cost=costs[1],
+        rating_price=tables.rating_price,
+        target=case.target + case.caution * escalated.error,
+    )
 
 
 def _offer_candidate(
