--- /dev/null
+++ b/src/waxwingwell/decisions/candidates.py
@@ -0,0 +1,89 @@
+"""Which new sessions a roll-out's candidate gets."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from ..records import RolloutStatus
+from ..records import VersionStatus
+from .eligibility import get_exposure
+from .eligibility import get_standing
+from .evidence import count_outstanding
+
+
+if TYPE_CHECKING:
+    from ..records import Rollout
+    from ..records import WorkspaceConfig
+    from .tables import Tables
+    from .tables import Work
+
+
+HASH_RANGE = float(1 << 64)
+
+
+def is_candidate_open(
+    tables: Tables,
+    config: WorkspaceConfig,
+    work: Work,
+    rollout: Rollout,
+    now: float,
+) -> bool:
+    """Tell whether new work goes to the candidate in its incumbent's place.
+
+    Failure: ratings lag, and a bad candidate serves hundreds of answers before its
+    first rating. The cap on unrated answers holds it back; each entry keeps to its
+    own part of the cap, so that no agreement between entries is needed.
+    """
+    candidate = tables.versions.get(rollout.candidate)
+    if candidate is None or rollout.candidate not in config.allowed:
+        return False
+
+    if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
+        return False
+
+    if place_session(rollout, work) >= get_share(rollout, config):
+        return False
+
+    cap = min(rollout.pace.max_unrated, config.pace.max_unrated)
+    part = max(1, cap // max(1, tables.entries))
+    return count_outstanding(tables, rollout.candidate, now) < part
+
+
+def get_share(rollout: Rollout, config: WorkspaceConfig) -> float:
+    """Return the share of a workspace's new sessions that the candidate gets.
+
+    The roll-out's and the workspace's own pace both bound it; a workspace that
+    weighs exposure above the other measures moves more slowly.
+    """
+    if rollout.status is not RolloutStatus.RUNNING:
+        return 0.0
+
+    shares = [
+        _stage_share(pace.stages, rollout.stage) for pace in (rollout.pace, config.pace)
+    ]
+    return float(min(shares) ** max(1.0, 0.5 + 1.5 * get_exposure(config)))
+
+
+def place_session(rollout: Rollout, work: Work) -> float:
+    """Return the stable place of a session in a roll-out, 0 to under 1.
+
+    The place is the same at every entry and at every stage, so that each stage's
+    sessions hold those of the stage before. Work without a session places itself.
+    """
+    unit = work.session or work.request
+    return _hash_unit(f"{rollout.candidate}|{work.workspace}|{unit}")
+
+
+@functools.lru_cache(maxsize=4096)
+def _hash_unit(text: str) -> float:
+    return float(xxhash.xxh64_intdigest(text.encode())) / HASH_RANGE
+
+
+def _stage_share(stages: tuple[float, ...], stage: int) -> float:
+    if not stages or stage < 0:
+        return 0.0
+
+    return stages[min(stage, len(stages) - 1)]
--- a/src/waxwingwell/decisions/eligibility.py
+++ b/src/waxwingwell/decisions/eligibility.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from ..records import RolloutStatus
 from ..records import VersionStatus
 from .tables import Refusal
 
 
 if TYPE_CHECKING:
-    from ..records import Rollout
     from ..records import VersionId
     from ..records import VersionSpec
     from ..records import WorkspaceConfig
@@ -21,9 +17,6 @@
     from .tables import Work
 
 
-HASH_RANGE = float(1 << 64)
-
-
 def get_standing(tables: Tables, spec: VersionSpec) -> VersionStatus:
     """Return a version's status, with what its roll-out's end implies.
 
@@ -115,21 +108,6 @@
     return Refusal("version_withdrawn", f"version {version} is withdrawn", 410)
 
 
-def get_share(rollout: Rollout, config: WorkspaceConfig) -> float:
-    """Return the share of a workspace's new sessions that the candidate gets.
-
-    The roll-out's and the workspace's own pace both bound it; a workspace that
-    weighs exposure above the other measures moves more slowly.
-    """
-    if rollout.status is not RolloutStatus.RUNNING:
-        return 0.0
-
-    shares = [
-        _stage_share(pace.stages, rollout.stage) for pace in (rollout.pace, config.pace)
-    ]
-    return float(min(shares) ** max(1.0, 0.5 + 1.5 * get_exposure(config)))
-
-
 def get_exposure(config: WorkspaceConfig) -> float:
     """Return the weight of exposure to bad versions, 0 to 1; a third is neutral."""
     weighing = config.weighing
@@ -144,28 +122,6 @@
     return weighing.latency / total if total > 0 else 1 / 3
 
 
-def place_session(rollout: Rollout, work: Work) -> float:
-    """Return the stable place of a session in a roll-out, 0 to under 1.
-
-    The place is the same at every entry and at every stage, so that each stage's
-    sessions hold those of the stage before. Work without a session places itself.
-    """
-    unit = work.session or work.request
-    return _hash_unit(f"{rollout.candidate}|{work.workspace}|{unit}")
-
-
-@functools.lru_cache(maxsize=4096)
-def _hash_unit(text: str) -> float:
-    return float(xxhash.xxh64_intdigest(text.encode())) / HASH_RANGE
-
-
-def _stage_share(stages: tuple[float, ...], stage: int) -> float:
-    if not stages or stage < 0:
-        return 0.0
-
-    return stages[min(stage, len(stages) - 1)]
-
-
 def _refuse_not_allowed(name: str) -> Refusal:
     message = f"the workspace does not allow {name}"
     return Refusal("model_not_allowed", message, 403)
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -11,20 +11,16 @@
 from typing import TYPE_CHECKING
 
 from ..records import VersionId
-from ..records import VersionStatus
 from ..records import WorkspaceConfig
+from .candidates import is_candidate_open
 from .cascades import CascadeOption
 from .cascades import find_threshold
 from .eligibility import check_pinned
 from .eligibility import get_exposure
 from .eligibility import get_latency
-from .eligibility import get_share
-from .eligibility import get_standing
 from .eligibility import list_open
-from .eligibility import place_session
 from .evidence import CREDIT_CAP
 from .evidence import count_cell_outstanding
-from .evidence import count_outstanding
 from .quality import Estimate
 from .quality import estimate_escalated
 from .quality import estimate_quality
@@ -34,7 +30,6 @@
 
 
 if TYPE_CHECKING:
-    from ..records import Rollout
     from ..records import VersionSpec
     from .tables import Tables
 
@@ -426,7 +421,7 @@
         if rollout.incumbent not in choice.plan or case.work.model == rollout.incumbent:
             continue
 
-        if not _is_candidate_open(tables, case, rollout, now):
+        if not is_candidate_open(tables, case.config, case.work, rollout, now):
             continue
 
         plan = tuple(
@@ -439,23 +434,5 @@
     return choice
 
 
-def _is_candidate_open(
-    tables: Tables, case: _Case, rollout: Rollout, now: float
-) -> bool:
-    candidate = tables.versions.get(rollout.candidate)
-    if candidate is None or rollout.candidate not in case.config.allowed:
-        return False
-
-    if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
-        return False
-
-    if place_session(rollout, case.work) >= get_share(rollout, case.config):
-        return False
-
-    cap = min(rollout.pace.max_unrated, case.config.pace.max_unrated)
-    part = max(1, cap // max(1, tables.entries))
-    return count_outstanding(tables, rollout.candidate, now) < part
-
-
 def _draw_again(draw: float) -> float:
     return draw * SECOND_DRAW % 1.0
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -10,9 +10,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from waxwingwell.decisions.candidates import get_share
+from waxwingwell.decisions.candidates import place_session
 from waxwingwell.decisions.eligibility import check_dispatch
-from waxwingwell.decisions.eligibility import get_share
-from waxwingwell.decisions.eligibility import place_session
 from waxwingwell.decisions.evidence import count_outstanding
 from waxwingwell.decisions.evidence import get_account
 from waxwingwell.decisions.evidence import note_rating
