--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -44,6 +44,8 @@
 """Standard errors below the target at which a version is no longer explored."""
 LATENCY_TOLL = 0.1
 """Part of a cost that a cascade must save to make up for its second answer."""
+DOUBT_DEVIATIONS = 5.0
+"""The same for a version with few ratings, whose first ones may have been unlucky."""
 EXPLORE_CHANCE = 0.5
 EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
@@ -54,8 +56,8 @@
 DEBT_RAISE = 0.01
 """Rise of the target for each rating point of debt."""
 MOST_RAISE = 0.05
-RATING_SHARE = 0.02
-"""Share of an answer's cost for which a rating is always worth its price."""
+RATING_SHARE = 0.03
+"""Share of an answer's cost to spend on ratings, if exposure were all that counts."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -145,11 +147,12 @@
     Exposure is found as fast as answers are rated, so its weight sets the share;
     dear answers are rated more often, since a rating adds little to their cost.
     """
-    share = 0.05 + 0.15 * get_exposure(config)
+    exposure = get_exposure(config)
+    share = 0.05 + 0.15 * exposure
     if price <= 0.0:
         return share
 
-    return min(1.0, max(share, RATING_SHARE * cost / price))
+    return min(1.0, max(share, RATING_SHARE * exposure * cost / price))
 
 
 def get_explore_limit(
@@ -170,10 +173,15 @@
 
     rollout = tables.rollouts.get(tables.versions[version].model)
     watched = rollout is not None and rollout.candidate == version
+    estimate = estimate_quality(tables, work.workspace, work.kind.name, version)
     cost = _get_cost(tables.versions[version], work)
     share = get_sample_share(config, cost, tables.rating_price)
-    share = STOPPED_RATE if stopped else share
-    rate = watched or _draw_again(draw) < share
+    if stopped:
+        share = STOPPED_RATE
+    elif watched or estimate.rated < RATE_ALL_BELOW:
+        share = 1.0
+
+    rate = _draw_again(draw) < share
     return VersionChoice((version,), 0.0, rate, "the session keeps its version")
 
 
@@ -322,7 +330,8 @@
     """
     estimate = option.estimate
     distance = (estimate.mean - case.target) / estimate.error
-    if distance < -REJECT_DEVIATIONS:
+    cutoff = REJECT_DEVIATIONS if estimate.rated >= LEAST_RATED else DOUBT_DEVIATIONS
+    if distance < -cutoff:
         return 0.0
 
     density = math.exp(-0.5 * distance * distance) / math.sqrt(2.0 * math.pi)
