--- a/src/waxwingwell/adapters/entry/ratings.py
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-import treq
 from loguru import logger
 from twisted.internet.defer import Deferred
+from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
 
 from ...decisions.evidence import note_rating
 from ...decisions.evidence import note_unrated
+from .upstream_client import BytesProducer
 
 
 if TYPE_CHECKING:
@@ -84,15 +85,15 @@
     if address is None:
         raise LookupError("no rating service in the settings")
 
-    answering = treq.post(
-        f"http://{address.host}:{address.port}/v1/ratings",
-        data=msgspec.json.encode(asked),
-        headers=Headers({"content-type": ["application/json"]}),
-        agent=context.client.reused,
+    answering = context.client.reused.request(
+        b"POST",
+        f"http://{address.host}:{address.port}/v1/ratings".encode(),
+        Headers({"content-type": ["application/json"]}),
+        BytesProducer(msgspec.json.encode(asked)),
     )
     answering.addTimeout(RATING_TIMEOUT, context.reactor)
     response = await answering
-    data = await treq.content(response)
+    data = await readBody(response)
     if response.code != 200:
         raise LookupError(f"the rating service answered {response.code}")
 
--- a/src/waxwingwell/adapters/entry/services.py
+++ b/src/waxwingwell/adapters/entry/services.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import treq
+from twisted.web.client import readBody
 
 from ...decisions.tables import Work
 from ...invariants import Promise
@@ -227,7 +227,7 @@
 async def _read_answer(
     context: EntryContext, response: Any, upstream: UpstreamId
 ) -> StoredAnswer:
-    reading = treq.content(response)
+    reading = readBody(response)
     reading.addTimeout(context.settings.progress_timeout * 2, context.reactor)
     try:
         data = await reading
--- a/src/waxwingwell/adapters/entry/web.py
+++ b/src/waxwingwell/adapters/entry/web.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 from functools import wraps
 from typing import TYPE_CHECKING
 from typing import Any
@@ -354,13 +355,25 @@
                 # The balancer has been told; the caller opens a new connection.
                 request.setHeader("connection", "close")
 
-            return Deferred.fromCoroutine(_guard(context, handler, request, names))
+            return _shield(_guard(context, handler, request, names))
 
         return run
 
     return decorate
 
 
+def _shield(work: Coroutine[Any, Any, bytes | None]) -> Deferred[bytes | None]:
+    """Run work that goes on when the web library cancels its result.
+
+    Klein cancels a handler once its caller is gone. That would stop an order between
+    its dispatch and its row: the row would stay open and the order be lost to view.
+    The work ends by itself; only its answer has no reader any more.
+    """
+    result: Deferred[bytes | None] = Deferred()
+    Deferred.fromCoroutine(work).addCallbacks(result.callback, result.errback)
+    return result
+
+
 async def _guard(
     context: EntryContext, handler: Handler, request: Request, names: dict[str, str]
 ) -> bytes | None:
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -11,12 +11,12 @@
 from hypothesis import strategies as st
 
 from waxwingwell.decisions.eligibility import check_dispatch
-from waxwingwell.decisions.eligibility import get_share
-from waxwingwell.decisions.eligibility import place_session
 from waxwingwell.decisions.evidence import count_outstanding
 from waxwingwell.decisions.evidence import get_account
 from waxwingwell.decisions.evidence import note_rating
 from waxwingwell.decisions.evidence import note_sent
+from waxwingwell.decisions.offers import get_share
+from waxwingwell.decisions.offers import place_session
 from waxwingwell.decisions.tables import Refusal
 from waxwingwell.decisions.tables import Tables
 from waxwingwell.decisions.tables import Work
