--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -74,19 +74,7 @@
 ) -> Reserved | AlreadyOpen | AlreadySettled:
     """Make the row durable; ``Problem`` if the key is misused or control is away."""
     work = reservation.work
-    row = LedgerRow(
-        workspace=work.workspace,
-        key=reservation.key,
-        request=work.request,
-        entry=EntryId(context.settings.node),
-        entry_incarnation=context.incarnation,
-        repeatable=reservation.repeatable,
-        digest=reservation.digest,
-        reserved_at=context.wall_clock(),
-        version=reservation.version,
-        upstream=reservation.upstream,
-        session=work.session,
-    )
+    row = make_row(context, reservation)
     try:
         outcome = await submit_command(
             context.control, Reserve(row=row), limit=RESERVE_LIMIT
@@ -117,11 +105,37 @@
     return outcome  # type: ignore[no-any-return]
 
 
+def make_row(context: EntryContext, reservation: Reservation) -> LedgerRow:
+    """Return the open row of a request at this entry."""
+    work = reservation.work
+    return LedgerRow(
+        workspace=work.workspace,
+        key=reservation.key,
+        request=work.request,
+        entry=EntryId(context.settings.node),
+        entry_incarnation=context.incarnation,
+        repeatable=reservation.repeatable,
+        digest=reservation.digest,
+        reserved_at=context.wall_clock(),
+        version=reservation.version,
+        upstream=reservation.upstream,
+        session=work.session,
+    )
+
+
 async def settle_row(
-    context: EntryContext, workspace: WorkspaceId, key: str, request: str, end: Ending
+    context: EntryContext,
+    workspace: WorkspaceId,
+    key: str,
+    request: str,
+    end: Ending,
+    *,
+    row: LedgerRow | None = None,
 ) -> bool:
     """Settle a row; true once durable, false while it goes on in the background.
 
+    ``row`` is given where none was reserved: it is opened by the same command.
+
     Settling is idempotent. It is tried until control answers, so that an answer
     given while no leader could be reached is still billed once.
     """
@@ -135,6 +149,7 @@
         upstream=end.upstream,
         usage=end.usage,
         answer=end.answer,
+        row=row,
     )
     try:
         await submit_command(context.control, command, limit=SETTLE_LIMIT)
--- a/src/waxwingwell/adapters/entry/web.py
+++ b/src/waxwingwell/adapters/entry/web.py
@@ -36,6 +36,7 @@
 from .choice import choose_work
 from .ledger import Ending
 from .ledger import Reservation
+from .ledger import make_row
 from .ledger import reserve_row
 from .ledger import settle_row
 from .placement import leave_queue
@@ -279,7 +280,11 @@
     chosen: ChosenWork,
     span: Span,
 ) -> bytes:
-    """Answer whole: reserve beside the dispatch, settle before the answer goes."""
+    """Answer whole and settle before the answer goes.
+
+    A key that the caller may send twice is reserved before the dispatch. Without one
+    the row is opened and settled by one command: nothing of the answer is out yet.
+    """
     work = chosen.work
     reservation = Reservation(
         work=work,
@@ -288,29 +293,18 @@
         repeatable=True,
         version=chosen.choice.plan[0],
     )
-    reserving = Deferred.fromCoroutine(reserve_row(context, reservation))
     if chat.keyed:
-        stored = _find_stored(await reserving)
+        stored = _find_stored(await reserve_row(context, reservation))
         if stored is not None:
             return _write_stored(request, stored)
 
-    # A failed reservation is told after the run; it must not go unheard meanwhile.
-    reserving.addErrback(lambda failure: failure.value)
     try:
         answer = await answer_whole(context, placements, chat, chosen, span)
     except Problem as problem:
-        await _settle_chat(context, chat, work, Ending(outcome=problem.outcome))
-        raise
+        if chat.keyed:
+            await _settle_chat(context, chat, work, Ending(outcome=problem.outcome))
 
-    refused = await reserving
-    if isinstance(refused, Problem):
-        raise Problem(
-            status=503,
-            code=refused.code,
-            message="the answer could not be recorded",
-            outcome=OutcomeKind.FAILED,
-            retry_after=refused.retry_after,
-        )
+        raise
 
     kept = None
     if chat.keyed and len(answer.body) <= MAX_KEPT_ANSWER:
@@ -323,7 +317,8 @@
         usage=answer.usage,
         answer=kept,
     )
-    await _settle_chat(context, chat, work, ending)
+    row = None if chat.keyed else make_row(context, reservation)
+    await settle_row(context, work.workspace, chat.key, work.request, ending, row=row)
     request.setHeader("x-version", answer.version)
     request.setHeader("content-type", JSON)
     return answer.body
--- a/src/waxwingwell/messages.py
+++ b/src/waxwingwell/messages.py
@@ -98,7 +98,11 @@
 
 
 class Settle(Message, frozen=True, kw_only=True):
-    """Close an open row of the same request id; a second settle changes nothing."""
+    """Close an open row of the same request id; a second settle changes nothing.
+
+    With ``row`` it opens the row first, for an answer that was kept back until now:
+    one command instead of two, and nothing went out that it doesn't cover.
+    """
 
     workspace: WorkspaceId
     key: str
@@ -109,6 +113,7 @@
     upstream: UpstreamId = UpstreamId("")
     usage: Usage = Usage()
     answer: StoredAnswer | None = None
+    row: LedgerRow | None = None
 
 
 class SettleAbandoned(Message, frozen=True, kw_only=True):
--- a/src/waxwingwell/state/ledger.py
+++ b/src/waxwingwell/state/ledger.py
@@ -22,6 +22,7 @@
 from ..messages import AlreadyOpen
 from ..messages import AlreadySettled
 from ..messages import Rejected
+from ..messages import Reserve
 from ..messages import Reserved
 from ..messages import Settled
 from ..messages import Swept
@@ -39,7 +40,6 @@
 
 
 if TYPE_CHECKING:
-    from ..messages import Reserve
     from ..messages import Settle
     from ..messages import SettleAbandoned
 
@@ -232,6 +232,11 @@
     """Close the row of this request id; a second settle changes nothing."""
     advance_clock(ledger, command.at)
     place = (command.workspace, command.key)
+    if command.row is not None and place not in ledger.rows:
+        refused = _open_for(ledger, command, command.row)
+        if refused is not None:
+            return refused
+
     row = ledger.rows.get(place)
     if row is None:
         text = "no row under this key; it was never reserved or is past its retention"
@@ -254,6 +259,16 @@
     return Settled(row=settled, changed=True)
 
 
+def _open_for(ledger: Ledger, command: Settle, row: LedgerRow) -> Rejected | None:
+    """Open the row that a settle brings along, if it is the row of that settle."""
+    if (row.workspace, row.key) != (command.workspace, command.key):
+        text = "the row brought along has another workspace or key"
+        return Rejected(findings=(Finding("row", text),))
+
+    outcome = reserve(ledger, Reserve(row=replace(row, reserved_at=command.at)))
+    return outcome if isinstance(outcome, Rejected) else None
+
+
 def _fill_row(ledger: Ledger, row: LedgerRow, command: Settle) -> LedgerRow:
     """Return the row as its entry settles it.
 
@@ -272,7 +287,7 @@
         usage=command.usage,
         version=VersionId(intern(command.version or row.version)),
         upstream=UpstreamId(intern(command.upstream or row.upstream)),
-        answer=None if row.repeatable else command.answer,
+        answer=command.answer,
         settled_at=ledger.clock,
     )
 
