Send evidence with a grant now and then; bound what a change carries

Cause: a grant went to each entry each second with all evidence, whose size grows with workspaces, kinds and versions; places of stored answers in the retention order outlived their rows. Change: evidence goes along every 5 s; places are dropped with their time; change id, operator and answers have a longest length; saving an image leaves the state alone. Figures: the tests of retention and of leases cover each.

--- a/src/waxwingwell/state/configuration.py
+++ b/src/waxwingwell/state/configuration.py
@@ -46,6 +46,9 @@
 that forgetting never applies a change twice.
 """
 
+MAX_NAME = 256
+"""Characters in a change id or an operator's name."""
+
 DIGEST_SIZE = 16
 """Bytes of the digest that tells two changes under one id apart."""
 
@@ -150,14 +153,12 @@
 
 def _check_header(change: Change) -> list[Finding]:
     """Return findings on what all changes carry."""
-    findings = []
-    if not change.change_id:
-        findings.append(Finding("change_id", "a change needs an id"))
-
-    if not change.operator:
-        findings.append(Finding("operator", "a change names its operator"))
-
-    return findings
+    text = f"must have 1 to {MAX_NAME} characters"
+    return [
+        Finding(place, text)
+        for place in ("change_id", "operator")
+        if not 0 < len(getattr(change, place)) <= MAX_NAME
+    ]
 
 
 def _carry_out(
--- a/src/waxwingwell/state/exceptions.py
+++ b/src/waxwingwell/state/exceptions.py
@@ -17,3 +17,7 @@
 
 class InvalidMemberError(StateError):
     """A member's name can't be used; the message says why."""
+
+
+class ImageError(StateError):
+    """The bytes are no image of the control state that this program reads."""
--- a/src/waxwingwell/state/images.py
+++ b/src/waxwingwell/state/images.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,6 +24,7 @@
 from .control import ControlState
 from .evidence import EvidenceTable
 from .evidence import Sender
+from .exceptions import ImageError
 from .ledger import Ledger
 from .ledger import Retained
 from .pins import Pin
@@ -37,10 +39,6 @@
 """Raised with each change of the form; an image of another form is refused."""
 
 
-class ImageError(Exception):
-    """The bytes are no image of the control state that this program reads."""
-
-
 class SavedAttempts(msgspec.Struct, frozen=True):
     """Request ids of earlier attempts under one key."""
 
@@ -85,10 +83,9 @@
 
 def save_state(state: ControlState) -> bytes:
     """Return the state as bytes that ``load_state`` reads."""
-    state.config.snapshot = None
     saved = SavedState(
         image_format=IMAGE_FORMAT,
-        config=state.config,
+        config=replace(state.config, snapshot=None),
         ledger=_save_ledger(state.ledger),
         pins=[SavedPin(*place, pin) for place, pin in state.pins.pins.items()],
         pins_clock=state.pins.clock,
--- a/src/waxwingwell/state/leases.py
+++ b/src/waxwingwell/state/leases.py
@@ -41,6 +41,12 @@
 RECORD_KEPT = 3600.0
 """Seconds for which an expired lease is remembered by the leader."""
 
+EVIDENCE_EVERY = 5.0
+"""Seconds between two grants to an entry that carry the evidence.
+
+Its size grows with workspaces, kinds and versions, and an entry renews each second.
+"""
+
 RENEWALS_KEPT = 16
 """Unanswered renewals that an entry remembers."""
 
@@ -53,6 +59,8 @@
     """The newest configuration that it acknowledged."""
     expires_at: float
     """When its lease has run out by any clock; leader's monotonic seconds."""
+    evidence_at: float = -math.inf
+    """When a grant to it last carried the evidence."""
 
 
 LeaseKey = tuple[EntryId, int]
@@ -106,7 +114,8 @@
 
     ``snapshot`` is the newest committed one. The caller must have confirmed its
     leadership for ``now`` after it read the snapshot; otherwise a leader that was cut
-    off would grant leases on an old configuration.
+    off would grant leases on an old configuration. ``evidence`` goes along now and
+    then; a grant without it brings no news.
     """
     place = (message.entry, message.incarnation)
     newest = leases.newest.get(message.entry, message.incarnation)
@@ -129,10 +138,14 @@
 
     row.expires_at = max(row.expires_at, expires_at)
     _drop_old_records(leases, now)
+    due = now - row.evidence_at >= EVIDENCE_EVERY
+    if due:
+        row.evidence_at = now
+
     return LeaseGranted(
         duration=leases.duration,
         config_version=snapshot.config_version,
-        evidence=evidence,
+        evidence=evidence if due else (),
     )
 
 
--- a/src/waxwingwell/state/ledger.py
+++ b/src/waxwingwell/state/ledger.py
@@ -363,6 +363,13 @@
     for queue in (ledger.repeatable_kept, ledger.others_kept):
         _drop_rows(ledger, queue)
 
+    answers = ledger.answers_kept
+    for _ in range(DROPPED_AT_ONCE):
+        if not answers or answers[0].drop_at > ledger.clock:
+            return
+
+        answers.popleft()
+
 
 def _drop_rows(ledger: Ledger, queue: deque[Retained]) -> None:
     """Drop up to ``DROPPED_AT_ONCE`` rows that are past their retention."""
--- a/src/waxwingwell/state/workspaces.py
+++ b/src/waxwingwell/state/workspaces.py
@@ -16,6 +16,10 @@
     from .catalogue import ConfigTable
 
 
+MAX_ANSWERS = 65_536
+"""Bytes of a workspace's answers."""
+
+
 def check_answers(table: ConfigTable, change: ApplyAnswers) -> list[Finding]:
     """Return every reason against a workspace's new configuration."""
     config = change.config
@@ -23,6 +27,10 @@
     if not config.workspace:
         findings.append(Finding("workspace", "a workspace needs a name"))
 
+    if len(change.answers) > MAX_ANSWERS:
+        text = f"answers may take {MAX_ANSWERS} bytes"
+        findings.append(Finding("answers", text))
+
     kinds = [kind.name for kind in config.kinds]
     findings += [
         Finding(f"kinds.{place}.name", f"the kind {name} is listed twice")
--- a/tests/state/test_configuration.py
+++ b/tests/state/test_configuration.py
@@ -127,6 +127,11 @@
                 msgspec.structs.replace(good, config=other),
                 ["allowed.0", "default_kind"],
             ),
+            (
+                "long answers",
+                msgspec.structs.replace(good, answers=b"x" * 70_000),
+                ["answers"],
+            ),
             (
                 "no id",
                 msgspec.structs.replace(good, change_id="", operator=""),
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -6,6 +6,8 @@
 from waxwingwell.messages import InForce
 from waxwingwell.messages import LeaseBehind
 from waxwingwell.messages import LeaseGranted
+from waxwingwell.messages import RenewLease
+from waxwingwell.records import Evidence
 from waxwingwell.state.leases import DRIFT
 from waxwingwell.state.leases import ConfigLease
 from waxwingwell.state.leases import EntryLeases
@@ -23,6 +25,8 @@
 
 from .commands import BOLE
 from .commands import CMC
+from .commands import DEMO
+from .commands import OLD
 from .commands import StateTestCase
 
 
@@ -200,6 +204,24 @@
         (sweep,) = list_abandoned(leases, open_entries, later, at=1.0)
         self.assertEqual(sweep.below_incarnation, 4)
 
+    def test_evidence_goes_along_now_and_then(self) -> None:
+        leases = EntryLeases(elected_at=0.0)
+        message = RenewLease(entry=BOLE, incarnation=1, config_version=1)
+        row = Evidence(OLD, DEMO, "question", rated=1)
+        carried = []
+        for second in range(12):
+            answer = renew_lease(
+                leases,
+                message,
+                snapshot=make_snapshot(1),
+                now=10.0 + second,
+                evidence=(row,),
+            )
+            assert isinstance(answer, LeaseGranted)
+            carried.append(len(answer.evidence))
+
+        self.assertEqual(carried, [1, 0, 0, 0, 0] * 2 + [1, 0])
+
     def test_old_records_are_dropped(self) -> None:
         leases = EntryLeases(elected_at=0.0)
         for number in range(50):
--- a/tests/state/test_ledger.py
+++ b/tests/state/test_ledger.py
@@ -241,6 +241,7 @@
                 self.assertNotIn(PLACE, state.ledger.rows)
                 self.assertEqual(sum_bills(state), (1, 7))
                 self.assertEqual(state.ledger.answer_bytes, 0)
+                self.assertFalse(state.ledger.answers_kept)
 
     def test_swept_row_is_billed_when_dropped(self) -> None:
         state = ControlState()
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -9,7 +9,7 @@
 from waxwingwell.messages import Rejected
 from waxwingwell.messages import Reserved
 from waxwingwell.records import Evidence
-from waxwingwell.state.images import ImageError
+from waxwingwell.state.exceptions import ImageError
 from waxwingwell.state.machine import ControlState
 from waxwingwell.state.machine import apply_command
 from waxwingwell.state.machine import load_state
