Complete the administration API: audit, history, sessions, upstreams, members

Cause: five commands had no route behind them. Change: an audit trail and past answers in the replicated state; control asks the connected entries for upstreams, and tells one to drain; routes split by subject.

--- a/src/waxwingwell/adapters/bodies.py
+++ b/src/waxwingwell/adapters/bodies.py
@@ -6,9 +6,13 @@
 from ..messages import AlreadyOpen
 from ..messages import AlreadySettled
 from ..messages import AskInForce
+from ..messages import AskUpstreams
 from ..messages import Conflict
+from ..messages import Drain
+from ..messages import Draining
 from ..messages import Failed
 from ..messages import InForce
+from ..messages import KnownUpstreams
 from ..messages import LeaseBehind
 from ..messages import LeaseGranted
 from ..messages import NotLeader
@@ -59,6 +63,10 @@
     | Failed
     | SpreadAnnouncements
     | SpreadDemand
+    | KnownUpstreams
+    | Draining
+    | Drain
+    | AskUpstreams
     | AppendAnswer
     | AppendEntries
     | Expelled
--- /dev/null
+++ b/src/waxwingwell/adapters/control/changes.py
@@ -0,0 +1,167 @@
+"""Changes by operators: checked, generated from answers, put through the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from returns.result import Failure
+
+from ...answers.findings import check_answers
+from ...answers.generation import generate_config
+from ...messages import Accepted
+from ...messages import ApplyAnswers
+from ...messages import AskInForce
+from ...messages import Change
+from ...messages import Command
+from ...messages import Conflict
+from ...messages import Failed
+from ...messages import InForce
+from ...messages import Message
+from ...messages import NotLeader
+from ...messages import Rejected
+from ...messages import Submit
+from ...records import Finding
+from ...state.group import leader_of
+from ..exceptions import LinkError
+from ..links import call_link
+from .admin import guard
+from .admin import write_error
+from .admin import write_json
+from .service import ask_in_force
+from .service import submit
+
+
+if TYPE_CHECKING:
+    from klein import Klein
+
+    from ..settings import OperatorKey
+    from .admin import Request
+    from .context import ControlContext
+
+
+FORWARD_TIMEOUT = 3.0
+"""Seconds within which the leader answers a forwarded command."""
+MAX_BODY = 4_000_000
+"""Bytes of a command."""
+CHANGE_TYPES = Change
+STATUSES: dict[type[Message], int] = {Accepted: 200, Conflict: 409, Rejected: 422}
+
+
+def add_changes(app: Klein, context: ControlContext) -> None:
+    """Add the routes by which operators change things and wait."""
+
+    @app.route("/admin/v1/commands", methods=["POST"])
+    @guard(context)
+    async def run_command(request: Request, operator: OperatorKey) -> bytes:
+        body = request.content.read(MAX_BODY + 1)
+        try:
+            command = msgspec.json.decode(body, type=Command)
+        except msgspec.DecodeError as error:
+            findings = (Finding(place="body", message=str(error)),)
+            return write_json(request, Rejected(findings=findings), status=422)
+
+        if not isinstance(command, Change):
+            name = type(command).__name__
+            return write_error(request, 403, f"{name} is not an operator's command")
+
+        if not _reaches(operator, command):
+            text = f"this key is for workspace {operator.workspace!r} only"
+            return write_error(request, 403, text)
+
+        outcome = await _run_change(context, operator, command)
+        return write_json(request, outcome, status=STATUSES.get(type(outcome), 503))
+
+    @app.route("/admin/v1/in-force", methods=["GET"])
+    @guard(context)
+    async def tell_in_force(request: Request, operator: OperatorKey) -> bytes:
+        value = (request.args.get(b"config_version") or [b""])[0]
+        if not value.isdigit():
+            return write_error(request, 400, "config_version: a number is needed")
+
+        answer = await ask_anywhere(context, int(value))
+        status = 200 if isinstance(answer, InForce) else 503
+        return write_json(request, answer, status=status)
+
+
+async def submit_anywhere(context: ControlContext, command: Command) -> Message:
+    """Put a command through the log, through the leader if it is another process."""
+    outcome: Message = await submit(context, command)
+    if not isinstance(outcome, NotLeader):
+        return outcome
+
+    return await _ask_leader(context, Submit(command=command))
+
+
+async def ask_anywhere(context: ControlContext, config_version: int) -> Message:
+    """Ask here or at the leader whether a configuration is in force."""
+    answer = ask_in_force(context, config_version)
+    if not isinstance(answer, NotLeader):
+        return answer
+
+    return await _ask_leader(context, AskInForce(config_version=config_version))
+
+
+def generate_change(
+    context: ControlContext, change: ApplyAnswers
+) -> ApplyAnswers | Rejected:
+    """Generate the configuration from the answers, whatever the sender filled in.
+
+    So the answers and the configuration can't come apart, and revising the answers
+    is the only way to change a workspace.
+    """
+    known = context.holder.state.config.versions
+    checked = check_answers(change.answers, versions=frozenset(known))
+    if isinstance(checked, Failure):
+        return Rejected(findings=checked.failure())
+
+    config = generate_config(checked.unwrap(), change.expected_revision + 1)
+    if change.config.workspace not in ("", config.workspace):
+        text = f"{config.workspace!r} in the answers, {change.config.workspace!r} sent"
+        return Rejected(findings=(Finding(place="workspace", message=text),))
+
+    return msgspec.structs.replace(change, config=config)
+
+
+async def _run_change(
+    context: ControlContext, operator: OperatorKey, change: Any
+) -> Message:
+    # The key tells who the operator is, whatever the body says.
+    change = msgspec.structs.replace(change, operator=operator.name)
+    if isinstance(change, ApplyAnswers):
+        generated = generate_change(context, change)
+        if isinstance(generated, Rejected):
+            return generated
+
+        change = generated
+
+    return await submit_anywhere(context, change)
+
+
+async def _ask_leader(context: ControlContext, body: Message) -> Message:
+    link = context.links.get(leader_of(context.group))
+    if link is None:
+        return NotLeader()
+
+    try:
+        answer: Message = await call_link(link, body, timeout=FORWARD_TIMEOUT)
+    except LinkError as error:
+        return Failed(reason=str(error), may_have_run=True)
+
+    return answer
+
+
+def _reaches(operator: OperatorKey, change: Change) -> bool:
+    """Tell whether an operator's key allows a change; fleet-wide ones need a full key.
+
+    The workspace that the configuration names is compared with the answers' own
+    when it is generated, so that it can't be another.
+    """
+    if not operator.workspace:
+        return True
+
+    if not isinstance(change, ApplyAnswers):
+        return False
+
+    return change.config.workspace == operator.workspace
--- a/src/waxwingwell/adapters/control/context.py
+++ b/src/waxwingwell/adapters/control/context.py
@@ -11,6 +11,7 @@
 from ...state.group import Group
 from ...state.leases import EntryLeases
 from ..links import Link
+from ..links import LinkProtocol
 from ..settings import ControlSettings
 from ..telemetry import Metrics
 
@@ -34,6 +35,8 @@
     group: Group
     metrics: Metrics
     links: dict[str, Link] = field(default_factory=dict)
+    accepted: set[LinkProtocol] = field(default_factory=set)
+    """Connections that others made to this process."""
     leases: EntryLeases | None = None
     """Only while this process leads; begun anew with each election."""
     leases_term: int = 0
--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -163,6 +163,7 @@
             body_type=Body,
         ),
         timing=LinkTiming(),
+        accepted=context.accepted,
     )
 
 
--- a/src/waxwingwell/adapters/control/answers.py
+++ b/src/waxwingwell/adapters/control/status.py
@@ -1,4 +1,4 @@
-"""Bodies of the administration API's views."""
+"""The status of the control group, seen from one process."""
 
 from __future__ import annotations
 
@@ -16,13 +16,6 @@
     from .context import ControlContext
 
 
-class AnswersReply(msgspec.Struct, frozen=True):
-    """A workspace's answers and the revision they stand at."""
-
-    revision: int
-    answers: msgspec.Raw
-
-
 class EntryStatus(msgspec.Struct, frozen=True):
     """One entry as the leader knows it."""
 
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -16,7 +16,12 @@
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
+from ...messages import AskUpstreams
+from ...messages import Drain
+from ...messages import Draining
 from ...messages import Failed
+from ...messages import KnownUpstream
+from ...messages import KnownUpstreams
 from ...messages import Message
 from ...records import EntryId
 from ...state.leases import ConfigLease
@@ -51,6 +56,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings import EntrySettings
 
 
@@ -72,8 +79,16 @@
     loops: list[LoopingCall]
 
 
-def start_entry(settings: EntrySettings, reactor: Any) -> EntryDaemon:
-    """Open listeners and links; work is admitted once a lease is granted."""
+def start_entry(
+    settings: EntrySettings,
+    reactor: Any,
+    *,
+    stop: Callable[[], None] = lambda: None,
+) -> EntryDaemon:
+    """Open listeners and links; work is admitted once a lease is granted.
+
+    ``stop`` is called when control asks for a planned stop.
+    """
     incarnation = time.time_ns() // 1000
     context = EntryContext(
         settings=settings,
@@ -94,7 +109,7 @@
     context.tables.entries = 1 + len(settings.entries)
     upkeep = Upkeep()
     placements = Placements()
-    node = _make_node(context, upkeep)
+    node = _make_node(context, upkeep, stop)
     daemon = EntryDaemon(
         context=context,
         node=node,
@@ -174,11 +189,11 @@
     return context.reactor.listenTCP(listener.port, site, interface=listener.host)
 
 
-def _make_node(context: EntryContext, upkeep: Upkeep) -> LinkNode:
+def _make_node(
+    context: EntryContext, upkeep: Upkeep, stop: Callable[[], None]
+) -> LinkNode:
     def take_call(sender: str, body: Any) -> Deferred[Message]:
-        return succeed(
-            Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
-        )
+        return succeed(answer_call(context, sender, body, stop))
 
     def take_cast(sender: str, body: Any) -> None:
         take_news(context, upkeep, body)
@@ -191,6 +206,40 @@
     )
 
 
+def answer_call(
+    context: EntryContext, sender: str, body: Any, stop: Callable[[], None]
+) -> Message:
+    """Answer a control process; ``stop`` begins the planned stop."""
+    if isinstance(body, AskUpstreams):
+        return list_upstreams(context)
+
+    if isinstance(body, Drain):
+        logger.info("entry: {} asks for a planned stop.", sender)
+        context.reactor.callLater(0, stop)
+        return Draining(running=context.running)
+
+    return Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
+
+
+def list_upstreams(context: EntryContext) -> KnownUpstreams:
+    """Return what this entry knows of the upstreams."""
+    now = context.clock()
+    return KnownUpstreams(
+        upstreams=tuple(
+            KnownUpstream(
+                announcement=row.announcement,
+                lease_left=row.expires_at - now,
+                left=row.left,
+                ejected=row.ejected_until > now,
+                in_flight=row.in_flight,
+            )
+            for row in context.tables.upstreams.values()
+        ),
+        running=context.running,
+        draining=context.draining,
+    )
+
+
 def _open_links(daemon: EntryDaemon) -> None:
     context = daemon.context
     for peer in context.settings.control:
--- a/src/waxwingwell/commands/serve.py
+++ b/src/waxwingwell/commands/serve.py
@@ -100,7 +100,7 @@
         logger.error("serve: {}.", failure.getTraceback())
 
     def begin() -> None:
-        started = Deferred.fromCoroutine(_start(settings, reactor))
+        started = Deferred.fromCoroutine(_start(settings, reactor, stop))
         started.addCallbacks(running.append, report)
         started.addCallback(lambda _: stop() if code[0] else None)
 
@@ -110,13 +110,15 @@
     return code[0]
 
 
-async def _start(settings: AnySettings, reactor: Any) -> Running:
+async def _start(
+    settings: AnySettings, reactor: Any, stop: Callable[[], None]
+) -> Running:
     if isinstance(settings, ControlSettings):
         control = start_control(settings, reactor)
         return Running(stop=lambda: stop_control(control))
 
     if isinstance(settings, EntrySettings):
-        entry = start_entry(settings, reactor)
+        entry = start_entry(settings, reactor, stop=stop)
         return Running(stop=lambda: stop_entry(entry))
 
     # The stand-ins are loaded for this role only.
--- a/src/waxwingwell/commands/views.py
+++ b/src/waxwingwell/commands/views.py
@@ -11,7 +11,7 @@
 from ..adapters.admin_views import ConfigView
 from ..adapters.admin_views import SessionView
 from ..adapters.admin_views import UpstreamView
-from ..adapters.control.answers import StatusReply
+from ..adapters.control.status import StatusReply
 from ..state.bills import Bill
 from .connection import open_client
 from .exits import unwrap_or_leave
--- a/src/waxwingwell/messages.py
+++ b/src/waxwingwell/messages.py
@@ -297,6 +297,40 @@
     waiting: tuple[EntryId, ...] = ()
 
 
+class AskUpstreams(Message, frozen=True, kw_only=True):
+    """Ask an entry for the upstreams that it knows."""
+
+
+class KnownUpstream(Message, frozen=True, kw_only=True):
+    """One upstream as an entry knows it."""
+
+    announcement: Announcement
+    lease_left: float
+    """Seconds; 0 or less once it has run out."""
+    left: bool
+    ejected: bool
+    in_flight: int
+    """Requests of the asked entry."""
+
+
+class KnownUpstreams(Message, frozen=True, kw_only=True):
+    """An entry's upstreams, and how much it has in hand itself."""
+
+    upstreams: tuple[KnownUpstream, ...]
+    running: int
+    draining: bool
+
+
+class Drain(Message, frozen=True, kw_only=True):
+    """Tell an entry to stop gracefully, as a planned stop does."""
+
+
+class Draining(Message, frozen=True, kw_only=True):
+    """The entry has begun its planned stop."""
+
+    running: int
+
+
 class Failed(Message, frozen=True, kw_only=True):
     """A call failed; ``may_have_run`` tells whether it could still take effect."""
 
--- a/src/waxwingwell/state/control.py
+++ b/src/waxwingwell/state/control.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from .audit import AuditTable
 from .catalogue import ConfigTable
 from .evidence import EvidenceTable
 from .ledger import Ledger
@@ -19,3 +20,4 @@
     ledger: Ledger = field(default_factory=Ledger)
     pins: PinTable = field(default_factory=PinTable)
     evidence: EvidenceTable = field(default_factory=EvidenceTable)
+    audit: AuditTable = field(default_factory=AuditTable)
--- a/src/waxwingwell/state/images.py
+++ b/src/waxwingwell/state/images.py
@@ -18,6 +18,7 @@
 from ..records import LedgerRow
 from ..records import RowStatus
 from ..records import WorkspaceId
+from .audit import AuditTable
 from .bills import Bill
 from .bills import BillTable
 from .catalogue import ConfigTable
@@ -79,6 +80,7 @@
     pins_clock: float
     evidence: list[Evidence]
     senders: dict[EntryId, Sender]
+    audit: AuditTable
 
 
 def save_state(state: ControlState) -> bytes:
@@ -91,6 +93,7 @@
         pins_clock=state.pins.clock,
         evidence=list(state.evidence.sums.values()),
         senders=state.evidence.senders,
+        audit=state.audit,
     )
     return msgspec.msgpack.encode(saved)
 
@@ -138,6 +141,7 @@
             },
             senders=saved.senders,
         ),
+        audit=saved.audit,
     )
 
 
--- a/src/waxwingwell/state/machine.py
+++ b/src/waxwingwell/state/machine.py
@@ -19,7 +19,9 @@
 from ..messages import Reserve
 from ..messages import Settle
 from ..messages import SettleAbandoned
+from .audit import record_change
 from .catalogue import make_snapshot as make_config_snapshot
+from .configuration import ConfigChange
 from .configuration import apply_change
 from .control import ControlState
 from .evidence import list_evidence
@@ -51,7 +53,17 @@
         case SettleAbandoned():
             return sweep(state.ledger, command)
         case _:
-            return apply_change(state.config, command, list_evidence(state.evidence))
+            return _apply_audited(state, command)
+
+
+def _apply_audited(state: ControlState, change: ConfigChange) -> Outcome:
+    """Apply a change and put it on the audit trail, unless it is a resend."""
+    resent = change.change_id in state.config.changes
+    outcome = apply_change(state.config, change, list_evidence(state.evidence))
+    if not resent:
+        record_change(state.audit, change, outcome)
+
+    return outcome
 
 
 def stamp_command(command: Command, at: float) -> Command:
--- a/tests/commands/test_operations.py
+++ b/tests/commands/test_operations.py
@@ -9,9 +9,9 @@
 from waxwingwell.adapters.admin_views import MemberView
 from waxwingwell.adapters.admin_views import SessionView
 from waxwingwell.adapters.admin_views import UpstreamView
-from waxwingwell.adapters.control.answers import EntryStatus
-from waxwingwell.adapters.control.answers import MemberStatus
-from waxwingwell.adapters.control.answers import StatusReply
+from waxwingwell.adapters.control.status import EntryStatus
+from waxwingwell.adapters.control.status import MemberStatus
+from waxwingwell.adapters.control.status import StatusReply
 from waxwingwell.records import UpstreamKind
 from waxwingwell.records import VersionId
 from waxwingwell.records import VersionStatus
