--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -50,6 +50,7 @@
 from .upkeep import renew_on
 from .upkeep import run_tick
 from .upkeep import spread_news
+from .upkeep import stop_upkeep
 from .upkeep import take_news
 from .upstream_client import open_upstream_client
 from .web import make_caller_app
@@ -160,7 +161,7 @@
 
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
-    daemon.upkeep.stopped = True
+    stop_upkeep(daemon.upkeep)
     for loop in daemon.loops:
         if loop.running:
             loop.stop()
--- a/src/waxwingwell/adapters/entry/services.py
+++ b/src/waxwingwell/adapters/entry/services.py
@@ -34,6 +34,7 @@
 from .upstream_client import AttemptError
 from .upstream_client import UpstreamCall
 from .whole import check_retry
+from .whole import correct_outcome
 
 
 if TYPE_CHECKING:
@@ -188,7 +189,7 @@
     """Dispatch the call; a non-idempotent one again only if it did not run."""
     upstream = first
     excluded: frozenset[UpstreamId] = frozenset()
-    sent = False
+    sent = ran = False
 
     def build(traceparent: str | None) -> UpstreamCall:
         return UpstreamCall(
@@ -214,13 +215,18 @@
             return await _read_answer(context, response, upstream)
         except AttemptError as error:
             sent = error.may_have_run
+            ran |= error.may_have_run
             excluded |= {upstream}
-            check_retry(context, error, repeatable=call.rule.repeatable)
+            check_retry(context, error, repeatable=call.rule.repeatable, ran=ran)
+
+        try:
+            choice = await place_request(
+                context, placements, call.work, NO_VERSION, excluded
+            )
+            check_lease(context)
+        except Problem as problem:
+            raise correct_outcome(problem, ran=ran) from problem
 
-        choice = await place_request(
-            context, placements, call.work, NO_VERSION, excluded
-        )
-        check_lease(context)
         upstream = choice.upstream
 
 
--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -14,6 +14,7 @@
 from loguru import logger
 from opentelemetry.trace import Span
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
@@ -58,6 +59,7 @@
 from .upstream_client import send_call
 from .whole import CHAT_PATH
 from .whole import check_retry
+from .whole import correct_outcome
 from .whole import make_upstream_problem
 
 
@@ -68,6 +70,8 @@
 
 MAX_RESUMES = 8
 """Connections over which one answer may be resumed."""
+RESUME_PAUSE = 0.05
+"""Seconds, times the tries so far, before an engine is asked again."""
 REFUSED = "the reservation failed"
 
 
@@ -85,6 +89,8 @@
     refusal: Problem | None = None
     """Why the row could not be reserved while the engine was at work."""
     upstream: UpstreamId = UpstreamId("")
+    ran: bool = False
+    """An engine may have begun: "not run" would be untrue from here on."""
     resumes: int = 0
     excluded: frozenset[UpstreamId] = frozenset()
 
@@ -98,10 +104,11 @@
     """
     try:
         await _stream_until_done(context, placements, run)
-    except Problem as problem:
+    except Problem as raised:
+        problem = correct_outcome(raised, ran=run.ran)
         await _settle_failed(context, run, problem)
         if run.sink.first_at is None or not run.sink.open:
-            raise
+            raise problem from raised
 
         _write_error(run, problem)
         return
@@ -177,6 +184,10 @@
             retry_after=1.0,
         )
 
+    # An engine that could not be resumed is not asked for the same work again.
+    if run.upstream:
+        _leave_upstream(run)
+
     work = run.chosen.work
     choice = await place_request(context, placements, work, run.version, run.excluded)
     run.upstream = choice.upstream
@@ -190,13 +201,29 @@
         return make_call(work, path=CHAT_PATH, body=body, traceparent=traceparent)
 
     try:
-        return await run_attempt(context, work, run.upstream, build, run.span)
+        response = await run_attempt(context, work, run.upstream, build, run.span)
     except AttemptError as error:
-        run.excluded |= {run.upstream}
-        run.upstream = UpstreamId("")
-        check_retry(context, error, repeatable=True)
+        run.ran |= error.may_have_run
+        # The engine may hold the answer: only the connection went wrong.
+        if not (error.may_have_run and _can_resume(context, run.upstream)):
+            _leave_upstream(run)
+            check_retry(context, error, repeatable=True)
+
         return None
 
+    run.ran = True
+    return response
+
+
+def _leave_upstream(run: StreamRun) -> None:
+    run.excluded |= {run.upstream}
+    run.upstream = UpstreamId("")
+
+
+def _can_resume(context: EntryContext, upstream: UpstreamId) -> bool:
+    row = context.tables.upstreams.get(upstream)
+    return row is not None and row.announcement.capabilities.resume
+
 
 async def _reserve(context: EntryContext, run: StreamRun) -> None:
     """Start the reservation; only a key that may come twice waits for it here."""
@@ -271,8 +298,7 @@
 
 
 def _may_resume(context: EntryContext, run: StreamRun) -> bool:
-    row = context.tables.upstreams.get(run.upstream)
-    if row is None or not row.announcement.capabilities.resume:
+    if not _can_resume(context, run.upstream):
         return False
 
     run.resumes += 1
@@ -303,6 +329,12 @@
     except AttemptError as error:
         end_attempt(context, upstream, failed=True)
         logger.info("stream: {} not resumed: {}.", run.stream.request, error)
+        if run.stream.last == 0:
+            _leave_upstream(run)
+        else:
+            pause = RESUME_PAUSE * run.resumes
+            await deferLater(context.reactor, pause, lambda: None)
+
         return None
 
     if response.code == 200:
@@ -310,8 +342,7 @@
 
     drop_response(response)
     end_attempt(context, upstream, failed=response.code >= 500)
-    run.excluded |= {upstream}
-    run.upstream = UpstreamId("")
+    _leave_upstream(run)
     return None
 
 
--- a/src/waxwingwell/adapters/entry/upkeep.py
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -70,6 +70,8 @@
     sequence: int = 0
     demand_sequence: int = 0
     stopped: bool = False
+    renewal: Any = None
+    """Timer of the next renewal."""
 
 
 def renew_on(context: EntryContext, upkeep: Upkeep) -> None:
@@ -83,11 +85,19 @@
     def again(_: object) -> None:
         held = may_admit(context.lease, context.clock())
         pause = RENEW_EVERY if held else RENEW_RETRY
-        context.reactor.callLater(pause, renew_on, context, upkeep)
+        if not upkeep.stopped:
+            upkeep.renewal = context.reactor.callLater(pause, renew_on, context, upkeep)
 
     done.addCallback(again)
 
 
+def stop_upkeep(upkeep: Upkeep) -> None:
+    """Renew no more; the lease runs out by itself."""
+    upkeep.stopped = True
+    if upkeep.renewal is not None and upkeep.renewal.active():
+        upkeep.renewal.cancel()
+
+
 async def renew_once(context: EntryContext) -> None:
     """Ask for the lease, taking newer configuration first where there is any."""
     for _ in range(2):
--- a/src/waxwingwell/adapters/entry/whole.py
+++ b/src/waxwingwell/adapters/entry/whole.py
@@ -138,16 +138,22 @@
         return make_call(work, path=CHAT_PATH, body=body, traceparent=traceparent)
 
     excluded: frozenset[UpstreamId] = frozenset()
+    ran = False
     while True:
-        choice = await place_request(context, placements, work, version, excluded)
-        check_dispatch(context, work, version)
+        try:
+            choice = await place_request(context, placements, work, version, excluded)
+            check_dispatch(context, work, version)
+        except Problem as problem:
+            raise correct_outcome(problem, ran=ran) from problem
+
         assert_dispatch(context, work, version)
         try:
             response = await run_attempt(context, work, choice.upstream, build, span)
             data = await _read_body(context, response, choice.upstream)
         except AttemptError as error:
+            ran |= error.may_have_run
             excluded |= {choice.upstream}
-            check_retry(context, error, repeatable=True)
+            check_retry(context, error, repeatable=True, ran=ran)
             continue
 
         if response.code != 200:
@@ -156,17 +162,32 @@
         return _read_answer(context, data, version, choice.upstream)
 
 
+def correct_outcome(problem: Problem, *, ran: bool) -> Problem:
+    """Return the problem with an outcome that is true of all attempts so far.
+
+    Failure guarded against: an engine takes the request and falls silent, no other
+    is free, and the refusal for want of a place says "not run" of work that ran.
+    """
+    if not ran or problem.outcome is not OutcomeKind.NOT_RUN:
+        return problem
+
+    return replace(problem, outcome=OutcomeKind.FAILED)
+
+
 def check_retry(
-    context: EntryContext, error: AttemptError, *, repeatable: bool
+    context: EntryContext, error: AttemptError, *, repeatable: bool, ran: bool = False
 ) -> None:
-    """Return if one more attempt is safe and within the budget, or raise."""
+    """Return if one more attempt is safe and within the budget, or raise.
+
+    ``ran`` tells whether an earlier attempt may have run.
+    """
     state = DispatchState.SENT if error.may_have_run else DispatchState.NOT_SENT
     safe = is_retry_safe(repeatable, state)
     if safe and may_retry(context.budget, context.clock()):
         context.metrics.count("retries", 1)
         return
 
-    if not error.may_have_run:
+    if not error.may_have_run and not ran:
         outcome = OutcomeKind.NOT_RUN
     elif repeatable:
         outcome = OutcomeKind.FAILED
--- /dev/null
+++ b/tests/adapters/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the entry."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/adapters/entry/test_chats.py
@@ -0,0 +1,97 @@
+"""Chat requests are checked as a whole, with the place of every fault."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from waxwingwell.adapters.entry.chats import ChatHeaders
+from waxwingwell.adapters.entry.chats import make_upstream_body
+from waxwingwell.adapters.entry.chats import read_chat
+from waxwingwell.adapters.entry.replies import Problem
+from waxwingwell.records import Priority
+from waxwingwell.records import VersionId
+from waxwingwell.records import WorkKind
+from waxwingwell.records import WorkspaceConfig
+from waxwingwell.records import WorkspaceId
+
+
+CONFIG = WorkspaceConfig(
+    workspace=WorkspaceId("w"),
+    revision=1,
+    allowed=(VersionId("a@1"),),
+    kinds=(
+        WorkKind("question", Priority.QUESTION, 0.7),
+        WorkKind("report", Priority.REPORT, 0.8),
+    ),
+)
+MESSAGES = '"messages":[{"role":"user","content":"hi"}]'
+
+BAD = (
+    ("not JSON", "{", ("(whole)",)),
+    ("not an object", "[]", ("(whole)",)),
+    ("no messages", "{}", ("messages",)),
+    ("empty messages", '{"messages":[]}', ("messages",)),
+    ("no role", '{"messages":[{"content":"x"}]}', ("messages.0.role",)),
+    (
+        "two faults at once",
+        '{"messages":[{"role":""}],"max_tokens":0}',
+        ("messages.0.role", "max_tokens"),
+    ),
+    ("stream no flag", "{" + MESSAGES + ',"stream":"maybe"}', ("stream",)),
+)
+
+
+def read(body: str, headers: ChatHeaders = ChatHeaders()) -> object:  # noqa: B008
+    """Read a chat at a fixed place and deadline."""
+    return read_chat(body.encode(), headers, CONFIG, data_centre="d", deadline=9.0)
+
+
+class ReadChatTest(unittest.TestCase):
+    """Good and bad bodies."""
+
+    def test_bad_bodies_name_every_place(self) -> None:
+        for name, body, places in BAD:
+            with self.subTest(name):
+                with self.assertRaises(Problem) as caught:
+                    read(body)
+
+                problem = caught.exception
+                self.assertEqual(problem.status, 400)
+                self.assertEqual(tuple(f.place for f in problem.findings), places)
+
+    def test_unknown_kind_names_the_known(self) -> None:
+        with self.assertRaises(Problem) as caught:
+            read("{" + MESSAGES + "}", ChatHeaders(kind="poem"))
+
+        self.assertIn("question, report", caught.exception.message)
+
+    def test_fields_reach_the_engine(self) -> None:
+        body = "{" + MESSAGES + ',"temperature":0.5,"session":"s","stream":true}'
+        chat = read_chat(
+            body.encode(), ChatHeaders(), CONFIG, data_centre="d", deadline=9.0
+        )
+        sent = msgspec.json.decode(make_upstream_body(chat, "a@1"))
+        self.assertEqual(sent["temperature"], 0.5)
+        self.assertEqual(sent["model"], "a@1")
+        self.assertNotIn("session", sent)
+        self.assertTrue(sent["stream_options"]["include_usage"])
+
+    def test_prefixes_grow_with_the_prompt(self) -> None:
+        first = '{"messages":[{"role":"user","content":"%s"}]}' % ("a" * 3000)
+        chat = read_chat(
+            first.encode(), ChatHeaders(), CONFIG, data_centre="d", deadline=9.0
+        )
+        longer = read_chat(
+            first.replace("aaa", "aaa", 1).replace('a"}', 'abb"}').encode(),
+            ChatHeaders(),
+            CONFIG,
+            data_centre="d",
+            deadline=9.0,
+        )
+        shared = set(chat.work.prefixes) & set(longer.work.prefixes)
+        self.assertEqual(len(shared), 2)
+        self.assertEqual(
+            list(chat.work.prefix_tokens), sorted(chat.work.prefix_tokens, reverse=True)
+        )
--- /dev/null
+++ b/tests/adapters/test_links.py
@@ -0,0 +1,144 @@
+"""Links: calls, loss, silence, bad bytes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from tests.standins.support import AsyncTestCase
+from waxwingwell.adapters.bodies import Body
+from waxwingwell.adapters.exceptions import LinkDownError
+from waxwingwell.adapters.exceptions import LinkLostError
+from waxwingwell.adapters.links import LinkHandlers
+from waxwingwell.adapters.links import LinkNode
+from waxwingwell.adapters.links import LinkProtocol
+from waxwingwell.adapters.links import LinkTiming
+from waxwingwell.messages import AskInForce
+from waxwingwell.messages import Drain
+from waxwingwell.messages import InForce
+from waxwingwell.messages import Message
+
+
+TIMING = LinkTiming(beat=0.5, silent=2.0)
+
+
+class FakeTransport(StringTransport):
+    """A transport in memory that tells whether it was aborted."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Accept the option."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.aborted = True
+
+
+def get_result(answer: Deferred[Any]) -> Any:
+    """Return what a Deferred has fired with, or the error it failed with."""
+    results: list[Any] = []
+    answer.addCallbacks(results.append, lambda failure: results.append(failure.value))
+    return results[0] if results else None
+
+
+class LinkTest(AsyncTestCase):
+    """Two ends over memory, on a test clock."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.casts: list[Any] = []
+        self.near = self.make_end("near")
+        self.far = self.make_end("far")
+
+    def make_end(self, name: str) -> LinkProtocol:
+        def take_call(sender: str, body: Any) -> Deferred[Message]:
+            return succeed(InForce(in_force=body.config_version == 7))
+
+        node = LinkNode(
+            name=name,
+            reactor=self.clock,
+            handlers=LinkHandlers(
+                take_call=take_call,
+                take_cast=lambda sender, body: self.casts.append((sender, body)),
+                body_type=Body,
+            ),
+            timing=TIMING,
+        )
+        end = LinkProtocol(node)
+        transport: Any = FakeTransport()  # type: ignore[no-untyped-call]
+        end.makeConnection(transport)  # type: ignore[no-untyped-call]
+        return end
+
+    def pass_bytes(self) -> None:
+        """Carry what each end wrote to the other."""
+        for source, target in ((self.near, self.far), (self.far, self.near)):
+            transport: Any = source.transport
+            data = transport.value()
+            transport.clear()
+            target.dataReceived(data)
+
+    def test_call_is_answered(self) -> None:
+        answer = self.near.call(AskInForce(config_version=7), timeout=1.0)
+        self.pass_bytes()
+        self.pass_bytes()
+        self.assertEqual(get_result(answer), InForce(in_force=True))
+
+    def test_cast_names_its_sender(self) -> None:
+        self.pass_bytes()
+        self.near.cast(Drain())
+        self.pass_bytes()
+        self.assertEqual(self.casts, [("near", Drain())])
+
+    def test_call_lost_with_its_connection(self) -> None:
+        # A leader dies between commit and answer. The caller must learn that the
+        # call may have run, not that it failed.
+        answer = self.near.call(AskInForce(config_version=7), timeout=1.0)
+        self.near.connectionLost()
+        self.assertIsInstance(get_result(answer), LinkLostError)
+
+    def test_call_without_answer_in_time(self) -> None:
+        answer = self.near.call(AskInForce(config_version=7), timeout=1.0)
+        self.clock.advance(1.0)
+        self.assertIsInstance(get_result(answer), LinkLostError)
+
+    def test_late_answer_is_dropped(self) -> None:
+        answer = self.near.call(AskInForce(config_version=7), timeout=1.0)
+        self.clock.advance(1.0)
+        self.assertIsInstance(get_result(answer), LinkLostError)
+        self.pass_bytes()
+        self.pass_bytes()
+
+    def test_silence_replaces_the_connection(self) -> None:
+        # Something between the ends has lost track of an open connection: nothing
+        # arrives, no error comes. Without heartbeats both ends wait for good.
+        for _ in range(5):
+            self.clock.advance(0.5)
+
+        transport: Any = self.near.transport
+        self.assertTrue(transport.aborted)
+
+    def test_heartbeats_keep_it(self) -> None:
+        for _ in range(20):
+            self.clock.advance(0.5)
+            self.pass_bytes()
+
+        transport: Any = self.near.transport
+        self.assertFalse(transport.aborted)
+
+    def test_slow_reader_gets_no_more_calls(self) -> None:
+        self.near.pauseProducing()
+        answer = self.near.call(AskInForce(config_version=7), timeout=1.0)
+        self.assertIsInstance(get_result(answer), LinkDownError)
+
+    def test_bad_bytes_end_the_connection(self) -> None:
+        cases = (b"\xc1", b"GET / HTTP/1.1\r\n", b"\x81\xa4type\xa4Nope", b"\x91\x01")
+        for data in cases:
+            with self.subTest(data):
+                end = self.make_end("x")
+                end.dataReceived(data)
+                transport: Any = end.transport
+                self.assertTrue(transport.aborted)
