Part the logs of members in the random run, and check what a lease holder holds

The run now splits members anew while every self-styled leader is written to, ends processes amid writes, and checks that a lease holder has applied all that was committed; the lease's start and the commit rule have named tests.

--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -107,15 +108,15 @@
     clock_offset: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, order=True)
 class Packet:
-    """A message under way."""
+    """A message under way; packets order by time, then by sending."""
 
     due: float
     order: int
-    sender: str
-    target: str
-    message: ConsensusMessage
+    sender: str = field(compare=False)
+    target: str = field(compare=False)
+    message: ConsensusMessage = field(compare=False)
 
 
 @dataclass(slots=True)
@@ -129,12 +130,13 @@
     now: float = 1000.0
     nodes: dict[str, Node] = field(default_factory=dict)
     packets: list[Packet] = field(default_factory=list)
+    """A heap by the time they are due."""
     cut: set[tuple[str, str]] = field(default_factory=set)
     loss: float = 0.0
     doubling: float = 0.0
     delay: tuple[float, float] = (0.001, 0.005)
     sent: int = 0
-    watch: Callable[[Cluster], None] | None = None
+    watch: Callable[[Cluster, Node], None] | None = None
     watch_message: Callable[[Cluster, ConsensusMessage], None] | None = None
 
 
@@ -143,7 +145,7 @@
     *,
     seed: int = 1,
     timing: Timing = FAST,
-    watch: Callable[[Cluster], None] | None = None,
+    watch: Callable[[Cluster, Node], None] | None = None,
 ) -> Cluster:
     """Start a cluster of empty members that found a group."""
     names = tuple(f"control-{number}" for number in range(1, size + 1))
@@ -211,7 +213,7 @@
         cluster.sent += 1
         due = cluster.now + cluster.random.uniform(*cluster.delay)
         packet = Packet(due, cluster.sent, sender, target, message)
-        cluster.packets.append(packet)
+        heapq.heappush(cluster.packets, packet)
 
 
 def crash(cluster: Cluster, name: str) -> None:
@@ -243,13 +245,8 @@
 def step(cluster: Cluster, seconds: float = STEP) -> None:
     """Move the time, deliver what is due, tick and flush."""
     end = cluster.now + seconds
-    while True:
-        due = [packet for packet in cluster.packets if packet.due <= end]
-        if not due:
-            break
-
-        packet = min(due, key=lambda one: (one.due, one.order))
-        cluster.packets.remove(packet)
+    while cluster.packets and cluster.packets[0].due <= end:
+        packet = heapq.heappop(cluster.packets)
         cluster.now = max(cluster.now, packet.due)
         deliver(cluster, packet)
 
@@ -266,7 +263,7 @@
 
     if node.frozen:
         packet.due = cluster.now + STEP
-        cluster.packets.append(packet)
+        heapq.heappush(cluster.packets, packet)
         return
 
     receive_message(node.group, packet.sender, packet.message, clock(cluster, node))
@@ -292,13 +289,8 @@
     except CrashError:
         node.group = None
 
-    look(cluster)
-
-
-def look(cluster: Cluster) -> None:
-    """Let the test check what must always hold."""
     if cluster.watch is not None:
-        cluster.watch(cluster)
+        cluster.watch(cluster, node)
 
 
 def run_for(cluster: Cluster, seconds: float) -> None:
--- a/tests/state/consensus/properties.py
+++ b/tests/state/consensus/properties.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from tests.state.consensus.fakes import clock
 from tests.state.consensus.fakes import lease_holders
 from waxwingwell.state.consensus.log import entry_at
 from waxwingwell.state.consensus.log import last_index
@@ -16,6 +17,7 @@
 from waxwingwell.state.consensus.records import Entry
 from waxwingwell.state.consensus.records import Role
 from waxwingwell.state.consensus.records import name_of
+from waxwingwell.state.group import leads
 
 
 if TYPE_CHECKING:
@@ -43,17 +45,32 @@
     checked: dict[str, int] = field(default_factory=dict)
 
 
-def watch_cluster(record: Record, cluster: Cluster) -> None:
-    """Raise ``AssertionError`` if any property is broken now."""
+def watch_node(record: Record, cluster: Cluster, node: Node) -> None:
+    """Raise ``AssertionError`` if ``node``, which has just acted, breaks a property.
+
+    Nobody else can have come to break one: the others' state is as it was, and by
+    time alone a lease can only end.
+    """
+    if node.group is None:
+        return
+
+    check_applied(record, node)
+    check_committed(record, node.group.replica)
+    check_leader(record, node.group.replica)
+    if not leads(node.group, clock(cluster, node)):
+        return
+
     holders = lease_holders(cluster)
-    assert len(holders) <= 1, f"two lease holders: {holders}"
-    for node in cluster.nodes.values():
-        if node.group is None:
-            continue
+    assert len(holders) == 1, f"two lease holders: {holders}"
+    check_newest(record, node)
+
 
-        check_applied(record, node)
-        check_committed(record, node.group.replica)
-        check_leader(record, node.group.replica)
+def check_newest(record: Record, node: Node) -> None:
+    """Whoever holds the lease has applied all that was ever committed."""
+    assert node.group is not None
+    replica = node.group.replica
+    newest = max(record.committed, default=0)
+    assert replica.applied >= newest, f"{node.name} leads and lacks entry {newest}"
 
 
 def check_applied(record: Record, node: Node) -> None:
--- a/tests/state/consensus/randomised.py
+++ b/tests/state/consensus/randomised.py
@@ -34,8 +34,9 @@
 from tests.state.consensus.fakes import start_node
 from tests.state.consensus.properties import Record
 from tests.state.consensus.properties import check_logs
-from tests.state.consensus.properties import watch_cluster
 from tests.state.consensus.properties import watch_message
+from tests.state.consensus.properties import watch_node
+from waxwingwell.state.consensus.records import Role
 from waxwingwell.state.group import Committed
 from waxwingwell.state.group import transfer_leadership
 
@@ -70,7 +71,7 @@
         """Found a group; clocks differ in rate and in offset."""
         cluster = make_cluster(self.size, seed=seed, timing=self.timing)
         self.cluster = cluster
-        cluster.watch = lambda one: watch_cluster(self.record, one)
+        cluster.watch = lambda one, node: watch_node(self.record, one, node)
         cluster.watch_message = lambda one, message: watch_message(
             self.record, one, message
         )
@@ -82,7 +83,7 @@
             node.clock_offset = cluster.random.uniform(0, 1000)
             start_node(cluster, node.name)
 
-        cluster.watch = lambda one: watch_cluster(self.record, one)
+        cluster.watch = lambda one, node: watch_node(self.record, one, node)
 
     def nodes(self) -> list[Node]:
         """Return all members in order."""
@@ -113,18 +114,60 @@
         run_for(self.world(), seconds)
         self.check()
 
-    @rule(count=st.integers(1, 40), number=st.integers(0, 19), seconds=TIMES)
-    def write(self, count: int, number: int, seconds: float) -> None:
-        """Propose commands at some member, leader or not."""
-        node = self.pick(number)
-        if node.group is None or node.frozen:
-            return
+    def write(self, count: int) -> None:
+        """Propose commands at every member that thinks it leads, and at one more."""
+        chosen = {node.name for node in self.nodes() if thinks_it_leads(node)}
+        chosen.add(self.world().random.choice(self.world().names))
+        for name in sorted(chosen):
+            node = self.world().nodes[name]
+            if node.group is None or node.frozen:
+                continue
+
+            for _ in range(count):
+                command = b"%d" % len(self.proposed)
+                self.proposed[command] = put(self.world(), name, command)
+
+    @rule(count=st.integers(1, 40), seconds=TIMES)
+    def write_and_run(self, count: int, seconds: float) -> None:
+        """Propose commands and let the members run."""
+        self.write(count)
+        run_for(self.world(), seconds)
+        self.check()
 
-        for _ in range(count):
-            command = b"%d" % len(self.proposed)
-            self.proposed[command] = put(self.world(), node.name, command)
+    @rule(rounds=st.integers(2, 8))
+    def part_and_write(self, rounds: int) -> None:
+        """Let logs part: other sides each time, with writes to every leader."""
+        world = self.world()
+        for _ in range(rounds):
+            one = tuple(name for name in world.names if world.random.random() < 0.5)
+            partition(world, one, tuple(n for n in world.names if n not in one))
+            self.write(world.random.randint(1, 12))
+            run_for(world, world.random.choice((STEP, 0.1, 0.5, 1.5)))
+            self.write(world.random.randint(1, 3))
+            run_for(world, world.random.choice((STEP, 0.5, 1.5)))
+
+        heal(world)
+        self.check()
 
-        run_for(self.world(), seconds)
+    @rule(rounds=st.integers(2, 8))
+    def kill_and_write(self, rounds: int) -> None:
+        """End processes amid their writes, and start them again soon."""
+        world = self.world()
+        for _ in range(rounds):
+            self.write(world.random.randint(1, 12))
+            node = world.nodes[world.random.choice(world.names)]
+            node.disk.crash = world.random.choice(("before", "after"))
+            run_for(world, world.random.choice((STEP, 0.1, 0.5, 1.5)))
+            if node.group is None:
+                start_node(world, node.name)
+
+        self.check()
+
+    @rule()
+    def mend_all(self) -> None:
+        """End all faults for a while, so that the next ones find a working group."""
+        mend(self.world())
+        run_for(self.world(), 2.0)
         self.check()
 
     @rule(number=st.integers(0, 19), seconds=TIMES)
@@ -272,6 +315,11 @@
             start_node(cluster, node.name)
 
 
+def thinks_it_leads(node: Node) -> bool:
+    """Return whether a member takes proposals, lease or not."""
+    return node.group is not None and node.group.replica.role is Role.LEADER
+
+
 def in_step(cluster: Cluster) -> bool:
     """Return whether all members have applied the same commands."""
     states = [commands(cluster, name) for name in cluster.names]
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -6,6 +6,7 @@
 
 from tests.state.consensus.fakes import STEP
 from tests.state.consensus.fakes import Cluster
+from tests.state.consensus.fakes import Packet
 from tests.state.consensus.fakes import await_leader
 from tests.state.consensus.fakes import await_voters
 from tests.state.consensus.fakes import commands
@@ -21,8 +22,14 @@
 from tests.state.consensus.fakes import run_until
 from tests.state.consensus.fakes import start_node
 from tests.state.consensus.fakes import step
+from waxwingwell.state.consensus.log import last_index
+from waxwingwell.state.consensus.messages import AppendAnswer
 from waxwingwell.state.consensus.messages import RequestVote
+from waxwingwell.state.consensus.records import EntryKind
 from waxwingwell.state.consensus.records import Role
+from waxwingwell.state.consensus.replica import append_entry
+from waxwingwell.state.consensus.replica import set_term
+from waxwingwell.state.consensus.replication import advance_commit
 from waxwingwell.state.group import Committed
 from waxwingwell.state.group import NotLeading
 from waxwingwell.state.group import ProposalLost
@@ -321,6 +328,50 @@
         heal(cluster)
         self.assertGreater(term_of(group_of(cluster, await_leader(cluster))), 1)
 
+    def test_the_lease_counts_from_the_sending(self) -> None:
+        """The followers' answers are late, and the leader is cut off meanwhile.
+
+        The followers' promise runs from when they heard the leader. Counting from
+        the late answer, the leader would act on after another was elected.
+        """
+        cluster, leader, others = make_settled()
+        group = group_of(cluster, leader)
+        cluster.delay = (2 * STEP, 2 * STEP)
+        run_until(cluster, lambda: bool(answers_to(cluster, leader)))
+        late = answers_to(cluster, leader)
+        partition(cluster, (leader,), tuple(others))
+        run_for(cluster, cluster.timing.election_min)
+        for packet in late:
+            receive_message(group, packet.sender, packet.message, cluster.now)
+
+        self.assertFalse(leads(group, cluster.now))
+
+    def test_an_entry_of_a_former_term_is_not_committed_by_count(self) -> None:
+        """A change reaches a majority only under the next leader.
+
+        A member with a later term's entry could still win and overwrite it, so that
+        it may count as accepted only with an entry of the leader's own term.
+        """
+        cluster, leader, _others = make_settled()
+        replica = group_of(cluster, leader).replica
+        commit = replica.commit
+        append_entry(replica, EntryKind.COMMAND, b"old")
+        old = last_index(replica.log)
+        replica.durable = old
+        set_term(replica, replica.term + 1, replica.member)
+        for progress in replica.progress.values():
+            progress.match = old
+
+        advance_commit(replica)
+        self.assertEqual(replica.commit, commit)
+        append_entry(replica, EntryKind.COMMAND, b"own")
+        replica.durable = old + 1
+        for progress in replica.progress.values():
+            progress.match = old + 1
+
+        advance_commit(replica)
+        self.assertEqual(replica.commit, old + 1)
+
     def test_a_removed_member_is_told_and_stops(self) -> None:
         """An operator removes a member whose process is down; it starts again.
 
@@ -412,6 +463,15 @@
     )
 
 
+def answers_to(cluster: Cluster, leader: str) -> list[Packet]:
+    """Return the followers' answers that are on their way."""
+    return [
+        packet
+        for packet in cluster.packets
+        if packet.target == leader and isinstance(packet.message, AppendAnswer)
+    ]
+
+
 def held(cluster: Cluster, name: str) -> list[bytes]:
     """Return what the entries on a member's disk hold."""
     return [entry.data for entry in cluster.nodes[name].disk.loaded.entries]
