--- a/src/waxwingwell/state/group.py
+++ b/src/waxwingwell/state/group.py
@@ -278,10 +278,14 @@
 ) -> None:
     """Put a command to the log; ``done`` is called once, during a flush at latest."""
     replica = group.replica
-    if group.halted or replica.role is not Role.LEADER or replica.transfer is not None:
+    if group.halted or replica.role is not Role.LEADER:
         done(NotLeading(leader_of(group)))
         return
 
+    if replica.transfer is not None:
+        done(NotLeading(name_of(replica.transfer.target)))
+        return
+
     index = append_entry(replica, EntryKind.COMMAND, command)
     group.pending[index] = Pending(replica.term, done)
 
