--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -234,8 +234,9 @@
     bench, leader = start_all(folder, NAMES)
     done: list[object] = []
     propose(leader, bytes(size), done.append, time.monotonic())
-    for _ in range(Timing().snapshot_entries):
-        propose(leader, b"x", done.append, time.monotonic())
+    weight = max(size, Timing().snapshot_bytes) // len(COMMAND)
+    for _ in range(weight + 1):
+        propose(leader, COMMAND, done.append, time.monotonic())
 
     run_until(bench, lambda: leader.replica.snapshot is not None)
     lost = next(name for name in NAMES if name != leader.replica.name)
--- a/src/waxwingwell/state/consensus/records.py
+++ b/src/waxwingwell/state/consensus/records.py
@@ -89,10 +89,8 @@
     batch_bytes: int = 1 << 20
     window_entries: int = 4096
     """Entries sent to a member and not yet answered."""
-    snapshot_entries: int = 10_000
-    """Applied entries after which the log is compacted."""
-    snapshot_bytes: int = 16 << 20
-    """Or so many bytes of commands, or the last snapshot's size if larger."""
+    snapshot_bytes: int = 4 << 20
+    """Log after which it is compacted, or the last snapshot's size if larger."""
     snapshot_tail: int = 1_000
     """Entries kept before a snapshot, for members that are a little behind."""
     repair: bool = True
--- a/src/waxwingwell/state/consensus/replica.py
+++ b/src/waxwingwell/state/consensus/replica.py
@@ -96,6 +96,8 @@
     unwritten_from: int = 1
     """Entries from here on differ from what the store holds."""
     snapshot_dirty: bool = False
+    snapshot_staged: bool = False
+    """The snapshot's data is durable already; only its use is not."""
     machine_stale: bool = False
     """A received snapshot must be given to the machine."""
 
--- a/src/waxwingwell/state/consensus/snapshots.py
+++ b/src/waxwingwell/state/consensus/snapshots.py
@@ -25,22 +25,29 @@
     from .replica import Replica
 
 
-def take_snapshot(replica: Replica, data: bytes) -> None:
-    """Let ``data`` stand for the applied entries, and drop all but a tail of them."""
+def make_snapshot(replica: Replica, data: bytes) -> Snapshot:
+    """Return a snapshot in which ``data`` stands for the applied entries."""
     index = replica.applied
     term = term_at(replica.log, index)
     check(term is not None, "the applied entry is held", member=replica.member)
     membership, membership_index = membership_at(replica, index)
-    replica.snapshot = Snapshot(
+    return Snapshot(
         index=index,
         term=term or 0,
         membership=membership,
         membership_index=membership_index,
         data=data,
     )
+
+
+def use_snapshot(replica: Replica, snapshot: Snapshot) -> None:
+    """Let a snapshot whose data is durable replace all but a tail of its entries."""
+    log = replica.log
+    replica.snapshot = snapshot
     replica.snapshot_dirty = True
-    base = max(replica.log.base_index, index - replica.timing.snapshot_tail)
-    compact_log(replica.log, base, term_at(replica.log, base) or 0)
+    replica.snapshot_staged = True
+    base = max(log.base_index, snapshot.index - replica.timing.snapshot_tail)
+    compact_log(log, base, term_at(log, base) or 0)
 
 
 def membership_at(replica: Replica, index: int) -> tuple[Membership, int]:
@@ -105,6 +112,7 @@
     replica.unwritten_from = max(replica.unwritten_from, snapshot.index + 1)
     replica.snapshot = snapshot
     replica.snapshot_dirty = True
+    replica.snapshot_staged = False
     replica.machine_stale = True
     replica.commit = snapshot.index
     membership, index = membership_at(replica, last_index(log))
--- /dev/null
+++ b/src/waxwingwell/state/group_changes.py
@@ -0,0 +1,97 @@
+"""Changes of a group that operators ask for: hand-over and membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .consensus.membership import change_membership
+from .consensus.membership import may_change
+from .consensus.membership import with_learner
+from .consensus.membership import with_voter
+from .consensus.membership import without_member
+from .consensus.records import Role
+from .consensus.records import name_of
+from .consensus.replica import Transfer
+from .consensus.replica import leader_name
+from .exceptions import InvalidMemberError
+from .group_records import NotLeading
+from .group_records import Pending
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .consensus.records import Membership
+    from .group_records import Group
+    from .group_records import ProposalOutcome
+
+
+def leader_of(group: Group) -> str:
+    """Return the name of the leader as far as known, or the empty string."""
+    return leader_name(group.replica)
+
+
+def transfer_leadership(group: Group, target: str, now: float) -> bool:
+    """Begin to hand leadership to the voter named ``target``; False if we can't.
+
+    Proposals are answered with ``NotLeading`` from now on. If the target hasn't
+    taken over within an election timeout, we step down.
+    """
+    replica = group.replica
+    voters = [one for one in replica.membership.voters if name_of(one) == target]
+    if group.halted or replica.role is not Role.LEADER or not voters:
+        return False
+
+    if voters[0] == replica.member or replica.transfer is not None:
+        return False
+
+    deadline = now + replica.timing.election_max
+    replica.transfer = Transfer(target=voters[0], deadline=deadline)
+    return True
+
+
+def change_group(
+    group: Group,
+    membership: Membership,
+    done: Callable[[ProposalOutcome], None],
+) -> None:
+    """Begin a membership change, or answer ``NotLeading`` if it can't begin now."""
+    replica = group.replica
+    if group.halted or not may_change(replica):
+        done(NotLeading(leader_of(group)))
+        return
+
+    index = change_membership(replica, membership)
+    group.pending[index] = Pending(replica.term, done)
+
+
+def add_learner(
+    group: Group, member_id: str, done: Callable[[ProposalOutcome], None], now: float
+) -> None:
+    """Add a member that receives the log and doesn't vote."""
+    change_group(group, with_learner(group.replica.membership, member_id), done)
+
+
+def promote_learner(
+    group: Group, member_id: str, done: Callable[[ProposalOutcome], None], now: float
+) -> None:
+    """Let a learner vote; the leader does so by itself once it has caught up."""
+    membership = group.replica.membership
+    if member_id not in membership.learners:
+        raise InvalidMemberError(f"{member_id} is not a learner")
+
+    change_group(group, with_voter(membership, member_id), done)
+
+
+def remove_member(
+    group: Group, member_id: str, done: Callable[[ProposalOutcome], None], now: float
+) -> None:
+    """Remove a member's id for good."""
+    membership = group.replica.membership
+    if member_id not in membership.voters + membership.learners:
+        raise InvalidMemberError(f"{member_id} is not a member")
+
+    if membership.voters == (member_id,):
+        raise InvalidMemberError(f"{member_id} is the only voter")
+
+    change_group(group, without_member(membership, member_id), done)
--- /dev/null
+++ b/src/waxwingwell/state/group_flush.py
@@ -0,0 +1,274 @@
+"""The turn of a group: one durable write, then messages, then the machine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from .consensus.checks import InvariantError
+from .consensus.checks import check
+from .consensus.log import entry_at
+from .consensus.log import last_index
+from .consensus.records import EntryKind
+from .consensus.records import HardState
+from .consensus.records import Role
+from .consensus.records import name_of
+from .consensus.replication import advance_commit
+from .consensus.replication import leave_if_removed
+from .consensus.replication import replicate
+from .consensus.snapshots import make_snapshot
+from .consensus.snapshots import use_snapshot
+from .exceptions import StorageError
+from .group_records import Committed
+from .group_records import ProposalLost
+from .storage import Batch
+from .storage import Piece
+from .storage import count_pieces
+from .storage import cut_piece
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .consensus.records import Snapshot
+    from .group_records import Group
+
+
+ENTRY_BYTES = 64
+"""About what an entry takes beside its command."""
+
+
+def flush_group(group: Group, now: float) -> None:
+    """Make all since the last flush durable in one write, then send and apply."""
+    if group.halted:
+        return
+
+    replica = group.replica
+    if replica.role is Role.LEADER:
+        replicate(replica, now)
+
+    if not write_changes(group):
+        return
+
+    with_invariants(group, lambda: take_effect(group, now))
+
+
+def needs_flush(group: Group) -> bool:
+    """Return whether a flush would do anything."""
+    replica = group.replica
+    return not group.halted and (
+        bool(replica.outbox)
+        or replica.hard_state_dirty
+        or replica.snapshot_dirty
+        or group.staging is not None
+        or replica.unwritten_from <= last_index(replica.log)
+        or replica.applied < replica.commit
+    )
+
+
+def write_changes(group: Group) -> bool:
+    """Write what changed; on failure halt and return False."""
+    replica = group.replica
+    batch = collect_batch(group)
+    if batch is None:
+        return True
+
+    try:
+        group.store.write(batch)
+    except StorageError as error:
+        halt(group, str(error))
+        return False
+
+    group.staged_parts += batch.piece is not None
+    replica.hard_state_dirty = False
+    replica.snapshot_dirty = False
+    replica.durable = last_index(replica.log)
+    replica.unwritten_from = replica.durable + 1
+    return True
+
+
+def collect_batch(group: Group) -> Batch | None:
+    """Return what the store lacks, or None."""
+    replica = group.replica
+    log = replica.log
+    piece = next_piece(group)
+    entries_dirty = replica.unwritten_from <= last_index(log)
+    if not (
+        replica.hard_state_dirty
+        or replica.snapshot_dirty
+        or entries_dirty
+        or piece is not None
+    ):
+        return None
+
+    first = replica.unwritten_from
+    return Batch(
+        hard_state=HardState(replica.term, replica.voted_for)
+        if replica.hard_state_dirty
+        else None,
+        first=first if entries_dirty or replica.snapshot_dirty else None,
+        entries=tuple(log.entries[first - log.base_index - 1 :]),
+        piece=piece,
+        snapshot=replica.snapshot if replica.snapshot_dirty else None,
+        staged=replica.snapshot_staged,
+        base_index=log.base_index,
+        base_term=log.base_term,
+    )
+
+
+def halt(group: Group, reason: str) -> None:
+    """Stop for good: what is in memory may differ from what is on the disk.
+
+    Failure: the disk is full or a sync failed. After that no answer may rest on
+    what is in memory, so nothing queued leaves, leadership is given up and the
+    process must be started anew, which reads what is truly on the disk.
+    """
+    replica = group.replica
+    group.halted = reason
+    replica.outbox.clear()
+    replica.role = Role.FOLLOWER
+    replica.leader = ""
+    replica.progress.clear()
+    logger.error("consensus: group {} stopped: {}", replica.group, reason)
+    settle_lost(group)
+
+
+def with_invariants(group: Group, step: Callable[[], None]) -> None:
+    """Run a step; if it breaks an invariant, stop promising anything for good."""
+    try:
+        step()
+    except InvariantError as error:
+        halt(group, str(error))
+        raise
+
+    settle_lost(group)
+
+
+def settle_lost(group: Group) -> None:
+    """Tell proposers whose commit we can't watch any more."""
+    replica = group.replica
+    if not group.pending:
+        return
+
+    lost = [
+        index
+        for index, pending in group.pending.items()
+        if replica.role is not Role.LEADER or pending.term != replica.term
+    ]
+    for index in lost:
+        group.pending.pop(index).done(ProposalLost())
+
+
+def take_effect(group: Group, now: float) -> None:
+    """Send and apply what is durable now."""
+    replica = group.replica
+    advance_commit(replica)
+    outbox, replica.outbox = replica.outbox, []
+    for message in outbox:
+        group.send(name_of(message.target), message)
+
+    restore_machine(group)
+    apply_committed(group)
+    leave_if_removed(replica, now)
+    compact_if_due(group)
+    report_expelled(group)
+
+
+def restore_machine(group: Group) -> None:
+    """Give a received snapshot, which is durable now, to the machine."""
+    replica = group.replica
+    if not replica.machine_stale or replica.snapshot is None:
+        return
+
+    group.machine.restore(replica.snapshot.data)
+    replica.applied = replica.snapshot.index
+    replica.machine_stale = False
+    group.bytes_since_snapshot = 0
+    group.staging = None
+
+
+def apply_committed(group: Group) -> None:
+    """Apply what is committed and held durably, in order and without a gap."""
+    replica = group.replica
+    while replica.applied < min(replica.commit, replica.durable):
+        index = replica.applied + 1
+        check(
+            index > replica.log.base_index,
+            "entries are applied without a gap",
+            member=replica.member,
+        )
+        apply_entry(group, index)
+
+
+def apply_entry(group: Group, index: int) -> None:
+    """Apply one entry and tell its proposer."""
+    replica = group.replica
+    entry = entry_at(replica.log, index)
+    result = b""
+    if entry.kind is EntryKind.COMMAND:
+        result = group.machine.apply(index, entry.data)
+
+    group.bytes_since_snapshot += len(entry.data) + ENTRY_BYTES
+    replica.applied = index
+    pending = group.pending.pop(index, None)
+    if pending is None:
+        return
+
+    same = pending.term == entry.term
+    pending.done(Committed(index, result) if same else ProposalLost())
+
+
+def compact_if_due(group: Group) -> None:
+    """Begin a snapshot once the log since the last one outweighs it.
+
+    So the log on the disk, and the time to read it at a start, stay below about
+    twice the state, and a large state isn't written anew for a few commands.
+    """
+    replica = group.replica
+    if group.staging is not None:
+        finish_snapshot(group, group.staging)
+        return
+
+    last = len(replica.snapshot.data) if replica.snapshot else 0
+    if group.bytes_since_snapshot < max(replica.timing.snapshot_bytes, last):
+        return
+
+    group.staging = make_snapshot(replica, group.machine.save())
+    group.staged_parts = 0
+    group.bytes_since_snapshot = 0
+
+
+def finish_snapshot(group: Group, snapshot: Snapshot) -> None:
+    """Take a snapshot into use once all its pieces are durable."""
+    if group.staged_parts < count_pieces(snapshot):
+        return
+
+    use_snapshot(group.replica, snapshot)
+    group.staging = None
+
+
+def next_piece(group: Group) -> Piece | None:
+    """Return the next part of the snapshot that is being written.
+
+    Failure: a state of 30 MB takes the disk 0.4 s in one write, the leader's lease
+    runs out and each snapshot costs a fail-over. In pieces a flush stays short.
+    """
+    if group.staging is None or group.staged_parts >= count_pieces(group.staging):
+        return None
+
+    return cut_piece(group.staging, group.staged_parts)
+
+
+def report_expelled(group: Group) -> None:
+    """Log once that this member is out of the group."""
+    replica = group.replica
+    if not replica.expelled or group.told_expelled:
+        return
+
+    group.told_expelled = True
+    logger.error(
+        "consensus: {} was removed from group {}; empty its data folder to rejoin",
+        replica.member,
+        replica.group,
+    )
--- /dev/null
+++ b/src/waxwingwell/state/group_records.py
@@ -0,0 +1,73 @@
+"""One member of a group as a record, and the outcomes of proposals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from .consensus.messages import ConsensusMessage
+from .consensus.records import Snapshot
+from .consensus.replica import Replica
+from .storage import Store
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """Closures over the state that the log drives; all must be deterministic.
+
+    ``apply(index, command)`` returns the command's outcome, ``save()`` the whole
+    state, ``restore(data)`` replaces it by a saved one.
+    """
+
+    apply: Callable[[int, bytes], bytes]
+    save: Callable[[], bytes]
+    restore: Callable[[bytes], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """The command is durable on a majority and applied here."""
+
+    index: int
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalLost:
+    """The outcome is unknown; the command may still be committed."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeading:
+    """The command did not run; ``leader`` is the name to ask, if known."""
+
+    leader: str
+
+
+ProposalOutcome = Committed | ProposalLost | NotLeading
+
+
+@dataclass(slots=True)
+class Pending:
+    """A proposal that awaits its commit."""
+
+    term: int
+    done: Callable[[ProposalOutcome], None]
+
+
+@dataclass(slots=True, kw_only=True)
+class Group:
+    """A member of a group; ``halted`` tells why it stopped, if it did."""
+
+    replica: Replica
+    store: Store
+    machine: Machine
+    send: Callable[[str, ConsensusMessage], None]
+    pending: dict[int, Pending] = field(default_factory=dict)
+    bytes_since_snapshot: int = 0
+    staging: Snapshot | None = None
+    """A snapshot that is being written, piece after piece."""
+    staged_parts: int = 0
+    halted: str = ""
+    told_expelled: bool = False
--- a/src/waxwingwell/state/storage.py
+++ b/src/waxwingwell/state/storage.py
@@ -32,6 +32,8 @@
 GROUP_ID = re.compile(r"[a-z0-9][a-z0-9-]*")
 BUSY_SECONDS = 0.2
 """How long to wait for a former process of the same member to let go."""
+PIECE_BYTES = 256 << 10
+PIECES_DROPPED = 3
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS marker (
     id INTEGER PRIMARY KEY CHECK (id = 1),
@@ -49,9 +51,18 @@
 );
 CREATE TABLE IF NOT EXISTS snapshot (
     id INTEGER PRIMARY KEY CHECK (id = 1),
-    data BLOB NOT NULL,
+    place INTEGER NOT NULL,
+    parts INTEGER NOT NULL,
+    header BLOB NOT NULL,
     checksum INTEGER NOT NULL
 );
+CREATE TABLE IF NOT EXISTS piece (
+    place INTEGER NOT NULL,
+    part INTEGER NOT NULL,
+    data BLOB NOT NULL,
+    checksum INTEGER NOT NULL,
+    PRIMARY KEY (place, part)
+);
 CREATE TABLE IF NOT EXISTS entry (
     place INTEGER PRIMARY KEY,
     term INTEGER NOT NULL,
@@ -62,6 +73,15 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Part of the data of the snapshot at an index, written ahead of its use."""
+
+    index: int
+    part: int
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Batch:
     """What one sync makes durable; None means unchanged."""
@@ -71,7 +91,10 @@
     first: int | None = None
     """Held entries from here on are replaced by ``entries``."""
     entries: tuple[Entry, ...] = ()
+    piece: Piece | None = None
     snapshot: Snapshot | None = None
+    staged: bool = False
+    """The snapshot's pieces were all written before."""
     base_index: int = 0
     """With a snapshot: entries up to here are dropped."""
     base_term: int = 0
@@ -185,17 +208,59 @@
         row = (state.term, state.voted_for)
         database.execute("REPLACE INTO hard_state VALUES (1, ?, ?)", row)
 
+    if batch.piece is not None:
+        write_piece(database, batch.piece)
+        drop_old_pieces(database)
+
     if batch.snapshot is None:
         return
 
-    data = msgspec.msgpack.encode(batch.snapshot)
-    snapshot_row = (data, zlib.crc32(data))
-    database.execute("REPLACE INTO snapshot VALUES (1, ?, ?)", snapshot_row)
+    write_snapshot(database, batch.snapshot, staged=batch.staged)
     base = (batch.base_index, batch.base_term)
     database.execute("REPLACE INTO base VALUES (1, ?, ?)", base)
     database.execute("DELETE FROM entry WHERE place <= ?", (batch.base_index,))
 
 
+def count_pieces(snapshot: Snapshot) -> int:
+    """Return in how many pieces a snapshot's data is stored."""
+    return -(-len(snapshot.data) // PIECE_BYTES)
+
+
+def cut_piece(snapshot: Snapshot, part: int) -> Piece:
+    """Return one piece of a snapshot's data."""
+    start = part * PIECE_BYTES
+    return Piece(snapshot.index, part, snapshot.data[start : start + PIECE_BYTES])
+
+
+def write_piece(database: sqlite3.Connection, piece: Piece) -> None:
+    """Write one piece; a former try at the same snapshot may have left one."""
+    row = (piece.index, piece.part, piece.data, zlib.crc32(piece.data))
+    database.execute("REPLACE INTO piece VALUES (?, ?, ?, ?)", row)
+
+
+def drop_old_pieces(database: sqlite3.Connection) -> None:
+    """Drop a few pieces that no snapshot uses; all at once would take long."""
+    database.execute(
+        "DELETE FROM piece WHERE rowid IN (SELECT rowid FROM piece WHERE place <"
+        " (SELECT place FROM snapshot) LIMIT ?)",
+        (PIECES_DROPPED,),
+    )
+
+
+def write_snapshot(
+    database: sqlite3.Connection, snapshot: Snapshot, *, staged: bool
+) -> None:
+    """Put a snapshot into use; its pieces are written here unless they are staged."""
+    parts = count_pieces(snapshot)
+    if not staged:
+        for part in range(parts):
+            write_piece(database, cut_piece(snapshot, part))
+
+    header = msgspec.msgpack.encode(msgspec.structs.replace(snapshot, data=b""))
+    row = (snapshot.index, parts, header, zlib.crc32(header))
+    database.execute("REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?)", row)
+
+
 def write_entries(database: sqlite3.Connection, batch: Batch) -> None:
     """Replace the end of the log."""
     if batch.first is None:
@@ -243,14 +308,34 @@
 
 def read_snapshot(database: sqlite3.Connection, path: Path) -> Snapshot | None:
     """Read the snapshot and check its checksum."""
-    row = database.execute("SELECT data, checksum FROM snapshot").fetchone()
+    row = database.execute("SELECT * FROM snapshot").fetchone()
     if row is None:
         return None
 
-    if zlib.crc32(row[0]) != row[1]:
+    _, place, parts, header, stored = row
+    if zlib.crc32(header) != stored:
         raise CorruptStorageError(f"{path}: the snapshot's checksum is wrong")
 
-    return msgspec.msgpack.decode(row[0], type=Snapshot)
+    snapshot = msgspec.msgpack.decode(header, type=Snapshot)
+    data = read_pieces(database, place, parts, path)
+    return msgspec.structs.replace(snapshot, data=data)
+
+
+def read_pieces(
+    database: sqlite3.Connection, place: int, parts: int, path: Path
+) -> bytes:
+    """Read a snapshot's data and check that all of it is there."""
+    rows = database.execute(
+        "SELECT data, checksum FROM piece WHERE place = ? AND part < ? ORDER BY part",
+        (place, parts),
+    ).fetchall()
+    if len(rows) < parts:
+        raise CorruptStorageError(f"{path}: a piece of the snapshot is missing")
+
+    if any(zlib.crc32(data) != stored for data, stored in rows):
+        raise CorruptStorageError(f"{path}: the checksum of a piece is wrong")
+
+    return b"".join(data for data, _ in rows)
 
 
 def read_entries(
--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -38,7 +38,7 @@
 logger.disable("waxwingwell.state")
 
 STEP = 0.02
-FAST = Timing(snapshot_entries=50, snapshot_tail=5, batch_entries=8, window_entries=24)
+FAST = Timing(snapshot_bytes=3000, snapshot_tail=5, batch_entries=8, window_entries=24)
 
 
 class CrashError(Exception):
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -9,6 +9,8 @@
 import unittest
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from tests.state.consensus.fakes import Node
 from tests.state.consensus.fakes import make_machine
 from waxwingwell.state.consensus.records import Entry
@@ -28,6 +30,8 @@
 from waxwingwell.state.storage import Batch
 from waxwingwell.state.storage import Loaded
 from waxwingwell.state.storage import Store
+from waxwingwell.state.storage import count_pieces
+from waxwingwell.state.storage import cut_piece
 from waxwingwell.state.storage import open_store
 
 
@@ -76,10 +80,30 @@
         self.assertEqual((loaded.base_index, loaded.base_term), (2, 1))
         self.assertEqual(loaded.entries, ENTRIES[2:])
 
+    def test_a_snapshot_in_pieces_counts_once_it_is_used(self) -> None:
+        """The process ends between two pieces of a snapshot.
+
+        The former snapshot and the entries after it must still be there; a restart
+        on half a state would lose accepted changes.
+        """
+        self.write_all()
+        self.store.write(Batch(snapshot=SNAPSHOT, base_index=2, base_term=1))
+        big = replace(SNAPSHOT, index=5, data=random.Random(1).randbytes(700_000))
+        for part in range(count_pieces(big)):
+            self.store.write(Batch(piece=cut_piece(big, part)))
+            self.assertEqual(self.reopen().snapshot, SNAPSHOT)
+
+        self.store.write(Batch(snapshot=big, staged=True, base_index=4, base_term=1))
+        self.assertEqual(self.reopen().snapshot, big)
+        self.assertEqual(self.store.load().entries, ENTRIES[4:])
+
     def test_damage_is_found_at_the_start(self) -> None:
         cases = (
             ("gap", "DELETE FROM entry WHERE place = 3", "entry 3 is missing"),
             ("entry", "UPDATE entry SET data = x'00' WHERE place = 2", "of entry 2"),
+            ("piece", "UPDATE piece SET data = x'00'", "checksum of a piece"),
+            ("pieces", "DELETE FROM piece", "piece of the snapshot is missing"),
+            ("header", "UPDATE snapshot SET checksum = 1", "snapshot's checksum"),
             ("marker", "DELETE FROM marker", "without the member id"),
             ("term", "UPDATE hard_state SET term = 0", "later term"),
         )
@@ -89,6 +113,7 @@
                 store = open_store(folder, "main")
                 store.write(Batch(member="a~1", hard_state=HardState(1, "a")))
                 store.write(Batch(first=1, entries=ENTRIES))
+                store.write(Batch(snapshot=SNAPSHOT, base_index=1, base_term=1))
                 store.close()
                 database = sqlite3.connect(folder / "main.sqlite")
                 database.execute(damage)
@@ -189,7 +214,7 @@
             store=self.store,
             machine=make_machine(node),
             send=lambda target, message: None,
-            timing=Timing(snapshot_entries=80, snapshot_tail=10),
+            timing=Timing(snapshot_bytes=5000, snapshot_tail=10),
             random=random.Random(1),
             now=1.0,
             bootstrap=True,
