--- a/src/waxwingwell/state/consensus/snapshots.py
+++ b/src/waxwingwell/state/consensus/snapshots.py
@@ -66,8 +66,14 @@
 def send_snapshot(
     replica: Replica, member: str, progress: Progress, now: float
 ) -> None:
-    """Queue the snapshot, unless one is on its way."""
-    if now < progress.snapshot_sent_at + replica.timing.snapshot_retry:
+    """Queue the snapshot, unless one is on its way.
+
+    An answer to a later message means that it was lost, as streams keep the order;
+    a member back from a partition needn't wait for the retry.
+    """
+    retry_at = progress.snapshot_sent_at + replica.timing.snapshot_retry
+    lost = progress.acknowledged_at > progress.snapshot_sent_at
+    if now < retry_at and not lost:
         return
 
     snapshot = replica.snapshot
--- a/tests/state/consensus/properties.py
+++ b/tests/state/consensus/properties.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from tests.state.consensus.fakes import clock
 from tests.state.consensus.fakes import lease_holders
 from waxwingwell.state.consensus.log import entry_at
@@ -15,6 +18,8 @@
 from waxwingwell.state.consensus.messages import RequestVote
 from waxwingwell.state.consensus.messages import VoteAnswer
 from waxwingwell.state.consensus.records import Entry
+from waxwingwell.state.consensus.records import EntryKind
+from waxwingwell.state.consensus.records import Membership
 from waxwingwell.state.consensus.records import Role
 from waxwingwell.state.consensus.records import name_of
 from waxwingwell.state.group import leads
@@ -138,6 +143,21 @@
             known = record.seen.setdefault((index, entry.term), value)
             assert known == value, f"{node.name} has another log at {index}"
 
+        check_memberships(node.name, [e for e in log.entries if is_membership(e)])
+
+
+def is_membership(entry: Entry) -> bool:
+    """Return whether an entry sets the members."""
+    return entry.kind is EntryKind.MEMBERSHIP
+
+
+def check_memberships(name: str, entries: list[Entry]) -> None:
+    """Check that one voter at most comes or goes at a time."""
+    decode = msgspec.msgpack.Decoder(Membership).decode
+    voters = [set(decode(entry.data).voters) for entry in entries]
+    for before, after in pairwise(voters):
+        assert len(before ^ after) <= 1, f"{name} changed two voters at once"
+
 
 def watch_message(record: Record, cluster: Cluster, message: ConsensusMessage) -> None:
     """No message promises more than its sender has synced."""
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -101,6 +101,49 @@
         self.assertEqual(len(membership.voters), 3)
         self.assertEqual(commands(cluster, second), [b"a", b"b"])
 
+    def test_an_emptied_member_votes_only_with_the_whole_log(self) -> None:
+        """A VM comes back empty while the group holds hundreds of changes.
+
+        If it voted at once, the next loss would stop progress until it has caught
+        up, and a majority of nearly empty disks would be one loss away.
+        """
+        cluster, leader, (second, _) = make_settled()
+        for number in range(300):
+            put(cluster, leader, b"%d" % number)
+
+        run_for(cluster, 1.0)
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        member = group_of(cluster, second).replica.member
+        run_until(cluster, lambda: votes_somewhere(cluster, member))
+        self.assertGreaterEqual(len(commands(cluster, second)), 300)
+
+    def test_a_member_left_behind_learns_the_members_by_snapshot(self) -> None:
+        """A VM is cut off while another's disk is replaced and the log compacted.
+
+        The entry that changed the members is gone when it is back. With the former
+        members it would ask a dead id for its vote, and count it in its majority.
+        """
+        cluster, leader, (second, third, *rest) = make_settled(5)
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        member = group_of(cluster, second).replica.member
+        replica = group_of(cluster, leader).replica
+        run_until(cluster, lambda: member in replica.membership.learners)
+        partition(cluster, (third,), (leader, second, *rest))
+        run_until(cluster, lambda: member in replica.membership.voters)
+        for number in range(300):
+            put(cluster, leader, b"%d" % number)
+
+        run_for(cluster, 1.0)
+        self.assertNotEqual(
+            group_of(cluster, third).replica.membership, replica.membership
+        )
+        heal(cluster)
+        run_for(cluster, 2.0)
+        wanted = replica.membership
+        self.assertEqual(group_of(cluster, third).replica.membership, wanted)
+
     def test_a_second_disk_is_lost_right_after_a_repair(self) -> None:
         """One disk is lost and repaired; at once another VM loses its own.
 
@@ -391,6 +434,38 @@
         self.assertTrue(group_of(cluster, second).replica.expelled)
         self.assertEqual(len(group.replica.membership.voters), 2)
 
+    def test_a_removed_member_that_runs_stays_out(self) -> None:
+        """An operator removes a member that is running and healthy.
+
+        It must not ask its way back in, as an emptied one does.
+        """
+        cluster, leader, (second, _) = make_settled()
+        group = group_of(cluster, leader)
+        former = group_of(cluster, second).replica.member
+        remove_member(group, former, lambda outcome: None, cluster.now)
+        run_for(cluster, 5.0)
+        self.assertTrue(group_of(cluster, second).replica.expelled)
+        self.assertNotIn(former, group.replica.membership.voters)
+        self.assertNotIn(former, group.replica.membership.learners)
+
+    def test_a_new_leader_changes_no_members_before_its_own_entry(self) -> None:
+        """An operator removes a member just as leadership changes.
+
+        A change begun before the term's first entry is committed may meet one of the
+        former leader's, and two majorities without a common member decide apart.
+        """
+        cluster, leader, others = make_settled()
+        crash(cluster, leader)
+        cluster.delay = (2 * STEP, 2 * STEP)
+        run_until(cluster, lambda: any(elected(cluster, name) for name in others))
+        fresh = next(name for name in others if elected(cluster, name))
+        group = group_of(cluster, fresh)
+        self.assertLess(group.replica.commit, group.replica.first_of_term)
+        outcomes: list[object] = []
+        member = group_of(cluster, others[0]).replica.member
+        remove_member(group, member, outcomes.append, cluster.now)
+        self.assertEqual(outcomes, [NotLeading(fresh)])
+
 
 class StorageFailureTest(unittest.TestCase):
     """Disks that refuse."""
@@ -463,6 +538,11 @@
     )
 
 
+def elected(cluster: Cluster, name: str) -> bool:
+    """Return whether a member leads a term, with or without the lease."""
+    return group_of(cluster, name).replica.role is Role.LEADER
+
+
 def answers_to(cluster: Cluster, leader: str) -> list[Packet]:
     """Return the followers' answers that are on their way."""
     return [
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import os
 import random
 import resource
 import sqlite3
+import stat
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from msgspec.structs import replace
 
@@ -30,11 +33,14 @@
 from waxwingwell.state.storage import Batch
 from waxwingwell.state.storage import Loaded
 from waxwingwell.state.storage import Store
+from waxwingwell.state.storage import connect
 from waxwingwell.state.storage import count_pieces
 from waxwingwell.state.storage import cut_piece
 from waxwingwell.state.storage import open_store
 
 
+FULL = 2
+"""SQLite's number for ``synchronous=FULL``."""
 ENTRIES = tuple(Entry(1, EntryKind.COMMAND, b"%d" % number) for number in range(5))
 SNAPSHOT = Snapshot(3, 1, Membership(("a",)), 1, b"state")
 
@@ -174,6 +180,27 @@
 
         self.assertEqual(self.reopen(), before)
 
+    def test_every_commit_is_synced_and_so_is_the_folder(self) -> None:
+        """Power is lost right after a promise.
+
+        Without the sync of the file the promise is gone; without that of the folder
+        the file itself is, and the member starts as if it had promised nothing.
+        """
+        synced: list[bool] = []
+
+        def note(descriptor: int) -> None:
+            synced.append(stat.S_ISDIR(os.fstat(descriptor).st_mode))
+
+        with mock.patch("waxwingwell.state.storage.os.fsync", note):
+            open_store(self.folder, "third").close()
+
+        self.assertEqual(synced, [True, True])
+        database = connect(self.folder / "fourth.sqlite")
+        self.addCleanup(database.close)
+        (level,) = database.execute("PRAGMA synchronous").fetchone()
+        self.assertEqual(level, FULL)
+        self.assertFalse((self.folder / "fourth.sqlite-shm").exists())
+
     def test_a_second_process_is_turned_away(self) -> None:
         self.write_all()
         with self.assertRaisesRegex(StorageError, "locked"):
