Let one member go on alone after most disks are lost

An operator's last resort; the term jumps by 1,000 so that orders outrank those of the lost members.

--- /dev/null
+++ b/src/waxwingwell/state/recovery.py
@@ -0,0 +1,99 @@
+"""The last resort: let one member go on alone when most disks are lost.
+
+Never used by itself; an operator decides, see docs/operations/lost-disk.md.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .consensus.log import Log
+from .consensus.log import last_index
+from .consensus.log import last_term
+from .consensus.membership import without_member
+from .consensus.records import Entry
+from .consensus.records import EntryKind
+from .consensus.records import HardState
+from .consensus.records import Membership
+from .exceptions import InvalidMemberError
+from .storage import Batch
+
+
+if TYPE_CHECKING:
+    from .storage import Loaded
+    from .storage import Store
+
+
+TERM_JUMP = 1000
+"""By so much the term moves, past any that the lost members may have reached.
+
+Failure: engines refuse orders whose fencing number is below the highest they saw.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """What a member's disk holds; of several, keep the greatest by term and index."""
+
+    member: str
+    last_term: int
+    last_index: int
+    voters: tuple[str, ...]
+
+
+def describe_store(store: Store) -> Held:
+    """Return what a store holds; raise ``InvalidMemberError`` if it has no group."""
+    loaded = store.load()
+    membership = read_membership(loaded)
+    if not membership.voters:
+        raise InvalidMemberError("the data folder holds no group")
+
+    log = read_log(loaded)
+    return Held(loaded.member, last_term(log), last_index(log), membership.voters)
+
+
+def keep_alone(store: Store) -> Held:
+    """Make the store's member the only one; it leads once it is started.
+
+    All that its disk holds counts as accepted then. The other voters must be
+    emptied before they start again: they join it as new ones. Learners stay.
+    """
+    held = describe_store(store)
+    loaded = store.load()
+    membership = read_membership(loaded)
+    for other in membership.voters:
+        if other != held.member:
+            membership = without_member(membership, other)
+
+    alone = Membership(
+        voters=(held.member,),
+        learners=tuple(one for one in membership.learners if one != held.member),
+        removed=membership.removed,
+    )
+    term = loaded.hard_state.term + TERM_JUMP
+    entry = Entry(term, EntryKind.MEMBERSHIP, msgspec.msgpack.encode(alone))
+    store.write(
+        Batch(
+            hard_state=HardState(term, held.member),
+            first=held.last_index + 1,
+            entries=(entry,),
+        )
+    )
+    return describe_store(store)
+
+
+def read_log(loaded: Loaded) -> Log:
+    """Return the log as it is held in memory."""
+    return Log(loaded.base_index, loaded.base_term, list(loaded.entries))
+
+
+def read_membership(loaded: Loaded) -> Membership:
+    """Return the latest membership on the disk."""
+    for entry in reversed(loaded.entries):
+        if entry.kind is EntryKind.MEMBERSHIP:
+            return msgspec.msgpack.decode(entry.data, type=Membership)
+
+    return loaded.snapshot.membership if loaded.snapshot else Membership()
--- /dev/null
+++ b/tests/state/test_recovery.py
@@ -0,0 +1,67 @@
+"""One member goes on alone after most disks are lost."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.state.consensus.fakes import Disk
+from tests.state.consensus.fakes import await_leader
+from tests.state.consensus.fakes import await_voters
+from tests.state.consensus.fakes import commands
+from tests.state.consensus.fakes import crash
+from tests.state.consensus.fakes import group_of
+from tests.state.consensus.fakes import lease_holders
+from tests.state.consensus.fakes import lose_disk
+from tests.state.consensus.fakes import make_cluster
+from tests.state.consensus.fakes import open_fake_store
+from tests.state.consensus.fakes import put
+from tests.state.consensus.fakes import run_for
+from tests.state.consensus.fakes import start_node
+from waxwingwell.state.exceptions import InvalidMemberError
+from waxwingwell.state.group import term_of
+from waxwingwell.state.recovery import describe_store
+from waxwingwell.state.recovery import keep_alone
+
+
+class RecoveryTest(unittest.TestCase):
+    """Two disks of three are lost at once."""
+
+    def test_the_member_that_is_left_goes_on_with_all_it_holds(self) -> None:
+        """Two VMs lose their disks in one night; the third holds every change.
+
+        Nothing is accepted, as one of three is no majority. The person on call lets
+        the third go on alone, and the two empty ones join it by themselves.
+        """
+        cluster = make_cluster(3)
+        await_voters(cluster)
+        leader = await_leader(cluster)
+        for number in range(100):
+            put(cluster, leader, b"%d" % number)
+
+        run_for(cluster, 1.0)
+        term = term_of(group_of(cluster, leader))
+        others = [name for name in cluster.names if name != leader]
+        for name in others:
+            lose_disk(cluster, name)
+            start_node(cluster, name)
+
+        run_for(cluster, 5.0)
+        self.assertEqual(lease_holders(cluster), [])
+        crash(cluster, leader)
+        store = open_fake_store(cluster.nodes[leader].disk)
+        before = describe_store(store)
+        self.assertEqual(len(before.voters), 3)
+        kept = keep_alone(store)
+        self.assertEqual(kept.voters, (before.member,))
+        start_node(cluster, leader)
+        self.assertEqual(lease_holders(cluster), [leader])
+        self.assertGreater(term_of(group_of(cluster, leader)), term + 100)
+        await_voters(cluster)
+        run_for(cluster, 0.5)
+        wanted = [b"%d" % number for number in range(100)]
+        for name in cluster.names:
+            self.assertEqual(commands(cluster, name), wanted)
+
+    def test_an_empty_disk_has_nothing_to_go_on_with(self) -> None:
+        with self.assertRaisesRegex(InvalidMemberError, "holds no group"):
+            keep_alone(open_fake_store(Disk()))
