--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -11,10 +11,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import treq
 from loguru import logger
 from opentelemetry.trace import Span
 from twisted.internet.defer import Deferred
+from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
 from ...decisions.retries import may_retry
@@ -144,7 +144,7 @@
         return End.CUT
 
     if response.code != 200:
-        data = await treq.content(response)
+        data = await readBody(response)
         end_attempt(context, run.upstream, failed=response.code >= 500)
         raise make_upstream_problem(response.code, data)
 
--- a/src/waxwingwell/adapters/entry/upstream_client.py
+++ b/src/waxwingwell/adapters/entry/upstream_client.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import treq
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectError
 from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.error import TimeoutError as ConnectTimeoutError
@@ -15,6 +16,8 @@
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
 
 
 if TYPE_CHECKING:
@@ -41,6 +44,29 @@
         self.may_have_run = may_have_run
 
 
+@implementer(IBodyProducer)
+class BytesProducer:
+    """A request body that is in memory already."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write the whole body at once."""
+        consumer.write(self.body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything has been written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything has been written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything has been written."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamClient:
     """Two ways to reach an upstream, both without silent retries.
@@ -112,14 +138,11 @@
     client = context.client
     agent = client.reused if call.repeatable else client.fresh
     url = f"http://{row.announcement.host}:{row.announcement.port}{call.path}"
-    asked = treq.request(
-        call.method,
-        url,
-        headers=_make_headers(call),
-        data=call.body or None,
-        agent=agent,
-        unbuffered=True,
-        allow_redirects=False,
+    # Not through treq: it parses and encodes each address anew, which took a third
+    # of a whole request's processor time (docs/design/streams.md).
+    producer = BytesProducer(call.body) if call.body else None
+    asked = agent.request(
+        call.method.encode(), url.encode(), _make_headers(call), producer
     )
     asked.addTimeout(limit, context.reactor)
     try:
--- a/src/waxwingwell/commands/rollout.py
+++ b/src/waxwingwell/commands/rollout.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ..adapters.admin_client import fetch_view
-from ..adapters.admin_views import ConfigView
 from ..answers.generation import PACES
 from ..answers.models import Pace
 from ..messages import RegisterVersion
@@ -22,6 +21,7 @@
 from .changes import OPERATOR
 from .changes import make_change
 from .changes import make_change_id
+from .connection import fetch_config
 from .connection import open_client
 from .exits import ExitCode
 from .exits import leave
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from ..adapters.admin_client import AdminClient
+    from ..adapters.admin_views import ConfigView
     from ..records import Rollout
 
 
@@ -74,11 +75,10 @@
         leave(ExitCode.BAD_INPUT, f"pace: {pace!r} is none of {', '.join(Pace)}")
 
     client = open_client()
-    view = fetch_config(client)
     change = StartRollout(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        expected_revision=choose_revision(client, name_rollout(str(model)), revision),
         at=time.time(),
         model=str(model),
         candidate=VersionId(str(candidate)),
@@ -107,7 +107,7 @@
     change = StepRollout(
         change_id=make_change_id(),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_rollout(str(model)), revision),
+        expected_revision=choose_revision(client, name_rollout(str(model)), revision),
         at=time.time(),
         model=str(model),
         stage=find_rollout(view, str(model)).stage,
@@ -126,11 +126,10 @@
 ) -> None:
     """Withdraw a version at once, or with ``--graceful`` let its sessions end."""
     client = open_client()
-    view = fetch_config(client)
     change = WithdrawVersion(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_version(str(version)), revision),
+        expected_revision=choose_revision(client, name_version(str(version)), revision),
         at=time.time(),
         version=VersionId(str(version)),
         graceful=graceful,
@@ -172,21 +171,20 @@
     change = RegisterVersion(
         change_id=make_change_id(str(change_id)),
         operator=OPERATOR,
-        expected_revision=choose_revision(view, name_version(name), revision),
+        expected_revision=choose_revision(client, name_version(name), revision),
         at=time.time(),
         spec=spec,
     )
     make_change(client, change, wait=wait)
 
 
-def fetch_config(client: AdminClient) -> ConfigView:
-    """Return all configuration."""
-    return unwrap_or_leave(fetch_view(client, "/config", ConfigView))
-
-
-def choose_revision(view: ConfigView, subject: str, given: int) -> int:
+def choose_revision(client: AdminClient, subject: str, given: int) -> int:
     """Return the revision that a change is made on: as given, or as just read."""
-    return view.revisions.get(subject, 0) if given < 0 else int(given)
+    if given >= 0:
+        return int(given)
+
+    revisions = unwrap_or_leave(fetch_view(client, "/revisions", dict[str, int]))
+    return revisions.get(subject, 0)
 
 
 def find_rollout(view: ConfigView, model: str) -> Rollout:
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -11,19 +11,16 @@
 from typing import TYPE_CHECKING
 
 from ..records import VersionId
-from ..records import VersionStatus
 from ..records import WorkspaceConfig
+from .cascades import CascadeOption
 from .cascades import find_threshold
 from .eligibility import check_pinned
 from .eligibility import get_exposure
 from .eligibility import get_latency
-from .eligibility import get_share
-from .eligibility import get_standing
 from .eligibility import list_open
-from .eligibility import place_session
 from .evidence import CREDIT_CAP
 from .evidence import count_cell_outstanding
-from .evidence import count_outstanding
+from .offers import is_candidate_open
 from .quality import Estimate
 from .quality import estimate_escalated
 from .quality import estimate_quality
@@ -33,7 +30,6 @@
 
 
 if TYPE_CHECKING:
-    from ..records import Rollout
     from ..records import VersionSpec
     from .tables import Tables
 
@@ -46,8 +42,10 @@
 """Own ratings below which every answer is rated."""
 REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
-CASCADE_REACH = 0.25
-"""How far below the target a version may be and still open a cascade."""
+LATENCY_TOLL = 0.1
+"""Part of a cost that a cascade must save to make up for its second answer."""
+DOUBT_DEVIATIONS = 5.0
+"""The same for a version with few ratings, whose first ones may have been unlucky."""
 EXPLORE_CHANCE = 0.5
 EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
@@ -58,8 +56,8 @@
 DEBT_RAISE = 0.01
 """Rise of the target for each rating point of debt."""
 MOST_RAISE = 0.05
-RATING_SHARE = 0.02
-"""Share of an answer's cost for which a rating is always worth its price."""
+RATING_SHARE = 0.03
+"""Share of an answer's cost to spend on ratings, if exposure were all that counts."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -149,11 +147,12 @@
     Exposure is found as fast as answers are rated, so its weight sets the share;
     dear answers are rated more often, since a rating adds little to their cost.
     """
-    share = 0.05 + 0.15 * get_exposure(config)
+    exposure = get_exposure(config)
+    share = 0.05 + 0.15 * exposure
     if price <= 0.0:
         return share
 
-    return min(1.0, max(share, RATING_SHARE * cost / price))
+    return min(1.0, max(share, RATING_SHARE * exposure * cost / price))
 
 
 def get_explore_limit(
@@ -174,10 +173,15 @@
 
     rollout = tables.rollouts.get(tables.versions[version].model)
     watched = rollout is not None and rollout.candidate == version
+    estimate = estimate_quality(tables, work.workspace, work.kind.name, version)
     cost = _get_cost(tables.versions[version], work)
     share = get_sample_share(config, cost, tables.rating_price)
-    share = STOPPED_RATE if stopped else share
-    rate = watched or _draw_again(draw) < share
+    if stopped:
+        share = STOPPED_RATE
+    elif watched or estimate.rated < RATE_ALL_BELOW:
+        share = 1.0
+
+    rate = _draw_again(draw) < share
     return VersionChoice((version,), 0.0, rate, "the session keeps its version")
 
 
@@ -252,7 +256,7 @@
     their own, or else the best expected one, get work, and the caution is doubled.
     """
     careful = replace(case, caution=2.0 * case.caution + 1.0)
-    main = _find_main(careful)
+    main = _find_safest(careful)
     rate = _draw_again(draw) < STOPPED_RATE
     reason = "ratings have stopped: no exploring, no candidate, no cascade"
     return VersionChoice((main.version,), 0.0, rate, reason)
@@ -267,16 +271,30 @@
 
 
 def _find_main(case: _Case) -> _Option:
-    """Return the cheapest confident option, or else the most promising one."""
+    """Return the cheapest confident option, or else the most promising one.
+
+    Failure: the best version known misses the target, and a better but unknown one
+    never gets a request because caution counts against it. Its chances count here.
+    """
     for option in case.options:
         if _is_confident(case, option):
             return option
 
-    return max(case.options, key=lambda option: _bound_below(case, option))
+    return max(
+        case.options, key=lambda option: option.estimate.mean + option.estimate.error
+    )
+
 
+def _find_safest(case: _Case) -> _Option:
+    """Return the cheapest confident option, or else the one least likely to be bad."""
+    for option in case.options:
+        if _is_confident(case, option):
+            return option
 
-def _bound_below(case: _Case, option: _Option) -> float:
-    return option.estimate.mean - case.caution * option.estimate.error
+    return max(
+        case.options,
+        key=lambda option: option.estimate.mean - case.caution * option.estimate.error,
+    )
 
 
 def _find_explored(
@@ -311,12 +329,9 @@
     for what is known to miss the target and for what is known too well to surprise.
     """
     estimate = option.estimate
-    least = case.target
-    if _may_cascade(case.work) and estimate.rated < EXPLORE_OUTSTANDING:
-        least -= CASCADE_REACH
-
-    distance = (estimate.mean - least) / estimate.error
-    if distance < -REJECT_DEVIATIONS:
+    distance = (estimate.mean - case.target) / estimate.error
+    cutoff = REJECT_DEVIATIONS if estimate.rated >= LEAST_RATED else DOUBT_DEVIATIONS
+    if distance < -cutoff:
         return 0.0
 
     density = math.exp(-0.5 * distance * distance) / math.sqrt(2.0 * math.pi)
@@ -341,46 +356,67 @@
 def _find_cascade(
     tables: Tables, case: _Case, main: _Option, draw: float
 ) -> VersionChoice | None:
-    """Return the cascade that undercuts ``main``, if any."""
+    """Return the cascade that undercuts ``main``, if any.
+
+    Pairs are ranked with an optimistic mean of the cheap version: its answers are
+    rated before they are served, so that trying it costs little quality. The
+    threshold comes from the mean itself.
+    """
     work = case.work
     if not _may_cascade(work):
         return None
 
-    best = max(case.options, key=lambda option: option.estimate.mean)
-    least = main.cost / (1.0 + 0.5 * get_latency(case.config))
-    found: VersionChoice | None = None
-    for strong in {main.version: main, best.version: best}.values():
+    least = main.cost / (1.0 + LATENCY_TOLL * get_latency(case.config))
+    found: tuple[_Option, _Option, Estimate] | None = None
+    for strong in case.options:
+        if strong is not main and strong.estimate.mean < case.target:
+            continue
+
         escalated = estimate_escalated(
             tables, work.workspace, work.kind.name, strong.version, strong.estimate
         )
-        target = case.target + case.caution * strong.estimate.error
         for cheap in case.options:
             if cheap.cost + tables.rating_price >= least or cheap.cost >= strong.cost:
                 break
 
-            if cheap.estimate.rated < LEAST_RATED:
-                continue
-
-            option = find_threshold(
-                cheap.estimate,
-                escalated.mean,
-                cheap_cost=cheap.cost,
-                strong_cost=strong.cost,
-                rating_price=tables.rating_price,
-                target=target,
+            bright = replace(
+                cheap.estimate, mean=cheap.estimate.mean + cheap.estimate.error
             )
-            if option is None or option.cost >= least:
-                continue
-
-            least = option.cost
-            found = VersionChoice(
-                (cheap.version, strong.version),
-                option.threshold,
-                _draw_rate(tables, case, strong, escalated, draw),
-                "a cascade is expected to cost least",
+            option = _weigh_cascade(
+                tables, case, bright, escalated, (cheap.cost, strong.cost)
             )
+            if option is not None and option.cost < least:
+                least = option.cost
+                found = (cheap, strong, escalated)
+
+    if found is None:
+        return None
+
+    cheap, strong, escalated = found
+    option = _weigh_cascade(
+        tables, case, cheap.estimate, escalated, (cheap.cost, strong.cost)
+    )
+    threshold = option.threshold if option else escalated.mean
+    rate = _draw_rate(tables, case, strong, escalated, draw)
+    reason = "a cascade is expected to cost least"
+    return VersionChoice((cheap.version, strong.version), threshold, rate, reason)
 
-    return found
+
+def _weigh_cascade(
+    tables: Tables,
+    case: _Case,
+    cheap: Estimate,
+    escalated: Estimate,
+    costs: tuple[float, float],
+) -> CascadeOption | None:
+    return find_threshold(
+        cheap,
+        escalated.mean,
+        cheap_cost=costs[0],
+        strong_cost=costs[1],
+        rating_price=tables.rating_price,
+        target=case.target + case.caution * escalated.error,
+    )
 
 
 def _offer_candidate(
@@ -394,7 +430,7 @@
         if rollout.incumbent not in choice.plan or case.work.model == rollout.incumbent:
             continue
 
-        if not _is_candidate_open(tables, case, rollout, now):
+        if not is_candidate_open(tables, case.config, case.work, rollout, now):
             continue
 
         plan = tuple(
@@ -407,23 +443,5 @@
     return choice
 
 
-def _is_candidate_open(
-    tables: Tables, case: _Case, rollout: Rollout, now: float
-) -> bool:
-    candidate = tables.versions.get(rollout.candidate)
-    if candidate is None or rollout.candidate not in case.config.allowed:
-        return False
-
-    if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
-        return False
-
-    if place_session(rollout, case.work) >= get_share(rollout, case.config):
-        return False
-
-    cap = min(rollout.pace.max_unrated, case.config.pace.max_unrated)
-    part = max(1, cap // max(1, tables.entries))
-    return count_outstanding(tables, rollout.candidate, now) < part
-
-
 def _draw_again(draw: float) -> float:
     return draw * SECOND_DRAW % 1.0
