--- a/src/waxwingwell/state/group.py
+++ b/src/waxwingwell/state/group.py
@@ -35,6 +35,8 @@
 from .exceptions import CorruptStorageError
 from .exceptions import InvalidMemberError
 from .group_changes import add_learner
+from .group_changes import allow_name
+from .group_changes import forbid_name
 from .group_changes import leader_of
 from .group_changes import promote_learner
 from .group_changes import remove_member
@@ -68,8 +70,10 @@
     "ProposalLost",
     "ProposalOutcome",
     "add_learner",
+    "allow_name",
     "confirm_read",
     "flush_group",
+    "forbid_name",
     "leader_of",
     "leads",
     "members_of",
--- a/src/waxwingwell/state/group_changes.py
+++ b/src/waxwingwell/state/group_changes.py
@@ -10,6 +10,7 @@
 from .consensus.membership import with_voter
 from .consensus.membership import without_member
 from .consensus.records import Role
+from .consensus.records import check_name
 from .consensus.records import name_of
 from .consensus.replica import Transfer
 from .consensus.replica import leader_name
@@ -84,14 +85,41 @@
 
 
 def remove_member(
-    group: Group, member_id: str, done: Callable[[ProposalOutcome], None], now: float
+    group: Group, member: str, done: Callable[[ProposalOutcome], None], now: float
 ) -> None:
-    """Remove a member's id for good."""
+    """Remove a member, given by id or by name, for good."""
     membership = group.replica.membership
-    if member_id not in membership.voters + membership.learners:
-        raise InvalidMemberError(f"{member_id} is not a member")
+    member_id = find_member(membership, member)
+    if not member_id:
+        raise InvalidMemberError(f"{member} is not a member")
 
     if membership.voters == (member_id,):
-        raise InvalidMemberError(f"{member_id} is the only voter")
+        raise InvalidMemberError(f"{member} is the only voter")
 
     change_group(group, without_member(membership, member_id), done)
+
+
+def find_member(membership: Membership, member: str) -> str:
+    """Return the id of a member given by id or by name, or the empty string."""
+    for known in membership.voters + membership.learners:
+        if member in (known, name_of(known)):
+            return known
+
+    return ""
+
+
+def allow_name(group: Group, name: str) -> None:
+    """Let an empty member of that name join while this process runs.
+
+    The settings' names are allowed from the start. Each member that may lead must
+    be told, as it is the leader that takes a member in.
+    """
+    check_name(name)
+    if name not in group.replica.names:
+        group.replica.names += (name,)
+
+
+def forbid_name(group: Group, name: str) -> None:
+    """Let no member of that name join any more."""
+    names = group.replica.names
+    group.replica.names = tuple(known for known in names if known != name)
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -6,6 +6,7 @@
 
 from tests.state.consensus.fakes import STEP
 from tests.state.consensus.fakes import Cluster
+from tests.state.consensus.fakes import Node
 from tests.state.consensus.fakes import Packet
 from tests.state.consensus.fakes import await_leader
 from tests.state.consensus.fakes import await_voters
@@ -33,7 +34,9 @@
 from waxwingwell.state.group import Committed
 from waxwingwell.state.group import NotLeading
 from waxwingwell.state.group import ProposalLost
+from waxwingwell.state.group import allow_name
 from waxwingwell.state.group import flush_group
+from waxwingwell.state.group import forbid_name
 from waxwingwell.state.group import leads
 from waxwingwell.state.group import receive_message
 from waxwingwell.state.group import remove_member
@@ -452,6 +455,35 @@
         self.assertTrue(group_of(cluster, second).replica.expelled)
         self.assertEqual(len(group.replica.membership.voters), 2)
 
+    def test_a_member_of_a_new_name_joins_once_it_is_allowed(self) -> None:
+        """Operators add a VM; its process starts before they told the group.
+
+        It must wait outside, as anyone with an address could ask, and then vote.
+        """
+        cluster, leader, _ = make_settled()
+        old = cluster.names
+        cluster.names = (*old, "control-0")
+        cluster.nodes["control-0"] = Node("control-0")
+        start_node(cluster, "control-0")
+        run_for(cluster, 2.0)
+        group = group_of(cluster, leader)
+        self.assertEqual(len(group.replica.membership.voters), 3)
+        for name in old:
+            allow_name(group_of(cluster, name), "control-0")
+
+        await_voters(cluster)
+        self.assertEqual(len(group.replica.membership.voters), 4)
+        run_for(cluster, 0.5)
+        forbid_name(group, "control-0")
+        outcomes: list[object] = []
+        remove_member(group, "control-0", outcomes.append, cluster.now)
+        run_for(cluster, 0.5)
+        self.assertIsInstance(outcomes[0], Committed)
+        lose_disk(cluster, "control-0")
+        start_node(cluster, "control-0")
+        run_for(cluster, 3.0)
+        self.assertEqual(len(group.replica.membership.voters), 3)
+
     def test_a_removed_member_that_runs_stays_out(self) -> None:
         """An operator removes a member that is running and healthy.
 
