--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -43,8 +43,8 @@
 from waxwingwell.state.group import propose
 from waxwingwell.state.group import receive_message
 from waxwingwell.state.group import tick_group
-from waxwingwell.state.storage import Batch
 from waxwingwell.state.storage import open_store
+from waxwingwell.state.storage_records import Batch
 
 
 if TYPE_CHECKING:
--- a/src/waxwingwell/commands/recover.py
+++ b/src/waxwingwell/commands/recover.py
@@ -22,7 +22,7 @@
     from collections.abc import Callable
 
     from ..state.recovery import Held
-    from ..state.storage import Store
+    from ..state.storage_records import Store
 
 
 GROUP_ID = "control"
--- a/src/waxwingwell/state/group.py
+++ b/src/waxwingwell/state/group.py
@@ -51,7 +51,7 @@
 from .group_records import Pending
 from .group_records import ProposalLost
 from .group_records import ProposalOutcome
-from .storage import Batch
+from .storage_records import Batch
 
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
     from collections.abc import Callable
 
     from .consensus.messages import ConsensusMessage
-    from .storage import Store
+    from .storage_records import Store
 
 
 __all__ = [
--- a/src/waxwingwell/state/group_flush.py
+++ b/src/waxwingwell/state/group_flush.py
@@ -22,10 +22,10 @@
 from .exceptions import StorageError
 from .group_records import Committed
 from .group_records import ProposalLost
-from .storage import Batch
-from .storage import Piece
-from .storage import count_pieces
-from .storage import cut_piece
+from .storage_records import Batch
+from .storage_records import Piece
+from .storage_records import count_pieces
+from .storage_records import cut_piece
 
 
 if TYPE_CHECKING:
--- a/src/waxwingwell/state/group_records.py
+++ b/src/waxwingwell/state/group_records.py
@@ -9,7 +9,7 @@
 from .consensus.messages import ConsensusMessage
 from .consensus.records import Snapshot
 from .consensus.replica import Replica
-from .storage import Store
+from .storage_records import Store
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingwell/state/recovery.py
+++ b/src/waxwingwell/state/recovery.py
@@ -19,12 +19,12 @@
 from .consensus.records import HardState
 from .consensus.records import Membership
 from .exceptions import InvalidMemberError
-from .storage import Batch
+from .storage_records import Batch
 
 
 if TYPE_CHECKING:
-    from .storage import Loaded
-    from .storage import Store
+    from .storage_records import Loaded
+    from .storage_records import Store
 
 
 TERM_JUMP = 1000
--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -26,9 +26,9 @@
 from waxwingwell.state.group import propose
 from waxwingwell.state.group import receive_message
 from waxwingwell.state.group import tick_group
-from waxwingwell.state.storage import Batch
-from waxwingwell.state.storage import Loaded
-from waxwingwell.state.storage import Store
+from waxwingwell.state.storage_records import Batch
+from waxwingwell.state.storage_records import Loaded
+from waxwingwell.state.storage_records import Store
 
 
 if TYPE_CHECKING:
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -30,13 +30,13 @@
 from waxwingwell.state.group import leads
 from waxwingwell.state.group import open_group
 from waxwingwell.state.group import propose
-from waxwingwell.state.storage import Batch
-from waxwingwell.state.storage import Loaded
-from waxwingwell.state.storage import Store
 from waxwingwell.state.storage import connect
-from waxwingwell.state.storage import count_pieces
-from waxwingwell.state.storage import cut_piece
 from waxwingwell.state.storage import open_store
+from waxwingwell.state.storage_records import Batch
+from waxwingwell.state.storage_records import Loaded
+from waxwingwell.state.storage_records import Store
+from waxwingwell.state.storage_records import count_pieces
+from waxwingwell.state.storage_records import cut_piece
 
 
 FULL = 2
