--- a/src/waxwingwell/state/consensus/dispatch.py
+++ b/src/waxwingwell/state/consensus/dispatch.py
@@ -8,6 +8,7 @@
 from .elections import receive_timeout_now
 from .elections import receive_vote_answer
 from .elections import receive_vote_request
+from .following import receive_append
 from .founding import is_empty
 from .founding import receive_probe
 from .founding import receive_probe_answer
@@ -31,7 +32,6 @@
 from .replica import become_follower
 from .replica import is_voter
 from .replication import leave_if_removed
-from .replication import receive_append
 from .replication import receive_append_answer
 from .replication import receive_snapshot_answer
 from .replication import send_heartbeats
--- a/src/waxwingwell/state/consensus/replication.py
+++ b/src/waxwingwell/state/consensus/replication.py
@@ -1,4 +1,4 @@
-"""Replication: the leader's sending, the followers' answers, the commit index."""
+"""Replication at the leader: sending, answers, and the committed index."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from .log import first_index_of_term
 from .log import last_index
 from .log import last_index_of_term
 from .log import read_batch
@@ -21,14 +20,11 @@
 from .replica import Progress
 from .replica import Replica
 from .replica import append_entry
-from .replica import append_received
 from .replica import become_follower
-from .replica import follow_leader
 from .replica import is_voter
 from .replica import leads_term
 from .replica import other_members
 from .replica import set_commit
-from .replica import truncate_entries
 from .snapshots import send_snapshot
 
 
@@ -156,95 +152,6 @@
     )
 
 
-def receive_append(replica: Replica, message: AppendEntries, now: float) -> None:
-    """Take entries from the leader of this term and answer."""
-    if message.term < replica.term:
-        answer_append(replica, message, success=False)
-        return
-
-    follow_leader(replica, message.sender, message.term, now)
-    if not holds_previous(replica, message):
-        answer_conflict(replica, message)
-        return
-
-    take_entries(replica, message)
-    match = message.previous_index + len(message.entries)
-    commit = min(message.commit, match)
-    if commit > replica.commit:
-        set_commit(replica, commit)
-
-    answer_append(replica, message, success=True, match=match)
-
-
-def holds_previous(replica: Replica, message: AppendEntries) -> bool:
-    """Return whether the entry before the batch is held with the same term."""
-    previous = message.previous_index
-    if previous <= replica.log.base_index or previous <= replica.commit:
-        return True
-
-    return term_at(replica.log, previous) == message.previous_term
-
-
-def take_entries(replica: Replica, message: AppendEntries) -> None:
-    """Append what is new; replace what another leader never committed."""
-    for offset, entry in enumerate(message.entries, start=1):
-        index = message.previous_index + offset
-        if index <= replica.log.base_index:
-            continue
-
-        held = term_at(replica.log, index)
-        if held == entry.term:
-            continue
-
-        if held is not None:
-            truncate_entries(replica, index)
-
-        append_received(replica, entry)
-
-
-def answer_conflict(replica: Replica, message: AppendEntries) -> None:
-    """Answer where the leader should go on: past a whole term at once."""
-    previous = message.previous_index
-    if previous > last_index(replica.log):
-        answer_append(
-            replica, message, success=False, conflict_index=last_index(replica.log) + 1
-        )
-        return
-
-    answer_append(
-        replica,
-        message,
-        success=False,
-        conflict_term=term_at(replica.log, previous) or 0,
-        conflict_index=first_index_of_term(replica.log, previous),
-    )
-
-
-def answer_append(
-    replica: Replica,
-    message: AppendEntries,
-    *,
-    success: bool,
-    match: int = 0,
-    conflict_term: int = 0,
-    conflict_index: int = 0,
-) -> None:
-    """Queue the answer; it leaves after the entries are synced."""
-    answer = AppendAnswer(
-        group=replica.group,
-        sender=replica.member,
-        target=message.sender,
-        term=replica.term,
-        sent_at=message.sent_at,
-        previous_index=message.previous_index,
-        success=success,
-        match=match,
-        conflict_term=conflict_term,
-        conflict_index=conflict_index,
-    )
-    replica.outbox.append(answer)
-
-
 def receive_append_answer(replica: Replica, answer: AppendAnswer, now: float) -> None:
     """Learn how far a member is, and that it followed us when we sent."""
     progress = replica.progress.get(answer.sender)
