--- a/tests/state/consensus/properties.py
+++ b/tests/state/consensus/properties.py
@@ -4,8 +4,12 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from tests.state.consensus.fakes import clock
 from tests.state.consensus.fakes import lease_holders
 from waxwingwell.state.consensus.log import entry_at
 from waxwingwell.state.consensus.log import last_index
@@ -14,8 +18,11 @@
 from waxwingwell.state.consensus.messages import RequestVote
 from waxwingwell.state.consensus.messages import VoteAnswer
 from waxwingwell.state.consensus.records import Entry
+from waxwingwell.state.consensus.records import EntryKind
+from waxwingwell.state.consensus.records import Membership
 from waxwingwell.state.consensus.records import Role
 from waxwingwell.state.consensus.records import name_of
+from waxwingwell.state.group import leads
 
 
 if TYPE_CHECKING:
@@ -43,17 +50,32 @@
     checked: dict[str, int] = field(default_factory=dict)
 
 
-def watch_cluster(record: Record, cluster: Cluster) -> None:
-    """Raise ``AssertionError`` if any property is broken now."""
+def watch_node(record: Record, cluster: Cluster, node: Node) -> None:
+    """Raise ``AssertionError`` if ``node``, which has just acted, breaks a property.
+
+    Nobody else can have come to break one: the others' state is as it was, and by
+    time alone a lease can only end.
+    """
+    if node.group is None:
+        return
+
+    check_applied(record, node)
+    check_committed(record, node.group.replica)
+    check_leader(record, node.group.replica)
+    if not leads(node.group, clock(cluster, node)):
+        return
+
     holders = lease_holders(cluster)
-    assert len(holders) <= 1, f"two lease holders: {holders}"
-    for node in cluster.nodes.values():
-        if node.group is None:
-            continue
+    assert len(holders) == 1, f"two lease holders: {holders}"
+    check_newest(record, node)
 
-        check_applied(record, node)
-        check_committed(record, node.group.replica)
-        check_leader(record, node.group.replica)
+
+def check_newest(record: Record, node: Node) -> None:
+    """Whoever holds the lease has applied all that was ever committed."""
+    assert node.group is not None
+    replica = node.group.replica
+    newest = max(record.committed, default=0)
+    assert replica.applied >= newest, f"{node.name} leads and lacks entry {newest}"
 
 
 def check_applied(record: Record, node: Node) -> None:
@@ -121,6 +143,21 @@
             known = record.seen.setdefault((index, entry.term), value)
             assert known == value, f"{node.name} has another log at {index}"
 
+        check_memberships(node.name, [e for e in log.entries if is_membership(e)])
+
+
+def is_membership(entry: Entry) -> bool:
+    """Return whether an entry sets the members."""
+    return entry.kind is EntryKind.MEMBERSHIP
+
+
+def check_memberships(name: str, entries: list[Entry]) -> None:
+    """Check that one voter at most comes or goes at a time."""
+    decode = msgspec.msgpack.Decoder(Membership).decode
+    voters = [set(decode(entry.data).voters) for entry in entries]
+    for before, after in pairwise(voters):
+        assert len(before ^ after) <= 1, f"{name} changed two voters at once"
+
 
 def watch_message(record: Record, cluster: Cluster, message: ConsensusMessage) -> None:
     """No message promises more than its sender has synced."""
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -6,6 +6,8 @@
 
 from tests.state.consensus.fakes import STEP
 from tests.state.consensus.fakes import Cluster
+from tests.state.consensus.fakes import Node
+from tests.state.consensus.fakes import Packet
 from tests.state.consensus.fakes import await_leader
 from tests.state.consensus.fakes import await_voters
 from tests.state.consensus.fakes import commands
@@ -21,12 +23,20 @@
 from tests.state.consensus.fakes import run_until
 from tests.state.consensus.fakes import start_node
 from tests.state.consensus.fakes import step
+from waxwingwell.state.consensus.log import last_index
+from waxwingwell.state.consensus.messages import AppendAnswer
 from waxwingwell.state.consensus.messages import RequestVote
+from waxwingwell.state.consensus.records import EntryKind
 from waxwingwell.state.consensus.records import Role
+from waxwingwell.state.consensus.replica import append_entry
+from waxwingwell.state.consensus.replica import set_term
+from waxwingwell.state.consensus.replication import advance_commit
 from waxwingwell.state.group import Committed
 from waxwingwell.state.group import NotLeading
 from waxwingwell.state.group import ProposalLost
+from waxwingwell.state.group import allow_name
 from waxwingwell.state.group import flush_group
+from waxwingwell.state.group import forbid_name
 from waxwingwell.state.group import leads
 from waxwingwell.state.group import receive_message
 from waxwingwell.state.group import remove_member
@@ -94,6 +104,67 @@
         self.assertEqual(len(membership.voters), 3)
         self.assertEqual(commands(cluster, second), [b"a", b"b"])
 
+    def test_an_emptied_member_votes_only_with_all_but_a_batch_of_the_log(self) -> None:
+        """A VM comes back empty while the group holds hundreds of changes.
+
+        If it voted at once, the next loss would stop progress until it has caught
+        up, and a majority of nearly empty disks would be one loss away.
+        """
+        cluster, leader, (second, _) = make_settled()
+        for number in range(300):
+            put(cluster, leader, b"%d" % number)
+
+        run_for(cluster, 1.0)
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        member = group_of(cluster, second).replica.member
+        run_until(cluster, lambda: votes_somewhere(cluster, member))
+        batch = cluster.timing.batch_entries
+        self.assertGreaterEqual(len(commands(cluster, second)), 300 - batch)
+
+    def test_a_far_member_returns_while_writes_go_on(self) -> None:
+        """A VM in the farthest data centre comes back empty under steady load.
+
+        The group commits without it, so that it is always some entries behind; it
+        must vote all the same, or one more loss stops the group.
+        """
+        cluster, leader, (second, _) = make_settled()
+        cluster.far[second] = 0.015
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        member = group_of(cluster, second).replica.member
+        for number in range(600):
+            put(cluster, leader, b"%d" % number)
+            step(cluster, 0.005)
+
+        self.assertTrue(votes_somewhere(cluster, member))
+
+    def test_a_member_left_behind_learns_the_members_by_snapshot(self) -> None:
+        """A VM is cut off while another's disk is replaced and the log compacted.
+
+        The entry that changed the members is gone when it is back. With the former
+        members it would ask a dead id for its vote, and count it in its majority.
+        """
+        cluster, leader, (second, third, *rest) = make_settled(5)
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        member = group_of(cluster, second).replica.member
+        replica = group_of(cluster, leader).replica
+        run_until(cluster, lambda: member in replica.membership.learners)
+        partition(cluster, (third,), (leader, second, *rest))
+        run_until(cluster, lambda: member in replica.membership.voters)
+        for number in range(300):
+            put(cluster, leader, b"%d" % number)
+
+        run_for(cluster, 1.0)
+        self.assertNotEqual(
+            group_of(cluster, third).replica.membership, replica.membership
+        )
+        heal(cluster)
+        run_for(cluster, 2.0)
+        wanted = replica.membership
+        self.assertEqual(group_of(cluster, third).replica.membership, wanted)
+
     def test_a_second_disk_is_lost_right_after_a_repair(self) -> None:
         """One disk is lost and repaired; at once another VM loses its own.
 
@@ -316,11 +387,55 @@
         partition(cluster, (leader, third), (second,))
         run_for(cluster, cluster.timing.election_max / 2)
         self.assertFalse(leads(old, cluster.now))
-        self.assertEqual(put(cluster, leader, b"a"), [NotLeading(leader)])
+        self.assertEqual(put(cluster, leader, b"a"), [NotLeading(second)])
         run_for(cluster, cluster.timing.election_max)
         heal(cluster)
         self.assertGreater(term_of(group_of(cluster, await_leader(cluster))), 1)
 
+    def test_the_lease_counts_from_the_sending(self) -> None:
+        """The followers' answers are late, and the leader is cut off meanwhile.
+
+        The followers' promise runs from when they heard the leader. Counting from
+        the late answer, the leader would act on after another was elected.
+        """
+        cluster, leader, others = make_settled()
+        group = group_of(cluster, leader)
+        cluster.delay = (2 * STEP, 2 * STEP)
+        run_until(cluster, lambda: bool(answers_to(cluster, leader)))
+        late = answers_to(cluster, leader)
+        partition(cluster, (leader,), tuple(others))
+        run_for(cluster, cluster.timing.election_min)
+        for packet in late:
+            receive_message(group, packet.sender, packet.message, cluster.now)
+
+        self.assertFalse(leads(group, cluster.now))
+
+    def test_an_entry_of_a_former_term_is_not_committed_by_count(self) -> None:
+        """A change reaches a majority only under the next leader.
+
+        A member with a later term's entry could still win and overwrite it, so that
+        it may count as accepted only with an entry of the leader's own term.
+        """
+        cluster, leader, _others = make_settled()
+        replica = group_of(cluster, leader).replica
+        commit = replica.commit
+        append_entry(replica, EntryKind.COMMAND, b"old")
+        old = last_index(replica.log)
+        replica.durable = old
+        set_term(replica, replica.term + 1, replica.member)
+        for progress in replica.progress.values():
+            progress.match = old
+
+        advance_commit(replica)
+        self.assertEqual(replica.commit, commit)
+        append_entry(replica, EntryKind.COMMAND, b"own")
+        replica.durable = old + 1
+        for progress in replica.progress.values():
+            progress.match = old + 1
+
+        advance_commit(replica)
+        self.assertEqual(replica.commit, old + 1)
+
     def test_a_removed_member_is_told_and_stops(self) -> None:
         """An operator removes a member whose process is down; it starts again.
 
@@ -340,6 +455,67 @@
         self.assertTrue(group_of(cluster, second).replica.expelled)
         self.assertEqual(len(group.replica.membership.voters), 2)
 
+    def test_a_member_of_a_new_name_joins_once_it_is_allowed(self) -> None:
+        """Operators add a VM; its process starts before they told the group.
+
+        It must wait outside, as anyone with an address could ask, and then vote.
+        """
+        cluster, leader, _ = make_settled()
+        old = cluster.names
+        cluster.names = (*old, "control-0")
+        cluster.nodes["control-0"] = Node("control-0")
+        start_node(cluster, "control-0")
+        run_for(cluster, 2.0)
+        group = group_of(cluster, leader)
+        self.assertEqual(len(group.replica.membership.voters), 3)
+        for name in old:
+            allow_name(group_of(cluster, name), "control-0")
+
+        await_voters(cluster)
+        self.assertEqual(len(group.replica.membership.voters), 4)
+        run_for(cluster, 0.5)
+        forbid_name(group, "control-0")
+        outcomes: list[object] = []
+        remove_member(group, "control-0", outcomes.append, cluster.now)
+        run_for(cluster, 0.5)
+        self.assertIsInstance(outcomes[0], Committed)
+        lose_disk(cluster, "control-0")
+        start_node(cluster, "control-0")
+        run_for(cluster, 3.0)
+        self.assertEqual(len(group.replica.membership.voters), 3)
+
+    def test_a_removed_member_that_runs_stays_out(self) -> None:
+        """An operator removes a member that is running and healthy.
+
+        It must not ask its way back in, as an emptied one does.
+        """
+        cluster, leader, (second, _) = make_settled()
+        group = group_of(cluster, leader)
+        former = group_of(cluster, second).replica.member
+        remove_member(group, former, lambda outcome: None, cluster.now)
+        run_for(cluster, 5.0)
+        self.assertTrue(group_of(cluster, second).replica.expelled)
+        self.assertNotIn(former, group.replica.membership.voters)
+        self.assertNotIn(former, group.replica.membership.learners)
+
+    def test_a_new_leader_changes_no_members_before_its_own_entry(self) -> None:
+        """An operator removes a member just as leadership changes.
+
+        A change begun before the term's first entry is committed may meet one of the
+        former leader's, and two majorities without a common member decide apart.
+        """
+        cluster, leader, others = make_settled()
+        crash(cluster, leader)
+        cluster.delay = (2 * STEP, 2 * STEP)
+        run_until(cluster, lambda: any(elected(cluster, name) for name in others))
+        fresh = next(name for name in others if elected(cluster, name))
+        group = group_of(cluster, fresh)
+        self.assertLess(group.replica.commit, group.replica.first_of_term)
+        outcomes: list[object] = []
+        member = group_of(cluster, others[0]).replica.member
+        remove_member(group, member, outcomes.append, cluster.now)
+        self.assertEqual(outcomes, [NotLeading(fresh)])
+
 
 class StorageFailureTest(unittest.TestCase):
     """Disks that refuse."""
@@ -412,6 +588,20 @@
     )
 
 
+def elected(cluster: Cluster, name: str) -> bool:
+    """Return whether a member leads a term, with or without the lease."""
+    return group_of(cluster, name).replica.role is Role.LEADER
+
+
+def answers_to(cluster: Cluster, leader: str) -> list[Packet]:
+    """Return the followers' answers that are on their way."""
+    return [
+        packet
+        for packet in cluster.packets
+        if packet.target == leader and isinstance(packet.message, AppendAnswer)
+    ]
+
+
 def held(cluster: Cluster, name: str) -> list[bytes]:
     """Return what the entries on a member's disk hold."""
     return [entry.data for entry in cluster.nodes[name].disk.loaded.entries]
