Check pins in the randomised run of configuration

Cause: the run pinned sessions and looked at nothing but equal replicas. Change: a session keeps its first version and starts on none that is withdrawn.

--- a/tests/state/runs/test_configuration.py
+++ b/tests/state/runs/test_configuration.py
@@ -13,6 +13,7 @@
 from waxwingwell.messages import Command
 from waxwingwell.messages import Conflict
 from waxwingwell.messages import Outcome
+from waxwingwell.messages import Pinned
 from waxwingwell.records import RolloutPace
 from waxwingwell.records import RolloutStatus
 from waxwingwell.records import VersionId
@@ -54,6 +55,7 @@
         self.replica = make_state()
         self.base = self.state.config.config_version
         self.sent: list[tuple[Command, Outcome]] = []
+        self.pinned: dict[str, VersionId] = {}
         self.taken: dict[tuple[str, int], str] = {}
         self.statuses: dict[VersionId, VersionStatus] = {}
         self.ended: dict[str, tuple[VersionId, RolloutStatus]] = {}
@@ -116,6 +118,16 @@
     @rule(version=VERSIONS, session=st.sampled_from("abc"))
     def pin_session(self, version: VersionId, session: str) -> None:
         self.send(pin(session, version))
+        _, outcome = self.sent[-1]
+        if not isinstance(outcome, Pinned):
+            return
+
+        if session not in self.pinned:
+            status = self.state.config.versions[version].status
+            assert status not in WITHDRAWN_STATUSES, "started on a withdrawn version"
+
+        first = self.pinned.setdefault(session, outcome.version)
+        assert outcome.version == first, f"{session} was moved"
 
     @precondition(lambda self: self.sent)
     @rule(data=st.data())
