Keep near work in its data centre; give homes to sessions only

Change: only sessions have a home; among near-equal estimates the nearest data centre is drawn from.

--- a/src/waxwingwell/decisions/prefixes.py
+++ b/src/waxwingwell/decisions/prefixes.py
@@ -61,14 +61,16 @@
 
 
 def find_home(work: Work, upstreams: Iterable[UpstreamId]) -> UpstreamId | None:
-    """Return the upstream on which all entries agree for the work's session."""
-    if not work.prefixes:
+    """Return the upstream on which all entries agree for the work's session.
+
+    Work without a session has none: its longest prefix is another on each turn.
+    """
+    if not work.session or not work.prefixes:
         return None
 
-    key = (work.session or work.prefixes[0]).encode()
     best = None
     top = -1
-    start = crc32(key)
+    start = crc32(work.session.encode())
     for upstream in upstreams:
         weight = crc32(upstream.encode(), start) * 2654435761 & 0xFFFFFFFF
         if weight > top:
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -71,6 +71,8 @@
     wait: float
     first_token: float
     cached: float
+    way: float
+    """Seconds there and back."""
 
 
 def choose_upstream(
@@ -160,11 +162,11 @@
     wait = estimate_wait(row, work, outstanding, now)
     way = 2.0 * tables.distances.get(announcement.data_centre, 0.0)
     if not work.prompt_tokens:
-        return Estimate(upstream, wait, wait + way, 0.0)
+        return Estimate(upstream, wait, wait + way, 0.0, way)
 
     cached = estimate_cached(row, work, is_home=upstream == home, now=now)
     prefill = (work.prompt_tokens - cached) / get_prefill_rate(row)
-    return Estimate(upstream, wait, wait + prefill + way, cached)
+    return Estimate(upstream, wait, wait + prefill + way, cached, way)
 
 
 def pick_estimate(
@@ -178,6 +180,8 @@
     if at_home:
         return make_choice(at_home[0], "home")
 
+    nearest = min(estimate.way for estimate in near)
+    near = [estimate for estimate in near if estimate.way <= nearest]
     chosen = near[int(draw * len(near))]
     if len(estimates) == 1:
         return make_choice(chosen, "only")
