--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -127,8 +127,14 @@
 
 def stop_all(deployment: Deployment) -> dict[str, int]:
     """Stop entries first, then the rest; return the exit codes by name."""
+    entries = [name for name in deployment.processes if name.startswith("entry")]
+    others = [name for name in deployment.processes if name not in entries]
+    # An entry that drains still settles, so control must outlive it.
+    return _stop(deployment, entries) | _stop(deployment, others)
+
+
+def _stop(deployment: Deployment, names: list[str]) -> dict[str, int]:
     codes = {}
-    names = sorted(deployment.processes, key=lambda name: not name.startswith("entry"))
     for name in names:
         signal_process(deployment, name, signal.SIGCONT)
         signal_process(deployment, name, signal.SIGTERM)
--- a/src/waxwingwell/adapters/entry/whole.py
+++ b/src/waxwingwell/adapters/entry/whole.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import msgspec
-import treq
+from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
 from ...decisions.retries import DispatchState
@@ -196,7 +196,7 @@
 async def _read_body(
     context: EntryContext, response: Any, upstream: UpstreamId
 ) -> bytes:
-    reading = treq.content(response)
+    reading = readBody(response)
     reading.addTimeout(context.settings.progress_timeout * 4, context.reactor)
     try:
         data: bytes = await reading
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -6,6 +6,7 @@
 
 from .. import __version__
 from .demo import demo
+from .groups import COMMANDS
 from .serve import serve
 
 
@@ -16,5 +17,5 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    commands = {"demo": demo, "serve": serve, "version": show_version}
+    commands = {**COMMANDS, "demo": demo, "serve": serve, "version": show_version}
     fire.Fire(commands, name="waxwingwell")
--- a/src/waxwingwell/state/ledger.py
+++ b/src/waxwingwell/state/ledger.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from sys import intern
 from typing import TYPE_CHECKING
 
 from ..invariants import Promise
@@ -21,6 +22,7 @@
 from ..messages import AlreadyOpen
 from ..messages import AlreadySettled
 from ..messages import Rejected
+from ..messages import Reserve
 from ..messages import Reserved
 from ..messages import Settled
 from ..messages import Swept
@@ -29,14 +31,15 @@
 from ..records import LedgerRow
 from ..records import OutcomeKind
 from ..records import RowStatus
+from ..records import UpstreamId
 from ..records import Usage
+from ..records import VersionId
 from ..records import WorkspaceId
 from .bills import BillTable
 from .bills import add_row
 
 
 if TYPE_CHECKING:
-    from ..messages import Reserve
     from ..messages import Settle
     from ..messages import SettleAbandoned
 
@@ -69,6 +72,8 @@
 DROPPED_AT_ONCE = 8
 """Rows past their retention that one command drops, so that none takes long."""
 
+NO_USAGE = Usage()
+
 RowKey = tuple[WorkspaceId, str]
 
 ReserveOutcome = Reserved | AlreadyOpen | AlreadySettled | Rejected
@@ -195,22 +200,43 @@
         before is None or before.outcome is OutcomeKind.NOT_RUN,
         lambda: f"{place} opened again after {before and before.outcome}",
     )
-    ledger.rows[place] = replace(
+    ledger.rows[place] = row if _is_blank(row) else _make_blank(row)
+    ledger.open_rows.setdefault(row.entry, {})[place] = row.entry_incarnation
+    return Reserved()
+
+
+def _is_blank(row: LedgerRow) -> bool:
+    """Tell whether a row is open and says nothing of an end; saves a copy of it."""
+    return (
+        row.status is RowStatus.OPEN
+        and row.outcome is OutcomeKind.FAILED
+        and row.answer is None
+        and row.usage == NO_USAGE
+        and row.settled_at == 0.0
+    )
+
+
+def _make_blank(row: LedgerRow) -> LedgerRow:
+    """Return the row as an open one."""
+    return replace(
         row,
         status=RowStatus.OPEN,
         outcome=OutcomeKind.FAILED,
-        usage=Usage(),
+        usage=NO_USAGE,
         answer=None,
         settled_at=0.0,
     )
-    ledger.open_rows.setdefault(row.entry, {})[place] = row.entry_incarnation
-    return Reserved()
 
 
 def settle(ledger: Ledger, command: Settle) -> Settled | Rejected:
     """Close the row of this request id; a second settle changes nothing."""
     advance_clock(ledger, command.at)
     place = (command.workspace, command.key)
+    if command.row is not None and place not in ledger.rows:
+        refused = _open_for(ledger, command, command.row)
+        if refused is not None:
+            return refused
+
     row = ledger.rows.get(place)
     if row is None:
         text = "no row under this key; it was never reserved or is past its retention"
@@ -222,7 +248,7 @@
     if row.status is not RowStatus.OPEN and ledger.swept.get(place) != row.request:
         return Settled(row=row, changed=False)
 
-    if command.outcome is OutcomeKind.NOT_RUN and command.usage != Usage():
+    if command.outcome is OutcomeKind.NOT_RUN and command.usage != NO_USAGE:
         text = "a request that did not run has no usage"
         return Rejected(findings=(Finding("usage", text),))
 
@@ -233,22 +259,35 @@
     return Settled(row=settled, changed=True)
 
 
+def _open_for(ledger: Ledger, command: Settle, row: LedgerRow) -> Rejected | None:
+    """Open the row that a settle brings along, if it is the row of that settle."""
+    if (row.workspace, row.key) != (command.workspace, command.key):
+        text = "the row brought along has another workspace or key"
+        return Rejected(findings=(Finding("row", text),))
+
+    outcome = reserve(ledger, Reserve(row=replace(row, reserved_at=command.at)))
+    return outcome if isinstance(outcome, Rejected) else None
+
+
 def _fill_row(ledger: Ledger, row: LedgerRow, command: Settle) -> LedgerRow:
     """Return the row as its entry settles it.
 
     A row that was swept while its entry was merely cut off is settled here too: the
-    entry alone knows how the request ended, and it is on no bill yet.
+    entry alone knows how the request ended, and it is on no bill yet. Names that few
+    rows differ in are shared, which makes a settled row smaller.
     """
     outcome = command.outcome
     unknown = outcome is OutcomeKind.MAY_HAVE_RUN and not row.repeatable
     return replace(
         row,
+        workspace=WorkspaceId(intern(row.workspace)),
+        entry=EntryId(intern(row.entry)),
         status=RowStatus.UNKNOWN if unknown else RowStatus.SETTLED,
         outcome=outcome,
         usage=command.usage,
-        version=command.version or row.version,
-        upstream=command.upstream or row.upstream,
-        answer=None if row.repeatable else command.answer,
+        version=VersionId(intern(command.version or row.version)),
+        upstream=UpstreamId(intern(command.upstream or row.upstream)),
+        answer=command.answer,
         settled_at=ledger.clock,
     )
 
@@ -339,6 +378,13 @@
     for queue in (ledger.repeatable_kept, ledger.others_kept):
         _drop_rows(ledger, queue)
 
+    answers = ledger.answers_kept
+    for _ in range(DROPPED_AT_ONCE):
+        if not answers or answers[0].drop_at > ledger.clock:
+            return
+
+        answers.popleft()
+
 
 def _drop_rows(ledger: Ledger, queue: deque[Retained]) -> None:
     """Drop up to ``DROPPED_AT_ONCE`` rows that are past their retention."""
