Claim a chosen place until its dispatch

Cause: orders wait for their ledger row between choice and dispatch; a queue handed out meanwhile would send all of them to the same place. Change: place_work and take_next claim the place; note_dispatch and release end the claim. No signature changes.

--- a/src/waxwingwell/decisions/admission.py
+++ b/src/waxwingwell/decisions/admission.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
+from .claims import drop_claim
 from .queue import estimate_queue_wait
 from .rates import count_event
 from .rates import decay_rate
@@ -158,6 +159,7 @@
 
 def release(tables: Tables, work: Work, now: float) -> None:
     """Give back what ``admit`` counted; once for each admitted request."""
+    drop_claim(tables, work.request)
     demand = tables.demand.get(work.workspace)
     if demand is None:
         return
--- a/src/waxwingwell/decisions/load.py
+++ b/src/waxwingwell/decisions/load.py
@@ -59,12 +59,13 @@
     """Return the requests that the upstream holds now, running and queued."""
     report = row.announcement.load
     if report is None:
-        return row.in_flight * scale
+        return (row.in_flight + row.claimed) * scale
 
     since = row.heard_at
     change = count_since(row.dispatched, since) - count_since(row.finished, since)
     scaled = change * (1.0 + (scale - 1.0) * OTHERS_WEIGHT)
-    return max(report.running + report.queued + scaled, float(row.in_flight))
+    held = max(report.running + report.queued + scaled, float(row.in_flight))
+    return held + row.claimed
 
 
 def count_since(times: list[float], since: float) -> int:
--- a/src/waxwingwell/decisions/queue.py
+++ b/src/waxwingwell/decisions/queue.py
@@ -13,6 +13,7 @@
 
 from ..records import PRIORITY_ORDER
 from ..records import Priority
+from .claims import claim_place
 from .rates import decay_rate
 from .tables import Refusal
 from .tables import Waiting
@@ -52,7 +53,8 @@
 ) -> UpstreamChoice | Refusal | Waiting:
     """Place admitted work: at an upstream now, in the queue, or refuse it.
 
-    Work never passes those that wait already; call ``take_next`` after it.
+    Work never passes those that wait already; call ``take_next`` after it. A chosen
+    place stays claimed until ``note_dispatch`` or ``release``.
     """
     if tables.waiting:
         return put_waiting(tables, work, version, now)
@@ -61,6 +63,9 @@
     if isinstance(result, Refusal) and result.code == BUSY:
         return put_waiting(tables, work, version, now)
 
+    if isinstance(result, UpstreamChoice):
+        claim_place(tables, work.request, result.upstream)
+
     return result
 
 
@@ -105,6 +110,9 @@
             continue
 
         del tables.waiting[work.request]
+        if isinstance(result, UpstreamChoice):
+            claim_place(tables, work.request, result.upstream)
+
         return Taken(waiting, result)
 
     return None
--- a/src/waxwingwell/decisions/tables.py
+++ b/src/waxwingwell/decisions/tables.py
@@ -47,6 +47,8 @@
     """When the prompts that this entry sent are expected to be read in."""
     ejections: int = 0
     """Ejections without a success since; each doubles the next one's length."""
+    claimed: int = 0
+    """Requests chosen for it that are not dispatched yet; see ``claims``."""
     probing: bool = False
     """Back from an ejection on trial: one request at a time until one succeeds."""
 
@@ -168,6 +170,8 @@
     """One-way seconds from this entry's data centre to each data centre."""
     waiting: dict[str, Waiting] = field(default_factory=dict)
     """The waiting queue, by request id."""
+    claims: dict[str, UpstreamId] = field(default_factory=dict)
+    """Upstreams with a place claimed, by request id."""
     waited: int = 0
     """Requests that ever waited; numbers the next one."""
     finish_rate: float = 0.0
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -12,6 +12,7 @@
 
 from ..records import UpstreamId
 from .candidates import find_candidates
+from .claims import drop_claim
 from .ejection import SILENCE_WEIGHT
 from .ejection import lift_ejection
 from .ejection import note_failure
@@ -126,7 +127,7 @@
         if outstanding + 1.0 > limit_outstanding(row, share):
             continue
 
-        if row.probing and row.in_flight > 0:
+        if row.probing and row.in_flight + row.claimed > 0:
             continue
 
         found.append((row, outstanding))
@@ -200,6 +201,7 @@
     tables: Tables, upstream: UpstreamId, work: Work, *, now: float
 ) -> None:
     """Count a request that this entry sends to the upstream now."""
+    drop_claim(tables, work.request)
     row = tables.upstreams.get(upstream)
     if row is None:
         return
--- a/tests/decisions/test_queue.py
+++ b/tests/decisions/test_queue.py
@@ -83,6 +83,35 @@
         put_waiting(tables, order, VERSION, 1.0)
         self.assertEqual(take_all(tables, 1.0), [order])
 
+    def test_chosen_place_stays_taken_until_the_dispatch(self) -> None:
+        """Orders wait for their ledger rows between the choice and the dispatch.
+
+        All that wait are handed out meanwhile. Did a chosen place look free until the
+        dispatch, all of them would be sent to the same few places.
+        """
+        tables = make_two()
+        works = [
+            make_work(f"o{n}", workspace=LOUD, priority=Priority.ORDER)
+            for n in range(9)
+        ]
+        for work in works:
+            admit(tables, work, 1.0)
+            put_waiting(tables, work, VERSION, 1.0)
+
+        taken = []
+        while (one := take_next(tables, 1.0, 0.5)) is not None:
+            taken.append(one.waiting.work)
+
+        self.assertEqual(len(taken), 5)
+        release(tables, taken[0], 1.0)
+        self.assertIsNotNone(take_next(tables, 1.0, 0.5))
+        for work in taken[1:]:
+            note_dispatch(tables, A, work, now=1.0)
+
+        self.assertEqual(tables.upstreams[A].in_flight, 4)
+        self.assertEqual(tables.upstreams[A].claimed, 1)
+        self.assertIsNone(take_next(tables, 1.0, 0.5))
+
     def test_flood_does_not_starve_another_workspace(self) -> None:
         """One workspace sends twenty times as much as the engine bears, also orders.
 
--- a/tests/experiments/test_fleet.py
+++ b/tests/experiments/test_fleet.py
@@ -51,7 +51,7 @@
         )
         for entry in world.entries:
             tables = entry.tables
-            self.assertEqual(tables.waiting, {})
+            self.assertEqual((tables.waiting, tables.claims), ({}, {}))
             held = [demand.in_flight for demand in tables.demand.values()]
             self.assertEqual(sum(held), 0)
             rows = [row.in_flight for row in tables.upstreams.values()]
