Split the queue, loading and the simulated world by job

Change: shares, waits and holders have modules of their own; calls and runs are apart from the world's data. No change of behaviour.

--- a/src/waxwingwell/decisions/admission.py
+++ b/src/waxwingwell/decisions/admission.py
@@ -12,11 +12,11 @@
 from zlib import crc32
 
 from .claims import drop_claim
-from .queue import estimate_queue_wait
 from .rates import count_event
 from .rates import decay_rate
 from .tables import Refusal
 from .tables import WorkspaceDemand
+from .waits import estimate_queue_wait
 
 
 if TYPE_CHECKING:
--- a/src/waxwingwell/decisions/queue.py
+++ b/src/waxwingwell/decisions/queue.py
@@ -11,16 +11,16 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..records import PRIORITY_ORDER
 from ..records import Priority
 from .claims import claim_place
-from .rates import decay_rate
+from .shares import find_over_share
 from .tables import Refusal
 from .tables import Waiting
 from .upstreams import BUSY
-from .upstreams import FINISH_WINDOW
 from .upstreams import UpstreamChoice
 from .upstreams import choose_upstream
+from .waits import RANK
+from .waits import estimate_finish_rate
 
 
 if TYPE_CHECKING:
@@ -30,13 +30,8 @@
     from .tables import Work
 
 
-LEAST_FINISH_RATE = 0.2
-"""Finishes a second assumed where none was seen of late."""
-MOST_HELD = 0.5
-"""A workspace with more than this share of the running work goes after others."""
 SHED_MARGIN = 2.0
 """Finishes may come this much faster than of late before work is shed early."""
-RANK = {priority: rank for rank, priority in enumerate(PRIORITY_ORDER)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,73 +137,6 @@
     return sorted(tables.waiting.values(), key=order)
 
 
-def find_over_share(tables: Tables) -> set[tuple[WorkspaceId, Priority]]:
-    """Return the workspaces and priorities that must let others go first.
-
-    Failure guarded against: a workspace that floods the highest priority would, by
-    priority alone, keep all others out for good. So when its running work of a
-    priority and above fills most of the places and another workspace waits, its
-    further work of that priority goes last and keeps to the lowest bound.
-    """
-    names = {waiting.work.workspace for waiting in tables.waiting.values()}
-    if len(names) < 2:
-        return set()
-
-    running = count_running(tables)
-    total = sum(running.values())
-    over = set()
-    for name in names:
-        held = 0
-        for priority in PRIORITY_ORDER:
-            held += running.get((name, priority), 0)
-            if held > total * MOST_HELD:
-                over.add((name, priority))
-
-    return over
-
-
-def count_running(tables: Tables) -> dict[tuple[WorkspaceId, Priority], int]:
-    """Return the admitted requests that do not wait, by workspace and priority."""
-    running = {
-        (name, priority): count
-        for name, demand in tables.demand.items()
-        for priority, count in demand.held.items()
-    }
-    for waiting in tables.waiting.values():
-        spot = (waiting.work.workspace, waiting.work.priority)
-        running[spot] = max(running.get(spot, 0) - 1, 0)
-
-    return running
-
-
-def estimate_queue_wait(tables: Tables, work: Work, now: float) -> float:
-    """Return the seconds that new work would wait in this entry's queue.
-
-    Ahead of it stand its own workspace's waiting work of its priority and above, and
-    as much of each other workspace's, for the shares are fair: so a workspace that
-    floods the queue lengthens its own wait and not another's.
-    """
-    ahead: dict[WorkspaceId, int] = {}
-    rank = RANK[work.priority]
-    for waiting in tables.waiting.values():
-        if RANK[waiting.work.priority] <= rank:
-            name = waiting.work.workspace
-            ahead[name] = ahead.get(name, 0) + 1
-
-    if not ahead:
-        return 0.0
-
-    own = ahead.get(work.workspace, 0) + 1
-    count = sum(min(others, own) for others in ahead.values())
-    return count / estimate_finish_rate(tables, now)
-
-
-def estimate_finish_rate(tables: Tables, now: float) -> float:
-    """Return the finishes a second to reckon with at this entry."""
-    rate = decay_rate(tables.finish_rate, tables.finish_rated_at, FINISH_WINDOW, now)
-    return max(rate, LEAST_FINISH_RATE)
-
-
 def shed_expired(tables: Tables, now: float) -> list[Taken]:
     """Take out those whose time is over or whose turn would come too late.
 
--- /dev/null
+++ b/src/waxwingwell/decisions/shares.py
@@ -0,0 +1,56 @@
+"""Fair shares between workspaces: who must let others go first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..records import PRIORITY_ORDER
+
+
+if TYPE_CHECKING:
+    from ..records import Priority
+    from ..records import WorkspaceId
+    from .tables import Tables
+
+
+MOST_HELD = 0.5
+"""A workspace with more than this share of the running work goes after others."""
+
+
+def find_over_share(tables: Tables) -> set[tuple[WorkspaceId, Priority]]:
+    """Return the workspaces and priorities that must let others go first.
+
+    Failure guarded against: a workspace that floods the highest priority would, by
+    priority alone, keep all others out for good. So when its running work of a
+    priority and above fills most of the places and another workspace waits, its
+    further work of that priority goes last and keeps to the lowest bound.
+    """
+    names = {waiting.work.workspace for waiting in tables.waiting.values()}
+    if len(names) < 2:
+        return set()
+
+    running = count_running(tables)
+    total = sum(running.values())
+    over = set()
+    for name in names:
+        held = 0
+        for priority in PRIORITY_ORDER:
+            held += running.get((name, priority), 0)
+            if held > total * MOST_HELD:
+                over.add((name, priority))
+
+    return over
+
+
+def count_running(tables: Tables) -> dict[tuple[WorkspaceId, Priority], int]:
+    """Return the admitted requests that do not wait, by workspace and priority."""
+    running = {
+        (name, priority): count
+        for name, demand in tables.demand.items()
+        for priority, count in demand.held.items()
+    }
+    for waiting in tables.waiting.values():
+        spot = (waiting.work.workspace, waiting.work.priority)
+        running[spot] = max(running.get(spot, 0) - 1, 0)
+
+    return running
--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -29,6 +29,7 @@
 from .prefixes import remember_prefixes
 from .rates import count_event
 from .tables import Refusal
+from .waits import FINISH_WINDOW
 
 
 if TYPE_CHECKING:
@@ -47,8 +48,6 @@
 UNAVAILABLE = "no_upstream"
 BUSY_RETRY_AFTER = 1.0
 UNAVAILABLE_RETRY_AFTER = 5.0
-FINISH_WINDOW = 2.0
-"""Seconds over which finishes are smoothed into a rate."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/waxwingwell/decisions/waits.py
@@ -0,0 +1,50 @@
+"""The wait that an entry's queue implies for new work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..records import PRIORITY_ORDER
+from .rates import decay_rate
+
+
+if TYPE_CHECKING:
+    from ..records import WorkspaceId
+    from .tables import Tables
+    from .tables import Work
+
+
+FINISH_WINDOW = 2.0
+"""Seconds over which finishes are smoothed into a rate."""
+LEAST_FINISH_RATE = 0.2
+"""Finishes a second assumed where none was seen of late."""
+RANK = {priority: rank for rank, priority in enumerate(PRIORITY_ORDER)}
+"""Place of each priority in the order of service, from 0."""
+
+
+def estimate_queue_wait(tables: Tables, work: Work, now: float) -> float:
+    """Return the seconds that new work would wait in this entry's queue.
+
+    Ahead of it stand its own workspace's waiting work of its priority and above, and
+    as much of each other workspace's, for the shares are fair: so a workspace that
+    floods the queue lengthens its own wait and not another's.
+    """
+    ahead: dict[WorkspaceId, int] = {}
+    rank = RANK[work.priority]
+    for waiting in tables.waiting.values():
+        if RANK[waiting.work.priority] <= rank:
+            name = waiting.work.workspace
+            ahead[name] = ahead.get(name, 0) + 1
+
+    if not ahead:
+        return 0.0
+
+    own = ahead.get(work.workspace, 0) + 1
+    count = sum(min(others, own) for others in ahead.values())
+    return count / estimate_finish_rate(tables, now)
+
+
+def estimate_finish_rate(tables: Tables, now: float) -> float:
+    """Return the finishes a second to reckon with at this entry."""
+    rate = decay_rate(tables.finish_rate, tables.finish_rated_at, FINISH_WINDOW, now)
+    return max(rate, LEAST_FINISH_RATE)
--- a/src/waxwingwell/experiments/engines.py
+++ b/src/waxwingwell/experiments/engines.py
@@ -14,7 +14,7 @@
 from dataclasses import field
 from functools import partial
 
-from ..decisions.queue import RANK
+from ..decisions.waits import RANK
 from ..records import LoadReport
 from .events import Clock
 from .events import call_at
--- a/src/waxwingwell/experiments/scenarios.py
+++ b/src/waxwingwell/experiments/scenarios.py
@@ -15,9 +15,9 @@
 from .events import call_at
 from .fleet_traffic import make_traffic
 from .measures import measure_run
+from .runs import run_world
 from .world import Storm
 from .world import make_world
-from .world import run_world
 
 
 if TYPE_CHECKING:
--- a/tests/decisions/test_loading.py
+++ b/tests/decisions/test_loading.py
@@ -9,11 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from waxwingwell.decisions.holders import is_stage_loaded
 from waxwingwell.decisions.loading import LOAD_TIMEOUT
 from waxwingwell.decisions.loading import Loading
 from waxwingwell.decisions.loading import LoadOrder
 from waxwingwell.decisions.loading import WeightStore
-from waxwingwell.decisions.loading import is_stage_loaded
 from waxwingwell.decisions.loading import plan_loads
 from waxwingwell.records import Rollout
 from waxwingwell.records import RolloutPace
--- a/tests/experiments/test_fleet.py
+++ b/tests/experiments/test_fleet.py
@@ -17,11 +17,11 @@
 from waxwingwell.experiments.fleet_traffic import FRIO
 from waxwingwell.experiments.fleet_traffic import make_traffic
 from waxwingwell.experiments.measures import Spread
+from waxwingwell.experiments.runs import run_world
 from waxwingwell.experiments.scenarios import Scenario
 from waxwingwell.experiments.scenarios import run_scenario
 from waxwingwell.experiments.world import Storm
 from waxwingwell.experiments.world import make_world
-from waxwingwell.experiments.world import run_world
 
 
 SHORT = Scenario("short", 0.7, (REAL,), duration=40.0)
