--- a/src/waxwingwell/experiments/entries.py
+++ b/src/waxwingwell/experiments/entries.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from ..decisions.prefixes import find_home
 from ..decisions.retries import RetryBudget
 from ..decisions.tables import Tables
 from ..decisions.tables import UpstreamRow
@@ -148,6 +149,25 @@
     return first.name
 
 
+def pick_by_hash(
+    entry: Entry, engines: list[Engine], request: Request, random: Random
+) -> str:
+    """Pick the session's home, or the next one while it has 1.25 times its share."""
+    names = [engine.name for engine in engines]
+    total = sum(entry.in_flight.get(name, 0) for name in names) + 1
+    bound = max(HASH_BOUND * total / len(names), 1.0)
+    work = request.work
+    while names:
+        home = find_home(work, (UpstreamId(name) for name in names))
+        name = home or random.choice(names)
+        if entry.in_flight.get(name, 0) < bound:
+            return name
+
+        names.remove(name)
+
+    return pick_least_in_flight(entry, engines, request, random)
+
+
 def pick_by_truth(
     entry: Entry, engines: list[Engine], request: Request, random: Random
 ) -> str:
@@ -166,12 +186,14 @@
     return min(engines, key=measure).name
 
 
+HASH_BOUND = 1.25
 REAL = Policy("waxwingwell")
 LEAST_IN_FLIGHT = Policy("least in flight", pick_least_in_flight)
 BASELINES = (
     Policy("round robin", pick_round_robin),
     LEAST_IN_FLIGHT,
     Policy("random of two", pick_of_two),
+    Policy("hash, bounded", pick_by_hash),
     Policy("oracle", pick_by_truth),
 )
 ABLATIONS = (
