--- a/src/waxwingwell/decisions/evidence.py
+++ b/src/waxwingwell/decisions/evidence.py
@@ -92,7 +92,9 @@
                 tables, work.workspace, name, version, estimate
             )
 
-        _add_credit(account, estimate.mean - work.kind.quality_target)
+        # The cheapest that seems good enough is more often flattered than not.
+        surplus = estimate.mean - estimate.error - work.kind.quality_target
+        _add_credit(account, surplus)
 
 
 def note_rating(
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -56,8 +56,10 @@
 DEBT_RAISE = 0.01
 """Rise of the target for each rating point of debt."""
 MOST_RAISE = 0.05
-RATING_SHARE = 0.03
-"""Share of an answer's cost to spend on ratings, if exposure were all that counts."""
+RATING_SHARE = 0.01
+"""Share of an answer's cost that its ratings may always cost."""
+EXPOSURE_SHARE = 0.02
+"""What is added to it if exposure is all that counts."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -152,7 +154,8 @@
     if price <= 0.0:
         return share
 
-    return min(1.0, max(share, RATING_SHARE * exposure * cost / price))
+    spent = RATING_SHARE + EXPOSURE_SHARE * exposure
+    return min(1.0, max(share, spent * cost / price))
 
 
 def get_explore_limit(
