--- a/src/waxwingwell/decisions/evidence.py
+++ b/src/waxwingwell/decisions/evidence.py
@@ -248,26 +248,45 @@
     opinion.squares += row.squares
     opinion.recent_rated = opinion.recent_rated * kept + row.rated
     opinion.recent_total = opinion.recent_total * kept + row.total
-    _forget_before_change(opinion)
+    drop = _forget_before_change(opinion)
+    if drop > 0.0:
+        _charge_unrated(tables, key, drop)
 
 
-def _forget_before_change(opinion: Opinion) -> None:
-    """Drop ratings from before a change for the worse.
+def _charge_unrated(tables: Tables, key: Key, drop: float) -> None:
+    """Take back what unrated answers were credited since a version turned bad.
+
+    Failure: between the turn and its discovery unrated answers count as good, and
+    the account stays rich while the target is missed. ``RECENT_MEMORY`` times the
+    drop is the loss of the rated ones; the unrated ones lost in proportion.
+    """
+    row = tables.evidence.get(key)
+    account = tables.accounts.get((key[0], key[1]))
+    if row is None or account is None or row.to_rate <= 0:
+        return
+
+    unrated = max(0.0, row.sent / row.to_rate - 1.0) / max(1, tables.entries)
+    _add_credit(account, -drop * RECENT_MEMORY * unrated)
+
+
+def _forget_before_change(opinion: Opinion) -> float:
+    """Drop ratings from before a change for the worse; return the mean's fall.
 
     Failure: a version turns bad after thousands of good ratings, and their mean
     hides it. The recent mean falls within a dozen ratings. Idea: adaptive
     windowing, Bifet and Gavalda, "Learning from time-changing data", SDM 2007.
     """
     if opinion.recent_rated < RECENT_LEAST or opinion.rated < 2 * RECENT_LEAST:
-        return
+        return 0.0
 
     mean = opinion.total / opinion.rated
     variance = max(0.0, opinion.squares / opinion.rated - mean * mean)
     deviation = max(LEAST_DEVIATION, variance**0.5)
     recent = opinion.recent_total / opinion.recent_rated
     if mean - recent < CHANGE_DEVIATIONS * deviation / opinion.recent_rated**0.5:
-        return
+        return 0.0
 
     opinion.rated = opinion.recent_rated
     opinion.total = opinion.recent_total
     opinion.squares = opinion.recent_rated * (recent * recent + deviation * deviation)
+    return mean - recent
--- a/src/waxwingwell/experiments/rollout_runs.py
+++ b/src/waxwingwell/experiments/rollout_runs.py
@@ -120,14 +120,18 @@
 
         look = now + LOOK_EVERY
         _look(scene, run, now)
-        if run.withdrawn:
+        if run.withdrawn or (run.completed and not case.loss):
             break
 
     return run
 
 
 def run_canary(case: Case, window: int) -> Run:
-    """Give a tenth of the sessions to the candidate; test once after ``window``."""
+    """Give a tenth of the sessions to the candidate; test once after ``window``.
+
+    A bad candidate that passes is not counted beyond the window, which favours the
+    canary. A turning one turns when it has passed.
+    """
     scene = _make_scene(case)
     run = Run()
     for number in range(SESSIONS):
