--- a/src/waxwingwell/decisions/evidence.py
+++ b/src/waxwingwell/decisions/evidence.py
@@ -31,6 +31,8 @@
 CREDIT_CAP = 10.0
 """Most rating points of credit, so that old merit does not pay for a bad turn."""
 DEBT_CAP = 50.0
+FLATTERY = 2.0
+"""Standard errors by which an unrated answer's credit is reduced."""
 RECENT_MEMORY = 24.0
 """Ratings that ``Opinion.recent_*`` remember, in the mean."""
 RECENT_LEAST = 12.0
@@ -93,7 +95,7 @@
             )
 
         # The cheapest that seems good enough is more often flattered than not.
-        surplus = estimate.mean - estimate.error - work.kind.quality_target
+        surplus = estimate.mean - FLATTERY * estimate.error - work.kind.quality_target
         _add_credit(account, surplus)
 
 
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -60,6 +60,10 @@
 """Share of an answer's cost that its ratings may always cost."""
 EXPOSURE_SHARE = 0.02
 """What is added to it if exposure is all that counts."""
+CLOSE_DEVIATIONS = 2.0
+"""Standard errors above the target within which a version is a close call."""
+CLOSE_FACTOR = 2.0
+"""How much more often the answers of a close call are rated."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -248,6 +252,9 @@
         return True
 
     share = get_sample_share(case.config, option.cost, tables.rating_price)
+    if estimate.mean - case.target < CLOSE_DEVIATIONS * estimate.error:
+        share *= CLOSE_FACTOR
+
     return _draw_again(draw) < share
 
 
