--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -42,15 +42,16 @@
 """Own ratings below which every answer is rated."""
 REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
+MOST_TRIM = 0.02
 LATENCY_TOLL = 0.1
 """Part of a cost that a cascade must save to make up for its second answer."""
 DOUBT_DEVIATIONS = 5.0
 """The same for a version with few ratings, whose first ones may have been unlucky."""
-EXPLORE_CHANCE = 0.5
+EXPLORE_CHANCE = 0.8
 EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
-EXPLORE_CREDIT = 0.5
-"""Rating points of credit that exploring needs: it is paid for in advance."""
+EXPLORE_CREDIT = -1.5
+"""Rating points of credit below which nothing is explored until the debt is paid."""
 EXPLORE_OUTSTANDING = 12
 """Cap on explored answers whose rating is outstanding, since ratings lag."""
 DEBT_RAISE = 0.01
@@ -379,9 +380,6 @@
     least = main.cost / (1.0 + LATENCY_TOLL * get_latency(case.config))
     found: tuple[_Option, _Option, Estimate] | None = None
     for strong in case.options:
-        if strong is not main and strong.estimate.mean < case.target:
-            continue
-
         escalated = estimate_escalated(
             tables, work.workspace, work.kind.name, strong.version, strong.estimate
         )
@@ -425,10 +423,20 @@
         cheap_cost=costs[0],
         strong_cost=costs[1],
         rating_price=tables.rating_price,
-        target=case.target + case.caution * escalated.error,
+        target=case.target - _get_trim(case) + case.caution * escalated.error,
     )
 
 
+def _get_trim(case: _Case) -> float:
+    """Return how far a cascade may aim below the target while credit is high.
+
+    The model of ratings is coarse, so that a threshold may serve more quality than
+    was asked for. Credit shows it, and falls again when the trim was too large.
+    """
+    spare = 2.0 * case.account.credit / CREDIT_CAP - 1.0
+    return MOST_TRIM * max(0.0, spare)
+
+
 def _offer_candidate(
     tables: Tables, case: _Case, choice: VersionChoice, now: float
 ) -> VersionChoice:
