--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -42,7 +42,10 @@
 """Own ratings below which every answer is rated."""
 REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
-MOST_TRIM = 0.02
+CASCADE_TRIM = 0.02
+"""How far below the target a cascade may aim when credit is at its cap."""
+SINGLE_TRIM = 0.01
+"""The same for a single version."""
 LATENCY_TOLL = 0.1
 """Part of a cost that a cascade must save to make up for its second answer."""
 DOUBT_DEVIATIONS = 5.0
@@ -278,7 +281,8 @@
     if estimate.rated < LEAST_RATED:
         return False
 
-    return estimate.mean - case.caution * estimate.error >= case.target
+    aim = case.target - SINGLE_TRIM * _get_spare(case)
+    return estimate.mean - case.caution * estimate.error >= aim
 
 
 def _find_main(case: _Case) -> _Option:
@@ -423,18 +427,20 @@
         cheap_cost=costs[0],
         strong_cost=costs[1],
         rating_price=tables.rating_price,
-        target=case.target - _get_trim(case) + case.caution * escalated.error,
+        target=case.target
+        - CASCADE_TRIM * _get_spare(case)
+        + case.caution * escalated.error,
     )
 
 
-def _get_trim(case: _Case) -> float:
-    """Return how far a cascade may aim below the target while credit is high.
+def _get_spare(case: _Case) -> float:
+    """Return how much credit there is to spare, 0 to 1 at the cap.
 
-    The model of ratings is coarse, so that a threshold may serve more quality than
-    was asked for. Credit shows it, and falls again when the trim was too large.
+    Failure: versions on the target's edge stay unsure, a dear one far above it
+    serves everything, and quality is paid for that nobody asked for. With credit to
+    spare the aim is trimmed; credit falls when that was too much, and ends it.
     """
-    spare = 2.0 * case.account.credit / CREDIT_CAP - 1.0
-    return MOST_TRIM * max(0.0, spare)
+    return max(0.0, 2.0 * case.account.credit / CREDIT_CAP - 1.0)
 
 
 def _offer_candidate(
