Test orders under failure with real processes

Why: whether an order runs twice when its entry dies, its service drops the connection, two entries hold one key, or control's word comes too late, was not shown with processes.

--- /dev/null
+++ b/scripts/faults.py
@@ -0,0 +1,225 @@
+"""A deployment made to fail: relays before control, faults and counts by HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import shutil
+import signal
+import urllib.error
+import urllib.request
+from typing import TYPE_CHECKING
+from typing import Any
+
+from .launcher import DATA_CENTRES
+from .launcher import HOST
+from .launcher import OPERATOR_KEY
+from .launcher import Deployment
+from .launcher import add_process
+from .launcher import kill_process
+from .launcher import open_deployment
+from .launcher import signal_process
+from .launcher import start_process
+from .launcher import take_port
+from .launcher import wait_until
+from .launcher import write_settings
+from .topology import SERVICE
+from .topology import VERSIONS
+from .topology import add_controls
+from .topology import add_entries
+from .topology import name_nodes
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+CONTROLS = 3
+WORLD = "world"
+
+
+def make_faulty(
+    folder: Path,
+    *,
+    entries: int,
+    engines: int,
+    relayed: tuple[str, ...],
+    interval: float = 0.01,
+    delay: float = 0.0,
+) -> Deployment:
+    """Return a noted deployment whose ``relayed`` entries reach control by relays.
+
+    ``interval`` is the engines' seconds for one token, ``delay`` the service's from
+    a run to its answer.
+    """
+    deployment = open_deployment(folder)
+    add_controls(deployment, CONTROLS)
+    add_entries(deployment, entries, CONTROLS)
+    for entry in relayed:
+        _turn_to_relays(deployment, entry)
+
+    nodes = name_nodes("entry", entries)
+    names = name_nodes("engine", engines)
+    settings = {
+        "port": take_port(deployment, WORLD),
+        "engines": {
+            name: {
+                "versions": VERSIONS,
+                "token_interval": interval,
+                "port": take_port(deployment, f"{name}.http"),
+                "announce": _announce(deployment, name, place, nodes),
+            }
+            for place, name in enumerate(names)
+        },
+        "relays": {
+            f"{entry}.{control}": {
+                "target": f"{HOST}:{deployment.ports[f'{control}.links']}",
+                "port": take_port(deployment, f"{entry}.{control}"),
+            }
+            for entry in relayed
+            for control in name_nodes("control", CONTROLS)
+        },
+        "service": {
+            "service": SERVICE,
+            "port": take_port(deployment, "service-1.http"),
+            "delay": delay,
+            "announce": _announce(deployment, "service-1", 0, nodes),
+        },
+        "rating": {"port": take_port(deployment, "rating.http")},
+        "balancer": {
+            "targets": [f"{HOST}:{deployment.ports[f'{n}.callers']}" for n in nodes],
+            "port": take_port(deployment, "balancer"),
+            "interval": 0.1,
+        },
+    }
+    path = write_settings(deployment, WORLD, settings)
+    add_process(deployment, WORLD, ["scripts.world", "--settings", str(path)])
+    return deployment
+
+
+def revise_settings(deployment: Deployment, name: str, **fields: Any) -> None:
+    """Change some fields of a noted process's settings file."""
+    path = deployment.folder / f"{name}.json"
+    settings = json.loads(path.read_text())
+    path.write_text(json.dumps(settings | fields, indent=2))
+
+
+def set_faults(deployment: Deployment, place: str, **faults: Any) -> None:
+    """Set the faults of ``engines/<name>``, ``relays/<name>`` or ``service``."""
+    ask_world(deployment, place, faults)
+
+
+def set_relays(deployment: Deployment, entry: str, **order: Any) -> None:
+    """Give one order to all relays between an entry and control."""
+    for control in name_nodes("control", CONTROLS):
+        set_faults(deployment, f"relays/{entry}.{control}", **order)
+
+
+def read_counts(deployment: Deployment) -> dict[str, dict[str, int]]:
+    """Return runs: ``chats`` and ``calls`` by request id, ``orders`` by their id."""
+    counts: dict[str, dict[str, int]] = ask_world(deployment, "counts", None)
+    return counts
+
+
+def ask_world(deployment: Deployment, path: str, body: Any) -> Any:
+    """Call the world's control port."""
+    port = deployment.ports[WORLD]
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{HOST}:{port}/{path}", data=data)
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        return json.load(answer)
+
+
+def ask_admin(deployment: Deployment, node: str, path: str, timeout: float = 1) -> Any:
+    """Return a view of one control process; None without a good answer."""
+    port = deployment.ports[f"{node}.admin"]
+    request = urllib.request.Request(
+        f"http://{HOST}:{port}/admin/v1/{path}",
+        headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return json.load(answer)
+    except (OSError, ValueError):
+        return None
+
+
+def find_leader(deployment: Deployment, *, besides: str = "") -> str:
+    """Wait until a control process other than ``besides`` leads; return it."""
+    found: list[str] = []
+
+    def look() -> bool:
+        for node in name_nodes("control", CONTROLS):
+            if node == besides or not is_alive(deployment, node):
+                continue
+
+            status = ask_admin(deployment, node, "status")
+            if status is not None and status["leads"]:
+                found.append(node)
+                return True
+
+        return False
+
+    wait_until(look, "a leader")
+    return found[-1]
+
+
+def is_alive(deployment: Deployment, name: str) -> bool:
+    """Tell whether a process was started and has not ended."""
+    popen = deployment.processes[name].popen
+    return popen is not None and popen.poll() is None
+
+
+def restart_process(deployment: Deployment, name: str) -> None:
+    """Kill a process and start it again."""
+    kill_process(deployment, name)
+    start_process(deployment, name)
+
+
+def wipe_member(deployment: Deployment, node: str) -> None:
+    """Kill a control process and delete its data folder."""
+    kill_process(deployment, node)
+    shutil.rmtree(deployment.folder / f"{node}.data")
+
+
+def freeze(deployment: Deployment, name: str) -> None:
+    """Stop a process where it stands."""
+    signal_process(deployment, name, signal.SIGSTOP)
+
+
+def thaw(deployment: Deployment, name: str) -> None:
+    """Let a frozen process go on."""
+    signal_process(deployment, name, signal.SIGCONT)
+
+
+def read_log(deployment: Deployment, name: str) -> str:
+    """Return a process's log so far."""
+    with contextlib.suppress(FileNotFoundError):
+        return deployment.processes[name].log.read_text(errors="replace")
+
+    return ""
+
+
+def _turn_to_relays(deployment: Deployment, entry: str) -> None:
+    peers = [
+        {
+            "node": control,
+            "host": HOST,
+            "port": take_port(deployment, f"{entry}.{control}"),
+        }
+        for control in name_nodes("control", CONTROLS)
+    ]
+    revise_settings(deployment, entry, control=peers)
+
+
+def _announce(
+    deployment: Deployment, name: str, place: int, nodes: tuple[str, ...]
+) -> dict[str, Any]:
+    urls = [f"http://{HOST}:{deployment.ports[f'{node}.upstreams']}" for node in nodes]
+    turned = urls[place % len(urls) :] + urls[: place % len(urls)]
+    return {
+        "upstream": name,
+        "data_centre": DATA_CENTRES[place % len(DATA_CENTRES)],
+        "entries": turned,
+        "lease": 3.0,
+    }
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,3 @@
+"""Failure tests of the whole system: real processes on loopback."""
+
+from __future__ import annotations
