Close a row whose reservation was never heard of

Cause: control recorded a reservation and its answer came after the entry had given up. The caller was refused as not run, rightly, and each resend of the key was told that the request runs, for as long as that entry lived: only rows of dead entries are swept. Ruled out: sweeping by age (an order may take long; it would close live rows); the ledger's own check of late reservations, which needs the settle that was never sent. Change: where a reservation may have been recorded, the entry settles it in the background as not run, or as failed where the engine had begun.

--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -67,12 +67,19 @@
     repeatable: bool
     version: VersionId = VersionId("")
     upstream: UpstreamId = UpstreamId("")
+    unheard: OutcomeKind = OutcomeKind.NOT_RUN
+    """How the row ends if it was recorded and the word of it never came back."""
 
 
 async def reserve_row(
     context: EntryContext, reservation: Reservation
 ) -> Reserved | AlreadyOpen | AlreadySettled:
-    """Make the row durable; ``Problem`` if the key is misused or control is away."""
+    """Make the row durable; ``Problem`` if the key is misused or control is away.
+
+    Failure guarded against: the leader records the row and its answer comes too late.
+    The caller is refused, and each resend of its key would find the row open, and so
+    "running", for as long as this entry lives. A row that may exist is closed.
+    """
     work = reservation.work
     row = make_row(context, reservation)
     try:
@@ -80,6 +87,9 @@
             context.control, Reserve(row=row), limit=RESERVE_LIMIT
         )
     except ControlUnavailableError as error:
+        if error.may_have_run:
+            _close_unheard(context, row, reservation.unheard)
+
         raise Problem(
             status=503,
             code=CONTROL_UNAVAILABLE,
@@ -161,6 +171,18 @@
     return True
 
 
+def _close_unheard(context: EntryContext, row: LedgerRow, outcome: OutcomeKind) -> None:
+    """Close a row that may have been recorded, beside the answer to its caller."""
+    command = Settle(
+        workspace=row.workspace,
+        key=row.key,
+        request=row.request,
+        outcome=outcome,
+        at=context.wall_clock(),
+    )
+    Deferred.fromCoroutine(_settle_on(context, command))
+
+
 async def _settle_on(context: EntryContext, command: Settle) -> None:
     context.unsettled += 1
     try:
--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -210,6 +210,8 @@
         repeatable=True,
         version=run.version,
         upstream=run.upstream,
+        # Without a key of the caller's the engine is at work meanwhile.
+        unheard=OutcomeKind.NOT_RUN if run.chat.keyed else OutcomeKind.FAILED,
     )
     if run.chat.keyed:
         run.reserved = Deferred()
