Test control under failure with real processes

Why: leader loss between reservation and answer, frozen leaders, lost disks, cut-off entries, silent links and a leader's planned stop were shown over fakes only. Change: six tests over the shared deployment; a control's status names voters and learners, by which a repair can be watched.

--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -144,6 +144,45 @@
         return None
 
 
+def post_command(
+    deployment: Deployment, node: str, command: Any, timeout: float
+) -> tuple[int, Any]:
+    """Send a command to one control process; return status and outcome.
+
+    Status 0 stands for no answer.
+    """
+    port = deployment.ports[f"{node}.admin"]
+    request = urllib.request.Request(
+        f"http://{HOST}:{port}/admin/v1/commands",
+        data=json.dumps(command).encode(),
+        headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, json.load(answer)
+    except urllib.error.HTTPError as error:
+        return error.code, json.load(error)
+    except (OSError, ValueError):
+        return 0, None
+
+
+def make_version(name: str, change_id: str, expected_revision: int) -> dict[str, Any]:
+    """Return the command that registers version 1 of a model."""
+    return {
+        "type": "RegisterVersion",
+        "change_id": change_id,
+        "operator": "launcher",
+        "expected_revision": expected_revision,
+        "at": 0.0,
+        "spec": {
+            "version": f"{name}@1",
+            "model": name,
+            "price_in": 1,
+            "price_out": 1,
+        },
+    }
+
+
 def find_leader(deployment: Deployment, *, besides: str = "") -> str:
     """Wait until a control process other than ``besides`` leads; return it."""
     found: list[str] = []
--- a/src/waxwingwell/adapters/control/answers.py
+++ b/src/waxwingwell/adapters/control/answers.py
@@ -9,6 +9,7 @@
 from ...invariants import BREACHES
 from ...state.group import leader_of
 from ...state.group import leads
+from ...state.group import members_of
 from ...state.group import term_of
 
 
@@ -54,6 +55,10 @@
     open_rows: int
     breaches: dict[str, int]
     """Invariants found broken in this process; empty if all held."""
+    voters: tuple[str, ...] = ()
+    """Ids of the members that vote; a replaced disk has a new id."""
+    learners: tuple[str, ...] = ()
+    """Ids of the members that are still catching up."""
 
 
 def describe_status(context: ControlContext) -> StatusReply:
@@ -84,4 +89,6 @@
         entries=entries,
         open_rows=sum(map(len, context.holder.state.ledger.open_rows.values())),
         breaches={name.value: count for name, count in BREACHES.counts.items()},
+        voters=members_of(context.group).voters,
+        learners=members_of(context.group).learners,
     )
