--- a/src/waxwingwell/adapters/entry/context.py
+++ b/src/waxwingwell/adapters/entry/context.py
@@ -52,6 +52,8 @@
     """Requests that must end before a planned stop."""
     unsettled: int = 0
     """Rows whose settling is still being tried."""
+    unrated: int = 0
+    """Answers whose rating was asked for in the background."""
 
 
 def remember_pin(
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -149,7 +149,7 @@
     await deferLater(context.reactor, settings.drain_notice, lambda: None)
     await maybeDeferred(daemon.caller_port.stopListening)
     deadline = context.clock() + settings.drain_limit
-    while context.running + context.unsettled > 0 and context.clock() < deadline:
+    while is_busy(context) and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
     if context.running:
@@ -159,6 +159,11 @@
     await close_entry(daemon)
 
 
+def is_busy(context: EntryContext) -> bool:
+    """Tell whether something is under way that a planned stop waits for."""
+    return context.running + context.unsettled + context.unrated > 0
+
+
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
     stop_upkeep(daemon.upkeep)
--- a/src/waxwingwell/adapters/entry/ratings.py
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -76,8 +76,14 @@
 def rate_later(
     context: EntryContext, work: Work, version: VersionId, prompt: str, answer: str
 ) -> None:
-    """Ask for a rating in the background."""
-    Deferred.fromCoroutine(rate_answer(context, work, version, prompt, answer))
+    """Ask for a rating in the background; a planned stop waits for it."""
+    context.unrated += 1
+
+    def forget(_: object) -> None:
+        context.unrated -= 1
+
+    rating = rate_answer(context, work, version, prompt, answer)
+    Deferred.fromCoroutine(rating).addBoth(forget)
 
 
 async def _ask_rating(context: EntryContext, asked: RatingAsked) -> float:
