Let a caller come back to any entry for the rest of its answer

Cause: a resend of a running or ended keyed stream was refused, so an answer whose entry died was lost to its caller; evidence was noted at the end of a stream only, so the cap on unrated answers did not count those under way. Change: a reservation that finds the key's row fetches that answer from the engine that holds it, after Last-Event-ID; streaming split into runs, resuming, streaming. A failed row is not run again under its key.

--- a/src/waxwingwell/adapters/entry/chats.py
+++ b/src/waxwingwell/adapters/entry/chats.py
@@ -91,6 +91,8 @@
     fields: dict[str, Any]
     """The body as decoded, to be sent on with the model filled in."""
     prompt: str
+    last_event: str = ""
+    """``Last-Event-ID`` of a caller that comes back."""
 
 
 def make_request_id() -> str:
@@ -147,6 +149,7 @@
         digest=xxhash.xxh3_128_hexdigest(body),
         fields=fields,
         prompt=prompt,
+        last_event=headers.last_event,
     )
 
 
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/resuming.py
@@ -0,0 +1,166 @@
+"""An answer goes on over a new connection, or at another entry.
+
+The engine keeps the events of an answer for a while. After a cut, a silence or a
+faulty event this entry asks it for the rest; when a caller comes back with its key
+after losing its entry, any entry fetches the same answer and never runs it again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+from twisted.internet.task import deferLater
+
+from ...decisions.retries import may_retry
+from ...decisions.upstreams import note_dispatch
+from ...records import OutcomeKind
+from ...records import RowStatus
+from .attempts import end_attempt
+from .attempts import find_row
+from .replies import Problem
+from .stream_runs import can_resume
+from .stream_runs import leave_upstream
+from .streams import EventStream
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .upstream_client import drop_response
+from .upstream_client import send_call
+
+
+if TYPE_CHECKING:
+    from ...records import LedgerRow
+    from .context import EntryContext
+    from .stream_runs import StreamRun
+
+
+MAX_RESUMES = 8
+"""Connections over which one answer may be resumed."""
+RESUME_PAUSE = 0.05
+"""Seconds, times the tries so far, before an engine is asked again."""
+
+
+def attach_run(context: EntryContext, run: StreamRun, row: LedgerRow) -> None:
+    """Turn a run to the answer that its key has already, here or elsewhere.
+
+    Events that the caller named as received are read for the usage and not sent
+    again. ``Problem`` if the row has no answer to fetch.
+    """
+    if row.status is RowStatus.UNKNOWN or row.outcome is OutcomeKind.MAY_HAVE_RUN:
+        raise make_gone_problem(row)
+
+    skip = read_last_event(run.chat.last_event, row.request)
+    run.attached = row
+    run.stream = EventStream(request=row.request, skip=skip)
+    run.version = row.version
+    run.upstream = row.upstream
+    run.ran = True
+    run.name_request(row.request)
+
+
+def find_next_holder(context: EntryContext, run: StreamRun) -> None:
+    """Turn an attached run to the next engine that may hold its answer."""
+    for upstream, row in context.tables.upstreams.items():
+        if upstream in run.excluded or row.left:
+            continue
+
+        if run.version in row.announcement.versions and can_resume(context, upstream):
+            run.upstream = upstream
+            return
+
+    assert run.attached is not None
+    raise make_gone_problem(run.attached)
+
+
+def make_gone_problem(row: LedgerRow) -> Problem:
+    """Return the problem of a key whose answer can't be fetched."""
+    running = row.status is RowStatus.OPEN
+    return Problem(
+        status=409,
+        code="key_in_use" if running else "already_answered",
+        message="a request with this key is running or has ended; "
+        "its answer can't be fetched from an engine",
+        outcome=OutcomeKind.FAILED,
+        retry_after=1.0 if running else None,
+    )
+
+
+def read_last_event(header: str, request: str) -> int:
+    """Return the number of the last event that a caller has of this request."""
+    name, _, number = header.rpartition(":")
+    if name != request or not number.isdigit():
+        return 0
+
+    return int(number)
+
+
+def may_resume(context: EntryContext, run: StreamRun) -> bool:
+    """Tell whether one more try at the same engine is due, and count it."""
+    if not can_resume(context, run.upstream):
+        return False
+
+    run.resumes += 1
+    if run.resumes > MAX_RESUMES:
+        return False
+
+    return run.stream.last > 0 or may_retry(context.budget, context.clock())
+
+
+async def resume_stream(context: EntryContext, run: StreamRun) -> Any:
+    """Ask the same engine for the rest; None if this try failed.
+
+    It is no new work for the engine: it goes on with what it holds, so that a
+    withdrawn version or a leaving engine still ends what it began.
+    """
+    upstream = run.upstream
+    row = context.tables.upstreams[upstream]
+    call = UpstreamCall(
+        method="GET",
+        path=f"/v1/streams/{run.stream.request}?after={run.stream.last}",
+        request=run.stream.request,
+        priority=run.chosen.work.priority.value,
+    )
+    note_dispatch(context.tables, upstream, run.chosen.work, now=context.clock())
+    limit = context.settings.progress_timeout
+    try:
+        response = await send_call(context, row, call, limit=limit)
+    except AttemptError as error:
+        end_attempt(context, upstream, failed=True)
+        logger.info("stream: {} not resumed: {}.", run.stream.request, error)
+        if run.stream.last == 0:
+            leave_upstream(run)
+        else:
+            pause = RESUME_PAUSE * run.resumes
+            await deferLater(context.reactor, pause, lambda: None)
+
+        return None
+
+    if response.code == 200:
+        return response
+
+    drop_response(response)
+    end_attempt(context, upstream, failed=response.code >= 500)
+    leave_upstream(run)
+    return None
+
+
+async def cancel_stream(context: EntryContext, run: StreamRun) -> None:
+    """Tell the engine to stop; a best effort, it ends by itself otherwise."""
+    try:
+        row = find_row(context, run.upstream, context.clock())
+        if not row.announcement.capabilities.cancel:
+            return
+
+        call = UpstreamCall(
+            method="DELETE",
+            path=f"/v1/streams/{run.stream.request}",
+            request=run.stream.request,
+            priority=run.chosen.work.priority.value,
+        )
+        response = await send_call(
+            context, row, call, limit=context.settings.progress_timeout
+        )
+        drop_response(response)
+    except AttemptError as error:
+        logger.debug("stream: {} not cancelled: {}.", run.stream.request, error)
--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -6,36 +6,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from loguru import logger
-from opentelemetry.trace import Span
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
 from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
-from ...decisions.retries import may_retry
-from ...decisions.upstreams import note_dispatch
+from ...decisions.evidence import note_unrated
 from ...decisions.upstreams import note_silence
 from ...invariants import Promise
 from ...invariants import check
 from ...messages import Reserved
 from ...records import OutcomeKind
-from ...records import UpstreamId
-from ...records import VersionId
 from .attempts import end_attempt
-from .attempts import find_row
 from .attempts import relay_body
 from .attempts import run_attempt
-from .chats import Chat
 from .chats import make_upstream_body
 from .checks import assert_dispatch
 from .checks import check_dispatch
-from .choice import ChosenWork
 from .choice import price_usage
 from .ledger import CONTROL_UNAVAILABLE
 from .ledger import Ending
@@ -45,18 +36,22 @@
 from .placement import place_request
 from .ratings import rate_later
 from .relay import End
-from .relay import Sink
 from .relay import open_gate
 from .relay import push_bytes
 from .replies import Problem
 from .replies import render_problem
-from .streams import EventStream
+from .resuming import attach_run
+from .resuming import cancel_stream
+from .resuming import find_next_holder
+from .resuming import may_resume
+from .resuming import resume_stream
+from .stream_runs import StreamRun
+from .stream_runs import can_resume
+from .stream_runs import leave_upstream
 from .streams import read_text
 from .upstream_client import AttemptError
 from .upstream_client import UpstreamCall
-from .upstream_client import drop_response
 from .upstream_client import make_call
-from .upstream_client import send_call
 from .whole import CHAT_PATH
 from .whole import check_retry
 from .whole import correct_outcome
@@ -68,33 +63,9 @@
     from .placement import Placements
 
 
-MAX_RESUMES = 8
-"""Connections over which one answer may be resumed."""
-RESUME_PAUSE = 0.05
-"""Seconds, times the tries so far, before an engine is asked again."""
 REFUSED = "the reservation failed"
 
 
-@dataclass(slots=True)
-class StreamRun:
-    """One streamed answer under way."""
-
-    chat: Chat
-    chosen: ChosenWork
-    stream: EventStream
-    sink: Sink
-    span: Span
-    version: VersionId
-    reserved: Deferred[Any] | None = None
-    refusal: Problem | None = None
-    """Why the row could not be reserved while the engine was at work."""
-    upstream: UpstreamId = UpstreamId("")
-    ran: bool = False
-    """An engine may have begun: "not run" would be untrue from here on."""
-    resumes: int = 0
-    excluded: frozenset[UpstreamId] = frozenset()
-
-
 async def answer_stream(
     context: EntryContext, placements: Placements, run: StreamRun
 ) -> None:
@@ -129,7 +100,7 @@
             return
 
         if run.sink.gone and not run.chat.keyed:
-            await _cancel(context, run)
+            await cancel_stream(context, run)
             raise Problem(
                 status=499,
                 code="caller_gone",
@@ -142,8 +113,8 @@
     context: EntryContext, placements: Placements, run: StreamRun
 ) -> End:
     """Run or resume the answer over one connection; return how that ended."""
-    if run.upstream and _may_resume(context, run):
-        response = await _resume(context, run)
+    if run.upstream and may_resume(context, run):
+        response = await resume_stream(context, run)
     else:
         response = await _start(context, placements, run)
 
@@ -175,7 +146,7 @@
 
 async def _start(context: EntryContext, placements: Placements, run: StreamRun) -> Any:
     """Run the request on a new upstream; None if that failed and may be retried."""
-    if run.stream.last > 0:
+    if run.stream.last > run.stream.skip:
         raise Problem(
             status=502,
             code="stream_lost",
@@ -186,13 +157,20 @@
 
     # An engine that could not be resumed is not asked for the same work again.
     if run.upstream:
-        _leave_upstream(run)
+        leave_upstream(run)
+
+    if run.attached is not None:
+        find_next_holder(context, run)
+        return None
 
     work = run.chosen.work
     choice = await place_request(context, placements, work, run.version, run.excluded)
     run.upstream = choice.upstream
     check_dispatch(context, work, run.version)
     await _reserve(context, run)
+    if run.attached is not None:
+        return None
+
     check_dispatch(context, work, run.version)
     assert_dispatch(context, work, run.version)
     body = make_upstream_body(run.chat, run.version)
@@ -200,13 +178,14 @@
     def build(traceparent: str | None) -> UpstreamCall:
         return make_call(work, path=CHAT_PATH, body=body, traceparent=traceparent)
 
+    _note_sent(context, run)
     try:
         response = await run_attempt(context, work, run.upstream, build, run.span)
     except AttemptError as error:
         run.ran |= error.may_have_run
         # The engine may hold the answer: only the connection went wrong.
-        if not (error.may_have_run and _can_resume(context, run.upstream)):
-            _leave_upstream(run)
+        if not (error.may_have_run and can_resume(context, run.upstream)):
+            leave_upstream(run)
             check_retry(context, error, repeatable=True)
 
         return None
@@ -215,16 +194,6 @@
     return response
 
 
-def _leave_upstream(run: StreamRun) -> None:
-    run.excluded |= {run.upstream}
-    run.upstream = UpstreamId("")
-
-
-def _can_resume(context: EntryContext, upstream: UpstreamId) -> bool:
-    row = context.tables.upstreams.get(upstream)
-    return row is not None and row.announcement.capabilities.resume
-
-
 async def _reserve(context: EntryContext, run: StreamRun) -> None:
     """Start the reservation; only a key that may come twice waits for it here."""
     if run.reserved is not None:
@@ -244,10 +213,10 @@
         run.reserved = Deferred()
         outcome = await reserve_row(context, reservation)
         run.reserved.callback(outcome)
-        _take_reservation(run, outcome)
-        if run.refusal is not None:
-            raise run.refusal
+        if not isinstance(outcome, Reserved):
+            attach_run(context, run, outcome.row)
 
+        open_gate(run.sink)
         return
 
     run.reserved = Deferred.fromCoroutine(reserve_row(context, reservation))
@@ -262,14 +231,8 @@
         open_gate(run.sink)
         return
 
-    _refuse(
-        run,
-        Problem(
-            status=409,
-            code="key_in_use",
-            message="a request with this key is running or has ended",
-        ),
-    )
+    text = f"{run.stream.request} is no new request: {type(outcome).__name__}"
+    _refuse(run, Problem(status=500, code="internal", message=text))
 
 
 def _refuse(run: StreamRun, error: Exception) -> None:
@@ -278,9 +241,7 @@
         error = Problem(status=500, code="internal", message=REFUSED)
 
     # The engine is at work already, so "not run" would be untrue.
-    run.refusal = (
-        error if run.chat.keyed else replace(error, outcome=OutcomeKind.FAILED)
-    )
+    run.refusal = replace(error, outcome=OutcomeKind.FAILED)
     if run.sink.source is not None:
         run.sink.source.loseConnection()
 
@@ -299,76 +260,6 @@
     )
 
 
-def _may_resume(context: EntryContext, run: StreamRun) -> bool:
-    if not _can_resume(context, run.upstream):
-        return False
-
-    run.resumes += 1
-    if run.resumes > MAX_RESUMES:
-        return False
-
-    return run.stream.last > 0 or may_retry(context.budget, context.clock())
-
-
-async def _resume(context: EntryContext, run: StreamRun) -> Any:
-    """Ask the same engine for the rest; None if this try failed.
-
-    It is no new work for the engine: it goes on with what it holds, so that a
-    withdrawn version or a leaving engine still ends what it began.
-    """
-    upstream = run.upstream
-    row = context.tables.upstreams[upstream]
-    call = UpstreamCall(
-        method="GET",
-        path=f"/v1/streams/{run.stream.request}?after={run.stream.last}",
-        request=run.stream.request,
-        priority=run.chosen.work.priority.value,
-    )
-    note_dispatch(context.tables, upstream, run.chosen.work, now=context.clock())
-    limit = context.settings.progress_timeout
-    try:
-        response = await send_call(context, row, call, limit=limit)
-    except AttemptError as error:
-        end_attempt(context, upstream, failed=True)
-        logger.info("stream: {} not resumed: {}.", run.stream.request, error)
-        if run.stream.last == 0:
-            _leave_upstream(run)
-        else:
-            pause = RESUME_PAUSE * run.resumes
-            await deferLater(context.reactor, pause, lambda: None)
-
-        return None
-
-    if response.code == 200:
-        return response
-
-    drop_response(response)
-    end_attempt(context, upstream, failed=response.code >= 500)
-    _leave_upstream(run)
-    return None
-
-
-async def _cancel(context: EntryContext, run: StreamRun) -> None:
-    """Tell the engine to stop; a best effort, it ends by itself otherwise."""
-    try:
-        row = find_row(context, run.upstream, context.clock())
-        if not row.announcement.capabilities.cancel:
-            return
-
-        call = UpstreamCall(
-            method="DELETE",
-            path=f"/v1/streams/{run.stream.request}",
-            request=run.stream.request,
-            priority=run.chosen.work.priority.value,
-        )
-        response = await send_call(
-            context, row, call, limit=context.settings.progress_timeout
-        )
-        drop_response(response)
-    except AttemptError as error:
-        logger.debug("stream: {} not cancelled: {}.", run.stream.request, error)
-
-
 async def _settle_done(context: EntryContext, run: StreamRun) -> None:
     usage = price_usage(context, run.version, run.stream.usage)
     check(
@@ -382,28 +273,41 @@
         upstream=run.upstream,
         usage=usage,
     )
-    work = run.chosen.work
-    await settle_row(context, work.workspace, run.chat.key, work.request, ending)
+    workspace = run.chosen.work.workspace
+    await settle_row(context, workspace, run.chat.key, run.stream.request, ending)
     push_bytes(run.sink, run.sink.last_part)
+    if run.noted and run.chosen.choice.rate:
+        text = read_text(b"".join(run.sink.record))
+        rate_later(context, run.chosen.work, run.version, run.chat.prompt, text)
+
+
+def _note_sent(context: EntryContext, run: StreamRun) -> None:
+    """Note the dispatch as evidence, once however often it is retried."""
+    if run.noted:
+        return
+
+    run.noted = True
     choice = run.chosen.choice
     note_sent(
         context.tables,
-        work,
+        run.chosen.work,
         run.version,
         rate=choice.rate,
         now=context.clock(),
         explored=choice.explored,
     )
-    if choice.rate:
-        text = read_text(b"".join(run.sink.record))
-        rate_later(context, work, run.version, run.chat.prompt, text)
 
 
 async def _settle_failed(
     context: EntryContext, run: StreamRun, problem: Problem
 ) -> None:
     """Close the row of a request that ended without its whole answer."""
-    if run.reserved is None or problem.code in ("key_in_use", "key_reused"):
+    if run.noted and run.chosen.choice.rate:
+        work = run.chosen.work
+        note_unrated(context.tables, work.workspace, work.kind, run.version)
+
+    # An attached answer is another request's: its own entry or control settles it.
+    if run.reserved is None or run.attached is not None or problem.code == "key_reused":
         return
 
     work = run.chosen.work
--- a/src/waxwingwell/adapters/entry/streams.py
+++ b/src/waxwingwell/adapters/entry/streams.py
@@ -57,6 +57,8 @@
     request: str
     last: int = 0
     """Number of the last event forwarded."""
+    skip: int = 0
+    """Events up to this number are read and not forwarded: the caller has them."""
     done: bool = False
     usage: Usage = field(default_factory=Usage)
     doubled: int = 0
@@ -101,7 +103,8 @@
 
         stream.last = number
         _note_end(stream, block)
-        good.append(block)
+        if number > stream.skip:
+            good.append(block)
 
     fault = Fault.OVERSIZED if len(stream.rest) > MAX_EVENT else None
     return Taken(_join(good), fault)
--- a/src/waxwingwell/adapters/entry/web.py
+++ b/src/waxwingwell/adapters/entry/web.py
@@ -51,7 +51,7 @@
 from .services import make_open_problem
 from .services import make_service_work
 from .services import replay_row
-from .streaming import StreamRun
+from .stream_runs import StreamRun
 from .streaming import answer_stream
 from .streams import EventStream
 from .whole import answer_whole
@@ -254,6 +254,7 @@
         sink=sink,
         span=span,
         version=chosen.choice.plan[0],
+        name_request=lambda name: request.setHeader("x-request-id", name),
     )
     request.setHeader("content-type", "text/event-stream")
     request.setHeader("cache-control", "no-store")
