--- a/src/waxwingwell/adapters/bodies.py
+++ b/src/waxwingwell/adapters/bodies.py
@@ -16,6 +16,8 @@
 from ..messages import LeaseBehind
 from ..messages import LeaseGranted
 from ..messages import NotLeader
+from ..messages import OrderPassed
+from ..messages import OrderVersions
 from ..messages import Pinned
 from ..messages import Recorded
 from ..messages import Rejected
@@ -63,6 +65,8 @@
     | Failed
     | SpreadAnnouncements
     | SpreadDemand
+    | OrderPassed
+    | OrderVersions
     | KnownUpstreams
     | Draining
     | Drain
--- a/src/waxwingwell/adapters/control/context.py
+++ b/src/waxwingwell/adapters/control/context.py
@@ -14,6 +14,7 @@
 from ..links import LinkProtocol
 from ..settings import ControlSettings
 from ..telemetry import Metrics
+from .order_book import OrderBook
 
 
 @dataclass(slots=True)
@@ -43,3 +44,5 @@
     flush_due: bool = False
     swept_at: float = 0.0
     stepped_at: float = 0.0
+    ordered_at: float = 0.0
+    orders: OrderBook = field(default_factory=OrderBook)
--- a/src/waxwingwell/adapters/control/duties.py
+++ b/src/waxwingwell/adapters/control/duties.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from loguru import logger
+from twisted.internet.defer import Deferred
 
 from ...decisions.rollouts import step_rollouts
 from ...messages import StepRollout
@@ -16,6 +17,7 @@
 from ...state.leases import EntryLeases
 from ...state.leases import list_abandoned
 from ...state.ledger import list_open_entries
+from .orders import reconcile_orders
 from .service import request_flush
 from .service import submit
 
@@ -29,6 +31,7 @@
 """Seconds between two ticks of the replicated log."""
 SWEEP_EVERY = 1.0
 STEP_EVERY = 1.0
+ORDER_EVERY = 2.0
 OPERATOR = "leader"
 
 
@@ -44,6 +47,7 @@
     _hold_leases(context, now)
     _sweep_abandoned(context, now)
     _step_rollouts(context, now)
+    _reconcile(context, now)
 
 
 def _hold_leases(context: ControlContext, now: float) -> None:
@@ -99,5 +103,15 @@
         submit(context, change).addCallback(_log_outcome)
 
 
+def _reconcile(context: ControlContext, now: float) -> None:
+    if now - context.ordered_at < ORDER_EVERY:
+        return
+
+    context.ordered_at = now
+    Deferred.fromCoroutine(reconcile_orders(context, context.orders)).addErrback(
+        lambda failure: logger.error("control: Orders: {}.", failure.getTraceback())
+    )
+
+
 def _log_outcome(outcome: Message) -> None:
     logger.info("control: Roll-out step: {}.", outcome)
--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -27,6 +27,7 @@
 from ...state.group import leads
 from ...state.group import propose
 from ...state.group import receive_message
+from ...state.group import term_of
 from ...state.leases import is_in_force
 from ...state.leases import renew_lease
 from ...state.machine import make_snapshot
@@ -129,4 +130,5 @@
         snapshot=snapshot,
         now=now,
         evidence=list_evidence(context.holder.state.evidence),
+        term=term_of(context.group),
     )
--- a/src/waxwingwell/adapters/entry/context.py
+++ b/src/waxwingwell/adapters/entry/context.py
@@ -13,6 +13,7 @@
 from ...decisions.tables import Tables
 from ...records import VersionId
 from ...records import WorkspaceId
+from ...state.fencing import FencingMemory
 from ...state.leases import ConfigLease
 from ..settings import EntrySettings
 from ..telemetry import Metrics
@@ -43,6 +44,7 @@
     traces: Traces
     tables: Tables = field(default_factory=Tables)
     keys: CallerKeys = field(default_factory=CallerKeys)
+    fencing: FencingMemory = field(default_factory=FencingMemory)
     budget: RetryBudget = field(default_factory=RetryBudget)
     pins: OrderedDict[tuple[WorkspaceId, str], VersionId] = field(
         default_factory=OrderedDict
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/control_calls.py
@@ -0,0 +1,118 @@
+"""What an entry answers when a control process calls it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+
+from ...messages import AskUpstreams
+from ...messages import Drain
+from ...messages import Draining
+from ...messages import Failed
+from ...messages import KnownUpstream
+from ...messages import KnownUpstreams
+from ...messages import Message
+from ...messages import OrderPassed
+from ...messages import OrderVersions
+from ...state.fencing import accept_order
+from ...state.leases import may_admit
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .upstream_client import drop_response
+from .upstream_client import send_call
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .context import EntryContext
+
+
+ORDER_PATH = "/v1/versions"
+ORDER_LIMIT = 2.0
+"""Seconds within which an engine answers an order."""
+
+
+class EngineOrder(msgspec.Struct, frozen=True):
+    """An order as engines take it: desired state under a fencing number."""
+
+    fencing: int
+    versions: tuple[str, ...]
+
+
+def answer_call(
+    context: EntryContext, sender: str, body: Any, stop: Callable[[], None]
+) -> Deferred[Message]:
+    """Answer a control process; ``stop`` begins the planned stop."""
+    if isinstance(body, AskUpstreams):
+        return succeed(list_upstreams(context))
+
+    if isinstance(body, OrderVersions):
+        return Deferred.fromCoroutine(pass_order(context, body))
+
+    if isinstance(body, Drain):
+        logger.info("entry: {} asks for a planned stop.", sender)
+        context.reactor.callLater(0, stop)
+        return succeed(Draining(running=context.running))
+
+    reason = f"{type(body).__name__} from {sender}"
+    return succeed(Failed(reason=reason, may_have_run=False))
+
+
+async def pass_order(context: EntryContext, order: OrderVersions) -> Message:
+    """Pass an order on to an engine, unless a later leader has been heard of.
+
+    Failure guarded against: a leader that was cut off wakes up and orders a withdrawn
+    version loaded at an engine that ignores fencing numbers. An entry without a lease
+    passes nothing on, and one with a lease knows the term of the leader in charge.
+    """
+    if not may_admit(context.lease, context.clock()):
+        return OrderPassed(status=0, reason="this entry has no lease")
+
+    row = context.tables.upstreams.get(order.upstream)
+    if row is None or row.left:
+        return OrderPassed(status=0, reason="the upstream is not known here")
+
+    if not accept_order(context.fencing, order.upstream, order.fencing):
+        return OrderPassed(status=0, reason="a later leader is in charge")
+
+    body = EngineOrder(fencing=order.fencing, versions=tuple(order.versions))
+    call = UpstreamCall(
+        method="PUT",
+        path=ORDER_PATH,
+        request=f"order-{order.fencing}",
+        priority="order",
+        body=msgspec.json.encode(body),
+        fencing=order.fencing,
+    )
+    try:
+        response = await send_call(context, row, call, limit=ORDER_LIMIT)
+    except AttemptError as error:
+        return OrderPassed(status=0, reason=str(error))
+
+    drop_response(response)
+    return OrderPassed(status=response.code)
+
+
+def list_upstreams(context: EntryContext) -> KnownUpstreams:
+    """Return what this entry knows of the upstreams."""
+    now = context.clock()
+    return KnownUpstreams(
+        upstreams=tuple(
+            KnownUpstream(
+                announcement=row.announcement,
+                lease_left=row.expires_at - now,
+                left=row.left,
+                ejected=row.ejected_until > now,
+                in_flight=row.in_flight,
+            )
+            for row in context.tables.upstreams.values()
+        ),
+        running=context.running,
+        draining=context.draining,
+    )
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -12,17 +12,9 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import maybeDeferred
-from twisted.internet.defer import succeed
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
-from ...messages import AskUpstreams
-from ...messages import Drain
-from ...messages import Draining
-from ...messages import Failed
-from ...messages import KnownUpstream
-from ...messages import KnownUpstreams
-from ...messages import Message
 from ...records import EntryId
 from ...state.leases import ConfigLease
 from ..bodies import Body
@@ -39,6 +31,7 @@
 from ..telemetry import open_traces
 from .announcements import make_upstream_app
 from .context import EntryContext
+from .control_calls import answer_call
 from .control_client import ControlClient
 from .placement import Placements
 from .sites import make_site
@@ -59,6 +52,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...messages import Message
     from ..settings import EntrySettings
 
 
@@ -199,7 +193,7 @@
     context: EntryContext, upkeep: Upkeep, stop: Callable[[], None]
 ) -> LinkNode:
     def take_call(sender: str, body: Any) -> Deferred[Message]:
-        return succeed(answer_call(context, sender, body, stop))
+        return answer_call(context, sender, body, stop)
 
     def take_cast(sender: str, body: Any) -> None:
         take_news(context, upkeep, body)
@@ -212,40 +206,6 @@
     )
 
 
-def answer_call(
-    context: EntryContext, sender: str, body: Any, stop: Callable[[], None]
-) -> Message:
-    """Answer a control process; ``stop`` begins the planned stop."""
-    if isinstance(body, AskUpstreams):
-        return list_upstreams(context)
-
-    if isinstance(body, Drain):
-        logger.info("entry: {} asks for a planned stop.", sender)
-        context.reactor.callLater(0, stop)
-        return Draining(running=context.running)
-
-    return Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
-
-
-def list_upstreams(context: EntryContext) -> KnownUpstreams:
-    """Return what this entry knows of the upstreams."""
-    now = context.clock()
-    return KnownUpstreams(
-        upstreams=tuple(
-            KnownUpstream(
-                announcement=row.announcement,
-                lease_left=row.expires_at - now,
-                left=row.left,
-                ejected=row.ejected_until > now,
-                in_flight=row.in_flight,
-            )
-            for row in context.tables.upstreams.values()
-        ),
-        running=context.running,
-        draining=context.draining,
-    )
-
-
 def _open_links(daemon: EntryDaemon) -> None:
     context = daemon.context
     for peer in context.settings.control:
--- a/src/waxwingwell/adapters/entry/upkeep.py
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -25,6 +25,7 @@
 from ...state.demand import make_demand
 from ...state.demand import sum_demand
 from ...state.demand import take_demand
+from ...state.fencing import raise_floor
 from ...state.leases import begin_renewal
 from ...state.leases import check_taken
 from ...state.leases import finish_renewal
@@ -112,6 +113,7 @@
 
         if isinstance(reply, LeaseGranted):
             finish_renewal(context.lease, renewal.number, reply, context.clock())
+            raise_floor(context.fencing, reply.term)
             merge_sums(context.tables, reply.evidence, context.clock())
             return
 
--- a/src/waxwingwell/adapters/entry/upstream_client.py
+++ b/src/waxwingwell/adapters/entry/upstream_client.py
@@ -95,6 +95,8 @@
     traceparent: str | None = None
     key: str = ""
     repeatable: bool = True
+    fencing: int = 0
+    """Sent with orders; 0 sends none."""
 
 
 def open_upstream_client(reactor: Any) -> UpstreamClient:
@@ -192,6 +194,9 @@
     if call.traceparent:
         headers.setRawHeaders("traceparent", [call.traceparent])
 
+    if call.fencing:
+        headers.setRawHeaders("x-fencing", [str(call.fencing)])
+
     if call.key:
         headers.setRawHeaders("idempotency-key", [call.key])
 
--- a/src/waxwingwell/messages.py
+++ b/src/waxwingwell/messages.py
@@ -262,6 +262,8 @@
 
     duration: float
     config_version: int
+    term: int = 0
+    """The granting leader's term; orders with lower fencing numbers are refused."""
     evidence: tuple[Evidence, ...] = ()
     """Sums over all entries, for version choice; sent now and then."""
 
@@ -321,6 +323,22 @@
     draining: bool
 
 
+class OrderVersions(Message, frozen=True, kw_only=True):
+    """Ask an entry to pass an order on to an engine: all versions it should hold."""
+
+    upstream: UpstreamId
+    versions: tuple[VersionId, ...]
+    fencing: int
+    """The leader's term."""
+
+
+class OrderPassed(Message, frozen=True, kw_only=True):
+    """What became of an order; ``status`` is the engine's HTTP status, 0 if none."""
+
+    status: int
+    reason: str = ""
+
+
 class Drain(Message, frozen=True, kw_only=True):
     """Tell an entry to stop gracefully, as a planned stop does."""
 
--- a/src/waxwingwell/state/fencing.py
+++ b/src/waxwingwell/state/fencing.py
@@ -19,7 +19,8 @@
     highest: dict[UpstreamId, int] = field(default_factory=dict)
     """By upstream, the one ordered longest ago first."""
     floor: int = 0
-    """Highest number among those forgotten; it holds for every upstream."""
+    """Lowest number accepted for any upstream: the highest among those forgotten, or
+    the term of the leader that granted this entry's lease."""
 
 
 def accept_order(memory: FencingMemory, upstream: UpstreamId, fencing: int) -> bool:
@@ -29,7 +30,7 @@
     version loaded at an engine that ignores fencing numbers. All orders go through
     entries, and each entry refuses a number lower than one it has passed on.
     """
-    highest = memory.highest.pop(upstream, memory.floor)
+    highest = max(memory.highest.pop(upstream, 0), memory.floor)
     accepted = fencing >= highest
     memory.highest[upstream] = max(highest, fencing)
     while len(memory.highest) > MAX_UPSTREAMS:
@@ -37,3 +38,12 @@
         memory.floor = max(memory.floor, memory.highest.pop(oldest))
 
     return accepted
+
+
+def raise_floor(memory: FencingMemory, term: int) -> None:
+    """Refuse orders below a leader's term from now on.
+
+    Failure guarded against: two entries pass orders on, and one of them has not seen
+    the new leader's first order. Its lease came from the new leader, or has run out.
+    """
+    memory.floor = max(memory.floor, term)
--- a/src/waxwingwell/state/leases.py
+++ b/src/waxwingwell/state/leases.py
@@ -109,6 +109,7 @@
     snapshot: ConfigSnapshot,
     now: float,
     evidence: tuple[Evidence, ...] = (),
+    term: int = 0,
 ) -> LeaseGranted | LeaseBehind:
     """Grant a lease to an entry that has the newest configuration.
 
@@ -145,6 +146,7 @@
     return LeaseGranted(
         duration=leases.duration,
         config_version=snapshot.config_version,
+        term=term,
         evidence=evidence if due else (),
     )
 
