--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -115,6 +115,7 @@
             put(cluster, leader, b"%d" % number)
 
         run_for(cluster, 1.0)
+        cluster.far[second] = 0.2
         lose_disk(cluster, second)
         start_node(cluster, second)
         member = group_of(cluster, second).replica.member
--- a/tests/state/test_storage_model.py
+++ b/tests/state/test_storage_model.py
@@ -18,6 +18,7 @@
 from waxwingwell.state.consensus.records import Membership
 from waxwingwell.state.consensus.records import Snapshot
 from waxwingwell.state.storage import open_store
+from waxwingwell.state.storage_records import PIECE_BYTES
 from waxwingwell.state.storage_records import Batch
 from waxwingwell.state.storage_records import Loaded
 from waxwingwell.state.storage_records import count_pieces
@@ -28,8 +29,9 @@
     st.tuples(
         st.sampled_from(("append", "replace", "compact", "install", "vote", "abandon")),
         st.integers(0, 20),
-        st.integers(0, 600_000),
+        st.sampled_from((0, 100, PIECE_BYTES, 2 * PIECE_BYTES, 5 * PIECE_BYTES + 1)),
     ),
+    min_size=15,
     max_size=25,
 )
 
