--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -25,6 +25,7 @@
 from tests.state.consensus.fakes import step
 from waxwingwell.state.consensus.log import last_index
 from waxwingwell.state.consensus.messages import AppendAnswer
+from waxwingwell.state.consensus.messages import JoinRequest
 from waxwingwell.state.consensus.messages import RequestVote
 from waxwingwell.state.consensus.records import EntryKind
 from waxwingwell.state.consensus.records import Role
@@ -140,6 +141,25 @@
 
         self.assertTrue(votes_somewhere(cluster, member))
 
+    def test_a_late_request_to_join_brings_no_lost_disk_back(self) -> None:
+        """A replaced disk is lost again; its first request to join arrives late.
+
+        Taken in, an id that nobody has would stand among the members, and would put
+        out the one that its VM joined with since.
+        """
+        cluster, leader, (second, _) = make_settled()
+        lost = group_of(cluster, second).replica.member
+        lose_disk(cluster, second)
+        start_node(cluster, second)
+        await_voters(cluster)
+        run_for(cluster, 0.5)
+        group = group_of(cluster, leader)
+        before = group.replica.membership
+        request = JoinRequest(group="main", sender=lost, target=leader, term=0)
+        receive_message(group, second, request, cluster.now)
+        run_for(cluster, 0.5)
+        self.assertEqual(group.replica.membership, before)
+
     def test_a_member_left_behind_learns_the_members_by_snapshot(self) -> None:
         """A VM is cut off while another's disk is replaced and the log compacted.
 
