--- a/src/waxwingwell/decisions/upstreams.py
+++ b/src/waxwingwell/decisions/upstreams.py
@@ -12,6 +12,7 @@
 
 from ..records import UpstreamId
 from .candidates import find_candidates
+from .claims import drop_claim
 from .ejection import SILENCE_WEIGHT
 from .ejection import lift_ejection
 from .ejection import note_failure
@@ -28,6 +29,7 @@
 from .prefixes import remember_prefixes
 from .rates import count_event
 from .tables import Refusal
+from .waits import FINISH_WINDOW
 
 
 if TYPE_CHECKING:
@@ -46,8 +48,6 @@
 UNAVAILABLE = "no_upstream"
 BUSY_RETRY_AFTER = 1.0
 UNAVAILABLE_RETRY_AFTER = 5.0
-FINISH_WINDOW = 2.0
-"""Seconds over which finishes are smoothed into a rate."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +71,8 @@
     wait: float
     first_token: float
     cached: float
+    way: float
+    """Seconds there and back."""
 
 
 def choose_upstream(
@@ -124,7 +126,7 @@
         if outstanding + 1.0 > limit_outstanding(row, share):
             continue
 
-        if row.probing and row.in_flight > 0:
+        if row.probing and row.in_flight + row.claimed > 0:
             continue
 
         found.append((row, outstanding))
@@ -160,11 +162,11 @@
     wait = estimate_wait(row, work, outstanding, now)
     way = 2.0 * tables.distances.get(announcement.data_centre, 0.0)
     if not work.prompt_tokens:
-        return Estimate(upstream, wait, wait + way, 0.0)
+        return Estimate(upstream, wait, wait + way, 0.0, way)
 
     cached = estimate_cached(row, work, is_home=upstream == home, now=now)
     prefill = (work.prompt_tokens - cached) / get_prefill_rate(row)
-    return Estimate(upstream, wait, wait + prefill + way, cached)
+    return Estimate(upstream, wait, wait + prefill + way, cached, way)
 
 
 def pick_estimate(
@@ -178,6 +180,8 @@
     if at_home:
         return make_choice(at_home[0], "home")
 
+    nearest = min(estimate.way for estimate in near)
+    near = [estimate for estimate in near if estimate.way <= nearest]
     chosen = near[int(draw * len(near))]
     if len(estimates) == 1:
         return make_choice(chosen, "only")
@@ -196,6 +200,7 @@
     tables: Tables, upstream: UpstreamId, work: Work, *, now: float
 ) -> None:
     """Count a request that this entry sends to the upstream now."""
+    drop_claim(tables, work.request)
     row = tables.upstreams.get(upstream)
     if row is None:
         return
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -42,22 +42,32 @@
 """Own ratings below which every answer is rated."""
 REJECT_DEVIATIONS = 3.0
 """Standard errors below the target at which a version is no longer explored."""
+CASCADE_TRIM = 0.02
+"""How far below the target a cascade may aim when credit is at its cap."""
+SINGLE_TRIM = 0.01
+"""The same for a single version."""
 LATENCY_TOLL = 0.1
 """Part of a cost that a cascade must save to make up for its second answer."""
 DOUBT_DEVIATIONS = 5.0
 """The same for a version with few ratings, whose first ones may have been unlucky."""
-EXPLORE_CHANCE = 0.5
+EXPLORE_CHANCE = 0.8
 EXPLORE_BASE = 150.0
 """Answers for one workspace and kind that may always be explored."""
-EXPLORE_CREDIT = 0.5
-"""Rating points of credit that exploring needs: it is paid for in advance."""
+EXPLORE_CREDIT = -1.5
+"""Rating points of credit below which nothing is explored until the debt is paid."""
 EXPLORE_OUTSTANDING = 12
 """Cap on explored answers whose rating is outstanding, since ratings lag."""
 DEBT_RAISE = 0.01
 """Rise of the target for each rating point of debt."""
 MOST_RAISE = 0.05
-RATING_SHARE = 0.03
-"""Share of an answer's cost to spend on ratings, if exposure were all that counts."""
+RATING_SHARE = 0.01
+"""Share of an answer's cost that its ratings may always cost."""
+EXPOSURE_SHARE = 0.02
+"""What is added to it if exposure is all that counts."""
+CLOSE_DEVIATIONS = 2.0
+"""Standard errors above the target within which a version is a close call."""
+CLOSE_FACTOR = 2.0
+"""How much more often the answers of a close call are rated."""
 STOPPED_RATE = 0.25
 """Share of answers rated while ratings have stopped, to notice their return."""
 SECOND_DRAW = 7919.0
@@ -152,7 +162,8 @@
     if price <= 0.0:
         return share
 
-    return min(1.0, max(share, RATING_SHARE * exposure * cost / price))
+    spent = RATING_SHARE + EXPOSURE_SHARE * exposure
+    return min(1.0, max(share, spent * cost / price))
 
 
 def get_explore_limit(
@@ -245,6 +256,9 @@
         return True
 
     share = get_sample_share(case.config, option.cost, tables.rating_price)
+    if estimate.mean - case.target < CLOSE_DEVIATIONS * estimate.error:
+        share *= CLOSE_FACTOR
+
     return _draw_again(draw) < share
 
 
@@ -267,7 +281,8 @@
     if estimate.rated < LEAST_RATED:
         return False
 
-    return estimate.mean - case.caution * estimate.error >= case.target
+    aim = case.target - SINGLE_TRIM * _get_spare(case)
+    return estimate.mean - case.caution * estimate.error >= aim
 
 
 def _find_main(case: _Case) -> _Option:
@@ -369,9 +384,6 @@
     least = main.cost / (1.0 + LATENCY_TOLL * get_latency(case.config))
     found: tuple[_Option, _Option, Estimate] | None = None
     for strong in case.options:
-        if strong is not main and strong.estimate.mean < case.target:
-            continue
-
         escalated = estimate_escalated(
             tables, work.workspace, work.kind.name, strong.version, strong.estimate
         )
@@ -415,10 +427,22 @@
         cheap_cost=costs[0],
         strong_cost=costs[1],
         rating_price=tables.rating_price,
-        target=case.target + case.caution * escalated.error,
+        target=case.target
+        - CASCADE_TRIM * _get_spare(case)
+        + case.caution * escalated.error,
     )
 
 
+def _get_spare(case: _Case) -> float:
+    """Return how much credit there is to spare, 0 to 1 at the cap.
+
+    Failure: versions on the target's edge stay unsure, a dear one far above it
+    serves everything, and quality is paid for that nobody asked for. With credit to
+    spare the aim is trimmed; credit falls when that was too much, and ends it.
+    """
+    return max(0.0, 2.0 * case.account.credit / CREDIT_CAP - 1.0)
+
+
 def _offer_candidate(
     tables: Tables, case: _Case, choice: VersionChoice, now: float
 ) -> VersionChoice:
