--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -67,31 +67,29 @@
     repeatable: bool
     version: VersionId = VersionId("")
     upstream: UpstreamId = UpstreamId("")
+    unheard: OutcomeKind = OutcomeKind.NOT_RUN
+    """How the row ends if it was recorded and the word of it never came back."""
 
 
 async def reserve_row(
     context: EntryContext, reservation: Reservation
 ) -> Reserved | AlreadyOpen | AlreadySettled:
-    """Make the row durable; ``Problem`` if the key is misused or control is away."""
+    """Make the row durable; ``Problem`` if the key is misused or control is away.
+
+    Failure guarded against: the leader records the row and its answer comes too late.
+    The caller is refused, and each resend of its key would find the row open, and so
+    "running", for as long as this entry lives. A row that may exist is closed.
+    """
     work = reservation.work
-    row = LedgerRow(
-        workspace=work.workspace,
-        key=reservation.key,
-        request=work.request,
-        entry=EntryId(context.settings.node),
-        entry_incarnation=context.incarnation,
-        repeatable=reservation.repeatable,
-        digest=reservation.digest,
-        reserved_at=context.wall_clock(),
-        version=reservation.version,
-        upstream=reservation.upstream,
-        session=work.session,
-    )
+    row = make_row(context, reservation)
     try:
         outcome = await submit_command(
             context.control, Reserve(row=row), limit=RESERVE_LIMIT
         )
     except ControlUnavailableError as error:
+        if error.may_have_run:
+            _close_unheard(context, row, reservation.unheard)
+
         raise Problem(
             status=503,
             code=CONTROL_UNAVAILABLE,
@@ -117,11 +115,37 @@
     return outcome  # type: ignore[no-any-return]
 
 
+def make_row(context: EntryContext, reservation: Reservation) -> LedgerRow:
+    """Return the open row of a request at this entry."""
+    work = reservation.work
+    return LedgerRow(
+        workspace=work.workspace,
+        key=reservation.key,
+        request=work.request,
+        entry=EntryId(context.settings.node),
+        entry_incarnation=context.incarnation,
+        repeatable=reservation.repeatable,
+        digest=reservation.digest,
+        reserved_at=context.wall_clock(),
+        version=reservation.version,
+        upstream=reservation.upstream,
+        session=work.session,
+    )
+
+
 async def settle_row(
-    context: EntryContext, workspace: WorkspaceId, key: str, request: str, end: Ending
+    context: EntryContext,
+    workspace: WorkspaceId,
+    key: str,
+    request: str,
+    end: Ending,
+    *,
+    row: LedgerRow | None = None,
 ) -> bool:
     """Settle a row; true once durable, false while it goes on in the background.
 
+    ``row`` is given where none was reserved: it is opened by the same command.
+
     Settling is idempotent. It is tried until control answers, so that an answer
     given while no leader could be reached is still billed once.
     """
@@ -135,6 +159,7 @@
         upstream=end.upstream,
         usage=end.usage,
         answer=end.answer,
+        row=row,
     )
     try:
         await submit_command(context.control, command, limit=SETTLE_LIMIT)
@@ -146,6 +171,18 @@
     return True
 
 
+def _close_unheard(context: EntryContext, row: LedgerRow, outcome: OutcomeKind) -> None:
+    """Close a row that may have been recorded, beside the answer to its caller."""
+    command = Settle(
+        workspace=row.workspace,
+        key=row.key,
+        request=row.request,
+        outcome=outcome,
+        at=context.wall_clock(),
+    )
+    Deferred.fromCoroutine(_settle_on(context, command))
+
+
 async def _settle_on(context: EntryContext, command: Settle) -> None:
     context.unsettled += 1
     try:
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import os
 import random
 import resource
 import sqlite3
+import stat
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
+
+from msgspec.structs import replace
 
 from tests.state.consensus.fakes import Node
 from tests.state.consensus.fakes import make_machine
@@ -25,12 +30,17 @@
 from waxwingwell.state.group import leads
 from waxwingwell.state.group import open_group
 from waxwingwell.state.group import propose
-from waxwingwell.state.storage import Batch
-from waxwingwell.state.storage import Loaded
-from waxwingwell.state.storage import Store
+from waxwingwell.state.storage import connect
 from waxwingwell.state.storage import open_store
+from waxwingwell.state.storage_records import Batch
+from waxwingwell.state.storage_records import Loaded
+from waxwingwell.state.storage_records import Store
+from waxwingwell.state.storage_records import count_pieces
+from waxwingwell.state.storage_records import cut_piece
 
 
+FULL = 2
+"""SQLite's number for ``synchronous=FULL``."""
 ENTRIES = tuple(Entry(1, EntryKind.COMMAND, b"%d" % number) for number in range(5))
 SNAPSHOT = Snapshot(3, 1, Membership(("a",)), 1, b"state")
 
@@ -76,10 +86,30 @@
         self.assertEqual((loaded.base_index, loaded.base_term), (2, 1))
         self.assertEqual(loaded.entries, ENTRIES[2:])
 
+    def test_a_snapshot_in_pieces_counts_once_it_is_used(self) -> None:
+        """The process ends between two pieces of a snapshot.
+
+        The former snapshot and the entries after it must still be there; a restart
+        on half a state would lose accepted changes.
+        """
+        self.write_all()
+        self.store.write(Batch(snapshot=SNAPSHOT, base_index=2, base_term=1))
+        big = replace(SNAPSHOT, index=5, data=random.Random(1).randbytes(700_000))
+        for part in range(count_pieces(big)):
+            self.store.write(Batch(piece=cut_piece(big, part)))
+            self.assertEqual(self.reopen().snapshot, SNAPSHOT)
+
+        self.store.write(Batch(snapshot=big, staged=True, base_index=4, base_term=1))
+        self.assertEqual(self.reopen().snapshot, big)
+        self.assertEqual(self.store.load().entries, ENTRIES[4:])
+
     def test_damage_is_found_at_the_start(self) -> None:
         cases = (
             ("gap", "DELETE FROM entry WHERE place = 3", "entry 3 is missing"),
             ("entry", "UPDATE entry SET data = x'00' WHERE place = 2", "of entry 2"),
+            ("piece", "UPDATE piece SET data = x'00'", "checksum of a piece"),
+            ("pieces", "DELETE FROM piece", "piece of the snapshot is missing"),
+            ("header", "UPDATE snapshot SET checksum = 1", "snapshot's checksum"),
             ("marker", "DELETE FROM marker", "without the member id"),
             ("term", "UPDATE hard_state SET term = 0", "later term"),
         )
@@ -89,6 +119,7 @@
                 store = open_store(folder, "main")
                 store.write(Batch(member="a~1", hard_state=HardState(1, "a")))
                 store.write(Batch(first=1, entries=ENTRIES))
+                store.write(Batch(snapshot=SNAPSHOT, base_index=1, base_term=1))
                 store.close()
                 database = sqlite3.connect(folder / "main.sqlite")
                 database.execute(damage)
@@ -149,6 +180,27 @@
 
         self.assertEqual(self.reopen(), before)
 
+    def test_every_commit_is_synced_and_so_is_the_folder(self) -> None:
+        """Power is lost right after a promise.
+
+        Without the sync of the file the promise is gone; without that of the folder
+        the file itself is, and the member starts as if it had promised nothing.
+        """
+        synced: list[bool] = []
+
+        def note(descriptor: int) -> None:
+            synced.append(stat.S_ISDIR(os.fstat(descriptor).st_mode))
+
+        with mock.patch("waxwingwell.state.storage.os.fsync", note):
+            open_store(self.folder, "third").close()
+
+        self.assertEqual(synced, [True, True])
+        database = connect(self.folder / "fourth.sqlite")
+        self.addCleanup(database.close)
+        (level,) = database.execute("PRAGMA synchronous").fetchone()
+        self.assertEqual(level, FULL)
+        self.assertFalse((self.folder / "fourth.sqlite-shm").exists())
+
     def test_a_second_process_is_turned_away(self) -> None:
         self.write_all()
         with self.assertRaisesRegex(StorageError, "locked"):
@@ -189,7 +241,7 @@
             store=self.store,
             machine=make_machine(node),
             send=lambda target, message: None,
-            timing=Timing(snapshot_entries=80, snapshot_tail=10),
+            timing=Timing(snapshot_bytes=5000, snapshot_tail=10),
             random=random.Random(1),
             now=1.0,
             bootstrap=True,
