--- /dev/null
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -0,0 +1,97 @@
+"""The administration API's site: who may ask, and how answers are written."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.server import Site
+
+from ..admin_views import ErrorView
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..settings import OperatorKey
+    from .context import ControlContext
+
+
+Request = Any
+"""A request of twisted.web, whose methods carry no types."""
+
+BEARER = "Bearer "
+IDLE_TIMEOUT = 60
+"""Seconds of silence after which a connection is closed."""
+RETRY_AFTER = b"1"
+
+
+def make_admin_site(context: ControlContext) -> Site:
+    """Return the site that serves the administration API."""
+    from .changes import add_changes
+    from .members import add_members
+    from .views import add_views
+
+    app = Klein()
+    for add in (add_changes, add_members, add_views):
+        add(app, context)
+
+    site = Site(app.resource(), timeout=IDLE_TIMEOUT)
+    site.noisy = False
+    site.displayTracebacks = False
+    return site
+
+
+def guard(context: ControlContext) -> Callable[[Any], Any]:
+    """Return a decorator that lets a route run for known operators only."""
+
+    def decorate(handler: Any) -> Any:
+        def run(request: Request, **names: str) -> Any:
+            operator = find_operator(context, request)
+            if operator is None:
+                request.setHeader("www-authenticate", "Bearer")
+                return write_json(request, ErrorView(error="unknown key"), status=401)
+
+            return Deferred.fromCoroutine(handler(request, operator, **names))
+
+        run.__name__ = handler.__name__
+        return run
+
+    return decorate
+
+
+def find_operator(context: ControlContext, request: Request) -> OperatorKey | None:
+    """Return the operator whose key the request carries, compared in equal time."""
+    header = request.getHeader("authorization") or ""
+    digest = hashlib.sha256(header.removeprefix(BEARER).strip().encode()).hexdigest()
+    found = None
+    for operator in context.settings.operators:
+        if hmac.compare_digest(operator.digest, digest):
+            found = operator
+
+    return found
+
+
+def may_see(operator: OperatorKey, workspace: str) -> bool:
+    """Tell whether an operator's key reaches a workspace."""
+    return operator.workspace in ("", workspace)
+
+
+def write_json(request: Request, body: Any, *, status: int = 200) -> bytes:
+    """Set an answer's status and type and return its JSON body."""
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/json")
+    if status == 503:
+        request.setHeader("retry-after", RETRY_AFTER)
+
+    return msgspec.json.encode(body)
+
+
+def write_error(request: Request, status: int, text: str) -> bytes:
+    """Write an error answer."""
+    return write_json(request, ErrorView(error=text), status=status)
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -0,0 +1,100 @@
+"""Ratings of answers: asked of the rating service, noted as evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.web.client import readBody
+from twisted.web.http_headers import Headers
+
+from ...decisions.evidence import note_rating
+from ...decisions.evidence import note_unrated
+from .upstream_client import BytesProducer
+
+
+if TYPE_CHECKING:
+    from ...decisions.tables import Work
+    from ...records import VersionId
+    from .context import EntryContext
+
+
+RATING_TIMEOUT = 5.0
+"""Seconds; beyond them a cascade goes on without the rating."""
+
+
+class RatingAsked(msgspec.Struct, frozen=True):
+    """The rating service's request body."""
+
+    version: str
+    kind: str
+    prompt: str
+    answer: str
+
+
+class RatingGiven(msgspec.Struct, frozen=True):
+    """The rating service's answer; ``rating`` is 0 to 1."""
+
+    rating: float
+
+
+async def rate_answer(
+    context: EntryContext,
+    work: Work,
+    version: VersionId,
+    prompt: str,
+    answer: str,
+    *,
+    served: bool = True,
+) -> float | None:
+    """Return the rating and note it; None if the service gives none in time."""
+    asked = RatingAsked(
+        version=version, kind=work.kind.name, prompt=prompt, answer=answer
+    )
+    try:
+        rating = await _ask_rating(context, asked)
+    except Exception as error:
+        logger.debug("rating: No rating of {}: {}.", version, error)
+        context.metrics.count("ratings.missing", 1)
+        note_unrated(context.tables, work.workspace, work.kind, version)
+        return None
+
+    note_rating(
+        context.tables,
+        work.workspace,
+        work.kind,
+        version,
+        rating,
+        context.clock(),
+        served=served,
+    )
+    return rating
+
+
+def rate_later(
+    context: EntryContext, work: Work, version: VersionId, prompt: str, answer: str
+) -> None:
+    """Ask for a rating in the background."""
+    Deferred.fromCoroutine(rate_answer(context, work, version, prompt, answer))
+
+
+async def _ask_rating(context: EntryContext, asked: RatingAsked) -> float:
+    address = context.settings.rating
+    if address is None:
+        raise LookupError("no rating service in the settings")
+
+    answering = context.client.reused.request(
+        b"POST",
+        f"http://{address.host}:{address.port}/v1/ratings".encode(),
+        Headers({"content-type": ["application/json"]}),
+        BytesProducer(msgspec.json.encode(asked)),
+    )
+    answering.addTimeout(RATING_TIMEOUT, context.reactor)
+    response = await answering
+    data = await readBody(response)
+    if response.code != 200:
+        raise LookupError(f"the rating service answered {response.code}")
+
+    return msgspec.json.decode(data, type=RatingGiven).rating
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/services.py
@@ -0,0 +1,270 @@
+"""Calls to plain services; those that may not be repeated run at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.web.client import readBody
+
+from ...decisions.tables import Work
+from ...invariants import Promise
+from ...invariants import check
+from ...messages import AlreadyOpen
+from ...messages import AlreadySettled
+from ...records import OutcomeKind
+from ...records import Priority
+from ...records import RowStatus
+from ...records import ServiceRule
+from ...records import StoredAnswer
+from ...records import UpstreamId
+from ...records import VersionId
+from ...records import WorkKind
+from ...records import WorkspaceConfig
+from .attempts import end_attempt
+from .attempts import run_attempt
+from .checks import check_lease
+from .ledger import Ending
+from .ledger import Reservation
+from .ledger import reserve_row
+from .ledger import settle_row
+from .placement import place_request
+from .replies import Problem
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .whole import check_retry
+from .whole import correct_outcome
+
+
+if TYPE_CHECKING:
+    from opentelemetry.trace import Span
+
+    from ...records import LedgerRow
+    from .context import EntryContext
+    from .placement import Placements
+
+
+MAX_STORED = 1_000_000
+"""Bytes of an answer kept for replay; a longer one is replayed without its body."""
+NO_VERSION = VersionId("")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A caller's call of a plain service."""
+
+    work: Work
+    rule: ServiceRule
+    method: str
+    path: str
+    query: str
+    body: bytes
+    content_type: str
+    key: str
+    digest: str
+
+
+def find_rule(
+    config: WorkspaceConfig, service: str, method: str, path: str
+) -> ServiceRule:
+    """Return the rule with the longest fitting prefix; ``Problem`` if none fits."""
+    rules = [rule for rule in config.services if rule.service == service]
+    if not rules:
+        raise Problem(
+            status=404,
+            code="unknown_service",
+            message=f"service {service!r} is not open to this workspace",
+        )
+
+    fitting = [
+        rule
+        for rule in rules
+        if _is_below(path, rule.path_prefix) and method in rule.methods
+    ]
+    if not fitting:
+        raise Problem(
+            status=403,
+            code="call_not_allowed",
+            message=f"{method} {path} of {service!r} is not open to this workspace",
+        )
+
+    return max(fitting, key=lambda rule: len(rule.path_prefix))
+
+
+def make_service_work(
+    request: str, config: WorkspaceConfig, rule: ServiceRule, *, data_centre: str
+) -> Work:
+    """Return the work of a plain call."""
+    kind = WorkKind(name=rule.service, priority=rule.priority, quality_target=0.0)
+    return Work(
+        request=request,
+        workspace=config.workspace,
+        kind=kind,
+        priority=Priority(rule.priority),
+        repeatable=rule.repeatable,
+        service=rule.service,
+        answer_tokens=0,
+        data_centre=data_centre,
+    )
+
+
+async def answer_service(
+    context: EntryContext, placements: Placements, call: ServiceCall, span: Span
+) -> StoredAnswer:
+    """Run the call and return the service's answer, or the stored one of its key.
+
+    Errors: ``Problem``, whose outcome tells whether the call ran.
+    """
+    choice = await place_request(
+        context, placements, call.work, NO_VERSION, frozenset()
+    )
+    outcome = await reserve_row(
+        context,
+        Reservation(
+            work=call.work,
+            key=call.key,
+            digest=call.digest,
+            repeatable=call.rule.repeatable,
+            upstream=choice.upstream,
+        ),
+    )
+    if isinstance(outcome, AlreadyOpen):
+        raise make_open_problem(outcome.row)
+
+    if isinstance(outcome, AlreadySettled):
+        return replay_row(outcome.row)
+
+    try:
+        check_lease(context)
+        answer = await _run_call(context, placements, call, choice.upstream, span)
+    except Problem as problem:
+        await _settle(context, call, problem.outcome, None)
+        raise
+
+    await _settle(context, call, OutcomeKind.COMPLETED, answer)
+    return answer
+
+
+def replay_row(row: LedgerRow) -> StoredAnswer:
+    """Return the stored answer of a settled row, or tell that it may have run."""
+    if row.status == RowStatus.SETTLED and row.answer is not None:
+        return row.answer
+
+    if row.outcome in (OutcomeKind.COMPLETED, OutcomeKind.FAILED):
+        raise Problem(
+            status=409,
+            code="already_answered",
+            message="the request with this key has ended; its answer is not kept",
+            outcome=row.outcome,
+        )
+
+    raise Problem(
+        status=409,
+        code="may_have_run",
+        message="the request with this key may have run; it is not sent again",
+        outcome=OutcomeKind.MAY_HAVE_RUN,
+    )
+
+
+def make_open_problem(row: LedgerRow) -> Problem:
+    """Return the problem of a key whose first request is still running."""
+    outcome = OutcomeKind.FAILED if row.repeatable else OutcomeKind.MAY_HAVE_RUN
+    return Problem(
+        status=409,
+        code="key_in_use",
+        message="the request with this key is running; ask again for its answer",
+        outcome=outcome,
+        retry_after=1.0,
+    )
+
+
+async def _run_call(
+    context: EntryContext,
+    placements: Placements,
+    call: ServiceCall,
+    first: UpstreamId,
+    span: Span,
+) -> StoredAnswer:
+    """Dispatch the call; a non-idempotent one again only if it did not run."""
+    upstream = first
+    excluded: frozenset[UpstreamId] = frozenset()
+    sent = ran = False
+
+    def build(traceparent: str | None) -> UpstreamCall:
+        return UpstreamCall(
+            method=call.method,
+            path=f"/{call.path}" + (f"?{call.query}" if call.query else ""),
+            request=call.work.request,
+            priority=call.work.priority.value,
+            body=call.body,
+            content_type=call.content_type,
+            traceparent=traceparent,
+            key=call.key,
+            repeatable=call.rule.repeatable,
+        )
+
+    while True:
+        check(
+            Promise.AT_MOST_ONCE,
+            call.rule.repeatable or not sent,
+            lambda: f"{call.work.request} would be dispatched twice",
+        )
+        try:
+            response = await run_attempt(context, call.work, upstream, build, span)
+            return await _read_answer(context, response, upstream)
+        except AttemptError as error:
+            sent = error.may_have_run
+            ran |= error.may_have_run
+            excluded |= {upstream}
+            check_retry(context, error, repeatable=call.rule.repeatable, ran=ran)
+
+        try:
+            choice = await place_request(
+                context, placements, call.work, NO_VERSION, excluded
+            )
+            check_lease(context)
+        except Problem as problem:
+            raise correct_outcome(problem, ran=ran) from problem
+
+        upstream = choice.upstream
+
+
+async def _read_answer(
+    context: EntryContext, response: Any, upstream: UpstreamId
+) -> StoredAnswer:
+    reading = readBody(response)
+    reading.addTimeout(context.settings.progress_timeout * 2, context.reactor)
+    try:
+        data = await reading
+    except Exception as error:
+        end_attempt(context, upstream, failed=True)
+        raise AttemptError(repr(error), may_have_run=True) from error
+
+    end_attempt(context, upstream, failed=response.code >= 500)
+    types = response.headers.getRawHeaders("content-type")
+    return StoredAnswer(
+        status=response.code,
+        content_type=str(types[0]) if types else "application/octet-stream",
+        body=data,
+    )
+
+
+async def _settle(
+    context: EntryContext,
+    call: ServiceCall,
+    outcome: OutcomeKind,
+    answer: StoredAnswer | None,
+) -> None:
+    kept = answer
+    if answer is not None and len(answer.body) > MAX_STORED:
+        kept = None
+
+    work = call.work
+    ending = Ending(outcome=outcome, answer=None if call.rule.repeatable else kept)
+    await settle_row(context, work.workspace, call.key, work.request, ending)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    wanted = prefix.strip("/")
+    return not wanted or path == wanted or path.startswith(wanted + "/")
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -0,0 +1,421 @@
+"""Chats answered as a stream: begun quickly, whole whatever cuts it.
+
+The row is reserved beside the dispatch; no byte goes out before it is durable, and
+the end goes out once the request is settled. See docs/design/streams.md.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+from opentelemetry.trace import Span
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.client import readBody
+
+from ...decisions.evidence import note_sent
+from ...decisions.retries import may_retry
+from ...decisions.upstreams import note_dispatch
+from ...decisions.upstreams import note_silence
+from ...invariants import Promise
+from ...invariants import check
+from ...messages import Reserved
+from ...records import OutcomeKind
+from ...records import UpstreamId
+from ...records import VersionId
+from .attempts import end_attempt
+from .attempts import find_row
+from .attempts import relay_body
+from .attempts import run_attempt
+from .chats import Chat
+from .chats import make_upstream_body
+from .checks import assert_dispatch
+from .checks import check_dispatch
+from .choice import ChosenWork
+from .choice import price_usage
+from .ledger import CONTROL_UNAVAILABLE
+from .ledger import Ending
+from .ledger import Reservation
+from .ledger import reserve_row
+from .ledger import settle_row
+from .placement import place_request
+from .ratings import rate_later
+from .relay import End
+from .relay import Sink
+from .relay import open_gate
+from .relay import push_bytes
+from .replies import Problem
+from .replies import render_problem
+from .streams import EventStream
+from .streams import read_text
+from .upstream_client import AttemptError
+from .upstream_client import UpstreamCall
+from .upstream_client import drop_response
+from .upstream_client import make_call
+from .upstream_client import send_call
+from .whole import CHAT_PATH
+from .whole import check_retry
+from .whole import correct_outcome
+from .whole import make_upstream_problem
+
+
+if TYPE_CHECKING:
+    from .context import EntryContext
+    from .placement import Placements
+
+
+MAX_RESUMES = 8
+"""Connections over which one answer may be resumed."""
+RESUME_PAUSE = 0.05
+"""Seconds, times the tries so far, before an engine is asked again."""
+REFUSED = "the reservation failed"
+
+
+@dataclass(slots=True)
+class StreamRun:
+    """One streamed answer under way."""
+
+    chat: Chat
+    chosen: ChosenWork
+    stream: EventStream
+    sink: Sink
+    span: Span
+    version: VersionId
+    reserved: Deferred[Any] | None = None
+    refusal: Problem | None = None
+    """Why the row could not be reserved while the engine was at work."""
+    upstream: UpstreamId = UpstreamId("")
+    ran: bool = False
+    """An engine may have begun: "not run" would be untrue from here on."""
+    resumes: int = 0
+    excluded: frozenset[UpstreamId] = frozenset()
+
+
+async def answer_stream(
+    context: EntryContext, placements: Placements, run: StreamRun
+) -> None:
+    """Stream an answer to its end and settle it; ``Problem`` before the first byte.
+
+    After the first byte a failure is told by an error event in the stream.
+    """
+    try:
+        await _stream_until_done(context, placements, run)
+    except Problem as raised:
+        problem = correct_outcome(raised, ran=run.ran)
+        await _settle_failed(context, run, problem)
+        if run.sink.first_at is None or not run.sink.open:
+            raise problem from raised
+
+        _write_error(run, problem)
+        return
+
+    await _settle_done(context, run)
+
+
+async def _stream_until_done(
+    context: EntryContext, placements: Placements, run: StreamRun
+) -> None:
+    while True:
+        end = await _stream_once(context, placements, run)
+        if run.refusal is not None:
+            raise run.refusal
+
+        if end is End.DONE:
+            await _wait_reserved(run)
+            return
+
+        if run.sink.gone and not run.chat.keyed:
+            await _cancel(context, run)
+            raise Problem(
+                status=499,
+                code="caller_gone",
+                message="the caller went away",
+                outcome=OutcomeKind.FAILED,
+            )
+
+
+async def _stream_once(
+    context: EntryContext, placements: Placements, run: StreamRun
+) -> End:
+    """Run or resume the answer over one connection; return how that ended."""
+    if run.upstream and _may_resume(context, run):
+        response = await _resume(context, run)
+    else:
+        response = await _start(context, placements, run)
+
+    if response is None:
+        return End.CUT
+
+    if response.code != 200:
+        data = await readBody(response)
+        end_attempt(context, run.upstream, failed=response.code >= 500)
+        raise make_upstream_problem(response.code, data)
+
+    end = await relay_body(context, response, run.stream, run.sink)
+    failed = end is not End.DONE and not run.sink.gone and run.refusal is None
+    end_attempt(context, run.upstream, failed=failed)
+    if end is End.SILENT:
+        note_silence(context.tables, run.upstream, now=context.clock())
+
+    if failed:
+        logger.info(
+            "stream: {} {} after event {}.",
+            run.stream.request,
+            end.value,
+            run.stream.last,
+        )
+        context.metrics.count(f"streams.{end.name.lower()}", 1)
+
+    return end
+
+
+async def _start(context: EntryContext, placements: Placements, run: StreamRun) -> Any:
+    """Run the request on a new upstream; None if that failed and may be retried."""
+    if run.stream.last > 0:
+        raise Problem(
+            status=502,
+            code="stream_lost",
+            message="the answer was cut and can't be resumed",
+            outcome=OutcomeKind.FAILED,
+            retry_after=1.0,
+        )
+
+    # An engine that could not be resumed is not asked for the same work again.
+    if run.upstream:
+        _leave_upstream(run)
+
+    work = run.chosen.work
+    choice = await place_request(context, placements, work, run.version, run.excluded)
+    run.upstream = choice.upstream
+    check_dispatch(context, work, run.version)
+    await _reserve(context, run)
+    check_dispatch(context, work, run.version)
+    assert_dispatch(context, work, run.version)
+    body = make_upstream_body(run.chat, run.version)
+
+    def build(traceparent: str | None) -> UpstreamCall:
+        return make_call(work, path=CHAT_PATH, body=body, traceparent=traceparent)
+
+    try:
+        response = await run_attempt(context, work, run.upstream, build, run.span)
+    except AttemptError as error:
+        run.ran |= error.may_have_run
+        # The engine may hold the answer: only the connection went wrong.
+        if not (error.may_have_run and _can_resume(context, run.upstream)):
+            _leave_upstream(run)
+            check_retry(context, error, repeatable=True)
+
+        return None
+
+    run.ran = True
+    return response
+
+
+def _leave_upstream(run: StreamRun) -> None:
+    run.excluded |= {run.upstream}
+    run.upstream = UpstreamId("")
+
+
+def _can_resume(context: EntryContext, upstream: UpstreamId) -> bool:
+    row = context.tables.upstreams.get(upstream)
+    return row is not None and row.announcement.capabilities.resume
+
+
+async def _reserve(context: EntryContext, run: StreamRun) -> None:
+    """Start the reservation; only a key that may come twice waits for it here."""
+    if run.reserved is not None:
+        return
+
+    reservation = Reservation(
+        work=run.chosen.work,
+        key=run.chat.key,
+        digest=run.chat.digest,
+        repeatable=True,
+        version=run.version,
+        upstream=run.upstream,
+        # Without a key of the caller's the engine is at work meanwhile.
+        unheard=OutcomeKind.NOT_RUN if run.chat.keyed else OutcomeKind.FAILED,
+    )
+    if run.chat.keyed:
+        run.reserved = Deferred()
+        outcome = await reserve_row(context, reservation)
+        run.reserved.callback(outcome)
+        _take_reservation(run, outcome)
+        if run.refusal is not None:
+            raise run.refusal
+
+        return
+
+    run.reserved = Deferred.fromCoroutine(reserve_row(context, reservation))
+    run.reserved.addCallbacks(
+        lambda outcome: _take_reservation(run, outcome),
+        lambda failure: _refuse(run, failure.value),
+    )
+
+
+def _take_reservation(run: StreamRun, outcome: Any) -> None:
+    if isinstance(outcome, Reserved):
+        open_gate(run.sink)
+        return
+
+    _refuse(
+        run,
+        Problem(
+            status=409,
+            code="key_in_use",
+            message="a request with this key is running or has ended",
+        ),
+    )
+
+
+def _refuse(run: StreamRun, error: Exception) -> None:
+    """Stop the engine's stream: without a row nothing of it may go out."""
+    if not isinstance(error, Problem):
+        error = Problem(status=500, code="internal", message=REFUSED)
+
+    # The engine is at work already, so "not run" would be untrue.
+    run.refusal = (
+        error if run.chat.keyed else replace(error, outcome=OutcomeKind.FAILED)
+    )
+    if run.sink.source is not None:
+        run.sink.source.loseConnection()
+
+
+async def _wait_reserved(run: StreamRun) -> None:
+    if run.reserved is not None:
+        await run.reserved
+
+    if run.refusal is not None:
+        raise run.refusal
+
+    check(
+        Promise.BILLED_ONCE,
+        run.sink.open,
+        lambda: f"{run.stream.request} ended without a row",
+    )
+
+
+def _may_resume(context: EntryContext, run: StreamRun) -> bool:
+    if not _can_resume(context, run.upstream):
+        return False
+
+    run.resumes += 1
+    if run.resumes > MAX_RESUMES:
+        return False
+
+    return run.stream.last > 0 or may_retry(context.budget, context.clock())
+
+
+async def _resume(context: EntryContext, run: StreamRun) -> Any:
+    """Ask the same engine for the rest; None if this try failed.
+
+    It is no new work for the engine: it goes on with what it holds, so that a
+    withdrawn version or a leaving engine still ends what it began.
+    """
+    upstream = run.upstream
+    row = context.tables.upstreams[upstream]
+    call = UpstreamCall(
+        method="GET",
+        path=f"/v1/streams/{run.stream.request}?after={run.stream.last}",
+        request=run.stream.request,
+        priority=run.chosen.work.priority.value,
+    )
+    note_dispatch(context.tables, upstream, run.chosen.work, now=context.clock())
+    limit = context.settings.progress_timeout
+    try:
+        response = await send_call(context, row, call, limit=limit)
+    except AttemptError as error:
+        end_attempt(context, upstream, failed=True)
+        logger.info("stream: {} not resumed: {}.", run.stream.request, error)
+        if run.stream.last == 0:
+            _leave_upstream(run)
+        else:
+            pause = RESUME_PAUSE * run.resumes
+            await deferLater(context.reactor, pause, lambda: None)
+
+        return None
+
+    if response.code == 200:
+        return response
+
+    drop_response(response)
+    end_attempt(context, upstream, failed=response.code >= 500)
+    _leave_upstream(run)
+    return None
+
+
+async def _cancel(context: EntryContext, run: StreamRun) -> None:
+    """Tell the engine to stop; a best effort, it ends by itself otherwise."""
+    try:
+        row = find_row(context, run.upstream, context.clock())
+        if not row.announcement.capabilities.cancel:
+            return
+
+        call = UpstreamCall(
+            method="DELETE",
+            path=f"/v1/streams/{run.stream.request}",
+            request=run.stream.request,
+            priority=run.chosen.work.priority.value,
+        )
+        response = await send_call(
+            context, row, call, limit=context.settings.progress_timeout
+        )
+        drop_response(response)
+    except AttemptError as error:
+        logger.debug("stream: {} not cancelled: {}.", run.stream.request, error)
+
+
+async def _settle_done(context: EntryContext, run: StreamRun) -> None:
+    usage = price_usage(context, run.version, run.stream.usage)
+    check(
+        Promise.WHOLE_OWN_ANSWER,
+        run.stream.done,
+        lambda: f"{run.stream.request} settled without its end",
+    )
+    ending = Ending(
+        outcome=OutcomeKind.COMPLETED,
+        version=run.version,
+        upstream=run.upstream,
+        usage=usage,
+    )
+    work = run.chosen.work
+    await settle_row(context, work.workspace, run.chat.key, work.request, ending)
+    push_bytes(run.sink, run.sink.last_part)
+    choice = run.chosen.choice
+    note_sent(
+        context.tables,
+        work,
+        run.version,
+        rate=choice.rate,
+        now=context.clock(),
+        explored=choice.explored,
+    )
+    if choice.rate:
+        text = read_text(b"".join(run.sink.record))
+        rate_later(context, work, run.version, run.chat.prompt, text)
+
+
+async def _settle_failed(
+    context: EntryContext, run: StreamRun, problem: Problem
+) -> None:
+    """Close the row of a request that ended without its whole answer."""
+    if run.reserved is None or problem.code in ("key_in_use", "key_reused"):
+        return
+
+    work = run.chosen.work
+    ending = Ending(outcome=problem.outcome, version=run.version, upstream=run.upstream)
+    settling = settle_row(context, work.workspace, run.chat.key, work.request, ending)
+    if problem.code == CONTROL_UNAVAILABLE:
+        # The caller's final answer must not wait for a leader that isn't there.
+        Deferred.fromCoroutine(settling)
+        return
+
+    await settling
+
+
+def _write_error(run: StreamRun, problem: Problem) -> None:
+    push_bytes(run.sink, b"data: " + render_problem(problem) + b"\n\n")
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -5,6 +5,9 @@
 import fire
 
 from .. import __version__
+from .demo import demo
+from .groups import COMMANDS
+from .serve import serve
 
 
 def show_version() -> str:
@@ -14,4 +17,5 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    fire.Fire({"version": show_version}, name="waxwingwell")
+    commands = {**COMMANDS, "demo": demo, "serve": serve, "version": show_version}
+    fire.Fire(commands, name="waxwingwell")
--- a/src/waxwingwell/decisions/candidates.py
+++ b/src/waxwingwell/decisions/candidates.py
@@ -1,89 +1,140 @@
-"""Which new sessions a roll-out's candidate gets."""
+"""Find the upstreams that may take a request.
+
+Small fleets are looked through whole. In large ones a sample of the holders and the
+probable homes of the prompt's prefixes are looked at, so that one decision's time
+does not grow with the fleet. The index is a hint: each candidate is checked against
+its own row, and where the sample finds none the whole table is looked through.
+"""
 
 from __future__ import annotations
 
-import functools
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from ..records import RolloutStatus
-from ..records import VersionStatus
-from .eligibility import get_exposure
-from .eligibility import get_standing
-from .evidence import count_outstanding
+from ..records import UpstreamKind
+from .ejection import list_groups
+from .tables import UpstreamRow
 
 
 if TYPE_CHECKING:
-    from ..records import Rollout
-    from ..records import WorkspaceConfig
+    from collections.abc import Iterable
+
+    from ..records import UpstreamId
+    from ..records import VersionId
     from .tables import Tables
     from .tables import Work
 
 
-HASH_RANGE = float(1 << 64)
+SAMPLE = 16
+"""Holders looked at in a large fleet, besides the homes of prefixes."""
+WHOLE_UP_TO = 32
+"""Fleets of this size are looked through whole."""
+STRIDE = 7919
+"""A prime, so that the steps of a sample meet different upstreams."""
+
 
+@dataclass(slots=True)
+class Candidates:
+    """Upstreams that may take a request, and one that could after a trial."""
 
-def is_candidate_open(
+    rows: list[UpstreamRow] = field(default_factory=list)
+    ejected: UpstreamRow | None = None
+    """The ejected one that comes back first, if it alone stands in the way."""
+
+
+def find_candidates(
     tables: Tables,
-    config: WorkspaceConfig,
     work: Work,
-    rollout: Rollout,
+    version: VersionId,
+    exclude: frozenset[UpstreamId],
+    *,
     now: float,
-) -> bool:
-    """Tell whether new work goes to the candidate in its incumbent's place.
-
-    Failure: ratings lag, and a bad candidate serves hundreds of answers before its
-    first rating. The cap on unrated answers holds it back; each entry keeps to its
-    own part of the cap, so that no agreement between entries is needed.
-    """
-    candidate = tables.versions.get(rollout.candidate)
-    if candidate is None or rollout.candidate not in config.allowed:
-        return False
+    draw: float,
+) -> Candidates:
+    """Return the upstreams that may take the work."""
+    if len(tables.upstreams) > WHOLE_UP_TO:
+        sample = sample_holders(tables, work, version, draw)
+        found = check_rows(tables, work, version, exclude, sample, now=now)
+        if found.rows:
+            return found
 
-    if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
-        return False
-
-    if place_session(rollout, work) >= get_share(rollout, config):
-        return False
+    return check_rows(tables, work, version, exclude, tables.upstreams, now=now)
 
-    cap = min(rollout.pace.max_unrated, config.pace.max_unrated)
-    part = max(1, cap // max(1, tables.entries))
-    return count_outstanding(tables, rollout.candidate, now) < part
 
+def check_rows(
+    tables: Tables,
+    work: Work,
+    version: VersionId,
+    exclude: frozenset[UpstreamId],
+    upstreams: Iterable[UpstreamId],
+    *,
+    now: float,
+) -> Candidates:
+    """Return those of ``upstreams`` that may take the work."""
+    config = tables.workspaces.get(work.workspace)
+    allowed = config.data_centres if config else ()
+    found = Candidates()
+    for upstream in upstreams:
+        row = tables.upstreams.get(upstream)
+        if row is None or row.left or row.expires_at <= now or upstream in exclude:
+            continue
+
+        if allowed and row.announcement.data_centre not in allowed:
+            continue
+
+        if not serves(row, work, version):
+            continue
+
+        if row.ejected_until <= now:
+            found.rows.append(row)
+        elif found.ejected is None or row.ejected_until < found.ejected.ejected_until:
+            found.ejected = row
+
+    return found
+
+
+def serves(row: UpstreamRow, work: Work, version: VersionId) -> bool:
+    """Return whether the upstream has said that it serves what the work needs."""
+    announcement = row.announcement
+    if announcement.leaving:
+        return False
 
-def get_share(rollout: Rollout, config: WorkspaceConfig) -> float:
-    """Return the share of a workspace's new sessions that the candidate gets.
+    if work.service:
+        is_service = announcement.kind is UpstreamKind.SERVICE
+        return is_service and announcement.service == work.service
 
-    The roll-out's and the workspace's own pace both bound it; a workspace that
-    weighs exposure above the other measures moves more slowly.
-    """
-    if rollout.status is not RolloutStatus.RUNNING:
-        return 0.0
+    return announcement.kind is UpstreamKind.MODEL and version in announcement.versions
 
-    shares = [
-        _stage_share(pace.stages, rollout.stage) for pace in (rollout.pace, config.pace)
-    ]
-    return float(min(shares) ** max(1.0, 0.5 + 1.5 * get_exposure(config)))
 
+def sample_holders(
+    tables: Tables, work: Work, version: VersionId, draw: float
+) -> dict[UpstreamId, None]:
+    """Return some holders by the index, without repeats."""
+    picked: dict[UpstreamId, None] = {}
+    for digest in work.prefixes[:2]:
+        for upstream in list(tables.homes.get(digest, ()))[-4:]:
+            picked[upstream] = None
 
-def place_session(rollout: Rollout, work: Work) -> float:
-    """Return the stable place of a session in a roll-out, 0 to under 1.
+    holders = tables.holders.get(work.service or version, [])
+    if not holders:
+        return picked
 
-    The place is the same at every entry and at every stage, so that each stage's
-    sessions hold those of the stage before. Work without a session places itself.
-    """
-    unit = work.session or work.request
-    return _hash_unit(f"{rollout.candidate}|{work.workspace}|{unit}")
+    start = int(draw * 1_000_003)
+    for step in range(min(SAMPLE, len(holders))):
+        picked[holders[(start + step * STRIDE) % len(holders)]] = None
 
+    return picked
 
-@functools.lru_cache(maxsize=4096)
-def _hash_unit(text: str) -> float:
-    return float(xxhash.xxh64_intdigest(text.encode())) / HASH_RANGE
 
+def index_upstreams(tables: Tables, now: float) -> None:
+    """Rebuild the index of holders; run it each tick and on each announcement."""
+    holders: dict[str, list[UpstreamId]] = {}
+    for upstream, row in tables.upstreams.items():
+        if row.left or row.expires_at <= now:
+            continue
 
-def _stage_share(stages: tuple[float, ...], stage: int) -> float:
-    if not stages or stage < 0:
-        return 0.0
+        for group in list_groups(row):
+            holders.setdefault(group, []).append(upstream)
 
-    return stages[min(stage, len(stages) - 1)]
+    tables.holders = holders
--- /dev/null
+++ b/src/waxwingwell/decisions/queue.py
@@ -0,0 +1,166 @@
+"""The waiting queue of an entry: a table, and systems that run over it.
+
+Higher priorities go first, and among equals the workspace that holds least. The
+queue is bounded by the wait it implies, not by a count: places in it mean nothing
+to a caller, seconds do.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..records import Priority
+from .claims import claim_place
+from .shares import find_over_share
+from .tables import Refusal
+from .tables import Waiting
+from .upstreams import BUSY
+from .upstreams import UpstreamChoice
+from .upstreams import choose_upstream
+from .waits import RANK
+from .waits import estimate_finish_rate
+
+
+if TYPE_CHECKING:
+    from ..records import VersionId
+    from ..records import WorkspaceId
+    from .tables import Tables
+    from .tables import Work
+
+
+SHED_MARGIN = 2.0
+"""Finishes may come this much faster than of late before work is shed early."""
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A waiting request that has left the queue, and what becomes of it."""
+
+    waiting: Waiting
+    result: UpstreamChoice | Refusal
+    """Where to dispatch it now, or its final refusal."""
+
+
+def place_work(
+    tables: Tables, work: Work, version: VersionId, *, now: float, draw: float
+) -> UpstreamChoice | Refusal | Waiting:
+    """Place admitted work: at an upstream now, in the queue, or refuse it.
+
+    Work never passes those that wait already; call ``take_next`` after it. A chosen
+    place stays claimed until ``note_dispatch`` or ``release``.
+    """
+    if tables.waiting:
+        return put_waiting(tables, work, version, now)
+
+    result = choose_upstream(tables, work, version, now=now, draw=draw)
+    if isinstance(result, Refusal) and result.code == BUSY:
+        return put_waiting(tables, work, version, now)
+
+    if isinstance(result, UpstreamChoice):
+        claim_place(tables, work.request, result.upstream)
+
+    return result
+
+
+def put_waiting(tables: Tables, work: Work, version: VersionId, now: float) -> Waiting:
+    """Let an admitted request wait; it leaves by ``take_next`` or ``shed_expired``."""
+    config = tables.workspaces.get(work.workspace)
+    expires_at = now + (config.limits.max_wait if config else 0.0)
+    if work.deadline:
+        expires_at = min(expires_at, work.deadline)
+
+    tables.waited += 1
+    waiting = Waiting(work, version, now, expires_at, tables.waited)
+    tables.waiting[work.request] = waiting
+    return waiting
+
+
+def remove_waiting(tables: Tables, request: str) -> Waiting | None:
+    """Take out a request whose caller has gone; None if it had left already."""
+    return tables.waiting.pop(request, None)
+
+
+def take_next(tables: Tables, now: float, draw: float) -> Taken | None:
+    """Take the next request that has room somewhere; None if none has.
+
+    Run it each tick and after each finish until it gives None. Whatever changed
+    while the request waited (a withdrawal, say) must be checked after it.
+    """
+    over = find_over_share(tables)
+    full: dict[tuple[str, tuple[str, ...]], int] = {}
+    for waiting in sort_waiting(tables, over):
+        work = waiting.work
+        if (work.workspace, work.priority) in over:
+            work = replace(work, priority=Priority.REPORT)
+
+        spot = (work.service or waiting.version, list_allowed(tables, work))
+        if full.get(spot, len(RANK)) <= RANK[work.priority]:
+            continue
+
+        result = choose_upstream(tables, work, waiting.version, now=now, draw=draw)
+        if isinstance(result, Refusal) and result.code == BUSY:
+            full[spot] = RANK[work.priority]
+            continue
+
+        del tables.waiting[work.request]
+        if isinstance(result, UpstreamChoice):
+            claim_place(tables, work.request, result.upstream)
+
+        return Taken(waiting, result)
+
+    return None
+
+
+def list_allowed(tables: Tables, work: Work) -> tuple[str, ...]:
+    """Return the data centres where the work may run; empty allows all."""
+    config = tables.workspaces.get(work.workspace)
+    return config.data_centres if config else ()
+
+
+def sort_waiting(
+    tables: Tables, over: set[tuple[WorkspaceId, Priority]]
+) -> list[Waiting]:
+    """Return the waiting requests in the order in which they are served."""
+    held = {name: demand.in_flight for name, demand in tables.demand.items()}
+
+    def order(waiting: Waiting) -> tuple[bool, int, int, int]:
+        work = waiting.work
+        return (
+            (work.workspace, work.priority) in over,
+            RANK[work.priority],
+            held.get(work.workspace, 0),
+            waiting.number,
+        )
+
+    return sorted(tables.waiting.values(), key=order)
+
+
+def shed_expired(tables: Tables, now: float) -> list[Taken]:
+    """Take out those whose time is over or whose turn would come too late.
+
+    Higher priorities that arrived later push waiting work back. What can no longer be
+    served in time is refused at once rather than at the end of its wait.
+    """
+    rate = estimate_finish_rate(tables, now)
+    shed = []
+    place = 0
+    for waiting in sort_waiting(tables, find_over_share(tables)):
+        turn_at = now + place / (rate * SHED_MARGIN)
+        if now < waiting.expires_at and turn_at <= waiting.expires_at:
+            place += 1
+            continue
+
+        del tables.waiting[waiting.work.request]
+        shed.append(Taken(waiting, refuse_late(waiting, now)))
+
+    return shed
+
+
+def refuse_late(waiting: Waiting, now: float) -> Refusal:
+    """Return the refusal of a request that waited in vain."""
+    waited = max(now - waiting.arrived_at, 0.0)
+    return Refusal(
+        "overloaded", "no upstream had room in time", 503, min(max(waited, 1.0), 30.0)
+    )
--- a/src/waxwingwell/decisions/versions.py
+++ b/src/waxwingwell/decisions/versions.py
@@ -12,7 +12,6 @@
 
 from ..records import VersionId
 from ..records import WorkspaceConfig
-from .candidates import is_candidate_open
 from .cascades import CascadeOption
 from .cascades import find_threshold
 from .eligibility import check_pinned
@@ -21,6 +20,7 @@
 from .eligibility import list_open
 from .evidence import CREDIT_CAP
 from .evidence import count_cell_outstanding
+from .offers import is_candidate_open
 from .quality import Estimate
 from .quality import estimate_escalated
 from .quality import estimate_quality
--- a/src/waxwingwell/experiments/rollout_runs.py
+++ b/src/waxwingwell/experiments/rollout_runs.py
@@ -13,10 +13,10 @@
 from dataclasses import field
 from dataclasses import replace
 
-from ..decisions.candidates import is_candidate_open
 from ..decisions.evidence import note_rating
 from ..decisions.evidence import note_sent
 from ..decisions.evidence import note_unrated
+from ..decisions.offers import is_candidate_open
 from ..decisions.rollouts import RolloutAction
 from ..decisions.rollouts import judge_rollout
 from ..decisions.rollouts import step_rollouts
