--- a/src/waxwingwell/experiments/quality.py
+++ b/src/waxwingwell/experiments/quality.py
@@ -25,6 +25,7 @@
 from .traffic import REQUESTS
 from .traffic import Tally
 from .traffic import run_traffic
+from .worlds import WEIGHINGS
 from .worlds import make_world
 
 
@@ -150,7 +151,16 @@
 
 
 def run_quality(profile: str, seeds: int) -> QualityReport:
-    """Run ``seeds`` seeds of ``entoto`` or ``frio`` and return the report."""
+    """Run ``seeds`` seeds of ``entoto`` or ``frio`` and return the report.
+
+    Errors: ``ValueError`` for another profile, or fewer than one seed.
+    """
+    if profile not in WEIGHINGS:
+        raise ValueError(f"profile: {profile!r} is not one of {sorted(WEIGHINGS)}")
+
+    if seeds < 1:
+        raise ValueError(f"seeds: {seeds} is fewer than 1")
+
     report = QualityReport(profile)
     for seed in range(FIRST_SEED, FIRST_SEED + seeds):
         report.seeds.append(run_seed(profile, seed))
--- a/src/waxwingwell/experiments/traffic.py
+++ b/src/waxwingwell/experiments/traffic.py
@@ -85,15 +85,18 @@
     chance: random.Random = field(default_factory=random.Random)
 
 
-def run_traffic(world: World, name: str, seed: int) -> Tally:
-    """Send the same requests through the policy called ``name``."""
+def run_traffic(world: World, name: str, seed: int, requests: int = REQUESTS) -> Tally:
+    """Send the same requests through the policy called ``name``.
+
+    ``requests`` counts those of each workspace and kind.
+    """
     tally = Tally(targets=world.targets, chance=random.Random(f"{name}/{seed}"))
     world.turned = False
     world.rng.seed(f"traffic/{seed}")
     cells = [
         (workspace, kind) for workspace in world.tables.workspaces for kind in KINDS
     ]
-    total = REQUESTS * len(cells)
+    total = requests * len(cells)
     turn_at = int(total * world.rng.uniform(0.3, 0.7))
     pins: dict[str, VersionId] = {}
     for number in range(total):
--- a/tests/decisions/test_evidence.py
+++ b/tests/decisions/test_evidence.py
@@ -77,6 +77,38 @@
         self.assertEqual(tables.evidence[KEY].total, 1.0)
         self.assertEqual(tables.evidence[KEY].squares, 1.0)
 
+    def test_escalated_answers_are_rated_apart(self) -> None:
+        tables = make_tables()
+        note_sent(tables, make_work(), CHEAP, rate=True, now=1.0, escalated=True)
+        note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.2, 2.0, escalated=True)
+        self.assertNotIn(KEY, tables.evidence)
+        row = tables.evidence[WORKSPACE, "question+escalated", CHEAP]
+        self.assertEqual((row.rated, row.sent), (1, 1))
+        self.assertEqual(count_outstanding(tables, CHEAP, 2.0), 0)
+        self.assertLess(tables.accounts[WORKSPACE, "question"].credit, 0.0)
+
+    def test_unseen_bad_answers_are_charged(self) -> None:
+        """The target would be missed while the account says that it is met.
+
+        A version turns bad; one answer in two is rated. Until the turn is found,
+        the unrated answers were credited as if they were good.
+        """
+        tables = make_tables()
+        for number in range(100):
+            rate = number % 2 == 0
+            note_sent(tables, make_work(), CHEAP, rate=rate, now=1.0)
+            if rate:
+                note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.8, 1.0)
+
+        account = tables.accounts[WORKSPACE, "question"]
+        rich = account.credit
+        for number in range(40):
+            note_sent(tables, make_work(), CHEAP, rate=number % 2 == 0, now=2.0)
+            if number % 2 == 0:
+                note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.3, 2.0)
+
+        self.assertLess(account.credit, rich - 40 * 0.4 * 0.5)
+
     def test_credit_counts_served_answers_only(self) -> None:
         tables = make_tables()
         note_rating(tables, WORKSPACE, QUESTION, CHEAP, 0.1, 1.0, served=False)
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -197,6 +197,22 @@
 
 
 class TestCandidate(unittest.TestCase):
+    def test_ratings_after_a_withdrawal(self) -> None:
+        """A withdrawn version would come back to callers on late praise.
+
+        The candidate is rolled back and withdrawn while ratings of its answers are
+        under way; they arrive, all good, after the withdrawal.
+        """
+        rollout = replace(make_rollout(stage=4), status=RolloutStatus.ROLLED_BACK)
+        tables = make_tables(rollout)
+        spec = tables.versions[CANDIDATE]
+        tables.versions[CANDIDATE] = replace(spec, status=VersionStatus.WITHDRAWN)
+        feed(tables, CHEAP, POOR, 1.0)
+        feed(tables, CANDIDATE, (1.0,) * 50, 2.0)
+        for number in range(50):
+            work = make_work(REPORT, request=str(number))
+            self.assertNotIn(CANDIDATE, choose(tables, work, draw=number / 50).plan)
+
     def test_share_of_new_sessions(self) -> None:
         for stage, least, most in ((0, 2, 30), (2, 150, 260), (4, 1000, 1000)):
             with self.subTest(stage=stage):
