Ask no control process again at once that did not answer in time

Cause: a frozen leader keeps its connections; the others name it until they have elected a new one. An entry whose call had run out its second was sent back to it and lost a second more. Ruled out: a shorter call timeout (a busy leader's commits would count as lost). Change: such a process is passed over for 0.5 s, unless no other is connected.

--- a/src/waxwingwell/adapters/entry/control_client.py
+++ b/src/waxwingwell/adapters/entry/control_client.py
@@ -30,6 +30,8 @@
 """Seconds for one attempt."""
 RETRY_PAUSE = 0.05
 """Seconds between attempts while no leader is known."""
+AVOID = 0.5
+"""Seconds for which a process that did not answer in time is not asked again."""
 
 
 @dataclass(slots=True)
@@ -42,6 +44,9 @@
     leader: str = ""
     turn: int = 0
     """Rotates the guesses while no leader is known."""
+    avoided: str = ""
+    """The process that did not answer in time."""
+    avoided_until: float = 0.0
 
 
 async def submit_command(
@@ -89,6 +94,8 @@
         return Failed(reason=str(error), may_have_run=False)
     except LinkLostError as error:
         client.leader = ""
+        client.avoided = link.name
+        client.avoided_until = client.clock() + AVOID
         return Failed(reason=str(error), may_have_run=True)
 
     if isinstance(reply, NotLeader):
@@ -98,13 +105,24 @@
 
 
 def _pick_link(client: ControlClient) -> Link | None:
+    """Return the link to the leader, or to a process that may know it.
+
+    Failure guarded against: a leader stands still, and those that have not replaced
+    it yet still name it. Asked again at once it would cost its caller a whole call's
+    time once more, while the others elect a new one.
+    """
     known = client.links.get(client.leader)
-    if known is not None and is_link_up(known):
+    if known is not None and is_link_up(known) and not _is_avoided(client, known):
         return known
 
     up = [link for link in client.links.values() if is_link_up(link)]
+    up = [link for link in up if not _is_avoided(client, link)] or up
     if not up:
         return None
 
     client.turn += 1
     return up[client.turn % len(up)]
+
+
+def _is_avoided(client: ControlClient, link: Link) -> bool:
+    return link.name == client.avoided and client.clock() < client.avoided_until
