--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -16,7 +16,12 @@
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
+from ...messages import AskUpstreams
+from ...messages import Drain
+from ...messages import Draining
 from ...messages import Failed
+from ...messages import KnownUpstream
+from ...messages import KnownUpstreams
 from ...messages import Message
 from ...records import EntryId
 from ...state.leases import ConfigLease
@@ -45,12 +50,15 @@
 from .upkeep import renew_on
 from .upkeep import run_tick
 from .upkeep import spread_news
+from .upkeep import stop_upkeep
 from .upkeep import take_news
 from .upstream_client import open_upstream_client
 from .web import make_caller_app
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings import EntrySettings
 
 
@@ -72,8 +80,16 @@
     loops: list[LoopingCall]
 
 
-def start_entry(settings: EntrySettings, reactor: Any) -> EntryDaemon:
-    """Open listeners and links; work is admitted once a lease is granted."""
+def start_entry(
+    settings: EntrySettings,
+    reactor: Any,
+    *,
+    stop: Callable[[], None] = lambda: None,
+) -> EntryDaemon:
+    """Open listeners and links; work is admitted once a lease is granted.
+
+    ``stop`` is called when control asks for a planned stop.
+    """
     incarnation = time.time_ns() // 1000
     context = EntryContext(
         settings=settings,
@@ -94,7 +110,7 @@
     context.tables.entries = 1 + len(settings.entries)
     upkeep = Upkeep()
     placements = Placements()
-    node = _make_node(context, upkeep)
+    node = _make_node(context, upkeep, stop)
     daemon = EntryDaemon(
         context=context,
         node=node,
@@ -133,7 +149,7 @@
     await deferLater(context.reactor, settings.drain_notice, lambda: None)
     await maybeDeferred(daemon.caller_port.stopListening)
     deadline = context.clock() + settings.drain_limit
-    while context.running + context.unsettled > 0 and context.clock() < deadline:
+    while is_busy(context) and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
     if context.running:
@@ -143,9 +159,14 @@
     await close_entry(daemon)
 
 
+def is_busy(context: EntryContext) -> bool:
+    """Tell whether something is under way that a planned stop waits for."""
+    return context.running + context.unsettled + context.unrated > 0
+
+
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
-    daemon.upkeep.stopped = True
+    stop_upkeep(daemon.upkeep)
     for loop in daemon.loops:
         if loop.running:
             loop.stop()
@@ -174,11 +195,11 @@
     return context.reactor.listenTCP(listener.port, site, interface=listener.host)
 
 
-def _make_node(context: EntryContext, upkeep: Upkeep) -> LinkNode:
+def _make_node(
+    context: EntryContext, upkeep: Upkeep, stop: Callable[[], None]
+) -> LinkNode:
     def take_call(sender: str, body: Any) -> Deferred[Message]:
-        return succeed(
-            Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
-        )
+        return succeed(answer_call(context, sender, body, stop))
 
     def take_cast(sender: str, body: Any) -> None:
         take_news(context, upkeep, body)
@@ -191,6 +212,40 @@
     )
 
 
+def answer_call(
+    context: EntryContext, sender: str, body: Any, stop: Callable[[], None]
+) -> Message:
+    """Answer a control process; ``stop`` begins the planned stop."""
+    if isinstance(body, AskUpstreams):
+        return list_upstreams(context)
+
+    if isinstance(body, Drain):
+        logger.info("entry: {} asks for a planned stop.", sender)
+        context.reactor.callLater(0, stop)
+        return Draining(running=context.running)
+
+    return Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
+
+
+def list_upstreams(context: EntryContext) -> KnownUpstreams:
+    """Return what this entry knows of the upstreams."""
+    now = context.clock()
+    return KnownUpstreams(
+        upstreams=tuple(
+            KnownUpstream(
+                announcement=row.announcement,
+                lease_left=row.expires_at - now,
+                left=row.left,
+                ejected=row.ejected_until > now,
+                in_flight=row.in_flight,
+            )
+            for row in context.tables.upstreams.values()
+        ),
+        running=context.running,
+        draining=context.draining,
+    )
+
+
 def _open_links(daemon: EntryDaemon) -> None:
     context = daemon.context
     for peer in context.settings.control:
