--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -161,7 +161,7 @@
 
 
 async def _close_connections(daemon: EntryDaemon, deadline: float) -> None:
-    """Close the callers' connections, each once its caller has read what it was told."""
+    """Close the callers' connections once their callers have read what came."""
     context = daemon.context
     site = daemon.caller_port.factory
     close_connections(site)
