Spread news to each entry once; replace a silent link with its first lost call

Change: each link remembers what it was told, a new connection is told everything; a call that goes unanswered on a link without heartbeats replaces it; the systems over all upstreams run four times a second, the queue's only while something waits.

--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -12,11 +12,14 @@
 from ...messages import AskInForce
 from ...messages import Failed
 from ...messages import InForce
+from ...messages import LeaseBehind
+from ...messages import LeaseGranted
 from ...messages import Message
 from ...messages import NotLeader
 from ...messages import Outcome
 from ...messages import RenewLease
 from ...messages import Submit
+from ...state.catalogue import make_delta
 from ...state.consensus.messages import ConsensusMessage
 from ...state.evidence import list_evidence
 from ...state.group import Committed
@@ -124,7 +127,7 @@
     if not leads(context.group, now) or context.leases is None:
         return NotLeader(leader=leader_of(context.group))
 
-    return renew_lease(
+    answer = renew_lease(
         context.leases,
         message,
         snapshot=snapshot,
@@ -132,3 +135,8 @@
         evidence=list_evidence(context.holder.state.evidence),
         term=term_of(context.group),
     )
+    if isinstance(answer, LeaseGranted):
+        return answer
+
+    config = context.holder.state.config
+    return LeaseBehind(snapshot=make_delta(config, message.config_version))
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -37,12 +37,15 @@
 from .sites import close_connections
 from .sites import make_site
 from .upkeep import EVIDENCE_EVERY
+from .upkeep import QUEUE_TICK
 from .upkeep import SPREAD_EVERY
-from .upkeep import TICK
+from .upkeep import TABLES_TICK
 from .upkeep import Upkeep
 from .upkeep import flush_evidence
+from .upkeep import forget_told
 from .upkeep import renew_on
-from .upkeep import run_tick
+from .upkeep import run_queue_tick
+from .upkeep import run_tables_tick
 from .upkeep import spread_news
 from .upkeep import stop_upkeep
 from .upkeep import take_news
@@ -228,15 +231,16 @@
         )
 
     for peer in context.settings.entries:
-        daemon.upkeep.entries[peer.node] = open_link(
-            daemon.node, peer.node, make_connector(context.reactor, peer)
-        )
+        link = open_link(daemon.node, peer.node, make_connector(context.reactor, peer))
+        link.on_up = partial(forget_told, daemon.upkeep, peer.node)
+        daemon.upkeep.entries[peer.node] = link
 
 
 def _start_loops(daemon: EntryDaemon) -> None:
     context, upkeep = daemon.context, daemon.upkeep
     renew_on(context, upkeep)
-    _start_loop(daemon, TICK, partial(run_tick, context, daemon.placements, upkeep))
+    _start_loop(daemon, QUEUE_TICK, partial(run_queue_tick, context, daemon.placements))
+    _start_loop(daemon, TABLES_TICK, partial(run_tables_tick, context, upkeep))
     _start_loop(daemon, SPREAD_EVERY, partial(spread_news, context, upkeep))
 
     def flush() -> Deferred[None]:
--- a/src/waxwingwell/adapters/entry/upkeep.py
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -55,10 +55,12 @@
 EVIDENCE_EVERY = 1.0
 EVIDENCE_LIMIT = 2.0
 SPREAD_EVERY = 0.5
-SPREAD_OVERLAP = 1.5
-"""Seconds: each spread repeats what the last one or two told, as casts may be lost."""
-TICK = 0.01
+NOTHING_TOLD = float("-inf")
+QUEUE_TICK = 0.01
 """Seconds between two runs of the queue's systems."""
+TABLES_TICK = 0.25
+"""Seconds between two runs of the systems that go over all upstreams. Whether one
+upstream's lease still holds is looked at again with each dispatch."""
 
 
 @dataclass(slots=True)
@@ -67,7 +69,8 @@
 
     entries: dict[str, Link] = field(default_factory=dict)
     memory: DemandMemory = field(default_factory=DemandMemory)
-    spread_at: float = 0.0
+    told: dict[str, float] = field(default_factory=dict)
+    """When each other entry was last told the news."""
     sequence: int = 0
     demand_sequence: int = 0
     stopped: bool = False
@@ -128,14 +131,17 @@
     """Replace the configuration in the tables by a newer one."""
     tables = context.tables
     before = tables.config_version
-    if not take_snapshot(context.lease, snapshot):
+    if snapshot.since > before or not take_snapshot(context.lease, snapshot):
         return False
 
     check_taken(before, snapshot.config_version, context.lease.entry)
     tables.config_version = snapshot.config_version
-    tables.workspaces = {item.workspace: item for item in snapshot.workspaces}
-    tables.versions = {item.version: item for item in snapshot.versions}
-    tables.rollouts = {item.model: item for item in snapshot.rollouts}
+    if not snapshot.since:
+        tables.workspaces, tables.versions, tables.rollouts = {}, {}, {}
+
+    tables.workspaces |= {item.workspace: item for item in snapshot.workspaces}
+    tables.versions |= {item.version: item for item in snapshot.versions}
+    tables.rollouts |= {item.model: item for item in snapshot.rollouts}
     index_keys(context.keys, tables.workspaces)
     logger.info("entry: Configuration {} taken.", snapshot.config_version)
     return True
@@ -163,10 +169,12 @@
 
 
 def spread_news(context: EntryContext, upkeep: Upkeep) -> None:
-    """Tell the other entries of upstreams and demand heard of here."""
+    """Tell the other entries of upstreams and demand heard of here.
+
+    Each is told what is new since it was last told. What was under way when a
+    connection broke may be lost, so that a new connection is told everything.
+    """
     now = context.clock()
-    since, upkeep.spread_at = upkeep.spread_at - SPREAD_OVERLAP, now
-    news = list_spread(context.tables, since, now)
     upkeep.demand_sequence += 1
     demand = make_demand(
         context.tables,
@@ -174,13 +182,20 @@
         incarnation=context.incarnation,
         sequence=upkeep.demand_sequence,
     )
-    for link in upkeep.entries.values():
-        if news.announcements:
-            cast_link(link, news)
+    for name, link in upkeep.entries.items():
+        since = upkeep.told.get(name, NOTHING_TOLD)
+        news = list_spread(context.tables, since, now)
+        if not news.announcements or cast_link(link, news):
+            upkeep.told[name] = now
 
         cast_link(link, demand)
 
 
+def forget_told(upkeep: Upkeep, name: str) -> None:
+    """Note that an entry must be told everything: its connection is new."""
+    upkeep.told.pop(name, None)
+
+
 def take_news(context: EntryContext, upkeep: Upkeep, body: Any) -> None:
     """Take in what another entry tells."""
     now = context.clock()
@@ -190,10 +205,15 @@
         take_demand(upkeep.memory, context.tables, body, now)
 
 
-def run_tick(context: EntryContext, placements: Placements, upkeep: Upkeep) -> None:
-    """Run the systems that keep the tables current."""
+def run_queue_tick(context: EntryContext, placements: Placements) -> None:
+    """Hand out waiting requests; costs nothing while none waits."""
+    if context.tables.waiting:
+        run_queue(context, placements)
+
+
+def run_tables_tick(context: EntryContext, upkeep: Upkeep) -> None:
+    """Run the systems that go over whole tables."""
     now = context.clock()
     expire_upstreams(context.tables, now)
     index_upstreams(context.tables, now)
     sum_demand(upkeep.memory, context.tables, now)
-    run_queue(context, placements)
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -56,6 +56,8 @@
     beat: float = 0.25
     silent: float = 1.5
     """Silence after which a connection is replaced."""
+    suspicious: float = 0.8
+    """Silence after which it is replaced if a call on it went unanswered, too."""
     connect: float = 1.0
     retry: float = 0.2
     """Pause before the next attempt to connect."""
@@ -177,10 +179,13 @@
         answer.addBoth(stop_timer)
         return answer
 
-    def cast(self, body: Message) -> None:
-        """Send a message without an answer; dropped while the reader lags."""
-        if not self._paused:
-            self.send_frame(Cast(body=body))
+    def cast(self, body: Message) -> bool:
+        """Send a message without an answer; false and dropped if the reader lags."""
+        if self._paused:
+            return False
+
+        self.send_frame(Cast(body=body))
+        return True
 
     def abort(self) -> None:
         """End the connection at once."""
@@ -231,8 +236,16 @@
 
     def _expire(self, number: int) -> None:
         waiting = self._pending.pop(number, None)
-        if waiting is not None:
-            waiting.errback(LinkLostError(f"{self.remote} did not answer in time"))
+        if waiting is None:
+            return
+
+        waiting.errback(LinkLostError(f"{self.remote} did not answer in time"))
+        # Not even heartbeats came meanwhile: no use in waiting for the full silence
+        # while a caller waits for the next try.
+        timing = self.node.timing
+        if self._seconds() - self._heard_at > timing.suspicious:
+            logger.warning("link: Replaced the silent link to {}.", self.remote or "?")
+            self.abort()
 
     def _watch(self) -> None:
         now = self._seconds()
@@ -320,10 +333,9 @@
     return link.protocol.call(body, timeout=timeout)
 
 
-def cast_link(link: Link, body: Message) -> None:
-    """Send without an answer; dropped if the link is down."""
-    if link.protocol is not None:
-        link.protocol.cast(body)
+def cast_link(link: Link, body: Message) -> bool:
+    """Send without an answer; false if the link is down or its reader lags."""
+    return link.protocol is not None and link.protocol.cast(body)
 
 
 def _connect_link(link: Link) -> None:
--- a/src/waxwingwell/messages.py
+++ b/src/waxwingwell/messages.py
@@ -240,12 +240,14 @@
 
 
 class ConfigSnapshot(Message, frozen=True, kw_only=True):
-    """All configuration at one version; entries replace theirs by it."""
+    """All configuration at one version, or what changed since an earlier one."""
 
     config_version: int
-    workspaces: tuple[WorkspaceConfig, ...]
-    versions: tuple[VersionSpec, ...]
-    rollouts: tuple[Rollout, ...]
+    since: int = 0
+    """0 for everything, which replaces what an entry has; else it is merged."""
+    workspaces: tuple[WorkspaceConfig, ...] = ()
+    versions: tuple[VersionSpec, ...] = ()
+    rollouts: tuple[Rollout, ...] = ()
 
 
 class RenewLease(Message, frozen=True, kw_only=True):
--- a/src/waxwingwell/state/catalogue.py
+++ b/src/waxwingwell/state/catalogue.py
@@ -63,6 +63,8 @@
     authors: dict[str, Author] = field(default_factory=dict)
     changes: dict[str, PastChange] = field(default_factory=dict)
     """By change id, oldest first."""
+    changed: dict[str, int] = field(default_factory=dict)
+    """By subject, the configuration version that last changed it, oldest first."""
     snapshot: ConfigSnapshot | None = field(default=None, compare=False, repr=False)
     """The present snapshot, made on demand; not part of the replicated state."""
 
@@ -86,6 +88,9 @@
     """Give ``subject`` its next revision and return it."""
     revision = table.revisions.get(subject, 0) + 1
     table.revisions[subject] = revision
+    # Taken out and put back: the subjects stay in the order of their last change.
+    table.changed.pop(subject, None)
+    table.changed[subject] = table.config_version + 1
     table.authors[subject] = Author(change.operator, change.change_id, change.at)
     return revision
 
@@ -131,3 +136,40 @@
         rollouts=tuple(table.rollouts.values()),
     )
     return table.snapshot
+
+
+def make_delta(table: ConfigTable, since: int) -> ConfigSnapshot:
+    """Return what changed after ``since``, for an entry that has that version.
+
+    Everything if ``since`` is no version that this table has passed. A change then
+    costs an entry what it changed, and not the whole configuration.
+    """
+    if not 0 < since <= table.config_version:
+        return make_snapshot(table)
+
+    subjects = set()
+    for subject, version in reversed(table.changed.items()):
+        if version <= since:
+            break
+
+        subjects.add(subject)
+
+    return ConfigSnapshot(
+        config_version=table.config_version,
+        since=since,
+        workspaces=tuple(
+            item
+            for name, item in table.workspaces.items()
+            if name_workspace(name) in subjects
+        ),
+        versions=tuple(
+            item
+            for name, item in table.versions.items()
+            if name_version(name) in subjects
+        ),
+        rollouts=tuple(
+            item
+            for name, item in table.rollouts.items()
+            if name_rollout(name) in subjects
+        ),
+    )
