--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -167,7 +167,7 @@
 
 
 async def _close_connections(daemon: EntryDaemon, deadline: float) -> None:
-    """Close the callers' connections, each once its caller has read what it was told."""
+    """Close the callers' connections, each once all written to it was read."""
     context = daemon.context
     site = daemon.caller_port.factory
     close_connections(site)
