Check in the program that what was refused as not run reached no upstream, and that a stop cut nothing

Cause: two of the ten promises had no check where the state changes. Change: an entry remembers for its running requests whether an attempt reached an upstream; a refusal as not run is checked against that. A planned stop checks what it leaves. The tests with processes fail if any process logs a breach.

--- a/src/waxwingwell/adapters/entry/attempts.py
+++ b/src/waxwingwell/adapters/entry/attempts.py
@@ -76,8 +76,12 @@
     limit = context.settings.progress_timeout * HEADERS_FACTOR
     try:
         response = await send_call(context, row, call, limit=limit)
+        context.ran.add(work.request)
         check_answer(response, call)
     except AttemptError as error:
+        if error.may_have_run:
+            context.ran.add(work.request)
+
         hop.set_status(StatusCode.ERROR, str(error))
         end_attempt(context, upstream, failed=True)
         raise
--- a/src/waxwingwell/adapters/entry/checks.py
+++ b/src/waxwingwell/adapters/entry/checks.py
@@ -6,6 +6,7 @@
 
 from ...invariants import Promise
 from ...invariants import check
+from ...records import OutcomeKind
 from ...records import VersionId
 from ...records import VersionStatus
 from ...records import WorkspaceConfig
@@ -88,6 +89,15 @@
     )
 
 
+def assert_outcome(context: EntryContext, request: str, problem: Problem) -> None:
+    """Assert that a request that is told "not run" reached no upstream."""
+    check(
+        Promise.NOT_RUN_DID_NOT_RUN,
+        problem.outcome is not OutcomeKind.NOT_RUN or request not in context.ran,
+        lambda: f"{request} refused as not run after an attempt: {problem.code}",
+    )
+
+
 def _takes_work(context: EntryContext, version: VersionId, *, pinned: bool) -> bool:
     spec = context.tables.versions.get(version)
     if spec is None or spec.status == VersionStatus.WITHDRAWN:
--- a/src/waxwingwell/adapters/entry/context.py
+++ b/src/waxwingwell/adapters/entry/context.py
@@ -52,6 +52,8 @@
     draining: bool = False
     running: int = 0
     """Requests that must end before a planned stop."""
+    ran: set[str] = field(default_factory=set)
+    """Ids of running requests of which an attempt has reached an upstream."""
     unsettled: int = 0
     """Rows whose settling is still being tried."""
     unrated: int = 0
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -15,6 +15,8 @@
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
+from ...invariants import Promise
+from ...invariants import check
 from ...records import EntryId
 from ...state.leases import ConfigLease
 from ..bodies import Body
@@ -148,9 +150,12 @@
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
     await _close_connections(daemon, deadline)
-    if context.running:
-        logger.error("entry: {} requests were cut by the limit.", context.running)
-
+    left = len(daemon.caller_port.factory.transports)
+    check(
+        Promise.STOP_CUTS_NOTHING,
+        context.running + left == 0,
+        lambda: f"{context.running} requests, {left} answers cut by the limit",
+    )
     await flush_evidence(context, daemon.upkeep)
     await close_entry(daemon)
 
@@ -168,9 +173,6 @@
     while site.transports and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
-    if site.transports:
-        logger.error("entry: {} answers were cut by the limit.", len(site.transports))
-
 
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -26,6 +26,7 @@
 from .attempts import run_attempt
 from .chats import make_upstream_body
 from .checks import assert_dispatch
+from .checks import assert_outcome
 from .checks import check_dispatch
 from .choice import price_usage
 from .ledger import CONTROL_UNAVAILABLE
@@ -81,6 +82,7 @@
         if run.sink.first_at is None or not run.sink.open:
             raise problem from raised
 
+        assert_outcome(context, run.chosen.work.request, problem)
         _write_error(run, problem)
         return
 
--- a/src/waxwingwell/adapters/entry/web.py
+++ b/src/waxwingwell/adapters/entry/web.py
@@ -31,6 +31,7 @@
 from .chats import ChatHeaders
 from .chats import make_request_id
 from .chats import read_chat
+from .checks import assert_outcome
 from .checks import check_lease
 from .checks import get_config
 from .choice import choose_work
@@ -215,8 +216,12 @@
     )
     try:
         return await run()
+    except Problem as problem:
+        assert_outcome(context, work.request, problem)
+        raise
     finally:
         context.running -= 1
+        context.ran.discard(work.request)
         release(context.tables, work, context.clock())
         context.metrics.time("request", context.clock() - now)
 
--- a/tests/system/support.py
+++ b/tests/system/support.py
@@ -20,6 +20,7 @@
 from scripts.faults import find_leader
 from scripts.faults import is_alive
 from scripts.faults import make_faulty
+from scripts.faults import read_log
 from scripts.faults import set_faults
 from scripts.faults import set_relays
 from scripts.faults import thaw
@@ -106,6 +107,7 @@
         self.system = get_deployment()
         self.pool = ThreadPoolExecutor(max_workers=16)
         self.addCleanup(self.pool.shutdown)
+        self.addCleanup(self.check_invariants)
         self.addCleanup(heal, self.system)
 
     def begin(
