--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -166,7 +166,7 @@
 
 
 async def _close_connections(daemon: EntryDaemon, deadline: float) -> None:
-    """Close the callers' connections, each once all written to it was read."""
+    """Close the callers' connections once their callers have read what came."""
     context = daemon.context
     site = daemon.caller_port.factory
     close_connections(site)
--- a/tests/system/support.py
+++ b/tests/system/support.py
@@ -110,6 +110,13 @@
         self.addCleanup(self.check_invariants)
         self.addCleanup(heal, self.system)
 
+    def check_invariants(self) -> None:
+        """Fail if any process found a promise broken, or stopped by a fault."""
+        for name in self.system.processes:
+            log = read_log(self.system, name)
+            self.assertNotIn("invariants: ", log, name)
+            self.assertNotIn("Stopped by a fault", log, name)
+
     def begin(
         self, work: Callable[..., Reply], *args: Any, **named: Any
     ) -> Future[Any]:
