--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -10,6 +10,7 @@
 import threading
 from concurrent.futures import wait
 
+from scripts.faults import WORLD
 from scripts.faults import ask_admin
 from scripts.faults import find_leader
 from scripts.faults import read_counts
@@ -68,9 +69,10 @@
         The caller must get the whole answer over the next connection, each event
         once, from one run of the engine.
         """
-        for fault in ("drop_after", "silent_after"):
-            with self.subTest(fault):
-                self.set_engines(**{fault: 4, "times": 1})
+        cases = [(name, at) for name in ("drop_after", "silent_after") for at in (0, 4)]
+        for fault, at in cases:
+            with self.subTest(fault, at=at):
+                self.set_engines(**{fault: at, "times": 1})
                 reply = self.chat(OTHER, f"cut by {fault}", stream=True)
                 self.assertEqual(reply.status, 200)
                 self.assertTrue(is_whole(reply.body))
@@ -115,6 +117,38 @@
         last = reply.body.rstrip().split(b"data: ")[-1]
         self.assertEqual(json.loads(last)["error"]["outcome"], "failed")
 
+    def test_engines_killed_in_the_middle(self) -> None:
+        """Every engine dies while it streams an answer.
+
+        Nobody holds the rest any more. The caller must be told so in the stream, soon,
+        and must not be left waiting or with something that looks like an end.
+        """
+        with self.open_stream(OTHER) as caller:
+            data = caller.recv(65_536)
+            self.assertIn(b"200 OK", data)
+            kill_process(self.system, WORLD)
+            data += b"".join(iter(lambda: caller.recv(65_536), b""))
+
+        self.assertNotIn(b"[DONE]", data)
+        self.assertIn(b'"outcome":"failed"', data)
+        self.assertTrue(data.endswith(b"0\r\n\r\n"))
+
+    def open_stream(self, entry: str) -> socket.socket:
+        """Begin a long stream; return its connection."""
+        messages = [{"role": "user", "content": "a long one"}]
+        fields = {"messages": messages, "stream": True, "min_tokens": 2000}
+        body = json.dumps(fields).encode()
+        caller = socket.create_connection(
+            (HOST, self.system.ports[f"{entry}.callers"]), timeout=TIMEOUT
+        )
+        caller.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+            + f"authorization: Bearer {CALLER_KEY}\r\n".encode()
+            + f"content-length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        return caller
+
     def test_withdrawal_under_load(self) -> None:
         """A version is withdrawn at once while chats of a session run on it.
 
