--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,8 +1,9 @@
 """The whole system under a seeded schedule of faults; every request is checked.
 
-``python -m bench.faults SECONDS SEED RATE`` runs 3 controls, 3 entries, 3 engines and
-a service as processes on loopback, bounded by its seconds. Runs stay below 110 s, so
-that every billing row is still held when it is compared.
+``python -m bench.faults SECONDS SEED RATE [FOLDER]`` runs 3 controls, 3 entries, 3
+engines and a service as processes on loopback, bounded by its seconds. Runs stay below
+110 s, so that every billing row is still held when it is compared. A folder keeps the
+logs.
 """
 
 from __future__ import annotations
@@ -148,6 +149,10 @@
         print("WRONG", text)
 
     print("ends:", dict(sorted(findings.ends.items())))
+    for fault in schedule.faults:
+        began = fault.began - calls[0].attempts[0].began
+        print(f"at {began:.2f} s, {datetime_of(fault)}: {fault.name}, {fault.target}")
+
     names = [fault.name for fault in schedule.faults]
     print("faults:", {name: names.count(name) for name in sorted(set(names))})
     for name in ("kill leader", "freeze leader"):
@@ -157,6 +162,12 @@
     print(f"changes {len(schedule.changes)}, rivals refused {schedule.conflicts}")
 
 
+def datetime_of(fault: Fault) -> str:
+    """Return a fault's beginning on the wall clock, as the logs have it."""
+    at = time.time() - time.monotonic() + fault.began
+    return time.strftime("%H:%M:%S", time.localtime(at)) + f"{at % 1:.2f}"[1:]
+
+
 def show_changes(schedule: Schedule) -> None:
     """Print times from accepted to in force, by what happened meanwhile.
 
@@ -234,6 +245,9 @@
         print(f"at most {LONGEST:.0f} s: later rows would be gone at the check")
         return 2
 
+    if len(sys.argv) > 4:
+        return min(1, run(Path(sys.argv[4]), seconds, int(seed), rate))
+
     with tempfile.TemporaryDirectory() as folder:
         return min(1, run(Path(folder), seconds, int(seed), rate))
 
