--- a/bench/fault_checks.py
+++ b/bench/fault_checks.py
@@ -198,6 +198,8 @@
         # A try that was cut may have been billed; one that was told its end may not.
         row = _find_row(state, call.key or attempt.request)
         told_end = attempt.status != 0 and row and row.request == attempt.request
+        # This tells of an earlier try under the key, whose request id it carries.
+        told_end = told_end and attempt.code != "already_answered"
         if told_end and row and row.outcome is OutcomeKind.COMPLETED:
             findings.wrong.append(f"{call.name}: billed, and told {attempt.code}")
 
