--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -9,6 +9,7 @@
 import subprocess
 import threading
 from concurrent.futures import wait
+from typing import Any
 
 from scripts.faults import WORLD
 from scripts.faults import ask_admin
@@ -47,6 +48,12 @@
 ).encode()
 
 
+def make_long(tokens: int) -> dict[str, Any]:
+    """Return the body of a chat that streams so many tokens."""
+    messages = [{"role": "user", "content": "a long one"}]
+    return {"messages": messages, "stream": True, "min_tokens": tokens}
+
+
 def is_leaving(deployment: Deployment, entry: str) -> bool:
     """Tell whether an entry takes no new connections any more."""
     port = deployment.ports[f"{entry}.callers"]
@@ -133,17 +140,38 @@
         self.assertIn(b'"outcome":"failed"', data)
         self.assertTrue(data.endswith(b"0\r\n\r\n"))
 
-    def open_stream(self, entry: str) -> socket.socket:
+    def test_caller_comes_back_to_another_entry(self) -> None:
+        """An entry dies in the middle of a stream; its caller comes back by key.
+
+        The engine holds the answer still. Another entry must give it whole, under
+        the first request's id, and must not have it made again.
+        """
+        with self.open_stream(RELAYED, tokens=60, key="key-comeback") as caller:
+            data = caller.recv(65_536)
+            kill_process(self.system, RELAYED)
+
+        head = data.partition(b"\r\n\r\n")[0].decode().lower()
+        fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:])
+        body = make_long(60)
+        path = "/v1/chat/completions"
+        reply = send(self.system, OTHER, path, body, key="key-comeback")
+        self.assertEqual(reply.status, 200)
+        self.assertTrue(is_whole(reply.body))
+        self.assertEqual(reply.request, fields["x-request-id"])
+        self.assertEqual(self.runs(reply), 1)
+
+    def open_stream(
+        self, entry: str, *, tokens: int = 2000, key: str = ""
+    ) -> socket.socket:
         """Begin a long stream; return its connection."""
-        messages = [{"role": "user", "content": "a long one"}]
-        fields = {"messages": messages, "stream": True, "min_tokens": 2000}
-        body = json.dumps(fields).encode()
+        body = json.dumps(make_long(tokens)).encode()
         caller = socket.create_connection(
             (HOST, self.system.ports[f"{entry}.callers"]), timeout=TIMEOUT
         )
         caller.sendall(
             b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
             + f"authorization: Bearer {CALLER_KEY}\r\n".encode()
+            + (f"idempotency-key: {key}\r\n".encode() if key else b"")
             + f"content-length: {len(body)}\r\n\r\n".encode()
             + body
         )
@@ -233,9 +261,9 @@
         entry's memory. Leaving now would cut the answer short.
         """
         path = f"/v1/services/{SERVICE}/orders"
-        for number in range(LONG_ORDERS):
-            body = {"id": f"long-{number}", "note": "x" * LONG}
-            self.assertEqual(send(self.system, OTHER, path, body).status, 201)
+        bodies = [{"id": f"long-{n}", "note": "x" * LONG} for n in range(LONG_ORDERS)]
+        sent = [self.begin(send, self.system, OTHER, path, body) for body in bodies]
+        self.assertEqual({item.result().status for item in sent}, {201})
 
         with socket.socket() as caller:
             # Small, so that most of the answer waits in the entry.
