--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -55,6 +55,8 @@
 """About the size of an encoded reservation."""
 BATCHES = (1, 10, 100, 1000)
 SECONDS = 2.0
+FILL = 100
+"""Commands a batch while a log is filled until its snapshot is due."""
 STATE_SIZES = (0, 1 << 20, 10 << 20, 100 << 20)
 NAMES = ("a", "b", "c")
 Message = (
@@ -234,9 +236,8 @@
     bench, leader = start_all(folder, NAMES)
     done: list[object] = []
     propose(leader, bytes(size), done.append, time.monotonic())
-    weight = max(size, Timing().snapshot_bytes) // len(COMMAND)
-    for _ in range(weight + 1):
-        propose(leader, COMMAND, done.append, time.monotonic())
+    for _ in range(Timing().snapshot_bytes // len(COMMAND) // FILL):
+        commit_batch(bench, leader, FILL)
 
     run_until(bench, lambda: leader.replica.snapshot is not None)
     lost = next(name for name in NAMES if name != leader.replica.name)
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -475,6 +475,10 @@
         run_for(cluster, 3.0)
         self.assertTrue(group_of(cluster, second).replica.expelled)
         self.assertEqual(len(group.replica.membership.voters), 2)
+        said: list[object] = []
+        group_of(cluster, second).send = lambda target, message: said.append(message)
+        run_for(cluster, 3.0)
+        self.assertEqual(said, [])
 
     def test_a_member_of_a_new_name_joins_once_it_is_allowed(self) -> None:
         """Operators add a VM; its process starts before they told the group.
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -233,6 +233,29 @@
         self.assertEqual(again.replica.member, group.replica.member)
         self.assertEqual([c for _, c in node.applied], [c for _, c in applied])
 
+    def test_a_process_that_ends_amid_a_snapshot_has_lost_nothing(self) -> None:
+        """A large state is written in pieces, and the process ends after any of them.
+
+        It must start on the former snapshot and the log since; the entries before
+        the new one may go only once all its pieces are there.
+        """
+        node = Node("solo")
+        accepted: list[bytes] = []
+        for number in range(20):
+            node.applied = []
+            group = self.open_solo(node)
+            self.assertEqual([command for _, command in node.applied], accepted)
+            command = bytes([number]) * 200_000
+            propose(group, command, lambda outcome: None, 1.0)
+            accepted.append(command)
+            for _ in range(number % 7 + 1):
+                flush_group(group, 1.0)
+
+            self.reopen()
+
+        snapshot = self.store.load().snapshot
+        self.assertIsNotNone(snapshot)
+
     def open_solo(self, node: Node) -> Group:
         return open_group(
             group_id="main",
