--- a/src/waxwingwell/state/consensus/snapshots.py
+++ b/src/waxwingwell/state/consensus/snapshots.py
@@ -9,15 +9,14 @@
 from .checks import check
 from .log import compact_log
 from .log import entry_at
-from .log import last_index
 from .log import term_at
 from .messages import InstallSnapshot
 from .messages import SnapshotAnswer
 from .records import EntryKind
 from .records import Membership
 from .records import Snapshot
+from .replica import find_membership
 from .replica import follow_leader
-from .replica import use_membership
 
 
 if TYPE_CHECKING:
@@ -52,6 +51,9 @@
 
 def membership_at(replica: Replica, index: int) -> tuple[Membership, int]:
     """Return the membership that holds after ``index``, and where it was set."""
+    if 0 < replica.membership_index <= index:
+        return replica.membership, replica.membership_index
+
     for place in range(index, replica.log.base_index, -1):
         entry = entry_at(replica.log, place)
         if entry.kind is EntryKind.MEMBERSHIP:
@@ -121,8 +123,7 @@
     replica.snapshot_staged = False
     replica.machine_stale = True
     replica.commit = snapshot.index
-    membership, index = membership_at(replica, last_index(log))
-    use_membership(replica, membership, index)
+    find_membership(replica)
 
 
 def answer_snapshot(replica: Replica, message: InstallSnapshot, match: int) -> None:
