Remember ended attempts, so that late messages open no row

Cause: three faults, each seen failing first. A settle that overtook its reservation left no trace, and the reservation then opened a row that nobody settles (the key stays 'running'). A settle that brings its row was billed again when it was resent after the row's retention. One that brings a row and is at fault left the row open. Ruled out: longer retention of repeatable rows; a row takes about 0.9 KB for as long. Change: ids of ended attempts are kept for 15 to 30 minutes in two periods, instead of earlier attempts beside each row; rows and retention are modules of their own. Images have form 2; one of form 1 is refused.

--- a/bench/state.py
+++ b/bench/state.py
@@ -43,6 +43,7 @@
 from waxwingwell.records import WorkKind
 from waxwingwell.records import WorkspaceConfig
 from waxwingwell.records import WorkspaceId
+from waxwingwell.state.attempts import note_ended
 from waxwingwell.state.machine import ControlState
 from waxwingwell.state.machine import apply_command
 from waxwingwell.state.machine import load_state
@@ -50,6 +51,7 @@
 from waxwingwell.state.machine import save_state
 from waxwingwell.state.membership import list_spread
 from waxwingwell.state.membership import take_announcement
+from waxwingwell.state.rows import Ledger
 
 
 if TYPE_CHECKING:
@@ -269,11 +271,34 @@
         settles = [make_settle(n) for n in more]
         micros = time_commands(state, settles)
         costs.append(Cost("settle", size, micros, measure_wire(settles[0]), 0))
+        brought = [
+            msgspec.structs.replace(
+                make_settle(n), row=make_reserve(n, repeatable=True).row
+            )
+            for n in range(size + TIMED, size + 2 * TIMED)
+        ]
+        micros = time_commands(state, brought)
+        wire = measure_wire(brought[0])
+        costs.append(Cost("settle that brings its row", size, micros, wire, 0))
         costs += measure_rows(size)
+        costs.append(Cost("memory: ended attempt", size, 0, 0, measure_ended(size)))
 
     return costs
 
 
+def measure_ended(size: int) -> float:
+    """Return bytes of memory for the remembered id of an ended attempt."""
+
+    def fill() -> Ledger:
+        ledger = Ledger()
+        for number in range(size):
+            note_ended(ledger, f"request-{number:024}")
+
+        return ledger
+
+    return measure_memory(fill, size)
+
+
 def measure_rows(size: int) -> list[Cost]:
     """Measure the memory of rows by their standing."""
 
--- a/src/waxwingwell/state/control.py
+++ b/src/waxwingwell/state/control.py
@@ -8,8 +8,8 @@
 from .audit import AuditTable
 from .catalogue import ConfigTable
 from .evidence import EvidenceTable
-from .ledger import Ledger
 from .pins import PinTable
+from .rows import Ledger
 
 
 @dataclass(slots=True)
--- a/src/waxwingwell/state/images.py
+++ b/src/waxwingwell/state/images.py
@@ -26,28 +26,20 @@
 from .evidence import EvidenceTable
 from .evidence import Sender
 from .exceptions import ImageError
-from .ledger import Ledger
-from .ledger import Retained
 from .pins import Pin
 from .pins import PinTable
+from .rows import Ledger
+from .rows import Retained
 
 
 if TYPE_CHECKING:
-    from .ledger import RowKey
+    from .rows import RowKey
 
 
-IMAGE_FORMAT = 1
+IMAGE_FORMAT = 2
 """Raised with each change of the form; an image of another form is refused."""
 
 
-class SavedAttempts(msgspec.Struct, frozen=True):
-    """Request ids of earlier attempts under one key."""
-
-    workspace: WorkspaceId
-    key: str
-    requests: tuple[str, ...]
-
-
 class SavedPin(msgspec.Struct, frozen=True):
     """One session pin."""
 
@@ -62,7 +54,9 @@
     rows: list[LedgerRow]
     swept: list[tuple[WorkspaceId, str, str]]
     """Workspace, key, request."""
-    attempts: list[SavedAttempts]
+    ended: list[str]
+    ended_before: list[str]
+    ended_since: float
     clock: float
     repeatable_kept: list[Retained]
     others_kept: list[Retained]
@@ -103,10 +97,9 @@
     return SavedLedger(
         rows=list(ledger.rows.values()),
         swept=[(*place, request) for place, request in ledger.swept.items()],
-        attempts=[
-            SavedAttempts(*place, requests)
-            for place, requests in ledger.attempts.items()
-        ],
+        ended=list(ledger.ended),
+        ended_before=list(ledger.ended_before),
+        ended_since=ledger.ended_since,
         clock=ledger.clock,
         repeatable_kept=list(ledger.repeatable_kept),
         others_kept=list(ledger.others_kept),
@@ -159,7 +152,9 @@
         rows=rows,
         open_rows=open_rows,
         swept={(workspace, key): request for workspace, key, request in saved.swept},
-        attempts={(row.workspace, row.key): row.requests for row in saved.attempts},
+        ended=dict.fromkeys(saved.ended),
+        ended_before=dict.fromkeys(saved.ended_before),
+        ended_since=saved.ended_since,
         clock=saved.clock,
         repeatable_kept=deque(saved.repeatable_kept),
         others_kept=deque(saved.others_kept),
