--- a/src/waxwingwell/decisions/cascades.py
+++ b/src/waxwingwell/decisions/cascades.py
@@ -8,13 +8,26 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from .eligibility import get_latency
+from .options import Option
+from .options import get_spare
+from .quality import Estimate
+from .quality import estimate_escalated
+
 
 if TYPE_CHECKING:
-    from .quality import Estimate
+    from .options import Case
+    from .tables import Tables
+    from .tables import Work
 
 
+CASCADE_TRIM = 0.02
+"""How far below the target a cascade may aim when credit is at its cap."""
+LATENCY_TOLL = 0.1
+"""Part of a cost that a cascade must save to make up for its second answer."""
 BISECTIONS = 7
 """Halvings of the threshold's range; the last step is under 0.01."""
 
@@ -28,6 +41,86 @@
     quality: float
 
 
+@dataclass(frozen=True, slots=True)
+class CascadePlan:
+    """The two versions of a cascade, and when it stops at the first."""
+
+    cheap: Option
+    strong: Option
+    escalated: Estimate
+    """Of the strong version, on escalated requests."""
+    threshold: float
+
+
+def may_cascade(work: Work) -> bool:
+    """Tell whether the caller can wait for an answer to be rated and replaced.
+
+    A session keeps one version and a stream shows its answer at once.
+    """
+    return work.kind.waits_for_whole and not work.stream and not work.session
+
+
+def find_cascade(tables: Tables, case: Case, main: Option) -> CascadePlan | None:
+    """Return the cascade that undercuts ``main``, if any.
+
+    Pairs are ranked with an optimistic mean of the cheap version: its answers are
+    rated before they are served, so that trying it costs little quality. The
+    threshold comes from the mean itself.
+    """
+    work = case.work
+    if not may_cascade(work):
+        return None
+
+    least = main.cost / (1.0 + LATENCY_TOLL * get_latency(case.config))
+    found: tuple[Option, Option, Estimate] | None = None
+    for strong in case.options:
+        escalated = estimate_escalated(
+            tables, work.workspace, work.kind.name, strong.version, strong.estimate
+        )
+        for cheap in case.options:
+            if cheap.cost + tables.rating_price >= least or cheap.cost >= strong.cost:
+                break
+
+            bright = replace(
+                cheap.estimate, mean=cheap.estimate.mean + cheap.estimate.error
+            )
+            option = _weigh_cascade(
+                tables, case, bright, escalated, (cheap.cost, strong.cost)
+            )
+            if option is not None and option.cost < least:
+                least = option.cost
+                found = (cheap, strong, escalated)
+
+    if found is None:
+        return None
+
+    cheap, strong, escalated = found
+    option = _weigh_cascade(
+        tables, case, cheap.estimate, escalated, (cheap.cost, strong.cost)
+    )
+    threshold = option.threshold if option else escalated.mean
+    return CascadePlan(cheap, strong, escalated, threshold)
+
+
+def _weigh_cascade(
+    tables: Tables,
+    case: Case,
+    cheap: Estimate,
+    escalated: Estimate,
+    costs: tuple[float, float],
+) -> CascadeOption | None:
+    return find_threshold(
+        cheap,
+        escalated.mean,
+        cheap_cost=costs[0],
+        strong_cost=costs[1],
+        rating_price=tables.rating_price,
+        target=case.target
+        - CASCADE_TRIM * get_spare(case)
+        + case.caution * escalated.error,
+    )
+
+
 def find_threshold(
     cheap: Estimate,
     strong: float,
--- /dev/null
+++ b/src/waxwingwell/decisions/sampling.py
@@ -0,0 +1,63 @@
+"""Which answers go to the rating service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .eligibility import get_exposure
+
+
+if TYPE_CHECKING:
+    from ..records import WorkspaceConfig
+    from .options import Case
+    from .options import Option
+    from .quality import Estimate
+    from .tables import Tables
+
+
+RATE_ALL_BELOW = 30.0
+"""Own ratings below which every answer is rated."""
+RATING_SHARE = 0.01
+"""Share of an answer's cost that its ratings may always cost."""
+EXPOSURE_SHARE = 0.01
+"""What is added to it if exposure is all that counts."""
+CLOSE_DEVIATIONS = 2.0
+"""Standard errors above the target within which a version is a close call."""
+CLOSE_FACTOR = 1.5
+"""How much more often the answers of a close call are rated."""
+SECOND_DRAW = 7919.0
+"""Factor that turns one draw into a second one, independent enough for sampling."""
+
+
+def get_sample_share(config: WorkspaceConfig, cost: float, price: float) -> float:
+    """Return the share of a known version's answers to rate.
+
+    Exposure is found as fast as answers are rated, so its weight sets the share;
+    dear answers are rated more often, since a rating adds little to their cost.
+    """
+    exposure = get_exposure(config)
+    share = 0.05 + 0.15 * exposure
+    if price <= 0.0:
+        return share
+
+    spent = RATING_SHARE + EXPOSURE_SHARE * exposure
+    return min(1.0, max(share, spent * cost / price))
+
+
+def draw_rate(
+    tables: Tables, case: Case, option: Option, estimate: Estimate, draw: float
+) -> bool:
+    """Draw whether an answer is rated; unknown versions always are."""
+    if estimate.rated < RATE_ALL_BELOW:
+        return True
+
+    share = get_sample_share(case.config, option.cost, tables.rating_price)
+    if estimate.mean - case.target < CLOSE_DEVIATIONS * estimate.error:
+        share *= CLOSE_FACTOR
+
+    return draw_again(draw) < share
+
+
+def draw_again(draw: float) -> float:
+    """Return a second draw, uniform in 0 to 1, made from the first."""
+    return draw * SECOND_DRAW % 1.0
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -15,6 +15,7 @@
 from waxwingwell.decisions.evidence import get_account
 from waxwingwell.decisions.evidence import note_rating
 from waxwingwell.decisions.evidence import note_sent
+from waxwingwell.decisions.exploration import get_explore_limit
 from waxwingwell.decisions.offers import get_share
 from waxwingwell.decisions.offers import place_session
 from waxwingwell.decisions.tables import Refusal
@@ -22,7 +23,6 @@
 from waxwingwell.decisions.tables import Work
 from waxwingwell.decisions.versions import VersionChoice
 from waxwingwell.decisions.versions import choose_version
-from waxwingwell.decisions.versions import get_explore_limit
 from waxwingwell.decisions.versions import should_pin
 from waxwingwell.records import Evidence
 from waxwingwell.records import RolloutPace
