Bound the incumbent's mean over all cells together in the roll-out's test

Change: one asymptotic confidence sequence for the weighed sum of the baselines. Errors that cancel in the sum cancel in the wealth.

--- a/src/waxwingwell/decisions/bets.py
+++ b/src/waxwingwell/decisions/bets.py
@@ -22,8 +22,6 @@
 """Stakes against a candidate; fixed in advance, as the guarantee needs."""
 LEAST_BASELINE = 0.3
 """Baseline below which ``LOW_STAKES`` could lose more than the wealth there is."""
-HIGH_STAKES = (0.08, 0.2, 0.5, 0.9)
-BISECTIONS = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,39 +43,12 @@
     return stake * gain - _scale(worst) * stake * stake * _spread(sums, mean)
 
 
-def find_lower_bound(sums: Sums, alpha: float) -> float:
-    """Return a bound below the true mean at all times, but for chance ``alpha``."""
-    low = 0.0
-    high = 1.0
-    need = math.log(1.0 / alpha)
-    for _ in range(BISECTIONS):
-        middle = 0.5 * (low + high)
-        if _bet_above(sums, middle) >= need:
-            low = middle
-        else:
-            high = middle
-
-    return low
-
-
 def mix_log(logs: tuple[float, ...]) -> float:
     """Return the log of the mean of the wealths whose logs are given."""
     top = max(logs)
     return top + math.log(sum(math.exp(item - top) for item in logs) / len(logs))
 
 
-def _bet_above(sums: Sums, mean: float) -> float:
-    """Return the log wealth of betting that ratings exceed ``mean``."""
-    gain = sums.total - sums.rated * mean
-    spread = _spread(sums, mean)
-    return mix_log(
-        tuple(
-            stake * gain - _scale(stake * mean) * stake * stake * spread
-            for stake in HIGH_STAKES
-        )
-    )
-
-
 def _spread(sums: Sums, mean: float) -> float:
     spread = sums.squares - 2.0 * mean * sums.total + sums.rated * mean * mean
     return max(0.0, spread)
--- a/src/waxwingwell/decisions/rollouts.py
+++ b/src/waxwingwell/decisions/rollouts.py
@@ -16,7 +16,6 @@
 from .bets import LOW_STAKES
 from .bets import Sums
 from .bets import bound_log_wealth
-from .bets import find_lower_bound
 from .bets import mix_log
 
 
@@ -31,6 +30,7 @@
 
     Cell = tuple[WorkspaceId, str]
 
+MIXTURE = 8.0
 LEAST_RATED = 20
 """Ratings of a candidate before its first advance."""
 LEAST_RATED_STAGE = 10
@@ -183,49 +183,87 @@
     wealth is shared between a bet from the beginning and one from each stage's
     beginning; a weighted sum of wealths is a wealth.
     """
-    alpha = rollout.pace.false_alarm / (2.0 * max(1, len(theirs)))
     since = _since(theirs, rollout, rollout.incumbent)
-    baselines = {
-        cell: _find_baseline(sums, since.get(cell), alpha)
+    usable = {
+        cell: sums
         for cell, sums in theirs.items()
         if cell in mine and sums.rated >= LEAST_BASE
     }
-    usable = {cell: mean for cell, mean in baselines.items() if mean >= LEAST_BASELINE}
-    whole = _bet(mine, usable)
+    means = {
+        cell: _find_baseline(sums, since.get(cell)) for cell, sums in usable.items()
+    }
+    deviations = get_baseline_deviations(rollout.pace.false_alarm / 2.0)
+    whole = _bet(mine, usable, means, deviations)
     if rollout.stage == 0 or not rollout.base:
         return whole
 
-    late = _bet(fresh, usable)
+    late = _bet(fresh, usable, means, deviations)
     stages = max(1, len(rollout.pace.stages) - 1)
     top = max(whole, late)
     share = 0.5 * math.exp(whole - top) + 0.5 / stages * math.exp(late - top)
     return top + math.log(share)
 
 
-def _find_baseline(sums: Sums, since: Sums | None, alpha: float) -> float:
-    """Return a mean that the incumbent surely reaches in a cell.
+def get_baseline_deviations(alpha: float) -> float:
+    """Return how many standard errors cover the incumbent's mean at all times.
+
+    Over all cells together, weighed as the candidate's ratings are, and but for
+    chance ``alpha``. Source: Waudby-Smith, Arbour, Sinha, Kennedy and Ramdas,
+    "Time-uniform central limit theory and asymptotic confidence sequences", Annals
+    of Statistics 52 (2024), with the mixture at ``MIXTURE`` times its scale.
+    """
+    spread = math.log(math.sqrt(MIXTURE + 1.0) / alpha)
+    return math.sqrt(2.0 * (1.0 + 1.0 / MIXTURE) * spread)
+
+
+def _find_baseline(sums: Sums, since: Sums | None) -> float:
+    """Return the incumbent's mean in a cell.
 
     Failure: the work itself becomes harder, both versions fall, and the candidate
     is blamed against old ratings. The incumbent's recent mean bounds it too.
     """
-    bound = find_lower_bound(sums, alpha)
+    mean = sums.total / sums.rated
     if since is None or since.rated < LEAST_BASE:
-        return bound
+        return mean
 
     recent = since.total / since.rated
     spread = max(0.0, since.squares / since.rated - recent * recent)
-    return min(bound, recent + math.sqrt(spread / since.rated))
+    return min(mean, recent + math.sqrt(spread / since.rated))
+
+
+def _bet(
+    cells: dict[Cell, Sums],
+    theirs: dict[Cell, Sums],
+    means: dict[Cell, float],
+    deviations: float,
+) -> float:
+    """Return the log wealth of betting against the candidate in ``cells``.
+
+    All baselines are lowered alike, so that their weighed sum lies below the truth.
+    A bet's expected gain is linear in its baseline: errors that cancel in the sum
+    cancel in the wealth.
+    """
+    rated = 0.0
+    variance = 0.0
+    for cell in means:
+        sums = cells.get(cell)
+        if sums is not None:
+            base = theirs[cell]
+            rated += sums.rated
+            variance += sums.rated**2 * _sum_variance(base) / base.rated**2
 
+    if not rated:
+        return 0.0
 
-def _bet(cells: dict[Cell, Sums], baselines: dict[Cell, float]) -> float:
+    shift = deviations * math.sqrt(variance) / rated
     logs = [0.0] * len(LOW_STAKES)
-    for cell, mean in baselines.items():
+    for cell, mean in means.items():
         sums = cells.get(cell)
-        if sums is None:
+        if sums is None or mean - shift < LEAST_BASELINE:
             continue
 
         for place, stake in enumerate(LOW_STAKES):
-            logs[place] += bound_log_wealth(sums, mean, stake)
+            logs[place] += bound_log_wealth(sums, mean - shift, stake)
 
     return mix_log(tuple(logs))
 
