--- /dev/null
+++ b/src/waxwingwell/decisions/comparisons.py
@@ -0,0 +1,193 @@
+"""Evidence of a candidate against its incumbent, like work against like.
+
+A cell is a workspace and a kind of work.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .bets import LEAST_BASELINE
+from .bets import LOW_STAKES
+from .bets import Sums
+from .bets import bound_log_wealth
+from .bets import mix_log
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..records import Evidence
+    from ..records import Rollout
+    from ..records import VersionId
+    from ..records import WorkspaceId
+
+    Cell = tuple[WorkspaceId, str]
+
+MIXTURE = 8.0
+LEAST_BASE = 20
+"""Ratings of the incumbent that make a workspace and kind comparable."""
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Candidate against incumbent over the cells where both were rated."""
+
+    rated: int
+    loss: float
+    error: float
+
+
+def weigh_evidence(
+    rollout: Rollout,
+    mine: dict[Cell, Sums],
+    fresh: dict[Cell, Sums],
+    theirs: dict[Cell, Sums],
+) -> float:
+    """Return the log evidence that the candidate is worse in any cell.
+
+    Half of the false alarms allowed goes to the baselines, half to the bets. The
+    wealth is shared between a bet from the beginning and one from each stage's
+    beginning; a weighted sum of wealths is a wealth.
+    """
+    since = subtract_base(theirs, rollout, rollout.incumbent)
+    usable = {
+        cell: sums
+        for cell, sums in theirs.items()
+        if cell in mine and sums.rated >= LEAST_BASE
+    }
+    means = {
+        cell: _find_baseline(sums, since.get(cell)) for cell, sums in usable.items()
+    }
+    deviations = get_baseline_deviations(rollout.pace.false_alarm / 2.0)
+    whole = _bet(mine, usable, means, deviations)
+    if rollout.stage == 0 or not rollout.base:
+        return whole
+
+    late = _bet(fresh, usable, means, deviations)
+    stages = max(1, len(rollout.pace.stages) - 1)
+    top = max(whole, late)
+    share = 0.5 * math.exp(whole - top) + 0.5 / stages * math.exp(late - top)
+    return top + math.log(share)
+
+
+def get_baseline_deviations(alpha: float) -> float:
+    """Return how many standard errors cover the incumbent's mean at all times.
+
+    Over all cells together, weighed as the candidate's ratings are, and but for
+    chance ``alpha``. Source: Waudby-Smith, Arbour, Sinha, Kennedy and Ramdas,
+    "Time-uniform central limit theory and asymptotic confidence sequences", Annals
+    of Statistics 52 (2024), with the mixture at ``MIXTURE`` times its scale.
+    """
+    spread = math.log(math.sqrt(MIXTURE + 1.0) / alpha)
+    return math.sqrt(2.0 * (1.0 + 1.0 / MIXTURE) * spread)
+
+
+def _find_baseline(sums: Sums, since: Sums | None) -> float:
+    """Return the incumbent's mean in a cell.
+
+    Failure: the work itself becomes harder, both versions fall, and the candidate
+    is blamed against old ratings. The incumbent's recent mean bounds it too.
+    """
+    mean = sums.total / sums.rated
+    if since is None or since.rated < LEAST_BASE:
+        return mean
+
+    recent = since.total / since.rated
+    spread = max(0.0, since.squares / since.rated - recent * recent)
+    return min(mean, recent + math.sqrt(spread / since.rated))
+
+
+def _bet(
+    cells: dict[Cell, Sums],
+    theirs: dict[Cell, Sums],
+    means: dict[Cell, float],
+    deviations: float,
+) -> float:
+    """Return the log wealth of betting against the candidate in ``cells``.
+
+    All baselines are lowered alike, so that their weighed sum lies below the truth.
+    A bet's expected gain is linear in its baseline: errors that cancel in the sum
+    cancel in the wealth.
+    """
+    rated = 0.0
+    variance = 0.0
+    for cell in means:
+        sums = cells.get(cell)
+        if sums is not None:
+            base = theirs[cell]
+            rated += sums.rated
+            variance += sums.rated**2 * _sum_variance(base) / base.rated**2
+
+    if not rated:
+        return 0.0
+
+    shift = deviations * math.sqrt(variance) / rated
+    logs = [0.0] * len(LOW_STAKES)
+    for cell, mean in means.items():
+        sums = cells.get(cell)
+        if sums is None or mean - shift < LEAST_BASELINE:
+            continue
+
+        for place, stake in enumerate(LOW_STAKES):
+            logs[place] += bound_log_wealth(sums, mean - shift, stake)
+
+    return mix_log(tuple(logs))
+
+
+def compare(mine: dict[Cell, Sums], theirs: dict[Cell, Sums]) -> Comparison:
+    """Compare like with like: each cell weighs as the candidate's ratings there."""
+    rated = 0.0
+    loss = 0.0
+    variance = 0.0
+    for cell, sums in mine.items():
+        base = theirs.get(cell)
+        if base is None or base.rated < LEAST_BASE or sums.rated <= 0:
+            continue
+
+        mean = base.total / base.rated
+        rated += sums.rated
+        loss += sums.rated * mean - sums.total
+        variance += _sum_variance(sums)
+        variance += sums.rated**2 * _sum_variance(base) / base.rated**2
+
+    if not rated:
+        return Comparison(0, 0.0, 1.0)
+
+    return Comparison(int(rated), loss / rated, variance**0.5 / rated)
+
+
+def _sum_variance(sums: Sums) -> float:
+    """Return the variance of a sum of ratings; a few assumed ones guard small cells."""
+    mean = sums.total / sums.rated
+    spread = max(0.0, sums.squares - sums.rated * mean * mean)
+    return sums.rated * (spread + 0.04 * 4.0) / (sums.rated + 4.0)
+
+
+def subtract_base(
+    cells: dict[Cell, Sums], rollout: Rollout, version: VersionId
+) -> dict[Cell, Sums]:
+    """Return what came since the present stage began."""
+    base = index_rows(row for row in rollout.base if row.version == version)
+    found: dict[Cell, Sums] = {}
+    for cell, sums in cells.items():
+        before = base.get(cell, Sums(0.0, 0.0, 0.0))
+        if sums.rated > before.rated:
+            found[cell] = Sums(
+                sums.rated - before.rated,
+                sums.total - before.total,
+                sums.squares - before.squares,
+            )
+
+    return found
+
+
+def index_rows(rows: Iterable[Evidence]) -> dict[Cell, Sums]:
+    """Return the sums of each workspace and kind that was rated."""
+    return {
+        (row.workspace, row.kind): Sums(row.rated, row.total, row.squares)
+        for row in rows
+        if row.rated > 0
+    }
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -11,8 +11,8 @@
 from waxwingwell.decisions.bets import Sums
 from waxwingwell.decisions.bets import bound_log_wealth
 from waxwingwell.decisions.bets import mix_log
+from waxwingwell.decisions.comparisons import get_baseline_deviations
 from waxwingwell.decisions.rollouts import RolloutAction
-from waxwingwell.decisions.rollouts import get_baseline_deviations
 from waxwingwell.decisions.rollouts import judge_rollout
 from waxwingwell.decisions.rollouts import step_rollouts
 from waxwingwell.decisions.rollouts import take_base
