--- a/src/waxwingwell/decisions/evidence.py
+++ b/src/waxwingwell/decisions/evidence.py
@@ -10,11 +10,12 @@
 from typing import TYPE_CHECKING
 
 from ..records import Evidence
+from .accounts import add_credit
+from .accounts import get_account
+from .accounts import note_opinion
 from .quality import estimate_escalated
 from .quality import estimate_quality
 from .quality import name_escalated
-from .tables import Opinion
-from .tables import QualityAccount
 
 
 if TYPE_CHECKING:
@@ -28,17 +29,8 @@
 
     Key = tuple[WorkspaceId, str, VersionId]
 
-CREDIT_CAP = 10.0
-"""Most rating points of credit, so that old merit does not pay for a bad turn."""
-DEBT_CAP = 50.0
 FLATTERY = 2.0
 """Standard errors by which an unrated answer's credit is reduced."""
-RECENT_MEMORY = 24.0
-"""Ratings that ``Opinion.recent_*`` remember, in the mean."""
-RECENT_LEAST = 12.0
-CHANGE_DEVIATIONS = 4.0
-"""Distance, in standard errors, at which the recent mean tells of a change."""
-LEAST_DEVIATION = 0.1
 OUTSTANDING_LIFE = 600.0
 """Seconds after which a rating that never came stops counting as outstanding."""
 
@@ -96,7 +88,7 @@
 
         # The cheapest that seems good enough is more often flattered than not.
         surplus = estimate.mean - FLATTERY * estimate.error - work.kind.quality_target
-        _add_credit(account, surplus)
+        add_credit(account, surplus)
 
 
 def note_rating(
@@ -119,12 +111,12 @@
     key = (workspace, name, version)
     row = Evidence(version, workspace, name, 1, value, value * value)
     _add_row(tables, key, row)
-    _note_opinion(tables, key, row)
+    note_opinion(tables, key, row)
     _drop_outstanding(tables, key)
     tables.rating_heard_at = max(tables.rating_heard_at, now)
     if served:
         account = get_account(tables, workspace, kind.name)
-        _add_credit(account, value - kind.quality_target)
+        add_credit(account, value - kind.quality_target)
 
 
 def note_unrated(
@@ -184,20 +176,11 @@
         before = tables.evidence.get(key)
         tables.evidence[key] = merged
         change = _subtract(merged, before)
-        _note_opinion(tables, key, change)
+        note_opinion(tables, key, change)
         if change.rated > 0:
             tables.rating_heard_at = max(tables.rating_heard_at, now)
 
 
-def get_account(tables: Tables, workspace: WorkspaceId, kind: str) -> QualityAccount:
-    """Return the account of a workspace and kind, opened when missing."""
-    account = tables.accounts.get((workspace, kind))
-    if account is None:
-        account = tables.accounts[workspace, kind] = QualityAccount()
-
-    return account
-
-
 def _count_fresh(times: list[float] | None, now: float) -> int:
     if not times:
         return 0
@@ -226,69 +209,7 @@
     )
 
 
-def _add_credit(account: QualityAccount, surplus: float) -> None:
-    account.credit = min(CREDIT_CAP, max(-DEBT_CAP, account.credit + surplus))
-
-
 def _drop_outstanding(tables: Tables, key: Key) -> None:
     for times in (tables.outstanding.get(key[2]), tables.cell_outstanding.get(key)):
         if times:
             times.pop(0)
-
-
-def _note_opinion(tables: Tables, key: Key, row: Evidence) -> None:
-    if row.rated <= 0:
-        return
-
-    opinion = tables.opinions.get(key)
-    if opinion is None:
-        opinion = tables.opinions[key] = Opinion()
-
-    kept = (1.0 - 1.0 / RECENT_MEMORY) ** row.rated
-    opinion.rated += row.rated
-    opinion.total += row.total
-    opinion.squares += row.squares
-    opinion.recent_rated = opinion.recent_rated * kept + row.rated
-    opinion.recent_total = opinion.recent_total * kept + row.total
-    drop = _forget_before_change(opinion)
-    if drop > 0.0:
-        _charge_unrated(tables, key, drop)
-
-
-def _charge_unrated(tables: Tables, key: Key, drop: float) -> None:
-    """Take back what unrated answers were credited since a version turned bad.
-
-    Failure: between the turn and its discovery unrated answers count as good, and
-    the account stays rich while the target is missed. ``RECENT_MEMORY`` times the
-    drop is the loss of the rated ones; the unrated ones lost in proportion.
-    """
-    row = tables.evidence.get(key)
-    account = tables.accounts.get((key[0], key[1]))
-    if row is None or account is None or row.to_rate <= 0:
-        return
-
-    unrated = max(0.0, row.sent / row.to_rate - 1.0) / max(1, tables.entries)
-    _add_credit(account, -drop * RECENT_MEMORY * unrated)
-
-
-def _forget_before_change(opinion: Opinion) -> float:
-    """Drop ratings from before a change for the worse; return the mean's fall.
-
-    Failure: a version turns bad after thousands of good ratings, and their mean
-    hides it. The recent mean falls within a dozen ratings. Idea: adaptive
-    windowing, Bifet and Gavalda, "Learning from time-changing data", SDM 2007.
-    """
-    if opinion.recent_rated < RECENT_LEAST or opinion.rated < 2 * RECENT_LEAST:
-        return 0.0
-
-    mean = opinion.total / opinion.rated
-    variance = max(0.0, opinion.squares / opinion.rated - mean * mean)
-    deviation = max(LEAST_DEVIATION, variance**0.5)
-    recent = opinion.recent_total / opinion.recent_rated
-    if mean - recent < CHANGE_DEVIATIONS * deviation / opinion.recent_rated**0.5:
-        return 0.0
-
-    opinion.rated = opinion.recent_rated
-    opinion.total = opinion.recent_total
-    opinion.squares = opinion.recent_rated * (recent * recent + deviation * deviation)
-    return mean - recent
--- a/src/waxwingwell/decisions/options.py
+++ b/src/waxwingwell/decisions/options.py
@@ -7,8 +7,8 @@
 
 from ..records import VersionId
 from ..records import WorkspaceConfig
+from .accounts import CREDIT_CAP
 from .eligibility import get_exposure
-from .evidence import CREDIT_CAP
 from .quality import Estimate
 from .quality import estimate_quality
 from .tables import QualityAccount
--- a/src/waxwingwell/experiments/quality.py
+++ b/src/waxwingwell/experiments/quality.py
@@ -9,145 +9,30 @@
 
 import random
 import statistics
-from dataclasses import dataclass
-from dataclasses import field
-from typing import TYPE_CHECKING
-
-import msgspec
-from tabulate import tabulate
 
+from .quality_report import WINDOWS
+from .quality_report import QualityReport
+from .quality_report import RolloutFigures
+from .quality_report import SeedFigures
+from .quality_report import TrafficFigures
 from .rollout_runs import FIRST_BAD
 from .rollout_runs import LAST_BAD
 from .rollout_runs import Case
 from .rollout_runs import run_canary
 from .rollout_runs import run_staged
 from .traffic import POLICIES
-from .traffic import REQUESTS
 from .traffic import Tally
 from .traffic import run_traffic
 from .worlds import WEIGHINGS
 from .worlds import make_world
 
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
-
 FIRST_SEED = 1000
 """Lower seeds were used to tune the policy; the report's are fresh."""
 GOOD_ROLLOUTS = 25
 """Roll-outs of a candidate as good as its incumbent, for each seed."""
 BAD_ROLLOUTS = 4
 TURNING_ROLLOUTS = 1
-WINDOWS = (20_000, 10_000, 5_000)
-"""Sessions after which a fixed canary is tested; the first one is the baseline."""
-NOISE = 0.005
-"""Shortfall of a mean of 5,000 answers that chance explains; 2.4 standard errors."""
-
-
-@dataclass(frozen=True, slots=True)
-class TrafficFigures:
-    """One policy over one seed's traffic."""
-
-    cost: float
-    """Mean cost of a request, in units of the cheapest version's answer."""
-    least_surplus: float
-    """Mean quality minus target, in the worst workspace and kind."""
-    waits: float
-    """Answers awaited before the served one, in the mean."""
-    bad: int
-    """Answers by the version that turned bad."""
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutFigures:
-    """All roll-outs of one seed."""
-
-    good: int
-    good_withdrawn: int
-    good_completed: int
-    bad: int
-    bad_withdrawn: int
-    bad_completed: int
-    bad_answers: int
-    canary_answers: tuple[int, ...]
-    """Answers by bad candidates under the canary, for each of ``WINDOWS``."""
-    canary_withdrawn: tuple[int, ...]
-    turning: int
-    turning_withdrawn: int
-    turning_answers: int
-    good_seconds: float
-    """Median time until a good candidate's roll-out ended."""
-
-
-@dataclass(frozen=True, slots=True)
-class SeedFigures:
-    """All that one seed gave."""
-
-    seed: int
-    traffic: dict[str, TrafficFigures]
-    rollouts: RolloutFigures
-
-
-@dataclass(frozen=True, slots=True)
-class Goal:
-    """A goal beside what was reached."""
-
-    name: str
-    goal: str
-    median: float
-    worst: float
-    met: bool
-
-
-@dataclass(slots=True)
-class QualityReport:
-    """Figures of all seeds of one profile."""
-
-    profile: str
-    seeds: list[SeedFigures] = field(default_factory=list)
-
-    def render(self) -> str:
-        """Return tables of the goals and of every policy, for a terminal."""
-        return "\n\n".join(
-            (
-                f"profile {self.profile}, {len(self.seeds)} seeds, "
-                f"{REQUESTS} requests of each workspace and kind",
-                _render_goals(list_goals(self)),
-                _render_policies(self),
-                _render_rollouts(self),
-            )
-        )
-
-    def to_json(self) -> str:
-        """Return goals and the figures of each seed as JSON."""
-        body = {
-            "profile": self.profile,
-            "goals": list_goals(self),
-            "seeds": self.seeds,
-        }
-        return msgspec.json.format(msgspec.json.encode(body)).decode()
-
-    def plot(self, path: Path) -> None:
-        """Write a plot of cost, and of answers by bad versions, over the seeds."""
-        import matplotlib
-
-        matplotlib.use("Agg")
-        from matplotlib import pyplot
-
-        figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
-        costs = sorted(_ratios(self, "oracle"))
-        left.plot(costs, marker="o")
-        left.axhline(1.10, linestyle="--")
-        left.set(xlabel="seed, sorted", ylabel="cost / oracle's", title="cost")
-        shares = sorted(_exposures(self, 0))
-        right.plot(shares, marker="o")
-        right.axhline(0.2, linestyle="--")
-        right.set(xlabel="seed, sorted", ylabel="bad answers / canary's")
-        figure.suptitle(f"profile {self.profile}")
-        figure.tight_layout()
-        figure.savefig(path)
-        pyplot.close(figure)
 
 
 def run_quality(profile: str, seeds: int) -> QualityReport:
@@ -222,63 +107,6 @@
     )
 
 
-def list_goals(report: QualityReport) -> list[Goal]:
-    """Return every goal with the median and the worst seed."""
-    oracle = _ratios(report, "oracle")
-    best = _ratios(report, "always best")
-    exposure = _exposures(report, 0)
-    least = [seed.traffic["router"].least_surplus for seed in report.seeds]
-    met = statistics.mean(float(item >= -NOISE) for item in least)
-    strict = statistics.mean(float(item >= 0.0) for item in least)
-    good = sum(seed.rollouts.good for seed in report.seeds)
-    wrong = sum(seed.rollouts.good_withdrawn for seed in report.seeds)
-    share = wrong / good if good else 0.0
-    return [
-        _make_goal("cost / oracle's", oracle, 1.10),
-        _make_goal("cost / always best's", best, 0.5),
-        Goal(
-            "seeds with every cell at target, but for noise",
-            f">= 0.95 (short by <= {NOISE})",
-            met,
-            min(least),
-            met >= 0.95,
-        ),
-        Goal(
-            "the same without allowance for noise",
-            ">= 0.95",
-            strict,
-            min(least),
-            strict >= 0.95,
-        ),
-        _make_goal("bad answers / canary's", exposure, 0.2),
-        Goal(
-            f"good candidates withdrawn, of {good}",
-            "<= 0.01",
-            share,
-            share,
-            share <= 0.01,
-        ),
-    ]
-
-
-def _make_goal(name: str, values: list[float], most: float) -> Goal:
-    median = statistics.median(values)
-    return Goal(name, f"<= {most}", median, max(values), median <= most)
-
-
-def _ratios(report: QualityReport, base: str) -> list[float]:
-    return [
-        seed.traffic["router"].cost / seed.traffic[base].cost for seed in report.seeds
-    ]
-
-
-def _exposures(report: QualityReport, window: int) -> list[float]:
-    return [
-        seed.rollouts.bad_answers / max(1, seed.rollouts.canary_answers[window])
-        for seed in report.seeds
-    ]
-
-
 def _sum_up(tally: Tally) -> TrafficFigures:
     return TrafficFigures(
         cost=tally.cost / tally.requests,
@@ -289,85 +117,3 @@
         waits=tally.waits / tally.requests,
         bad=tally.exposed,
     )
-
-
-def _render_goals(goals: list[Goal]) -> str:
-    rows = [
-        (goal.name, goal.goal, goal.median, goal.worst, "yes" if goal.met else "NO")
-        for goal in goals
-    ]
-    headers = ("goal", "wanted", "median", "worst seed", "met")
-    return tabulate(rows, headers, floatfmt=".4f")
-
-
-def _render_policies(report: QualityReport) -> str:
-    rows = []
-    for name in POLICIES:
-        found = [seed.traffic[name] for seed in report.seeds]
-        rows.append(
-            (
-                name,
-                statistics.median(item.cost for item in found),
-                max(item.cost for item in found),
-                statistics.median(item.least_surplus for item in found),
-                min(item.least_surplus for item in found),
-                statistics.median(item.waits for item in found),
-                statistics.median(item.bad for item in found),
-                max(item.bad for item in found),
-            )
-        )
-
-    headers = (
-        "policy",
-        "cost",
-        "worst",
-        "least surplus",
-        "worst",
-        "extra answers awaited",
-        "answers by the turned version",
-        "worst",
-    )
-    return tabulate(rows, headers, floatfmt=".4f")
-
-
-def _render_rollouts(report: QualityReport) -> str:
-    found = [seed.rollouts for seed in report.seeds]
-    staged = (
-        "staged",
-        f"{sum(item.bad_withdrawn for item in found)} of "
-        f"{sum(item.bad for item in found)}",
-        statistics.median(item.bad_answers for item in found),
-        max(item.bad_answers for item in found),
-        f"{sum(item.bad_completed for item in found)}",
-        f"{sum(item.turning_withdrawn for item in found)} of "
-        f"{sum(item.turning for item in found)}",
-        statistics.median(item.turning_answers for item in found),
-        statistics.median(item.good_seconds for item in found),
-    )
-    rows: list[tuple[object, ...]] = [staged]
-    for place, window in enumerate(WINDOWS):
-        rows.append(
-            (
-                f"canary, {window} sessions",
-                f"{sum(item.canary_withdrawn[place] for item in found)} of "
-                f"{sum(item.bad for item in found)}",
-                statistics.median(item.canary_answers[place] for item in found),
-                max(item.canary_answers[place] for item in found),
-                "",
-                "",
-                "",
-                "",
-            )
-        )
-
-    headers = (
-        "roll-out",
-        "bad withdrawn",
-        "bad answers a seed",
-        "worst",
-        "bad completed",
-        "turned withdrawn",
-        "answers after the turn",
-        "s until good is done",
-    )
-    return tabulate(rows, headers, floatfmt=".1f")
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -10,9 +10,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from waxwingwell.decisions.accounts import get_account
 from waxwingwell.decisions.eligibility import check_dispatch
 from waxwingwell.decisions.evidence import count_outstanding
-from waxwingwell.decisions.evidence import get_account
 from waxwingwell.decisions.evidence import note_rating
 from waxwingwell.decisions.evidence import note_sent
 from waxwingwell.decisions.exploration import get_explore_limit
--- a/tests/experiments/test_quality.py
+++ b/tests/experiments/test_quality.py
@@ -5,12 +5,12 @@
 import json
 import unittest
 
-from waxwingwell.experiments.quality import QualityReport
-from waxwingwell.experiments.quality import RolloutFigures
-from waxwingwell.experiments.quality import SeedFigures
-from waxwingwell.experiments.quality import TrafficFigures
-from waxwingwell.experiments.quality import list_goals
 from waxwingwell.experiments.quality import run_quality
+from waxwingwell.experiments.quality_report import QualityReport
+from waxwingwell.experiments.quality_report import RolloutFigures
+from waxwingwell.experiments.quality_report import SeedFigures
+from waxwingwell.experiments.quality_report import TrafficFigures
+from waxwingwell.experiments.quality_report import list_goals
 from waxwingwell.experiments.rollout_runs import Case
 from waxwingwell.experiments.rollout_runs import run_canary
 from waxwingwell.experiments.rollout_runs import run_staged
