--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -32,6 +32,8 @@
 """Below the ephemeral ports, so that no outgoing connection takes one."""
 START_LIMIT = 60.0
 STOP_LIMIT = 30.0
+LOG_TAIL = 2000
+"""Characters of a log that an error shows."""
 DATA_CENTRES = ("bole", "kazanchis", "cmc")
 OPERATOR_KEY = "operator-of-the-launcher"
 
@@ -161,6 +163,14 @@
         time.sleep(0.02)
 
 
+def check_running(deployment: Deployment) -> None:
+    """Raise ``RuntimeError`` with the log's end of a process that ended by itself."""
+    for process in deployment.processes.values():
+        if process.popen is not None and process.popen.poll() is not None:
+            tail = process.log.read_text(errors="replace")[-LOG_TAIL:]
+            raise RuntimeError(f"{process.name} ended by itself:\n{tail}")
+
+
 def get_status(
     url: str, *, key: str = "", body: Any = None, timeout: float = 2.0
 ) -> int:
--- a/scripts/topology.py
+++ b/scripts/topology.py
@@ -14,6 +14,7 @@
 from .launcher import OPERATOR_KEY
 from .launcher import Deployment
 from .launcher import add_process
+from .launcher import check_running
 from .launcher import get_status
 from .launcher import start_process
 from .launcher import take_port
@@ -154,6 +155,7 @@
     lookup = f"{base}/v1/services/{SERVICE}/orders/none"
 
     def answers() -> bool:
+        check_running(deployment)
         chat = f"{base}/v1/chat/completions"
         return (
             get_status(chat, key=CALLER_KEY, body=body) == 200
