Give relays and engines processes of their own in the run under faults

Cause: relays shared one process with three engines; on a busy machine what they passed on came late, and entries lost their links without a fault of theirs.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -61,7 +61,9 @@
 
 def run(folder: Path, seconds: float, seed: int, rate: float) -> int:
     """Run once and print the figures; return the number of wrong requests."""
-    system = make_faulty(folder, entries=3, engines=3, relayed=ENTRIES, interval=0.005)
+    system = make_faulty(
+        folder, entries=3, engines=3, relayed=ENTRIES, interval=0.005, apart=True
+    )
     try:
         start_system(system)
         schedule = Schedule(
--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -36,6 +36,7 @@
 
 CONTROLS = 3
 WORLD = "world"
+RELAYS = "world-relays"
 
 
 def make_faulty(
@@ -46,11 +47,13 @@
     relayed: tuple[str, ...],
     interval: float = 0.01,
     delay: float = 0.0,
+    apart: bool = False,
 ) -> Deployment:
     """Return a noted deployment whose ``relayed`` entries reach control by relays.
 
     ``interval`` is the engines' seconds for one token, ``delay`` the service's from
-    a run to its answer.
+    a run to its answer. ``apart`` gives the relays and each engine a process of their
+    own: under load, relays that share one with engines hold up what they pass on.
     """
     deployment = open_deployment(folder)
     add_controls(deployment, CONTROLS)
@@ -60,25 +63,24 @@
 
     nodes = name_nodes("entry", entries)
     names = name_nodes("engine", engines)
-    settings = {
-        "port": take_port(deployment, WORLD),
-        "engines": {
-            name: {
-                "versions": VERSIONS,
-                "token_interval": interval,
-                "port": take_port(deployment, f"{name}.http"),
-                "announce": _announce(deployment, name, place, nodes),
-            }
-            for place, name in enumerate(names)
-        },
-        "relays": {
-            f"{entry}.{control}": {
-                "target": f"{HOST}:{deployment.ports[f'{control}.links']}",
-                "port": take_port(deployment, f"{entry}.{control}"),
-            }
-            for entry in relayed
-            for control in name_nodes("control", CONTROLS)
-        },
+    built = {
+        name: {
+            "versions": VERSIONS,
+            "token_interval": interval,
+            "port": take_port(deployment, f"{name}.http"),
+            "announce": _announce(deployment, name, place, nodes),
+        }
+        for place, name in enumerate(names)
+    }
+    relays = {
+        f"{entry}.{control}": {
+            "target": f"{HOST}:{deployment.ports[f'{control}.links']}",
+            "port": take_port(deployment, f"{entry}.{control}"),
+        }
+        for entry in relayed
+        for control in name_nodes("control", CONTROLS)
+    }
+    others = {
         "service": {
             "service": SERVICE,
             "port": take_port(deployment, "service-1.http"),
@@ -92,11 +94,24 @@
             "interval": 0.1,
         },
     }
-    path = write_settings(deployment, WORLD, settings)
-    add_process(deployment, WORLD, ["scripts.world", "--settings", str(path)])
+    if not apart:
+        _add_world(deployment, WORLD, {"engines": built, "relays": relays, **others})
+        return deployment
+
+    _add_world(deployment, WORLD, others)
+    _add_world(deployment, RELAYS, {"relays": relays})
+    for name, engine in built.items():
+        _add_world(deployment, f"{WORLD}-{name}", {"engines": {name: engine}})
+
     return deployment
 
 
+def _add_world(deployment: Deployment, name: str, parts: dict[str, Any]) -> None:
+    settings = {"port": take_port(deployment, name), **parts}
+    path = write_settings(deployment, name, settings)
+    add_process(deployment, name, ["scripts.world", "--settings", str(path)])
+
+
 def revise_settings(deployment: Deployment, name: str, **fields: Any) -> None:
     """Change some fields of a noted process's settings file."""
     path = deployment.folder / f"{name}.json"
@@ -106,7 +121,8 @@
 
 def set_faults(deployment: Deployment, place: str, **faults: Any) -> None:
     """Set the faults of ``engines/<name>``, ``relays/<name>`` or ``service``."""
-    ask_world(deployment, place, faults)
+    apart = place.startswith("relays/") and RELAYS in deployment.processes
+    ask_world(deployment, place, faults, world=RELAYS if apart else WORLD)
 
 
 def set_relays(deployment: Deployment, entry: str, **order: Any) -> None:
@@ -117,15 +133,27 @@
 
 def read_counts(deployment: Deployment) -> dict[str, dict[str, int]]:
     """Return runs: ``chats`` and ``calls`` by request id, ``orders`` by their id."""
-    counts: dict[str, dict[str, int]] = ask_world(deployment, "counts", None)
-    return counts
+    total: dict[str, dict[str, int]] = {"chats": {}, "calls": {}, "orders": {}}
+    for world in deployment.processes:
+        if not world.startswith(WORLD):
+            continue
 
+        counts = ask_world(deployment, "counts", None, world=world)
+        for kind, runs in total.items():
+            for name, number in counts[kind].items():
+                runs[name] = runs.get(name, 0) + number
 
-def ask_world(deployment: Deployment, path: str, body: Any) -> Any:
-    """Call the world's control port."""
-    port = deployment.ports[WORLD]
+    return total
+
+
+def ask_world(
+    deployment: Deployment, path: str, body: Any, *, world: str = WORLD
+) -> Any:
+    """Call a world's control port."""
     data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{HOST}:{port}/{path}", data=data)
+    request = urllib.request.Request(
+        f"http://{HOST}:{deployment.ports[world]}/{path}", data=data
+    )
     with urllib.request.urlopen(request, timeout=10) as answer:
         return json.load(answer)
 
