--- a/src/waxwingwell/adapters/entry/context.py
+++ b/src/waxwingwell/adapters/entry/context.py
@@ -13,6 +13,7 @@
 from ...decisions.tables import Tables
 from ...records import VersionId
 from ...records import WorkspaceId
+from ...state.fencing import FencingMemory
 from ...state.leases import ConfigLease
 from ..settings import EntrySettings
 from ..telemetry import Metrics
@@ -43,6 +44,7 @@
     traces: Traces
     tables: Tables = field(default_factory=Tables)
     keys: CallerKeys = field(default_factory=CallerKeys)
+    fencing: FencingMemory = field(default_factory=FencingMemory)
     budget: RetryBudget = field(default_factory=RetryBudget)
     pins: OrderedDict[tuple[WorkspaceId, str], VersionId] = field(
         default_factory=OrderedDict
@@ -52,6 +54,8 @@
     """Requests that must end before a planned stop."""
     unsettled: int = 0
     """Rows whose settling is still being tried."""
+    unrated: int = 0
+    """Answers whose rating was asked for in the background."""
 
 
 def remember_pin(
