--- a/src/waxwingwell/decisions/load.py
+++ b/src/waxwingwell/decisions/load.py
@@ -27,10 +27,7 @@
 """Time of one call of a plain service where nothing was reported."""
 OTHERS_WEIGHT = 0.25
 """Trust in others doing as this entry did since the report; see the design note."""
-PRESSED_WEIGHT = 0.5
-"""The same while work waits at this entry."""
-MAX_OTHERS = 15.0
-"""Demand elsewhere, as a multiple of the own, that is reckoned with at most."""
+MAX_SCALE = 16.0
 KEPT_TIMES = 512
 """Dispatch and finish times kept for one upstream."""
 
@@ -45,12 +42,7 @@
 
 
 def estimate_scale(tables: Tables) -> float:
-    """Return by how much an own dispatch or finish changes an upstream's load.
-
-    It is 1 for itself and a part of what the demand elsewhere makes likely. Where work
-    waits here it waits at the other entries too, and all of them fill the same free
-    places as soon as a report shows them; so more is counted then.
-    """
+    """Return the demand of all entries over the demand at this one, at least 1."""
     here = 0.0
     elsewhere = 0.0
     for demand in tables.demand.values():
@@ -60,9 +52,7 @@
     if elsewhere <= 0.0:
         return 1.0
 
-    others = min(elsewhere / max(here, 0.001), MAX_OTHERS)
-    weight = PRESSED_WEIGHT if tables.waiting else OTHERS_WEIGHT
-    return 1.0 + others * weight
+    return min(1.0 + elsewhere / max(here, 0.001), MAX_SCALE)
 
 
 def estimate_outstanding(row: UpstreamRow, scale: float) -> float:
@@ -73,7 +63,8 @@
 
     since = row.heard_at
     change = count_since(row.dispatched, since) - count_since(row.finished, since)
-    held = max(report.running + report.queued + change * scale, float(row.in_flight))
+    scaled = change * (1.0 + (scale - 1.0) * OTHERS_WEIGHT)
+    held = max(report.running + report.queued + scaled, float(row.in_flight))
     return held + row.claimed
 
 
