--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -15,6 +15,8 @@
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
+from ...invariants import Promise
+from ...invariants import check
 from ...records import EntryId
 from ...state.leases import ConfigLease
 from ..bodies import Body
@@ -37,12 +39,15 @@
 from .sites import close_connections
 from .sites import make_site
 from .upkeep import EVIDENCE_EVERY
+from .upkeep import QUEUE_TICK
 from .upkeep import SPREAD_EVERY
-from .upkeep import TICK
+from .upkeep import TABLES_TICK
 from .upkeep import Upkeep
 from .upkeep import flush_evidence
+from .upkeep import forget_told
 from .upkeep import renew_on
-from .upkeep import run_tick
+from .upkeep import run_queue_tick
+from .upkeep import run_tables_tick
 from .upkeep import spread_news
 from .upkeep import stop_upkeep
 from .upkeep import take_news
@@ -148,9 +153,12 @@
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
     await _close_connections(daemon, deadline)
-    if context.running:
-        logger.error("entry: {} requests were cut by the limit.", context.running)
-
+    left = len(daemon.caller_port.factory.transports)
+    check(
+        Promise.STOP_CUTS_NOTHING,
+        context.running + left == 0,
+        lambda: f"{context.running} requests, {left} answers cut by the limit",
+    )
     await flush_evidence(context, daemon.upkeep)
     await close_entry(daemon)
 
@@ -168,9 +176,6 @@
     while site.transports and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
-    if site.transports:
-        logger.error("entry: {} answers were cut by the limit.", len(site.transports))
-
 
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
@@ -228,15 +233,16 @@
         )
 
     for peer in context.settings.entries:
-        daemon.upkeep.entries[peer.node] = open_link(
-            daemon.node, peer.node, make_connector(context.reactor, peer)
-        )
+        link = open_link(daemon.node, peer.node, make_connector(context.reactor, peer))
+        link.on_up = partial(forget_told, daemon.upkeep, peer.node)
+        daemon.upkeep.entries[peer.node] = link
 
 
 def _start_loops(daemon: EntryDaemon) -> None:
     context, upkeep = daemon.context, daemon.upkeep
     renew_on(context, upkeep)
-    _start_loop(daemon, TICK, partial(run_tick, context, daemon.placements, upkeep))
+    _start_loop(daemon, QUEUE_TICK, partial(run_queue_tick, context, daemon.placements))
+    _start_loop(daemon, TABLES_TICK, partial(run_tables_tick, context, upkeep))
     _start_loop(daemon, SPREAD_EVERY, partial(spread_news, context, upkeep))
 
     def flush() -> Deferred[None]:
--- a/tests/system/support.py
+++ b/tests/system/support.py
@@ -20,6 +20,7 @@
 from scripts.faults import find_leader
 from scripts.faults import is_alive
 from scripts.faults import make_faulty
+from scripts.faults import read_log
 from scripts.faults import set_faults
 from scripts.faults import set_relays
 from scripts.faults import thaw
@@ -106,8 +107,16 @@
         self.system = get_deployment()
         self.pool = ThreadPoolExecutor(max_workers=16)
         self.addCleanup(self.pool.shutdown)
+        self.addCleanup(self.check_invariants)
         self.addCleanup(heal, self.system)
 
+    def check_invariants(self) -> None:
+        """Fail if any process found a promise broken, or stopped by a fault."""
+        for name in self.system.processes:
+            log = read_log(self.system, name)
+            self.assertNotIn("invariants: ", log, name)
+            self.assertNotIn("Stopped by a fault", log, name)
+
     def begin(
         self, work: Callable[..., Reply], *args: Any, **named: Any
     ) -> Future[Any]:
