--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -39,6 +39,7 @@
 
 if TYPE_CHECKING:
     from ...messages import Command
+    from ...state.leases import EntryLeases
     from .context import ControlContext
 
 
@@ -92,13 +93,29 @@
 def ask_in_force(context: ControlContext, config_version: int) -> InForce | NotLeader:
     """Tell whether a committed configuration is in force at every entry."""
     now = context.clock()
-    if not leads(context.group, now) or context.leases is None:
+    leases = get_leases(context, now)
+    if leases is None:
         return NotLeader(leader=leader_of(context.group))
 
     if config_version > context.holder.state.config.config_version:
         return InForce(in_force=False)
 
-    return is_in_force(context.leases, config_version, now)
+    return is_in_force(leases, config_version, now)
+
+
+def get_leases(context: ControlContext, now: float) -> EntryLeases | None:
+    """Return the leases of this process's present term, or None unless it leads.
+
+    Failure guarded against: leadership is lost and won again between two ticks; the
+    table of the earlier term would claim to know all leases too soon.
+    """
+    if not leads(context.group, now):
+        return None
+
+    if context.leases_term != term_of(context.group):
+        return None
+
+    return context.leases
 
 
 def request_flush(context: ControlContext) -> None:
@@ -124,11 +141,12 @@
     """
     snapshot = make_snapshot(context.holder.state)
     now = context.clock()
-    if not leads(context.group, now) or context.leases is None:
+    leases = get_leases(context, now)
+    if leases is None:
         return NotLeader(leader=leader_of(context.group))
 
     answer = renew_lease(
-        context.leases,
+        leases,
         message,
         snapshot=snapshot,
         now=now,
--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -162,15 +162,32 @@
         row=row,
     )
     try:
-        await submit_command(context.control, command, limit=SETTLE_LIMIT)
+        outcome = await submit_command(context.control, command, limit=SETTLE_LIMIT)
     except ControlUnavailableError:
         logger.warning("ledger: Settling {} goes on in the background.", request)
         Deferred.fromCoroutine(_settle_on(context, command))
         return False
 
+    if isinstance(outcome, Rejected):
+        _report_refused(command, outcome)
+
     return True
 
 
+def _report_refused(command: Settle, refused: Rejected) -> None:
+    """Log a refused settle; ``Problem`` if the answer would go out without a row."""
+    text = "; ".join(f"{item.place}: {item.message}" for item in refused.findings)
+    logger.error("ledger: {} was not settled: {}.", command.request, text)
+    if command.row is not None:
+        raise Problem(
+            status=503,
+            code="not_recorded",
+            message=f"the answer could not be recorded: {text}",
+            outcome=OutcomeKind.FAILED,
+            retry_after=RETRY_AFTER_CONTROL,
+        )
+
+
 def _close_unheard(context: EntryContext, row: LedgerRow, outcome: OutcomeKind) -> None:
     """Close a row that may have been recorded, beside the answer to its caller."""
     command = Settle(
--- a/src/waxwingwell/commands/serve.py
+++ b/src/waxwingwell/commands/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -31,6 +32,7 @@
     from ..adapters.settings import Telemetry
 
 
+COLLECTOR_THRESHOLDS = (10_000, 50, 100)
 EXIT_FAULT = 1
 EXIT_BAD_INPUT = 2
 AnySettings = EntrySettings | ControlSettings | EmbeddedSettings
@@ -105,6 +107,7 @@
         started.addCallback(lambda _: stop() if code[0] else None)
 
     _catch_signals(reactor, stop)
+    _calm_collector()
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
     return code[0]
@@ -134,6 +137,18 @@
         await item.stop()
 
 
+def _calm_collector() -> None:
+    """Keep the garbage collector from looking through long-lived tables often.
+
+    A full collection took 0.16 s at 100,000 ledger rows, which shows as a pause of
+    every stream and eats into the leader's lease. What is loaded at the start never
+    becomes garbage; what requests leave behind is young.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def _catch_signals(reactor: Any, stop: Callable[[], None]) -> None:
     import signal
 
