Pass over versions that no live upstream holds

The check at dispatch stood twice. Change: new work prefers versions that the index of holders names; a candidate that is not held gets no sessions; the entry uses the decisions' own check at dispatch.

--- a/src/waxwingwell/adapters/entry/checks.py
+++ b/src/waxwingwell/adapters/entry/checks.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...decisions.eligibility import check_dispatch as find_refusal
 from ...invariants import Promise
 from ...invariants import check
 from ...records import OutcomeKind
@@ -13,6 +14,7 @@
 from ...records import WorkspaceId
 from ...state.leases import may_admit
 from .replies import Problem
+from .replies import make_problem
 
 
 if TYPE_CHECKING:
@@ -58,20 +60,9 @@
     here too: its lease has run out.
     """
     check_lease(context)
-    config = get_config(context, work.workspace)
-    if version not in config.allowed:
-        raise Problem(
-            status=403,
-            code="model_not_allowed",
-            message=f"{version} is not allowed in this workspace any more",
-        )
-
-    if not _takes_work(context, version, pinned=work.pinned == version):
-        raise Problem(
-            status=410,
-            code="version_withdrawn",
-            message=f"{version} has been withdrawn",
-        )
+    refusal = find_refusal(context.tables, work, version)
+    if refusal is not None:
+        raise make_problem(refusal)
 
 
 def assert_dispatch(context: EntryContext, work: Work, version: VersionId) -> None:
--- a/src/waxwingwell/decisions/eligibility.py
+++ b/src/waxwingwell/decisions/eligibility.py
@@ -98,11 +98,31 @@
         spec for spec in specs if get_standing(tables, spec) is VersionStatus.ACTIVE
     )
     if opened:
-        return opened
+        return _prefer_held(tables, opened)
 
     return _refuse_closed(tables, work, specs)
 
 
+def is_held(tables: Tables, version: VersionId) -> bool:
+    """Tell whether a live upstream holds a version, as far as the index knows.
+
+    Without an index every version counts as held.
+    """
+    return not tables.holders or bool(tables.holders.get(version))
+
+
+def _prefer_held(
+    tables: Tables, opened: tuple[VersionSpec, ...]
+) -> tuple[VersionSpec, ...]:
+    """Return the versions that some upstream holds, or all if none is held.
+
+    Failure: the best version was registered and no engine has loaded it yet, or its
+    engines are gone. Every request would be refused, while others stand ready.
+    """
+    held = tuple(spec for spec in opened if is_held(tables, spec.version))
+    return held or opened
+
+
 def refuse_withdrawn(version: str) -> Refusal:
     """Return the refusal for work bound to a withdrawn version."""
     return Refusal("version_withdrawn", f"version {version} is withdrawn", 410)
--- a/src/waxwingwell/decisions/offers.py
+++ b/src/waxwingwell/decisions/offers.py
@@ -11,6 +11,7 @@
 from ..records import VersionStatus
 from .eligibility import get_exposure
 from .eligibility import get_standing
+from .eligibility import is_held
 from .evidence import count_outstanding
 
 
@@ -44,6 +45,10 @@
     if get_standing(tables, candidate) is not VersionStatus.CANDIDATE:
         return False
 
+    # Its sessions would be pinned to a version that no engine has loaded yet.
+    if not is_held(tables, rollout.candidate):
+        return False
+
     if place_session(rollout, work) >= get_share(rollout, config):
         return False
 
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -27,6 +27,7 @@
 from waxwingwell.records import Evidence
 from waxwingwell.records import RolloutPace
 from waxwingwell.records import RolloutStatus
+from waxwingwell.records import UpstreamId
 from waxwingwell.records import VersionId
 from waxwingwell.records import VersionStatus
 from waxwingwell.records import Weighing
@@ -99,6 +100,27 @@
         assert isinstance(found, Refusal)
         self.assertEqual(found.code, "no_version_open")
 
+    def test_versions_without_an_upstream_are_passed_by(self) -> None:
+        # The engines of the cheap version restart all at once. Its requests would be
+        # refused for minutes, while the strong version stands ready.
+        tables = make_tables(make_rollout(stage=4))
+        for held, expected in (
+            ({STRONG}, {STRONG}),
+            ({CHEAP}, {CHEAP}),
+            ({CHEAP, STRONG}, {CHEAP, STRONG}),
+            ({CHEAP, CANDIDATE}, {CHEAP, CANDIDATE}),
+        ):
+            with self.subTest(held=held):
+                tables.holders = {name: [UpstreamId("e")] for name in held}
+                chosen: set[VersionId] = set()
+                for number in range(200):
+                    work = make_work(session=f"s{number}")
+                    choice = choose_version(tables, work, now=1.0, draw=number / 200)
+                    assert isinstance(choice, VersionChoice)
+                    chosen.update(choice.plan)
+
+                self.assertLessEqual(chosen, expected)
+
     def test_dispatch_looks_again(self) -> None:
         tables = make_many()
         cases = (
