--- a/tests/state/consensus/randomised.py
+++ b/tests/state/consensus/randomised.py
@@ -32,6 +32,7 @@
 from tests.state.consensus.fakes import run_for
 from tests.state.consensus.fakes import run_until
 from tests.state.consensus.fakes import start_node
+from tests.state.consensus.fakes import step
 from tests.state.consensus.properties import Record
 from tests.state.consensus.properties import check_logs
 from tests.state.consensus.properties import watch_message
@@ -163,6 +164,49 @@
 
         self.check()
 
+    @rule(kind=st.sampled_from(("quiet", "restart", "late", "transfer")))
+    def unseat(self, kind: str) -> None:
+        """Let another be elected while the leader's lease may still hold.
+
+        One member hears the leader no more and stands; then the leader can reach
+        nobody. Besides: the others restart, answers are late, or it handed over.
+        """
+        world = self.world()
+        mend(world)
+        run_for(world, 2.0)
+        for leader in lease_holders(world):
+            others = [name for name in world.names if name != leader]
+            world.random.shuffle(others)
+            self.begin_unseating(kind, leader, others)
+            world.cut.update((leader, name) for name in others)
+            if kind != "late":
+                partition(world, (leader,), tuple(others))
+
+            if kind == "restart":
+                restart_all(world, others[1:])
+
+            run_for(world, 1.0)
+
+        mend(world)
+        self.check()
+
+    def begin_unseating(self, kind: str, leader: str, others: list[str]) -> None:
+        """Cut the leader's messages to one member, or hand over to it."""
+        world = self.world()
+        if kind == "late":
+            world.far[leader] = 0.3
+            run_for(world, 1.0)
+
+        if kind == "transfer":
+            now = clock(world, world.nodes[leader])
+            transfer_leadership(group_of(world, leader), others[0], now)
+            step(world, world.random.uniform(0.0, STEP))
+            step(world, world.delay[1])
+            return
+
+        world.cut.add((leader, others[0]))
+        run_for(world, world.random.uniform(0.2, 0.7))
+
     @rule()
     def mend_all(self) -> None:
         """End all faults for a while, so that the next ones find a working group."""
@@ -305,6 +349,7 @@
 def mend(cluster: Cluster) -> None:
     """End every fault."""
     heal(cluster)
+    cluster.far.clear()
     cluster.loss = cluster.doubling = 0.0
     cluster.delay = (0.001, 0.005)
     for node in cluster.nodes.values():
@@ -320,6 +365,13 @@
     return node.group is not None and node.group.replica.role is Role.LEADER
 
 
+def restart_all(cluster: Cluster, names: list[str]) -> None:
+    """Restart members, which forget what they had only in memory."""
+    for name in names:
+        crash(cluster, name)
+        start_node(cluster, name)
+
+
 def in_step(cluster: Cluster) -> bool:
     """Return whether all members have applied the same commands."""
     states = [commands(cluster, name) for name in cluster.names]
