--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,8 +1,9 @@
 """The whole system under a seeded schedule of faults; every request is checked.
 
-``python -m bench.faults SECONDS SEED RATE`` runs 3 controls, 3 entries, 3 engines and
-a service as processes on loopback, bounded by its seconds. Runs stay below 110 s, so
-that every billing row is still held when it is compared.
+``python -m bench.faults SECONDS SEED RATE [FOLDER]`` runs 3 controls, 3 entries, 3
+engines and a service as processes on loopback, bounded by its seconds. Runs stay below
+110 s, so that every billing row is still held when it is compared. A folder keeps the
+logs.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
 from .fault_checks import check_bills
 from .fault_checks import check_calls
 from .fault_checks import read_state
+from .fault_schedule import Fault
 from .fault_schedule import Schedule
 from .fault_schedule import get_leader
 from .fault_schedule import list_controls
@@ -51,13 +53,17 @@
 LONGEST = 110.0
 LONGEST_LEASE = 5.0
 """Seconds after a leader's fault in which its leases may still hold."""
+LONGEST_BEFORE = 1.0
+"""Seconds before a fault: what began earlier waits for something else."""
 AFFECTED = 2.0
 """Seconds after a leader's fault within which new requests may meet it."""
 
 
 def run(folder: Path, seconds: float, seed: int, rate: float) -> int:
     """Run once and print the figures; return the number of wrong requests."""
-    system = make_faulty(folder, entries=3, engines=3, relayed=ENTRIES, interval=0.005)
+    system = make_faulty(
+        folder, entries=3, engines=3, relayed=ENTRIES, interval=0.005, apart=True
+    )
     try:
         start_system(system)
         schedule = Schedule(
@@ -145,6 +151,10 @@
         print("WRONG", text)
 
     print("ends:", dict(sorted(findings.ends.items())))
+    for fault in schedule.faults:
+        began = fault.began - calls[0].attempts[0].began
+        print(f"at {began:.2f} s, {datetime_of(fault)}: {fault.name}, {fault.target}")
+
     names = [fault.name for fault in schedule.faults]
     print("faults:", {name: names.count(name) for name in sorted(set(names))})
     for name in ("kill leader", "freeze leader"):
@@ -154,6 +164,12 @@
     print(f"changes {len(schedule.changes)}, rivals refused {schedule.conflicts}")
 
 
+def datetime_of(fault: Fault) -> str:
+    """Return a fault's beginning on the wall clock, as the logs have it."""
+    at = time.time() - time.monotonic() + fault.began
+    return time.strftime("%H:%M:%S", time.localtime(at)) + f"{at % 1:.2f}"[1:]
+
+
 def show_changes(schedule: Schedule) -> None:
     """Print times from accepted to in force, by what happened meanwhile.
 
@@ -189,16 +205,29 @@
             continue
 
         met = [
-            call.attempts[-1].ended - call.attempts[0].began
+            (call.attempts[-1].ended - call.attempts[0].began, call)
             for call in calls
-            if call.attempts[0].began < fault.began + AFFECTED
+            if fault.began - LONGEST_BEFORE < call.attempts[0].began
+            and call.attempts[0].began < fault.began + AFFECTED
             and call.attempts[-1].ended > fault.began
         ]
-        waits.append(max(met, default=0.0))
+        longest, call = max(met, key=lambda item: item[0])
+        waits.append(longest)
+        print(f"{name} of {fault.target}: {longest:.2f} s, {describe(call, fault)}")
 
     return waits
 
 
+def describe(call: Call, fault: Fault) -> str:
+    """Return a call's tries, with times from the fault's beginning."""
+    tries = [
+        f"{item.entry} {item.began - fault.began:.2f} to "
+        f"{item.ended - fault.began:.2f} s: {item.status} {item.code}"
+        for item in call.attempts
+    ]
+    return f"{call.name}: " + "; ".join(tries)
+
+
 def show(text: str, values: list[float]) -> None:
     """Print p50 and maximum of some seconds."""
     if not values:
@@ -218,6 +247,9 @@
         print(f"at most {LONGEST:.0f} s: later rows would be gone at the check")
         return 2
 
+    if len(sys.argv) > 4:
+        return min(1, run(Path(sys.argv[4]), seconds, int(seed), rate))
+
     with tempfile.TemporaryDirectory() as folder:
         return min(1, run(Path(folder), seconds, int(seed), rate))
 
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -12,17 +12,11 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import maybeDeferred
-from twisted.internet.defer import succeed
 from twisted.internet.task import LoopingCall
 from twisted.internet.task import deferLater
 
-from ...messages import AskUpstreams
-from ...messages import Drain
-from ...messages import Draining
-from ...messages import Failed
-from ...messages import KnownUpstream
-from ...messages import KnownUpstreams
-from ...messages import Message
+from ...invariants import Promise
+from ...invariants import check
 from ...records import EntryId
 from ...state.leases import ConfigLease
 from ..bodies import Body
@@ -39,16 +33,21 @@
 from ..telemetry import open_traces
 from .announcements import make_upstream_app
 from .context import EntryContext
+from .control_calls import answer_call
 from .control_client import ControlClient
 from .placement import Placements
+from .sites import close_connections
 from .sites import make_site
 from .upkeep import EVIDENCE_EVERY
+from .upkeep import QUEUE_TICK
 from .upkeep import SPREAD_EVERY
-from .upkeep import TICK
+from .upkeep import TABLES_TICK
 from .upkeep import Upkeep
 from .upkeep import flush_evidence
+from .upkeep import forget_told
 from .upkeep import renew_on
-from .upkeep import run_tick
+from .upkeep import run_queue_tick
+from .upkeep import run_tables_tick
 from .upkeep import spread_news
 from .upkeep import stop_upkeep
 from .upkeep import take_news
@@ -59,6 +58,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...messages import Message
     from ..settings import EntrySettings
 
 
@@ -152,9 +152,13 @@
     while is_busy(context) and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
-    if context.running:
-        logger.error("entry: {} requests were cut by the limit.", context.running)
-
+    await _close_connections(daemon, deadline)
+    left = len(daemon.caller_port.factory.transports)
+    check(
+        Promise.STOP_CUTS_NOTHING,
+        context.running + left == 0,
+        lambda: f"{context.running} requests, {left} answers cut by the limit",
+    )
     await flush_evidence(context, daemon.upkeep)
     await close_entry(daemon)
 
@@ -164,6 +168,15 @@
     return context.running + context.unsettled + context.unrated > 0
 
 
+async def _close_connections(daemon: EntryDaemon, deadline: float) -> None:
+    """Close the callers' connections once their callers have read what came."""
+    context = daemon.context
+    site = daemon.caller_port.factory
+    close_connections(site)
+    while site.transports and context.clock() < deadline:
+        await deferLater(context.reactor, DRAIN_POLL, lambda: None)
+
+
 async def close_entry(daemon: EntryDaemon) -> None:
     """Close everything at once."""
     stop_upkeep(daemon.upkeep)
@@ -199,7 +212,7 @@
     context: EntryContext, upkeep: Upkeep, stop: Callable[[], None]
 ) -> LinkNode:
     def take_call(sender: str, body: Any) -> Deferred[Message]:
-        return succeed(answer_call(context, sender, body, stop))
+        return answer_call(context, sender, body, stop)
 
     def take_cast(sender: str, body: Any) -> None:
         take_news(context, upkeep, body)
@@ -212,40 +225,6 @@
     )
 
 
-def answer_call(
-    context: EntryContext, sender: str, body: Any, stop: Callable[[], None]
-) -> Message:
-    """Answer a control process; ``stop`` begins the planned stop."""
-    if isinstance(body, AskUpstreams):
-        return list_upstreams(context)
-
-    if isinstance(body, Drain):
-        logger.info("entry: {} asks for a planned stop.", sender)
-        context.reactor.callLater(0, stop)
-        return Draining(running=context.running)
-
-    return Failed(reason=f"{type(body).__name__} from {sender}", may_have_run=False)
-
-
-def list_upstreams(context: EntryContext) -> KnownUpstreams:
-    """Return what this entry knows of the upstreams."""
-    now = context.clock()
-    return KnownUpstreams(
-        upstreams=tuple(
-            KnownUpstream(
-                announcement=row.announcement,
-                lease_left=row.expires_at - now,
-                left=row.left,
-                ejected=row.ejected_until > now,
-                in_flight=row.in_flight,
-            )
-            for row in context.tables.upstreams.values()
-        ),
-        running=context.running,
-        draining=context.draining,
-    )
-
-
 def _open_links(daemon: EntryDaemon) -> None:
     context = daemon.context
     for peer in context.settings.control:
@@ -254,15 +233,16 @@
         )
 
     for peer in context.settings.entries:
-        daemon.upkeep.entries[peer.node] = open_link(
-            daemon.node, peer.node, make_connector(context.reactor, peer)
-        )
+        link = open_link(daemon.node, peer.node, make_connector(context.reactor, peer))
+        link.on_up = partial(forget_told, daemon.upkeep, peer.node)
+        daemon.upkeep.entries[peer.node] = link
 
 
 def _start_loops(daemon: EntryDaemon) -> None:
     context, upkeep = daemon.context, daemon.upkeep
     renew_on(context, upkeep)
-    _start_loop(daemon, TICK, partial(run_tick, context, daemon.placements, upkeep))
+    _start_loop(daemon, QUEUE_TICK, partial(run_queue_tick, context, daemon.placements))
+    _start_loop(daemon, TABLES_TICK, partial(run_tables_tick, context, upkeep))
     _start_loop(daemon, SPREAD_EVERY, partial(spread_news, context, upkeep))
 
     def flush() -> Deferred[None]:
--- a/src/waxwingwell/adapters/entry/web.py
+++ b/src/waxwingwell/adapters/entry/web.py
@@ -31,6 +31,7 @@
 from .chats import ChatHeaders
 from .chats import make_request_id
 from .chats import read_chat
+from .checks import assert_outcome
 from .checks import check_lease
 from .checks import get_config
 from .choice import choose_work
@@ -51,7 +52,7 @@
 from .services import make_open_problem
 from .services import make_service_work
 from .services import replay_row
-from .streaming import StreamRun
+from .stream_runs import StreamRun
 from .streaming import answer_stream
 from .streams import EventStream
 from .whole import answer_whole
@@ -215,8 +216,12 @@
     )
     try:
         return await run()
+    except Problem as problem:
+        assert_outcome(context, work.request, problem)
+        raise
     finally:
         context.running -= 1
+        context.ran.discard(work.request)
         release(context.tables, work, context.clock())
         context.metrics.time("request", context.clock() - now)
 
@@ -254,6 +259,7 @@
         sink=sink,
         span=span,
         version=chosen.choice.plan[0],
+        name_request=lambda name: request.setHeader("x-request-id", name),
     )
     request.setHeader("content-type", "text/event-stream")
     request.setHeader("cache-control", "no-store")
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -10,11 +10,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from waxwingwell.decisions.accounts import get_account
 from waxwingwell.decisions.eligibility import check_dispatch
 from waxwingwell.decisions.evidence import count_outstanding
-from waxwingwell.decisions.evidence import get_account
 from waxwingwell.decisions.evidence import note_rating
 from waxwingwell.decisions.evidence import note_sent
+from waxwingwell.decisions.exploration import get_explore_limit
 from waxwingwell.decisions.offers import get_share
 from waxwingwell.decisions.offers import place_session
 from waxwingwell.decisions.tables import Refusal
@@ -22,7 +23,6 @@
 from waxwingwell.decisions.tables import Work
 from waxwingwell.decisions.versions import VersionChoice
 from waxwingwell.decisions.versions import choose_version
-from waxwingwell.decisions.versions import get_explore_limit
 from waxwingwell.decisions.versions import should_pin
 from waxwingwell.records import Evidence
 from waxwingwell.records import RolloutPace
@@ -197,6 +197,22 @@
 
 
 class TestCandidate(unittest.TestCase):
+    def test_ratings_after_a_withdrawal(self) -> None:
+        """A withdrawn version would come back to callers on late praise.
+
+        The candidate is rolled back and withdrawn while ratings of its answers are
+        under way; they arrive, all good, after the withdrawal.
+        """
+        rollout = replace(make_rollout(stage=4), status=RolloutStatus.ROLLED_BACK)
+        tables = make_tables(rollout)
+        spec = tables.versions[CANDIDATE]
+        tables.versions[CANDIDATE] = replace(spec, status=VersionStatus.WITHDRAWN)
+        feed(tables, CHEAP, POOR, 1.0)
+        feed(tables, CANDIDATE, (1.0,) * 50, 2.0)
+        for number in range(50):
+            work = make_work(REPORT, request=str(number))
+            self.assertNotIn(CANDIDATE, choose(tables, work, draw=number / 50).plan)
+
     def test_share_of_new_sessions(self) -> None:
         for stage, least, most in ((0, 2, 30), (2, 150, 260), (4, 1000, 1000)):
             with self.subTest(stage=stage):
