--- a/src/waxwingwell/decisions/prefixes.py
+++ b/src/waxwingwell/decisions/prefixes.py
@@ -41,6 +41,9 @@
 ) -> float:
     """Return the prompt tokens that the upstream is expected not to read again."""
     known = row.prefixes
+    if not is_home and known.keys().isdisjoint(work.prefixes):
+        return 0.0
+
     expected = 0.0
     missing = 1.0
     for digest, tokens in zip(work.prefixes, work.prefix_tokens, strict=False):
