--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -12,11 +12,14 @@
 from ...messages import AskInForce
 from ...messages import Failed
 from ...messages import InForce
+from ...messages import LeaseBehind
+from ...messages import LeaseGranted
 from ...messages import Message
 from ...messages import NotLeader
 from ...messages import Outcome
 from ...messages import RenewLease
 from ...messages import Submit
+from ...state.catalogue import make_delta
 from ...state.consensus.messages import ConsensusMessage
 from ...state.evidence import list_evidence
 from ...state.group import Committed
@@ -36,6 +39,7 @@
 
 if TYPE_CHECKING:
     from ...messages import Command
+    from ...state.leases import EntryLeases
     from .context import ControlContext
 
 
@@ -89,13 +93,29 @@
 def ask_in_force(context: ControlContext, config_version: int) -> InForce | NotLeader:
     """Tell whether a committed configuration is in force at every entry."""
     now = context.clock()
-    if not leads(context.group, now) or context.leases is None:
+    leases = get_leases(context, now)
+    if leases is None:
         return NotLeader(leader=leader_of(context.group))
 
     if config_version > context.holder.state.config.config_version:
         return InForce(in_force=False)
 
-    return is_in_force(context.leases, config_version, now)
+    return is_in_force(leases, config_version, now)
+
+
+def get_leases(context: ControlContext, now: float) -> EntryLeases | None:
+    """Return the leases of this process's present term, or None unless it leads.
+
+    Failure guarded against: leadership is lost and won again between two ticks; the
+    table of the earlier term would claim to know all leases too soon.
+    """
+    if not leads(context.group, now):
+        return None
+
+    if context.leases_term != term_of(context.group):
+        return None
+
+    return context.leases
 
 
 def request_flush(context: ControlContext) -> None:
@@ -121,14 +141,20 @@
     """
     snapshot = make_snapshot(context.holder.state)
     now = context.clock()
-    if not leads(context.group, now) or context.leases is None:
+    leases = get_leases(context, now)
+    if leases is None:
         return NotLeader(leader=leader_of(context.group))
 
-    return renew_lease(
-        context.leases,
+    answer = renew_lease(
+        leases,
         message,
         snapshot=snapshot,
         now=now,
         evidence=list_evidence(context.holder.state.evidence),
         term=term_of(context.group),
     )
+    if isinstance(answer, LeaseGranted):
+        return answer
+
+    config = context.holder.state.config
+    return LeaseBehind(snapshot=make_delta(config, message.config_version))
