Renew a lease again at once after a renewal that was not granted

Cause: an entry paused a second after each renewal, granted or not, while it still held its lease; an unanswered one takes a second itself. Two or three of them in a change of leader used the lease up, and work was refused though a leader was there again. Ruled out: a longer lease (it delays what comes in force). Change: the pause is a second only after a grant, 0.1 s otherwise.

--- a/src/waxwingwell/adapters/entry/upkeep.py
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -29,7 +29,6 @@
 from ...state.leases import begin_renewal
 from ...state.leases import check_taken
 from ...state.leases import finish_renewal
-from ...state.leases import may_admit
 from ...state.leases import take_snapshot
 from ...state.membership import expire_upstreams
 from ...state.membership import list_spread
@@ -44,13 +43,15 @@
 
 
 if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
     from .context import EntryContext
     from .placement import Placements
 
 
 RENEW_EVERY = 1.0
 RENEW_RETRY = 0.1
-"""Seconds until the next renewal while the entry has no lease."""
+"""Seconds until the next renewal after one that was not granted."""
 RENEW_LIMIT = 1.0
 EVIDENCE_EVERY = 1.0
 EVIDENCE_LIMIT = 2.0
@@ -79,16 +80,20 @@
 
 
 def renew_on(context: EntryContext, upkeep: Upkeep) -> None:
-    """Renew the configuration lease now, and again in due time."""
+    """Renew the configuration lease now, and again in due time.
+
+    Failure guarded against: renewals go unanswered while the leader changes. With the
+    usual pause after each, a lease runs out on two or three of them, and the entry
+    refuses work though a leader was there for most of that time.
+    """
     if upkeep.stopped:
         return
 
     done = Deferred.fromCoroutine(renew_once(context))
-    done.addErrback(lambda failure: logger.error("entry: Renewal: {}.", failure))
+    done.addErrback(_report_renewal)
 
-    def again(_: object) -> None:
-        held = may_admit(context.lease, context.clock())
-        pause = RENEW_EVERY if held else RENEW_RETRY
+    def again(granted: bool) -> None:
+        pause = RENEW_EVERY if granted else RENEW_RETRY
         if not upkeep.stopped:
             upkeep.renewal = context.reactor.callLater(pause, renew_on, context, upkeep)
 
@@ -102,8 +107,16 @@
         upkeep.renewal.cancel()
 
 
-async def renew_once(context: EntryContext) -> None:
-    """Ask for the lease, taking newer configuration first where there is any."""
+def _report_renewal(failure: Failure) -> bool:
+    logger.error("entry: Renewal: {}.", failure)
+    return False
+
+
+async def renew_once(context: EntryContext) -> bool:
+    """Ask for the lease, taking newer configuration first where there is any.
+
+    True if it was granted.
+    """
     for _ in range(2):
         renewal = begin_renewal(context.lease, context.clock())
         try:
@@ -112,19 +125,21 @@
             )
         except ControlUnavailableError:
             context.metrics.count("lease.unanswered", 1)
-            return
+            return False
 
         if isinstance(reply, LeaseGranted):
             finish_renewal(context.lease, renewal.number, reply, context.clock())
             raise_floor(context.fencing, reply.term)
             merge_sums(context.tables, reply.evidence, context.clock())
-            return
+            return True
 
         if not isinstance(reply, LeaseBehind):
-            return
+            return False
 
         if not apply_snapshot(context, reply.snapshot):
-            return
+            return False
+
+    return False
 
 
 def apply_snapshot(context: EntryContext, snapshot: ConfigSnapshot) -> bool:
