--- a/bench/control_plane.py
+++ b/bench/control_plane.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import os
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -53,6 +52,7 @@
 from waxwingwell.records import VersionId
 
 from .path import read_cpu
+from .path import read_rss
 
 
 reactor: Any = installed
@@ -114,12 +114,6 @@
     return Load(what, rate, used / SECONDS, read_rss(popen.pid))
 
 
-def read_rss(pid: int) -> float:
-    """Return a process's resident memory in MB."""
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 async def load_renewals(deployment: Deployment) -> list[Load]:
     """Renew leases at each rate and measure the leader."""
     link = await connect("bench", deployment.ports["control-1.links"])
