Serve and connect with TLS where the settings give it

Cause: Listener.tls was read and then ignored. Change: adapters/tls.py reads the files, makes the connections (TLS 1.2 or newer) and takes renewed files for new connections; both daemons use it for every listener and link. A link proves its name on both ends before any frame counts. links.tls without authority is a finding.

--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -36,6 +36,10 @@
 from ..links import close_link
 from ..links import open_link
 from ..telemetry import open_metrics
+from ..tls import listen
+from ..tls import make_connector
+from ..tls import open_tls
+from ..tls import read_peer_names
 from .admin import make_admin_site
 from .context import ControlContext
 from .context import StateHolder
@@ -52,7 +56,6 @@
     from ...messages import Message
     from ...state.consensus.messages import ConsensusMessage
     from ..settings import ControlSettings
-    from ..settings import Peer
 
 
 GROUP_ID = "control"
@@ -88,9 +91,10 @@
 def start_control(settings: ControlSettings, reactor: Any) -> ControlDaemon:
     """Open the data folder and begin to serve.
 
-    Errors: those of the store (a folder of another member, a corrupt file) and
-    ``CannotListenError``.
+    Errors: those of the store (a folder of another member, a corrupt file),
+    ``SettingsError`` for TLS files, and ``CannotListenError``.
     """
+    tls = open_tls(settings.node, {"links": settings.links, "admin": settings.admin})
     holder = StateHolder()
     settings.data_folder.mkdir(parents=True, exist_ok=True)
     links: dict[str, Any] = {}
@@ -123,18 +127,14 @@
         links=links,
     )
     node = make_node(context)
-    link_port = reactor.listenTCP(
-        settings.links.port, LinkFactory(node), interface=settings.links.host
-    )
+    link_port = listen(reactor, settings.links, LinkFactory(node), tls["links"])
     for member in settings.members:
         if member.node != settings.node:
             links[member.node] = open_link(
-                node, member.node, make_connector(reactor, member)
+                node, member.node, make_connector(reactor, member, tls["links"])
             )
 
-    admin_port = reactor.listenTCP(
-        settings.admin.port, make_admin_site(context), interface=settings.admin.host
-    )
+    admin_port = listen(reactor, settings.admin, make_admin_site(context), tls["admin"])
     loop = LoopingCall(run_tick, context)
     loop.start(TICK).addErrback(partial(_report_halt, reactor))
     logger.info(
@@ -164,17 +164,10 @@
         ),
         timing=LinkTiming(),
         accepted=context.accepted,
+        read_names=read_peer_names if context.settings.links.tls else None,
     )
 
 
-def make_connector(reactor: Any, peer: Peer) -> Any:
-    """Return a function that connects a factory to a peer."""
-    from twisted.internet.endpoints import TCP4ClientEndpoint
-
-    endpoint = TCP4ClientEndpoint(reactor, peer.host, peer.port)
-    return endpoint.connect
-
-
 async def stop_control(daemon: ControlDaemon) -> None:
     """Hand leadership over, then stop; no proposal under way is lost."""
     context = daemon.context
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -22,7 +22,6 @@
 from ..bodies import Body
 from ..clock import read_clock
 from ..clock import read_wall_clock
-from ..control.daemon import make_connector
 from ..links import LinkFactory
 from ..links import LinkHandlers
 from ..links import LinkNode
@@ -31,6 +30,11 @@
 from ..links import open_link
 from ..telemetry import open_metrics
 from ..telemetry import open_traces
+from ..tls import get_factory
+from ..tls import listen
+from ..tls import make_connector
+from ..tls import open_tls
+from ..tls import read_peer_names
 from .announcements import make_upstream_app
 from .context import EntryContext
 from .control_calls import answer_call
@@ -60,6 +64,8 @@
 
     from ...messages import Message
     from ..settings import EntrySettings
+    from ..settings import Listener
+    from ..tls import TlsSource
 
 
 DRAIN_POLL = 0.05
@@ -88,8 +94,17 @@
 ) -> EntryDaemon:
     """Open listeners and links; work is admitted once a lease is granted.
 
-    ``stop`` is called when control asks for a planned stop.
+    ``stop`` is called when control asks for a planned stop. Errors:
+    ``SettingsError`` for TLS files, and ``CannotListenError``.
     """
+    tls = open_tls(
+        settings.node,
+        {
+            "callers": settings.callers,
+            "upstreams": settings.upstreams,
+            "links": settings.links,
+        },
+    )
     incarnation = time.time_ns() // 1000
     context = EntryContext(
         settings=settings,
@@ -117,15 +132,18 @@
         upkeep=upkeep,
         placements=placements,
         caller_port=_listen(
-            context, settings.callers, make_caller_app(context, placements)
+            context,
+            settings.callers,
+            make_caller_app(context, placements),
+            tls["callers"],
         ),
-        upstream_port=_listen(context, settings.upstreams, make_upstream_app(context)),
-        link_port=reactor.listenTCP(
-            settings.links.port, LinkFactory(node), interface=settings.links.host
+        upstream_port=_listen(
+            context, settings.upstreams, make_upstream_app(context), tls["upstreams"]
         ),
+        link_port=listen(reactor, settings.links, LinkFactory(node), tls["links"]),
         loops=[],
     )
-    _open_links(daemon)
+    _open_links(daemon, tls["links"])
     _start_loops(daemon)
     logger.info(
         "entry: {} serves callers on {} and upstreams on {}.",
@@ -153,7 +171,7 @@
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
 
     await _close_connections(daemon, deadline)
-    left = len(daemon.caller_port.factory.transports)
+    left = len(get_factory(daemon.caller_port).transports)
     check(
         Promise.STOP_CUTS_NOTHING,
         context.running + left == 0,
@@ -171,7 +189,7 @@
 async def _close_connections(daemon: EntryDaemon, deadline: float) -> None:
     """Close the callers' connections once their callers have read what came."""
     context = daemon.context
-    site = daemon.caller_port.factory
+    site = get_factory(daemon.caller_port)
     close_connections(site)
     while site.transports and context.clock() < deadline:
         await deferLater(context.reactor, DRAIN_POLL, lambda: None)
@@ -201,11 +219,13 @@
     logger.info("entry: {} stopped.", daemon.context.settings.node)
 
 
-def _listen(context: EntryContext, listener: Any, app: Any) -> Any:
+def _listen(
+    context: EntryContext, listener: Listener, app: Any, tls: TlsSource | None
+) -> Any:
     site = make_site(
         app, max_body=context.settings.max_body, timeout=context.settings.idle_timeout
     )
-    return context.reactor.listenTCP(listener.port, site, interface=listener.host)
+    return listen(context.reactor, listener, site, tls)
 
 
 def _make_node(
@@ -222,18 +242,21 @@
         reactor=context.reactor,
         handlers=LinkHandlers(take_call=take_call, take_cast=take_cast, body_type=Body),
         timing=LinkTiming(),
+        read_names=read_peer_names if context.settings.links.tls else None,
     )
 
 
-def _open_links(daemon: EntryDaemon) -> None:
+def _open_links(daemon: EntryDaemon, tls: TlsSource | None) -> None:
     context = daemon.context
     for peer in context.settings.control:
         context.control.links[peer.node] = open_link(
-            daemon.node, peer.node, make_connector(context.reactor, peer)
+            daemon.node, peer.node, make_connector(context.reactor, peer, tls)
         )
 
     for peer in context.settings.entries:
-        link = open_link(daemon.node, peer.node, make_connector(context.reactor, peer))
+        link = open_link(
+            daemon.node, peer.node, make_connector(context.reactor, peer, tls)
+        )
         link.on_up = partial(forget_told, daemon.upkeep, peer.node)
         daemon.upkeep.entries[peer.node] = link
 
--- a/src/waxwingwell/adapters/exceptions.py
+++ b/src/waxwingwell/adapters/exceptions.py
@@ -19,6 +19,15 @@
     """The settings have faults; the text lists every one with its place."""
 
 
+class TlsFileError(Exception):
+    """A certificate or key can't be used; the text names the path."""
+
+    def __init__(self, place: str, reason: str) -> None:
+        super().__init__(reason)
+        self.place = place
+        self.reason = reason
+
+
 class ControlUnavailableError(Exception):
     """No control leader answered in time."""
 
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -83,6 +83,8 @@
     handlers: LinkHandlers
     timing: LinkTiming
     accepted: set[LinkProtocol] = field(default_factory=set)
+    read_names: Callable[[Any], frozenset[str]] | None = None
+    """Names that the other end of a transport has proven; none with plain text."""
 
 
 @implementer(IPushProducer)
@@ -100,6 +102,8 @@
         self._heard_at = 0.0
         self._sent_at = 0.0
         self._timer: Any = None
+        self._greeted = False
+        self._greeting: Deferred[Any] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Greet the other end and begin to watch for silence."""
@@ -130,6 +134,7 @@
         for waiting in pending.values():
             waiting.errback(LinkLostError(f"lost the link to {self.remote or '?'}"))
 
+        self._end_greeting(LinkDownError(f"{self.remote or '?'} did not greet"))
         if not self.closed.called:
             self.closed.callback(None)
 
@@ -192,9 +197,37 @@
         if self.transport is not None:
             cast("ITCPTransport", self.transport).abortConnection()
 
+    def wait_greeted(self) -> Deferred[Any]:
+        """Return this protocol once the other end has greeted.
+
+        Errors: ``LinkDownError`` if the connection ends before. Cancelling ends it.
+        """
+        greeting: Deferred[Any] = Deferred(lambda _: self.abort())
+        self._greeting = greeting
+        if self._greeted:
+            self._end_greeting(self)
+        elif self.closed.called:
+            self._end_greeting(LinkDownError("lost before it greeted"))
+
+        return greeting
+
+    def _end_greeting(self, result: Any) -> None:
+        greeting, self._greeting = self._greeting, None
+        if greeting is None or greeting.called:
+            return
+
+        if isinstance(result, Exception):
+            greeting.errback(result)
+        else:
+            greeting.callback(result)
+
     def _take_frame(self, frame: Frame) -> None:
         if isinstance(frame, Hello):
             self._take_hello(frame)
+        elif self.node.read_names is not None and not self._greeted:
+            # Else a node could call under no name, or under one that is not its own:
+            # frames behind a refused greeting are still in the buffer.
+            self.abort()
         elif isinstance(frame, Call):
             self._take_call(frame)
         elif isinstance(frame, Reply):
@@ -203,6 +236,13 @@
             self.node.handlers.take_cast(self.remote, self._read_body(frame.body))
 
     def _take_hello(self, hello: Hello) -> None:
+        self._greeted = False
+        read_names = self.node.read_names
+        if read_names is not None and hello.node not in read_names(self.transport):
+            logger.warning("link: Refused a peer: not {}.", hello.node)
+            self.abort()
+            return
+
         self.remote = hello.node
         if hello.protocol != PROTOCOL_VERSION:
             logger.warning(
@@ -212,6 +252,10 @@
                 PROTOCOL_VERSION,
             )
             self.abort()
+            return
+
+        self._greeted = True
+        self._end_greeting(self)
 
     def _take_call(self, call: Call) -> None:
         answer = self.node.handlers.take_call(self.remote, self._read_body(call.body))
--- a/src/waxwingwell/adapters/settings.py
+++ b/src/waxwingwell/adapters/settings.py
@@ -54,6 +54,18 @@
     tls: Tls | None = None
 
 
+class LinkTls(Tls):
+    """PEM files of our own links, on which both ends prove their names."""
+
+    authority: Path
+
+
+class LinkListener(Listener):
+    """Where our own processes connect; with TLS it is mutual."""
+
+    tls: LinkTls | None = None
+
+
 class Peer(Address):
     """Another process of ours."""
 
@@ -89,7 +101,7 @@
     callers: Listener
     upstreams: Listener
     """Where upstreams announce themselves."""
-    links: Listener
+    links: LinkListener
     control: tuple[Peer, ...] = Field(min_length=1)
     entries: tuple[Peer, ...] = ()
     """The other entries."""
@@ -114,7 +126,7 @@
     node: str = Field(min_length=1)
     data_centre: str = Field(min_length=1)
     data_folder: Path
-    links: Listener
+    links: LinkListener
     admin: Listener
     members: tuple[Peer, ...] = Field(min_length=1)
     """All members of the group, this one included."""
--- a/src/waxwingwell/commands/serve.py
+++ b/src/waxwingwell/commands/serve.py
@@ -19,6 +19,7 @@
 from ..adapters.control.daemon import stop_control
 from ..adapters.entry.daemon import start_entry
 from ..adapters.entry.daemon import stop_entry
+from ..adapters.exceptions import SettingsError
 from ..adapters.settings import ControlSettings
 from ..adapters.settings import EmbeddedSettings
 from ..adapters.settings import EntrySettings
@@ -97,6 +98,10 @@
 
     def report(failure: Any) -> None:
         code[0] = EXIT_FAULT
+        if failure.check(SettingsError):
+            logger.error("serve: {}", failure.getErrorMessage())
+            return
+
         logger.error("serve: {}.", failure.getTraceback())
 
     def begin() -> None:
--- a/src/waxwingwell/embedded/system.py
+++ b/src/waxwingwell/embedded/system.py
@@ -23,6 +23,7 @@
 from ..adapters.settings import Address
 from ..adapters.settings import ControlSettings
 from ..adapters.settings import EntrySettings
+from ..adapters.settings import LinkListener
 from ..adapters.settings import Listener
 from ..adapters.settings import OperatorKey
 from ..adapters.settings import Peer
@@ -177,7 +178,7 @@
         node=name,
         data_centre=DATA_CENTRE,
         data_folder=settings.data_folder,
-        links=Listener(host=settings.host),
+        links=LinkListener(host=settings.host),
         admin=Listener(host=settings.host, port=settings.admin_port),
         members=(Peer(node=name, host=settings.host, port=1),),
         operators=(OperatorKey(name="demo-operator", digest=hash_key(OPERATOR_KEY)),),
@@ -195,7 +196,7 @@
         data_centre=DATA_CENTRE,
         callers=Listener(host=settings.host, port=settings.port),
         upstreams=Listener(host=settings.host),
-        links=Listener(host=settings.host),
+        links=LinkListener(host=settings.host),
         control=(Peer(node="control-1", host=settings.host, port=port),),
         rating=Address(host=settings.host, port=rating_port),
         drain_notice=DRAIN_NOTICE,
--- a/tests/adapters/test_settings.py
+++ b/tests/adapters/test_settings.py
@@ -45,6 +45,11 @@
         {**ENTRY, "links": {"host": "vm-1.example"}},
         ("entry.links.host",),
     ),
+    (
+        "links with TLS, but any peer",
+        {**ENTRY, "links": {"tls": {"certificate": "c", "private_key": "k"}}},
+        ("entry.links.tls.authority",),
+    ),
     ("no control", {**ENTRY, "control": []}, ("entry.control",)),
     ("not a member", {**CONTROL, "node": "control-9"}, ("control",)),
     (
--- /dev/null
+++ b/tests/adapters/test_tls.py
@@ -0,0 +1,496 @@
+"""TLS of listeners and links, over loopback."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import treq
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from loguru import logger
+from OpenSSL import SSL
+from twisted.internet import reactor as installed
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import wrapClientTLS
+from twisted.internet.interfaces import IOpenSSLClientConnectionCreator
+from twisted.web.client import Agent
+from twisted.web.iweb import IPolicyForHTTPS
+from twisted.web.server import Site
+from twisted.web.static import Data
+from zope.interface import implementer
+
+from tests.adapters.certificates import Authority
+from tests.adapters.certificates import issue
+from tests.adapters.certificates import make_authority
+from tests.adapters.certificates import write_key
+from tests.standins.support import AsyncTestCase
+from waxwingwell.adapters.bodies import Body
+from waxwingwell.adapters.control.daemon import start_control
+from waxwingwell.adapters.control.daemon import stop_control
+from waxwingwell.adapters.entry.daemon import close_entry
+from waxwingwell.adapters.entry.daemon import start_entry
+from waxwingwell.adapters.entry.upkeep import renew_once
+from waxwingwell.adapters.entry.upkeep import stop_upkeep
+from waxwingwell.adapters.exceptions import SettingsError
+from waxwingwell.adapters.links import Link
+from waxwingwell.adapters.links import LinkFactory
+from waxwingwell.adapters.links import LinkHandlers
+from waxwingwell.adapters.links import LinkNode
+from waxwingwell.adapters.links import LinkTiming
+from waxwingwell.adapters.links import call_link
+from waxwingwell.adapters.links import close_link
+from waxwingwell.adapters.links import open_link
+from waxwingwell.adapters.settings import ControlSettings
+from waxwingwell.adapters.settings import EntrySettings
+from waxwingwell.adapters.settings import LinkListener
+from waxwingwell.adapters.settings import Listener
+from waxwingwell.adapters.settings import Peer
+from waxwingwell.adapters.settings import Tls
+from waxwingwell.adapters.tls import ConnectionMaker
+from waxwingwell.adapters.tls import TlsSource
+from waxwingwell.adapters.tls import listen
+from waxwingwell.adapters.tls import make_connector
+from waxwingwell.adapters.tls import open_tls
+from waxwingwell.adapters.tls import read_peer_names
+from waxwingwell.messages import AskInForce
+from waxwingwell.messages import Cast
+from waxwingwell.messages import Drain
+from waxwingwell.messages import Hello
+from waxwingwell.messages import InForce
+from waxwingwell.state.leases import may_admit
+
+
+REACTOR: Any = installed
+TIMEOUT = 5.0
+
+
+@implementer(IOpenSSLClientConnectionCreator)
+class Anonymous:
+    """A client without a certificate."""
+
+    def __init__(self, authority: Authority) -> None:
+        self.authority = authority
+        self.newest = 0
+        """Newest version offered; 0 for any."""
+
+    def clientConnectionForTLS(self, tlsProtocol: Any) -> SSL.Connection:  # noqa: N802, N803
+        context = SSL.Context(SSL.TLS_METHOD)
+        context.load_verify_locations(str(self.authority.path))
+        context.set_verify(SSL.VERIFY_PEER)
+        if self.newest:
+            context.set_cipher_list(b"ALL:@SECLEVEL=0")
+            context.set_max_proto_version(self.newest)
+
+        return SSL.Connection(context, None)
+
+
+@implementer(IPolicyForHTTPS)
+class Policy:
+    """Uses one client for every server."""
+
+    def __init__(self, creator: Any) -> None:
+        self.creator = creator
+
+    def creatorForNetloc(self, hostname: bytes, port: int) -> Any:  # noqa: N802
+        return self.creator
+
+
+def without_authority(tls: Tls) -> Tls:
+    """Return the same files for a listener that takes any client."""
+    return Tls(certificate=tls.certificate, private_key=tls.private_key)
+
+
+def make_served() -> Any:
+    """Return a site that serves one text."""
+    page = Data(b"served", "text/plain")
+    page.isLeaf = True
+    return Site(page)
+
+
+class TlsTestCase(AsyncTestCase):
+    """A folder with two authorities, and what listens."""
+
+    timeout = 20
+
+    def setUp(self) -> None:
+        kept = tempfile.TemporaryDirectory()
+        self.addCleanup(kept.cleanup)
+        self.folder = Path(kept.name)
+        self.ours = make_authority(self.folder, "ours")
+        self.theirs = make_authority(self.folder, "theirs")
+        self.lines: list[str] = []
+        sink = logger.add(lambda line: self.lines.append(str(line)), level="WARNING")
+        self.addCleanup(logger.remove, sink)
+
+    def listen(self, listener: Listener, factory: Any, source: Any) -> int:
+        port = listen(REACTOR, listener, factory, source)
+        self.addCleanup(port.stopListening)
+        return int(port.getHost().port)
+
+    def open(self, name: str, tls: Tls, node: str = "") -> TlsSource:
+        listener = (
+            LinkListener(tls=tls)  # type: ignore[arg-type]
+            if name == "links"
+            else Listener(tls=tls)
+        )
+        source = open_tls(node, {name: listener})[name]
+        assert source is not None
+        return source
+
+
+class ListenerTest(TlsTestCase):
+    """What callers, upstreams and operators meet."""
+
+    def serve(self, tls: Tls | None) -> int:
+        site = make_served()
+        listener = Listener(tls=tls)
+        return self.listen(
+            listener, site, open_tls("", {"callers": listener})["callers"]
+        )
+
+    async def get(self, scheme: str, port: int, creator: Any) -> bytes:
+        agent = Agent(REACTOR, Policy(creator), connectTimeout=TIMEOUT)
+        reply = await treq.get(f"{scheme}://127.0.0.1:{port}/", agent=agent)
+        return bytes(await treq.content(reply))
+
+    async def is_served(self, port: int, creator: Any) -> bool:
+        try:
+            return await self.get("https", port, creator) == b"served"
+        except Exception as error:
+            self.assertIn("SSL", repr(error))
+            return False
+
+    async def test_plain_text_without_tls(self) -> None:
+        port = self.serve(None)
+        self.assertEqual(await self.get("http", port, None), b"served")
+
+    async def test_who_is_served(self) -> None:
+        server = issue(self.ours, "server")
+        plain = without_authority(server)
+        good = self.open("client", issue(self.ours, "good"))
+        bad_tls = issue(self.theirs, "bad").model_copy(
+            update={"authority": self.ours.path}
+        )
+        bad = self.open("client", bad_tls)
+        cases: tuple[tuple[str, Tls, Any, bool], ...] = (
+            ("any caller", plain, Anonymous(self.ours), True),
+            ("wrong authority of ours", plain, Anonymous(self.theirs), False),
+            ("no certificate", server, Anonymous(self.ours), False),
+            ("signed by ours", server, ConnectionMaker(good), True),
+            ("signed by another", server, ConnectionMaker(bad), False),
+        )
+        for name, tls, creator, served in cases:
+            with self.subTest(name):
+                port = self.serve(tls)
+                self.assertEqual(await self.is_served(port, creator), served)
+
+    async def test_old_protocols_are_refused(self) -> None:
+        tls = without_authority(issue(self.ours, "server"))
+        port = self.serve(tls)
+        client = Anonymous(self.ours)
+        self.assertTrue(await self.is_served(port, client))
+        client.newest = SSL.TLS1_1_VERSION
+        self.assertFalse(await self.is_served(port, client))
+
+    async def test_renewal(self) -> None:
+        # A certificate is renewed under the same path while the process runs. First
+        # the key is written wrong: serving must go on with the former files, and
+        # the log must say so once. Then it is right, and counts at once.
+        tls = without_authority(issue(self.ours, "server"))
+        port = self.serve(tls)
+        issued_by_ours, by_theirs = Anonymous(self.ours), Anonymous(self.theirs)
+        self.assertTrue(await self.is_served(port, issued_by_ours))
+        for content in (b"", b"broken"):
+            tls.private_key.write_bytes(content)
+            self.lines.clear()
+            for _ in range(2):
+                self.assertTrue(await self.is_served(port, issued_by_ours))
+
+            self.assertEqual(len(self.lines), 1, self.lines)
+            self.assertIn("callers.tls.private_key", self.lines[0])
+            self.assertIn(str(tls.private_key), self.lines[0])
+
+        tls.certificate.unlink()
+        self.assertTrue(await self.is_served(port, issued_by_ours))
+        issue(self.theirs, "server")
+        self.assertTrue(await self.is_served(port, by_theirs))
+        self.assertFalse(await self.is_served(port, issued_by_ours))
+
+    async def test_renewal_of_equal_size(self) -> None:
+        tls = without_authority(issue(self.ours, "server"))
+        source = self.open("callers", tls)
+        before = source.stamp
+        os.utime(tls.certificate, ns=(1, 1))
+        port = self.listen(
+            Listener(),
+            make_served(),
+            source,
+        )
+        self.assertTrue(await self.is_served(port, Anonymous(self.ours)))
+        self.assertNotEqual(source.stamp, before)
+
+
+class FilesTest(TlsTestCase):
+    """Files that can't be used end the start, each with its place and path."""
+
+    def test_findings(self) -> None:
+        good = issue(self.ours, "entry-1")
+        other = issue(self.ours, "entry-2")
+        locked, empty = self.folder / "locked.key", self.folder / "empty"
+        key = ec.generate_private_key(ec.SECP256R1())
+        write_key(locked, key, serialization.BestAvailableEncryption(b"secret"))
+        empty.write_bytes(b"")
+        gone = self.folder / "gone"
+        cases: tuple[tuple[str, Tls, tuple[str, ...]], ...] = (
+            (
+                "gone",
+                good.model_copy(update={"certificate": gone}),
+                (".certificate", "gone: No such"),
+            ),
+            (
+                "folder",
+                good.model_copy(update={"private_key": self.folder}),
+                (".private_key", "Is a directory"),
+            ),
+            (
+                "locked",
+                good.model_copy(update={"private_key": locked}),
+                (".private_key", "locked.key"),
+            ),
+            (
+                "empty",
+                good.model_copy(update={"authority": empty}),
+                (".authority", "empty"),
+            ),
+            (
+                "mixed",
+                good.model_copy(update={"private_key": other.private_key}),
+                (".private_key", "not the key"),
+            ),
+            ("name", other, (".certificate", "'entry-1'")),
+        )
+        for name, tls, parts in cases:
+            with self.subTest(name), self.assertRaises(SettingsError) as caught:
+                self.open("links", tls, "entry-1")
+
+            for part in (f"links.tls{parts[0]}: {self.folder}", *parts[1:]):
+                self.assertIn(part, str(caught.exception))
+
+    def test_every_finding_at_once(self) -> None:
+        gone = Tls(certificate=self.folder / "a", private_key=self.folder / "b")
+        listener = Listener(tls=gone)
+        with self.assertRaises(SettingsError) as caught:
+            open_tls("", {"callers": listener, "upstreams": listener})
+
+        for place in ("callers.tls.certificate", "upstreams.tls.certificate"):
+            self.assertIn(place, str(caught.exception))
+
+
+class LinkTest(TlsTestCase):
+    """Two processes of ours: both ends prove their names."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.casts: list[Any] = []
+
+    def make_node(self, name: str) -> LinkNode:
+        def take_call(sender: str, body: Any) -> Deferred[Any]:
+            answer: Deferred[Any] = Deferred()
+            answer.callback(InForce(in_force=sender == "near"))
+            return answer
+
+        node = LinkNode(
+            name=name,
+            reactor=REACTOR,
+            handlers=LinkHandlers(
+                take_call=take_call,
+                take_cast=lambda sender, body: self.casts.append(sender),
+                body_type=Body,
+            ),
+            timing=LinkTiming(),
+            read_names=read_peer_names,
+        )
+        self.addCleanup(self.end, node)
+        return node
+
+    async def end(self, node: LinkNode) -> None:
+        for protocol in list(node.accepted):
+            protocol.abort()
+            await protocol.closed
+
+    def serve(self, tls: Tls) -> Peer:
+        far = self.make_node("far")
+        port = self.listen(Listener(), LinkFactory(far), self.open("far", tls))
+        return Peer(node="far", port=port)
+
+    async def test_link_is_up_and_answers(self) -> None:
+        # The common name of one end and the alternative name of the other are meant.
+        peer = self.serve(issue(self.ours, "x", name="x", alternative="far"))
+        source = self.open("links", issue(self.ours, "near"), "near")
+        up: Deferred[None] = Deferred()
+        link: Link = open_link(
+            self.make_node("near"), "far", make_connector(REACTOR, peer, source)
+        )
+        link.on_up = lambda: up.callback(None)
+        await up
+        answer = await call_link(link, AskInForce(config_version=1), timeout=TIMEOUT)
+        self.assertEqual(answer, InForce(in_force=True))
+        protocol = link.protocol
+        assert protocol is not None
+        close_link(link)
+        await protocol.closed
+
+    async def test_refused(self) -> None:
+        far = issue(self.ours, "far")
+        near = issue(self.ours, "near")
+        signed_by_theirs = issue(self.theirs, "stranger", name="near").model_copy(
+            update={"authority": self.ours.path}
+        )
+        cases: tuple[tuple[str, Tls, Tls], ...] = (
+            ("we bear another node's name", far, issue(self.ours, "other")),
+            ("the peer bears another name", issue(self.ours, "far-2"), near),
+            ("we are signed by another", far, signed_by_theirs),
+            (
+                "the peer is signed by another",
+                issue(self.theirs, "f", name="far"),
+                near,
+            ),
+        )
+        for name, theirs, mine in cases:
+            with self.subTest(name):
+                connect = make_connector(
+                    REACTOR, self.serve(theirs), self.open("near", mine)
+                )
+                await self.assert_refused(connect)
+
+    async def test_refused_without_a_certificate(self) -> None:
+        peer = self.serve(issue(self.ours, "far"))
+        endpoint = TCP4ClientEndpoint(REACTOR, peer.host, peer.port)
+        secure = wrapClientTLS(Anonymous(self.ours), endpoint)
+
+        def connect(factory: Any) -> Any:
+            attempt: Deferred[Any] = secure.connect(factory)
+            return attempt.addCallback(lambda end: end.wait_greeted())
+
+        await self.assert_refused(connect)
+
+    async def assert_refused(self, connect: Any) -> None:
+        factory = LinkFactory(self.make_node("near"))
+        build, built = factory.buildProtocol, []
+
+        def build_casting(addr: object) -> Any:
+            # Sends a message behind its greeting, without waiting for the other's.
+            protocol = build(addr)
+            begin = protocol.connectionMade
+
+            def send() -> None:
+                begin()
+                protocol.cast(Drain())
+
+            protocol.connectionMade = send  # type: ignore[method-assign]
+            built.append(protocol)
+            return protocol
+
+        factory.buildProtocol = build_casting  # type: ignore[method-assign]
+        refused: list[Any] = []
+        await connect(factory).addErrback(refused.append)
+        self.assertEqual(len(refused), 1)
+        self.assertEqual(self.casts, [])
+        await built[0].closed
+
+    def test_frames_before_a_proven_name_are_dropped(self) -> None:
+        # A process with a good certificate greets under another node's name, or not
+        # at all, and sends its orders in the same bytes.
+        import msgspec
+
+        from tests.adapters.test_links import FakeTransport
+
+        hello, cast = Hello(node="near", protocol=1), Cast(body=Drain())
+        bad = Hello(node="other", protocol=1)
+        cases = (
+            ("proven", (hello, cast), 1),
+            ("other name", (bad, cast), 0),
+            ("no greeting", (cast,), 0),
+            ("renamed later", (hello, bad, cast), 0),
+        )
+        for name, frames, taken in cases:
+            with self.subTest(name):
+                self.casts.clear()
+                node = self.make_node("far")
+                node.read_names = lambda transport: frozenset({"near"})
+                protocol = LinkFactory(node).buildProtocol(None)
+                transport: Any = FakeTransport()  # type: ignore[no-untyped-call]
+                protocol.makeConnection(transport)  # type: ignore[no-untyped-call]
+                protocol.dataReceived(b"".join(map(msgspec.msgpack.encode, frames)))
+                self.assertEqual(len(self.casts), taken)
+                self.assertEqual(transport.aborted, not taken)
+                protocol.connectionLost()
+
+
+class DaemonTest(TlsTestCase):
+    """Both daemons with TLS on everything that listens."""
+
+    async def test_entry_and_control(self) -> None:
+        control_tls = issue(self.ours, "control-1")
+        entry_tls = issue(self.ours, "entry-1")
+        served = without_authority(entry_tls)
+        control = start_control(
+            ControlSettings(
+                role="control",
+                node="control-1",
+                data_centre="bole",
+                data_folder=self.folder / "data",
+                links=LinkListener(tls=control_tls),
+                admin=Listener(tls=control_tls),
+                members=(Peer(node="control-1"),),
+            ),
+            REACTOR,
+        )
+        port = control.link_port.getHost().port
+        entry = start_entry(
+            EntrySettings(
+                role="entry",
+                node="entry-1",
+                data_centre="bole",
+                callers=Listener(tls=served),
+                upstreams=Listener(tls=entry_tls),
+                links=LinkListener(tls=entry_tls),
+                control=(Peer(node="control-1", port=port),),
+            ),
+            REACTOR,
+        )
+        try:
+            up: Deferred[None] = Deferred()
+            link = entry.context.control.links["control-1"]
+            link.on_up = lambda: up.callback(None)
+            await up.addTimeout(TIMEOUT, REACTOR)
+            while entry.upkeep.renewal is None:
+                await renew_once(entry.context)
+
+            self.assertEqual(await self.ask(entry.caller_port), 200)
+            self.assertEqual(await self.ask(control.admin_port), 0)
+            self.assertEqual(await self.ask(entry.upstream_port), 0)
+            # Replies come in order: no renewal is under way behind this one.
+            stop_upkeep(entry.upkeep)
+            await renew_once(entry.context)
+            self.assertTrue(may_admit(entry.context.lease, entry.context.clock()))
+        finally:
+            await close_entry(entry)
+            await stop_control(control)
+
+    async def ask(self, port: Any) -> int:
+        """Return the status for a client without a certificate; 0 if refused."""
+        agent = Agent(REACTOR, Policy(Anonymous(self.ours)))
+        url = f"https://127.0.0.1:{port.getHost().port}/healthz"
+        try:
+            reply = await treq.get(url, agent=agent)
+        except Exception as error:
+            self.assertIn("SSL", repr(error))
+            return 0
+
+        await treq.content(reply)
+        return int(reply.code)
