--- a/src/waxwingwell/adapters/tls.py
+++ b/src/waxwingwell/adapters/tls.py
@@ -68,8 +68,8 @@
 def open_tls(node: str, listeners: dict[str, Listener]) -> dict[str, TlsSource | None]:
     """Return the source of each listener, none for plain text.
 
-    ``links`` must bear the name ``node``. Errors: ``SettingsError`` with every
-    file that is missing or can't be used.
+    ``links`` must bear the name ``node``. Errors: ``SettingsError`` with the
+    first fault of each listener's files.
     """
     sources: dict[str, TlsSource | None] = {}
     findings: list[Finding] = []
--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -31,8 +31,8 @@
 from waxwingwell.adapters.bodies import Body
 from waxwingwell.adapters.control.daemon import start_control
 from waxwingwell.adapters.control.daemon import stop_control
-from waxwingwell.adapters.entry.daemon import close_entry
 from waxwingwell.adapters.entry.daemon import start_entry
+from waxwingwell.adapters.entry.daemon import stop_entry
 from waxwingwell.adapters.entry.upkeep import renew_once
 from waxwingwell.adapters.entry.upkeep import stop_upkeep
 from waxwingwell.adapters.exceptions import SettingsError
@@ -457,6 +457,7 @@
                 node="entry-1",
                 data_centre="bole",
                 callers=Listener(tls=served),
+                drain_notice=0,
                 upstreams=Listener(tls=entry_tls),
                 links=LinkListener(tls=entry_tls),
                 control=(Peer(node="control-1", port=port),),
@@ -479,7 +480,7 @@
             await renew_once(entry.context)
             self.assertTrue(may_admit(entry.context.lease, entry.context.clock()))
         finally:
-            await close_entry(entry)
+            await stop_entry(entry)
             await stop_control(control)
 
     async def ask(self, port: Any) -> int:
