Count cascades' answers as the decisions ask; tell no caller another's request id

Cause: a cheap answer that was served got no credit and an escalated one was not told apart, which biases the estimates; ratings counted as free; the reason of a failed attempt named the request that an answer had crossed with. Ruled out for a flaky order over silent links: one silent link was replaced with its first lost call, but the calls went on to the next one, silent since the same moment. Change: evidence is noted at dispatch with its step; rating_price is a setting; all links that are silent are replaced with the first lost call; a control process whose log has stopped or that was expelled ends; 'recover' and 'experiment' are commands.

--- a/src/waxwingwell/adapters/control/duties.py
+++ b/src/waxwingwell/adapters/control/duties.py
@@ -17,6 +17,7 @@
 from ...state.leases import EntryLeases
 from ...state.leases import list_abandoned
 from ...state.ledger import list_open_entries
+from ..exceptions import HaltedError
 from .orders import reconcile_orders
 from .service import request_flush
 from .service import submit
@@ -38,6 +39,7 @@
 def run_tick(context: ControlContext) -> None:
     """Do what is due now; called every ``TICK`` seconds."""
     now = context.clock()
+    check_group(context)
     tick_group(context.group, now)
     request_flush(context)
     if not leads(context.group, now):
@@ -50,6 +52,21 @@
     _reconcile(context, now)
 
 
+def check_group(context: ControlContext) -> None:
+    """Raise if this member can't go on: its process must be started anew.
+
+    Failure guarded against: the disk was full or a sync failed. What is in memory may
+    differ from what is on the disk, so the group promises nothing any more; a process
+    that stayed up would look healthy and serve nobody.
+    """
+    if context.group.halted:
+        raise HaltedError(f"the replicated log stopped: {context.group.halted}")
+
+    if context.group.replica.expelled:
+        text = "this member was removed; empty its data folder to join anew"
+        raise HaltedError(text)
+
+
 def _hold_leases(context: ControlContext, now: float) -> None:
     term = term_of(context.group)
     if context.leases is not None and context.leases_term == term:
--- a/src/waxwingwell/adapters/entry/attempts.py
+++ b/src/waxwingwell/adapters/entry/attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 from opentelemetry.trace import SpanKind
 from opentelemetry.trace import StatusCode
 
@@ -96,7 +97,9 @@
     named = read_header(response, "x-request-id")
     if named and named != call.request:
         drop_response(response)
-        raise AttemptError(f"answer of another request, {named}", may_have_run=True)
+        # The caller is told the reason, and must not learn another request's id.
+        logger.warning("entry: {} was answered as {}.", call.request, named)
+        raise AttemptError("the answer was another request's", may_have_run=True)
 
 
 def end_attempt(context: EntryContext, upstream: UpstreamId, *, failed: bool) -> None:
--- a/src/waxwingwell/adapters/entry/control_client.py
+++ b/src/waxwingwell/adapters/entry/control_client.py
@@ -20,6 +20,7 @@
 from ..links import Link
 from ..links import call_link
 from ..links import is_link_up
+from ..links import replace_silent_link
 
 
 if TYPE_CHECKING:
@@ -94,6 +95,11 @@
         return Failed(reason=str(error), may_have_run=False)
     except LinkLostError as error:
         client.leader = ""
+        # Whatever took this connection may have taken the others at the same time;
+        # asking each in turn would cost the caller a call's time for each.
+        for other in client.links.values():
+            replace_silent_link(other)
+
         client.avoided = link.name
         client.avoided_until = client.clock() + AVOID
         return Failed(reason=str(error), may_have_run=True)
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -122,6 +122,7 @@
     context.tables.distances = {
         name: value / 1000 for name, value in settings.distances_ms.items()
     }
+    context.tables.rating_price = settings.rating_price
     context.tables.entries = 1 + len(settings.entries)
     upkeep = Upkeep()
     placements = Placements()
--- a/src/waxwingwell/adapters/entry/ratings.py
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,12 +13,12 @@
 
 from ...decisions.evidence import note_rating
 from ...decisions.evidence import note_unrated
+from ...decisions.tables import Work
+from ...records import VersionId
 from .upstream_client import BytesProducer
 
 
 if TYPE_CHECKING:
-    from ...decisions.tables import Work
-    from ...records import VersionId
     from .context import EntryContext
 
 
@@ -40,50 +41,64 @@
     rating: float
 
 
-async def rate_answer(
-    context: EntryContext,
-    work: Work,
-    version: VersionId,
-    prompt: str,
-    answer: str,
-    *,
-    served: bool = True,
-) -> float | None:
+@dataclass(frozen=True, slots=True)
+class RatedAnswer:
+    """An answer to be rated, and what its rating counts for."""
+
+    work: Work
+    version: VersionId
+    prompt: str
+    text: str
+    escalated: bool = False
+    """An earlier version's answer was rated too low, so this prompt is a hard one."""
+    threshold: float = 0.0
+    """Rating from which the answer is served; a cascade passes over lower ones."""
+
+
+async def rate_answer(context: EntryContext, answer: RatedAnswer) -> float | None:
     """Return the rating and note it; None if the service gives none in time."""
+    work = answer.work
     asked = RatingAsked(
-        version=version, kind=work.kind.name, prompt=prompt, answer=answer
+        version=answer.version,
+        kind=work.kind.name,
+        prompt=answer.prompt,
+        answer=answer.text,
     )
     try:
         rating = await _ask_rating(context, asked)
     except Exception as error:
-        logger.debug("rating: No rating of {}: {}.", version, error)
+        logger.debug("rating: No rating of {}: {}.", answer.version, error)
         context.metrics.count("ratings.missing", 1)
-        note_unrated(context.tables, work.workspace, work.kind, version)
+        note_unrated(
+            context.tables,
+            work.workspace,
+            work.kind,
+            answer.version,
+            escalated=answer.escalated,
+        )
         return None
 
     note_rating(
         context.tables,
         work.workspace,
         work.kind,
-        version,
+        answer.version,
         rating,
         context.clock(),
-        served=served,
+        served=rating >= answer.threshold,
+        escalated=answer.escalated,
     )
     return rating
 
 
-def rate_later(
-    context: EntryContext, work: Work, version: VersionId, prompt: str, answer: str
-) -> None:
+def rate_later(context: EntryContext, answer: RatedAnswer) -> None:
     """Ask for a rating in the background; a planned stop waits for it."""
     context.unrated += 1
 
     def forget(_: object) -> None:
         context.unrated -= 1
 
-    rating = rate_answer(context, work, version, prompt, answer)
-    Deferred.fromCoroutine(rating).addBoth(forget)
+    Deferred.fromCoroutine(rate_answer(context, answer)).addBoth(forget)
 
 
 async def _ask_rating(context: EntryContext, asked: RatingAsked) -> float:
--- a/src/waxwingwell/adapters/entry/streaming.py
+++ b/src/waxwingwell/adapters/entry/streaming.py
@@ -35,6 +35,7 @@
 from .ledger import reserve_row
 from .ledger import settle_row
 from .placement import place_request
+from .ratings import RatedAnswer
 from .ratings import rate_later
 from .relay import End
 from .relay import open_gate
@@ -280,7 +281,10 @@
     push_bytes(run.sink, run.sink.last_part)
     if run.noted and run.chosen.choice.rate:
         text = read_text(b"".join(run.sink.record))
-        rate_later(context, run.chosen.work, run.version, run.chat.prompt, text)
+        rate_later(
+            context,
+            RatedAnswer(run.chosen.work, run.version, run.chat.prompt, text),
+        )
 
 
 def _note_sent(context: EntryContext, run: StreamRun) -> None:
--- a/src/waxwingwell/adapters/entry/upkeep.py
+++ b/src/waxwingwell/adapters/entry/upkeep.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 
+from ...decisions.admission import smooth_demand
 from ...decisions.candidates import index_upstreams
 from ...decisions.evidence import confirm_increments
 from ...decisions.evidence import merge_sums
@@ -231,4 +232,5 @@
     now = context.clock()
     expire_upstreams(context.tables, now)
     index_upstreams(context.tables, now)
+    smooth_demand(context.tables, now)
     sum_demand(upkeep.memory, context.tables, now)
--- a/src/waxwingwell/adapters/entry/whole.py
+++ b/src/waxwingwell/adapters/entry/whole.py
@@ -11,6 +11,7 @@
 from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
+from ...decisions.evidence import note_unrated
 from ...decisions.retries import DispatchState
 from ...decisions.retries import is_retry_safe
 from ...decisions.retries import may_retry
@@ -25,6 +26,7 @@
 from .checks import check_dispatch
 from .choice import price_usage
 from .placement import place_request
+from .ratings import RatedAnswer
 from .ratings import rate_answer
 from .ratings import rate_later
 from .replies import Problem
@@ -36,7 +38,6 @@
 if TYPE_CHECKING:
     from opentelemetry.trace import Span
 
-    from ...decisions.tables import Work
     from .chats import Chat
     from .choice import ChosenWork
     from .context import EntryContext
@@ -79,6 +80,16 @@
     rating: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class CascadeStep:
+    """One version of a plan."""
+
+    version: VersionId
+    escalated: bool
+    """An earlier version's answer was rated too low."""
+    last: bool
+
+
 async def answer_whole(
     context: EntryContext,
     placements: Placements,
@@ -93,10 +104,11 @@
     """
     spent = Usage()
     best: WholeAnswer | None = None
+    last = len(chosen.choice.plan) - 1
     for place, version in enumerate(chosen.choice.plan):
-        last = place + 1 == len(chosen.choice.plan)
+        step = CascadeStep(version=version, escalated=place > 0, last=place == last)
         try:
-            answer = await _answer_by(context, placements, chat, chosen, version, span)
+            answer = await _run_step(context, placements, chat, chosen, step, span)
         except Problem:
             if best is None:
                 raise
@@ -104,25 +116,69 @@
             break
 
         spent = _add_usage(spent, answer.usage)
-        _note_sent(context, chosen, version, served=last, rate=not last)
-        if last:
-            if chosen.choice.rate:
-                rate_later(context, chosen.work, version, chat.prompt, answer.text)
-
-            best = answer
-            break
-
-        rating = await rate_answer(
-            context, chosen.work, version, chat.prompt, answer.text, served=False
-        )
-        best = replace(answer, rating=rating)
-        if rating is not None and rating >= chosen.choice.threshold:
+        best = answer
+        if step.last or _is_good(answer, chosen.choice.threshold):
             break
 
     assert best is not None
     return replace(best, usage=spent)
 
 
+async def _run_step(
+    context: EntryContext,
+    placements: Placements,
+    chat: Chat,
+    chosen: ChosenWork,
+    step: CascadeStep,
+    span: Span,
+) -> WholeAnswer:
+    """Run one version; all but a plan's last are rated before they are served."""
+    work, rate = chosen.work, chosen.choice.rate or not step.last
+    note_sent(
+        context.tables,
+        work,
+        step.version,
+        rate=rate,
+        now=context.clock(),
+        explored=step.last and chosen.choice.explored,
+        served=step.last,
+        escalated=step.escalated,
+    )
+    try:
+        answer = await _answer_by(context, placements, chat, chosen, step.version, span)
+    except Problem:
+        if rate:
+            note_unrated(
+                context.tables,
+                work.workspace,
+                work.kind,
+                step.version,
+                escalated=step.escalated,
+            )
+
+        raise
+
+    asked = RatedAnswer(
+        work=work,
+        version=step.version,
+        prompt=chat.prompt,
+        text=answer.text,
+        escalated=step.escalated,
+        threshold=0.0 if step.last else chosen.choice.threshold,
+    )
+    if not step.last:
+        return replace(answer, rating=await rate_answer(context, asked))
+
+    if rate:
+        rate_later(context, asked)
+
+    return answer
+
+
+def _is_good(answer: WholeAnswer, threshold: float) -> bool:
+    return answer.rating is not None and answer.rating >= threshold
+
+
 async def _answer_by(
     context: EntryContext,
     placements: Placements,
@@ -267,23 +323,3 @@
         answer_tokens=left.answer_tokens + right.answer_tokens,
         cost=left.cost + right.cost,
     )
-
-
-def _note_sent(
-    context: EntryContext,
-    chosen: ChosenWork,
-    version: VersionId,
-    *,
-    served: bool,
-    rate: bool,
-) -> None:
-    work: Work = chosen.work
-    note_sent(
-        context.tables,
-        work,
-        version,
-        rate=rate or (served and chosen.choice.rate),
-        now=context.clock(),
-        explored=served and chosen.choice.explored,
-        served=served,
-    )
--- a/src/waxwingwell/adapters/exceptions.py
+++ b/src/waxwingwell/adapters/exceptions.py
@@ -34,3 +34,7 @@
     def __init__(self, reason: str, *, may_have_run: bool) -> None:
         super().__init__(reason)
         self.may_have_run = may_have_run
+
+
+class HaltedError(Exception):
+    """A control process can't go on and must be started anew."""
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -286,8 +286,11 @@
         waiting.errback(LinkLostError(f"{self.remote} did not answer in time"))
         # Not even heartbeats came meanwhile: no use in waiting for the full silence
         # while a caller waits for the next try.
-        timing = self.node.timing
-        if self._seconds() - self._heard_at > timing.suspicious:
+        self.replace_silent()
+
+    def replace_silent(self) -> None:
+        """End the connection if it has been silent for suspiciously long."""
+        if self._seconds() - self._heard_at > self.node.timing.suspicious:
             logger.warning("link: Replaced the silent link to {}.", self.remote or "?")
             self.abort()
 
@@ -377,6 +380,12 @@
     return link.protocol.call(body, timeout=timeout)
 
 
+def replace_silent_link(link: Link) -> None:
+    """Make a link's connection anew if it is suspiciously silent."""
+    if link.protocol is not None:
+        link.protocol.replace_silent()
+
+
 def cast_link(link: Link, body: Message) -> bool:
     """Send without an answer; false if the link is down or its reader lags."""
     return link.protocol is not None and link.protocol.cast(body)
--- a/src/waxwingwell/adapters/settings.py
+++ b/src/waxwingwell/adapters/settings.py
@@ -108,6 +108,8 @@
     distances_ms: dict[str, float] = {}
     """One-way milliseconds to each other data centre."""
     rating: Address | None = None
+    rating_price: float = Field(default=0.0, ge=0)
+    """Micro-units that one rating costs; cascades and sampling reckon with it."""
     max_body: int = Field(default=4_000_000, ge=1)
     idle_timeout: float = Field(default=30.0, gt=0)
     """Seconds of silence after which a half-sent request is dropped."""
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -6,7 +6,9 @@
 
 from .. import __version__
 from .demo import demo
+from .experiment import run_experiment
 from .groups import COMMANDS
+from .recover import COMMANDS as RECOVER
 from .serve import serve
 
 
@@ -17,5 +19,12 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    commands = {**COMMANDS, "demo": demo, "serve": serve, "version": show_version}
+    commands: dict[str, object] = {
+        **COMMANDS,
+        "demo": demo,
+        "experiment": run_experiment,
+        "recover": RECOVER,
+        "serve": serve,
+        "version": show_version,
+    }
     fire.Fire(commands, name="waxwingwell")
