--- a/src/waxwingwell/commands/experiment.py
+++ b/src/waxwingwell/commands/experiment.py
@@ -87,7 +87,15 @@
 
     from ..experiments.fleet import FleetReport
     from ..experiments.plots import plot_fleet
+    from ..experiments.quality_report import QualityReport
 
     if isinstance(report, FleetReport):
         for drawn in plot_fleet(report, folder, stem):
             print(f"written: {drawn}")
+
+        return
+
+    if isinstance(report, QualityReport):
+        drawn = folder / f"{stem}.png"
+        report.plot(drawn)
+        print(f"written: {drawn}")
