--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -38,8 +38,8 @@
 from ..telemetry import open_metrics
 from ..tls import listen
 from ..tls import make_connector
-from ..tls import open_tls
 from ..tls import read_peer_names
+from ..tls_files import open_tls
 from .admin import make_admin_site
 from .context import ControlContext
 from .context import StateHolder
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -33,8 +33,8 @@
 from ..tls import get_factory
 from ..tls import listen
 from ..tls import make_connector
-from ..tls import open_tls
 from ..tls import read_peer_names
+from ..tls_files import open_tls
 from .announcements import make_upstream_app
 from .context import EntryContext
 from .control_calls import answer_call
@@ -65,7 +65,7 @@
     from ...messages import Message
     from ..settings import EntrySettings
     from ..settings import Listener
-    from ..tls import TlsSource
+    from ..tls_files import TlsSource
 
 
 DRAIN_POLL = 0.05
--- a/src/waxwingwell/adapters/tls.py
+++ b/src/waxwingwell/adapters/tls.py
@@ -1,13 +1,10 @@
-"""TLS of listeners and links: files from the settings, read again when renewed."""
+"""TLS of listeners and links, as the settings ask for it."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import TypeVar
 
-from cryptography import x509
 from loguru import logger
 from OpenSSL import SSL
 from OpenSSL import crypto
@@ -18,16 +15,14 @@
 from twisted.protocols.tls import TLSMemoryBIOFactory
 from zope.interface import implementer
 
-from ..records import Finding
-from .exceptions import SettingsError
 from .exceptions import TlsFileError
-from .settings import Tls
-from .settings import render_findings
+from .tls_files import TlsSource
+from .tls_files import get_material
+from .tls_files import read_names
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from pathlib import Path
 
     from twisted.internet.defer import Deferred
     from twisted.internet.protocol import Factory
@@ -37,146 +32,6 @@
     from .settings import Peer
 
 
-ContentT = TypeVar("ContentT")
-Stamp = tuple[tuple[int, int, int] | None, ...]
-"""Modification time in ns, size and inode of each file; none where it is missing."""
-
-
-@dataclass(slots=True)
-class TlsSource:
-    """One ``tls`` of the settings, and the files as they were last taken."""
-
-    place: str
-    """Where the settings name the files, as in ``links.tls``."""
-    tls: Tls
-    node: str = ""
-    """Name that our own certificate must bear; empty for any."""
-    stamp: Stamp = ()
-    material: Material | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Material:
-    """Contents of the files, kept so that a broken renewal changes nothing."""
-
-    chain: tuple[crypto.X509, ...]
-    """Our own certificate first."""
-    key: crypto.PKey
-    authorities: tuple[crypto.X509, ...] = ()
-
-
-def open_tls(node: str, listeners: dict[str, Listener]) -> dict[str, TlsSource | None]:
-    """Return the source of each listener, none for plain text.
-
-    ``links`` must bear the name ``node``. Errors: ``SettingsError`` with the
-    first fault of each listener's files.
-    """
-    sources: dict[str, TlsSource | None] = {}
-    findings: list[Finding] = []
-    for name, listener in listeners.items():
-        sources[name] = None
-        if listener.tls is None:
-            continue
-
-        source = TlsSource(
-            place=f"{name}.tls",
-            tls=listener.tls,
-            node=node if name == "links" else "",
-        )
-        sources[name] = source
-        source.stamp = read_stamp(source.tls)
-        try:
-            source.material = read_material(source)
-        except TlsFileError as error:
-            findings.append(Finding(place=error.place, message=error.reason))
-
-    if findings:
-        raise SettingsError(render_findings(tuple(findings)))
-
-    return sources
-
-
-def read_stamp(tls: Tls) -> Stamp:
-    """Return what tells a renewed file from the one that was read."""
-    return tuple(
-        _read_file_stamp(path)
-        for path in (tls.certificate, tls.private_key, tls.authority)
-        if path is not None
-    )
-
-
-def read_material(source: TlsSource) -> Material:
-    """Read and check the files; ``TlsFileError`` names the place and the path."""
-    tls, place = source.tls, source.place
-    chain = _read_chain(f"{place}.certificate", tls.certificate)
-    # An empty passphrase: else OpenSSL would ask for one on the terminal, and the
-    # process would hang at its start.
-    key = _parse(
-        f"{place}.private_key",
-        tls.private_key,
-        lambda data: crypto.load_privatekey(crypto.FILETYPE_PEM, data, b""),
-    )
-    if not _is_key_of(chain[0], key):
-        raise TlsFileError(
-            f"{place}.private_key",
-            f"{tls.private_key}: not the key of {tls.certificate}",
-        )
-
-    names = read_names(chain[0])
-    if source.node and source.node not in names:
-        raise TlsFileError(
-            f"{place}.certificate",
-            f"{tls.certificate}: names {sorted(names)}, not {source.node!r}",
-        )
-
-    authorities: tuple[crypto.X509, ...] = ()
-    if tls.authority is not None:
-        authorities = _read_chain(f"{place}.authority", tls.authority)
-
-    return Material(chain=chain, key=key, authorities=authorities)
-
-
-def get_material(source: TlsSource) -> Material:
-    """Return the files' contents, read again if a file has changed.
-
-    Failure guarded against: a renewal that is half written or wrong would refuse
-    every new connection. The former files are kept, and the fault is logged once
-    for each change of a file.
-    """
-    stamp = read_stamp(source.tls)
-    if stamp != source.stamp or source.material is None:
-        source.stamp = stamp
-        try:
-            source.material = read_material(source)
-        except TlsFileError as error:
-            logger.error("tls: Kept the former files. {}: {}.", error.place, error)
-        else:
-            logger.info("tls: Took the renewed files of {}.", source.place)
-
-    if source.material is None:
-        raise TlsFileError(source.place, "no usable files")
-
-    return source.material
-
-
-def read_names(certificate: crypto.X509 | None) -> frozenset[str]:
-    """Return the common names and the alternative DNS names of a certificate."""
-    if certificate is None:
-        return frozenset()
-
-    content = certificate.to_cryptography()
-    names = {
-        str(item.value)
-        for item in content.subject.get_attributes_for_oid(x509.NameOID.COMMON_NAME)
-    }
-    try:
-        found = content.extensions.get_extension_for_class(x509.SubjectAlternativeName)
-    except x509.ExtensionNotFound:
-        return frozenset(names)
-
-    return frozenset(names | set(found.value.get_values_for_type(x509.DNSName)))
-
-
 def read_peer_names(transport: Any) -> frozenset[str]:
     """Return the names that the other end of a TLS connection has proven."""
     return read_names(transport.getPeerCertificate())
@@ -290,49 +145,8 @@
     return protocol.wait_greeted()
 
 
-def _is_key_of(certificate: crypto.X509, key: crypto.PKey) -> bool:
-    context = SSL.Context(SSL.TLS_METHOD)
-    context.use_certificate(certificate)
-    try:
-        context.use_privatekey(key)
-        context.check_privatekey()
-    except SSL.Error:
-        return False
-
-    return True
-
-
 def _bears(certificate: crypto.X509, name: str) -> bool:
     try:
         return name in read_names(certificate)
     except ValueError:
         return False
-
-
-def _read_file_stamp(path: Path) -> tuple[int, int, int] | None:
-    try:
-        stat = path.stat()
-    except OSError:
-        return None
-
-    return (stat.st_mtime_ns, stat.st_size, stat.st_ino)
-
-
-def _read_chain(place: str, path: Path) -> tuple[crypto.X509, ...]:
-    return _parse(
-        place,
-        path,
-        lambda data: tuple(
-            crypto.X509.from_cryptography(item)
-            for item in x509.load_pem_x509_certificates(data)
-        ),
-    )
-
-
-def _parse(place: str, path: Path, parse: Callable[[bytes], ContentT]) -> ContentT:
-    try:
-        return parse(path.read_bytes())
-    except OSError as error:
-        raise TlsFileError(place, f"{path}: {error.strerror}") from error
-    except (ValueError, crypto.Error) as error:
-        raise TlsFileError(place, f"{path}: not usable PEM, {error!r}") from error
--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -52,12 +52,12 @@
 from waxwingwell.adapters.settings import Peer
 from waxwingwell.adapters.settings import Tls
 from waxwingwell.adapters.tls import ConnectionMaker
-from waxwingwell.adapters.tls import TlsSource
 from waxwingwell.adapters.tls import listen
 from waxwingwell.adapters.tls import make_connector
 from waxwingwell.adapters.tls import make_context
-from waxwingwell.adapters.tls import open_tls
 from waxwingwell.adapters.tls import read_peer_names
+from waxwingwell.adapters.tls_files import TlsSource
+from waxwingwell.adapters.tls_files import open_tls
 from waxwingwell.messages import AskInForce
 from waxwingwell.messages import Cast
 from waxwingwell.messages import Drain
