--- a/tests/adapters/entry/test_control_client.py
+++ b/tests/adapters/entry/test_control_client.py
@@ -42,7 +42,7 @@
             self.asked.append(name)
             return cast("Deferred[Any]", answer(timeout))
 
-        protocol = SimpleNamespace(call=call)
+        protocol = SimpleNamespace(call=call, replace_silent=lambda: None)
         link = SimpleNamespace(name=name, protocol=protocol)
         self.client.links[name] = cast("Any", link)
 
