Split the callers' routes: reading, answers, guards

Change: moved, named as public functions with doc comments; the key's bound has one name. No behaviour changed.

--- /dev/null
+++ b/src/waxwingwell/adapters/entry/chat_answers.py
@@ -0,0 +1,188 @@
+"""Chats answered to web requests, streamed or whole."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from opentelemetry.trace import SpanKind
+
+from ...messages import AlreadyOpen
+from ...messages import AlreadySettled
+from ...records import OutcomeKind
+from ...records import StoredAnswer
+from ..telemetry import start_span
+from .choice import choose_work
+from .ledger import Ending
+from .ledger import Reservation
+from .ledger import make_row
+from .ledger import reserve_row
+from .ledger import settle_row
+from .relay import Sink
+from .replies import JSON
+from .replies import Problem
+from .services import make_open_problem
+from .services import replay_row
+from .stream_runs import StreamRun
+from .streaming import answer_stream
+from .streams import EventStream
+from .whole import answer_whole
+
+
+if TYPE_CHECKING:
+    from opentelemetry.trace import Span
+
+    from ...decisions.tables import Work
+    from .chats import Chat
+    from .choice import ChosenWork
+    from .context import EntryContext
+    from .placement import Placements
+
+
+Request = Any
+"""A request of twisted.web, whose methods carry no types."""
+
+MAX_KEPT_ANSWER = 262_144
+"""Bytes of a whole chat answer kept for the resend of a caller's key."""
+
+
+async def run_chat(
+    context: EntryContext, placements: Placements, request: Request, chat: Chat
+) -> bytes | None:
+    """Choose a version, then answer streamed (returns None) or whole."""
+    span = start_request_span(context, request, chat.work)
+    try:
+        chosen = await choose_work(context, chat.work)
+        span.set_attribute("reason", chosen.choice.reason)
+        request.setHeader("x-version", chosen.choice.plan[0])
+        if chat.work.stream:
+            await _stream_chat(context, placements, request, chat, chosen, span)
+            return None
+
+        return await _answer_chat(context, placements, request, chat, chosen, span)
+    finally:
+        span.end()
+
+
+async def _stream_chat(
+    context: EntryContext,
+    placements: Placements,
+    request: Request,
+    chat: Chat,
+    chosen: ChosenWork,
+    span: Span,
+) -> None:
+    sink = Sink(write=request.write, recording=chosen.choice.rate)
+    run = StreamRun(
+        chat=chat,
+        chosen=chosen,
+        stream=EventStream(request=chat.work.request),
+        sink=sink,
+        span=span,
+        version=chosen.choice.plan[0],
+        name_request=lambda name: request.setHeader("x-request-id", name),
+    )
+    request.setHeader("content-type", "text/event-stream")
+    request.setHeader("cache-control", "no-store")
+    request.registerProducer(sink, True)
+
+    def lose(_: object) -> None:
+        sink.stopProducing()
+        if not chat.keyed and sink.source is not None:
+            sink.source.loseConnection()
+
+    request.notifyFinish().addErrback(lose)
+    try:
+        await answer_stream(context, placements, run)
+    finally:
+        if not sink.gone:
+            request.unregisterProducer()
+
+
+async def _answer_chat(
+    context: EntryContext,
+    placements: Placements,
+    request: Request,
+    chat: Chat,
+    chosen: ChosenWork,
+    span: Span,
+) -> bytes:
+    """Answer whole and settle before the answer goes.
+
+    A key that the caller may send twice is reserved before the dispatch. Without one
+    the row is opened and settled by one command: nothing of the answer is out yet.
+    """
+    work = chosen.work
+    reservation = Reservation(
+        work=work,
+        key=chat.key,
+        digest=chat.digest,
+        repeatable=True,
+        version=chosen.choice.plan[0],
+    )
+    if chat.keyed:
+        stored = _find_stored(await reserve_row(context, reservation))
+        if stored is not None:
+            return write_stored(request, stored)
+
+    try:
+        answer = await answer_whole(context, placements, chat, chosen, span)
+    except Problem as problem:
+        if chat.keyed:
+            await _settle_chat(context, chat, work, Ending(outcome=problem.outcome))
+
+        raise
+
+    kept = None
+    if chat.keyed and len(answer.body) <= MAX_KEPT_ANSWER:
+        kept = StoredAnswer(status=200, content_type=JSON, body=answer.body)
+
+    ending = Ending(
+        outcome=OutcomeKind.COMPLETED,
+        version=answer.version,
+        upstream=answer.upstream,
+        usage=answer.usage,
+        answer=kept,
+    )
+    row = None if chat.keyed else make_row(context, reservation)
+    await settle_row(context, work.workspace, chat.key, work.request, ending, row=row)
+    request.setHeader("x-version", answer.version)
+    request.setHeader("content-type", JSON)
+    return answer.body
+
+
+async def _settle_chat(
+    context: EntryContext, chat: Chat, work: Work, ending: Ending
+) -> None:
+    await settle_row(context, work.workspace, chat.key, work.request, ending)
+
+
+def _find_stored(outcome: Any) -> StoredAnswer | None:
+    if isinstance(outcome, AlreadyOpen):
+        raise make_open_problem(outcome.row)
+
+    if isinstance(outcome, AlreadySettled):
+        return replay_row(outcome.row)
+
+    return None
+
+
+def start_request_span(context: EntryContext, request: Request, work: Work) -> Span:
+    """Start the entry's own span, below the caller's if it sent one."""
+    span = start_span(
+        context.traces,
+        "entry.request",
+        kind=SpanKind.SERVER,
+        parent=request.getHeader("traceparent"),
+    )
+    span.set_attribute("request", work.request)
+    span.set_attribute("workspace", work.workspace)
+    return span
+
+
+def write_stored(request: Request, answer: StoredAnswer) -> bytes:
+    """Write a stored answer as it was given the first time."""
+    request.setResponseCode(answer.status)
+    request.setHeader("content-type", answer.content_type)
+    request.setHeader("x-outcome", OutcomeKind.COMPLETED.value)
+    return answer.body
--- /dev/null
+++ b/src/waxwingwell/adapters/entry/guards.py
@@ -0,0 +1,90 @@
+"""What stands around every route: problems become answers, faults are told once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from functools import wraps
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from ...records import OutcomeKind
+from .replies import Problem
+from .replies import write_problem
+
+
+if TYPE_CHECKING:
+    from .context import EntryContext
+
+
+Request = Any
+"""A request of twisted.web, whose methods carry no types."""
+
+Handler = Callable[..., Any]
+
+
+def answer_problems(context: EntryContext) -> Callable[[Handler], Handler]:
+    """Return a decorator that turns problems into answers, and faults into one."""
+
+    def decorate(handler: Handler) -> Handler:
+        @wraps(handler)
+        def run(request: Request, **names: str) -> Deferred[bytes | None]:
+            if context.draining:
+                # The balancer has been told; the caller opens a new connection.
+                request.setHeader("connection", "close")
+
+            return _shield(_guard(context, handler, request, names))
+
+        return run
+
+    return decorate
+
+
+def _shield(work: Coroutine[Any, Any, bytes | None]) -> Deferred[bytes | None]:
+    """Run work that goes on when the web library cancels its result.
+
+    Klein cancels a handler once its caller is gone. That would stop an order between
+    its dispatch and its row: the row would stay open and the order be lost to view.
+    The work ends by itself; only its answer has no reader any more.
+    """
+    result: Deferred[bytes | None] = Deferred()
+    Deferred.fromCoroutine(work).addCallbacks(result.callback, result.errback)
+    return result
+
+
+async def _guard(
+    context: EntryContext, handler: Handler, request: Request, names: dict[str, str]
+) -> bytes | None:
+    try:
+        answer: bytes | None = await handler(request, **names)
+        return _measure(request, answer)
+    except Problem as problem:
+        context.metrics.count(f"problems.{problem.code}", 1)
+        return _tell(request, problem)
+    except Exception as error:
+        logger.opt(exception=error).error("entry: A request failed by our fault.")
+        fault = Problem(
+            status=500,
+            code="internal",
+            message="an error of the router; it has been logged",
+            outcome=OutcomeKind.MAY_HAVE_RUN,
+        )
+        return _tell(request, fault)
+
+
+def _tell(request: Request, problem: Problem) -> bytes | None:
+    if request.startedWriting:
+        return b""
+
+    return _measure(request, write_problem(request, problem))
+
+
+def _measure(request: Request, body: bytes | None) -> bytes | None:
+    """State the length of a whole body; streams have none."""
+    if body is not None and not request.startedWriting:
+        request.setHeader("content-length", str(len(body)))
+
+    return body
