--- a/src/waxwingwell/state/leases.py
+++ b/src/waxwingwell/state/leases.py
@@ -32,7 +32,7 @@
     from .ledger import OpenIncarnations
 
 
-LEASE_DURATION = 4.0
+LEASE_DURATION = 3.5
 """Seconds that a lease holds; an entry renews about once a second."""
 
 DRIFT = 0.02
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -9,6 +9,7 @@
 from waxwingwell.messages import RenewLease
 from waxwingwell.records import Evidence
 from waxwingwell.state.leases import DRIFT
+from waxwingwell.state.leases import LEASE_DURATION
 from waxwingwell.state.leases import ConfigLease
 from waxwingwell.state.leases import EntryLeases
 from waxwingwell.state.leases import ExpiredEntry
@@ -121,8 +122,9 @@
         renew(leases, cmc, 4, 10.7)
         expected = InForce(in_force=False, waiting=(BOLE,))
         self.assertEqual(is_in_force(leases, 4, 10.8), expected)
-        self.assertTrue(may_admit(bole, 13.9))
-        self.assertFalse(is_in_force(leases, 4, 13.9).in_force)
+        last = 10.0 + LEASE_DURATION - 0.01
+        self.assertTrue(may_admit(bole, last))
+        self.assertFalse(is_in_force(leases, 4, last).in_force)
         after = 10.0 + get_longest_hold(leases)
         self.assertFalse(may_admit(bole, after))
         self.assertTrue(is_in_force(leases, 4, after).in_force)
@@ -155,7 +157,8 @@
 
     def test_new_leader_claims_nothing_at_first(self) -> None:
         leases = EntryLeases(elected_at=100.0)
-        self.assertFalse(is_in_force(leases, 1, 103.9).in_force)
+        last = 100.0 + LEASE_DURATION - 0.01
+        self.assertFalse(is_in_force(leases, 1, last).in_force)
         later = 100.0 + get_longest_hold(leases)
         self.assertTrue(is_in_force(leases, 1, later).in_force)
 
