End a test run that hangs, and show where

Cause: a fake without a new method made one test loop for good; nothing ended it or told which test it was. Change: after 20 minutes the runner prints every thread's stack and fails.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import sys
 import unittest
 from pathlib import Path
@@ -14,6 +15,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_LIMIT = 3
+HANG_LIMIT = 1200
+"""Seconds after which a run that hangs shows where, and fails; no pass mark."""
 
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 
@@ -36,6 +39,7 @@
 
 def run_tests(pattern: str) -> int:
     """Run the tests whose file matches ``pattern``; return the exit code."""
+    faulthandler.dump_traceback_later(HANG_LIMIT, exit=True)
     settings.load_profile("ci")
     known = read_known_red()
     suite = unittest.TestLoader().discover(
@@ -45,6 +49,7 @@
     bad = [case.id() for case, _ in result.failures + result.errors]
     bad += [case.id() for case in result.unexpectedSuccesses]
     new = [name for name in bad if not any(name.startswith(red) for red in known)]
+    faulthandler.cancel_dump_traceback_later()
     passed = result.testsRun - len(bad) - len(result.skipped)
     print(f"{passed} passed, {len(bad)} failed, {len(result.skipped)} skipped")
     return 1 if new or result.testsRun == 0 else 0
