Let one piece serve what stood twice

Cause: a read of the whole change: key hashing stood in four places, reading a whole answer and looking at a key's row in two each, the shape of token counts in two, the union of outcomes in two; the leader listed all evidence for each renewal and sent it every five seconds only; orders looked at the leases without the check of their term. Change: keys.py, read_answer_body, find_stored, TokenCounts, messages.Outcome and get_leases serve all of them; evidence is listed when it is due. A test passes evidence as a function now; its assertions are as before. Ruled out: the flag 'ran' beside EntryContext.ran, which is the check's own record. Conclusion: behaviour unchanged, but that orders use the stricter check of leases.

--- a/src/waxwingwell/adapters/bodies.py
+++ b/src/waxwingwell/adapters/bodies.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from ..messages import Accepted
-from ..messages import AlreadyOpen
-from ..messages import AlreadySettled
 from ..messages import AskInForce
 from ..messages import AskUpstreams
-from ..messages import Conflict
 from ..messages import Drain
 from ..messages import Draining
 from ..messages import Failed
@@ -18,16 +14,11 @@
 from ..messages import NotLeader
 from ..messages import OrderPassed
 from ..messages import OrderVersions
-from ..messages import Pinned
-from ..messages import Recorded
-from ..messages import Rejected
+from ..messages import Outcome
 from ..messages import RenewLease
-from ..messages import Reserved
-from ..messages import Settled
 from ..messages import SpreadAnnouncements
 from ..messages import SpreadDemand
 from ..messages import Submit
-from ..messages import Swept
 from ..state.consensus.messages import AppendAnswer
 from ..state.consensus.messages import AppendEntries
 from ..state.consensus.messages import Expelled
@@ -41,20 +32,8 @@
 from ..state.consensus.messages import VoteAnswer
 
 
-Outcomes = (
-    Accepted
-    | Conflict
-    | Rejected
-    | Reserved
-    | AlreadyOpen
-    | AlreadySettled
-    | Settled
-    | Swept
-    | Pinned
-    | Recorded
-)
 Body = (
-    Outcomes
+    Outcome
     | Submit
     | RenewLease
     | LeaseGranted
--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,6 +11,8 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
+from ...keys import BEARER
+from ...keys import hash_key
 from ..admin_views import ErrorView
 
 
@@ -25,7 +26,6 @@
 Request = Any
 """A request of twisted.web, whose methods carry no types."""
 
-BEARER = "Bearer "
 IDLE_TIMEOUT = 60
 """Seconds of silence after which a connection is closed."""
 RETRY_AFTER = b"1"
@@ -68,7 +68,7 @@
 def find_operator(context: ControlContext, request: Request) -> OperatorKey | None:
     """Return the operator whose key the request carries, compared in equal time."""
     header = request.getHeader("authorization") or ""
-    digest = hashlib.sha256(header.removeprefix(BEARER).strip().encode()).hexdigest()
+    digest = hash_key(header.removeprefix(BEARER).strip())
     found = None
     for operator in context.settings.operators:
         if hmac.compare_digest(operator.digest, digest):
--- a/src/waxwingwell/adapters/control/orders.py
+++ b/src/waxwingwell/adapters/control/orders.py
@@ -18,12 +18,12 @@
 from ...messages import KnownUpstreams
 from ...messages import OrderPassed
 from ...messages import OrderVersions
-from ...state.group import leads
 from ...state.group import term_of
 from ...state.leases import knows_all_leases
 from ..exceptions import LinkError
 from .entries import ask_entries
 from .entries import list_entries
+from .service import get_leases
 
 
 if TYPE_CHECKING:
@@ -56,10 +56,8 @@
 def may_order(context: ControlContext) -> bool:
     """Tell whether this process may give orders at this moment."""
     now = context.clock()
-    if not leads(context.group, now) or context.leases is None:
-        return False
-
-    return knows_all_leases(context.leases, now)
+    leases = get_leases(context, now)
+    return leases is not None and knows_all_leases(leases, now)
 
 
 async def _send_orders(
--- a/src/waxwingwell/adapters/control/service.py
+++ b/src/waxwingwell/adapters/control/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -150,7 +151,7 @@
         message,
         snapshot=snapshot,
         now=now,
-        evidence=list_evidence(context.holder.state.evidence),
+        list_evidence=partial(list_evidence, context.holder.state.evidence),
         term=term_of(context.group),
     )
     if isinstance(answer, LeaseGranted):
--- a/src/waxwingwell/adapters/entry/attempts.py
+++ b/src/waxwingwell/adapters/entry/attempts.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from opentelemetry.trace import SpanKind
 from opentelemetry.trace import StatusCode
+from twisted.web.client import readBody
 
 from ...decisions.upstreams import note_dispatch
 from ...decisions.upstreams import note_finish
@@ -107,6 +108,24 @@
     note_finish(context.tables, upstream, failed=failed, now=context.clock())
 
 
+async def read_answer_body(
+    context: EntryContext, response: Any, upstream: UpstreamId, *, limit: float
+) -> bytes:
+    """Return a whole body within ``limit`` seconds; the attempt goes on if it came.
+
+    Errors: ``AttemptError``, after the attempt was counted as failed.
+    """
+    reading = readBody(response)
+    reading.addTimeout(limit, context.reactor)
+    try:
+        data: bytes = await reading
+    except Exception as error:
+        end_attempt(context, upstream, failed=True)
+        raise AttemptError(repr(error), may_have_run=True) from error
+
+    return data
+
+
 async def relay_body(
     context: EntryContext, response: Any, stream: EventStream, sink: Sink
 ) -> End:
--- a/src/waxwingwell/adapters/entry/callers.py
+++ b/src/waxwingwell/adapters/entry/callers.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 from dataclasses import field
 
+from ...keys import BEARER
+from ...keys import hash_key
 from ...records import Role
 from ...records import WorkspaceConfig
 from ...records import WorkspaceId
 from .replies import Problem
 
 
-BEARER = "Bearer "
-
-
 @dataclass(slots=True)
 class CallerKeys:
     """Index from a key's digest to its workspace, made anew with each change."""
@@ -24,11 +22,6 @@
     """Keys that this process accepts beside the configured ones (embedded role)."""
 
 
-def hash_key(key: str) -> str:
-    """Return the SHA-256 hex digest under which a key is stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def index_keys(keys: CallerKeys, configs: dict[WorkspaceId, WorkspaceConfig]) -> None:
     """Take the callers' keys of all workspaces; revoked ones stay out."""
     found = dict(keys.extra)
--- a/src/waxwingwell/adapters/entry/chat_answers.py
+++ b/src/waxwingwell/adapters/entry/chat_answers.py
@@ -7,8 +7,6 @@
 
 from opentelemetry.trace import SpanKind
 
-from ...messages import AlreadyOpen
-from ...messages import AlreadySettled
 from ...records import OutcomeKind
 from ...records import StoredAnswer
 from ..telemetry import start_span
@@ -21,8 +19,7 @@
 from .relay import Sink
 from .replies import JSON
 from .replies import Problem
-from .services import make_open_problem
-from .services import replay_row
+from .services import find_stored
 from .stream_runs import StreamRun
 from .streaming import answer_stream
 from .streams import EventStream
@@ -121,7 +118,7 @@
         version=chosen.choice.plan[0],
     )
     if chat.keyed:
-        stored = _find_stored(await reserve_row(context, reservation))
+        stored = find_stored(await reserve_row(context, reservation))
         if stored is not None:
             return write_stored(request, stored)
 
@@ -129,7 +126,8 @@
         answer = await answer_whole(context, placements, chat, chosen, span)
     except Problem as problem:
         if chat.keyed:
-            await _settle_chat(context, chat, work, Ending(outcome=problem.outcome))
+            ending = Ending(outcome=problem.outcome)
+            await settle_row(context, work.workspace, chat.key, work.request, ending)
 
         raise
 
@@ -151,22 +149,6 @@
     return answer.body
 
 
-async def _settle_chat(
-    context: EntryContext, chat: Chat, work: Work, ending: Ending
-) -> None:
-    await settle_row(context, work.workspace, chat.key, work.request, ending)
-
-
-def _find_stored(outcome: Any) -> StoredAnswer | None:
-    if isinstance(outcome, AlreadyOpen):
-        raise make_open_problem(outcome.row)
-
-    if isinstance(outcome, AlreadySettled):
-        return replay_row(outcome.row)
-
-    return None
-
-
 def start_request_span(context: EntryContext, request: Request, work: Work) -> Span:
     """Start the entry's own span, below the caller's if it sent one."""
     span = start_span(
--- a/src/waxwingwell/adapters/entry/ledger.py
+++ b/src/waxwingwell/adapters/entry/ledger.py
@@ -46,6 +46,10 @@
 """Seconds after which a caller may come back when no leader answered."""
 
 
+ReserveOutcome = Reserved | AlreadyOpen | AlreadySettled
+"""What a reservation finds: its own new row, or that of its key."""
+
+
 @dataclass(frozen=True, slots=True)
 class Ending:
     """How a request ended, for its row."""
@@ -73,7 +77,7 @@
 
 async def reserve_row(
     context: EntryContext, reservation: Reservation
-) -> Reserved | AlreadyOpen | AlreadySettled:
+) -> ReserveOutcome:
     """Make the row durable; ``Problem`` if the key is misused or control is away.
 
     Failure guarded against: the leader records the row and its answer comes too late.
--- a/src/waxwingwell/adapters/entry/services.py
+++ b/src/waxwingwell/adapters/entry/services.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from twisted.web.client import readBody
-
 from ...decisions.tables import Work
 from ...invariants import Promise
 from ...invariants import check
@@ -23,10 +21,12 @@
 from ...records import WorkKind
 from ...records import WorkspaceConfig
 from .attempts import end_attempt
+from .attempts import read_answer_body
 from .attempts import run_attempt
 from .checks import check_lease
 from .ledger import Ending
 from .ledger import Reservation
+from .ledger import ReserveOutcome
 from .ledger import reserve_row
 from .ledger import settle_row
 from .placement import place_request
@@ -129,11 +129,9 @@
             upstream=choice.upstream,
         ),
     )
-    if isinstance(outcome, AlreadyOpen):
-        raise make_open_problem(outcome.row)
-
-    if isinstance(outcome, AlreadySettled):
-        return replay_row(outcome.row)
+    stored = find_stored(outcome)
+    if stored is not None:
+        return stored
 
     try:
         check_lease(context)
@@ -146,6 +144,20 @@
     return answer
 
 
+def find_stored(outcome: ReserveOutcome) -> StoredAnswer | None:
+    """Return the stored answer of a reserved key, or None if its row is new.
+
+    ``Problem`` while the key's request runs, or if its answer is not kept.
+    """
+    if isinstance(outcome, AlreadyOpen):
+        raise make_open_problem(outcome.row)
+
+    if isinstance(outcome, AlreadySettled):
+        return replay_row(outcome.row)
+
+    return None
+
+
 def replay_row(row: LedgerRow) -> StoredAnswer:
     """Return the stored answer of a settled row, or tell that it may have run."""
     if row.status == RowStatus.SETTLED and row.answer is not None:
@@ -233,14 +245,8 @@
 async def _read_answer(
     context: EntryContext, response: Any, upstream: UpstreamId
 ) -> StoredAnswer:
-    reading = readBody(response)
-    reading.addTimeout(context.settings.progress_timeout * 2, context.reactor)
-    try:
-        data = await reading
-    except Exception as error:
-        end_attempt(context, upstream, failed=True)
-        raise AttemptError(repr(error), may_have_run=True) from error
-
+    limit = context.settings.progress_timeout * 2
+    data = await read_answer_body(context, response, upstream, limit=limit)
     end_attempt(context, upstream, failed=response.code >= 500)
     types = response.headers.getRawHeaders("content-type")
     return StoredAnswer(
--- a/src/waxwingwell/adapters/entry/streams.py
+++ b/src/waxwingwell/adapters/entry/streams.py
@@ -32,7 +32,9 @@
     OVERSIZED = "an event is too long"
 
 
-class _Tokens(msgspec.Struct):
+class TokenCounts(msgspec.Struct):
+    """Tokens used, as an engine counts them at the end of an answer."""
+
     prompt_tokens: int = 0
     completion_tokens: int = 0
 
@@ -47,7 +49,7 @@
 
 class _Chunk(msgspec.Struct):
     choices: list[_Item] = msgspec.field(default_factory=list)
-    usage: _Tokens | None = None
+    usage: TokenCounts | None = None
 
 
 @dataclass(slots=True)
--- a/src/waxwingwell/adapters/entry/whole.py
+++ b/src/waxwingwell/adapters/entry/whole.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-from twisted.web.client import readBody
 
 from ...decisions.evidence import note_sent
 from ...decisions.evidence import note_unrated
@@ -20,6 +19,7 @@
 from ...records import Usage
 from ...records import VersionId
 from .attempts import end_attempt
+from .attempts import read_answer_body
 from .attempts import run_attempt
 from .chats import make_upstream_body
 from .checks import assert_dispatch
@@ -30,6 +30,7 @@
 from .ratings import rate_answer
 from .ratings import rate_later
 from .replies import Problem
+from .streams import TokenCounts
 from .upstream_client import AttemptError
 from .upstream_client import UpstreamCall
 from .upstream_client import make_call
@@ -58,14 +59,9 @@
     message: _Message
 
 
-class _Tokens(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-
-
 class _Completion(msgspec.Struct):
     choices: list[_ChoiceItem]
-    usage: _Tokens = msgspec.field(default_factory=_Tokens)
+    usage: TokenCounts = msgspec.field(default_factory=TokenCounts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,14 +269,8 @@
 async def _read_body(
     context: EntryContext, response: Any, upstream: UpstreamId
 ) -> bytes:
-    reading = readBody(response)
-    reading.addTimeout(context.settings.progress_timeout * 4, context.reactor)
-    try:
-        data: bytes = await reading
-    except Exception as error:
-        end_attempt(context, upstream, failed=True)
-        raise AttemptError(repr(error), may_have_run=True) from error
-
+    limit = context.settings.progress_timeout * 4
+    data = await read_answer_body(context, response, upstream, limit=limit)
     if len(data) > MAX_ANSWER:
         end_attempt(context, upstream, failed=True)
         raise AttemptError("the answer is too long", may_have_run=True)
--- a/src/waxwingwell/answers/contradictions.py
+++ b/src/waxwingwell/answers/contradictions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
+from ..keys import hash_key
 from ..records import Finding
 from .generation import PACES
 
@@ -232,7 +232,7 @@
     yield from find_repeats(
         [(f"{place}.sha256", key.sha256) for place, key in draft.keys], "the digest"
     )
-    demo = hashlib.sha256(DEMO_KEY.encode()).hexdigest()
+    demo = hash_key(DEMO_KEY)
     for place, key in draft.keys:
         if key.sha256 == demo:
             message = f"{DEMO_KEY!r} is the demo's key; everyone knows it"
--- a/src/waxwingwell/commands/answer_files.py
+++ b/src/waxwingwell/commands/answer_files.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import secrets
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from ..answers.findings import check_answers
+from ..keys import hash_key
 from .exits import ExitCode
 from .exits import leave
 from .exits import render_findings
@@ -65,7 +65,7 @@
 def create_key() -> tuple[str, str]:
     """Return a new key and its digest; the key itself is kept nowhere."""
     key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
-    return key, hashlib.sha256(key.encode()).hexdigest()
+    return key, hash_key(key)
 
 
 def make_template(workspace: str, digest: str) -> dict[str, object]:
--- a/src/waxwingwell/embedded/system.py
+++ b/src/waxwingwell/embedded/system.py
@@ -15,7 +15,6 @@
 from ..adapters.control.daemon import start_control
 from ..adapters.control.daemon import stop_control
 from ..adapters.control.service import submit
-from ..adapters.entry.callers import hash_key
 from ..adapters.entry.callers import index_keys
 from ..adapters.entry.daemon import EntryDaemon
 from ..adapters.entry.daemon import start_entry
@@ -27,6 +26,7 @@
 from ..adapters.settings import Listener
 from ..adapters.settings import OperatorKey
 from ..adapters.settings import Peer
+from ..keys import hash_key
 from ..messages import ApplyAnswers
 from ..messages import Command
 from ..messages import Failed
--- a/src/waxwingwell/state/leases.py
+++ b/src/waxwingwell/state/leases.py
@@ -25,6 +25,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from ..messages import ConfigSnapshot
@@ -108,15 +109,15 @@
     *,
     snapshot: ConfigSnapshot,
     now: float,
-    evidence: tuple[Evidence, ...] = (),
+    list_evidence: Callable[[], tuple[Evidence, ...]] = tuple,
     term: int = 0,
 ) -> LeaseGranted | LeaseBehind:
     """Grant a lease to an entry that has the newest configuration.
 
     ``snapshot`` is the newest committed one. The caller must have confirmed its
     leadership for ``now`` after it read the snapshot; otherwise a leader that was cut
-    off would grant leases on an old configuration. ``evidence`` goes along now and
-    then; a grant without it brings no news.
+    off would grant leases on an old configuration. ``list_evidence`` is asked now and
+    then only; a grant without evidence brings no news.
     """
     place = (message.entry, message.incarnation)
     newest = leases.newest.get(message.entry, message.incarnation)
@@ -147,7 +148,7 @@
         duration=leases.duration,
         config_version=snapshot.config_version,
         term=term,
-        evidence=evidence if due else (),
+        evidence=list_evidence() if due else (),
     )
 
 
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -218,7 +218,7 @@
                 message,
                 snapshot=make_snapshot(1),
                 now=10.0 + second,
-                evidence=(row,),
+                list_evidence=lambda: (row,),
             )
             assert isinstance(answer, LeaseGranted)
             carried.append(len(answer.evidence))
