--- /dev/null
+++ b/src/waxwingwell/adapters/events.py
@@ -0,0 +1,99 @@
+"""Structured log lines: one JSON object a line on standard output.
+
+A line is dropped, and counted, when the reader of the pipe lags or when lines of its
+kind come too fast; writing never blocks the process.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections import deque
+from typing import Any
+
+from loguru import logger
+from twisted.python import log as twisted_log
+
+
+MAX_PENDING = 512
+"""Lines kept for a reader that lags; about 128 KB."""
+RATE = 200
+"""Lines of routine kinds a second; above it they are sampled by dropping."""
+
+
+class _Output:
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.pending: deque[bytes] = deque()
+        self.dropped = 0
+
+    def write(self, line: bytes) -> None:
+        self.pending.append(line)
+        if len(self.pending) > MAX_PENDING:
+            self.pending.popleft()
+            self.dropped += 1
+
+        self.drain()
+
+    def drain(self) -> None:
+        while self.pending:
+            line = self.pending[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone: nobody is left to tell.
+                self.dropped += len(self.pending)
+                self.pending.clear()
+                return
+
+            self.pending.popleft()
+            if written < len(line):
+                self.pending.appendleft(line[written:])
+                return
+
+
+def open_log(node: str) -> None:
+    """Send all log lines of this process to standard output as JSON."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    output = _Output(descriptor)
+
+    def sink(message: Any) -> None:
+        record = message.record
+        line = {
+            "at": round(record["time"].timestamp(), 3),
+            "node": node,
+            "level": record["level"].name,
+            "event": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["error"] = repr(record["exception"].value)
+
+        if output.dropped:
+            line["dropped"] = output.dropped
+            output.dropped = 0
+
+        output.write(json.dumps(line, default=str).encode() + b"\n")
+
+    logger.remove()
+    logger.add(sink, level="INFO", format="{message}", catch=False)
+    twisted_log.startLoggingWithObserver(take_twisted_event, setStdout=False)
+
+
+def take_twisted_event(event: dict[str, Any]) -> None:
+    """Log an error that no code of ours caught, with its traceback on one line."""
+    if not event.get("isError"):
+        return
+
+    failure = event.get("failure")
+    text = failure.getTraceback() if failure is not None else str(event.get("message"))
+    logger.bind(traceback=text).error("unhandled error")
+
+
+def log_event(event: str, **fields: Any) -> None:
+    """Write one line: what happened, with the inputs that decided it."""
+    logger.bind(**fields).info(event)
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: passes callers' requests on to upstreams by routes."""
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -0,0 +1,94 @@
+"""What happens to a caller's request before it is placed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.lookup import find_route
+from ...routing.lookup import find_workspace
+from ...routing.retries import note_request
+from ..events import log_event
+from ..http.records import find_header
+from .choice import choose_service
+from .choice import session_of
+from .exchange import RETRY_AFTER
+from .exchange import Exchange
+from .exchange import retry_after
+
+
+if TYPE_CHECKING:
+    from ...routing.lookup import DocumentIndex
+    from ...routing.records import Route
+    from ...routing.records import Workspace
+    from ..http.records import HttpRequest
+    from ..http.server import Responder
+    from .context import GatewayContext
+    from .dialect import RequestFacts
+
+
+def take_request(
+    context: GatewayContext, request: HttpRequest, responder: Responder
+) -> None:
+    """Find out what is asked by whom, and begin to serve it."""
+    now = context.clock()
+    facts = context.dialect.read_request(request.headers)
+    index = context.index
+    if index is None or is_shut(context, now):
+        refuse(facts, responder, 503, "no configuration in force")
+        return
+
+    host = read_host(request)
+    target = request.target.decode("latin-1")
+    route = find_route(index, host, target)
+    if route is None:
+        refuse(facts, responder, 404, f"no route, document {index.document.version}")
+        return
+
+    workspace = identify(index, route, facts)
+    if workspace is None and index.document.workspaces and not route.anonymous:
+        refuse(facts, responder, 401, f"unknown key, document {index.document.version}")
+        return
+
+    service = choose_service(route, session_of(facts))
+    note_request(context.retries, service, now, context.settings.retries)
+    Exchange(context, request, facts, route, workspace, responder, now).start()
+
+
+def is_shut(context: GatewayContext, now: float) -> bool:
+    """Tell whether the gateway must not trust its configuration any more.
+
+    Failure: a gateway that is cut off from the controls would go on to let in keys
+    that were taken away. Operators say whether that or refusing is worse.
+    """
+    settings = context.settings
+    return settings.fail_closed and now - context.heard_at > settings.revoke_after
+
+
+def identify(
+    index: DocumentIndex, route: Route, facts: RequestFacts
+) -> Workspace | None:
+    """Return the workspace of a request's key."""
+    if facts.key is None:
+        return None
+
+    return find_workspace(index, facts.key)
+
+
+def read_host(request: HttpRequest) -> str:
+    """Return the host that is asked for, without a port."""
+    value = find_header(request.headers, b"host") or b""
+    host = value.decode("latin-1").lower()
+    return host.partition(":")[0]
+
+
+def refuse(facts: RequestFacts, responder: Responder, status: int, reason: str) -> None:
+    """Refuse a request that was not placed."""
+    log_event(
+        "gateway: Request ended",
+        request=facts.request_id,
+        outcome="refused",
+        status=status,
+        reason=reason,
+    )
+    headers = [retry_after(RETRY_AFTER)] if status == 503 else []
+    responder.send(status, headers)
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -0,0 +1,131 @@
+"""Choosing service, model and upstream for one request, from the gateway's tables."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ...routing.fleet import MISSED_HEARTBEATS
+from ...routing.fleet import list_serving
+from ...routing.models import choose_model
+from ...routing.placement import Demand
+from ...routing.placement import Placement
+from ...routing.placement import Surroundings
+from ...routing.placement import place_request
+from ...routing.rollouts import hash_share
+from ...routing.versions import list_allowed
+
+
+if TYPE_CHECKING:
+    from ...routing.fleet import Announcement
+    from ...routing.lookup import DocumentIndex
+    from ...routing.records import Route
+    from .context import GatewayContext
+    from .dialect import RequestFacts
+
+
+HEARTBEAT_SECONDS = 1.2
+"""About how often upstreams send heartbeats."""
+SILENT_SECONDS = HEARTBEAT_SECONDS * MISSED_HEARTBEATS
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes."""
+
+    service: str
+    model: str
+    placement: Placement
+
+
+def choose_service(route: Route, key: str) -> str:
+    """Return one of a route's services by weight; the same for the same key."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+
+    total = sum(target.weight for target in route.targets)
+    point = hash_share(f"{route.name}/{key}") * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+
+    return next(one.service for one in reversed(route.targets) if one.weight > 0)
+
+
+def choose_upstream(
+    context: GatewayContext,
+    index: DocumentIndex,
+    route: Route,
+    facts: RequestFacts,
+    *,
+    model: str,
+    avoided: set[str],
+    now: float,
+) -> Choice | None:
+    """Return where a request goes next, or None if nothing may run it.
+
+    Upstreams that this request has met already are chosen only if no other is left.
+    """
+    key = session_of(facts)
+    service = choose_service(route, key)
+    allowed = list_candidates(context, service, key, now)
+    fresh = [one for one in allowed if one.upstream not in avoided]
+    record = index.services.get(service)
+    if record is None:
+        return None
+
+    chosen_model = model or choose_model(route, facts.model)
+    demand = Demand(
+        service=record,
+        model=chosen_model or facts.model,
+        prompt_tokens=facts.prompt_tokens,
+        output_tokens=facts.output_tokens,
+        parts=facts.parts,
+    )
+    surroundings = Surroundings(
+        data_centre=context.settings.data_centre,
+        load=context.load,
+        health=context.health,
+        prefixes=context.prefixes,
+    )
+    placement = place_request(demand, fresh, surroundings, now, context.random.random)
+    if placement is None:
+        return None
+
+    return Choice(service, chosen_model, placement)
+
+
+def session_of(facts: RequestFacts) -> str:
+    """Return what requests of one session share."""
+    if facts.session:
+        return facts.session
+
+    if facts.parts:
+        return facts.parts[-1][0]
+
+    return facts.request_id
+
+
+def list_candidates(
+    context: GatewayContext, service: str, session: str, now: float
+) -> list[Announcement]:
+    """Return the upstreams that may run a session's request.
+
+    While no control can be heard, silence of upstreams means nothing.
+    """
+    heard_after = context.fleet_at - SILENT_SECONDS
+    serving = list_serving(context.fleet, service, heard_after=heard_after)
+    if service not in context.established and serving:
+        oldest = min(serving, key=lambda one: one.incarnation)
+        context.established[service] = oldest.version
+
+    return list_allowed(
+        serving,
+        context.rollouts.get(service),
+        established=context.established,
+        session=session,
+        last=context.sessions.last.get((service, session)),
+        session_life=context.settings.session_life,
+        now=now,
+    )
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -0,0 +1,177 @@
+"""The gateway daemon."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from ...routing.messages import RoutingBody
+from ..clock import read_clock
+from ..events import log_event
+from ..http.records import HttpLimits
+from ..http.server import HttpFactory
+from ..http.server import HttpService
+from ..http.server import close_idle
+from ..links import LinkHandlers
+from ..links import LinkNode
+from ..links import LinkTiming
+from ..links import close_link
+from .arrivals import take_request
+from .context import GatewayContext
+from .steering import connect_control
+from .steering import report_use
+from .steering import take_call
+from .steering import take_cast
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..http.records import HttpRequest
+    from ..http.server import Responder
+    from .dialect import Dialect
+    from .settings import GatewaySettings
+
+
+REPORT_SECONDS = 0.25
+STOP_LOOK_SECONDS = 0.1
+STOP_MARGIN = 0.6
+"""Seconds before the process is killed at which it ends by itself."""
+BALANCER_SECONDS = 2.5
+"""How long a stopping gateway goes on taking connections: the balancer needs two looks,
+a second apart, to notice."""
+LINK_TIMING = LinkTiming(beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.5)
+BACKLOG = 1024
+
+
+@dataclass(slots=True)
+class GatewayDaemon:
+    """A running gateway process."""
+
+    context: GatewayContext
+    service: HttpService
+    health: HttpService
+    ports: list[Any]
+    loop: LoopingCall
+
+
+def start_gateway(
+    settings: GatewaySettings, reactor: Any, dialect: Dialect
+) -> GatewayDaemon:
+    """Begin to serve; errors: ``CannotListenError``."""
+    context = GatewayContext(
+        settings=settings,
+        reactor=reactor,
+        clock=read_clock,
+        random=random.Random(settings.node),
+        dialect=dialect,
+    )
+    context.heard_at = read_clock()
+    context.node = LinkNode(
+        name=settings.node,
+        reactor=reactor,
+        handlers=LinkHandlers(
+            take_call=take_call,
+            take_cast=partial(take_cast, context),
+            body_type=RoutingBody,
+        ),
+        timing=LINK_TIMING,
+    )
+    service = HttpService(
+        reactor=reactor,
+        handle=partial(take_request, context),
+        limits=partial(read_limits, context),
+    )
+    health = HttpService(
+        reactor=reactor,
+        handle=partial(answer_readiness, context),
+        limits=HttpLimits,
+    )
+    ports = [
+        reactor.listenTCP(
+            settings.callers[1],
+            HttpFactory(service),
+            backlog=BACKLOG,
+            interface=settings.callers[0],
+        ),
+        reactor.listenTCP(
+            settings.readiness[1], HttpFactory(health), interface=settings.readiness[0]
+        ),
+    ]
+    for name in settings.controls:
+        connect_control(context, name)
+
+    loop = LoopingCall(report_use, context)
+    loop.start(REPORT_SECONDS, now=False)
+    log_event("gateway: Started", address=settings.address)
+    return GatewayDaemon(context, service, health, ports, loop)
+
+
+def read_limits(context: GatewayContext) -> HttpLimits:
+    """Return what callers may send by the document in force."""
+    if context.index is None:
+        return HttpLimits()
+
+    limits = context.index.document.limits
+    return HttpLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        header_timeout=limits.header_timeout,
+        idle_timeout=limits.idle_timeout,
+    )
+
+
+def answer_readiness(
+    context: GatewayContext, request: HttpRequest, responder: Responder
+) -> None:
+    """Tell the balancer whether callers may be sent here."""
+    ready = context.index is not None and not context.stopping
+    responder.send(200 if ready else 503, [])
+
+
+def stop_gateway(daemon: GatewayDaemon, done: Callable[[], None]) -> None:
+    """Let running requests end, then close everything and call ``done``.
+
+    New connections are served until the balancer has noticed; connections that are
+    kept open are closed as their answers end.
+    """
+    context = daemon.context
+    context.stopping = True
+    daemon.service.stopping = True
+    began_at = context.clock()
+    deadline = began_at + context.settings.grace - STOP_MARGIN
+    log_event("gateway: Stopping", requests=len(context.exchanges))
+
+    def look() -> None:
+        now = context.clock()
+        quiet = not context.exchanges and now >= began_at + BALANCER_SECONDS
+        if quiet or now >= deadline:
+            finish_stop(daemon)
+            done()
+            return
+
+        if now >= began_at + BALANCER_SECONDS:
+            close_idle(daemon.service)
+
+        context.reactor.callLater(STOP_LOOK_SECONDS, look)
+
+    look()
+
+
+def finish_stop(daemon: GatewayDaemon) -> None:
+    """Close everything."""
+    context = daemon.context
+    daemon.loop.stop()
+    for port in daemon.ports:
+        port.stopListening()
+
+    for link in context.controls.values():
+        close_link(link)
+
+    close_idle(daemon.service)
+    log_event("gateway: Stopped", requests=len(context.exchanges))
--- /dev/null
+++ b/src/waxwingwell/adapters/http/records.py
@@ -0,0 +1,66 @@
+"""Requests and limits of HTTP, as this package hands them on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+HeaderList = list[tuple[bytes, bytes]]
+"""Names and values in order, as they came or as they are to be sent."""
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Lower-case names of headers that concern one connection only (RFC 9110, 7.6.1)."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds on what a caller may send; times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout: float = 5.0
+    idle_timeout: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request that was read whole."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+
+
+def strip_hop_headers(headers: HeaderList) -> HeaderList:
+    """Return the headers that go on to the next hop."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named |= {part.strip().lower() for part in value.split(b",")}
+
+    dropped = HOP_BY_HOP | named
+    return [pair for pair in headers if pair[0].lower() not in dropped]
+
+
+def find_header(headers: HeaderList, name: bytes) -> bytes | None:
+    """Return the first value of a header, given by its lower-case name."""
+    for known, value in headers:
+        if known.lower() == name:
+            return value
+
+    return None
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -85,6 +85,8 @@
     accepted: set[LinkProtocol] = field(default_factory=set)
     read_names: Callable[[Any], frozenset[str]] | None = None
     """Names that the other end of a transport has proven; none with plain text."""
+    on_greeted: Callable[[LinkProtocol], None] = lambda _: None
+    """Told of each connection, in either direction, once the other end is known."""
 
 
 @implementer(IPushProducer)
@@ -256,6 +258,7 @@
 
         self._greeted = True
         self._end_greeting(self)
+        self.node.on_greeted(self)
 
     def _take_call(self, call: Call) -> None:
         answer = self.node.handlers.take_call(self.remote, self._read_body(call.body))
--- /dev/null
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -0,0 +1,102 @@
+"""State of a running registry process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from ...routing.fleet import FleetTable
+from ...routing.messages import GatewayReport
+from ...routing.messages import RoutingBody
+from ...routing.rollouts import Evidence
+from ...state.consensus.messages import AppendAnswer
+from ...state.consensus.messages import AppendEntries
+from ...state.consensus.messages import Expelled
+from ...state.consensus.messages import InstallSnapshot
+from ...state.consensus.messages import JoinRequest
+from ...state.consensus.messages import Probe
+from ...state.consensus.messages import ProbeAnswer
+from ...state.consensus.messages import RequestVote
+from ...state.consensus.messages import SnapshotAnswer
+from ...state.consensus.messages import TimeoutNow
+from ...state.consensus.messages import VoteAnswer
+from ...state.group import Group
+from ...state.routing import RoutingState
+from ..links import Link
+from ..links import LinkNode
+from ..links import LinkProtocol
+from .settings import RegistrySettings
+
+
+RegistryBody = (
+    RoutingBody
+    | AppendAnswer
+    | AppendEntries
+    | Expelled
+    | InstallSnapshot
+    | JoinRequest
+    | Probe
+    | ProbeAnswer
+    | RequestVote
+    | SnapshotAnswer
+    | TimeoutNow
+    | VoteAnswer
+)
+
+
+@dataclass(slots=True)
+class Reported:
+    """The latest report of one gateway."""
+
+    report: GatewayReport
+    at: float
+    direct: bool
+    """It came over the gateway's own link, so we answer to it."""
+
+
+@dataclass(slots=True)
+class Sent:
+    """What a gateway's link has been sent."""
+
+    index: int = -1
+    version: int = -1
+
+
+@dataclass(slots=True)
+class RolloutWatch:
+    """What the leader remembers of a move under way."""
+
+    began_at: float
+    before: dict[tuple[str, str], Evidence]
+    """By gateway and version: evidence when the move began."""
+
+
+@dataclass(slots=True, kw_only=True)
+class RegistryContext:
+    """What the parts of a registry process share."""
+
+    settings: RegistrySettings
+    reactor: Any
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    state: RoutingState = field(default_factory=RoutingState)
+    group: Group | None = None
+    reopen_at: float = 0.0
+    flush_due: bool = False
+    node: LinkNode | None = None
+    controls: dict[str, Link] = field(default_factory=dict)
+    """Our links to the other controls, by name."""
+    peers: dict[LinkProtocol, Sent] = field(default_factory=dict)
+    """Connections of gateways, and what each has been sent."""
+    fleet: FleetTable = field(default_factory=FleetTable)
+    heard: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """Upstreams heard of directly since the last round of heartbeats."""
+    reports: dict[str, Reported] = field(default_factory=dict)
+    watches: dict[tuple[str, float], RolloutWatch] = field(default_factory=dict)
+    due: dict[str, float] = field(default_factory=dict)
+    """When each periodic duty ran last, by its name."""
+    led: str = ""
+    """The leader as it was logged last."""
+    stopping: bool = False
--- /dev/null
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -0,0 +1,178 @@
+"""The registry daemon: a control of a routing group as a process."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from ...state.group import leader_of
+from ...state.group import leads
+from ...state.group import transfer_leadership
+from ..clock import read_clock
+from ..events import log_event
+from ..http.records import HttpLimits
+from ..http.server import HttpFactory
+from ..http.server import HttpService
+from ..http.server import close_idle
+from ..links import LinkFactory
+from ..links import LinkHandlers
+from ..links import LinkNode
+from ..links import LinkTiming
+from ..links import close_link
+from .context import RegistryBody
+from .context import RegistryContext
+from .hub import know_control
+from .hub import run_sharing
+from .hub import take_call
+from .hub import take_cast
+from .hub import take_greeting
+from .members import open_member
+from .members import run_flush
+from .members import tick_member
+from .rollouts import watch_rollouts
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..http.records import HttpRequest
+    from ..http.server import Responder
+    from .settings import RegistrySettings
+
+
+TICK = 0.05
+"""Seconds between two looks at what is due; elections take over ten times as long."""
+LINK_TIMING = LinkTiming(beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.5)
+HANDOVER_SECONDS = 1.5
+"""A planned stop waits so long for another member to lead."""
+MAX_BODY = 8 << 20
+
+AdminHandler = "Callable[[HttpRequest, Responder], None]"
+
+
+@dataclass(slots=True)
+class RegistryDaemon:
+    """A running registry process."""
+
+    context: RegistryContext
+    service: HttpService
+    ports: list[Any]
+    loop: LoopingCall
+
+
+def start_registry(
+    settings: RegistrySettings,
+    reactor: Any,
+    make_handler: Callable[[RegistryContext], Callable[[HttpRequest, Responder], None]],
+) -> RegistryDaemon:
+    """Open the data folder and begin to serve; errors: ``CannotListenError``."""
+    context = RegistryContext(
+        settings=settings, reactor=reactor, clock=read_clock, wall_clock=time.time
+    )
+    context.node = LinkNode(
+        name=settings.address,
+        reactor=reactor,
+        handlers=LinkHandlers(
+            take_call=partial(take_call, context),
+            take_cast=partial(take_cast, context),
+            body_type=RegistryBody,
+        ),
+        timing=LINK_TIMING,
+        on_greeted=partial(take_greeting, context),
+    )
+    service = HttpService(
+        reactor=reactor,
+        handle=make_handler(context),
+        limits=lambda: HttpLimits(body_bytes=MAX_BODY),
+    )
+    ports = [
+        reactor.listenTCP(
+            settings.link_port, LinkFactory(context.node), interface=settings.address
+        ),
+        reactor.listenTCP(
+            settings.admin[1], HttpFactory(service), interface=settings.admin[0]
+        ),
+    ]
+    settings.data_folder.mkdir(parents=True, exist_ok=True)
+    open_member(context)
+    for name in settings.controls:
+        know_control(context, name)
+
+    loop = LoopingCall(run_tick, context)
+    loop.start(TICK)
+    log_event("registry: Started", address=settings.address, found=settings.found)
+    return RegistryDaemon(context, service, ports, loop)
+
+
+def run_tick(context: RegistryContext) -> None:
+    """Do what is due now."""
+    now = context.clock()
+    tick_member(context, now)
+    watch_rollouts(context, now)
+    run_sharing(context, now)
+
+
+def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
+    """Hand leadership over, then close everything and call ``done``."""
+    context = daemon.context
+    context.stopping = True
+    daemon.service.stopping = True
+    deadline = context.clock() + HANDOVER_SECONDS
+    begin_handover(context)
+    log_event("registry: Stopping", leading=context.led == context.settings.address)
+
+    def wait() -> None:
+        if is_handed_over(context) or context.clock() >= deadline:
+            finish_stop(daemon)
+            done()
+            return
+
+        context.reactor.callLater(TICK, wait)
+
+    wait()
+
+
+def begin_handover(context: RegistryContext) -> None:
+    """Ask the voter that is furthest along to lead."""
+    group = context.group
+    if group is None or not leads(group, context.clock()):
+        return
+
+    progress = group.replica.progress
+    others = [one for one in group.replica.membership.voters if one in progress]
+    if not others:
+        return
+
+    best = max(others, key=lambda one: progress[one].acknowledged_at)
+    transfer_leadership(group, best.partition("~")[0], context.clock())
+    run_flush(context)
+
+
+def is_handed_over(context: RegistryContext) -> bool:
+    """Tell whether another member leads, or this one never did."""
+    group = context.group
+    return group is None or leader_of(group) != context.settings.address
+
+
+def finish_stop(daemon: RegistryDaemon) -> None:
+    """Close everything."""
+    context = daemon.context
+    if daemon.loop.running:
+        daemon.loop.stop()
+
+    for link in context.controls.values():
+        close_link(link)
+
+    for accepted in list(context.node.accepted if context.node else ()):
+        accepted.abort()
+
+    close_idle(daemon.service)
+    if context.group is not None:
+        context.group.store.close()
+
+    log_event("registry: Stopped")
--- /dev/null
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -0,0 +1,130 @@
+"""The leader's watch over roll-outs: evidence in, steps out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.messages import EndRollout
+from ...routing.messages import GrowRollout
+from ...routing.rollouts import Evidence
+from ...routing.rollouts import add_evidence
+from ...routing.rollouts import step_rollout
+from ...routing.rollouts import subtract_evidence
+from ..events import log_event
+from .api import submit
+from .context import RolloutWatch
+from .hub import is_due
+from .members import is_leading
+
+
+if TYPE_CHECKING:
+    from ...routing.messages import RolloutState
+    from .context import RegistryContext
+
+
+STEP_SECONDS = 0.25
+"""Between two looks at the evidence; gateways report as often."""
+
+
+def watch_rollouts(context: RegistryContext, now: float) -> None:
+    """Look at each move under way, as the leader."""
+    if not is_leading(context, now) or not is_due(context, "steps", STEP_SECONDS, now):
+        return
+
+    for rollout in list(context.state.rollouts.values()):
+        if rollout.state == "in_progress":
+            advance_rollout(context, rollout, now)
+
+
+def advance_rollout(
+    context: RegistryContext, rollout: RolloutState, now: float
+) -> None:
+    """Propose the next step of a move, if there is one."""
+    watch = find_watch(context, rollout, now)
+    target, former = weigh_evidence(context, rollout, watch)
+    step = step_rollout(rollout, target, former, now - watch.began_at)
+    if not step.ended and step.share <= rollout.share:
+        return
+
+    log_event(
+        "registry: Roll-out step",
+        service=rollout.service,
+        target=rollout.target,
+        share=step.share,
+        ended=step.ended,
+        completed=step.completed,
+        reason=step.reason,
+        elapsed=round(now - watch.began_at, 2),
+        answers=target.answers,
+        failures=target.failures,
+    )
+    if step.ended:
+        command = EndRollout(
+            service=rollout.service,
+            target=rollout.target,
+            ordered_at=rollout.ordered_at,
+            completed=step.completed,
+        )
+        submit(context, command)
+        return
+
+    grown = GrowRollout(
+        service=rollout.service,
+        target=rollout.target,
+        ordered_at=rollout.ordered_at,
+        share=step.share,
+    )
+    submit(context, grown)
+
+
+def find_watch(
+    context: RegistryContext, rollout: RolloutState, now: float
+) -> RolloutWatch:
+    """Return what is remembered of a move; a new leader reckons by the wall clock.
+
+    The order's age is bounded by the duration, as wall clocks may have jumped.
+    """
+    key = (rollout.service, rollout.ordered_at)
+    watch = context.watches.get(key)
+    if watch is None:
+        age = context.wall_clock() - rollout.ordered_at
+        age = min(max(age, 0.0), rollout.duration)
+        before = {
+            (known.report.gateway, part.version): add_evidence([part])
+            for known in context.reports.values()
+            for part in known.report.evidence
+            if part.service == rollout.service and part.version != rollout.target
+        }
+        watch = RolloutWatch(now - age, before)
+        context.watches[key] = watch
+
+    return watch
+
+
+def weigh_evidence(
+    context: RegistryContext, rollout: RolloutState, watch: RolloutWatch
+) -> tuple[Evidence, Evidence]:
+    """Return the evidence on the target and on all other versions."""
+    target = former = Evidence()
+    for known in context.reports.values():
+        for part in known.report.evidence:
+            if part.service != rollout.service:
+                continue
+
+            before = watch.before.get((known.report.gateway, part.version), Evidence())
+            since = subtract_evidence(add_evidence([part]), before)
+            if part.version == rollout.target:
+                target = sum_evidence(target, since)
+            else:
+                former = sum_evidence(former, since)
+
+    return target, former
+
+
+def sum_evidence(one: Evidence, other: Evidence) -> Evidence:
+    """Add two sums of evidence."""
+    return Evidence(
+        one.answers + other.answers,
+        one.failures + other.failures,
+        one.seconds + other.seconds,
+    )
--- /dev/null
+++ b/src/waxwingwell/routing/load.py
@@ -0,0 +1,102 @@
+"""What is running where, as one gateway knows it.
+
+Its own requests it knows exactly; those of the others come in sums that are a fraction
+of a second old, and all gateways read the same ones.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .messages import UpstreamUse
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(slots=True)
+class Use:
+    """Requests under way at one upstream."""
+
+    running: int = 0
+    prefill: int = 0
+    """Prompt tokens of requests whose first event has not come back."""
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """Use of upstreams by id."""
+
+    own: dict[str, Use] = field(default_factory=dict)
+    others: dict[str, Use] = field(default_factory=dict)
+    others_at: float = 0.0
+    """When the sum of the others came."""
+    gateways: int = 1
+    """Gateways that share the upstreams, this one among them."""
+
+
+def begin_use(table: LoadTable, upstream: str, prefill: int) -> None:
+    """Count a request that is sent."""
+    use = table.own.setdefault(upstream, Use())
+    use.running += 1
+    use.prefill += prefill
+
+
+def end_prefill(table: LoadTable, upstream: str, prefill: int) -> None:
+    """Count a request whose prompt has been read."""
+    use = table.own.get(upstream)
+    if use is not None:
+        use.prefill -= prefill
+
+
+def end_use(table: LoadTable, upstream: str) -> None:
+    """Count a request that is over."""
+    use = table.own.get(upstream)
+    if use is None:
+        return
+
+    use.running -= 1
+    if use.running <= 0:
+        del table.own[upstream]
+
+
+def list_use(table: LoadTable) -> tuple[UpstreamUse, ...]:
+    """Return our own use, to be told to others."""
+    return tuple(
+        UpstreamUse(upstream=name, running=use.running, prefill=use.prefill)
+        for name, use in table.own.items()
+    )
+
+
+def take_sum(
+    table: LoadTable,
+    total: Iterable[UpstreamUse],
+    reported: Iterable[UpstreamUse],
+    gateways: int,
+    now: float,
+) -> None:
+    """Take the sum over all gateways, less the share that we reported ourselves."""
+    ours = {use.upstream: use for use in reported}
+    table.others = {}
+    for use in total:
+        mine = ours.get(use.upstream)
+        running = use.running - (mine.running if mine else 0)
+        prefill = use.prefill - (mine.prefill if mine else 0)
+        if running > 0:
+            table.others[use.upstream] = Use(running, max(prefill, 0))
+
+    table.others_at = now
+    table.gateways = max(gateways, 1)
+
+
+def read_use(table: LoadTable, upstream: str) -> Use:
+    """Return what all gateways have running at an upstream."""
+    own = table.own.get(upstream)
+    other = table.others.get(upstream)
+    return Use(
+        (own.running if own else 0) + (other.running if other else 0),
+        (own.prefill if own else 0) + (other.prefill if other else 0),
+    )
--- /dev/null
+++ b/src/waxwingwell/routing/messages.py
@@ -0,0 +1,176 @@
+"""Messages between gateways and the controls of a routing group.
+
+They travel on the same links as all our messages; see docs/PROTOCOL.md.
+"""
+
+from __future__ import annotations
+
+from ..messages import Message
+from .fleet import Announcement  # noqa: TC001  # msgspec reads it
+from .records import Document  # noqa: TC001  # msgspec reads it
+
+
+class Publish(Message, frozen=True, kw_only=True):
+    """Put a document into force, unless a version as high is held already."""
+
+    document: Document
+    source: bytes
+    """The document as the operator sent it, to be read back unchanged."""
+
+
+class BeginRollout(Message, frozen=True, kw_only=True):
+    """Move a service's traffic to upstreams of the version ``target``."""
+
+    service: str
+    target: str
+    duration: float
+    """Seconds within which the move must be done."""
+    ordered_at: float
+    """Wall clock of the member that took the order; identifies a resend."""
+
+
+class EndRollout(Message, frozen=True, kw_only=True):
+    """Finish a move: the target took over, or is taken back."""
+
+    service: str
+    target: str
+    ordered_at: float
+    completed: bool
+
+
+class GrowRollout(Message, frozen=True, kw_only=True):
+    """Raise the share of sessions that a move has reached."""
+
+    service: str
+    target: str
+    ordered_at: float
+    share: float
+
+
+RoutingCommand = Publish | BeginRollout | GrowRollout | EndRollout
+
+
+class RolloutState(Message, frozen=True, kw_only=True):
+    """A move of a service's traffic as all members agree on it."""
+
+    service: str
+    target: str
+    former: str
+    """The version in use before; empty if none was agreed on."""
+    duration: float
+    ordered_at: float
+    share: float
+    state: str
+    """``in_progress``, ``completed`` or ``reverted``."""
+
+
+class SubmitRouting(Message, frozen=True, kw_only=True):
+    """Ask the leader to put a command through the log."""
+
+    command: RoutingCommand
+
+
+class Accepted(Message, frozen=True, kw_only=True):
+    """The command is durable on a majority."""
+
+
+class NotAccepted(Message, frozen=True, kw_only=True):
+    """The command was not confirmed; it may or may not take effect."""
+
+    reason: str
+
+
+class ReadRouting(Message, frozen=True, kw_only=True):
+    """Ask the leader for the newest state."""
+
+
+class RoutingNow(Message, frozen=True, kw_only=True):
+    """The newest state, proven by the leader's lease."""
+
+    version: int
+    source: bytes
+    rollouts: tuple[RolloutState, ...] = ()
+
+
+class ShareRouting(Message, frozen=True, kw_only=True):
+    """State in force, from a control to its gateways.
+
+    ``document`` is compressed msgpack, empty if the receiver has this version.
+    """
+
+    index: int
+    """Place in the log; a receiver never steps back."""
+    version: int
+    document: bytes
+    rollouts: tuple[RolloutState, ...]
+
+
+class ShareNews(Message, frozen=True, kw_only=True):
+    """News of upstreams that changed."""
+
+    news: tuple[Announcement, ...]
+
+
+class ShareHeartbeats(Message, frozen=True, kw_only=True):
+    """Upstreams that still send heartbeats: id, incarnation, sequence."""
+
+    heard: tuple[tuple[str, int, int], ...]
+
+
+class ShareMembers(Message, frozen=True, kw_only=True):
+    """Controls that a process may connect to, by name."""
+
+    controls: tuple[str, ...]
+
+
+class UpstreamUse(Message, frozen=True, kw_only=True):
+    """What gateways have running at an upstream."""
+
+    upstream: str
+    running: int
+    prefill: int
+    """Prompt tokens sent whose first event has not come back yet."""
+
+
+class VersionEvidence(Message, frozen=True, kw_only=True):
+    """Answers of one version of a service since a gateway started."""
+
+    service: str
+    version: str
+    answers: int
+    failures: int
+    seconds: float
+    """Sum of the times to the first byte."""
+
+
+class GatewayReport(Message, frozen=True, kw_only=True):
+    """What one gateway tells the others, through a control."""
+
+    gateway: str
+    use: tuple[UpstreamUse, ...]
+    evidence: tuple[VersionEvidence, ...]
+    repeats: tuple[tuple[str, int], ...] = ()
+    """By service: requests sent beyond the first try in the retry window."""
+
+
+class FleetReport(Message, frozen=True, kw_only=True):
+    """Sum over all gateways but the receiver's own share, which it knows better."""
+
+    gateways: int
+    use: tuple[UpstreamUse, ...]
+    repeats: tuple[tuple[str, int], ...] = ()
+
+
+RoutingBody = (
+    SubmitRouting
+    | Accepted
+    | NotAccepted
+    | ReadRouting
+    | RoutingNow
+    | ShareRouting
+    | ShareNews
+    | ShareHeartbeats
+    | ShareMembers
+    | GatewayReport
+    | FleetReport
+)
--- /dev/null
+++ b/src/waxwingwell/routing/placement.py
@@ -0,0 +1,170 @@
+"""Choosing an upstream among those that may run a request.
+
+All costs are in milliseconds that the caller is expected to wait.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .fleet import Announcement
+from .health import HealthTable
+from .health import failure_share
+from .health import is_paused
+from .load import LoadTable
+from .load import read_use
+from .prefixes import Part
+from .prefixes import PrefixTable
+from .prefixes import expect_cached
+from .prefixes import prefer_upstream
+from .records import Service
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+
+PREFILL_TOKENS_PER_MS = 50.0
+"""Prompt tokens that an engine reads in a millisecond; 57 on the engines measured."""
+RUNNING_MS = 3.0
+"""What each request already running at an engine adds to the wait for a first event."""
+FULL_MS = 2_000.0
+"""Added for each batch's worth of requests beyond the slots: they wait for a place."""
+SLOT_MS = 25.0
+"""About one call's work at a plain service: what waits in front of a full one."""
+FAR_MS = 12.0
+"""A new connection and a request to another data centre, two round trips."""
+FAILURE_MS = 1_500.0
+"""Cost of a failed try, against which an upstream's share of failures is weighed."""
+WARMING_MS = 400.0
+"""Added while an upstream that has just started is slow."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs of an upstream."""
+
+    service: Service
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[Part, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a gateway knows when it places a request."""
+
+    data_centre: str
+    load: LoadTable
+    health: HealthTable
+    prefixes: PrefixTable
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The upstream chosen, and what spoke for it."""
+
+    upstream: Announcement
+    cost: float
+    uncached: int
+    """Prompt tokens that it will probably have to read."""
+    running: int
+    candidates: int
+
+
+def place_request(
+    demand: Demand,
+    candidates: Collection[Announcement],
+    surroundings: Surroundings,
+    now: float,
+    draw: Callable[[], float],
+) -> Placement | None:
+    """Return the best upstream, or None if there is none.
+
+    Upstreams that could not be reached are used only where no other is left. ``draw``
+    returns a number from 0 to 1: without some scatter all gateways, which read the same
+    sums, would send to the same upstream until the next sum.
+    """
+    sound = [
+        one
+        for one in candidates
+        if not is_paused(surroundings.health, one.upstream, now)
+    ]
+    usable = sound or list(candidates)
+    if not usable:
+        return None
+
+    preferred = prefer_for(demand, usable)
+    best: Placement | None = None
+    for upstream in usable:
+        placement = weigh_upstream(
+            demand, upstream, surroundings, now, preferred=preferred
+        )
+        scattered = placement.cost * (1.0 + SCATTER * draw())
+        if best is None or scattered < best.cost:
+            best = Placement(
+                upstream,
+                scattered,
+                placement.uncached,
+                placement.running,
+                len(candidates),
+            )
+
+    return best
+
+
+SCATTER = 0.1
+"""Share by which costs are scattered."""
+
+
+def prefer_for(demand: Demand, usable: Collection[Announcement]) -> str:
+    """Return the upstream that should hold the largest shared part of the prompt."""
+    shared = demand.parts[:-1]
+    if not shared:
+        return ""
+
+    part = shared[-1][0]
+    return prefer_upstream((one.upstream for one in usable), f"{demand.model}/{part}")
+
+
+def weigh_upstream(
+    demand: Demand,
+    upstream: Announcement,
+    surroundings: Surroundings,
+    now: float,
+    *,
+    preferred: str,
+) -> Placement:
+    """Return an upstream with the wait that is expected there."""
+    use = read_use(surroundings.load, upstream.upstream)
+    failing = failure_share(surroundings.health, upstream.upstream, now)
+    cost = 1.0 + FAILURE_MS * failing
+    if upstream.data_centre != surroundings.data_centre:
+        cost += FAR_MS
+
+    if upstream.warming > 0:
+        cost += WARMING_MS
+
+    uncached = 0
+    slots = upstream.slots or demand.service.slots or 1
+    if demand.service.memory_tokens:
+        cached = expect_cached(
+            surroundings.prefixes,
+            upstream.upstream,
+            demand.model,
+            demand.parts,
+            now,
+            preferred=upstream.upstream == preferred,
+        )
+        uncached = max(int(demand.prompt_tokens - cached), 0)
+        cost += (use.prefill + uncached) / PREFILL_TOKENS_PER_MS
+        cost += RUNNING_MS * use.running
+        cost += FULL_MS * max(use.running + 1 - slots, 0) / slots
+    else:
+        cost += SLOT_MS * use.running / slots
+        cost += SLOT_MS * max(use.running + 1 - slots, 0)
+
+    return Placement(upstream, cost, uncached, use.running, 0)
--- a/src/waxwingwell/state/consensus/membership.py
+++ b/src/waxwingwell/state/consensus/membership.py
@@ -81,7 +81,8 @@
     if member in membership.voters or member in membership.learners:
         return
 
-    if name_of(member) not in replica.names or not may_change(replica):
+    known = replica.timing.open_to_all or name_of(member) in replica.names
+    if not known or not may_change(replica):
         return
 
     change_membership(replica, with_learner(membership, member))
@@ -103,7 +104,7 @@
         return
 
     membership = replica.membership
-    former = find_former(membership, learner)
+    former = find_former(membership, learner) or find_absent(replica, now)
     if former == replica.member:
         return
 
@@ -111,7 +112,36 @@
         change_membership(replica, without_member(membership, former))
         return
 
-    change_membership(replica, with_voter(membership, learner))
+    if not is_full(replica):
+        change_membership(replica, with_voter(membership, learner))
+
+
+def is_full(replica: Replica) -> bool:
+    """Return whether there are as many voters as the timing allows."""
+    most = replica.timing.most_voters
+    return most > 0 and len(replica.membership.voters) >= most
+
+
+def find_absent(replica: Replica, now: float) -> str:
+    """Return a voter that a waiting learner may replace, or "".
+
+    Failure: a VM is gone for good and another took over at a new address. Were the
+    former voter kept, each exchange would leave one dead voter more, until the dead
+    ones are half of the group.
+    """
+    if not is_full(replica):
+        return ""
+
+    for voter in replica.membership.voters:
+        progress = replica.progress.get(voter)
+        if progress is None:
+            continue
+
+        heard_at = max(progress.acknowledged_at, replica.led_at)
+        if now > heard_at + replica.timing.absent:
+            return voter
+
+    return ""
 
 
 def find_caught_up(replica: Replica, now: float) -> str:
--- a/src/waxwingwell/state/consensus/records.py
+++ b/src/waxwingwell/state/consensus/records.py
@@ -95,6 +95,12 @@
     """Entries kept before a snapshot, for members that are a little behind."""
     repair: bool = True
     """The leader promotes caught-up learners and removes what they replace."""
+    open_to_all: bool = False
+    """Members of any name may join; else only those that the settings name."""
+    most_voters: int = 0
+    """Learners beyond so many voters wait until one is absent; 0: no bound."""
+    absent: float = 6.0
+    """Seconds of silence after which a waiting learner takes a voter's place."""
 
 
 def make_member_id(name: str, bits: int) -> str:
