--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -20,7 +20,6 @@
 from ..links import Link
 from ..links import LinkNode
 from .dialect import Dialect
-from .exchange import Exchange
 from .settings import GatewaySettings
 
 
@@ -62,7 +61,8 @@
     sessions: SessionTable = field(default_factory=SessionTable)
     retries: RetryTable = field(default_factory=RetryTable)
     tallies: dict[tuple[str, str], VersionTally] = field(default_factory=dict)
-    exchanges: set[Exchange] = field(default_factory=set)
+    exchanges: set[object] = field(default_factory=set)
+    """Requests under way."""
     heard_at: float = 0.0
     """When any control was heard of last."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/registry/api.py
+++ b/src/waxwingwell/adapters/registry/api.py
@@ -23,11 +23,11 @@
 from ...routing.messages import RoutingNow
 from ...routing.messages import SubmitRouting
 from ...state.group import leader_of
-from ...state.routing import version_of
 from ..events import log_event
 from ..links import call_link
 from .hub import spread_news
 from .members import is_leading
+from .members import read_here
 from .members import submit_here
 
 
@@ -126,22 +126,6 @@
     return ask_leader(context, ReadRouting())
 
 
-def read_here(context: RegistryContext) -> RoutingNow | NotAccepted:
-    """Return the state held here if this process leads."""
-    group = context.group
-    if group is None or not is_leading(context, context.clock()):
-        return NotAccepted(reason="this control doesn't lead")
-
-    if group.replica.applied < group.replica.first_of_term:
-        return NotAccepted(reason="the new leader has not caught up yet")
-
-    return RoutingNow(
-        version=version_of(context.state),
-        source=context.state.source,
-        rollouts=tuple(context.state.rollouts.values()),
-    )
-
-
 def announce(context: RegistryContext, news: Announcement) -> None:
     """Take an upstream's announcement; gateways know of it when this returns."""
     context.heard[news.upstream] = (news.incarnation, news.sequence)
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -36,6 +36,7 @@
 from .context import Reported
 from .context import Sent
 from .members import is_current
+from .members import read_here
 from .members import request_flush
 from .members import submit_here
 
@@ -192,8 +193,6 @@
 
 def take_call(context: RegistryContext, sender: str, body: Any) -> Deferred[Message]:
     """Answer a call of another control."""
-    from .api import read_here  # the two modules call each other
-
     if isinstance(body, SubmitRouting):
         encoded = msgspec.msgpack.encode(body.command)
         return submit_here(context, body.command, encoded)
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -9,6 +9,7 @@
 
 from ...routing.messages import Accepted
 from ...routing.messages import NotAccepted
+from ...routing.messages import RoutingNow
 from ...state.consensus.records import Timing
 from ...state.exceptions import CorruptStorageError
 from ...state.exceptions import StorageError
@@ -26,6 +27,7 @@
 from ...state.routing import decode_command
 from ...state.routing import load_routing
 from ...state.routing import save_routing
+from ...state.routing import version_of
 from ...state.storage import open_store
 from ..events import log_event
 from ..links import cast_link
@@ -232,3 +234,19 @@
     propose(group, encoded, settle, context.clock())
     request_flush(context)
     return answer
+
+
+def read_here(context: RegistryContext) -> RoutingNow | NotAccepted:
+    """Return the state held here if this process leads."""
+    group = context.group
+    if group is None or not is_leading(context, context.clock()):
+        return NotAccepted(reason="this control doesn't lead")
+
+    if group.replica.applied < group.replica.first_of_term:
+        return NotAccepted(reason="the new leader has not caught up yet")
+
+    return RoutingNow(
+        version=version_of(context.state),
+        source=context.state.source,
+        rollouts=tuple(context.state.rollouts.values()),
+    )
