Serve counters and histograms; refuse what a stopping gateway can't finish

The balancer uses all gateways of a data centre where fewer than half are ready, also the stopping one. Change: a stopping gateway refuses (not run, come back at once) what would outlive it. Ruled out: closing the listener, which costs callers their one retry.

--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -15,11 +15,16 @@
 from loguru import logger
 from twisted.python import log as twisted_log
 
+from .measures import LINES_DROPPED
+
 
 MAX_PENDING = 512
 """Lines kept for a reader that lags; about 128 KB."""
 RATE = 200
-"""Lines of routine kinds a second; above it they are sampled by dropping."""
+"""Lines a second above which routine ones are dropped: at 250 bytes and 40 us a line that
+is 50 KB and 8 ms of processor time a second."""
+ROUTINE = frozenset({"gateway: Placed", "gateway: Larger model"})
+"""Events of requests that go well; the line of a request's end tells the rest."""
 
 
 class _Output:
@@ -27,12 +32,32 @@
         self.descriptor = descriptor
         self.pending: deque[bytes] = deque()
         self.dropped = 0
+        self.second = 0
+        self.lines = 0
+
+    def admits(self, event: str, now: float) -> bool:
+        """Tell whether a line is written, and count it."""
+        if int(now) != self.second:
+            self.second = int(now)
+            self.lines = 0
+
+        self.lines += 1
+        if event not in ROUTINE or self.lines <= RATE:
+            return True
+
+        self.drop()
+        return False
+
+    def drop(self, count: int = 1) -> None:
+        """Count lines that nobody will read."""
+        self.dropped += count
+        LINES_DROPPED.inc(count)
 
     def write(self, line: bytes) -> None:
         self.pending.append(line)
         if len(self.pending) > MAX_PENDING:
             self.pending.popleft()
-            self.dropped += 1
+            self.drop()
 
         self.drain()
 
@@ -45,7 +70,7 @@
                 return
             except OSError:
                 # The reader is gone: nobody is left to tell.
-                self.dropped += len(self.pending)
+                self.drop(len(self.pending))
                 self.pending.clear()
                 return
 
@@ -63,6 +88,9 @@
 
     def sink(message: Any) -> None:
         record = message.record
+        if not output.admits(record["message"], record["time"].timestamp()):
+            return
+
         line = {
             "at": round(record["time"].timestamp(), 3),
             "node": node,
--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -6,9 +6,11 @@
 
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
+from ...routing.records import RouteKind
 from ...routing.retries import note_request
 from ..events import log_event
 from ..http.records import find_header
+from ..measures import REQUESTS
 from .choice import choose_service
 from .choice import session_of
 from .exchange import RETRY_AFTER
@@ -26,6 +28,13 @@
     from .dialect import RequestFacts
 
 
+STREAM_SECONDS = 4.5
+"""How long a stream may take that a stopping gateway still begins: nineteen of twenty
+end sooner."""
+STOPPING_RETRY_AFTER = 0.05
+"""Seconds; other gateways can take the request at once."""
+
+
 def take_request(
     context: GatewayContext, request: HttpRequest, responder: Responder
 ) -> None:
@@ -44,6 +53,10 @@
         refuse(facts, responder, 404, f"no route, document {index.document.version}")
         return
 
+    if not may_finish(context, route, facts, now):
+        refuse(facts, responder, 503, "stopping", STOPPING_RETRY_AFTER)
+        return
+
     workspace = identify(index, route, facts)
     if workspace is None and index.document.workspaces and not route.anonymous:
         refuse(facts, responder, 401, f"unknown key, document {index.document.version}")
@@ -81,8 +94,33 @@
     return host.partition(":")[0]
 
 
-def refuse(facts: RequestFacts, responder: Responder, status: int, reason: str) -> None:
+def may_finish(
+    context: GatewayContext, route: Route, facts: RequestFacts, now: float
+) -> bool:
+    """Tell whether a stopping gateway will still be there when the answer ends.
+
+    Failure: in a data centre where most gateways are stopping the balancer sends
+    callers here to the end, and their answers would be cut off.
+    """
+    if not context.stopping:
+        return True
+
+    needed = STREAM_SECONDS
+    if route.kind is not RouteKind.STREAM:
+        needed = min(route.timeout, facts.budget or route.timeout)
+
+    return now + needed <= context.exit_at
+
+
+def refuse(
+    facts: RequestFacts,
+    responder: Responder,
+    status: int,
+    reason: str,
+    pause: float = RETRY_AFTER,
+) -> None:
     """Refuse a request that was not placed."""
+    REQUESTS.labels("unplaced", f"refused_{status}").inc()
     log_event(
         "gateway: Request ended",
         request=facts.request_id,
@@ -90,5 +128,5 @@
         status=status,
         reason=reason,
     )
-    headers = [retry_after(RETRY_AFTER)] if status == 503 else []
+    headers = [retry_after(pause)] if status == 503 else []
     responder.send(status, headers)
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -78,3 +79,5 @@
     heard_at: float = 0.0
     """When any control was heard of last."""
     stopping: bool = False
+    exit_at: float = math.inf
+    """When a stopping process ends at the latest."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -21,6 +21,7 @@
 from ..links import LinkNode
 from ..links import LinkTiming
 from ..links import close_link
+from ..measures import serve_metrics
 from .arrivals import take_request
 from .context import GatewayContext
 from .steering import connect_control
@@ -103,6 +104,9 @@
             settings.readiness[1], HttpFactory(health), interface=settings.readiness[0]
         ),
     ]
+    if settings.metrics is not None:
+        ports.append(serve_metrics(reactor, settings.metrics))
+
     for name in settings.controls:
         connect_control(context, name)
 
@@ -154,6 +158,7 @@
     daemon.service.stopping = True
     began_at = context.clock()
     deadline = began_at + context.settings.grace - STOP_MARGIN
+    context.exit_at = deadline
     log_event("gateway: Stopping", requests=len(context.exchanges))
 
     def look() -> None:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -27,6 +27,10 @@
 from ..http.client import UpstreamCall
 from ..http.records import HeaderList
 from ..http.records import strip_hop_headers
+from ..measures import ANSWER
+from ..measures import ATTEMPTS
+from ..measures import FIRST_BYTE
+from ..measures import REQUESTS
 from .choice import Choice
 from .choice import choose_upstream
 from .choice import session_of
@@ -398,6 +402,7 @@
         attempt.first_at = now
         attempt.last_at = now
         self.context.signs[attempt.upstream] = now
+        FIRST_BYTE.labels(self.route.kind.value).observe(now - attempt.began_at)
         if attempt.learns and attempt.choice.model:
             took_ms = (now - attempt.began_at) * 1000
             learn_speed(
@@ -482,6 +487,7 @@
     def _count(self, attempt: Attempt, fate: Fate, now: float) -> None:
         """Tell the tables of health, versions and prefixes how the send went."""
         context = self.context
+        ATTEMPTS.labels(self.route.kind.value, fate.value).inc()
         if fate is Fate.UNREACHED:
             note_unreachable(context.health, attempt.upstream, now)
             return
@@ -619,6 +625,8 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
+        REQUESTS.labels(self.route.kind.value, outcome).inc()
+        ANSWER.labels(self.route.kind.value).observe(now - self.began_at)
         attempt = self.attempt
         answer = attempt.facts if attempt is not None else None
         log_event(
--- a/src/waxwingwell/adapters/registry/api.py
+++ b/src/waxwingwell/adapters/registry/api.py
@@ -25,6 +25,7 @@
 from ...state.group import leader_of
 from ..events import log_event
 from ..links import call_link
+from ..measures import ORDERS
 from .hub import spread_news
 from .members import is_leading
 from .members import read_here
@@ -101,6 +102,7 @@
     """Log what became of an order."""
     reason = outcome.reason if isinstance(outcome, NotAccepted) else ""
     accepted = isinstance(outcome, Accepted)
+    ORDERS.labels(command, str(accepted).lower()).inc()
     log_event("registry: Order", command=command, accepted=accepted, reason=reason)
     return outcome
 
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -24,6 +24,7 @@
 from ..links import LinkNode
 from ..links import LinkTiming
 from ..links import close_link
+from ..measures import serve_metrics
 from .context import RegistryBody
 from .context import RegistryContext
 from .hub import know_control
@@ -98,6 +99,9 @@
             settings.admin[1], HttpFactory(service), interface=settings.admin[0]
         ),
     ]
+    if settings.metrics is not None:
+        ports.append(serve_metrics(reactor, settings.metrics))
+
     settings.data_folder.mkdir(parents=True, exist_ok=True)
     open_member(context)
     for name in settings.controls:
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -33,6 +33,7 @@
 from ..links import cast_link
 from ..links import close_link
 from ..links import open_link
+from ..measures import LINKS
 from .context import Reported
 from .context import Sent
 from .members import is_current
@@ -78,6 +79,7 @@
         return
 
     context.peers[protocol] = Sent()
+    LINKS.set(len(context.peers))
     protocol.closed.addCallback(lambda _: forget_gateway(context, protocol))
     log_event("registry: Gateway connected", gateway=protocol.remote)
     protocol.cast(list_members(context))
@@ -93,6 +95,7 @@
 def forget_gateway(context: RegistryContext, protocol: LinkProtocol) -> None:
     """Note that a gateway's connection ended."""
     context.peers.pop(protocol, None)
+    LINKS.set(len(context.peers))
     log_event("registry: Gateway disconnected", gateway=protocol.remote)
 
 
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -34,6 +34,9 @@
 """About one call's work at a plain service: what waits in front of a full one."""
 FAR_MS = 12.0
 """A new connection and a request to another data centre, two round trips."""
+FAR_STREAM_MS = 200.0
+"""What a stream from another data centre may cost: a lost packet holds events back for
+200 ms, and of the links only those between data centres lose many."""
 FAILURE_MS = 1_500.0
 """Cost of a failed try, against which an upstream's share of failures is weighed."""
 SCATTER = 0.1
@@ -138,7 +141,7 @@
     use = read_use(surroundings.load, upstream.upstream)
     wait = 1.0
     if upstream.data_centre != surroundings.data_centre:
-        wait += FAR_MS
+        wait += FAR_STREAM_MS if demand.service.memory_tokens else FAR_MS
 
     if upstream.warming > 0:
         wait += WARMING_MS
--- /dev/null
+++ b/tests/adapters/gateway/support.py
@@ -0,0 +1,245 @@
+"""A gateway without a network: its callers and upstreams are in-memory transports."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.python.failure import Failure
+
+from tests.routing.factories import make_document
+from tests.routing.factories import make_news
+from tests.routing.factories import make_route
+from waxwingwell.adapters.gateway.arrivals import take_request
+from waxwingwell.adapters.gateway.context import GatewayContext
+from waxwingwell.adapters.gateway.dialect import AnswerFacts
+from waxwingwell.adapters.gateway.dialect import Dialect
+from waxwingwell.adapters.gateway.dialect import Dispatch
+from waxwingwell.adapters.gateway.dialect import RequestFacts
+from waxwingwell.adapters.gateway.settings import GatewaySettings
+from waxwingwell.adapters.http.records import HeaderList
+from waxwingwell.adapters.http.records import HttpLimits
+from waxwingwell.adapters.http.server import HttpConnection
+from waxwingwell.adapters.http.server import HttpService
+from waxwingwell.routing.fleet import take_news
+from waxwingwell.routing.lookup import index_document
+
+
+def read_request(headers: HeaderList) -> RequestFacts:
+    """Decode the tests' own headers."""
+    found = {name.lower(): value.decode() for name, value in headers}
+    budget = found.get(b"x-budget")
+    return RequestFacts(
+        request_id=found.get(b"x-id", ""),
+        budget=None if budget is None else float(budget),
+        key=found.get(b"x-key"),
+        model=found.get(b"x-model", ""),
+        prompt_tokens=int(found.get(b"x-tokens", "0")),
+        resume_after=found.get(b"x-after", ""),
+    )
+
+
+def write_request(headers: HeaderList, dispatch: Dispatch) -> HeaderList:
+    """Write what an upstream is told."""
+    kept = [pair for pair in headers if pair[0].lower() != b"x-after"]
+    kept.append((b"X-Upstream", dispatch.upstream.encode()))
+    kept.append((b"X-After", dispatch.resume_after.encode()))
+    kept.append((b"X-Use-Model", dispatch.model.encode()))
+    return kept
+
+
+def read_answer(status: int, headers: HeaderList) -> AnswerFacts:
+    """Decode an upstream's answer."""
+    found = {name.lower(): value.decode() for name, value in headers}
+    confidence = found.get(b"x-confidence")
+    return AnswerFacts(
+        not_run=b"x-not-run" in found,
+        signed=b"x-signed" in found,
+        request_id=found.get(b"x-id"),
+        confidence=None if confidence is None else float(confidence),
+    )
+
+
+DIALECT = Dialect(read_request, write_request, read_answer)
+
+
+class Transport(StringTransportWithDisconnection):
+    """A transport that remembers whether it was aborted."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """End the connection at once."""
+        self.aborted = True
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(ConnectionLost()))
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One connection that the gateway opened to an upstream."""
+
+    factory: Any
+    host: str
+    port: int
+    timeout: float
+    protocol: Any = None
+    transport: Any = None
+
+    def accept(self) -> bytes:
+        """Accept the connection; return what the gateway sent."""
+        self.protocol = self.factory.buildProtocol(None)
+        self.transport = Transport()
+        self.transport.protocol = self.protocol
+        self.protocol.makeConnection(self.transport)
+        return bytes(self.transport.value())
+
+    def refuse(self) -> None:
+        """Refuse the connection."""
+        self.factory.clientConnectionFailed(None, Failure(Refused()))
+
+    def answer(self, data: bytes) -> None:
+        """Send bytes."""
+        self.protocol.dataReceived(data)
+
+    def close(self) -> None:
+        """End the connection in order."""
+        self.transport.connected = False
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.transport.connected = False
+        self.protocol.connectionLost(Failure(ConnectionLost()))
+
+
+@dataclass(slots=True)
+class Caller:
+    """One caller's connection."""
+
+    connection: HttpConnection
+    transport: Transport
+
+    def send(self, data: bytes) -> None:
+        """Send bytes to the gateway."""
+        self.connection.dataReceived(data)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self.transport.connected = False
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+    @property
+    def received(self) -> bytes:
+        """What came back so far."""
+        return bytes(self.transport.value())
+
+    @property
+    def status(self) -> int:
+        """Status of the answer, 0 before it came."""
+        parts = self.received.split(b" ", 2)
+        return int(parts[1]) if len(parts) > 1 else 0
+
+
+@dataclass(slots=True)
+class Gateway:
+    """A gateway with a document and some upstreams."""
+
+    reactor: Any = field(default_factory=MemoryReactorClock)
+    context: Any = None
+    service: Any = None
+
+    def open_caller(self) -> Caller:
+        """Connect a caller."""
+        connection = HttpConnection(self.service)
+        transport = Transport()
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        return Caller(connection, transport)
+
+    def ask(self, **headers: str) -> Caller:
+        """Send a request of a new caller."""
+        known = {"Host": "a.example", "X-Id": "q1", "X-Key": "k1", "X-Budget": "10"}
+        given = {name.replace("_", "-"): value for name, value in headers.items()}
+        lines = [f"{name}: {value}" for name, value in {**known, **given}.items()]
+        head = "\r\n".join(["POST /chat/x HTTP/1.1", *lines, "Content-Length: 2"])
+        caller = self.open_caller()
+        caller.send(head.encode() + b"\r\n\r\nhi")
+        return caller
+
+    @property
+    def upstreams(self) -> list[Upstream]:
+        """Connections that were opened, in order."""
+        return [
+            Upstream(factory, host, port, timeout)
+            for host, port, factory, timeout, _ in self.reactor.tcpClients
+        ]
+
+
+def make_gateway(*names: str, **route: Any) -> Gateway:
+    """Return a gateway with upstreams of the names given and one route."""
+    gateway = Gateway()
+    gateway.context = GatewayContext(
+        settings=GatewaySettings(
+            node="g1",
+            address="127.0.0.1",
+            data_centre="north",
+            callers=("127.0.0.1", 0),
+            readiness=("127.0.0.1", 0),
+            link_port=0,
+            controls=(),
+        ),
+        reactor=gateway.reactor,
+        clock=gateway.reactor.seconds,
+        random=random.Random(1),
+        dialect=DIALECT,
+    )
+    document = make_document(routes=(make_route(**route),))
+    gateway.context.index = index_document(document)
+    for name in names or ("u1", "u2", "u3"):
+        take_news(gateway.context.fleet, make_news(name), 0.0)
+
+    gateway.service = HttpService(
+        reactor=gateway.reactor,
+        handle=lambda request, responder: take_request(
+            gateway.context, request, responder
+        ),
+        limits=HttpLimits,
+    )
+    return gateway
+
+
+def make_answer(
+    body: bytes = b"fine", status: int = 200, *extra: str, signed: bool = True
+) -> bytes:
+    """Return a whole answer of an upstream."""
+    lines = [f"HTTP/1.1 {status} X", "X-Id: q1", f"Content-Length: {len(body)}"]
+    if signed:
+        lines.append("X-Signed: 1")
+
+    return "\r\n".join([*lines, *extra]).encode() + b"\r\n\r\n" + body
+
+
+def make_stream_head(*extra: str) -> bytes:
+    """Return the head of a stream without an end yet."""
+    lines = ["HTTP/1.1 200 OK", "X-Id: q1", "X-Signed: 1", "Transfer-Encoding: chunked"]
+    return "\r\n".join([*lines, *extra]).encode() + b"\r\n\r\n"
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+LAST_CHUNK = b"0\r\n\r\n"
