--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -21,8 +21,8 @@
 MAX_PENDING = 512
 """Lines kept for a reader that lags; about 128 KB."""
 RATE = 200
-"""Lines a second above which routine ones are dropped. A line takes 320 bytes and 72 us
-of processor time (20,000 lines to a pipe, one run), so this is 64 KB and 14 ms a second.
+"""Lines a second above which routine ones are dropped. A line takes 320 bytes and 72
+us of processor time (20,000 lines to a pipe, one run): 64 KB and 14 ms a second.
 """
 ROUTINE = frozenset({"gateway: Placed", "gateway: Larger model"})
 """Events of requests that go well; the line of a request's end tells the rest."""
