Share all news with a control that connects; bound the large model by engines' usage

And engines that read for the large model all the time hold up every stream on them. Change: all news on greeting, in both cases; the bar for the larger model falls with the usage of engines; a data centre prefers one engine of its own for a shared part.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -40,6 +41,8 @@
     placement: Placement
     pressure: float
     """Expected wait, as a share of the time in which the first event is due."""
+    engines: int
+    """Upstreams that could run it."""
 
 
 def choose_service(route: Route, key: str) -> str:
@@ -102,7 +105,7 @@
             return None
 
         pressure = placement.wait / 1000 / max(limit, 0.001)
-        return Choice(service, wanted, placement, pressure)
+        return Choice(service, wanted, placement, pressure, len(allowed))
 
     if model or not is_sized(route, facts.model):
         return place(model)
@@ -126,10 +129,15 @@
 ) -> list[Announcement]:
     """Return the upstreams that may run a session's request.
 
-    While no control can be heard, silence of upstreams means nothing.
+    While no control can be heard, silence of upstreams means nothing. If all seem to be
+    silent, it is the controls that lack news: a dead upstream costs a connection that
+    fails, refusing costs the request.
     """
     heard_after = context.fleet_at - SILENT_SECONDS
     serving = list_serving(context.fleet, service, heard_after=heard_after)
+    if not serving:
+        serving = list_serving(context.fleet, service, heard_after=-math.inf)
+
     if service not in context.established and serving:
         oldest = min(serving, key=lambda one: one.incarnation)
         context.established[service] = oldest.version
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -66,6 +66,7 @@
     """When a control last told which upstreams it heard of."""
     load: LoadTable = field(default_factory=LoadTable)
     reported: tuple[UpstreamUse, ...] = ()
+    reported_work: float = 0.0
     health: HealthTable = field(default_factory=HealthTable)
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -13,6 +13,8 @@
 from ...routing.load import begin_use
 from ...routing.load import end_prefill
 from ...routing.load import end_use
+from ...routing.load import estimate_usage
+from ...routing.load import note_work
 from ...routing.models import is_sized
 from ...routing.models import wants_larger
 from ...routing.prefixes import note_parts
@@ -220,6 +222,7 @@
         placement = attempt.choice.placement
         attempt.work = placement.work
         begin_use(self.context.load, attempt.upstream, attempt.work)
+        note_work(self.context.load, attempt.work, now)
         remaining = self.deadline - now
         dispatch = Dispatch(
             upstream=attempt.upstream,
@@ -352,7 +355,11 @@
             limit=self._first_limit(now),
             now=now,
         )
-        if larger is None or not wants_larger(facts.confidence, larger.pressure):
+        if larger is None:
+            return False
+
+        usage = estimate_usage(self.context.load, larger.engines, now)
+        if not wants_larger(facts.confidence, larger.pressure, usage):
             return False
 
         log_event(
@@ -361,6 +368,7 @@
             model=larger.model,
             confidence=facts.confidence,
             pressure=round(larger.pressure, 2),
+            usage=round(usage, 2),
         )
         if attempt.call is not None:
             attempt.call.cancel()
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -14,6 +14,7 @@
 from ...routing.fleet import refresh
 from ...routing.fleet import take_news
 from ...routing.load import list_use
+from ...routing.load import read_work
 from ...routing.load import take_sum
 from ...routing.lookup import index_document
 from ...routing.messages import FleetReport
@@ -60,7 +61,14 @@
     elif isinstance(body, ShareMembers):
         know_controls(context, body)
     elif isinstance(body, FleetReport):
-        take_sum(context.load, body.use, context.reported, body.gateways, now)
+        take_sum(
+            context.load,
+            body.use,
+            context.reported,
+            work=body.work - context.reported_work,
+            gateways=body.gateways,
+            now=now,
+        )
 
 
 def take_routing(context: GatewayContext, body: ShareRouting) -> None:
@@ -139,9 +147,13 @@
         )
         for (service, version), tally in context.tallies.items()
     )
-    report = GatewayReport(gateway=context.settings.node, use=use, evidence=evidence)
+    work = read_work(context.load, context.clock())
+    report = GatewayReport(
+        gateway=context.settings.node, use=use, evidence=evidence, work=work
+    )
     if cast_link(link, report):
         context.reported = use
+        context.reported_work = work
 
 
 def choose_home(context: GatewayContext) -> None:
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -70,14 +70,19 @@
 
 
 def take_greeting(context: RegistryContext, protocol: LinkProtocol) -> None:
-    """Learn of another control, or give a gateway all that it lacks."""
-    if is_control(protocol.remote):
-        know_control(context, protocol.remote)
-        return
+    """Learn of another control, and give whoever connected all that it may lack.
 
+    Failure: a control restarts without its memory. It would hear of an upstream only
+    when that one changes, and its gateways would take the others for dead.
+    """
     if protocol in context.peers or protocol not in context_accepted(context):
         return
 
+    if is_control(protocol.remote):
+        know_control(context, protocol.remote)
+        protocol.cast(ShareNews(news=list_news(context)))
+        return
+
     context.peers[protocol] = Sent()
     LINKS.set(len(context.peers))
     protocol.closed.addCallback(lambda _: forget_gateway(context, protocol))
@@ -320,21 +325,17 @@
 def sum_reports(reports: list[GatewayReport]) -> FleetReport:
     """Add up what gateways have running at each upstream."""
     running: dict[str, list[float]] = {}
-    repeats: dict[str, int] = {}
     for report in reports:
         for use in report.use:
             total = running.setdefault(use.upstream, [0, 0])
             total[0] += use.running
             total[1] += use.backlog
 
-        for service, count in report.repeats:
-            repeats[service] = repeats.get(service, 0) + count
-
     return FleetReport(
         gateways=len(reports),
         use=tuple(
             UpstreamUse(upstream=name, running=int(total[0]), backlog=total[1])
             for name, total in running.items()
         ),
-        repeats=tuple(repeats.items()),
+        work=sum(report.work for report in reports),
     )
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -17,6 +19,12 @@
     from collections.abc import Iterable
 
 
+FRESH_SECONDS = 1.5
+"""Age up to which the others' sum is used; it comes four times a second."""
+USAGE_SECONDS = 3.0
+"""Time over which the usage of engines is taken; bursts last a few seconds."""
+
+
 @dataclass(slots=True)
 class Use:
     """Requests under way at one upstream."""
@@ -32,12 +40,43 @@
 
     own: dict[str, Use] = field(default_factory=dict)
     others: dict[str, Use] = field(default_factory=dict)
-    others_at: float = 0.0
+    others_work: float = 0.0
+    """Milliseconds of reading that the others asked for lately."""
+    others_at: float = -math.inf
     """When the sum of the others came."""
+    sent: deque[tuple[float, float]] = field(default_factory=deque)
+    """When we sent prompts lately, and the milliseconds of reading each asks for."""
     gateways: int = 1
     """Gateways that share the upstreams, this one among them."""
 
 
+def note_work(table: LoadTable, work: float, now: float) -> None:
+    """Remember the reading that a request asks for."""
+    table.sent.append((now, work))
+    while table.sent and table.sent[0][0] < now - USAGE_SECONDS:
+        table.sent.popleft()
+
+
+def estimate_usage(table: LoadTable, engines: int, now: float) -> float:
+    """Return the share of engines' time that reading takes.
+
+    While controls are away, the others are taken to send as much as we do.
+    """
+    work = read_work(table, now)
+    if now - table.others_at <= FRESH_SECONDS:
+        work += table.others_work
+    else:
+        work *= table.gateways
+
+    return work / (1000.0 * USAGE_SECONDS * max(engines, 1))
+
+
+def read_work(table: LoadTable, now: float) -> float:
+    """Return the milliseconds of reading that we asked for lately."""
+    since = now - USAGE_SECONDS
+    return sum(amount for at, amount in table.sent if at >= since)
+
+
 def begin_use(table: LoadTable, upstream: str, work: float) -> None:
     """Count a request that is sent."""
     use = table.own.setdefault(upstream, Use())
@@ -75,6 +114,8 @@
     table: LoadTable,
     total: Iterable[UpstreamUse],
     reported: Iterable[UpstreamUse],
+    *,
+    work: float,
     gateways: int,
     now: float,
 ) -> None:
@@ -88,6 +129,7 @@
         if running > 0:
             table.others[use.upstream] = Use(running, max(backlog, 0.0))
 
+    table.others_work = max(work, 0.0)
     table.others_at = now
     table.gateways = max(gateways, 1)
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -149,8 +149,8 @@
     gateway: str
     use: tuple[UpstreamUse, ...]
     evidence: tuple[VersionEvidence, ...]
-    repeats: tuple[tuple[str, int], ...] = ()
-    """By service: requests sent beyond the first try in the retry window."""
+    work: float = 0.0
+    """Milliseconds of reading asked of engines in the last seconds."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -158,7 +158,7 @@
 
     gateways: int
     use: tuple[UpstreamUse, ...]
-    repeats: tuple[tuple[str, int], ...] = ()
+    work: float = 0.0
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/models.py
+++ b/src/waxwingwell/routing/models.py
@@ -26,6 +26,12 @@
 is due, up to which the bar stays where it is."""
 
 
+EASY_USAGE = 0.6
+"""Share of engines' time spent reading up to which the bar stays where it is."""
+FULL_USAGE = 1.2
+"""Share from which no larger model is asked; above 1, as queues bear a short excess."""
+
+
 def is_sized(route: Route, wanted: str) -> bool:
     """Tell whether the choice of the model is ours."""
     return len(route.models) > 0 and wanted == ANY_MODEL
@@ -36,12 +42,16 @@
     return route.models[0]
 
 
-def wants_larger(confidence: float, pressure: float) -> bool:
+def wants_larger(confidence: float, pressure: float, usage: float) -> bool:
     """Tell whether a larger model is to be asked after an answer of the smallest.
 
     The bar falls with the pressure, to nothing where the larger model's first event
     would come a quarter later than it is due: such an answer, and those of others that
-    it holds up, would be worth less than an unsure one now.
+    it holds up, would be worth less than an unsure one now. It falls with the usage of
+    engines, too: while an engine reads a long prompt for the large model, a stream on
+    it gets one token in about 200 ms, and outlives its caller's patience when the
+    reading never pauses.
     """
-    room = 1.0 + EASY_PRESSURE - pressure
-    return confidence < QUALITY_TARGET * min(max(room, 0.0), 1.0)
+    room = min(max(1.0 + EASY_PRESSURE - pressure, 0.0), 1.0)
+    spare = min(max((FULL_USAGE - usage) / (FULL_USAGE - EASY_USAGE), 0.0), 1.0)
+    return confidence < QUALITY_TARGET * room * spare
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -41,6 +41,9 @@
 """Cost of a failed try, against which an upstream's share of failures is weighed."""
 SCATTER = 0.1
 """Share by which costs are scattered."""
+REREAD_TOKEN_MS = 0.02
+"""Least cost of a token that is read again, however fast the model: it pushes other
+prompts' parts out of the engine's memory."""
 WARMING_MS = 400.0
 """Added while an upstream that has just started is slow."""
 
@@ -106,7 +109,7 @@
     if not usable:
         return None
 
-    preferred = prefer_for(demand, usable)
+    preferred = prefer_for(demand, usable, surroundings.data_centre)
     weighed = [
         weigh_upstream(demand, one, surroundings, now, preferred=preferred)
         for one in usable
@@ -119,14 +122,21 @@
     return 1.0 + SCATTER * draw()
 
 
-def prefer_for(demand: Demand, usable: Collection[Announcement]) -> str:
-    """Return the upstream that should hold the largest shared part of the prompt."""
+def prefer_for(
+    demand: Demand, usable: Collection[Announcement], data_centre: str
+) -> str:
+    """Return the upstream that should hold the largest shared part of the prompt.
+
+    Each data centre has one of its own, if it has any upstream.
+    """
     shared = demand.parts[:-1]
     if not shared:
         return ""
 
     part = shared[-1][0]
-    return prefer_upstream((one.upstream for one in usable), f"{demand.model}/{part}")
+    near = [one.upstream for one in usable if one.data_centre == data_centre]
+    names = near or [one.upstream for one in usable]
+    return prefer_upstream(names, f"{demand.model}/{part}")
 
 
 def weigh_upstream(
@@ -164,10 +174,11 @@
     else:
         wait += SLOT_MS * (use.running / slots + over)
 
+    reread = uncached * max(REREAD_TOKEN_MS - demand.token_ms, 0.0)
     failing = failure_share(surroundings.health, upstream.upstream, now)
     return Placement(
         upstream=upstream,
-        cost=wait + FAILURE_MS * failing,
+        cost=wait + reread + FAILURE_MS * failing,
         wait=wait,
         work=uncached * demand.token_ms,
         uncached=uncached,
--- /dev/null
+++ b/tests/adapters/registry/test_hub.py
@@ -0,0 +1,118 @@
+"""What controls tell each other and their gateways."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from typing import cast
+
+from tests.routing.factories import make_news
+from waxwingwell.adapters.registry.api import announce
+from waxwingwell.adapters.registry.api import withdraw
+from waxwingwell.adapters.registry.hub import share_heartbeats
+from waxwingwell.adapters.registry.hub import sum_reports
+from waxwingwell.adapters.registry.hub import take_cast
+from waxwingwell.adapters.registry.hub import take_greeting
+from waxwingwell.routing.fleet import UpstreamState
+from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import GatewayReport
+from waxwingwell.routing.messages import ShareHeartbeats
+from waxwingwell.routing.messages import ShareNews
+from waxwingwell.routing.messages import UpstreamUse
+
+from .support import make_registry
+
+
+def find_news(sent: list[Any]) -> list[str]:
+    """Return the upstreams that were told of."""
+    return [
+        one.upstream
+        for body in sent
+        if isinstance(body, ShareNews)
+        for one in body.news
+    ]
+
+
+class GreetingTest(unittest.TestCase):
+    """What a process gets that has just connected."""
+
+    def test_whoever_connects_learns_of_all_upstreams(self) -> None:
+        """A control restarts without its memory.
+
+        The others told of each upstream when it changed, long ago. The control would
+        know only upstreams whose heartbeats reach it, and its gateways would take all
+        others for dead and refuse requests.
+        """
+        for remote in ("gateway-1", "127.0.0.2"):
+            with self.subTest(remote=remote):
+                registry = make_registry()
+                announce(registry.context, make_news("u1"))
+                connection = registry.accept(remote)
+                take_greeting(registry.context, connection)
+                self.assertEqual(find_news(connection.sent), ["u1"])
+
+
+class NewsTest(unittest.TestCase):
+    """News goes on once, to everyone."""
+
+    def test_changes_go_to_gateways_and_controls(self) -> None:
+        registry = make_registry()
+        gateway = registry.accept("gateway-1")
+        take_greeting(registry.context, gateway)
+        control = cast("Any", registry.context.controls["127.0.0.2"]).protocol
+        for name, step in (
+            ("new", lambda: announce(registry.context, make_news("u1"))),
+            ("leaving", lambda: withdraw(registry.context, "u1", 1)),
+        ):
+            with self.subTest(name):
+                before = len(find_news(gateway.sent)), len(find_news(control.sent))
+                step()
+                after = len(find_news(gateway.sent)), len(find_news(control.sent))
+                self.assertEqual(after, (before[0] + 1, before[1] + 1))
+
+    def test_a_heartbeat_that_changes_nothing_is_not_told_at_once(self) -> None:
+        registry = make_registry()
+        gateway = registry.accept("gateway-1")
+        take_greeting(registry.context, gateway)
+        announce(registry.context, make_news("u1"))
+        sent = len(gateway.sent)
+        announce(registry.context, make_news("u1", sequence=2))
+        self.assertEqual(len(gateway.sent), sent)
+        take_cast(
+            registry.context,
+            "gateway-1",
+            GatewayReport(gateway="gateway-1", use=(), evidence=()),
+        )
+        share_heartbeats(registry.context)
+        self.assertEqual(gateway.sent[-1], ShareHeartbeats(heard=(("u1", 1, 2),)))
+
+    def test_a_leave_of_an_unknown_upstream(self) -> None:
+        """A leave arrives at a control that has just restarted.
+
+        If it names its incarnation the others can be told; else another control must
+        be asked, so it is not acknowledged.
+        """
+        for incarnation, known in ((5, True), (None, False)):
+            with self.subTest(incarnation=incarnation):
+                registry = make_registry()
+                self.assertIs(withdraw(registry.context, "u9", incarnation), known)
+                held = registry.context.fleet.upstreams.get("u9")
+                state = held.news.state if held else None
+                self.assertEqual(state, UpstreamState.GONE if known else None)
+
+
+class ReportTest(unittest.TestCase):
+    """Sums of what gateways have running."""
+
+    def test_sum(self) -> None:
+        use = (UpstreamUse(upstream="u1", running=2, backlog=10.0),)
+        reports = [
+            GatewayReport(gateway=name, use=use, evidence=()) for name in ("a", "b")
+        ]
+        self.assertEqual(
+            sum_reports(reports),
+            FleetReport(
+                gateways=2,
+                use=(UpstreamUse(upstream="u1", running=4, backlog=20.0),),
+            ),
+        )
