--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -45,15 +45,15 @@
 REOPEN_SECONDS = 1.0
 """Between two tries to open a disk that failed; a full disk recovers within seconds."""
 TIMING = Timing(
-    heartbeat=0.15,
-    election_min=0.6,
-    election_max=1.2,
+    heartbeat=0.12,
+    election_min=0.5,
+    election_max=0.9,
     open_to_all=True,
     most_voters=5,
     snapshot_bytes=1 << 20,
     snapshot_tail=50,
 )
-"""A stalled disk or a short freeze of the leader costs at most about 1.5 s; five voters
+"""A stalled disk or a short freeze of the leader costs at most about 1.2 s; five voters
 bear the loss of two disks."""
 
 
