Keep room in the retry budget for failures; explain a request from its logs

Change: our own choices may use 0.6 of the budget, failures 0.9. Ruled out: more of the budget for all, which the rule on repeats does not allow.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -19,6 +19,8 @@
 from ...routing.models import wants_larger
 from ...routing.prefixes import note_parts
 from ...routing.records import RouteKind
+from ...routing.retries import CHOICE_PART
+from ...routing.retries import FAILURE_PART
 from ...routing.retries import may_repeat
 from ...routing.retries import note_repeat
 from ...routing.silence import silence_limit
@@ -298,7 +300,7 @@
         if attempt is None or attempt.over or self.route.kind is not RouteKind.STREAM:
             return
 
-        if not self._may_run_again() or not self._is_in_budget(now):
+        if not self._may_run_again() or not self._is_in_budget(now, FAILURE_PART):
             return
 
         sign = self.context.signs.get(attempt.upstream, 0.0)
@@ -342,7 +344,7 @@
             return False
 
         now = self.context.clock()
-        if not self._may_run_again() or not self._is_in_budget(now):
+        if not self._may_run_again() or not self._is_in_budget(now, CHOICE_PART):
             return False
 
         larger = choose_upstream(
@@ -542,15 +544,16 @@
         elif self.runs and not self.repeatable:
             return False
 
-        return fate is Fate.UNREACHED or self._is_in_budget(now)
+        return fate is Fate.UNREACHED or self._is_in_budget(now, FAILURE_PART)
 
-    def _is_in_budget(self, now: float) -> bool:
+    def _is_in_budget(self, now: float, part: float) -> bool:
         """Tell whether all gateways' budget of repeats allows one more."""
         service = self.attempt.choice.service if self.attempt else ""
         return may_repeat(
             self.context.retries,
             service,
             self.context.settings.retries,
+            part=part,
             gateways=self.context.load.gateways,
             now=now,
         )
--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -22,6 +22,7 @@
 from ...state.consensus.messages import SnapshotAnswer
 from ...state.consensus.messages import TimeoutNow
 from ...state.consensus.messages import VoteAnswer
+from ...state.consensus.records import Membership
 from ...state.group import Group
 from ...state.routing import RoutingState
 from ..links import Link
@@ -97,6 +98,8 @@
     watches: dict[tuple[str, float], RolloutWatch] = field(default_factory=dict)
     due: dict[str, float] = field(default_factory=dict)
     """When each periodic duty ran last, by its name."""
+    members: Membership = Membership()
+    """The members as they were logged last."""
     led: str = ""
     """The leader as it was logged last."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -26,6 +26,7 @@
 from ...routing.messages import UpstreamUse
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
+from ...state.group import allow_name
 from ...state.group import receive_message
 from ...state.routing import version_of
 from ..connections import make_tcp_connector
@@ -114,6 +115,9 @@
 
     connect = make_tcp_connector(context.reactor, name, context.settings.link_port)
     context.controls[name] = open_link(context.node, name, connect)
+    # A control whose seeds are all gone would otherwise have nobody to join.
+    if context.group is not None:
+        allow_name(context.group, name)
 
 
 def drop_removed(context: RegistryContext) -> None:
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -164,11 +164,21 @@
 
 
 def note_leader(context: RegistryContext) -> None:
-    """Log it when the leader changes."""
+    """Log it when the leader or the members change."""
     group = context.group
     if group is None:
         return
 
+    membership = group.replica.membership
+    if membership != context.members:
+        context.members = membership
+        log_event(
+            "registry: Members changed",
+            voters=membership.voters,
+            learners=membership.learners,
+            index=group.replica.membership_index,
+        )
+
     leader = leader_of(group)
     if leader == context.led:
         return
--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -7,6 +7,7 @@
 from .. import __version__
 from .demo import demo
 from .experiment import run_experiment
+from .explain import explain
 from .groups import COMMANDS
 from .recover import COMMANDS as RECOVER
 from .serve import serve
@@ -23,6 +24,7 @@
         **COMMANDS,
         "demo": demo,
         "experiment": run_experiment,
+        "explain": explain,
         "recover": RECOVER,
         "serve": serve,
         "version": show_version,
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -11,8 +11,12 @@
 from dataclasses import field
 
 
-USED_PART = 0.7
-"""Part of the budget that is used: the others' repeats are known a moment late."""
+FAILURE_PART = 0.9
+"""Part of the budget that repeats after failures may use; the rest covers gateways that
+count fewer gateways than there are."""
+CHOICE_PART = 0.6
+"""Part that we use of our own choice, as to ask a larger model. Failure: with one part
+for both, larger models used the budget up, and streams that broke were not resumed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,13 +64,14 @@
     service: str,
     limits: RetryLimits,
     *,
+    part: float,
     gateways: int,
     now: float,
 ) -> bool:
-    """Tell whether the budget allows one more send."""
+    """Tell whether a part of the budget allows one more send."""
     requests = table.requests.get(service, deque())
     repeats = table.repeats.get(service, deque())
     recent = sum(1 for at in requests if at >= now - limits.window)
     used = sum(1 for at in repeats if at >= now - limits.window)
     allowed = limits.ratio * recent + limits.slack / max(gateways, 1)
-    return used + 1 <= USED_PART * allowed
+    return used + 1 <= part * allowed
--- /dev/null
+++ b/tests/commands/test_explain.py
@@ -0,0 +1,80 @@
+"""The account of a failed request, from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from waxwingwell.commands.explain import explain
+
+
+def write_log(folder: str, name: str, *lines: dict[str, Any]) -> str:
+    """Write a log with some lines that are none, and return its path."""
+    path = Path(folder) / name
+    text = ["not a line of ours", '{"half":', *(json.dumps(line) for line in lines)]
+    path.write_text("\n".join(text))
+    return str(path)
+
+
+def end(**fields: Any) -> dict[str, Any]:
+    """Return the line of a request's end."""
+    known = {"at": 12.0, "node": "e1", "event": "gateway: Request ended"}
+    return {**known, "request": "q1", "status": 503, **fields}
+
+
+class ExplainTest(unittest.TestCase):
+    """From a request's id to its cause."""
+
+    def test_the_cause_is_named(self) -> None:
+        for outcome, reason, expected in (
+            ("refused", "no upstream left", "did not run anywhere"),
+            ("cut", "answer not whole", "broke off after it had begun"),
+            ("may_have_run", "deadline", "whether it ran is unknown"),
+            ("passed_on_failure", "status 500", "The upstream itself failed it"),
+        ):
+            with self.subTest(outcome), tempfile.TemporaryDirectory() as folder:
+                path = write_log(folder, "e1.log", end(outcome=outcome, reason=reason))
+                account = explain("q1", path)
+                self.assertIn(expected, account)
+                self.assertIn(f"reason: {reason}", account)
+
+    def test_lines_of_several_processes_are_joined(self) -> None:
+        """Two gateways and a control.
+
+        The control's clock is ahead. Lines of other requests are left out; what the
+        gateway had just come to believe is shown first.
+        """
+        belief = {"at": 11.0, "node": "e1", "event": "gateway: Document in force"}
+        placed = {"at": 11.5, "node": "e1", "event": "gateway: Placed", "request": "q1"}
+        other = {"at": 11.6, "node": "e1", "event": "gateway: Placed", "request": "q2"}
+        control = {"at": 99.0, "node": "c1", "event": "registry: Order"}
+        with tempfile.TemporaryDirectory() as folder:
+            first = write_log(
+                folder,
+                "e1.log",
+                {**belief, "version": 4},
+                {**placed, "upstream": "u1"},
+                {**other, "upstream": "u2"},
+                end(outcome="cut", reason="answer not whole"),
+            )
+            second = write_log(folder, "c1.log", control)
+            account = explain("q1", first, second)
+
+        self.assertIn("Document in force version=4", account)
+        self.assertIn("upstream=u1", account)
+        self.assertNotIn("u2", account)
+        self.assertNotIn("registry", account)
+        self.assertLess(account.index("Document"), account.index("Placed"))
+
+    def test_unknown_requests_and_files(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = write_log(folder, "e1.log", end(outcome="cut"))
+            missing = str(Path(folder) / "none.log")
+            for request, name, code in (("q9", path, 1), ("q1", missing, 2)):
+                with self.subTest(name), self.assertRaises(SystemExit) as caught:
+                    explain(request, name)
+
+                self.assertEqual(caught.exception.code, code)
--- /dev/null
+++ b/tests/platform_adapter/test_bodies.py
@@ -0,0 +1,147 @@
+"""Bodies of the platform's calls: configurations, heartbeats, settings."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from waxwingwell.routing.faults import find_faults
+from waxwingwell.routing.fleet import UpstreamState
+from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.records import Target
+from waxwingwell_platform.documents import read_document
+from waxwingwell_platform.settings import read_gateway
+from waxwingwell_platform.settings import read_registry
+from waxwingwell_platform.upstreams import read_heartbeat
+from waxwingwell_platform.upstreams import read_leave
+
+
+ROUTE: dict[str, Any] = {
+    "name": "r1",
+    "hostname": "A.example",
+    "path_prefix": "/p/",
+    "route_type": "non_idempotent",
+    "timeout_ms": 600,
+    "target_latency_ms": 120,
+    "backend": "desk",
+}
+CONFIG: dict[str, Any] = {
+    "version": 3,
+    "routes": [ROUTE],
+    "backends": [{"name": "desk"}],
+    "tenants": [{"name": "team", "api_keys": ["k1"], "priority": 1}],
+}
+BEAT: dict[str, Any] = {
+    "backend": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 6,
+    "state": "healthy",
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+class DocumentTest(unittest.TestCase):
+    """Configurations."""
+
+    def test_a_configuration(self) -> None:
+        document = read_document(msgspec.json.encode(CONFIG))
+        [route] = document.routes
+        self.assertEqual(document.version, 3)
+        self.assertIs(route.kind, RouteKind.ONCE)
+        self.assertEqual(route.host, "a.example")
+        self.assertEqual(route.targets, (Target("desk", 1),))
+        self.assertEqual((route.timeout, route.objective), (0.6, 0.12))
+        self.assertEqual(document.workspaces[0].keys, ("k1",))
+        self.assertEqual(find_faults(document), ())
+
+    def test_weights_go_before_a_single_service(self) -> None:
+        weights = [{"backend": "desk", "weight": 9}, {"backend": "new", "weight": 1}]
+        route = {**ROUTE, "weighted_backends": weights}
+        document = read_document(msgspec.json.encode({**CONFIG, "routes": [route]}))
+        expected = (Target("desk", 9), Target("new", 1))
+        self.assertEqual(document.routes[0].targets, expected)
+
+    def test_what_can_not_be_read_is_refused(self) -> None:
+        whole = msgspec.json.encode(CONFIG)
+        for name, body in (
+            ("cut short", whole[:-3]),
+            ("empty", b""),
+            ("no object", b"[]"),
+            ("no version", msgspec.json.encode({"routes": [], "backends": []})),
+            (
+                "unknown kind",
+                msgspec.json.encode(
+                    {**CONFIG, "routes": [{**ROUTE, "route_type": "maybe"}]}
+                ),
+            ),
+        ):
+            with self.subTest(name), self.assertRaises(msgspec.DecodeError):
+                read_document(body)
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Heartbeats and leaves."""
+
+    def test_heartbeats(self) -> None:
+        for state, expected in (
+            ("healthy", UpstreamState.SERVING),
+            ("draining", UpstreamState.LEAVING),
+        ):
+            with self.subTest(state=state):
+                body = msgspec.json.encode({**BEAT, "state": state, "other": [1]})
+                news = read_heartbeat("i-1", body)
+                self.assertEqual(news.state, expected)
+                self.assertEqual((news.host, news.port), ("10.0.0.9", 8080))
+                self.assertEqual((news.incarnation, news.sequence), (BEAT["born"], 4))
+
+    def test_other_writers_name_no_upstream(self) -> None:
+        for name, change in (
+            ("no address", {"address": None}),
+            ("no port", {"address": "10.0.0.9"}),
+            ("unknown state", {"state": "resting"}),
+            ("a word for a number", {"sequence": "four"}),
+            ("a list for a name", {"backend": ["desk"]}),
+        ):
+            with self.subTest(name), self.assertRaises(msgspec.DecodeError):
+                read_heartbeat("i-1", msgspec.json.encode({**BEAT, **change}))
+
+    def test_leaves(self) -> None:
+        for body, expected in ((b"", None), (b"{}", None), (b'{"born":7}', 7)):
+            with self.subTest(body=body):
+                self.assertEqual(read_leave(body), expected)
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings of both roles."""
+
+    def test_settings(self) -> None:
+        fields: dict[str, Any] = {
+            "node_name": "e1",
+            "ip": "10.0.0.1",
+            "zone": "north",
+            "internal_ports": [7000, 7010],
+            "seeds": ["10.0.0.2:9000", "10.0.0.3:9000"],
+            "listen": {
+                "frontend": "10.0.0.1:80",
+                "readiness": "10.0.0.1:81",
+                "admin": "10.0.0.1:82",
+            },
+            "bounds": {"grace_s": 6, "revoke_ms": 4000, "revoke_fail_closed": True},
+            "data_dir": "data",
+            "bootstrap": True,
+        }
+        gateway = read_gateway(fields)
+        self.assertEqual(gateway.callers, ("10.0.0.1", 80))
+        self.assertEqual(gateway.controls, ("10.0.0.2", "10.0.0.3"))
+        self.assertEqual((gateway.grace, gateway.revoke_after), (6, 4.0))
+        self.assertTrue(gateway.fail_closed)
+        registry = read_registry(fields)
+        self.assertEqual(registry.admin, ("10.0.0.1", 82))
+        self.assertTrue(registry.found)
+        with self.assertRaises(KeyError):
+            read_gateway({})
--- /dev/null
+++ b/tests/platform_adapter/test_headers.py
@@ -0,0 +1,119 @@
+"""Headers of requests and answers, decoded and written."""
+
+from __future__ import annotations
+
+import platform
+import unittest
+
+from waxwingwell.adapters.gateway.dialect import Dispatch
+from waxwingwell.adapters.gateway.dialect import RequestFacts
+from waxwingwell_platform.headers import DIALECT
+
+
+class ModuleTest(unittest.TestCase):
+    """The adapter's folder must not stand in for a standard module."""
+
+    def test_the_standard_module_is_found(self) -> None:
+        self.assertTrue(hasattr(platform, "python_version"))
+
+
+class RequestTest(unittest.TestCase):
+    """What a caller says, and what an upstream is told."""
+
+    def test_facts(self) -> None:
+        for name, headers, expected in (
+            ("nothing", [], RequestFacts(request_id="")),
+            (
+                "everything",
+                [
+                    (b"Waxwingwell-Attempt-Id", b"q1"),
+                    (b"Waxwingwell-Deadline-Ms", b"2500"),
+                    (b"Api-Key", b"k1"),
+                    (b"Waxwingwell-Model", b"*"),
+                    (b"Waxwingwell-Token-Usage", b"1460,80"),
+                    (b"Waxwingwell-Prefix-Hash", b"5c:800,91:410"),
+                    (b"Session", b"s1"),
+                    (b"Last-Event-Id", b"12"),
+                ],
+                RequestFacts(
+                    request_id="q1",
+                    budget=2.5,
+                    key="k1",
+                    model="*",
+                    prompt_tokens=1460,
+                    output_tokens=80,
+                    parts=(("5c", 800), ("91", 410)),
+                    session="s1",
+                    resume_after="12",
+                ),
+            ),
+            (
+                "what can't be read",
+                [
+                    (b"Waxwingwell-Deadline-Ms", b"soon"),
+                    (b"Waxwingwell-Token-Usage", b"x"),
+                    (b"Waxwingwell-Prefix-Hash", b"5c,:,91:y"),
+                ],
+                RequestFacts(request_id="", parts=(("", 0), ("91", 0))),
+            ),
+        ):
+            with self.subTest(name):
+                self.assertEqual(DIALECT.read_request(headers), expected)
+
+    def test_a_caller_can_not_set_what_is_ours(self) -> None:
+        """A caller forges headers.
+
+        It names another workspace, a reservation, or a copy of other requests' memory.
+        None of it may reach an upstream, and neither may its key.
+        """
+        forged = [
+            (b"api-key", b"k1"),
+            (b"WAXWINGWELL-TENANT", b"other"),
+            (b"Waxwingwell-Retention", b"r1"),
+            (b"Waxwingwell-Pin-Ms", b"4000"),
+            (b"Waxwingwell-Kv-Backup", b"10.0.0.1:1"),
+            (b"Kv-From", b"10.0.0.1:1/x"),
+            (b"Kv-Fetch", b"10.0.0.1:1"),
+            (b"Waxwingwell-Priority-Class", b"0"),
+            (b"Waxwingwell-Expect-Instance", b"i-9"),
+            (b"Waxwingwell-Deadline-Ms", b"99999"),
+        ]
+        dispatch = Dispatch(upstream="i-1", remaining=1.5, workspace="team", urgency=4)
+        self.assertEqual(
+            DIALECT.write_request([(b"X-Own", b"1"), *forged], dispatch),
+            [
+                (b"X-Own", b"1"),
+                (b"waxwingwell-expect-instance", b"i-1"),
+                (b"waxwingwell-deadline-ms", b"1500"),
+                (b"waxwingwell-tenant", b"team"),
+                (b"waxwingwell-priority-class", b"4"),
+            ],
+        )
+
+    def test_the_model_is_replaced_only_if_we_chose_it(self) -> None:
+        for chosen, expected in (("", b"*"), ("small", b"small")):
+            with self.subTest(chosen=chosen):
+                dispatch = Dispatch(upstream="i-1", remaining=None, model=chosen)
+                headers = [(b"Waxwingwell-Model", b"*")]
+                written = dict(DIALECT.write_request(headers, dispatch))
+                found = {name.lower(): value for name, value in written.items()}
+                self.assertEqual(found[b"waxwingwell-model"], expected)
+
+
+class AnswerTest(unittest.TestCase):
+    """What an upstream says of its answer."""
+
+    def test_facts(self) -> None:
+        signed = (b"Waxwingwell-Server-Signature", b"x")
+        for status, headers, not_run, is_signed, confidence in (
+            (200, [signed], False, True, None),
+            (200, [signed, (b"Waxwingwell-Confidence", b"40")], False, True, 0.4),
+            (503, [], False, False, None),
+            (503, [(b"Waxwingwell-Not-Executed", b"1")], True, False, None),
+            (421, [], True, False, None),
+        ):
+            with self.subTest(status=status, headers=headers):
+                facts = DIALECT.read_answer(status, headers)
+                self.assertIs(facts.not_run, not_run)
+                self.assertIs(facts.signed, is_signed)
+                self.assertEqual(facts.confidence, confidence)
