--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 from twisted.internet.task import LoopingCall
 
 from ...routing.messages import RoutingBody
@@ -119,10 +120,13 @@
 def run_tick(context: GatewayContext) -> None:
     """Do what is due a few times a second."""
     now = context.clock()
-    for exchange in list(context.exchanges):
-        exchange.check_silence(now)
+    try:
+        for exchange in list(context.exchanges):
+            exchange.check_silence(now)
 
-    report_use(context)
+        report_use(context)
+    except Exception as error:  # the loop must not end
+        logger.opt(exception=error).error("gateway: Tick failed")
 
 
 def read_limits(context: GatewayContext) -> HttpLimits:
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 from twisted.internet.task import LoopingCall
 
 from ...state.group import leader_of
@@ -114,11 +115,17 @@
 
 
 def run_tick(context: RegistryContext) -> None:
-    """Do what is due now."""
+    """Do what is due now; a duty that fails is logged, and the others go on.
+
+    Failure: an error in one duty would end the loop. The process would look alive, yet
+    take part in no election any more; with two disks lost there may be no majority.
+    """
     now = context.clock()
-    tick_member(context, now)
-    watch_rollouts(context, now)
-    run_sharing(context, now)
+    for duty in (tick_member, watch_rollouts, run_sharing):
+        try:
+            duty(context, now)
+        except Exception as error:  # any fault of one duty
+            logger.opt(exception=error).error("registry: Duty failed")
 
 
 def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
