--- /dev/null
+++ b/tests/state/test_routing.py
@@ -0,0 +1,115 @@
+"""The replicated state of a routing group."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.routing.factories import make_document
+from waxwingwell.routing.messages import BeginRollout
+from waxwingwell.routing.messages import EndRollout
+from waxwingwell.routing.messages import GrowRollout
+from waxwingwell.routing.messages import Publish
+from waxwingwell.routing.messages import RoutingCommand
+from waxwingwell.state.routing import RoutingState
+from waxwingwell.state.routing import apply_routing
+from waxwingwell.state.routing import load_routing
+from waxwingwell.state.routing import save_routing
+from waxwingwell.state.routing import version_of
+
+
+def publish(version: int, source: bytes = b"") -> Publish:
+    """Return a publication."""
+    return Publish(document=make_document(version=version), source=source)
+
+
+def begin(target: str = "v2", at: float = 100.0) -> BeginRollout:
+    """Return an order to move."""
+    return BeginRollout(service="chat", target=target, duration=20.0, ordered_at=at)
+
+
+class PublishTest(unittest.TestCase):
+    """The highest version wins."""
+
+    def test_only_higher_versions_take_effect(self) -> None:
+        """Two operators race, and an old change arrives again.
+
+        Whatever the order, what was published under the highest number stays, with the
+        content that came first under it.
+        """
+        for name, versions, expected in (
+            ("in order", [1, 2, 5], (5, b"2")),
+            ("an old one again", [5, 1, 2], (5, b"0")),
+            ("other content under the number held", [3, 3], (3, b"0")),
+        ):
+            with self.subTest(name):
+                state = RoutingState()
+                for place, version in enumerate(versions):
+                    apply_routing(state, publish(version, str(place).encode()))
+
+                self.assertEqual((version_of(state), state.source), expected)
+
+    def test_a_saved_state_is_whole(self) -> None:
+        state = RoutingState()
+        both: tuple[RoutingCommand, ...] = (publish(3, b"x"), begin())
+        for command in both:
+            apply_routing(state, command)
+
+        loaded = load_routing(save_routing(state))
+        self.assertEqual(loaded, state)
+        self.assertEqual(load_routing(save_routing(RoutingState())), RoutingState())
+
+
+class RolloutTest(unittest.TestCase):
+    """Orders, steps and ends of a move."""
+
+    def test_commands(self) -> None:
+        grow = GrowRollout(service="chat", target="v2", ordered_at=100.0, share=0.3)
+        shrink = GrowRollout(service="chat", target="v2", ordered_at=100.0, share=0.1)
+        done = EndRollout(service="chat", target="v2", ordered_at=100.0, completed=True)
+        back = EndRollout(
+            service="chat", target="v2", ordered_at=100.0, completed=False
+        )
+        stale = EndRollout(
+            service="chat", target="v2", ordered_at=50.0, completed=False
+        )
+        cases: tuple[tuple[str, list[RoutingCommand], tuple[str, str, float]], ...] = (
+            ("ordered", [begin()], ("v2", "in_progress", 0.0)),
+            ("grown", [begin(), grow], ("v2", "in_progress", 0.3)),
+            ("never shrinks", [begin(), grow, shrink], ("v2", "in_progress", 0.3)),
+            ("completed", [begin(), done], ("v2", "completed", 1.0)),
+            ("reverted", [begin(), grow, back], ("v2", "reverted", 0.0)),
+            ("ends once", [begin(), done, back], ("v2", "completed", 1.0)),
+            ("an older order's end", [begin(), stale], ("v2", "in_progress", 0.0)),
+            ("a resend", [begin(), grow, begin(at=102.0)], ("v2", "in_progress", 0.3)),
+            (
+                "a resend when done",
+                [begin(), done, begin(at=102.0)],
+                ("v2", "completed", 1.0),
+            ),
+            ("a new try", [begin(), back, begin(at=200.0)], ("v2", "in_progress", 0.0)),
+            (
+                "the next version",
+                [begin(), done, begin("v3", 200.0)],
+                ("v3", "in_progress", 0.0),
+            ),
+        )
+        for name, commands, expected in cases:
+            with self.subTest(name):
+                state = RoutingState()
+                for command in commands:
+                    apply_routing(state, command)
+
+                held = state.rollouts["chat"]
+                self.assertEqual((held.target, held.state, held.share), expected)
+
+    def test_the_version_before_is_remembered(self) -> None:
+        state = RoutingState()
+        commands: tuple[RoutingCommand, ...] = (
+            begin(),
+            EndRollout(service="chat", target="v2", ordered_at=100.0, completed=True),
+            begin("v3", 200.0),
+        )
+        for command in commands:
+            apply_routing(state, command)
+
+        self.assertEqual(state.rollouts["chat"].former, "v2")
