--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -117,6 +117,12 @@
     return GatewayDaemon(context, service, health, ports, loop)
 
 
+def learn_controls(daemon: GatewayDaemon, settings: GatewaySettings) -> None:
+    """Connect to controls that changed settings name beside those known."""
+    for name in settings.controls:
+        connect_control(daemon.context, name)
+
+
 def run_tick(context: GatewayContext) -> None:
     """Do what is due a few times a second."""
     now = context.clock()
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ...routing.admission import can_be_served
+from ...routing.admission import choose_pause
 from ...routing.health import note_answer
 from ...routing.health import note_unreachable
 from ...routing.load import begin_use
@@ -185,6 +187,12 @@
             self._give_up("no upstream left")
             return
 
+        wait = choice.placement.wait / 1000
+        if not can_be_served(wait, self.deadline - now):
+            pause = choose_pause(wait, self.deadline - now)
+            self._give_up(f"a wait of {wait:.1f} s is expected", pause)
+            return
+
         self._send_to(choice, now)
 
     def _first_limit(self, now: float) -> float:
@@ -577,7 +585,7 @@
 
         self._settle("answered", attempt.status, now)
 
-    def _give_up(self, reason: str) -> None:
+    def _give_up(self, reason: str, pause: float = RETRY_AFTER) -> None:
         """Give the final answer at once: nothing more can be done."""
         now = self.context.clock()
         if self.responder.started:
@@ -591,7 +599,7 @@
             self.responder.send(502, [])
             self._settle("may_have_run", 502, now, reason)
         else:
-            self.responder.send(503, [retry_after(RETRY_AFTER)])
+            self.responder.send(503, [retry_after(pause)])
             self._settle("refused", 503, now, reason)
 
     def _expire(self) -> None:
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -114,6 +114,12 @@
     return RegistryDaemon(context, service, ports, loop)
 
 
+def learn_controls(daemon: RegistryDaemon, settings: RegistrySettings) -> None:
+    """Connect to controls that changed settings name beside those known."""
+    for name in settings.controls:
+        know_control(daemon.context, name)
+
+
 def run_tick(context: RegistryContext) -> None:
     """Do what is due now; a duty that fails is logged, and the others go on.
 
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from waxwingwell.routing.load import begin_use
 from waxwingwell.routing.records import RouteKind
 
 from .support import LAST_CHUNK
@@ -80,6 +81,22 @@
         self.assertEqual(caller.status, 503)
         self.assertIn(b"Retry-After", caller.received)
 
+    def test_what_can_not_be_served_is_refused_at_once(self) -> None:
+        """Every upstream has a queue that outlasts the caller.
+
+        Its request would take a place for nothing, and it would learn so only at the
+        end of its time. It hears at once when to come back.
+        """
+        gateway = make_gateway("u1", "u2", kind=RouteKind.ONCE)
+        for name in ("u1", "u2"):
+            for _ in range(500):
+                begin_use(gateway.context.load, name, 0.0)
+
+        caller = gateway.ask(X_Budget="5")
+        self.assertEqual(gateway.upstreams, [])
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After: 1.65", caller.received)
+
     def test_an_upstreams_own_failure_is_passed_on(self) -> None:
         gateway = make_gateway(kind=RouteKind.IDEMPOTENT, max_attempts=2)
         caller = gateway.ask()
