--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -31,7 +31,8 @@
 FULL_MS = 2_000.0
 """Added for each batch's worth of requests beyond the slots: they wait for a place."""
 SLOT_MS = 25.0
-"""About one call's work at a plain service: what waits in front of a full one."""
+"""About one call's work at a plain service. Comparing upstreams, each call beyond the
+slots counts whole: a full service soon refuses, which costs another try."""
 FAR_MS = 12.0
 """A new connection and a request to another data centre, two round trips."""
 FAR_STREAM_MS = 200.0
@@ -157,6 +158,7 @@
         wait += WARMING_MS
 
     uncached = 0
+    crowding = 0.0
     slots = upstream.slots or demand.service.slots or 1
     over = max(use.running + 1 - slots, 0)
     if demand.service.memory_tokens:
@@ -172,13 +174,14 @@
         wait += use.backlog + uncached * demand.token_ms
         wait += RUNNING_MS * use.running + FULL_MS * over / slots
     else:
-        wait += SLOT_MS * (use.running / slots + over)
+        wait += SLOT_MS * (use.running + over) / slots
+        crowding = SLOT_MS * over
 
     reread = uncached * max(REREAD_TOKEN_MS - demand.token_ms, 0.0)
     failing = failure_share(surroundings.health, upstream.upstream, now)
     return Placement(
         upstream=upstream,
-        cost=wait + reread + FAILURE_MS * failing,
+        cost=wait + crowding + reread + FAILURE_MS * failing,
         wait=wait,
         work=uncached * demand.token_ms,
         uncached=uncached,
--- /dev/null
+++ b/tests/routing/test_placement.py
@@ -0,0 +1,168 @@
+"""Which upstream a request goes to."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from waxwingwell.routing.health import HealthTable
+from waxwingwell.routing.health import note_answer
+from waxwingwell.routing.health import note_unreachable
+from waxwingwell.routing.load import LoadTable
+from waxwingwell.routing.load import begin_use
+from waxwingwell.routing.load import end_prefill
+from waxwingwell.routing.load import end_use
+from waxwingwell.routing.load import estimate_usage
+from waxwingwell.routing.load import note_work
+from waxwingwell.routing.models import wants_larger
+from waxwingwell.routing.placement import Demand
+from waxwingwell.routing.placement import Surroundings
+from waxwingwell.routing.placement import place_request
+from waxwingwell.routing.prefixes import PrefixTable
+from waxwingwell.routing.prefixes import note_parts
+from waxwingwell.routing.records import Service
+from waxwingwell.routing.silence import silence_limit
+from waxwingwell.routing.speeds import SpeedTable
+from waxwingwell.routing.speeds import guess_speed
+from waxwingwell.routing.speeds import learn_speed
+
+from .factories import make_news
+
+
+DESK = Service(name="desk", slots=4)
+ENGINE = Service(name="chat", slots=16, memory_tokens=100_000)
+PARTS = (("shared", 500), ("team", 4_000), ("own", 100))
+
+
+def place(demand: Demand, **around: Any) -> str:
+    """Return the upstream chosen of a near one, a second near one and a far one."""
+    upstreams = [
+        make_news("near", slots=4),
+        make_news("near2", slots=4),
+        make_news("far", slots=4, data_centre="south"),
+    ]
+    known = {
+        "data_centre": "north",
+        "load": LoadTable(),
+        "health": HealthTable(),
+        "prefixes": PrefixTable(),
+    }
+    surroundings = Surroundings(**{**known, **around})
+    placement = place_request(demand, upstreams, surroundings, 10.0, lambda: 0.0)
+    return placement.upstream.upstream if placement else ""
+
+
+def make_load(**running: int) -> LoadTable:
+    """Return a table with requests running."""
+    table = LoadTable()
+    for name, count in running.items():
+        for _ in range(count):
+            begin_use(table, name, 100.0)
+
+    return table
+
+
+class PlacementTest(unittest.TestCase):
+    """The upstream with the shortest expected wait."""
+
+    def test_load_and_distance(self) -> None:
+        for name, running, expected in (
+            ("idle", {}, {"near", "near2"}),
+            ("one busy", {"near": 2}, {"near2"}),
+            ("both near full", {"near": 6, "near2": 6}, {"far"}),
+            ("all full", {"near": 9, "near2": 5, "far": 9}, {"near2"}),
+        ):
+            with self.subTest(name):
+                found = place(Demand(DESK), load=make_load(**running))
+                self.assertIn(found, expected)
+
+    def test_upstreams_that_fail_are_avoided(self) -> None:
+        """An upstream that is sound by its own word fails half of its calls."""
+        health = HealthTable()
+        for place_in_row in range(8):
+            note_answer(health, "near", 10.0, failed=place_in_row % 2 == 0)
+
+        self.assertEqual(place(Demand(DESK), health=health), "near2")
+
+    def test_upstreams_that_can_not_be_reached_are_the_last_resort(self) -> None:
+        health = HealthTable()
+        for name in ("near", "near2"):
+            note_unreachable(health, name, 9.9)
+
+        self.assertEqual(place(Demand(DESK), health=health), "far")
+        note_unreachable(health, "far", 9.9)
+        self.assertNotEqual(place(Demand(DESK), health=health), "")
+
+    def test_a_prompt_goes_where_its_parts_are(self) -> None:
+        prefixes = PrefixTable()
+        note_parts(prefixes, "near2", "small", PARTS, 9.0)
+        demand = Demand(ENGINE, "small", 4_600, 100, PARTS)
+        self.assertEqual(place(demand, prefixes=prefixes), "near2")
+        busy = make_load(near2=15)
+        self.assertEqual(place(demand, prefixes=prefixes, load=busy), "near")
+
+    def test_gateways_agree_on_a_home_for_unknown_parts(self) -> None:
+        demand = Demand(ENGINE, "small", 4_600, 100, PARTS)
+        self.assertEqual(len({place(demand) for _ in range(5)}), 1)
+
+
+class UseTest(unittest.TestCase):
+    """Counting what runs."""
+
+    def test_use_ends_at_nothing(self) -> None:
+        table = LoadTable()
+        begin_use(table, "u1", 30.0)
+        end_prefill(table, "u1", 30.0)
+        end_use(table, "u1")
+        self.assertEqual(table.own, {})
+
+    def test_usage(self) -> None:
+        for name, others_at, expected in (("heard", 9.5, 0.3), ("alone", 0.0, 0.8)):
+            with self.subTest(name):
+                table = LoadTable(others_work=1_200.0, others_at=others_at, gateways=8)
+                note_work(table, 600.0, 9.0)
+                self.assertAlmostEqual(estimate_usage(table, 2, 10.0), expected)
+
+        note_work(table, 0.0, 20.0)
+        self.assertEqual(estimate_usage(table, 2, 20.0), 0.0)
+
+
+class ModelTest(unittest.TestCase):
+    """When a larger model is asked."""
+
+    def test_the_bar_falls_as_engines_fill_up(self) -> None:
+        """A burst on engines that are near their limit.
+
+        Each request of the larger model costs ten of the smallest and holds up all
+        streams on its engine. Callers are better served by more unsure answers then.
+        """
+        for confidence, pressure, usage, expected in (
+            (0.5, 0.1, 0.1, True),
+            (0.6, 0.1, 0.1, False),
+            (0.5, 0.1, 0.9, False),
+            (0.2, 0.1, 0.9, True),
+            (0.0, 0.1, 1.2, False),
+            (0.5, 0.9, 0.1, False),
+            (0.1, 0.9, 0.1, True),
+            (0.0, 1.3, 0.1, False),
+        ):
+            with self.subTest(confidence=confidence, pressure=pressure, usage=usage):
+                found = wants_larger(confidence, pressure, usage)
+                self.assertIs(found, expected)
+
+    def test_speeds_are_learned(self) -> None:
+        table = SpeedTable()
+        models = ("small", "large")
+        self.assertLess(
+            guess_speed(table, models, "small"), guess_speed(table, models, "large")
+        )
+        for _ in range(300):
+            learn_speed(table, models, "small", 4_000, 25.0 + 4_000 * 0.01)
+
+        self.assertAlmostEqual(guess_speed(table, models, "small"), 0.01, places=4)
+        learn_speed(table, models, "small", 4_000, 60_000.0)
+        self.assertLess(guess_speed(table, models, "small"), 0.011)
+
+    def test_silence(self) -> None:
+        self.assertLess(silence_limit(started=True, expected=9.0), 2.0)
+        self.assertGreater(silence_limit(started=False, expected=2.0), 5.0)
