--- a/src/waxwingwell/adapters/bodies.py
+++ b/src/waxwingwell/adapters/bodies.py
@@ -19,17 +19,7 @@
 from ..messages import SpreadAnnouncements
 from ..messages import SpreadDemand
 from ..messages import Submit
-from ..state.consensus.messages import AppendAnswer
-from ..state.consensus.messages import AppendEntries
-from ..state.consensus.messages import Expelled
-from ..state.consensus.messages import InstallSnapshot
-from ..state.consensus.messages import JoinRequest
-from ..state.consensus.messages import Probe
-from ..state.consensus.messages import ProbeAnswer
-from ..state.consensus.messages import RequestVote
-from ..state.consensus.messages import SnapshotAnswer
-from ..state.consensus.messages import TimeoutNow
-from ..state.consensus.messages import VoteAnswer
+from ..state.consensus.messages import ConsensusBody
 
 
 Body = (
@@ -50,15 +40,5 @@
     | Draining
     | Drain
     | AskUpstreams
-    | AppendAnswer
-    | AppendEntries
-    | Expelled
-    | InstallSnapshot
-    | JoinRequest
-    | Probe
-    | ProbeAnswer
-    | RequestVote
-    | SnapshotAnswer
-    | TimeoutNow
-    | VoteAnswer
+    | ConsensusBody
 )
--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -11,17 +11,7 @@
 from ...routing.messages import GatewayReport
 from ...routing.messages import RoutingBody
 from ...routing.rollouts import Evidence
-from ...state.consensus.messages import AppendAnswer
-from ...state.consensus.messages import AppendEntries
-from ...state.consensus.messages import Expelled
-from ...state.consensus.messages import InstallSnapshot
-from ...state.consensus.messages import JoinRequest
-from ...state.consensus.messages import Probe
-from ...state.consensus.messages import ProbeAnswer
-from ...state.consensus.messages import RequestVote
-from ...state.consensus.messages import SnapshotAnswer
-from ...state.consensus.messages import TimeoutNow
-from ...state.consensus.messages import VoteAnswer
+from ...state.consensus.messages import ConsensusBody
 from ...state.consensus.records import Membership
 from ...state.group import Group
 from ...state.routing import RoutingState
@@ -31,20 +21,7 @@
 from .settings import RegistrySettings
 
 
-RegistryBody = (
-    RoutingBody
-    | AppendAnswer
-    | AppendEntries
-    | Expelled
-    | InstallSnapshot
-    | JoinRequest
-    | Probe
-    | ProbeAnswer
-    | RequestVote
-    | SnapshotAnswer
-    | TimeoutNow
-    | VoteAnswer
-)
+RegistryBody = RoutingBody | ConsensusBody
 
 
 @dataclass(slots=True)
--- a/src/waxwingwell/state/consensus/messages.py
+++ b/src/waxwingwell/state/consensus/messages.py
@@ -99,3 +99,19 @@
 
 class Expelled(ConsensusMessage, frozen=True, kw_only=True):
     """The target's id is no longer a member; its disk was replaced meanwhile."""
+
+
+ConsensusBody = (
+    AppendAnswer
+    | AppendEntries
+    | Expelled
+    | InstallSnapshot
+    | JoinRequest
+    | Probe
+    | ProbeAnswer
+    | RequestVote
+    | SnapshotAnswer
+    | TimeoutNow
+    | VoteAnswer
+)
+"""All messages of the log, for the unions of what travels over links."""
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -193,19 +193,25 @@
         ]
 
 
+def make_settings(**fields: Any) -> GatewaySettings:
+    """Return the settings of a gateway without controls."""
+    return GatewaySettings(
+        node="g1",
+        address="127.0.0.1",
+        data_centre="north",
+        callers=("127.0.0.1", 0),
+        readiness=("127.0.0.1", 0),
+        link_port=0,
+        controls=(),
+        **fields,
+    )
+
+
 def make_gateway(*names: str, **route: Any) -> Gateway:
     """Return a gateway with upstreams of the names given and one route."""
     gateway = Gateway()
     gateway.context = GatewayContext(
-        settings=GatewaySettings(
-            node="g1",
-            address="127.0.0.1",
-            data_centre="north",
-            callers=("127.0.0.1", 0),
-            readiness=("127.0.0.1", 0),
-            link_port=0,
-            controls=(),
-        ),
+        settings=make_settings(),
         reactor=gateway.reactor,
         clock=gateway.reactor.seconds,
         random=random.Random(1),
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -11,6 +11,7 @@
 from .support import make_answer
 from .support import make_chunk
 from .support import make_gateway
+from .support import make_settings
 from .support import make_stream_head
 
 
@@ -293,17 +294,7 @@
         for closed, status in ((True, 503), (False, 0)):
             with self.subTest(closed=closed):
                 gateway = make_gateway()
-                settings = gateway.context.settings
-                gateway.context.settings = type(settings)(
-                    node="g1",
-                    address="127.0.0.1",
-                    data_centre="north",
-                    callers=("127.0.0.1", 0),
-                    readiness=("127.0.0.1", 0),
-                    link_port=0,
-                    controls=(),
-                    fail_closed=closed,
-                )
+                gateway.context.settings = make_settings(fail_closed=closed)
                 gateway.reactor.advance(6.0)
                 gateway.context.fleet_at = 0.0
                 self.assertEqual(gateway.ask().status, status)
