Take many gateways for granted until a control has told how many there are

Cause: found by reading: a gateway that restarts while controls are away counted itself alone and would have used the whole slack of the retry budget.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -8,6 +8,7 @@
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_pause
 from ...routing.health import note_unreachable
+from ...routing.load import count_gateways
 from ...routing.records import RouteKind
 from ...routing.retries import FAILURE_PART
 from ...routing.retries import may_repeat
@@ -345,7 +346,7 @@
             service,
             self.context.settings.retries,
             part=part,
-            gateways=self.context.load.gateways,
+            gateways=count_gateways(self.context.load),
             now=now,
         )
 
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -21,6 +21,8 @@
 
 FRESH_SECONDS = 1.5
 """Age up to which the others' sum is used; it comes four times a second."""
+MANY_GATEWAYS = 64
+"""Assumed by a gateway that has heard of no other yet; about the largest in use."""
 USAGE_SECONDS = 3.0
 """Time over which the usage of engines is taken; bursts last a few seconds."""
 
@@ -57,6 +59,15 @@
         table.sent.popleft()
 
 
+def count_gateways(table: LoadTable) -> int:
+    """Return how many gateways share a budget; many until a control has told.
+
+    Failure: all gateways restart while controls are away. Each would take the whole
+    budget for its own, and together they would send many times what is allowed.
+    """
+    return MANY_GATEWAYS if table.others_at == -math.inf else table.gateways
+
+
 def estimate_usage(table: LoadTable, engines: int, now: float) -> float:
     """Return the share of engines' time that reading takes.
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -10,10 +10,12 @@
 from waxwingwell.routing.health import note_unreachable
 from waxwingwell.routing.load import LoadTable
 from waxwingwell.routing.load import begin_use
+from waxwingwell.routing.load import count_gateways
 from waxwingwell.routing.load import end_prefill
 from waxwingwell.routing.load import end_use
 from waxwingwell.routing.load import estimate_usage
 from waxwingwell.routing.load import note_work
+from waxwingwell.routing.load import take_sum
 from waxwingwell.routing.models import wants_larger
 from waxwingwell.routing.placement import Demand
 from waxwingwell.routing.placement import Surroundings
@@ -116,6 +118,12 @@
         end_use(table, "u1")
         self.assertEqual(table.own, {})
 
+    def test_gateways_that_know_of_no_other_share_with_many(self) -> None:
+        table = LoadTable()
+        self.assertGreaterEqual(count_gateways(table), 64)
+        take_sum(table, (), (), work=0.0, gateways=9, now=1.0)
+        self.assertEqual(count_gateways(table), 9)
+
     def test_usage(self) -> None:
         for name, others_at, expected in (("heard", 9.5, 0.3), ("alone", 0.0, 0.8)):
             with self.subTest(name):
