--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -120,8 +120,12 @@
         allow_name(context.group, name)
 
 
-def drop_removed(context: RegistryContext) -> None:
-    """Close links to controls whose place another one has taken."""
+def follow_members(context: RegistryContext) -> None:
+    """Connect to the members of the group, and leave those whose place is taken.
+
+    Failure: all controls restart with settings whose seeds are gone. Each holds the
+    members on its disk, and none would ever call another.
+    """
     group = context.group
     if group is None:
         return
@@ -129,6 +133,9 @@
     membership = group.replica.membership
     present = {name_of(one) for one in membership.voters + membership.learners}
     removed = {name_of(one) for one in membership.removed} - present
+    for name in present:
+        know_control(context, name)
+
     for name in removed & context.controls.keys():
         close_link(context.controls.pop(name))
 
@@ -257,7 +264,7 @@
         drop_tombstones(context.fleet, now)
 
     if is_due(context, "members", MEMBER_SECONDS, now):
-        drop_removed(context)
+        follow_members(context)
         share_members(context)
 
 
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 from typing import Any
 from typing import cast
+from unittest import mock
 
 from tests.routing.factories import make_news
+from waxwingwell.adapters.registry import hub
 from waxwingwell.adapters.registry.api import announce
 from waxwingwell.adapters.registry.api import withdraw
 from waxwingwell.adapters.registry.hub import share_heartbeats
@@ -19,6 +22,7 @@
 from waxwingwell.routing.messages import ShareHeartbeats
 from waxwingwell.routing.messages import ShareNews
 from waxwingwell.routing.messages import UpstreamUse
+from waxwingwell.state.consensus.records import Membership
 
 from .support import make_registry
 
@@ -101,6 +105,33 @@
                 self.assertEqual(state, UpstreamState.GONE if known else None)
 
 
+class MemberTest(unittest.TestCase):
+    """Which controls a control connects to."""
+
+    def test_members_on_disk_are_called(self) -> None:
+        """All controls restart, and their settings name seeds that are long gone.
+
+        Each has the members on its disk. If none called another, no leader would ever
+        be elected again.
+        """
+        registry = make_registry()
+        membership = Membership(
+            voters=("127.0.0.1~1", "127.0.0.2~1", "127.0.0.3~1"),
+            learners=("127.0.0.4~1",),
+            removed=("127.0.0.5~1",),
+        )
+        replica = SimpleNamespace(membership=membership)
+        registry.context.group = cast("Any", SimpleNamespace(replica=replica))
+        called: list[str] = []
+        with mock.patch.object(
+            hub, "know_control", lambda _, name: called.append(name)
+        ):
+            hub.follow_members(registry.context)
+
+        expected = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
+        self.assertEqual(sorted(called), expected)
+
+
 class ReportTest(unittest.TestCase):
     """Sums of what gateways have running."""
 
