--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -217,6 +217,10 @@
                 return
 
             if isinstance(event, h11.Request):
+                if measure_head(event) > self.service.limits().header_bytes:
+                    self._refuse(431)
+                    return
+
                 self._request = event
                 self._wait(self.service.limits().header_timeout)
             elif isinstance(event, h11.Data):
@@ -286,6 +290,15 @@
             self.abort()
 
 
+def measure_head(request: h11.Request) -> int:
+    """Return about how many bytes the head of a request took.
+
+    The library bounds only heads that arrive in several pieces.
+    """
+    size = len(request.method) + len(request.target)
+    return size + sum(len(name) + len(value) + 4 for name, value in request.headers)
+
+
 class HttpFactory(Factory):
     """Builds a connection for each caller."""
 
--- /dev/null
+++ b/tests/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP/1.1 on our transports."""
