--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -13,9 +13,9 @@
 from ..measures import REQUESTS
 from .choice import choose_service
 from .choice import session_of
-from .exchange import RETRY_AFTER
+from .endings import RETRY_AFTER
+from .endings import retry_after
 from .exchange import Exchange
-from .exchange import retry_after
 
 
 if TYPE_CHECKING:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -17,8 +17,6 @@
 from ..events import log_event
 from ..http.records import HeaderList
 from ..http.records import strip_hop_headers
-from ..measures import ANSWER
-from ..measures import REQUESTS
 from .attempts import Attempt
 from .attempts import Fate
 from .attempts import count_fate
@@ -28,6 +26,10 @@
 from .attempts import release
 from .choice import Choice
 from .choice import choose_upstream
+from .endings import deliver
+from .endings import expire
+from .endings import give_up
+from .endings import settle
 from .escalation import find_larger
 from .events import EventSplitter
 from .sending import log_placed
@@ -45,8 +47,6 @@
 
 MAX_TRIES = 6
 """Sends of one request, those included that an upstream refused to run."""
-RETRY_AFTER = 0.5
-"""Seconds after which a caller may come back if nothing could take its request."""
 SILENT_OBJECTIVES = 1.5
 """Objectives after which an answer that may be asked for again is asked of another
 upstream: it is late by then, and nineteen of twenty calls take a third of that."""
@@ -91,7 +91,7 @@
         self.last_answer: tuple[int, HeaderList, bytes] | None = None
         self.model = ""
         self.over = False
-        self._timer: Any = None
+        self.deadline_timer: Any = None
 
     # --- beginning ------------------------------------------------------------
 
@@ -100,7 +100,7 @@
         self.context.exchanges.add(self)
         self.responder.on_lost = self._leave
         delay = max(self.deadline - self.context.clock(), 0.0)
-        self._timer = self.context.reactor.callLater(delay, self._expire)
+        self.deadline_timer = self.context.reactor.callLater(delay, expire, self)
         self._send_next()
 
     @property
@@ -129,13 +129,13 @@
             now=now,
         )
         if choice is None:
-            self._give_up("no upstream left")
+            give_up(self, "no upstream left")
             return
 
         wait = choice.placement.wait / 1000
         if not can_be_served(wait, self.deadline - now):
             pause = choose_pause(wait, self.deadline - now)
-            self._give_up(f"a wait of {wait:.1f} s is expected", pause)
+            give_up(self, f"a wait of {wait:.1f} s is expected", pause)
             return
 
         self._send_to(choice, now)
@@ -286,7 +286,7 @@
             self.runs += 1
 
         if fate is Fate.DONE:
-            self._deliver(attempt, now)
+            deliver(self, attempt, now)
             return
 
         log_event(
@@ -311,7 +311,7 @@
             self._send_next()
             return
 
-        self._give_up(reason)
+        give_up(self, reason)
 
     def _note_repeat(self, attempt: Attempt, now: float) -> None:
         limits = self.context.settings.retries
@@ -355,58 +355,12 @@
         headers = strip_hop_headers(attempt.headers or [])
         self.last_answer = (attempt.status, headers, b"".join(attempt.body or []))
 
-    def _deliver(self, attempt: Attempt, now: float) -> None:
-        """Pass a whole answer on."""
-        if attempt.streaming:
-            self.responder.write(self.splitter.rest)
-            self.responder.finish()
-        elif self.responder.started:
-            # A resumed stream that was answered with something else.
-            self.responder.abort()
-        else:
-            headers = strip_hop_headers(attempt.headers or [])
-            self.responder.send(attempt.status, headers, b"".join(attempt.body or []))
-
-        self._settle("answered", attempt.status, now)
-
-    def _give_up(self, reason: str, pause: float = RETRY_AFTER) -> None:
-        """Give the final answer at once: nothing more can be done."""
-        now = self.context.clock()
-        if self.responder.started:
-            self.responder.abort()
-            self._settle("cut", 0, now, reason)
-        elif self.last_answer is not None:
-            status, headers, body = self.last_answer
-            self.responder.send(status, headers, body)
-            self._settle("passed_on_failure", status, now, reason)
-        elif self.runs:
-            self.responder.send(502, [])
-            self._settle("may_have_run", 502, now, reason)
-        else:
-            self.responder.send(503, [retry_after(pause)])
-            self._settle("refused", 503, now, reason)
-
-    def _expire(self) -> None:
-        """End the request at its deadline."""
-        attempt = self._stop_attempt()
-        now = self.context.clock()
-        sent = attempt is not None and attempt.call is not None and attempt.call.sent
-        if self.responder.started:
-            self.responder.abort()
-            self._settle("cut", 0, now, "deadline")
-        elif sent or self.runs:
-            self.responder.send(504, [])
-            self._settle("may_have_run", 504, now, "deadline")
-        else:
-            self.responder.send(503, [retry_after(RETRY_AFTER)])
-            self._settle("refused", 503, now, "deadline")
-
     def _leave(self) -> None:
         """Stop all work for a caller who has gone."""
-        self._stop_attempt()
-        self._settle("caller_left", 0, self.context.clock())
+        self.stop_attempt()
+        settle(self, "caller_left", 0, self.context.clock())
 
-    def _stop_attempt(self) -> Attempt | None:
+    def stop_attempt(self) -> Attempt | None:
         """Cancel the send under way, and return it."""
         attempt = self.attempt
         if attempt is None or attempt.over:
@@ -417,37 +371,3 @@
 
         release(self.context, attempt)
         return attempt
-
-    def _settle(self, outcome: str, status: int, now: float, reason: str = "") -> None:
-        """Note the end of the request."""
-        if self.over:
-            return
-
-        self.over = True
-        self.context.exchanges.discard(self)
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
-        REQUESTS.labels(self.route.kind.value, outcome).inc()
-        ANSWER.labels(self.route.kind.value).observe(now - self.began_at)
-        attempt = self.attempt
-        answer = attempt.facts if attempt is not None else None
-        log_event(
-            "gateway: Request ended",
-            request=self.facts.request_id,
-            route=self.route.name,
-            outcome=outcome,
-            model=self.model,
-            confidence=answer.confidence if answer is not None else None,
-            status=status,
-            reason=reason,
-            attempts=self.tries,
-            runs=self.runs,
-            events=self.splitter.events,
-            ms=round((now - self.began_at) * 1000),
-        )
-
-
-def retry_after(seconds: float) -> tuple[bytes, bytes]:
-    """Return the header that tells a caller when to come back."""
-    return (b"Retry-After", f"{seconds:g}".encode())
