Let only the seeds found the group

Cause: found by reading: since controls may be asked to take each other in by name, one that is no seed could become the first name, whose turn it is to found, and may not. The test was written with the change, and was not run without it.

--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -115,8 +115,17 @@
 
     connect = make_tcp_connector(context.reactor, name, context.settings.link_port)
     context.controls[name] = open_link(context.node, name, connect)
-    # A control whose seeds are all gone would otherwise have nobody to join.
-    if context.group is not None:
+    allow_member(context, name)
+
+
+def allow_member(context: RegistryContext, name: str) -> None:
+    """Let a control be asked to take us in.
+
+    Failure: a control whose seeds are all gone would have nobody to join. Not while the
+    whole system starts for the first time: the first of the names founds the group, and
+    a name that is no seed's would take that turn and never use it.
+    """
+    if context.group is not None and not context.settings.found:
         allow_name(context.group, name)
 
 
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -45,7 +45,7 @@
         return connection
 
 
-def make_registry(address: str = "127.0.0.1") -> Registry:
+def make_registry(address: str = "127.0.0.1", *, found: bool = False) -> Registry:
     """Return a registry that has no group and no links yet."""
     clock = Clock()
     settings = RegistrySettings(
@@ -55,7 +55,7 @@
         link_port=0,
         controls=(),
         data_folder=Path(),
-        found=False,
+        found=found,
     )
     context = RegistryContext(
         settings=settings,
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -131,6 +131,20 @@
         expected = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
         self.assertEqual(sorted(called), expected)
 
+    def test_names_that_may_found_are_the_seeds_alone(self) -> None:
+        """The whole system starts for the first time.
+
+        A control that is no seed connects to the seeds before they have founded the
+        group, and its name comes before theirs. It may not found, so nobody would.
+        """
+        for found, expected in ((True, ("127.0.0.1",)), (False, ("127.0.0.1", "x"))):
+            with self.subTest(found=found):
+                registry = make_registry(found=found)
+                replica = SimpleNamespace(names=("127.0.0.1",))
+                registry.context.group = cast("Any", SimpleNamespace(replica=replica))
+                hub.allow_member(registry.context, "x")
+                self.assertEqual(replica.names, expected)
+
 
 class ReportTest(unittest.TestCase):
     """Sums of what gateways have running."""
