--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
@@ -49,12 +50,12 @@
     election_min=0.5,
     election_max=0.9,
     open_to_all=True,
-    most_voters=5,
     snapshot_bytes=1 << 20,
     snapshot_tail=50,
 )
-"""A stalled disk or a short freeze of the leader costs at most about 1.2 s; five voters
-bear the loss of two disks."""
+"""A stalled disk or a short freeze of the leader costs at most about 1.2 s."""
+LEAST_VOTERS = 5
+"""Where there are so many controls: one may be replaced while another is lost."""
 
 
 def open_member(context: RegistryContext) -> None:
@@ -75,7 +76,7 @@
             store=store,
             machine=make_machine(context),
             send=lambda member, message: send_message(context, member, message),
-            timing=TIMING,
+            timing=replace(TIMING, most_voters=count_voters(settings.losses)),
             random=random.SystemRandom(),
             now=context.clock(),
             bootstrap=settings.found and settings.address in settings.controls,
@@ -89,6 +90,11 @@
         context.reopen_at = context.clock() + REOPEN_SECONDS
 
 
+def count_voters(losses: int) -> int:
+    """Return how many voters keep a majority when some lose their disks."""
+    return max(2 * losses + 1, LEAST_VOTERS)
+
+
 def make_machine(context: RegistryContext) -> Machine:
     """Return the closures by which the log drives the routing state."""
 
--- a/src/waxwingwell/adapters/registry/settings.py
+++ b/src/waxwingwell/adapters/registry/settings.py
@@ -20,6 +20,8 @@
     data_folder: Path
     found: bool
     """The whole system starts for the first time, so a group may be founded."""
+    losses: int = 2
+    """Disks that may be lost at once; the group has two voters more for each."""
     grace: float = 8.0
     """Seconds from the order to stop until the process is killed."""
     metrics: tuple[str, int] | None = None
--- a/tests/platform_adapter/test_bodies.py
+++ b/tests/platform_adapter/test_bodies.py
@@ -134,6 +134,7 @@
             "bounds": {"grace_s": 6, "revoke_ms": 4000, "revoke_fail_closed": True},
             "data_dir": "data",
             "bootstrap": True,
+            "fault_tolerance": {"machine_count": 3},
         }
         gateway = read_gateway(fields)
         self.assertEqual(gateway.callers, ("10.0.0.1", 80))
@@ -143,5 +144,6 @@
         registry = read_registry(fields)
         self.assertEqual(registry.admin, ("10.0.0.1", 82))
         self.assertTrue(registry.found)
+        self.assertEqual(registry.losses, 3)
         with self.assertRaises(KeyError):
             read_gateway({})
