--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -28,7 +28,9 @@
 """Events of requests that go well; the line of a request's end tells the rest."""
 
 
-class _Output:
+class Output:
+    """Lines on their way to a descriptor that may not take them."""
+
     def __init__(self, descriptor: int) -> None:
         self.descriptor = descriptor
         self.pending: deque[bytes] = deque()
@@ -55,6 +57,7 @@
         LINES_DROPPED.inc(count)
 
     def write(self, line: bytes) -> None:
+        """Write a line, or keep it for later."""
         self.pending.append(line)
         if len(self.pending) > MAX_PENDING:
             self.pending.popleft()
@@ -63,6 +66,7 @@
         self.drain()
 
     def drain(self) -> None:
+        """Write what the reader takes now."""
         while self.pending:
             line = self.pending[0]
             try:
@@ -85,7 +89,7 @@
     """Send all log lines of this process to standard output as JSON."""
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
-    output = _Output(descriptor)
+    output = Output(descriptor)
 
     def sink(message: Any) -> None:
         record = message.record
