--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -111,14 +111,13 @@
 
         return self.route.kind is RouteKind.STREAM and self.route.resumable
 
-    def _send_next(self) -> None:
-        """Send the request to the best upstream that is left."""
-        now = self.context.clock()
+    def _choose(self, now: float) -> Choice | None:
+        """Return the best upstream that is left."""
         index = self.context.index
         if self.over or index is None:
-            return
+            return None
 
-        choice = choose_upstream(
+        return choose_upstream(
             self.context,
             index,
             self.route,
@@ -128,12 +127,36 @@
             limit=self.first_limit(now),
             now=now,
         )
+
+    def _is_in_time(self, choice: Choice, now: float) -> bool:
+        """Tell whether an upstream is expected to answer before the caller leaves."""
+        return can_be_served(choice.placement.wait / 1000, self.deadline - now)
+
+    def _can_move(self, now: float) -> bool:
+        """Tell whether another upstream would take the request over now.
+
+        Failure: a silent upstream was given up, and then there was no other to go on.
+        Its answer may have been on its way.
+        """
+        if not self.may_run_again() or not self.is_in_budget(now, FAILURE_PART):
+            return False
+
+        choice = self._choose(now)
+        return choice is not None and self._is_in_time(choice, now)
+
+    def _send_next(self) -> None:
+        """Send the request to the best upstream that is left."""
+        now = self.context.clock()
+        if self.over:
+            return
+
+        choice = self._choose(now)
         if choice is None:
             give_up(self, "no upstream left")
             return
 
-        wait = choice.placement.wait / 1000
-        if not can_be_served(wait, self.deadline - now):
+        if not self._is_in_time(choice, now):
+            wait = choice.placement.wait / 1000
             pause = choose_pause(wait, self.deadline - now)
             give_up(self, f"a wait of {wait:.1f} s is expected", pause)
             return
@@ -175,6 +198,9 @@
         if attempt.over or attempt.first_at is not None:
             return
 
+        if not self._can_move(self.context.clock()):
+            return
+
         if attempt.call is not None:
             attempt.call.cancel()
 
@@ -186,9 +212,6 @@
         if attempt is None or attempt.over or self.route.kind is not RouteKind.STREAM:
             return
 
-        if not self.may_run_again() or not self.is_in_budget(now, FAILURE_PART):
-            return
-
         sign = self.context.signs.get(attempt.upstream, 0.0)
         silent = now - max(attempt.began_at, attempt.last_at, sign)
         expected = attempt.choice.placement.wait / 1000
@@ -196,6 +219,9 @@
         if silent <= silence_limit(started=started, expected=expected):
             return
 
+        if not self._can_move(now):
+            return
+
         note_unreachable(self.context.health, attempt.upstream, now)
         if attempt.call is not None:
             attempt.call.cancel()
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -228,6 +228,24 @@
                 self.assertTrue(first.transport.aborted)
                 self.assertEqual(len(gateway.upstreams), 2)
 
+    def test_a_silent_upstream_is_kept_while_no_other_can_go_on(self) -> None:
+        """An upstream is silent for long, and is the only one left.
+
+        It may still answer. Were the stream given up before another upstream is known
+        to take it, its caller would lose an answer that was on its way.
+        """
+        gateway = make_gateway("u1")
+        caller = gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.answer(make_stream_head() + make_chunk(b"id: 1\ndata: a\n\n"))
+        gateway.reactor.advance(3.0)
+        [exchange] = gateway.context.exchanges
+        exchange.check_silence(gateway.reactor.seconds())
+        self.assertFalse(upstream.transport.aborted)
+        upstream.answer(make_chunk(b"id: 2\ndata: b\n\n") + LAST_CHUNK)
+        self.assertTrue(caller.received.endswith(LAST_CHUNK))
+
     def test_a_slow_upstream_that_lives_is_kept(self) -> None:
         gateway = make_gateway("u1", "u2")
         gateway.ask()
