--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -19,6 +19,10 @@
 """Seconds after which a caller may come back if nothing could take its request."""
 
 
+LEAVE_SECONDS = 0.3
+"""How much longer than it said a caller may take to leave a stream."""
+
+
 def deliver(exchange: Exchange, attempt: Attempt, now: float) -> None:
     """Pass a whole answer on."""
     if attempt.streaming:
@@ -53,9 +57,22 @@
 
 
 def expire(exchange: Exchange) -> None:
-    """End the request at its deadline."""
-    attempt = exchange.stop_attempt()
+    """End the request at its deadline.
+
+    Failure: a stream was cut a few milliseconds before its caller would have left by
+    itself, as the time it has left is told in whole milliseconds and takes its way. So
+    a stream that has begun goes on a little beyond what its caller said.
+    """
     now = exchange.context.clock()
+    latest = exchange.began_at + exchange.route.timeout
+    if exchange.responder.started and now < latest and not exchange.overdue:
+        exchange.overdue = True
+        delay = min(LEAVE_SECONDS, latest - now)
+        reactor = exchange.context.reactor
+        exchange.deadline_timer = reactor.callLater(delay, expire, exchange)
+        return
+
+    attempt = exchange.stop_attempt()
     sent = attempt is not None and attempt.call is not None and attempt.call.sent
     if exchange.responder.started:
         exchange.responder.abort()
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -91,6 +91,8 @@
         self.last_answer: tuple[int, HeaderList, bytes] | None = None
         self.model = ""
         self.over = False
+        self.overdue = False
+        """The caller should have left its stream by now."""
         self.deadline_timer: Any = None
 
     # --- beginning ------------------------------------------------------------
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -228,6 +228,27 @@
                 self.assertTrue(first.transport.aborted)
                 self.assertEqual(len(gateway.upstreams), 2)
 
+    def test_a_stream_is_not_cut_before_its_caller_leaves(self) -> None:
+        """A caller's time is up while events still come.
+
+        It said 2 s, and leaves by itself a moment later. Cut at 2 s sharp, its stream
+        would break off while it still reads. The route's own timeout is kept sharp.
+        """
+        for timeout, lasts in ((10.0, 2.3), (2.1, 2.1), (2.0, 2.0)):
+            with self.subTest(timeout=timeout):
+                gateway = make_gateway("u1", timeout=timeout)
+                caller = gateway.ask(X_Budget="2")
+                [upstream] = gateway.upstreams
+                upstream.accept()
+                upstream.answer(make_stream_head() + make_chunk(b"id: 1\n\n"))
+                gateway.reactor.advance(2.0)
+                if lasts > 2.0:
+                    self.assertFalse(caller.transport.aborted)
+                    gateway.reactor.advance(lasts - 2.0 + 0.001)
+
+                self.assertTrue(caller.transport.aborted)
+                self.assertTrue(upstream.transport.aborted)
+
     def test_a_silent_upstream_is_kept_while_no_other_can_go_on(self) -> None:
         """An upstream is silent for long, and is the only one left.
 
