Count the usage of engines over the larger model's pool; log pauses of streams

Cause: the bar for the larger model fell with the usage of all engines, though only seven in ten read for it now; these were full with reading, and gave a stream one token in 200 ms. Change: usage is counted over the engines kept for the model; the line that ends a request tells its first event and longest pause.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -44,7 +44,7 @@
     pressure: float
     """Expected wait, as a share of the time in which the first event is due."""
     engines: int
-    """Upstreams that could run it."""
+    """Upstreams that are kept for its model."""
 
 
 def choose_service(route: Route, key: str) -> str:
@@ -89,14 +89,16 @@
     if not model and is_sized(route, facts.model):
         model = first_model(route)
 
-    pool = find_pool(route, facts.model, model)
+    pool = list_pool(
+        [one.upstream for one in allowed], find_pool(route, facts.model, model)
+    )
     demand = Demand(
         service=record,
         model=model or facts.model,
         prompt_tokens=facts.prompt_tokens,
         parts=facts.parts,
         token_ms=guess_speed(context.speeds, route.models, model),
-        pool=list_pool([one.upstream for one in allowed], pool),
+        pool=pool,
     )
     around = Surroundings(
         data_centre=context.settings.data_centre,
@@ -109,7 +111,7 @@
         return None
 
     pressure = placement.wait / 1000 / max(limit, 0.001)
-    return Choice(service, model, placement, pressure, len(allowed))
+    return Choice(service, model, placement, pressure, len(pool))
 
 
 def session_of(facts: RequestFacts) -> str:
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -113,10 +113,17 @@
         attempts=exchange.tries,
         runs=exchange.runs,
         events=exchange.splitter.events,
+        first_ms=to_ms(exchange.pauses.first_at, exchange.began_at),
+        pause_ms=round(exchange.pauses.longest * 1000),
         ms=round((now - exchange.began_at) * 1000),
     )
 
 
+def to_ms(at: float | None, began_at: float) -> int | None:
+    """Return the milliseconds from the beginning to ``at``, if it came to that."""
+    return None if at is None else round((at - began_at) * 1000)
+
+
 def retry_after(seconds: float) -> tuple[bytes, bytes]:
     """Return the header that tells a caller when to come back."""
     return (b"Retry-After", f"{seconds:g}".encode())
--- a/src/waxwingwell/adapters/gateway/events.py
+++ b/src/waxwingwell/adapters/gateway/events.py
@@ -51,3 +51,23 @@
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
                 return
+
+
+class Pauses:
+    """When the first event was passed on, and the longest time between two."""
+
+    __slots__ = ("first_at", "last_at", "longest")
+
+    def __init__(self) -> None:
+        self.first_at: float | None = None
+        self.last_at = 0.0
+        self.longest = 0.0
+
+    def note(self, now: float) -> None:
+        """Note that events are passed on."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest = max(self.longest, now - self.last_at)
+
+        self.last_at = now
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -32,6 +32,7 @@
 from .endings import settle
 from .escalation import find_larger
 from .events import EventSplitter
+from .events import Pauses
 from .sending import log_placed
 from .sending import open_call
 
@@ -87,7 +88,7 @@
         """Sends that may have run."""
         self.met: set[str] = set()
         self.splitter = EventSplitter(facts.resume_after)
-        self.forwarded = 0
+        self.pauses = Pauses()
         self.last_answer: tuple[int, HeaderList, bytes] | None = None
         self.model = ""
         self.over = False
@@ -283,7 +284,7 @@
         end_reading(self.context, attempt)
         whole = self.splitter.feed(data)
         if whole:
-            self.forwarded += 1
+            self.pauses.note(attempt.last_at)
             self.responder.write(whole)
 
     def take_end(self, attempt: Attempt, whole: bool, sent: bool) -> None:
