Revert the fetching of cached parts between engines

Cause: the largest model reads shared parts again that another engine holds. Conclusion: reverted: too few sends find a holder to pay for the mechanism.

--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -45,8 +45,6 @@
     urgency: int | None = None
     """0 comes first, 9 last."""
     resume_after: str = ""
-    fetch_from: tuple[str, int] | None = None
-    """Address of an engine that holds parts of the prompt in its cache."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -43,7 +43,6 @@
         attempt=exchange.tries,
         running=placement.running,
         uncached=placement.uncached,
-        holder=placement.holder.upstream if placement.holder is not None else "",
         wait_ms=round(placement.wait),
         pressure=round(attempt.choice.pressure, 2),
         load_age=round(now - exchange.context.load.others_at, 3),
@@ -57,7 +56,6 @@
     begin_use(exchange.context.load, attempt.upstream, attempt.work)
     note_work(exchange.context.load, attempt.work, now)
     remaining = exchange.deadline - now
-    holder = placement.holder
     dispatch = Dispatch(
         upstream=attempt.upstream,
         remaining=remaining if exchange.facts.budget is not None else None,
@@ -65,7 +63,6 @@
         model=attempt.choice.model,
         urgency=find_urgency(exchange.route, exchange.workspace),
         resume_after=exchange.splitter.last_id,
-        fetch_from=(holder.host, holder.port) if holder is not None else None,
     )
     headers = strip_hop_headers(exchange.request.headers)
     headers = exchange.context.dialect.write_request(headers, dispatch)
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .fleet import Announcement
@@ -53,9 +52,6 @@
 """Cost of an engine that is kept for other models: streams there take a second or two
 longer, which few callers notice; a queue of half a second at the model's own engines
 means that they are full."""
-FETCH_MS = 50.0
-"""Least reading saved for which cached parts are fetched from another engine: a fetch
-takes a few milliseconds of both engines' links, and moving the parts has a price."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,8 +92,6 @@
     uncached: int
     """Prompt tokens that it will probably have to read."""
     running: int
-    holder: Announcement | None = None
-    """Another engine, from which it can fetch parts of the prompt that it lacks."""
 
 
 def place_request(
@@ -127,25 +121,7 @@
         weigh_upstream(demand, one, surroundings, now, preferred=preferred)
         for one in usable
     ]
-    best = min(weighed, key=lambda placement: placement.cost * scatter(draw))
-    return replace(best, holder=find_holder(demand, best, weighed))
-
-
-def find_holder(
-    demand: Demand, chosen: Placement, weighed: Collection[Placement]
-) -> Announcement | None:
-    """Return the engine that probably holds most of what the chosen one must read.
-
-    The largest model reads 18 tokens a millisecond, and engines are full with that on
-    heavy days; fetching takes a hundredth of the time. A guess that fails costs nothing:
-    only what the other engine holds is fetched.
-    """
-    if not demand.parts:
-        return None
-
-    holder = min(weighed, key=lambda one: one.uncached)
-    saved = (chosen.uncached - holder.uncached) * demand.token_ms
-    return holder.upstream if saved >= FETCH_MS else None
+    return min(weighed, key=lambda placement: placement.cost * scatter(draw))
 
 
 def scatter(draw: Callable[[], float]) -> float:
