--- a/src/waxwingwell/routing/silence.py
+++ b/src/waxwingwell/routing/silence.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 
-STALL_SECONDS = 1.8
+STALL_SECONDS = 1.5
 """Of a stream that has begun. An engine that reads long prompts all the time gives a
 stream an event in about 1.3 s: at 1.2 s, of 45 streams that were given up on a day none
 had met a dark upstream, and each was read again elsewhere for nothing."""
