--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -24,7 +24,6 @@
     """The model that the caller names, or ``*``."""
     prompt_tokens: int = 0
     output_tokens: int = 0
-    """Tokens that will probably be generated, as the caller guesses."""
     parts: tuple[tuple[str, int], ...] = ()
     """Parts of the prompt in order, id and tokens; the last is the request's own."""
     session: str = ""
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -6,7 +6,6 @@
 
 from ...routing.load import estimate_usage
 from ...routing.models import is_sized
-from ...routing.models import relate_gain
 from ...routing.models import wants_larger
 from ...routing.retries import CHOICE_PART
 from ..events import log_event
@@ -51,13 +50,7 @@
         return None
 
     usage = estimate_usage(exchange.context.load, larger.engines, now)
-    gain = relate_gain(
-        exchange.facts.prompt_tokens,
-        exchange.facts.output_tokens,
-        larger.placement.work,
-        exchange.route.priority,
-    )
-    if not wants_larger(facts.confidence, larger.pressure, usage, gain=gain):
+    if not wants_larger(facts.confidence, larger.pressure, usage):
         return None
 
     log_event(
@@ -67,6 +60,5 @@
         confidence=facts.confidence,
         pressure=round(larger.pressure, 2),
         usage=round(usage, 2),
-        gain=round(gain, 2),
     )
     return larger
