--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -39,7 +39,7 @@
 
 RECOVERY_SECONDS = 12.0
 """After the last fault, within which all serve again."""
-CALLERS_EACH = 3
+CALLERS_EACH = 6
 START_SECONDS = 60.0
 """Bound of the first start; a loaded machine takes its time."""
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -117,7 +117,7 @@
 def start_member(member: Member) -> None:
     """Start a process with its settings of now; its output goes to its log."""
     member.settings.write_text(wire.write_settings(member.record))
-    paths = os.pathsep.join([str(ROOT / "src"), *sys.path])
+    paths = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform"), *sys.path])
     with member.log.open("ab") as log:
         member.process = subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "start.py"), member.role],
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
+from dataclasses import replace
 
 from .operators import publish
 from .processes import TERM_SECONDS
@@ -35,7 +35,7 @@
 """Seconds between two faults: shorter than most of them last."""
 LONGEST_HARM = 2.5
 """Seconds; longer than links' heartbeats and elections take."""
-BAD_SHARE = 0.2
+BAD_SHARE = 0.3
 POLL_SECONDS = 0.05
 
 
@@ -50,8 +50,6 @@
     """Between gateways and registries."""
     controls: tuple[tuple[str, int], ...]
     random: random.Random
-    version: int = 1
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
 
 Deed = Callable[[Stage], Awaitable[str | None]]
@@ -59,16 +57,19 @@
 
 
 async def run_faults(stage: Stage, seconds: float) -> None:
-    """Begin faults for a time, then wait until the last has ended."""
+    """Begin faults for a time, then wait until the last has ended.
+
+    Each draws from numbers of its own: what others do meanwhile changes none of them.
+    """
     until = read_clock() + seconds
+    tasks = []
     while read_clock() < until:
         deed = stage.random.choice(DEEDS)
-        task = asyncio.create_task(work(stage, deed))
-        stage.tasks.add(task)
-        task.add_done_callback(stage.tasks.discard)
+        own = replace(stage, random=random.Random(stage.random.getrandbits(64)))
+        tasks.append(asyncio.create_task(work(own, deed)))
         await asyncio.sleep(LONGEST_GAP * stage.random.random())
 
-    await asyncio.gather(*stage.tasks)
+    await asyncio.gather(*tasks)
 
 
 async def work(stage: Stage, deed: Deed) -> None:
@@ -244,18 +245,23 @@
 
 
 async def spoil_answers(stage: Stage) -> str | None:
-    """Let an upstream lose and cut some of its answers."""
-    upstream = stage.random.choice(stage.upstreams)
-    upstream.bad = BAD_SHARE
+    """Let the upstreams of a service lose and cut some of their answers."""
+    service = stage.random.choice(stage.upstreams).service
+    spoiled = [one for one in stage.upstreams if one.service == service]
+    for upstream in spoiled:
+        upstream.bad = BAD_SHARE
+
     await last(stage)
-    upstream.bad = 0.0
-    return upstream.name
+    for upstream in spoiled:
+        upstream.bad = 0.0
+
+    return service
 
 
 async def change(stage: Stage) -> str | None:
     """Publish the next document; other changes may be under way."""
-    stage.version += stage.random.randint(1, 3)
-    await publish(stage.journal, stage.controls, stage.random, stage.version)
+    version = max(stage.journal.sent) + stage.random.randint(1, 3)
+    await publish(stage.journal, stage.controls, stage.random, version)
     return None
 
 
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -30,6 +30,28 @@
     return made
 
 
+SIGNALLED_IN_IMPORT = """
+import os, signal
+os.kill(os.getpid(), signal.SIGHUP)
+def main(arguments):
+    print("main runs")
+"""
+SIGNALLED_IN_START = """
+import os, signal
+from waxwingwell_platform import main
+def start(fields):
+    os.kill(os.getpid(), signal.SIGHUP)
+    reload = lambda new: print("reloaded", new["node_name"])
+    return main.Role(stop=lambda: None, reload=reload)
+class Reactor:
+    def run(self, installSignalHandlers):
+        print("running")
+main.start_gateway = start
+main._reactor = Reactor
+main.main(["start.py", "gateway"])
+"""
+
+
 class StartTest(unittest.TestCase):
     """The start script over packages that were built."""
 
@@ -58,6 +80,53 @@
         # The script itself is never kept in compiled form.
         self.assertEqual(compiled, [])
 
+    def test_settings_signalled_during_the_imports_end_nothing(self) -> None:
+        """The platform changes settings just as a process starts.
+
+        The signal arrives before anything handles it, and ends the process, which is
+        then started once more; a registry misses an election for it.
+        """
+        with tempfile.TemporaryDirectory() as name:
+            package = Path(name) / "waxwingwell_platform"
+            package.mkdir()
+            (package / "__init__.py").write_text("")
+            (package / "main.py").write_text(SIGNALLED_IN_IMPORT)
+            script = Path(name) / "start.py"
+            script.write_text((ROOT / "platform" / "start.py").read_text())
+            done = subprocess.run(
+                [sys.executable, str(script)],
+                env={**os.environ, "PYTHONPATH": name},
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+
+        self.assertEqual((done.returncode, done.stdout), (0, "main runs\n"))
+
+    def test_settings_signalled_during_the_start_are_taken(self) -> None:
+        """Settings change after they were read, before the role takes others.
+
+        Were the signal dropped, the process would keep the former settings for good.
+        """
+        with tempfile.TemporaryDirectory() as name:
+            settings = Path(name) / "settings.toml"
+            settings.write_text('node_name = "n1"\n')
+            done = subprocess.run(
+                [sys.executable, "-c", SIGNALLED_IN_START],
+                env={
+                    **os.environ,
+                    "PYTHONPATH": os.pathsep.join([str(ROOT / "platform"), *sys.path]),
+                    "WAXWINGWELL_SETTINGS": str(settings),
+                },
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("reloaded n1", done.stdout)
+        self.assertIn("running", done.stdout)
+
     def test_the_standard_platform_module_is_not_hidden(self) -> None:
         code = "import platform; print(platform.__file__)"
         done = subprocess.run(
