--- /dev/null
+++ b/tests/system/test_platform_soak.py
@@ -0,0 +1,38 @@
+"""A short seeded run of the fault soak: real processes, faults from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests import platform_adapter  # noqa: F401  # puts the adapter on the path
+
+
+SEEDS = (
+    # A registry was told of changed settings while it started, and ended by itself.
+    202,
+    7,
+)
+FAULT_SECONDS = 6.0
+
+
+class PlatformSoakTest(unittest.TestCase):
+    """Three gateways and three registries."""
+
+    def test_promises_hold_under_faults(self) -> None:
+        from bench.soak.__main__ import play
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
+                journal, found = asyncio.run(
+                    play(Path(folder), seed, FAULT_SECONDS, registries=3, gateways=3)
+                )
+                self.assertEqual(found, [])
+                self.assertGreater(len(journal.asks), 0)
+                self.assertGreater(len(journal.accepted), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
