--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -67,6 +67,16 @@
         """Id of the upstream."""
         return self.choice.placement.upstream.upstream
 
+    def cancel(self) -> None:
+        """Give the call up, if it was begun."""
+        if self.call is not None:
+            self.call.cancel()
+
+    def stop_timer(self) -> None:
+        """Stop waiting for a sign of the upstream."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
 
 def is_sound(attempt: Attempt, request_id: str) -> bool:
     """Tell whether an answer is an upstream's own answer to this request.
@@ -106,8 +116,7 @@
             took_ms,
         )
 
-    if attempt.timer is not None and attempt.timer.active():
-        attempt.timer.cancel()
+    attempt.stop_timer()
 
 
 def end_reading(context: GatewayContext, attempt: Attempt) -> None:
@@ -120,8 +129,7 @@
 def release(context: GatewayContext, attempt: Attempt) -> None:
     """Stop counting the attempt as running."""
     attempt.over = True
-    if attempt.timer is not None and attempt.timer.active():
-        attempt.timer.cancel()
+    attempt.stop_timer()
 
     end_reading(context, attempt)
     end_use(context.load, attempt.upstream)
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -18,9 +18,9 @@
 from ..http.server import HttpFactory
 from ..http.server import HttpService
 from ..http.server import close_idle
+from ..links import ROUTING_TIMING
 from ..links import LinkHandlers
 from ..links import LinkNode
-from ..links import LinkTiming
 from ..links import close_link
 from ..measures import serve_metrics
 from .arrivals import take_request
@@ -47,7 +47,6 @@
 BALANCER_SECONDS = 2.5
 """How long a stopping gateway goes on taking connections: the balancer needs two looks,
 a second apart, to notice."""
-LINK_TIMING = LinkTiming(beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.5)
 BACKLOG = 1024
 
 
@@ -82,7 +81,7 @@
             take_cast=partial(take_cast, context),
             body_type=RoutingBody,
         ),
-        timing=LINK_TIMING,
+        timing=ROUTING_TIMING,
     )
     service = HttpService(
         reactor=reactor,
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -204,9 +204,7 @@
         if not self._can_move(self.context.clock()):
             return
 
-        if attempt.call is not None:
-            attempt.call.cancel()
-
+        attempt.cancel()
         self._finish_attempt(attempt, Fate.BROKEN, "silent")
 
     def check_silence(self, now: float) -> None:
@@ -226,9 +224,7 @@
             return
 
         note_unreachable(self.context.health, attempt.upstream, now)
-        if attempt.call is not None:
-            attempt.call.cancel()
-
+        attempt.cancel()
         self._finish_attempt(attempt, Fate.BROKEN, f"silent for {silent:.1f} s")
 
     # --- the upstream's answer ------------------------------------------------
@@ -253,9 +249,7 @@
     def _ask_larger(self, attempt: Attempt, larger: Choice) -> None:
         """Drop an unsure answer, of which the caller has nothing yet."""
         now = self.context.clock()
-        if attempt.call is not None:
-            attempt.call.cancel()
-
+        attempt.cancel()
         release(self.context, attempt)
         count_fate(self.context, self.route, self.facts, attempt, Fate.DONE, now)
         self.runs += 1
@@ -395,8 +389,6 @@
         if attempt is None or attempt.over:
             return None
 
-        if attempt.call is not None:
-            attempt.call.cancel()
-
+        attempt.cancel()
         release(self.context, attempt)
         return attempt
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -113,7 +113,6 @@
         self._responder: Responder | None = None
         self._timer: Any = None
         self._close_after = False
-        self._served = 0
 
     def _new_h11(self) -> h11.Connection:
         limit = self.service.limits().header_bytes
@@ -178,7 +177,6 @@
             self._lose()
             return
 
-        self._served += 1
         self._h11.start_next_cycle()
         self._wait(self.service.limits().idle_timeout)
         # Not by recursion: a caller may have sent hundreds of requests ahead.
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -63,6 +63,13 @@
     """Pause before the next attempt to connect."""
 
 
+ROUTING_TIMING = LinkTiming(
+    beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.25
+)
+"""Between gateways and registries: with hundreds of gateways, half the heartbeats. The
+pause before a new try counts when all start at once: callers are refused meanwhile."""
+
+
 @dataclass(frozen=True, slots=True)
 class LinkHandlers:
     """What a node does with what arrives."""
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -20,10 +20,10 @@
 from ..http.server import HttpFactory
 from ..http.server import HttpService
 from ..http.server import close_idle
+from ..links import ROUTING_TIMING
 from ..links import LinkFactory
 from ..links import LinkHandlers
 from ..links import LinkNode
-from ..links import LinkTiming
 from ..links import close_link
 from ..measures import serve_metrics
 from .context import RegistryBody
@@ -49,13 +49,10 @@
 
 TICK = 0.05
 """Seconds between two looks at what is due; elections take over ten times as long."""
-LINK_TIMING = LinkTiming(beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.5)
 HANDOVER_SECONDS = 1.5
 """A planned stop waits so long for another member to lead."""
 MAX_BODY = 8 << 20
 
-AdminHandler = "Callable[[HttpRequest, Responder], None]"
-
 
 @dataclass(slots=True)
 class RegistryDaemon:
@@ -84,7 +81,7 @@
             take_cast=partial(take_cast, context),
             body_type=RegistryBody,
         ),
-        timing=LINK_TIMING,
+        timing=ROUTING_TIMING,
         on_greeted=partial(take_greeting, context),
     )
     service = HttpService(
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -114,17 +114,8 @@
             before = watch.before.get((known.report.gateway, part.version), Evidence())
             since = subtract_evidence(add_evidence([part]), before)
             if part.version == rollout.target:
-                target = sum_evidence(target, since)
+                target = add_evidence([target, since])
             else:
-                former = sum_evidence(former, since)
+                former = add_evidence([former, since])
 
     return target, former
-
-
-def sum_evidence(one: Evidence, other: Evidence) -> Evidence:
-    """Add two sums of evidence."""
-    return Evidence(
-        one.answers + other.answers,
-        one.failures + other.failures,
-        one.seconds + other.seconds,
-    )
--- a/src/waxwingwell/routing/records.py
+++ b/src/waxwingwell/routing/records.py
@@ -46,9 +46,6 @@
     models: tuple[str, ...] = ()
     """Models to choose from, smallest first; none: the caller names the model."""
     resumable: bool = False
-    keeps_session: bool = False
-    pause_limit: float = 0.0
-    """Longest pause between two events of a stream that is still on time."""
 
 
 class Model(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -67,7 +67,7 @@
     return xxh32_intdigest(key.encode()) / 0xFFFFFFFF
 
 
-def add_evidence(parts: Iterable[VersionEvidence]) -> Evidence:
+def add_evidence(parts: Iterable[VersionEvidence | Evidence]) -> Evidence:
     """Sum evidence."""
     answers = failures = 0
     seconds = 0.0
