Replace a voter that is gone after 2 s of silence, not 6, if a spare member waits

A control was exchanged for a new one; each change of leader began the 6 s anew, so that the one gone still voted 15 s later, when two others lost their disks: two of five voters were left, and nobody led. Change: 2 s of silence.

--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -52,11 +52,14 @@
     open_to_all=True,
     snapshot_bytes=1 << 20,
     snapshot_tail=50,
+    absent=2.0,
 )
 """A stalled disk or a short freeze of the leader costs at most about 0.9 s, and all
 members that start at once lead after 0.45 s (with 0.5 and 0.9 s: 0.70 s; means of 150
 starts in memory with 5 to 8 ms a way and two disks emptied). A packet that is lost and
-sent again after 0.2 s must not pass for a dead leader."""
+sent again after 0.2 s must not pass for a dead leader. A voter is replaced after 2 s of
+silence if a spare member waits: a VM that was exchanged must not count for long, as two
+more may lose their disks once its successor has had 4 s."""
 LEAST_VOTERS = 5
 """Where there are so many controls: one may be replaced while another is lost."""
 
--- a/tests/state/consensus/test_exchange.py
+++ b/tests/state/consensus/test_exchange.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from waxwingwell.adapters.registry.members import LEAST_VOTERS
+from waxwingwell.adapters.registry.members import TIMING
 from waxwingwell.state.consensus.records import Membership
 from waxwingwell.state.consensus.records import name_of
 from waxwingwell.state.group import members_of
@@ -25,6 +27,9 @@
 OPEN = replace(FAST, open_to_all=True, most_voters=5, absent=1.5)
 SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
 
+CATCH_UP = 4.0
+"""Seconds after its start from which a new control counts for the one it replaces."""
+
 
 def add_spare(cluster: Cluster, name: str) -> None:
     """Start an empty member that no other one's settings name."""
@@ -116,3 +121,32 @@
                 restart_all(cluster, emptied=("control-4", "control-5"))
                 await_voters(cluster)
                 self.assertEqual(list_voters(cluster), set(cluster.names))
+
+    def test_an_exchanged_control_counts_as_soon_as_its_successor_has_caught_up(
+        self,
+    ) -> None:
+        """A VM is exchanged, and then two others lose their disks.
+
+        Its successor had four seconds to catch up. While the voter that is gone stood
+        for it, only two of five voters were left, nobody led any more, and a document
+        that had been accepted was never in force.
+        """
+        timing = replace(TIMING, most_voters=LEAST_VOTERS)
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = make_cluster(5, seed=seed, timing=timing)
+                leader = await_leader(cluster)
+                run_for(cluster, 1.0)
+                gone, *rest = [name for name in cluster.names if name != leader]
+                crash(cluster, gone)
+                run_for(cluster, 1.0)
+                add_spare(cluster, "control-6")
+                run_for(cluster, CATCH_UP)
+                for name in (leader, rest[0]):
+                    lose_disk(cluster, name)
+
+                run_for(cluster, 0.5)
+                for name in (leader, rest[0]):
+                    start_node(cluster, name)
+
+                await_leader(cluster)
