--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,7 +9,15 @@
 import sys
 
 
-NAMES = ("consensus", "control_plane", "decisions", "path", "state", "versions")
+NAMES = (
+    "consensus",
+    "control_plane",
+    "decisions",
+    "gateway",
+    "path",
+    "state",
+    "versions",
+)
 DEFAULT = ("path",)
 
 
--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,108 @@
+"""Resident memory of a gateway process with no, 200 and 800 streams under way.
+
+``python -m bench gateway``, with the adapter's folder on the path. The gateway is a
+process of its own; upstreams and callers are those of the fault soak.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+
+from .soak.__main__ import begin
+from .soak.__main__ import list_gateways
+from .soak.callers import Caller
+from .soak.callers import call_once
+from .soak.processes import Fleet
+from .soak.processes import make_fleet
+from .soak.processes import start_member
+from .soak.processes import stop_fleet
+from .soak.proxies import open_proxy
+from .soak.records import Journal
+from .soak.schedule import Stage
+from .soak.upstreams import Upstream
+
+
+STREAMS = (0, 200, 800)
+PACE_SECONDS = 0.35
+"""Between two events: twelve of them fit into a caller's five seconds."""
+SETTLE_SECONDS = 2.0
+"""After which all streams have begun and none has ended."""
+MB = 1024
+
+
+def read_memory(fleet: Fleet) -> float:
+    """Return the gateway's resident memory in MB."""
+    process = fleet.gateways[0].process
+    assert process is not None
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / MB
+
+    raise RuntimeError("the gateway has ended")
+
+
+async def measure(folder: Path) -> None:
+    """Print the memory at each number of streams."""
+    fleet = make_fleet(folder, registries=3, gateways=1)
+    links = [
+        await open_proxy(
+            (member.record.address, fleet.relay_port),
+            (member.record.address, fleet.link_port),
+        )
+        for member in fleet.registries
+    ]
+    for member in fleet.members:
+        start_member(member)
+
+    controls = tuple((m.record.address, m.record.admin_port) for m in fleet.registries)
+    journal = Journal()
+    upstreams = [
+        Upstream(
+            service,
+            service,
+            f"127.0.3.{place}",
+            journal,
+            random.Random(place),
+            controls,
+            pace=PACE_SECONDS,
+        )
+        for place, service in enumerate(("chat", "desk"), start=1)
+    ]
+    stage = Stage(fleet, journal, upstreams, links, controls, random.Random(1))
+    background: list[asyncio.Task[None]] = []
+    try:
+        await begin(stage, background, callers_each=0)
+        for count in STREAMS:
+            await measure_streams(fleet, journal, count)
+    finally:
+        stop_fleet(fleet)
+        for task in background:
+            task.cancel()
+
+
+async def measure_streams(fleet: Fleet, journal: Journal, count: int) -> None:
+    """Print the memory while so many streams are under way."""
+    gateways = list_gateways(fleet)
+    callers = [
+        Caller(f"stream{count}-{number}", gateways, journal, random.Random(number))
+        for number in range(count)
+    ]
+    calls = [asyncio.create_task(call_once(one, "stream")) for one in callers]
+    await asyncio.sleep(SETTLE_SECONDS)
+    memory = read_memory(fleet)
+    asks = await asyncio.gather(*calls)
+    whole = sum(ask.whole for ask in asks)
+    print(f"{count} streams: {memory:.1f} MB resident, {whole} came whole", flush=True)
+
+
+def main() -> None:
+    """Measure once."""
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(measure(Path(folder)))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -94,7 +94,12 @@
     return journal, found
 
 
-async def begin(stage: Stage, background: list[asyncio.Task[None]]) -> None:
+async def begin(
+    stage: Stage,
+    background: list[asyncio.Task[None]],
+    *,
+    callers_each: int = CALLERS_EACH,
+) -> None:
     """Bring the system up, and let callers and operators in."""
     for upstream in stage.upstreams:
         await start_upstream(upstream)
@@ -107,7 +112,7 @@
 
     await await_service(stage, Journal(), START_SECONDS)
     gateways = list_gateways(stage.fleet)
-    for number in range(CALLERS_EACH * len(gateways)):
+    for number in range(callers_each * len(gateways)):
         own = random.Random(stage.random.getrandbits(64))
         caller = Caller(f"caller{number}", gateways, stage.journal, own)
         background.append(asyncio.create_task(call_forever(caller)))
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -55,6 +55,8 @@
     server: asyncio.Server | None = None
     born: int = 0
     sequence: int = 0
+    pace: float = EVENT_SECONDS
+    """Seconds between two events of a stream."""
     bad: float = 0.0
     """Share of answers that are lost or cut."""
     leaving: bool = False
@@ -207,7 +209,7 @@
 
         writer.write(write_chunk(event))
         await writer.drain()
-        await asyncio.sleep(EVENT_SECONDS)
+        await asyncio.sleep(upstream.pace)
 
     writer.write(b"0\r\n\r\n")
     await writer.drain()
