Start the processes of the soak and of the memory bench by one function

Cause: bench/gateway.py repeated how bench.soak starts processes, proxies and upstreams. Nothing deployed changes.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -10,19 +10,19 @@
 import random
 import tempfile
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from .soak.__main__ import begin
 from .soak.__main__ import list_gateways
+from .soak.__main__ import open_stage
 from .soak.callers import Caller
 from .soak.callers import call_once
 from .soak.processes import Fleet
-from .soak.processes import make_fleet
-from .soak.processes import start_member
 from .soak.processes import stop_fleet
-from .soak.proxies import open_proxy
-from .soak.records import Journal
-from .soak.schedule import Stage
-from .soak.upstreams import Upstream
+
+
+if TYPE_CHECKING:
+    from .soak.records import Journal
 
 
 STREAMS = (0, 200, 800)
@@ -46,39 +46,21 @@
 
 async def measure(folder: Path) -> None:
     """Print the memory at each number of streams."""
-    fleet = make_fleet(folder, registries=3, gateways=1)
-    links = [
-        await open_proxy(
-            (member.record.address, fleet.relay_port),
-            (member.record.address, fleet.link_port),
-        )
-        for member in fleet.registries
-    ]
-    for member in fleet.members:
-        start_member(member)
-
-    controls = tuple((m.record.address, m.record.admin_port) for m in fleet.registries)
-    journal = Journal()
-    upstreams = [
-        Upstream(
-            service,
-            service,
-            f"127.0.3.{place}",
-            journal,
-            random.Random(place),
-            controls,
-            pace=PACE_SECONDS,
-        )
-        for place, service in enumerate(("chat", "desk"), start=1)
-    ]
-    stage = Stage(fleet, journal, upstreams, links, controls, random.Random(1))
+    stage = await open_stage(
+        folder,
+        random.Random(1),
+        registries=3,
+        gateways=1,
+        upstreams_each=1,
+        pace=PACE_SECONDS,
+    )
     background: list[asyncio.Task[None]] = []
     try:
         await begin(stage, background, callers_each=0)
         for count in STREAMS:
-            await measure_streams(fleet, journal, count)
+            await measure_streams(stage.fleet, stage.journal, count)
     finally:
-        stop_fleet(fleet)
+        stop_fleet(stage.fleet)
         for task in background:
             task.cancel()
 
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,6 +32,7 @@
 from .records import read_clock
 from .schedule import Stage
 from .schedule import run_faults
+from .upstreams import EVENT_SECONDS
 from .upstreams import Upstream
 from .upstreams import beat_forever
 from .upstreams import start_upstream
@@ -40,6 +41,8 @@
 RECOVERY_SECONDS = 12.0
 """After the last fault, within which all serve again."""
 CALLERS_EACH = 6
+SERVICES = ("chat", "desk")
+UPSTREAMS_EACH = 3
 START_SECONDS = 60.0
 """Bound of the first start; a loaded machine takes its time."""
 
@@ -48,8 +51,41 @@
     folder: Path, seed: int, seconds: float, registries: int, gateways: int
 ) -> tuple[Journal, list[str]]:
     """Play one seed; return what was seen and the promises that were broken."""
-    chooser = random.Random(seed)
-    journal = Journal()
+    stage = await open_stage(
+        folder,
+        random.Random(seed),
+        registries=registries,
+        gateways=gateways,
+        upstreams_each=UPSTREAMS_EACH,
+    )
+    journal = stage.journal
+    background: list[asyncio.Task[None]] = []
+    try:
+        await begin(stage, background)
+        await run_faults(stage, seconds)
+        await recover(stage)
+    finally:
+        for task in background:
+            task.cancel()
+
+        await asyncio.gather(*background, return_exceptions=True)
+        found = [*check_journal(journal), *check_exits(stage.fleet)]
+        stop_fleet(stage.fleet)
+        await close_all(stage.links, stage.upstreams)
+
+    return journal, found
+
+
+async def open_stage(
+    folder: Path,
+    chooser: random.Random,
+    *,
+    registries: int,
+    gateways: int,
+    upstreams_each: int,
+    pace: float = EVENT_SECONDS,
+) -> Stage:
+    """Start the product's processes behind proxies; upstreams are not started yet."""
     fleet = make_fleet(folder, registries, gateways)
     links = [
         await open_proxy(
@@ -62,6 +98,8 @@
         start_member(member)
 
     controls = tuple((m.record.address, m.record.admin_port) for m in fleet.registries)
+    journal = Journal()
+    names = [(one, number) for one in SERVICES for number in range(upstreams_each)]
     upstreams = [
         Upstream(
             f"{service}-{number}",
@@ -70,28 +108,11 @@
             journal,
             random.Random(chooser.getrandbits(64)),
             controls,
+            pace=pace,
         )
-        for place, (service, number) in enumerate(
-            [(service, number) for service in ("chat", "desk") for number in range(3)],
-            start=1,
-        )
+        for place, (service, number) in enumerate(names, start=1)
     ]
-    stage = Stage(fleet, journal, upstreams, links, controls, chooser)
-    background: list[asyncio.Task[None]] = []
-    try:
-        await begin(stage, background)
-        await run_faults(stage, seconds)
-        await recover(stage)
-    finally:
-        for task in background:
-            task.cancel()
-
-        await asyncio.gather(*background, return_exceptions=True)
-        found = [*check_journal(journal), *check_exits(fleet)]
-        stop_fleet(fleet)
-        await close_all(links, upstreams)
-
-    return journal, found
+    return Stage(fleet, journal, upstreams, links, controls, chooser)
 
 
 async def begin(
