Show that a stopping gateway ends before its last answers have left

A caller sees a stream that was answered with 200 end in the middle, as its gateway stops as planned and nothing else is amiss.

--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -71,9 +71,42 @@
 
 
 class Transport(StringTransportWithDisconnection):
-    """A transport that remembers whether it was aborted."""
+    """A transport with a write buffer, which remembers whether it was aborted.
+
+    While ``held`` is true, as for a caller that does not read, written bytes wait here.
+    """
 
     aborted = False
+    held = False
+    waiting = b""
+
+    def write(self, data: bytes) -> None:
+        """Send, or keep for later."""
+        self.waiting += data
+        if not self.held:
+            self.flush()
+
+    def flush(self) -> None:
+        """Send what waits, then ask for more or close, as Twisted's transports do."""
+        parent: Any = super()
+        data, self.waiting = self.waiting, b""
+        parent.write(data)
+        if self.producer is not None:
+            self.producer.resumeProducing()
+        elif self.disconnecting:
+            parent.loseConnection()
+
+    def release(self) -> None:
+        """Let the other end read all."""
+        self.held = False
+        self.flush()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close once nothing waits."""
+        parent: Any = super()
+        self.disconnecting = True
+        if not self.waiting:
+            parent.loseConnection()
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing."""
--- /dev/null
+++ b/tests/adapters/gateway/test_stopping.py
@@ -0,0 +1,112 @@
+"""What becomes of answers under way when a gateway stops as planned."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from waxwingwell.adapters.gateway.daemon import BALANCER_SECONDS
+from waxwingwell.adapters.gateway.daemon import STOP_LOOK_SECONDS
+from waxwingwell.adapters.gateway.daemon import STOP_MARGIN
+from waxwingwell.adapters.gateway.daemon import GatewayDaemon
+from waxwingwell.adapters.gateway.daemon import stop_gateway
+
+from .support import LAST_CHUNK
+from .support import Caller
+from .support import Gateway
+from .support import make_answer
+from .support import make_chunk
+from .support import make_gateway
+from .support import make_stream_head
+
+
+STREAM = make_stream_head() + make_chunk(b"id: 1\ndata: a\n\n") + LAST_CHUNK
+WHOLE = make_answer(b"all of it")
+
+
+class Stop:
+    """A gateway that is told to stop, and whether it has ended."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.ended = False
+        loop = LoopingCall(lambda: None)
+        loop.clock = gateway.reactor
+        loop.start(60.0, now=False)
+        self.daemon = GatewayDaemon(
+            context=gateway.context,
+            service=gateway.service,
+            health=gateway.service,
+            ports=[],
+            loop=loop,
+        )
+
+    def begin(self) -> None:
+        """Tell the gateway to stop."""
+        stop_gateway(self.daemon, self._note_end)
+
+    def _note_end(self) -> None:
+        self.ended = True
+
+    def wait(self, seconds: float) -> None:
+        """Let the time pass in which the gateway looks a few times."""
+        for _ in range(round(seconds / STOP_LOOK_SECONDS)):
+            self.gateway.reactor.advance(STOP_LOOK_SECONDS)
+
+
+def ask_and_hold(gateway: Gateway) -> tuple[Caller, Any]:
+    """Send a request of a caller that reads nothing for now."""
+    caller = gateway.ask()
+    upstream = gateway.upstreams[-1]
+    upstream.accept()
+    caller.transport.held = True
+    return caller, upstream
+
+
+class LastBytesTest(unittest.TestCase):
+    """Answers that the upstream has ended and the caller has not got whole.
+
+    A stream answered with 200 ended in the middle, 9 ms after its upstream's end, while
+    its gateway stopped as planned. The gateway waited for its requests to end, and a
+    request ended when its last bytes were handed to the transport, which sends them in
+    the reactor's next turn, or later to a caller that reads slowly. The look that ends
+    the process may come before.
+    """
+
+    def test_the_gateway_ends_after_the_last_byte_has_left(self) -> None:
+        for name, answer in (("stream", STREAM), ("whole", WHOLE)):
+            for signalled in ("before the answer", "after the answer"):
+                with self.subTest(name, signalled=signalled):
+                    gateway = make_gateway()
+                    stop = Stop(gateway)
+                    caller, upstream = ask_and_hold(gateway)
+                    if signalled == "before the answer":
+                        stop.begin()
+                        stop.wait(BALANCER_SECONDS)
+                        upstream.answer(answer)
+                    else:
+                        upstream.answer(answer)
+                        stop.begin()
+                        stop.wait(BALANCER_SECONDS)
+
+                    self.assertEqual(gateway.context.exchanges, set())
+                    stop.wait(0.5)
+                    self.assertFalse(stop.ended)
+                    caller.transport.release()
+                    stop.wait(0.2)
+                    self.assertTrue(stop.ended)
+                    self.assertTrue(caller.received.endswith(answer[-5:]))
+
+    def test_a_caller_that_never_reads_holds_the_stop_up_to_its_limit(self) -> None:
+        gateway = make_gateway()
+        stop = Stop(gateway)
+        _, upstream = ask_and_hold(gateway)
+        upstream.answer(WHOLE)
+        stop.begin()
+        limit = gateway.context.settings.grace - STOP_MARGIN
+        stop.wait(limit - 0.2)
+        self.assertFalse(stop.ended)
+        stop.wait(0.4)
+        self.assertTrue(stop.ended)
