Follow an answer until its last byte has left, and log one that did not

An answer counted as done when its last bytes were handed to the transport, which holds them back for a slow reader and drops them when the connection or the process ends.

A connection now hands its bytes over a piece at a time and knows what may not have left. An answer that was given whole and did not leave whole has a line, 'http: Answer cut', with its request, the bytes left, the reason and whether the process was stopping, and a counter.

The listener of the metrics moves out of the module of the counters, which the server of HTTP now uses.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -41,6 +41,7 @@
     """Find out what is asked by whom, and begin to serve it."""
     now = context.clock()
     facts = context.dialect.read_request(request.headers)
+    responder.request_id = facts.request_id
     index = context.index
     if index is None or is_shut(context, now):
         refuse(facts, responder, 503, "no configuration in force")
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -22,7 +22,7 @@
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..links import close_link
-from ..measures import serve_metrics
+from ..metrics_listener import serve_metrics
 from .arrivals import take_request
 from .context import GatewayContext
 from .steering import connect_control
--- /dev/null
+++ b/src/waxwingwell/adapters/http/output.py
@@ -0,0 +1,71 @@
+"""Bytes on their way to the other end of a connection, until the last one has left."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.interfaces import IPullProducer
+from zope.interface import implementer
+
+
+PIECE_BYTES = 65_536
+"""Handed to the transport at a time: it asks for more when it holds nothing."""
+
+
+@implementer(IPullProducer)
+class Output:
+    """What was written to a connection and the kernel has not taken yet.
+
+    A transport tells nothing of what it holds back, yet it drops it when the reactor
+    stops or the connection is aborted. So it gets a piece at a time, and asks for the
+    next one when it holds nothing any more.
+    """
+
+    def __init__(self, transport: Any) -> None:
+        self._transport = transport
+        self._waiting = bytearray()
+        self._handed = 0
+        self._closing = False
+        transport.registerProducer(self, False)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that may not have left, at most."""
+        return self._handed + len(self._waiting)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes after all that were written before."""
+        self._waiting += data
+        if not self._handed:
+            self._hand_over()
+
+    def close(self) -> None:
+        """Close the connection when everything has left."""
+        self._closing = True
+        if not self.unsent:
+            self._lose_connection()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on: the transport has sent what it had. It also asks at the start."""
+        if not self._handed:
+            return
+
+        self._handed = 0
+        if self._waiting:
+            self._hand_over()
+        elif self._closing:
+            self._lose_connection()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the connection's protocol is told that it was lost."""
+
+    def _hand_over(self) -> None:
+        piece = bytes(self._waiting[:PIECE_BYTES])
+        del self._waiting[:PIECE_BYTES]
+        self._handed = len(piece)
+        self._transport.write(piece)
+
+    def _lose_connection(self) -> None:
+        # A transport with a producer waits for more instead of closing.
+        self._transport.unregisterProducer()
+        self._transport.loseConnection()
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -14,6 +14,9 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 
+from ..events import log_event
+from ..measures import ANSWERS_CUT
+from .output import Output
 from .records import HeaderList
 from .records import HttpLimits
 from .records import HttpRequest
@@ -60,10 +63,12 @@
 class Responder:
     """The way back to the caller of one request."""
 
-    __slots__ = ("_connection", "ended", "on_lost", "started")
+    __slots__ = ("_connection", "ended", "on_lost", "request_id", "started")
 
     def __init__(self, connection: HttpConnection) -> None:
         self._connection = connection
+        self.request_id = ""
+        """For the log."""
         self.started = False
         self.ended = False
         self.on_lost: Callable[[], None] = lambda: None
@@ -113,6 +118,10 @@
         self._responder: Responder | None = None
         self._timer: Any = None
         self._close_after = False
+        self._closing = False
+        self._output: Output | None = None
+        self._answered_id = ""
+        """Request whose answer was written last."""
 
     def _new_h11(self) -> h11.Connection:
         limit = self.service.limits().header_bytes
@@ -122,10 +131,14 @@
         """Wait for the first request."""
         self.service.connections.add(self)
         cast("ITCPTransport", self.transport).setTcpNoDelay(True)
+        self._output = Output(self.transport)
         self._wait(self.service.limits().header_timeout)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes in and handle what is complete."""
+        if self._closing:
+            return
+
         self._h11.receive_data(data)
         if self._responder is None:
             self._read()
@@ -135,10 +148,31 @@
         self.service.connections.discard(self)
         self._stop_timer()
         responder, self._responder = self._responder, None
-        if responder is not None and not responder.ended:
+        if responder is None:
+            self._log_cut(reason)
+        elif not responder.ended:
             responder.ended = True
             responder.on_lost()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that may not have left, at most."""
+        return self._output.unsent if self._output is not None else 0
+
+    def _log_cut(self, reason: Failure) -> None:
+        """Tell of an answer that was given whole, and may not have left whole."""
+        if not self.unsent:
+            return
+
+        ANSWERS_CUT.inc()
+        log_event(
+            "http: Answer cut",
+            request=self._answered_id,
+            unsent=self.unsent,
+            reason=reason.getErrorMessage(),
+            stopping=self.service.stopping,
+        )
+
     def close_if_idle(self) -> None:
         """Close a connection on which no request is under way."""
         if self._responder is None and self._request is None:
@@ -165,6 +199,9 @@
     def finish_answer(self) -> None:
         """End the answer, and go on with the next request or close."""
         self._write(h11.EndOfMessage())
+        if self._responder is not None:
+            self._answered_id = self._responder.request_id
+
         self._responder = None
         self._request = None
         self._body = []
@@ -183,12 +220,12 @@
         self.service.reactor.callLater(0, self._read)
 
     def _write(self, event: Any) -> None:
-        if self.transport is None or self._h11.our_state is h11.ERROR:
+        if self._output is None or self._h11.our_state is h11.ERROR:
             return
 
         data = self._h11.send(event)
         if data:
-            self.transport.write(data)
+            self._output.write(data)
 
     def _read(self) -> None:
         if self._responder is not None or not self._is_open():
@@ -200,7 +237,7 @@
             self._refuse(error.error_status_hint)
 
     def _is_open(self) -> bool:
-        return self.transport is not None and self in self.service.connections
+        return not self._closing and self in self.service.connections
 
     def _read_events(self) -> None:
         while True:
@@ -277,10 +314,11 @@
 
     def _lose(self) -> None:
         self._stop_timer()
-        if self.transport is None:
+        if self._output is None or self._closing:
             return
 
-        self.transport.loseConnection()
+        self._closing = True
+        self._output.close()
         self.service.reactor.callLater(LINGER_SECONDS, self._cut_off)
 
     def _cut_off(self) -> None:
--- a/src/waxwingwell/adapters/measures.py
+++ b/src/waxwingwell/adapters/measures.py
@@ -1,31 +1,16 @@
-"""Counters and latency histograms of gateways and registries, served as text.
+"""Counters and latency histograms of gateways and registries.
 
 Labels take few values each: no request, caller, route or upstream is named.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-from typing import Any
-
-from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 from prometheus_client import Gauge
 from prometheus_client import Histogram
-from prometheus_client import generate_latest
-
-from .http.records import HttpLimits
-from .http.server import HttpFactory
-from .http.server import HttpService
-
 
-if TYPE_CHECKING:
-    from .http.records import HttpRequest
-    from .http.server import Responder
 
-
-PATH = b"/metrics"
 LATENCY_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
 """Seconds: from a call inside a data centre to the longest streams."""
 
@@ -62,6 +47,11 @@
     ["command", "accepted"],
     registry=REGISTRY,
 )
+ANSWERS_CUT = Counter(
+    "waxwingwell_answers_cut",
+    "Whole answers whose connection ended before their last byte had left.",
+    registry=REGISTRY,
+)
 LINES_DROPPED = Counter(
     "waxwingwell_log_lines_dropped",
     "Log lines that were dropped to bound their volume.",
@@ -72,19 +62,3 @@
     "Gateways that hold a connection to this control.",
     registry=REGISTRY,
 )
-
-
-def answer_metrics(request: HttpRequest, responder: Responder) -> None:
-    """Send all figures as text."""
-    if request.target.partition(b"?")[0] != PATH:
-        responder.send(404, [])
-        return
-
-    kind = (b"Content-Type", CONTENT_TYPE_LATEST.encode())
-    responder.send(200, [kind], generate_latest(REGISTRY))
-
-
-def serve_metrics(reactor: Any, address: tuple[str, int]) -> Any:
-    """Listen for those who read the figures; errors: ``CannotListenError``."""
-    service = HttpService(reactor=reactor, handle=answer_metrics, limits=HttpLimits)
-    return reactor.listenTCP(address[1], HttpFactory(service), interface=address[0])
--- /dev/null
+++ b/src/waxwingwell/adapters/metrics_listener.py
@@ -0,0 +1,38 @@
+"""Serves the counters and histograms of a gateway or registry as text."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
+
+from .http.records import HttpLimits
+from .http.server import HttpFactory
+from .http.server import HttpService
+from .measures import REGISTRY
+
+
+if TYPE_CHECKING:
+    from .http.records import HttpRequest
+    from .http.server import Responder
+
+
+PATH = b"/metrics"
+
+
+def answer_metrics(request: HttpRequest, responder: Responder) -> None:
+    """Send all figures as text."""
+    if request.target.partition(b"?")[0] != PATH:
+        responder.send(404, [])
+        return
+
+    kind = (b"Content-Type", CONTENT_TYPE_LATEST.encode())
+    responder.send(200, [kind], generate_latest(REGISTRY))
+
+
+def serve_metrics(reactor: Any, address: tuple[str, int]) -> Any:
+    """Listen for those who read the figures; errors: ``CannotListenError``."""
+    service = HttpService(reactor=reactor, handle=answer_metrics, limits=HttpLimits)
+    return reactor.listenTCP(address[1], HttpFactory(service), interface=address[0])
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -25,7 +25,7 @@
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..links import close_link
-from ..measures import serve_metrics
+from ..metrics_listener import serve_metrics
 from .context import RegistryBody
 from .context import RegistryContext
 from .hub import know_control
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 from twisted.internet.task import Clock
 
 from tests.adapters.gateway.support import make_transport
@@ -17,6 +19,10 @@
 from waxwingwell.adapters.http.server import close_idle
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 LIMITS = HttpLimits(
     header_bytes=500, body_bytes=100, header_timeout=2.0, idle_timeout=5.0
 )
@@ -67,6 +73,17 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def note_lines(action: Callable[[], None]) -> list[Any]:
+    """Return the log's records of what an action does."""
+    found: list[Any] = []
+    sink = logger.add(lambda text: found.append(text.record))
+    logger.enable("waxwingwell.adapters.events")
+    action()
+    logger.disable("waxwingwell.adapters.events")
+    logger.remove(sink)
+    return found
+
+
 class RequestTest(unittest.TestCase):
     """Requests that are read."""
 
@@ -191,6 +208,30 @@
                 self.assertIs(server.transport.connected, not answer)
 
 
+class CutAnswerTest(unittest.TestCase):
+    """Answers that were given whole and did not leave whole."""
+
+    def test_the_log_names_them(self) -> None:
+        """A caller with half an answer.
+
+        The gateway's log said that its request was answered. Nothing told that the
+        connection ended while the last bytes waited to be sent.
+        """
+        for held, lines in ((True, 1), (False, 0)):
+            with self.subTest(held=held):
+                server = Server(answer=False)
+                server.send(make_request())
+                server.transport.held = held
+                server.responders[0].request_id = "q1"
+                server.responders[0].send(200, [], b"the answer")
+                found = note_lines(server.transport.abortConnection)
+                self.assertEqual(len(found), lines)
+                for record in found:
+                    self.assertEqual(record["message"], "http: Answer cut")
+                    self.assertEqual(record["extra"]["request"], "q1")
+                    self.assertGreater(record["extra"]["unsent"], len(b"the answer"))
+
+
 class HeaderTest(unittest.TestCase):
     """Headers that concern one connection."""
 
