Give a caller its answer as long as it reads

Callers that read a long answer slowly had it reset in the middle: a connection that was to close got 1 s for its last bytes, however well the reading went, and on a kept one the time between two requests ran while the answer was still on its way.

Cause: both times counted from when the answer was handed over. Ruled out: the stop (both act without one). Change: each piece that leaves gives the time anew, the document's time for idle connections; a caller that takes nothing for so long is left, as before.

--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 PIECE_BYTES = 65_536
 """Handed to the transport at a time: it asks for more when it holds nothing."""
 
@@ -18,11 +23,12 @@
 
     A transport tells nothing of what it holds back, yet it drops it when the reactor
     stops or the connection is aborted. So it gets a piece at a time, and asks for the
-    next one when it holds nothing any more.
+    next one when it holds nothing any more. ``on_progress`` is called then.
     """
 
-    def __init__(self, transport: Any) -> None:
+    def __init__(self, transport: Any, on_progress: Callable[[], None]) -> None:
         self._transport = transport
+        self._on_progress = on_progress
         self._waiting = bytearray()
         self._handed = 0
         self._closing = False
@@ -51,6 +57,7 @@
             return
 
         self._handed = 0
+        self._on_progress()
         if self._waiting:
             self._hand_over()
         elif self._closing:
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -41,8 +41,6 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-LINGER_SECONDS = 1.0
-"""How long an ended connection may take to take its last bytes."""
 
 
 @dataclass(slots=True)
@@ -131,7 +129,7 @@
         """Wait for the first request."""
         self.service.connections.add(self)
         cast("ITCPTransport", self.transport).setTcpNoDelay(True)
-        self._output = Output(self.transport)
+        self._output = Output(self.transport, self._note_progress)
         self._wait(self.service.limits().header_timeout)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -159,6 +157,16 @@
         """Bytes of answers that may not have left, at most."""
         return self._output.unsent if self._output is not None else 0
 
+    def _note_progress(self) -> None:
+        """Give a caller that reads its time anew.
+
+        Failure: the bytes of a long answer were left when the time to read them, or the
+        time between two requests, was over, and the connection was reset in the middle
+        of the answer. A caller that takes none for so long is gone.
+        """
+        if self._closing or (self._responder is None and self._request is None):
+            self._wait(self.service.limits().idle_timeout)
+
     def _log_cut(self, reason: Failure) -> None:
         """Tell of an answer that was given whole, and may not have left whole."""
         if not self.unsent:
@@ -315,25 +323,22 @@
         self._timer = None
 
     def _expire(self) -> None:
-        """End a connection whose next request does not come, or not whole."""
-        if self._request is not None:
+        """End a connection whose next request, or whose reader, does not come."""
+        if self._closing or self.unsent:
+            self.abort()
+        elif self._request is not None:
             self._refuse(408)
-            return
-
-        self._lose()
+        else:
+            self._lose()
 
     def _lose(self) -> None:
-        self._stop_timer()
+        """Close when what was written has left, or is not taken for too long."""
         if self._output is None or self._closing:
             return
 
         self._closing = True
+        self._wait(self.service.limits().idle_timeout)
         self._output.close()
-        self.service.reactor.callLater(LINGER_SECONDS, self._cut_off)
-
-    def _cut_off(self) -> None:
-        if self in self.service.connections:
-            self.abort()
 
 
 def measure_head(request: h11.Request) -> int:
--- a/tests/adapters/http/test_output.py
+++ b/tests/adapters/http/test_output.py
@@ -26,7 +26,12 @@
         self.transport = make_transport()
         self.protocol = Protocol()
         self.transport.protocol = self.protocol
-        self.output = Output(self.transport)
+        self.progress = 0
+        self.output = Output(self.transport, self.note_progress)
+
+    def note_progress(self) -> None:
+        """Count the signs of progress."""
+        self.progress += 1
 
     def test_bytes_count_until_they_have_left(self) -> None:
         for size in (1, PIECE_BYTES, 3 * PIECE_BYTES + 1):
@@ -46,7 +51,9 @@
         self.output.write(b"b")
         self.transport.flush()
         self.assertEqual(self.output.unsent, 1)
+        self.assertEqual(self.progress, 1)
         self.transport.flush()
+        self.assertEqual(self.progress, 2)
         self.assertEqual(self.output.unsent, 0)
         self.assertTrue(self.transport.value().endswith(b"ab"))
 
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -10,6 +10,7 @@
 from twisted.internet.task import Clock
 
 from tests.adapters.gateway.support import make_transport
+from waxwingwell.adapters.http.output import PIECE_BYTES
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.records import strip_hop_headers
@@ -232,6 +233,48 @@
                     self.assertGreater(record["extra"]["unsent"], len(b"the answer"))
 
 
+class SlowReaderTest(unittest.TestCase):
+    """Callers that take their time to read.
+
+    An answer was larger than a caller's network took in a second. Its connection was to
+    close after it, and was reset in the middle: the time to read the rest was bounded
+    however well the reading went on.
+    """
+
+    def test_an_answer_ends_whole_while_it_is_read(self) -> None:
+        for name, headers in (("closed", ("Connection: close",)), ("kept", ())):
+            with self.subTest(name):
+                server = Server(answer=False)
+                server.send(make_request("/a/", b"", *headers))
+                server.transport.held = True
+                body = b"x" * (4 * PIECE_BYTES)
+                server.responders[0].send(200, [], body)
+                while server.connection.unsent:
+                    server.clock.advance(LIMITS.idle_timeout - 0.1)
+                    self.assertTrue(server.transport.connected)
+                    server.transport.flush()
+
+                self.assertTrue(server.received.endswith(body))
+                self.assertIs(server.transport.connected, name == "kept")
+                server.clock.advance(LIMITS.idle_timeout - 0.1)
+                self.assertIs(server.transport.connected, name == "kept")
+                server.clock.advance(0.2)
+                self.assertFalse(server.transport.connected)
+                self.assertFalse(server.transport.aborted)
+
+    def test_a_caller_that_reads_nothing_is_left(self) -> None:
+        for name, headers in (("closed", ("Connection: close",)), ("kept", ())):
+            with self.subTest(name):
+                server = Server(answer=False)
+                server.send(make_request("/a/", b"", *headers))
+                server.transport.held = True
+                server.responders[0].send(200, [], b"x")
+                server.clock.advance(LIMITS.idle_timeout - 0.1)
+                self.assertFalse(server.transport.aborted)
+                server.clock.advance(0.2)
+                self.assertTrue(server.transport.aborted)
+
+
 class HeaderTest(unittest.TestCase):
     """Headers that concern one connection."""
 
