Close only our side of a connection, and wait for the caller's

A caller that sent a request ahead while the end of a long answer was on its way lost that end: the connection was reset.

Cause: the connection was closed for both directions as soon as the kernel had taken the answer; bytes that come afterwards make the kernel reset it and drop what it has not delivered. Ruled out: our own write buffer (empty by then). Change: half-close, read and drop what still comes, and close when the caller has, or after the document's time for idle connections.

--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -46,10 +46,14 @@
             self._hand_over()
 
     def close(self) -> None:
-        """Close the connection when everything has left."""
+        """Close our side when everything has left; the other end closes its own.
+
+        Failure: bytes that came after a connection was closed for both directions, such
+        as a request sent ahead, made the kernel reset it and drop what it still held.
+        """
         self._closing = True
         if not self.unsent:
-            self._lose_connection()
+            self._half_close()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Go on: the transport has sent what it had. It also asks at the start."""
@@ -61,7 +65,7 @@
         if self._waiting:
             self._hand_over()
         elif self._closing:
-            self._lose_connection()
+            self._half_close()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the connection's protocol is told that it was lost."""
@@ -72,7 +76,7 @@
         self._handed = len(piece)
         self._transport.write(piece)
 
-    def _lose_connection(self) -> None:
+    def _half_close(self) -> None:
         # A transport with a producer waits for more instead of closing.
         self._transport.unregisterProducer()
-        self._transport.loseConnection()
+        self._transport.loseWriteConnection()
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -324,15 +324,20 @@
 
     def _expire(self) -> None:
         """End a connection whose next request, or whose reader, does not come."""
-        if self._closing or self.unsent:
+        if self.unsent:
             self.abort()
+        elif self._closing:
+            cast("ITCPTransport", self.transport).loseConnection()
         elif self._request is not None:
             self._refuse(408)
         else:
             self._lose()
 
     def _lose(self) -> None:
-        """Close when what was written has left, or is not taken for too long."""
+        """Close when what was written has left, and the caller has closed too.
+
+        A caller that takes for too long to read or to close is left.
+        """
         if self._output is None or self._closing:
             return
 
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -77,7 +77,10 @@
     """
 
     aborted = False
+    half_closed = False
     held = False
+    stays = False
+    """The other end goes on sending after it was told that nothing more comes."""
     waiting = b""
 
     def write(self, data: bytes) -> None:
@@ -108,6 +111,12 @@
         if not self.waiting:
             parent.loseConnection()
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Tell the other end that nothing more comes."""
+        self.half_closed = True
+        if not self.stays:
+            self.loseConnection()
+
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing."""
 
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -18,6 +18,7 @@
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.adapters.http.server import Responder
 from waxwingwell.adapters.http.server import close_idle
+from waxwingwell.adapters.http.server import is_settled
 
 
 if TYPE_CHECKING:
@@ -275,6 +276,37 @@
                 self.assertTrue(server.transport.aborted)
 
 
+class SentAheadTest(unittest.TestCase):
+    """Requests that cross the end of a connection."""
+
+    def test_the_end_of_an_answer_is_not_reset(self) -> None:
+        """A request sent ahead of a long answer's end.
+
+        The answer ended with its connection, and its last bytes were still on their way
+        in the kernel. Bytes that come for a closed socket make the kernel reset it and
+        drop them: the caller lost the end of its answer. So only our side is closed,
+        and what still comes is read and dropped until the caller closes too.
+        """
+        for name, closes in (("a caller that closes", True), ("one that stays", False)):
+            with self.subTest(name):
+                server = Server()
+                server.transport.stays = True
+                server.send(make_request("/1/", b"", "Connection: close"))
+                self.assertTrue(server.transport.half_closed)
+                server.send(make_request("/2/"))
+                self.assertTrue(server.transport.connected)
+                self.assertEqual(len(server.requests), 1)
+                self.assertTrue(is_settled(server.service))
+                if closes:
+                    server.transport.loseConnection()
+                else:
+                    server.clock.advance(LIMITS.idle_timeout + 0.1)
+
+                self.assertFalse(server.transport.connected)
+                self.assertFalse(server.transport.aborted)
+                self.assertEqual(server.service.connections, set())
+
+
 class HeaderTest(unittest.TestCase):
     """Headers that concern one connection."""
 
