Test that a request sent ahead is answered or not run

Two requests came in one piece. Between them the connection seemed idle, so that closing idle ones took it, yet the second was run and its answer lost.

--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -306,6 +306,28 @@
                 self.assertFalse(server.transport.aborted)
                 self.assertEqual(server.service.connections, set())
 
+    def test_a_request_sent_ahead_is_answered_or_not_run(self) -> None:
+        """Idle connections are closed between two requests that came in one piece.
+
+        The first was answered and the second read, yet not looked at. Its connection
+        seemed idle and was closed, and then it was run: its caller got no answer.
+        """
+        for stopping, run in ((False, 2), (True, 1)):
+            with self.subTest(stopping=stopping):
+                server = Server(answer=False)
+                server.connection.dataReceived(
+                    make_request("/1/") + make_request("/2/")
+                )
+                server.service.stopping = stopping
+                server.transport.held = True
+                server.responders[0].send(200, [])
+                close_idle(server.service)
+                server.clock.advance(0)
+                self.assertEqual(len(server.requests), run)
+                server.transport.release()
+                server.responders[-1].send(200, [])
+                self.assertEqual(server.received.count(b"HTTP/1.1 200"), run)
+
 
 class HeaderTest(unittest.TestCase):
     """Headers that concern one connection."""
