Tell callers what is known when a stopping gateway has to end

Callers whose requests were under way at the limit of a stop saw their connections close without a word, and the log said that they had left.

Cause: the reactor's stop drops all connections, which looks like the callers' leave. Ruled out: the request's own deadline, which answers.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -41,6 +41,9 @@
     def check_silence(self, now: float) -> None:
         """Give up an upstream that has been silent for too long."""
 
+    def end_now(self, reason: str, now: float) -> None:
+        """Give the final answer at once."""
+
 
 @dataclass(slots=True, kw_only=True)
 class GatewayContext:
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -18,6 +18,7 @@
 from ..http.server import HttpFactory
 from ..http.server import HttpService
 from ..http.server import close_idle
+from ..http.server import count_unsettled
 from ..http.server import is_settled
 from ..links import ROUTING_TIMING
 from ..links import LinkHandlers
@@ -174,7 +175,8 @@
     def look() -> None:
         now = context.clock()
         noticed = now >= began_at + BALANCER_SECONDS
-        if (noticed and is_settled(daemon.service)) or now >= deadline:
+        settled = noticed and is_settled(daemon.service)
+        if settled or now >= deadline + STOP_LOOK_SECONDS:
             finish_stop(daemon)
             done()
             return
@@ -182,11 +184,24 @@
         if noticed:
             close_idle(daemon.service)
 
+        if now >= deadline:
+            end_requests(context, now)
+
         context.reactor.callLater(STOP_LOOK_SECONDS, look)
 
     look()
 
 
+def end_requests(context: GatewayContext, now: float) -> None:
+    """Tell callers what is known of their requests, as the process has to end.
+
+    Failure: their connections closed without a word, and the log took it for their
+    leave. The answers have one more look's time to go out.
+    """
+    for exchange in list(context.exchanges):
+        exchange.end_now("the process ends", now)
+
+
 def finish_stop(daemon: GatewayDaemon) -> None:
     """Close everything."""
     context = daemon.context
@@ -198,4 +213,4 @@
         close_link(link)
 
     close_idle(daemon.service)
-    log_event("gateway: Stopped", requests=len(context.exchanges))
+    log_event("gateway: Stopped", unsettled=count_unsettled(daemon.service))
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -72,17 +72,22 @@
         exchange.deadline_timer = reactor.callLater(delay, expire, exchange)
         return
 
+    end_now(exchange, "deadline", now)
+
+
+def end_now(exchange: Exchange, reason: str, now: float) -> None:
+    """End a request that nothing can be waited for any more."""
     attempt = exchange.stop_attempt()
     sent = attempt is not None and attempt.call is not None and attempt.call.sent
     if exchange.responder.started:
         exchange.responder.abort()
-        settle(exchange, "cut", 0, now, "deadline")
+        settle(exchange, "cut", 0, now, reason)
     elif sent or exchange.runs:
         exchange.responder.send(504, [])
-        settle(exchange, "may_have_run", 504, now, "deadline")
+        settle(exchange, "may_have_run", 504, now, reason)
     else:
         exchange.responder.send(503, [retry_after(RETRY_AFTER)])
-        settle(exchange, "refused", 503, now, "deadline")
+        settle(exchange, "refused", 503, now, reason)
 
 
 def settle(
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -27,6 +27,7 @@
 from .choice import Choice
 from .choice import choose_upstream
 from .endings import deliver
+from .endings import end_now
 from .endings import expire
 from .endings import give_up
 from .endings import settle
@@ -227,6 +228,10 @@
         attempt.cancel()
         self._finish_attempt(attempt, Fate.BROKEN, f"silent for {silent:.1f} s")
 
+    def end_now(self, reason: str, now: float) -> None:
+        """Give the final answer at once."""
+        end_now(self, reason, now)
+
     # --- the upstream's answer ------------------------------------------------
 
     def take_head(self, attempt: Attempt, status: int, headers: HeaderList) -> None:
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -375,7 +375,12 @@
     an answer were still held back, for the reactor's next turn or for a caller that
     reads slowly, and were dropped: the caller's stream ended in the middle.
     """
-    return all(connection.settled for connection in service.connections)
+    return not count_unsettled(service)
+
+
+def count_unsettled(service: HttpService) -> int:
+    """Return the connections with a request or an answer under way."""
+    return sum(not connection.settled for connection in service.connections)
 
 
 def close_idle(service: HttpService) -> None:
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -5,8 +5,10 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
 from twisted.internet.error import ConnectionRefusedError as Refused
@@ -32,6 +34,10 @@
 from waxwingwell.routing.lookup import index_document
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 def read_request(headers: HeaderList) -> RequestFacts:
     """Decode the tests' own headers."""
     found = {name.lower(): value.decode() for name, value in headers}
@@ -296,4 +302,15 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def note_lines(action: Callable[[], None]) -> list[Any]:
+    """Return the log's records of what an action does."""
+    found: list[Any] = []
+    sink = logger.add(lambda text: found.append(text.record))
+    logger.enable("waxwingwell.adapters.events")
+    action()
+    logger.disable("waxwingwell.adapters.events")
+    logger.remove(sink)
+    return found
+
+
 LAST_CHUNK = b"0\r\n\r\n"
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial
 from typing import Any
 
 from twisted.internet.task import LoopingCall
@@ -21,8 +22,10 @@
 from .support import make_chunk
 from .support import make_gateway
 from .support import make_stream_head
+from .support import note_lines
 
 
+REQUEST_ENDED = "gateway: Request ended"
 STREAM = make_stream_head() + make_chunk(b"id: 1\ndata: a\n\n") + LAST_CHUNK
 WHOLE = make_answer(b"all of it")
 
@@ -112,3 +115,45 @@
         self.assertFalse(stop.ended)
         stop.wait(0.4)
         self.assertTrue(stop.ended)
+
+
+class LimitTest(unittest.TestCase):
+    """Requests that are still under way when a stopping process has to end.
+
+    Their callers saw the connection close without a word, and the log said that they
+    had left: the reactor's stop looks like a caller's leave. They can be told what is
+    known, as at a deadline: whether the request may have run.
+    """
+
+    def test_callers_hear_what_is_known(self) -> None:
+        for sent, status, outcome in (
+            (False, 503, "refused"),
+            (True, 504, "may_have_run"),
+        ):
+            with self.subTest(sent=sent):
+                gateway = make_gateway("u1", kind=RouteKind.ONCE)
+                stop = Stop(gateway)
+                caller = gateway.ask()
+                if sent:
+                    gateway.upstreams[-1].accept()
+
+                stop.begin()
+                found = note_lines(partial(stop.wait, gateway.context.settings.grace))
+                self.assertTrue(stop.ended)
+                self.assertEqual(caller.status, status)
+                ends = [one for one in found if one["message"] == REQUEST_ENDED]
+                self.assertEqual([one["extra"]["outcome"] for one in ends], [outcome])
+                self.assertEqual(ends[0]["extra"]["reason"], "the process ends")
+
+    def test_a_stream_looks_broken(self) -> None:
+        gateway = make_gateway("u1")
+        stop = Stop(gateway)
+        caller = gateway.ask()
+        upstream = gateway.upstreams[-1]
+        upstream.accept()
+        upstream.answer(make_stream_head() + make_chunk(b"id: 1\ndata: a\n\n"))
+        stop.begin()
+        stop.wait(gateway.context.settings.grace)
+        self.assertTrue(stop.ended)
+        self.assertTrue(caller.transport.aborted)
+        self.assertFalse(caller.received.endswith(LAST_CHUNK))
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import unittest
-from typing import TYPE_CHECKING
 from typing import Any
 
-from loguru import logger
 from twisted.internet.task import Clock
 
 from tests.adapters.gateway.support import make_transport
+from tests.adapters.gateway.support import note_lines
 from waxwingwell.adapters.http.output import PIECE_BYTES
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
@@ -21,10 +20,6 @@
 from waxwingwell.adapters.http.server import is_settled
 
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
 LIMITS = HttpLimits(
     header_bytes=500, body_bytes=100, header_timeout=2.0, idle_timeout=5.0
 )
@@ -75,17 +70,6 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def note_lines(action: Callable[[], None]) -> list[Any]:
-    """Return the log's records of what an action does."""
-    found: list[Any] = []
-    sink = logger.add(lambda text: found.append(text.record))
-    logger.enable("waxwingwell.adapters.events")
-    action()
-    logger.disable("waxwingwell.adapters.events")
-    logger.remove(sink)
-    return found
-
-
 class RequestTest(unittest.TestCase):
     """Requests that are read."""
 
