Explain a request whose answer did not leave whole

The account of such a request ended with 'It was answered'. The line of a cut answer is now its end: how many bytes were left, why, and whether the process was stopping. Test: an answer that did not leave is told.

--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -176,6 +176,7 @@
         log_event(
             "http: Answer cut",
             request=self._answered_id,
+            outcome="undelivered",
             unsent=self.unsent,
             reason=reason.getErrorMessage(),
             stopping=self.service.stopping,
--- a/src/waxwingwell/commands/explain.py
+++ b/src/waxwingwell/commands/explain.py
@@ -29,6 +29,7 @@
     "refused": "It did not run anywhere; the caller was told to come back.",
     "may_have_run": "It was sent and no whole answer came; whether it ran is unknown.",
     "cut": "Its stream broke off after it had begun and could not be resumed.",
+    "undelivered": "It was answered, and its connection ended before all had left.",
     "caller_left": "The caller went away before the answer was complete.",
 }
 """What each outcome of a request means."""
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -34,6 +34,7 @@
             ("cut", "answer not whole", "broke off after it had begun"),
             ("may_have_run", "deadline", "whether it ran is unknown"),
             ("passed_on_failure", "status 500", "The upstream itself failed it"),
+            ("undelivered", "Connection to the other side was lost", "had left"),
         ):
             with self.subTest(outcome), tempfile.TemporaryDirectory() as folder:
                 path = write_log(folder, "e1.log", end(outcome=outcome, reason=reason))
@@ -41,6 +42,25 @@
                 self.assertIn(expected, account)
                 self.assertIn(f"reason: {reason}", account)
 
+    def test_an_answer_that_did_not_leave_is_told(self) -> None:
+        """A caller with half an answer.
+
+        The gateway had the whole of it and counted the request as answered. Its process
+        ended before the last bytes had left.
+        """
+        cut = {"at": 12.001, "node": "e1", "event": "http: Answer cut", "request": "q1"}
+        with tempfile.TemporaryDirectory() as folder:
+            path = write_log(
+                folder,
+                "e1.log",
+                end(outcome="answered", status=200),
+                {**cut, "outcome": "undelivered", "unsent": 61, "stopping": True},
+            )
+            account = explain("q1", path)
+
+        self.assertIn("unsent=61", account)
+        self.assertIn("before all had left", account)
+
     def test_lines_of_several_processes_are_joined(self) -> None:
         """Two gateways and a control.
 
