Let a link end only after its answers have left

Cause: a link was closed by aborting its connection, with the replies of calls that had been read still due or still in the transport's buffer, and casts sent just before dropped. Ruled out: the silence of the other end (aborting is right there: nothing arrives). Change: close_link waits for the calls of both ends, refuses new ones as not sent, and ends its direction of the stream; the other end closes when it has read all, so unread heartbeats can't make the kernel reset the connection. A call that comes too late to be answered does not run.

--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -19,6 +19,7 @@
 import msgspec
 from loguru import logger
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import INegotiated
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
@@ -106,6 +107,9 @@
         self.closed: Deferred[None] = Deferred()
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME)
         self._pending: dict[int, Deferred[Any]] = {}
+        self._answering = 0
+        self._finishing = False
+        self._finished = False
         self._number = 0
         self._paused = False
         self._heard_at = 0.0
@@ -159,8 +163,8 @@
         """Do nothing: ``connectionLost`` follows."""
 
     def send_frame(self, frame: Frame) -> None:
-        """Write one frame."""
-        if self.transport is None:
+        """Write one frame, unless the last one was sent."""
+        if self.transport is None or self._finished:
             return
 
         self._sent_at = self._seconds()
@@ -178,6 +182,10 @@
             answer.errback(LinkDownError(f"{self.remote} reads too slowly"))
             return answer
 
+        if self._finishing:
+            answer.errback(LinkDownError(f"the link to {self.remote} is closing"))
+            return answer
+
         self._number += 1
         number = self._number
         self._pending[number] = answer
@@ -194,8 +202,11 @@
         return answer
 
     def cast(self, body: Message) -> bool:
-        """Send a message without an answer; false and dropped if the reader lags."""
-        if self._paused:
+        """Send a message without an answer.
+
+        False, and dropped, if the reader lags or the connection is closing.
+        """
+        if self._paused or self._finishing:
             return False
 
         self.send_frame(Cast(body=body))
@@ -206,6 +217,42 @@
         if self.transport is not None:
             cast("ITCPTransport", self.transport).abortConnection()
 
+    @property
+    def answering(self) -> int:
+        """Calls of the other end that have no answer yet."""
+        return self._answering
+
+    def finish(self) -> None:
+        """End the connection once its calls are answered and its bytes have left.
+
+        Failure: a process stops just after it has answered. With the connection
+        aborted, the answer is lost in the buffer: an order was carried out and its
+        sender is told that nobody knows, or a leave was acknowledged that no gateway
+        hears of. A peer that is gone can't hold this up: its silence ends it.
+        """
+        self._finishing = True
+        self._end_if_settled()
+
+    def _end_if_settled(self) -> None:
+        settled = not self._pending and not self._answering
+        if not self._finishing or self._finished or not settled:
+            return
+
+        if self.transport is None:
+            return
+
+        self._finished = True
+        # A paused producer would keep the transport from closing.
+        cast("IConsumer", self.transport).unregisterProducer()
+        if INegotiated.providedBy(self.transport):
+            self.transport.loseConnection()
+            return
+
+        # The other end closes once it has read everything. Were we to close with its
+        # heartbeats unread, the kernel would reset the connection, and bytes that
+        # must be sent again would be lost.
+        cast("ITCPTransport", self.transport).loseWriteConnection()
+
     def wait_greeted(self) -> Deferred[Any]:
         """Return this protocol once the other end has greeted.
 
@@ -268,6 +315,10 @@
         self.node.on_greeted(self)
 
     def _take_call(self, call: Call) -> None:
+        if self._finished:
+            # It could not be answered, so it must not run either.
+            return
+
         answer = self.node.handlers.take_call(self.remote, self._read_body(call.body))
 
         def send_reply(body: Message) -> None:
@@ -276,12 +327,18 @@
         def report(failure: Failure) -> None:
             logger.error("link: A call failed: {}.", failure.getErrorMessage())
 
-        answer.addCallbacks(send_reply, report)
+        def settle(_: object) -> None:
+            self._answering -= 1
+            self._end_if_settled()
+
+        self._answering += 1
+        answer.addCallbacks(send_reply, report).addBoth(settle)
 
     def _take_reply(self, reply: Reply) -> None:
         waiting = self._pending.pop(reply.number, None)
         if waiting is not None:
             waiting.callback(self._read_body(reply.body))
+            self._end_if_settled()
 
     def _read_body(self, body: Any) -> Any:
         return msgspec.convert(
@@ -294,6 +351,7 @@
             return
 
         waiting.errback(LinkLostError(f"{self.remote} did not answer in time"))
+        self._end_if_settled()
         # Not even heartbeats came meanwhile: no use in waiting for the full silence
         # while a caller waits for the next try.
         self.replace_silent()
@@ -369,10 +427,10 @@
 
 
 def close_link(link: Link) -> None:
-    """End a link for good."""
+    """End a link for good, once its calls are answered and its bytes have left."""
     link.stopped = True
     if link.protocol is not None:
-        link.protocol.abort()
+        link.protocol.finish()
 
 
 def is_link_up(link: Link) -> bool:
--- /dev/null
+++ b/tests/adapters/transports.py
@@ -0,0 +1,122 @@
+"""Transports in memory whose bytes leave only when a test lets them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+
+BUFFER_SIZE = 1 << 16
+"""Unsent bytes above which a producer is paused, as on a real connection."""
+
+
+class BufferedTransport:
+    """One end of a connection between processes, with a buffer of unsent bytes.
+
+    Closing follows the real transports: bytes first, and never while a producer that
+    was paused is still registered.
+    """
+
+    def __init__(self, protocol: Any) -> None:
+        self.protocol = protocol
+        self.peer: BufferedTransport | None = None
+        self.buffer = bytearray()
+        self.connected = True
+        self.aborted = False
+        self.half_closed = False
+        self._half_closing = False
+        self._closing = False
+        self._producer: Any = None
+        self._producer_paused = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Accept the option."""
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        """Remember whom to pause."""
+        self._producer = producer
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Forget whom to pause."""
+        self._producer = None
+
+    def write(self, data: bytes) -> None:
+        """Keep bytes until the test lets them leave."""
+        if not self.connected or self.half_closed or self._closing:
+            return
+
+        self.buffer += data
+        if self._producer is not None and len(self.buffer) > BUFFER_SIZE:
+            self._producer_paused = True
+            self._producer.pauseProducing()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close once the buffer is empty."""
+        self._closing = True
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """End this direction once the buffer is empty."""
+        self._half_closing = True
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Close at once; bytes that have not left are gone."""
+        self.aborted = True
+        self.buffer.clear()
+        self.drop(ConnectionLost())
+        if self.peer is not None:
+            self.peer.drop(ConnectionLost())
+
+    def drop(self, reason: Exception) -> None:
+        """Tell the protocol, once, that its connection is gone."""
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(reason))
+
+    def drain(self) -> None:
+        """Let all unsent bytes leave, and close if that was asked for."""
+        if not self.connected:
+            return
+
+        data, self.buffer = bytes(self.buffer), bytearray()
+        peer = self.peer
+        if data and peer is not None and peer.connected:
+            peer.protocol.dataReceived(data)
+
+        if self._producer is not None and self._producer_paused:
+            self._producer_paused = False
+            self._producer.resumeProducing()
+        elif not self.buffer:
+            self._end()
+
+    def _end(self) -> None:
+        if self._closing:
+            self.drop(ConnectionDone())
+        elif self._half_closing and not self.half_closed:
+            self.half_closed = True
+        else:
+            return
+
+        if self.peer is not None:
+            # The other end reads the end of the stream, and closes.
+            self.peer.drop(ConnectionDone())
+
+        self.drop(ConnectionDone())
+
+
+def join(near: Any, far: Any) -> tuple[BufferedTransport, BufferedTransport]:
+    """Connect two protocols; return their transports."""
+    one, other = BufferedTransport(near), BufferedTransport(far)
+    one.peer, other.peer = other, one
+    near.makeConnection(one)
+    far.makeConnection(other)
+    return one, other
+
+
+def carry(*transports: BufferedTransport) -> None:
+    """Let bytes leave until none is left."""
+    for _ in range(10):
+        for transport in transports:
+            transport.drain()
