Hand leadership over only when all commands are committed

Cause: a leader that is stopped told its successor to stand as soon as that one held the whole log. With five members it may be the first to hold a command; its election ends the old term and the operator hears that the command was lost, though the successor carries it out. Ruled out: commands dropped without an answer (each is settled on stepping down; seen in settle_lost and the tests of lost proposals). Change: the successor is told once everything is committed, too; no proposals are taken meanwhile, and the transfer's own limit holds if no majority answers. Before: the new test got ProposalLost.

--- a/src/waxwingwell/state/consensus/replication.py
+++ b/src/waxwingwell/state/consensus/replication.py
@@ -260,13 +260,18 @@
 
     Failure: the message may arrive late, when our lease is back; two leaders
     would hold one. So the lease is given up for the rest of the term first.
+
+    Failure: the target holds a command before a majority does, stands, and ends our
+    term: its proposer hears that it was lost, and it is carried out. No more are taken
+    during a transfer, so all are committed soon if a majority answers.
     """
     transfer = replica.transfer
     if transfer is None or transfer.sent:
         return
 
+    last = last_index(replica.log)
     progress = replica.progress.get(transfer.target)
-    if progress is None or progress.match < last_index(replica.log):
+    if progress is None or progress.match < last or replica.commit < last:
         return
 
     transfer.sent = True
--- a/tests/state/consensus/test_failures.py
+++ b/tests/state/consensus/test_failures.py
@@ -413,6 +413,23 @@
         heal(cluster)
         self.assertGreater(term_of(group_of(cluster, await_leader(cluster))), 1)
 
+    def test_a_hand_over_leaves_no_order_unanswered(self) -> None:
+        """A leader is stopped as planned while an order is on its way to the others.
+
+        The one that is to lead has it first, a majority a moment later. Told to stand
+        before that, it ends the old leader's term, and the operator hears that nobody
+        knows what became of an order that is then carried out.
+        """
+        cluster, leader, (second, *others) = make_settled(5)
+        cluster.far.update(dict.fromkeys(others, 5 * STEP))
+        outcomes = put(cluster, leader, b"a")
+        old = group_of(cluster, leader)
+        self.assertTrue(transfer_leadership(old, second, cluster.now))
+        run_until(cluster, lambda: bool(outcomes))
+        self.assertEqual([type(one) for one in outcomes], [Committed])
+        run_until(cluster, lambda: lease_holders(cluster) == [second])
+        self.assertEqual(commands(cluster, second), [b"a"])
+
     def test_the_lease_counts_from_the_sending(self) -> None:
         """The followers' answers are late, and the leader is cut off meanwhile.
 
