Answer what a stopping registry has read before it ends

Cause: the stop ended at the hand-over, or 1.5 s later: it closed the disk, aborted all links and ended the reactor, whatever orders waited for their commit, whatever answers were unsent, and with the news of a leave that was acknowledged still in the buffers of the links. Ruled out: the signal itself (main.py only calls the role's stop; a second one changes nothing). Change: a module of its own for the stop. It goes on answering; at the hand-over it waits until all answers of callers have left and all calls on links are answered, then closes the ports, ends each link after its last byte, and ends. All within the grace less 0.6 s; the line 'registry: Stopped' says how many answers, calls and links were cut. A leader without others to hand over to no longer waits 1.5 s, and a vote taken in the last turn leaves before the links close.

--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -11,20 +11,15 @@
 from loguru import logger
 from twisted.internet.task import LoopingCall
 
-from ...state.group import leader_of
-from ...state.group import leads
-from ...state.group import transfer_leadership
 from ..clock import read_clock
 from ..events import log_event
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
-from ..http.server import close_idle
 from ..links import ROUTING_TIMING
 from ..links import LinkFactory
 from ..links import LinkHandlers
 from ..links import LinkNode
-from ..links import close_link
 from ..metrics_listener import serve_metrics
 from .context import RegistryBody
 from .context import RegistryContext
@@ -34,7 +29,6 @@
 from .hub import take_cast
 from .hub import take_greeting
 from .members import open_member
-from .members import run_flush
 from .members import tick_member
 from .rollouts import watch_rollouts
 
@@ -49,8 +43,6 @@
 
 TICK = 0.05
 """Seconds between two looks at what is due; elections take over ten times as long."""
-HANDOVER_SECONDS = 1.5
-"""A planned stop waits so long for another member to lead."""
 MAX_BODY = 8 << 20
 
 
@@ -129,64 +121,3 @@
             duty(context, now)
         except Exception as error:  # any fault of one duty
             logger.opt(exception=error).error("registry: Duty failed")
-
-
-def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
-    """Hand leadership over, then close everything and call ``done``."""
-    context = daemon.context
-    context.stopping = True
-    daemon.service.stopping = True
-    deadline = context.clock() + HANDOVER_SECONDS
-    begin_handover(context)
-    log_event("registry: Stopping", leading=context.led == context.settings.address)
-
-    def wait() -> None:
-        if is_handed_over(context) or context.clock() >= deadline:
-            finish_stop(daemon)
-            done()
-            return
-
-        context.reactor.callLater(TICK, wait)
-
-    wait()
-
-
-def begin_handover(context: RegistryContext) -> None:
-    """Ask the voter that is furthest along to lead."""
-    group = context.group
-    if group is None or not leads(group, context.clock()):
-        return
-
-    progress = group.replica.progress
-    others = [one for one in group.replica.membership.voters if one in progress]
-    if not others:
-        return
-
-    best = max(others, key=lambda one: progress[one].acknowledged_at)
-    transfer_leadership(group, best.partition("~")[0], context.clock())
-    run_flush(context)
-
-
-def is_handed_over(context: RegistryContext) -> bool:
-    """Tell whether another member leads, or this one never did."""
-    group = context.group
-    return group is None or leader_of(group) != context.settings.address
-
-
-def finish_stop(daemon: RegistryDaemon) -> None:
-    """Close everything."""
-    context = daemon.context
-    if daemon.loop.running:
-        daemon.loop.stop()
-
-    for link in context.controls.values():
-        close_link(link)
-
-    for accepted in list(context.node.accepted if context.node else ()):
-        accepted.abort()
-
-    close_idle(daemon.service)
-    if context.group is not None:
-        context.group.store.close()
-
-    log_event("registry: Stopped")
--- /dev/null
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -0,0 +1,155 @@
+"""The planned stop of a registry: leadership goes, answers leave, then all closes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.group import leader_of
+from ...state.group import leads
+from ...state.group import transfer_leadership
+from ..events import log_event
+from ..http.server import close_idle
+from ..http.server import is_settled
+from ..links import close_link
+from .members import run_flush
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..links import LinkProtocol
+    from .context import RegistryContext
+    from .daemon import RegistryDaemon
+
+
+LOOK_SECONDS = 0.05
+"""Between two looks at what is still under way."""
+HANDOVER_SECONDS = 1.5
+"""A planned stop waits so long for another member to lead."""
+CLOSE_SECONDS = 1.0
+"""Kept for closing connections at the end of the time to stop."""
+STOP_MARGIN = 0.6
+"""Seconds before the process is killed at which it ends by itself."""
+
+
+def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
+    """Hand leadership over, answer what was read, close all, and call ``done``.
+
+    Requests and calls that come meanwhile are answered, too. Failure: an order is
+    carried out, or a leave is made known, and the process ends before the answer is
+    there or while it waits in a buffer; operators can't tell what is in force.
+    """
+    context = daemon.context
+    context.stopping = True
+    daemon.service.stopping = True
+    began_at = context.clock()
+    deadline = began_at + context.settings.grace - STOP_MARGIN
+    begin_handover(context)
+    log_event("registry: Stopping", leading=context.led == context.settings.address)
+
+    def wait() -> None:
+        now = context.clock()
+        handed = is_handed_over(context) or now >= began_at + HANDOVER_SECONDS
+        settled = is_settled(daemon.service) and not count_calls(context)
+        if (handed and settled) or now >= deadline - CLOSE_SECONDS:
+            close_connections(daemon, deadline, done)
+            return
+
+        context.reactor.callLater(LOOK_SECONDS, wait)
+
+    wait()
+
+
+def begin_handover(context: RegistryContext) -> None:
+    """Ask the voter that is furthest along to lead."""
+    group = context.group
+    if group is None or not leads(group, context.clock()):
+        return
+
+    progress = group.replica.progress
+    others = [one for one in group.replica.membership.voters if one in progress]
+    if not others:
+        return
+
+    best = max(others, key=lambda one: progress[one].acknowledged_at)
+    transfer_leadership(group, best.partition("~")[0], context.clock())
+    run_flush(context)
+
+
+def is_handed_over(context: RegistryContext) -> bool:
+    """Tell whether another member leads, or this one has nobody to hand over to."""
+    group = context.group
+    if group is None or leader_of(group) != context.settings.address:
+        return True
+
+    return group.replica.transfer is None
+
+
+def list_protocols(context: RegistryContext) -> list[LinkProtocol]:
+    """Return the connections of all links, in either direction."""
+    opened = [link.protocol for link in context.controls.values()]
+    accepted = [] if context.node is None else list(context.node.accepted)
+    return [one for one in opened if one is not None] + accepted
+
+
+def count_calls(context: RegistryContext) -> int:
+    """Return how many calls of other processes have no answer yet."""
+    return sum(protocol.answering for protocol in list_protocols(context))
+
+
+def close_connections(
+    daemon: RegistryDaemon, deadline: float, done: Callable[[], None]
+) -> None:
+    """Close each connection when what was sent on it has left; cut at ``deadline``.
+
+    Duties go on: a leader that nobody follows any more must learn it and refuse the
+    orders that wait.
+    """
+    context = daemon.context
+    # A vote for our successor must leave before its link takes no more.
+    run_flush(context)
+    for port in daemon.ports:
+        # Else gateways whose links we close would come back at once.
+        port.stopListening()
+
+    for link in context.controls.values():
+        close_link(link)
+
+    for accepted in list(context.node.accepted if context.node else ()):
+        accepted.finish()
+
+    def wait() -> None:
+        close_idle(daemon.service)
+        closed = is_settled(daemon.service) and not list_protocols(context)
+        if closed or context.clock() >= deadline:
+            finish_stop(daemon)
+            done()
+            return
+
+        context.reactor.callLater(LOOK_SECONDS, wait)
+
+    wait()
+
+
+def finish_stop(daemon: RegistryDaemon) -> None:
+    """Cut what is left, end the duties and close the disk."""
+    context = daemon.context
+    if daemon.loop.running:
+        daemon.loop.stop()
+
+    answers = sum(not one.settled for one in daemon.service.connections)
+    calls = count_calls(context)
+    links = list_protocols(context)
+    for protocol in links:
+        protocol.abort()
+
+    if context.group is not None:
+        context.group.store.close()
+
+    log_event(
+        "registry: Stopped",
+        answers=answers,
+        calls=calls,
+        links=len(links),
+        reason="no time was left" if answers or links else "",
+    )
--- /dev/null
+++ b/tests/adapters/registry/test_stop_sockets.py
@@ -0,0 +1,165 @@
+"""The planned stop of a registry over real sockets, with readers that lag."""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import connectionDone
+
+from tests.standins.support import AsyncTestCase
+from waxwingwell.adapters.connections import make_tcp_connector
+from waxwingwell.adapters.links import ROUTING_TIMING
+from waxwingwell.adapters.links import LinkFactory
+from waxwingwell.adapters.links import LinkHandlers
+from waxwingwell.adapters.links import LinkNode
+from waxwingwell.adapters.links import LinkProtocol
+from waxwingwell.adapters.registry.context import RegistryBody
+from waxwingwell.adapters.registry.context import RegistryContext
+from waxwingwell.adapters.registry.daemon import RegistryDaemon
+from waxwingwell.adapters.registry.daemon import start_registry
+from waxwingwell.adapters.registry.settings import RegistrySettings
+from waxwingwell.adapters.registry.stopping import list_protocols
+from waxwingwell.adapters.registry.stopping import stop_registry
+from waxwingwell.routing.messages import NotAccepted
+from waxwingwell.routing.messages import ReadRouting
+from waxwingwell.routing.messages import RoutingNow
+
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from waxwingwell.adapters.http.records import HttpRequest
+    from waxwingwell.adapters.http.server import Responder
+    from waxwingwell.messages import Message
+
+
+reactor: Any = default_reactor
+ADDRESS = "127.0.0.1"
+LARGE = 24 << 20
+"""Bytes; more than the buffers of both kernels hold."""
+
+
+class Caller(Protocol):
+    """Sends one request and reads only once it is told to."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.ended: Deferred[int] = Deferred()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Ask, and read nothing yet."""
+        transport: Any = self.transport
+        transport.pauseProducing()
+        transport.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Count what came."""
+        self.received += len(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell how much came."""
+        self.ended.callback(self.received)
+
+
+class LagTest(AsyncTestCase):
+    """A registry in this process; its end cuts what it has not sent."""
+
+    async def setUp(self) -> None:  # type: ignore[override]
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.read = Deferred[None]()
+        settings = RegistrySettings(
+            address=ADDRESS,
+            data_centre="north",
+            admin=(ADDRESS, 0),
+            link_port=0,
+            controls=(),
+            data_folder=Path(self.folder.name),
+            found=False,
+        )
+        self.daemon: RegistryDaemon = start_registry(
+            settings, reactor, lambda context: self.answer
+        )
+        self.context: RegistryContext = self.daemon.context
+
+    def answer(self, request: HttpRequest, responder: Responder) -> None:
+        """Send a large answer."""
+        responder.send(200, [], b"x" * LARGE)
+        self.read.callback(None)
+
+    def take_call(self, sender: str, body: Any) -> Deferred[Message]:
+        """Answer a call; the test goes on once the answer was handed to the link."""
+        reactor.callLater(0, self.read.callback, None)
+        return succeed(RoutingNow(version=1, source=b"x" * LARGE, rollouts=()))
+
+    def connect_gateway(self) -> Deferred[LinkProtocol]:
+        """Connect as a gateway does."""
+        node = LinkNode(
+            name="gateway-9",
+            reactor=reactor,
+            handlers=LinkHandlers(
+                take_call=lambda sender, body: succeed(NotAccepted(reason="")),
+                take_cast=lambda sender, body: None,
+                body_type=RegistryBody,
+            ),
+            timing=ROUTING_TIMING,
+        )
+        port = self.daemon.ports[0].getHost().port
+        connect = make_tcp_connector(reactor, ADDRESS, port)
+        return connect(LinkFactory(node))
+
+    def stop(self) -> Deferred[None]:
+        """Order the stop; the result comes when the process would end."""
+        ended: Deferred[None] = Deferred()
+
+        def end() -> None:
+            for connection in list(self.daemon.service.connections):
+                connection.abort()
+
+            for protocol in list_protocols(self.context):
+                protocol.abort()
+
+            ended.callback(None)
+
+        stop_registry(self.daemon, end)
+        return ended
+
+    async def test_a_caller_that_reads_slowly(self) -> None:
+        """An operator reads a large document while the registry is stopped.
+
+        Most of it waits in the process. The operator must get it whole.
+        """
+        port = self.daemon.ports[1].getHost().port
+        endpoint = TCP4ClientEndpoint(reactor, ADDRESS, port)
+        caller: Any = await endpoint.connect(Factory.forProtocol(Caller))
+        await self.read
+        ended = self.stop()
+        caller.transport.resumeProducing()
+        received = await caller.ended
+        self.assertGreater(received, LARGE)
+        await ended
+
+    async def test_a_process_that_reads_a_link_slowly(self) -> None:
+        """Another process asks for the state, and the registry is stopped."""
+        own: Any = self.context.node
+        own.handlers = replace(own.handlers, take_call=self.take_call)
+        protocol = await self.connect_gateway()
+        transport: Any = protocol.transport
+        transport.pauseProducing()
+        answer = protocol.call(ReadRouting(), timeout=60.0)
+        await self.read
+        ended = self.stop()
+        transport.resumeProducing()
+        told = await answer
+        self.assertEqual(len(told.source), LARGE)
+        await ended
--- a/tests/adapters/transports.py
+++ b/tests/adapters/transports.py
@@ -16,28 +16,34 @@
 class BufferedTransport:
     """One end of a connection between processes, with a buffer of unsent bytes.
 
-    Closing follows the real transports: bytes first, and never while a producer that
-    was paused is still registered.
+    Closing follows the real transports: bytes first, and never while a producer is
+    registered that was paused or is asked for more.
     """
 
     def __init__(self, protocol: Any) -> None:
         self.protocol = protocol
         self.peer: BufferedTransport | None = None
         self.buffer = bytearray()
+        self.sent = bytearray()
         self.connected = True
         self.aborted = False
         self.half_closed = False
         self._half_closing = False
         self._closing = False
         self._producer: Any = None
-        self._producer_paused = False
+        self._producer_waits = False
+        self._streaming = True
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Accept the option."""
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
-        """Remember whom to pause."""
+        """Remember whom to pause, or to ask for more."""
         self._producer = producer
+        self._streaming = streaming
+        self._producer_waits = not streaming
+        if not streaming:
+            producer.resumeProducing()
 
     def unregisterProducer(self) -> None:  # noqa: N802
         """Forget whom to pause."""
@@ -49,8 +55,9 @@
             return
 
         self.buffer += data
-        if self._producer is not None and len(self.buffer) > BUFFER_SIZE:
-            self._producer_paused = True
+        full = len(self.buffer) > BUFFER_SIZE
+        if self._producer is not None and self._streaming and full:
+            self._producer_waits = True
             self._producer.pauseProducing()
 
     def loseConnection(self) -> None:  # noqa: N802
@@ -81,12 +88,13 @@
             return
 
         data, self.buffer = bytes(self.buffer), bytearray()
+        self.sent += data
         peer = self.peer
         if data and peer is not None and peer.connected:
             peer.protocol.dataReceived(data)
 
-        if self._producer is not None and self._producer_paused:
-            self._producer_paused = False
+        if self._producer is not None and self._producer_waits:
+            self._producer_waits = not self._streaming
             self._producer.resumeProducing()
         elif not self.buffer:
             self._end()
