Close a slow reader's connection once its answer has left

Cause: a planned stop of an entry closed connections while the site's channel was registered as a producer that the transport had paused for a slow reader; such a transport asks for more after the last byte instead of closing. The stop then waited on a connection with nothing left, until the reader left, silence ended it or drain_limit (600 s), and counted it as cut. Ruled out: bytes lost (all of them leave; only the end does not come). Change: the producer is taken off first.

--- a/src/waxwingwell/adapters/entry/sites.py
+++ b/src/waxwingwell/adapters/entry/sites.py
@@ -91,8 +91,14 @@
 
 
 def close_connections(site: CountingSite) -> None:
-    """Close every connection once all that was written to it has gone out."""
+    """Close every connection once all that was written to it has gone out.
+
+    Failure: a caller reads slowly, so that the transport has paused its producer. It
+    would ask it for more after the last byte instead of closing, and the stop would
+    wait on a connection that has nothing left to send.
+    """
     for transport in list(site.transports):
+        transport.unregisterProducer()
         transport.loseConnection()
 
 
