Answer what a stopping control or entry has read before it ends

Cause: a control closed its disk and its links right after the hand-over, with operators' changes at the leader, calls of entries unanswered and bytes unsent; an entry did so with what it had told other entries, and left the answers to upstreams to the reactor's end. Ruled out: callers of an entry (counted, and their connections waited for already). Change: a control waits up to 5 s for the answers under way; both close their ports, end each link and each HTTP connection after its last byte, 3 s at most each, and log how many were cut. Sites that know their connections move to a module that both use.

--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -9,11 +9,11 @@
 import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred
-from twisted.web.server import Site
 
 from ...keys import BEARER
 from ...keys import hash_key
 from ..admin_views import ErrorView
+from ..counting import CountingSite
 
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 RETRY_AFTER = b"1"
 
 
-def make_admin_site(context: ControlContext) -> Site:
+def make_admin_site(context: ControlContext) -> CountingSite:
     """Return the site that serves the administration API."""
     from .changes import add_changes
     from .members import add_members
@@ -41,7 +41,7 @@
     for add in (add_changes, add_members, add_views):
         add(app, context)
 
-    site = Site(app.resource(), timeout=IDLE_TIMEOUT)
+    site = CountingSite(app.resource(), timeout=IDLE_TIMEOUT)
     site.noisy = False
     site.displayTracebacks = False
     return site
@@ -57,7 +57,13 @@
                 request.setHeader("www-authenticate", "Bearer")
                 return write_json(request, ErrorView(error="unknown key"), status=401)
 
-            return Deferred.fromCoroutine(handler(request, operator, **names))
+            def settle(result: Any) -> Any:
+                context.answering -= 1
+                return result
+
+            context.answering += 1
+            answer = Deferred.fromCoroutine(handler(request, operator, **names))
+            return answer.addBoth(settle)
 
         run.__name__ = handler.__name__
         return run
--- a/src/waxwingwell/adapters/control/context.py
+++ b/src/waxwingwell/adapters/control/context.py
@@ -42,6 +42,8 @@
     """Only while this process leads; begun anew with each election."""
     leases_term: int = 0
     flush_due: bool = False
+    answering: int = 0
+    """Requests of operators that have no answer yet."""
     swept_at: float = 0.0
     stepped_at: float = 0.0
     ordered_at: float = 0.0
--- a/src/waxwingwell/adapters/control/daemon.py
+++ b/src/waxwingwell/adapters/control/daemon.py
@@ -28,14 +28,17 @@
 from ..bodies import Body
 from ..clock import read_clock
 from ..clock import read_wall_clock
+from ..endings import LOOK_SECONDS
+from ..endings import end_links
+from ..endings import end_site
 from ..links import LinkFactory
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..links import LinkTiming
 from ..links import cast_link
-from ..links import close_link
 from ..links import open_link
 from ..telemetry import open_metrics
+from ..tls import get_factory
 from ..tls import listen
 from ..tls import make_connector
 from ..tls import read_peer_names
@@ -61,6 +64,8 @@
 GROUP_ID = "control"
 HANDOVER_LIMIT = 2.0
 """Seconds that a planned stop waits for another member to lead."""
+ANSWER_LIMIT = 5.0
+"""Seconds that a planned stop then waits for the answers under way."""
 _COMMANDS = msgspec.msgpack.Decoder(Command)
 
 
@@ -169,23 +174,46 @@
 
 
 async def stop_control(daemon: ControlDaemon) -> None:
-    """Hand leadership over, then stop; no proposal under way is lost."""
+    """Hand leadership over, answer what was read, then close everything.
+
+    Failure: an order is carried out by the next leader, or by this one just before, and
+    its operator finds the connection closed; an entry's settlement was taken, and the
+    entry can't tell.
+    """
     context = daemon.context
     await _hand_over(context)
     run_flush(context)
+    await _wait_answered(daemon)
+    unanswered = count_answers(daemon)
+    for port in (daemon.admin_port, daemon.link_port):
+        await maybeDeferred(port.stopListening)
+
+    cut = await end_links(daemon.node, context.links.values(), context.clock)
+    site = get_factory(daemon.admin_port)
+    cut += await end_site(site, context.reactor, context.clock)
     if daemon.loop.running:
         daemon.loop.stop()
 
-    for link in context.links.values():
-        close_link(link)
+    context.group.store.close()
+    logger.info(
+        "control: {} stopped, {} answers and {} connections cut.",
+        context.settings.node,
+        unanswered,
+        cut,
+    )
 
-    for accepted in list(daemon.node.accepted):
-        accepted.abort()
 
-    await maybeDeferred(daemon.admin_port.stopListening)
-    await maybeDeferred(daemon.link_port.stopListening)
-    context.group.store.close()
-    logger.info("control: {} stopped.", context.settings.node)
+def count_answers(daemon: ControlDaemon) -> int:
+    """Return how many requests and calls that were read have no answer yet."""
+    calls = sum(protocol.answering for protocol in daemon.node.accepted)
+    return daemon.context.answering + calls
+
+
+async def _wait_answered(daemon: ControlDaemon) -> None:
+    context = daemon.context
+    deadline = context.clock() + ANSWER_LIMIT
+    while count_answers(daemon) and context.clock() < deadline:
+        await deferLater(context.reactor, LOOK_SECONDS, lambda: None)
 
 
 async def _hand_over(context: ControlContext) -> None:
--- a/src/waxwingwell/adapters/entry/daemon.py
+++ b/src/waxwingwell/adapters/entry/daemon.py
@@ -22,11 +22,13 @@
 from ..bodies import Body
 from ..clock import read_clock
 from ..clock import read_wall_clock
+from ..counting import close_connections
+from ..endings import end_links
+from ..endings import end_site
 from ..links import LinkFactory
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..links import LinkTiming
-from ..links import close_link
 from ..links import open_link
 from ..telemetry import open_metrics
 from ..telemetry import open_traces
@@ -40,7 +42,6 @@
 from .control_calls import answer_call
 from .control_client import ControlClient
 from .placement import Placements
-from .sites import close_connections
 from .sites import make_site
 from .upkeep import EVIDENCE_EVERY
 from .upkeep import QUEUE_TICK
@@ -197,27 +198,23 @@
 
 
 async def close_entry(daemon: EntryDaemon) -> None:
-    """Close everything at once."""
+    """Close everything; what others asked of this process is answered first."""
+    context = daemon.context
     stop_upkeep(daemon.upkeep)
     for loop in daemon.loops:
         if loop.running:
             loop.stop()
 
-    for link in (
-        *daemon.context.control.links.values(),
-        *daemon.upkeep.entries.values(),
-    ):
-        close_link(link)
-
-    for accepted in list(daemon.node.accepted):
-        accepted.abort()
-
     for port in (daemon.caller_port, daemon.upstream_port, daemon.link_port):
         await maybeDeferred(port.stopListening)
 
-    await daemon.context.client.close()
-    daemon.context.traces.close()
-    logger.info("entry: {} stopped.", daemon.context.settings.node)
+    links = (*context.control.links.values(), *daemon.upkeep.entries.values())
+    cut = await end_links(daemon.node, links, context.clock)
+    upstreams = get_factory(daemon.upstream_port)
+    cut += await end_site(upstreams, context.reactor, context.clock)
+    await context.client.close()
+    context.traces.close()
+    logger.info("entry: {} stopped, {} connections cut.", context.settings.node, cut)
 
 
 def _listen(
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -37,6 +37,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from twisted.internet.interfaces import IConsumer
     from twisted.internet.interfaces import IReactorTime
     from twisted.internet.interfaces import ITCPTransport
@@ -433,6 +435,21 @@
         link.protocol.finish()
 
 
+def finish_links(node: LinkNode, links: Iterable[Link]) -> None:
+    """End all connections of a process, each once its last byte has left."""
+    for link in links:
+        close_link(link)
+
+    for accepted in list(node.accepted):
+        accepted.finish()
+
+
+def list_protocols(node: LinkNode, links: Iterable[Link]) -> list[LinkProtocol]:
+    """Return the connections that there are, in either direction."""
+    opened = [link.protocol for link in links if link.protocol is not None]
+    return [*opened, *node.accepted]
+
+
 def is_link_up(link: Link) -> bool:
     """Tell whether there is a connection at this moment."""
     return link.protocol is not None
--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -10,7 +10,8 @@
 from ..events import log_event
 from ..http.server import close_idle
 from ..http.server import is_settled
-from ..links import close_link
+from ..links import finish_links
+from ..links import list_protocols
 from .members import run_flush
 
 
@@ -85,16 +86,17 @@
     return group.replica.transfer is None
 
 
-def list_protocols(context: RegistryContext) -> list[LinkProtocol]:
+def list_connections(context: RegistryContext) -> list[LinkProtocol]:
     """Return the connections of all links, in either direction."""
-    opened = [link.protocol for link in context.controls.values()]
-    accepted = [] if context.node is None else list(context.node.accepted)
-    return [one for one in opened if one is not None] + accepted
+    if context.node is None:
+        return []
+
+    return list_protocols(context.node, context.controls.values())
 
 
 def count_calls(context: RegistryContext) -> int:
     """Return how many calls of other processes have no answer yet."""
-    return sum(protocol.answering for protocol in list_protocols(context))
+    return sum(protocol.answering for protocol in list_connections(context))
 
 
 def close_connections(
@@ -112,15 +114,12 @@
         # Else gateways whose links we close would come back at once.
         port.stopListening()
 
-    for link in context.controls.values():
-        close_link(link)
-
-    for accepted in list(context.node.accepted if context.node else ()):
-        accepted.finish()
+    if context.node is not None:
+        finish_links(context.node, context.controls.values())
 
     def wait() -> None:
         close_idle(daemon.service)
-        closed = is_settled(daemon.service) and not list_protocols(context)
+        closed = is_settled(daemon.service) and not list_connections(context)
         if closed or context.clock() >= deadline:
             finish_stop(daemon)
             done()
@@ -139,7 +138,7 @@
 
     answers = sum(not one.settled for one in daemon.service.connections)
     calls = count_calls(context)
-    links = list_protocols(context)
+    links = list_connections(context)
     for protocol in links:
         protocol.abort()
 
--- a/tests/adapters/entry/test_sites.py
+++ b/tests/adapters/entry/test_sites.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import connectionDone
 
 from tests.standins.support import AsyncTestCase
-from waxwingwell.adapters.entry.sites import close_connections
+from waxwingwell.adapters.counting import close_connections
 from waxwingwell.adapters.entry.sites import make_site
 
 
--- a/tests/adapters/registry/test_stop_sockets.py
+++ b/tests/adapters/registry/test_stop_sockets.py
@@ -28,7 +28,7 @@
 from waxwingwell.adapters.registry.daemon import RegistryDaemon
 from waxwingwell.adapters.registry.daemon import start_registry
 from waxwingwell.adapters.registry.settings import RegistrySettings
-from waxwingwell.adapters.registry.stopping import list_protocols
+from waxwingwell.adapters.registry.stopping import list_connections
 from waxwingwell.adapters.registry.stopping import stop_registry
 from waxwingwell.routing.messages import NotAccepted
 from waxwingwell.routing.messages import ReadRouting
@@ -126,7 +126,7 @@
             for connection in list(self.daemon.service.connections):
                 connection.abort()
 
-            for protocol in list_protocols(self.context):
+            for protocol in list_connections(self.context):
                 protocol.abort()
 
             ended.callback(None)
--- a/tests/adapters/transports.py
+++ b/tests/adapters/transports.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
@@ -29,7 +30,7 @@
         self.aborted = False
         self.half_closed = False
         self._half_closing = False
-        self._closing = False
+        self.disconnecting = False
         self._producer: Any = None
         self._producer_waits = False
         self._streaming = True
@@ -37,6 +38,20 @@
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Accept the option."""
 
+    def getPeer(self) -> IPv4Address:  # noqa: N802
+        """Return some address."""
+        return IPv4Address("TCP", "127.0.0.1", 1)
+
+    def getHost(self) -> IPv4Address:  # noqa: N802
+        """Return some address."""
+        return IPv4Address("TCP", "127.0.0.1", 2)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: the tests hand over what is read."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: the tests hand over what is read."""
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         """Remember whom to pause, or to ask for more."""
         self._producer = producer
@@ -49,9 +64,13 @@
         """Forget whom to pause."""
         self._producer = None
 
+    def writeSequence(self, data: list[bytes]) -> None:  # noqa: N802
+        """Write several pieces."""
+        self.write(b"".join(data))
+
     def write(self, data: bytes) -> None:
         """Keep bytes until the test lets them leave."""
-        if not self.connected or self.half_closed or self._closing:
+        if not self.connected or self.half_closed or self.disconnecting:
             return
 
         self.buffer += data
@@ -62,7 +81,7 @@
 
     def loseConnection(self) -> None:  # noqa: N802
         """Close once the buffer is empty."""
-        self._closing = True
+        self.disconnecting = True
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         """End this direction once the buffer is empty."""
@@ -100,7 +119,7 @@
             self._end()
 
     def _end(self) -> None:
-        if self._closing:
+        if self.disconnecting:
             self.drop(ConnectionDone())
         elif self._half_closing and not self.half_closed:
             self.half_closed = True
