Ask another member to lead while a stopping leader has time

Cause: the leader asked one member to take over, once. When that one did not answer, the transfer ended after an election timeout (0.6 s) and the process ended as leader, so that the group had none until the others missed it; orders got no leader meanwhile. Ruled out: the leader's time for it (1.5 s, unchanged). Change: each look asks the voter furthest along, unless a transfer is under way or nobody else votes. Before: asked once.

--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -45,45 +45,44 @@
     daemon.service.stopping = True
     began_at = context.clock()
     deadline = began_at + context.settings.grace - STOP_MARGIN
-    begin_handover(context)
     log_event("registry: Stopping", leading=context.led == context.settings.address)
 
     def wait() -> None:
         now = context.clock()
-        handed = is_handed_over(context) or now >= began_at + HANDOVER_SECONDS
+        handed = not list_successors(context) or now >= began_at + HANDOVER_SECONDS
         settled = is_settled(daemon.service) and not count_calls(context)
         if (handed and settled) or now >= deadline - CLOSE_SECONDS:
             close_connections(daemon, deadline, done)
             return
 
+        # The first one asked may have stopped answering at this very moment.
+        begin_handover(context)
         context.reactor.callLater(LOOK_SECONDS, wait)
 
     wait()
 
 
-def begin_handover(context: RegistryContext) -> None:
-    """Ask the voter that is furthest along to lead."""
+def list_successors(context: RegistryContext) -> list[str]:
+    """Return the other voters, as far as this process leads them."""
     group = context.group
-    if group is None or not leads(group, context.clock()):
-        return
+    if group is None or leader_of(group) != context.settings.address:
+        return []
 
     progress = group.replica.progress
-    others = [one for one in group.replica.membership.voters if one in progress]
-    if not others:
-        return
+    return [one for one in group.replica.membership.voters if one in progress]
 
-    best = max(others, key=lambda one: progress[one].acknowledged_at)
-    transfer_leadership(group, best.partition("~")[0], context.clock())
-    run_flush(context)
 
-
-def is_handed_over(context: RegistryContext) -> bool:
-    """Tell whether another member leads, or this one has nobody to hand over to."""
+def begin_handover(context: RegistryContext) -> None:
+    """Ask the voter that is furthest along to lead, unless one was asked just now."""
     group = context.group
-    if group is None or leader_of(group) != context.settings.address:
-        return True
+    voters = list_successors(context)
+    if group is None or not voters or not leads(group, context.clock()):
+        return
 
-    return group.replica.transfer is None
+    progress = group.replica.progress
+    best = max(voters, key=lambda one: progress[one].acknowledged_at)
+    if transfer_leadership(group, best.partition("~")[0], context.clock()):
+        run_flush(context)
 
 
 def list_connections(context: RegistryContext) -> list[LinkProtocol]:
--- a/tests/adapters/registry/test_stop.py
+++ b/tests/adapters/registry/test_stop.py
@@ -4,8 +4,10 @@
 
 import unittest
 from functools import partial
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import cast
 from unittest import mock
 
 from twisted.internet.defer import Deferred
@@ -243,6 +245,37 @@
         self.assertFalse(idle.connected)
         self.assertEqual(len(stage.ended), 1)
 
+    def test_a_successor_that_does_not_answer(self) -> None:
+        """The leader is stopped as the member that it asks to lead freezes.
+
+        Another one must be asked while there is time: else the group has no leader
+        until the others have missed this one.
+        """
+        stage = Stage()
+        names = ("127.0.0.2~1", "127.0.0.3~1")
+        known = {name: SimpleNamespace(acknowledged_at=0.0) for name in names}
+        replica = SimpleNamespace(
+            progress=known, membership=SimpleNamespace(voters=names)
+        )
+        store = SimpleNamespace(close=lambda: None)
+        stage.context.group = cast("Any", SimpleNamespace(replica=replica, store=store))
+        with (
+            mock.patch.object(stopping, "leader_of", lambda _: "127.0.0.1"),
+            mock.patch.object(stopping, "leads", lambda *_: True),
+            mock.patch.object(stopping, "run_flush"),
+            mock.patch.object(stopping, "transfer_leadership") as transfer,
+        ):
+            stage.stop()
+            stage.run(0.5, drain=tuple(stage.links))
+            known[names[1]].acknowledged_at = 0.4
+            stage.run(2.0, drain=tuple(stage.links))
+
+        asked = [call.args[1] for call in transfer.call_args_list]
+        self.assertEqual(asked[0], "127.0.0.2")
+        self.assertEqual(asked[-1], "127.0.0.3")
+        self.assertEqual(len(stage.ended), 1)
+        self.assertGreaterEqual(stage.ended[0], stopping.HANDOVER_SECONDS)
+
     def test_answers_that_never_leave_are_counted(self) -> None:
         """Callers that read nothing: the process must end before it is killed.
 
