Ask another upstream where a resumed stream is refused

A stream whose first upstream broke was cut off if the second one answered its resumption with a 3xx or 4xx: such an answer counted as the request's own, could not follow the events passed on, and was dropped with the connection. The log called the request answered.

Such an answer now counts as a failure once the caller's answer has begun, and another upstream is asked within the same bounds of attempts, time and budget. Ruled out: 5xx, refusals that did not run, and answers of another request went on already; the same test holds them.

test_resuming, a refused resumption goes to another upstream: 5 of 8 cases failed before, none after.

--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -28,9 +28,6 @@
     if attempt.streaming:
         exchange.responder.write(exchange.splitter.rest)
         exchange.responder.finish()
-    elif exchange.responder.started:
-        # A resumed stream that was answered with something else.
-        exchange.responder.abort()
     else:
         headers = strip_hop_headers(attempt.headers or [])
         exchange.responder.send(attempt.status, headers, b"".join(attempt.body or []))
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -293,11 +293,19 @@
             self._finish_attempt(attempt, Fate.NOT_RUN, f"refused {attempt.status}")
         elif not whole or not is_sound(attempt, self.facts.request_id):
             self._finish_attempt(attempt, Fate.BROKEN, "answer not whole")
-        elif attempt.status >= 500:
+        elif attempt.status >= 500 or not self._is_passable(attempt):
             self._finish_attempt(attempt, Fate.FAILED, f"status {attempt.status}")
         else:
             self._finish_attempt(attempt, Fate.DONE, "")
 
+    def _is_passable(self, attempt: Attempt) -> bool:
+        """Tell whether the caller can still get this answer.
+
+        Failure: an upstream that was to go on with a stream refused. Its refusal can't
+        follow the events that the caller has, and another upstream may go on.
+        """
+        return attempt.streaming or not self.responder.started
+
     # --- what follows ---------------------------------------------------------
 
     def _finish_attempt(self, attempt: Attempt, fate: Fate, reason: str) -> None:
--- /dev/null
+++ b/tests/adapters/gateway/test_resuming.py
@@ -0,0 +1,80 @@
+"""Streams that have begun: they go on as long as any upstream can finish them."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from .support import LAST_CHUNK
+from .support import Caller
+from .support import Gateway
+from .support import Upstream
+from .support import make_answer
+from .support import make_chunk
+from .support import make_gateway
+from .support import make_stream_head
+
+
+FIRST_EVENT = make_chunk(b"id: 1\ndata: a\n\n")
+SECOND_EVENT = make_chunk(b"id: 2\ndata: b\n\n")
+NOT_RUN = make_answer(b"", 503, "X-Not-Run: 1")
+
+
+def prepare(*names: str, **route: Any) -> Gateway:
+    """Return a gateway that has the budget of repeats for itself."""
+    gateway = make_gateway(*names, **route)
+    gateway.context.load.others_at = 0.0
+    return gateway
+
+
+def begin(gateway: Gateway, **headers: str) -> tuple[Caller, Upstream]:
+    """Ask for a stream and pass on its first event."""
+    caller = gateway.ask(**headers)
+    upstream = gateway.upstreams[-1]
+    upstream.accept()
+    upstream.answer(make_stream_head() + FIRST_EVENT)
+    return caller, upstream
+
+
+def finish(upstream: Upstream) -> None:
+    """Go on after the first event, to the end."""
+    upstream.accept()
+    upstream.answer(make_stream_head() + SECOND_EVENT + LAST_CHUNK)
+
+
+class ResumingTest(unittest.TestCase):
+    """What a caller gets when something changes while its stream is under way."""
+
+    def assert_whole(self, caller: Caller) -> None:
+        """Check that both events came once, and the end."""
+        self.assertEqual(caller.received.count(b"data: a"), 1)
+        self.assertEqual(caller.received.count(b"data: b"), 1)
+        self.assertTrue(caller.received.endswith(LAST_CHUNK))
+        self.assertFalse(caller.transport.aborted)
+
+    def test_a_refused_resumption_goes_to_another_upstream(self) -> None:
+        """The upstream that is to go on with a stream answers with something else.
+
+        The first one broke after an event. The caller holds half of its answer, and a
+        third upstream can finish it; whatever the second says can't be passed on.
+        """
+        for name, answer in (
+            ("not found", make_answer(b"no", 404)),
+            ("conflict", make_answer(b"no", 409)),
+            ("too many", make_answer(b"no", 429)),
+            ("moved", make_answer(b"", 302)),
+            ("from elsewhere", make_answer(b"no", 404, signed=False)),
+            ("failure", make_answer(b"no", 500)),
+            ("not run", NOT_RUN),
+            ("of another request", make_answer().replace(b"q1", b"q2")),
+        ):
+            with self.subTest(name):
+                gateway = prepare()
+                caller, first = begin(gateway)
+                first.reset()
+                second = gateway.upstreams[1]
+                second.accept()
+                second.answer(answer)
+                self.assertEqual(len(gateway.upstreams), 3)
+                finish(gateway.upstreams[2])
+                self.assert_whole(caller)
