Place a request by the document that it came with

A stream whose upstream broke was cut off if a later document had taken its service away: the place to go on was looked for in the document of the moment, with the route of the former one. The same held for what an upstream had refused to run. The service's upstreams still served, and the caller had been let in.

A request now keeps the document of its arrival, as it kept its route. Ruled out: a removed route, key or time-out ended nothing before either; the test holds them.

--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -20,7 +20,7 @@
 
 def find_larger(exchange: Exchange, attempt: Attempt, now: float) -> Choice | None:
     """Return where a larger model can do better than an unsure answer, or None."""
-    index = exchange.context.index
+    index = exchange.index
     facts = attempt.facts
     if index is None or facts is None or facts.confidence is None:
         return None
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -71,6 +71,9 @@
         now: float,
     ) -> None:
         self.context = context
+        self.index = context.index
+        """The document in force at arrival. Failure: a later one drops a service, and
+        requests that were let in to it can't go on at its upstreams."""
         self.request = request
         self.facts = facts
         self.route = route
@@ -116,13 +119,12 @@
 
     def _choose(self, now: float) -> Choice | None:
         """Return the best upstream that is left."""
-        index = self.context.index
-        if self.over or index is None:
+        if self.over or self.index is None:
             return None
 
         return choose_upstream(
             self.context,
-            index,
+            self.index,
             self.route,
             self.facts,
             model=self.model,
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -36,7 +36,7 @@
         "gateway: Placed",
         request=exchange.facts.request_id,
         route=exchange.route.name,
-        document=exchange.context.index and exchange.context.index.document.version,
+        document=exchange.index and exchange.index.document.version,
         upstream=attempt.upstream,
         version=placement.upstream.version,
         model=attempt.choice.model,
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -5,6 +5,12 @@
 import unittest
 from typing import Any
 
+from tests.routing.factories import make_document
+from tests.routing.factories import make_route
+from waxwingwell.routing.lookup import index_document
+from waxwingwell.routing.records import Service
+from waxwingwell.routing.records import Target
+
 from .support import LAST_CHUNK
 from .support import Caller
 from .support import Gateway
@@ -78,3 +84,28 @@
                 self.assertEqual(len(gateway.upstreams), 3)
                 finish(gateway.upstreams[2])
                 self.assert_whole(caller)
+
+    def test_a_stream_goes_on_under_the_document_that_it_came_with(self) -> None:
+        """An operator takes something away while streams run.
+
+        A new document comes into force, and then the first upstream breaks. The caller
+        was let in, and the upstreams that it was let in to still serve.
+        """
+        other = make_route(targets=(Target("other", 1),))
+        for name, fields in (
+            ("route", {"routes": ()}),
+            ("route and service", {"routes": (), "services": ()}),
+            ("key", {"workspaces": ()}),
+            ("target", {"routes": (other,), "services": (Service(name="other"),)}),
+            ("timeout", {"routes": (make_route(timeout=0.1),)}),
+        ):
+            with self.subTest(name):
+                gateway = prepare()
+                caller, first = begin(gateway)
+                document = make_document(version=2, **fields)
+                gateway.context.index = index_document(document)
+                gateway.reactor.advance(0.5)
+                first.reset()
+                self.assertEqual(len(gateway.upstreams), 2)
+                finish(gateway.upstreams[1])
+                self.assert_whole(caller)
