Keep a silent upstream if no try is left

The watch on silent upstreams gives one up only for another that can go on, yet it did not count the tries: at a stream's sixth send it gave the upstream up, and the stream was cut off, as no seventh is allowed.

test_resuming, a silent upstream is kept once no try is left: failed before.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -143,7 +143,10 @@
         Failure: a silent upstream was given up, and then there was no other to go on.
         Its answer may have been on its way.
         """
-        if not self.may_run_again() or not self.is_in_budget(now, FAILURE_PART):
+        if self.tries >= MAX_TRIES or not self.may_run_again():
+            return False
+
+        if not self.is_in_budget(now, FAILURE_PART):
             return False
 
         choice = self._choose(now)
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -7,6 +7,7 @@
 
 from tests.routing.factories import make_document
 from tests.routing.factories import make_route
+from waxwingwell.adapters.gateway.exchange import MAX_TRIES
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.records import Service
 from waxwingwell.routing.records import Target
@@ -109,3 +110,26 @@
                 self.assertEqual(len(gateway.upstreams), 2)
                 finish(gateway.upstreams[1])
                 self.assert_whole(caller)
+
+    def test_a_silent_upstream_is_kept_once_no_try_is_left(self) -> None:
+        """A stream came late to its upstream, after five that were full.
+
+        The sixth falls silent for a while. It is the last that may be asked, so the
+        stream waits for it, though another upstream is free.
+        """
+        gateway = prepare(*(f"u{number}" for number in range(1, 9)))
+        caller = gateway.ask()
+        for place in range(MAX_TRIES - 1):
+            upstream = gateway.upstreams[place]
+            upstream.accept()
+            upstream.answer(NOT_RUN)
+
+        last = gateway.upstreams[MAX_TRIES - 1]
+        last.accept()
+        last.answer(make_stream_head() + FIRST_EVENT)
+        gateway.reactor.advance(1.6)
+        [exchange] = gateway.context.exchanges
+        exchange.check_silence(gateway.reactor.seconds())
+        self.assertFalse(last.transport.aborted)
+        last.answer(SECOND_EVENT + LAST_CHUNK)
+        self.assert_whole(caller)
