Finish a begun stream at the former version if the target has no other upstream

While a version is rolled out with one upstream, a stream that broke there was cut off: sessions that have moved may use the target's upstreams only, and this one had been met. Upstreams of the former version, which a roll-out under way still lets requests use, were free.

A stream whose caller holds a part of it now goes on there. What has not begun keeps its session's version as before. Ruled out: a roll-out that completes or reverts in mid-stream ends nothing.

test_resuming, a stream leaves a target version that has no other upstream: failed before.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -22,6 +22,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ...routing.fleet import Announcement
     from ...routing.lookup import DocumentIndex
     from ...routing.records import Route
@@ -70,13 +72,19 @@
     *,
     model: str,
     avoided: set[str],
+    begun: bool,
     limit: float,
     now: float,
 ) -> Choice | None:
     """Return where a request goes next, or None if nothing may run it.
 
     ``model`` is the one that an earlier send used, if any; ``limit`` the seconds in
-    which the first event is due. Upstreams in ``avoided`` were met already.
+    which the first event is due. Upstreams in ``avoided`` were met already. ``begun``
+    tells that the caller holds a part of the answer.
+
+    Failure: the only upstream of a version that is being rolled out breaks, and its
+    streams are cut off beside free upstreams of the former version. What has not begun
+    keeps its session's version: its caller can come back.
     """
     key = session_of(facts)
     service = choose_service(route, key)
@@ -84,7 +92,8 @@
     if record is None:
         return None
 
-    allowed = list_candidates(context, service, key, now)
+    spent = avoided if begun else set()
+    allowed = list_candidates(context, service, key, now, spent)
     fresh = [one for one in allowed if one.upstream not in avoided]
     if not model and is_sized(route, facts.model):
         model = first_model(route)
@@ -126,7 +135,11 @@
 
 
 def list_candidates(
-    context: GatewayContext, service: str, session: str, now: float
+    context: GatewayContext,
+    service: str,
+    session: str,
+    now: float,
+    spent: Collection[str] = (),
 ) -> list[Announcement]:
     """Return the upstreams that may run a session's request.
 
@@ -151,4 +164,5 @@
         last=context.sessions.last.get((service, session)),
         session_life=context.settings.session_life,
         now=now,
+        spent=spent,
     )
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -43,6 +43,7 @@
         exchange.facts,
         model=exchange.route.models[-1],
         avoided=exchange.met,
+        begun=False,
         limit=exchange.first_limit(now),
         now=now,
     )
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -129,6 +129,7 @@
             self.facts,
             model=self.model,
             avoided=self.met,
+            begun=self.responder.started,
             limit=self.first_limit(now),
             now=now,
         )
--- a/src/waxwingwell/routing/versions.py
+++ b/src/waxwingwell/routing/versions.py
@@ -15,6 +15,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -54,11 +55,14 @@
     last: tuple[str, float] | None,
     session_life: float,
     now: float,
+    spent: Collection[str] = (),
 ) -> list[Announcement]:
     """Return the upstreams whose version a session may use.
 
     Without a roll-out only the established version is used: upstreams of another one
-    may announce themselves before the order that names it is known here.
+    may announce themselves before the order that names it is known here. While a move
+    is under way, a request that can't use the upstreams in ``spent`` any more keeps the
+    former version if they are all that the target has.
     """
     if not upstreams:
         return []
@@ -76,7 +80,7 @@
     if rollout.state == "reverted":
         return former
 
-    if not target:
+    if all(one.upstream in spent for one in target):
         return former
 
     if moves(rollout, session, last, session_life, now):
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -6,8 +6,11 @@
 from typing import Any
 
 from tests.routing.factories import make_document
+from tests.routing.factories import make_news
+from tests.routing.factories import make_rollout
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.exchange import MAX_TRIES
+from waxwingwell.routing.fleet import take_news
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.records import Service
 from waxwingwell.routing.records import Target
@@ -133,3 +136,29 @@
         self.assertFalse(last.transport.aborted)
         last.answer(SECOND_EVENT + LAST_CHUNK)
         self.assert_whole(caller)
+
+    def test_a_stream_leaves_a_target_version_that_has_no_other_upstream(self) -> None:
+        """A roll-out has just begun, with one upstream of the new version.
+
+        It breaks in the middle of a stream. The upstreams of the former version, which
+        still serve, finish the answer; what has not begun is not moved back.
+        """
+        for begun, asked in ((True, 2), (False, 1)):
+            with self.subTest(begun=begun):
+                gateway = prepare("u1", "u2")
+                target = make_news("u3", version="v2", incarnation=5)
+                take_news(gateway.context.fleet, target, 0.0)
+                gateway.context.rollouts = {"chat": make_rollout(share=1.0)}
+                caller = gateway.ask()
+                upstream = gateway.upstreams[0]
+                self.assertIn(b"X-Upstream: u3", upstream.accept())
+                if begun:
+                    upstream.answer(make_stream_head() + FIRST_EVENT)
+                    upstream.reset()
+                else:
+                    upstream.answer(NOT_RUN)
+
+                self.assertEqual(len(gateway.upstreams), asked)
+                if begun:
+                    finish(gateway.upstreams[1])
+                    self.assert_whole(caller)
