Let a begun stream come back to upstreams that it met

Each upstream was asked once for a request. So a stream whose connection was reset was cut off if there was no other upstream, or if each of the others was full or not reached at that moment, though any of them could have finished it.

A stream whose caller holds a part of the answer now asks those it met again, 0.2 s later, within the same bounds of tries, attempts, time and budget. What has not begun is refused as before: its caller can come back.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -53,6 +53,9 @@
 upstream: it is late by then, and nineteen of twenty calls take a third of that."""
 SILENT_PART = 0.4
 """Of the whole time, whichever is shorter: the second try has the longer part."""
+RETURN_SECONDS = 0.2
+"""After which upstreams that a begun answer has met are asked again: time for a full
+one to end a call, and a tenth of what callers wait for the next event."""
 IDLE_MS = 40.0
 """Expected wait, beside its own work, below which an upstream counts as idle."""
 
@@ -161,7 +164,7 @@
 
         choice = self._choose(now)
         if choice is None:
-            give_up(self, "no upstream left")
+            self._come_back()
             return
 
         if not self._is_in_time(choice, now):
@@ -172,6 +175,19 @@
 
         self._send_to(choice, now)
 
+    def _come_back(self) -> None:
+        """Ask upstreams again that were met, if the caller can't be refused any more.
+
+        Failure: the connection of a stream is reset, and the only other upstream is
+        full for a moment. The stream would be cut off, though either can finish it.
+        """
+        if not self.met or not self.responder.started:
+            give_up(self, "no upstream left")
+            return
+
+        self.met.clear()
+        self.context.reactor.callLater(RETURN_SECONDS, self._send_next)
+
     def first_limit(self, now: float) -> float:
         """Return the seconds in which the first event is due for full worth."""
         return min(self.began_at + self.route.objective, self.deadline) - now
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -10,6 +10,7 @@
 from tests.routing.factories import make_rollout
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.exchange import MAX_TRIES
+from waxwingwell.adapters.gateway.exchange import RETURN_SECONDS
 from waxwingwell.routing.fleet import take_news
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.records import Service
@@ -162,3 +163,64 @@
                 if begun:
                     finish(gateway.upstreams[1])
                     self.assert_whole(caller)
+
+    def test_a_begun_stream_comes_back_to_an_upstream_that_it_met(self) -> None:
+        """A stream breaks, and every other upstream was met as well.
+
+        A connection was reset, or an upstream was full for a moment. Nobody is left to
+        ask but those, and a caller that holds a part of its answer can't be refused.
+        """
+        for name, others in (
+            ("no other upstream", []),
+            ("the other was full", ["full"]),
+            ("the other was not reached", ["lost"]),
+            ("both", ["full", "lost"]),
+        ):
+            with self.subTest(name):
+                gateway = prepare(*(f"u{number}" for number in range(len(others) + 1)))
+                caller, first = begin(gateway)
+                first.reset()
+                for place, other in enumerate(others, 1):
+                    upstream = gateway.upstreams[place]
+                    if other == "lost":
+                        upstream.refuse()
+                    else:
+                        upstream.accept()
+                        upstream.answer(NOT_RUN)
+
+                self.assertFalse(caller.transport.aborted)
+                self.assertEqual(len(gateway.upstreams), len(others) + 1)
+                gateway.reactor.advance(RETURN_SECONDS)
+                self.assertEqual(len(gateway.upstreams), len(others) + 2)
+                finish(gateway.upstreams[-1])
+                self.assert_whole(caller)
+
+    def test_coming_back_has_its_bounds(self) -> None:
+        """All that is left refuses again and again, or the caller leaves meanwhile."""
+        gateway = prepare("u1")
+        caller, first = begin(gateway)
+        first.reset()
+        for _ in range(MAX_TRIES - 1):
+            self.assertFalse(caller.transport.aborted)
+            gateway.reactor.advance(RETURN_SECONDS)
+            gateway.upstreams[-1].refuse()
+
+        self.assertTrue(caller.transport.aborted)
+        self.assertEqual(len(gateway.upstreams), MAX_TRIES)
+        self.assertEqual(gateway.context.exchanges, set())
+
+        gateway = prepare("u1")
+        caller, first = begin(gateway)
+        first.reset()
+        caller.leave()
+        gateway.reactor.advance(RETURN_SECONDS)
+        self.assertEqual(len(gateway.upstreams), 1)
+        self.assertEqual(gateway.context.exchanges, set())
+
+    def test_what_has_not_begun_is_refused_at_once(self) -> None:
+        gateway = prepare("u1")
+        caller = gateway.ask()
+        upstream = gateway.upstreams[0]
+        upstream.accept()
+        upstream.answer(NOT_RUN)
+        self.assertEqual(caller.status, 503)
