Ask on where an answer was dropped for a larger model's

An unsure answer was dropped, the larger model's upstream was not reached, and with no other upstream the caller got 502: of our own choice it lost an answer that was there.

Such a request now asks those it met again, as one whose answer has begun does.

test_resuming, a dropped answer is made up for: failed before.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -95,6 +95,8 @@
         self.met: set[str] = set()
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = Pauses()
+        self.dropped = False
+        """An unsure answer was dropped for a larger model's."""
         self.last_answer: tuple[int, HeaderList, bytes] | None = None
         self.model = ""
         self.over = False
@@ -176,12 +178,13 @@
         self._send_to(choice, now)
 
     def _come_back(self) -> None:
-        """Ask upstreams again that were met, if the caller can't be refused any more.
+        """Ask upstreams again that were met, if it is late to refuse the caller.
 
         Failure: the connection of a stream is reset, and the only other upstream is
-        full for a moment. The stream would be cut off, though either can finish it.
+        full for a moment. The stream would be cut off, though either can finish it. It
+        is the same where we dropped an answer for a larger model's.
         """
-        if not self.met or not self.responder.started:
+        if not self.met or not (self.responder.started or self.dropped):
             give_up(self, "no upstream left")
             return
 
@@ -275,6 +278,7 @@
         release(self.context, attempt)
         count_fate(self.context, self.route, self.facts, attempt, Fate.DONE, now)
         self.runs += 1
+        self.dropped = True
         self._note_repeat(attempt, now)
         self._send_to(larger, now)
 
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -224,3 +224,22 @@
         upstream.accept()
         upstream.answer(NOT_RUN)
         self.assertEqual(caller.status, 503)
+
+    def test_a_dropped_answer_is_made_up_for(self) -> None:
+        """An unsure answer is dropped for a larger model's, which then isn't reached.
+
+        The drop was our own choice, and the upstream that had answered still serves. It
+        is asked again, where the caller got a failure.
+        """
+        gateway = prepare("u1", "u2", models=("small", "large"))
+        caller = gateway.ask(X_Model="*")
+        first = gateway.upstreams[0]
+        first.accept()
+        first.answer(make_stream_head("X-Confidence: 0.1"))
+        gateway.upstreams[1].refuse()
+        gateway.reactor.advance(RETURN_SECONDS)
+        self.assertEqual(len(gateway.upstreams), 3)
+        third = gateway.upstreams[2]
+        third.accept()
+        third.answer(make_stream_head() + FIRST_EVENT + SECOND_EVENT + LAST_CHUNK)
+        self.assert_whole(caller)
