Test what ends no answer that is under way

A silent upstream is kept where another would be too late; an upstream that leaves or is exchanged, and a roll-out that ends, change nothing for a stream under way; a gateway that is stopping or cut off still resumes.

--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -11,7 +11,9 @@
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.exchange import MAX_TRIES
 from waxwingwell.adapters.gateway.exchange import RETURN_SECONDS
+from waxwingwell.routing.fleet import UpstreamState
 from waxwingwell.routing.fleet import take_news
+from waxwingwell.routing.load import begin_use
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.records import Service
 from waxwingwell.routing.records import Target
@@ -23,6 +25,7 @@
 from .support import make_answer
 from .support import make_chunk
 from .support import make_gateway
+from .support import make_settings
 from .support import make_stream_head
 
 
@@ -189,6 +192,7 @@
                         upstream.answer(NOT_RUN)
 
                 self.assertFalse(caller.transport.aborted)
+                self.assertEqual(len(gateway.context.exchanges), 1)
                 self.assertEqual(len(gateway.upstreams), len(others) + 1)
                 gateway.reactor.advance(RETURN_SECONDS)
                 self.assertEqual(len(gateway.upstreams), len(others) + 2)
@@ -243,3 +247,75 @@
         third.accept()
         third.answer(make_stream_head() + FIRST_EVENT + SECOND_EVENT + LAST_CHUNK)
         self.assert_whole(caller)
+
+    def test_a_silent_upstream_is_kept_if_another_would_be_too_late(self) -> None:
+        """A stream pauses shortly before its caller's time is up.
+
+        Another upstream is there, but can't have an event in the time that is left. The
+        silent one still can; given up, the stream is cut with nobody asked.
+        """
+        gateway = prepare("u1", "u2")
+        caller, first = begin(gateway, X_Budget="1.7")
+        for _ in range(2000):
+            begin_use(gateway.context.load, "u2", 0.0)
+
+        gateway.reactor.advance(1.6)
+        [exchange] = gateway.context.exchanges
+        exchange.check_silence(gateway.reactor.seconds())
+        self.assertFalse(first.transport.aborted)
+        first.answer(SECOND_EVENT + LAST_CHUNK)
+        self.assert_whole(caller)
+        self.assertEqual(len(gateway.upstreams), 1)
+
+    def test_what_ends_no_answer_that_is_under_way(self) -> None:
+        """Changes around a stream: its upstream goes on with it to the end."""
+        leaves = make_news("u1", sequence=2, state=UpstreamState.LEAVING)
+        gone = make_news("u1", sequence=2, state=UpstreamState.GONE)
+        port = make_news("u1").port
+        successor = make_news("other", port=port, incarnation=2)
+        for name, news, rollouts in (
+            ("the upstream leaves", leaves, {}),
+            ("the upstream is gone from the table", gone, {}),
+            ("its address was taken by another", successor, {}),
+            ("a roll-out completes", None, {"state": "completed"}),
+            ("a roll-out is reverted", None, {"state": "reverted"}),
+        ):
+            with self.subTest(name):
+                gateway = prepare("u1")
+                caller, upstream = begin(gateway)
+                if news is not None:
+                    take_news(gateway.context.fleet, news, 0.0)
+
+                if rollouts:
+                    rollout = make_rollout(share=1.0, **rollouts)
+                    gateway.context.rollouts = {"chat": rollout}
+
+                gateway.reactor.advance(1.0)
+                [exchange] = gateway.context.exchanges
+                exchange.check_silence(gateway.reactor.seconds())
+                upstream.answer(SECOND_EVENT + LAST_CHUNK)
+                self.assert_whole(caller)
+                self.assertEqual(len(gateway.upstreams), 1)
+
+    def test_a_gateway_that_takes_nothing_new_still_resumes(self) -> None:
+        """The gateway is stopping, or cut off from the controls.
+
+        It refuses new callers. Those whose answer is under way get it whole, also where
+        their upstream breaks meanwhile.
+        """
+        for name in ("stopping", "cut off"):
+            with self.subTest(name):
+                gateway = prepare()
+                caller, first = begin(gateway)
+                if name == "stopping":
+                    gateway.context.stopping = True
+                    gateway.service.stopping = True
+                    gateway.context.exit_at = 4.0
+                else:
+                    gateway.context.settings = make_settings(fail_closed=True)
+                    gateway.reactor.advance(6.0)
+
+                self.assertEqual(gateway.ask().status, 503)
+                first.reset()
+                finish(gateway.upstreams[1])
+                self.assert_whole(caller)
