Tell the caller at once where the end of its call fails by an error of ours

An error in what follows the end of an upstream's call left the request under way with nothing to come: its caller waited until the deadline, and a stop of the gateway with it. An error in an answer's head or body ends the upstream's connection and goes on elsewhere already.

The request now ends with what it has: cut off if it has begun, 502 otherwise.

test_resuming, a fault of ours at the end is told at once: both cases failed before.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
+
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_pause
 from ...routing.health import note_unreachable
@@ -308,7 +310,21 @@
             self.responder.write(whole)
 
     def take_end(self, attempt: Attempt, whole: bool, sent: bool) -> None:
-        """Take in how a call ended."""
+        """Take in how a call ended.
+
+        Failure: an error of our own here. The call is over and nothing else follows it,
+        so the caller would wait for its answer until the deadline.
+        """
+        try:
+            self._judge_end(attempt, whole, sent)
+        except Exception as error:  # any fault of ours
+            logger.opt(exception=error).error("gateway: Answer failed")
+            if not self.over:
+                self.stop_attempt()
+                self.runs += sent
+                give_up(self, "internal error")
+
+    def _judge_end(self, attempt: Attempt, whole: bool, sent: bool) -> None:
         if attempt.over:
             return
 
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -4,11 +4,13 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from tests.routing.factories import make_document
 from tests.routing.factories import make_news
 from tests.routing.factories import make_rollout
 from tests.routing.factories import make_route
+from waxwingwell.adapters.gateway import exchange
 from waxwingwell.adapters.gateway.exchange import MAX_TRIES
 from waxwingwell.adapters.gateway.exchange import RETURN_SECONDS
 from waxwingwell.routing.fleet import UpstreamState
@@ -135,8 +137,8 @@
         last.accept()
         last.answer(make_stream_head() + FIRST_EVENT)
         gateway.reactor.advance(1.6)
-        [exchange] = gateway.context.exchanges
-        exchange.check_silence(gateway.reactor.seconds())
+        [running] = gateway.context.exchanges
+        running.check_silence(gateway.reactor.seconds())
         self.assertFalse(last.transport.aborted)
         last.answer(SECOND_EVENT + LAST_CHUNK)
         self.assert_whole(caller)
@@ -260,8 +262,8 @@
             begin_use(gateway.context.load, "u2", 0.0)
 
         gateway.reactor.advance(1.6)
-        [exchange] = gateway.context.exchanges
-        exchange.check_silence(gateway.reactor.seconds())
+        [running] = gateway.context.exchanges
+        running.check_silence(gateway.reactor.seconds())
         self.assertFalse(first.transport.aborted)
         first.answer(SECOND_EVENT + LAST_CHUNK)
         self.assert_whole(caller)
@@ -291,8 +293,8 @@
                     gateway.context.rollouts = {"chat": rollout}
 
                 gateway.reactor.advance(1.0)
-                [exchange] = gateway.context.exchanges
-                exchange.check_silence(gateway.reactor.seconds())
+                [running] = gateway.context.exchanges
+                running.check_silence(gateway.reactor.seconds())
                 upstream.answer(SECOND_EVENT + LAST_CHUNK)
                 self.assert_whole(caller)
                 self.assertEqual(len(gateway.upstreams), 1)
@@ -319,3 +321,31 @@
                 first.reset()
                 finish(gateway.upstreams[1])
                 self.assert_whole(caller)
+
+    def test_a_fault_of_ours_at_the_end_is_told_at_once(self) -> None:
+        """Counting an answer fails, by a fault in our own code.
+
+        The upstream's call is over by then. Unless the caller is told, it waits for the
+        rest until its time is up, and a stop of the gateway waits with it.
+        """
+        for started in (True, False):
+            with (
+                self.subTest(started=started),
+                mock.patch.object(exchange, "count_fate", side_effect=RuntimeError),
+            ):
+                gateway = prepare()
+                caller = gateway.ask()
+                upstream = gateway.upstreams[0]
+                upstream.accept()
+                if started:
+                    upstream.answer(make_stream_head() + FIRST_EVENT + LAST_CHUNK)
+                else:
+                    upstream.answer(make_answer(b"no", 404))
+
+                self.assertEqual(gateway.context.exchanges, set())
+                self.assertEqual(gateway.context.load.own, {})
+                self.assertEqual(caller.transport.aborted, started)
+                if started:
+                    self.assertFalse(caller.received.endswith(LAST_CHUNK))
+                else:
+                    self.assertEqual(caller.status, 502)
