--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
+
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_pause
 from ...routing.health import note_unreachable
@@ -54,6 +56,9 @@
 upstream: it is late by then, and nineteen of twenty calls take a third of that."""
 SILENT_PART = 0.4
 """Of the whole time, whichever is shorter: the second try has the longer part."""
+RETURN_SECONDS = 0.2
+"""After which upstreams that a begun answer has met are asked again: time for a full
+one to end a call, and a tenth of what callers wait for the next event."""
 IDLE_MS = 40.0
 """Expected wait, beside its own work, below which an upstream counts as idle."""
 
@@ -72,6 +77,9 @@
         now: float,
     ) -> None:
         self.context = context
+        self.index = context.index
+        """The document in force at arrival. Failure: a later one drops a service, and
+        requests that were let in to it can't go on at its upstreams."""
         self.request = request
         self.facts = facts
         self.route = route
@@ -90,6 +98,8 @@
         self.met: set[str] = set()
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = Pauses()
+        self.dropped = False
+        """An unsure answer was dropped for a larger model's."""
         self.last_answer: tuple[int, HeaderList, bytes] | None = None
         self.model = ""
         self.over = False
@@ -117,17 +127,17 @@
 
     def _choose(self, now: float) -> Choice | None:
         """Return the best upstream that is left."""
-        index = self.context.index
-        if self.over or index is None:
+        if self.over or self.index is None:
             return None
 
         return choose_upstream(
             self.context,
-            index,
+            self.index,
             self.route,
             self.facts,
             model=self.model,
             avoided=self.met,
+            begun=self.responder.started,
             limit=self.first_limit(now),
             now=now,
         )
@@ -142,7 +152,10 @@
         Failure: a silent upstream was given up, and then there was no other to go on.
         Its answer may have been on its way.
         """
-        if not self.may_run_again() or not self.is_in_budget(now, FAILURE_PART):
+        if self.tries >= MAX_TRIES or not self.may_run_again():
+            return False
+
+        if not self.is_in_budget(now, FAILURE_PART):
             return False
 
         choice = self._choose(now)
@@ -156,7 +169,7 @@
 
         choice = self._choose(now)
         if choice is None:
-            give_up(self, "no upstream left")
+            self._come_back()
             return
 
         if not self._is_in_time(choice, now):
@@ -167,6 +180,20 @@
 
         self._send_to(choice, now)
 
+    def _come_back(self) -> None:
+        """Ask upstreams again that were met, if it is late to refuse the caller.
+
+        Failure: the connection of a stream is reset, and the only other upstream is
+        full for a moment. The stream would be cut off, though either can finish it. It
+        is the same where we dropped an answer for a larger model's.
+        """
+        if not self.met or not (self.responder.started or self.dropped):
+            give_up(self, "no upstream left")
+            return
+
+        self.met.clear()
+        self.context.reactor.callLater(RETURN_SECONDS, self._send_next)
+
     def first_limit(self, now: float) -> float:
         """Return the seconds in which the first event is due for full worth."""
         return min(self.began_at + self.route.objective, self.deadline) - now
@@ -258,6 +285,7 @@
         release(self.context, attempt)
         count_fate(self.context, self.route, self.facts, attempt, Fate.DONE, now)
         self.runs += 1
+        self.dropped = True
         self._note_repeat(attempt, now)
         self._send_to(larger, now)
 
@@ -287,7 +315,21 @@
             self.responder.write(whole)
 
     def take_end(self, attempt: Attempt, whole: bool, sent: bool) -> None:
-        """Take in how a call ended."""
+        """Take in how a call ended.
+
+        Failure: an error of our own here. The call is over and nothing else follows it,
+        so the caller would wait for its answer until the deadline.
+        """
+        try:
+            self._judge_end(attempt, whole, sent)
+        except Exception as error:  # any fault of ours
+            logger.opt(exception=error).error("gateway: Answer failed")
+            if not self.over:
+                self.stop_attempt()
+                self.runs += sent
+                give_up(self, "internal error")
+
+    def _judge_end(self, attempt: Attempt, whole: bool, sent: bool) -> None:
         if attempt.over:
             return
 
@@ -298,11 +340,19 @@
             self._finish_attempt(attempt, Fate.NOT_RUN, f"refused {attempt.status}")
         elif not whole or not is_sound(attempt, self.facts.request_id):
             self._finish_attempt(attempt, Fate.BROKEN, "answer not whole")
-        elif attempt.status >= 500:
+        elif attempt.status >= 500 or not self._is_passable(attempt):
             self._finish_attempt(attempt, Fate.FAILED, f"status {attempt.status}")
         else:
             self._finish_attempt(attempt, Fate.DONE, "")
 
+    def _is_passable(self, attempt: Attempt) -> bool:
+        """Tell whether the caller can still get this answer.
+
+        Failure: an upstream that was to go on with a stream refused. Its refusal can't
+        follow the events that the caller has, and another upstream may go on.
+        """
+        return attempt.streaming or not self.responder.started
+
     # --- what follows ---------------------------------------------------------
 
     def _finish_attempt(self, attempt: Attempt, fate: Fate, reason: str) -> None:
