Play planned stops with slow readers in the soak, and check each answer

Cause of the miss: of all checks only check_calm_service looked at requests without a whole answer, and it leaves out any time in which a fault, a planned stop included, was under way or less than 3 s over. So no answer could be missed at a stop. Besides, callers read as fast as they can, the longest answer had 900 bytes, and signals came at random moments: bytes were hardly ever left when a gateway ended.

check_planned_stops now looks at the requests that fall into a planned stop of their gateway, unless a fault that is not planned is near. Draws of the ordinary soak are unchanged.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,6 +32,8 @@
 from .records import read_clock
 from .schedule import Stage
 from .schedule import run_faults
+from .stops import run_stops
+from .stops import start_slow_callers
 from .upstreams import EVENT_SECONDS
 from .upstreams import Upstream
 from .upstreams import beat_forever
@@ -48,7 +50,13 @@
 
 
 async def play(
-    folder: Path, seed: int, seconds: float, registries: int, gateways: int
+    folder: Path,
+    seed: int,
+    seconds: float,
+    registries: int,
+    gateways: int,
+    *,
+    planned: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Play one seed; return what was seen and the promises that were broken."""
     stage = await open_stage(
@@ -62,7 +70,12 @@
     background: list[asyncio.Task[None]] = []
     try:
         await begin(stage, background)
-        await run_faults(stage, seconds)
+        if planned:
+            background += start_slow_callers(stage)
+            await run_stops(stage, seconds)
+        else:
+            await run_faults(stage, seconds)
+
         await recover(stage)
     finally:
         for task in background:
@@ -205,9 +218,12 @@
     registries: int = 3,
     gateways: int = 3,
     keep: str = "",
+    *,
+    planned: bool = False,
 ) -> None:
     """Play seeds one after the other; exit 1 if a promise was broken.
 
+    With ``planned`` processes are only stopped by plan, and some callers read slowly.
     Without ``first`` the seeds are fresh. Logs of broken seeds stay in ``keep``.
     """
     start = random.SystemRandom().getrandbits(31) if first is None else first
@@ -215,7 +231,7 @@
     for seed in range(start, start + seeds):
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             journal, found = asyncio.run(
-                play(Path(name), seed, seconds, registries, gateways)
+                play(Path(name), seed, seconds, registries, gateways, planned=planned)
             )
             report(seed, journal, found)
             broken += bool(found)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -11,17 +11,23 @@
 from waxwingwell_standin import wire
 
 from .http import BrokenMessageError
+from .http import Message
 from .http import read_body
 from .http import read_head
 from .http import write_message
 from .operators import HOST
 from .operators import KEYS
+from .readers import open_slowly
+from .readers import slow_down
+from .records import BIG
+from .records import BUDGET_SECONDS
 from .records import Ask
 from .records import Journal
+from .records import make_body
+from .records import make_stream
 from .records import read_clock
 
 
-BUDGET_SECONDS = 5.0
 PAUSE_SECONDS = 0.05
 KINDS = ("stream", "order", "read")
 
@@ -36,6 +42,8 @@
     chooser: random.Random
     connection: tuple[str, StreamReader, StreamWriter] | None = None
     count: int = 0
+    slow: bool = False
+    """It asks for big answers only, and reads them slowly."""
 
 
 async def call_forever(caller: Caller) -> None:
@@ -54,7 +62,7 @@
     ask = Ask(
         request_id=f"{caller.name}-{caller.count}",
         kind=kind,
-        path=f"/{kind}/{caller.count}",
+        path=f"/{kind}/{caller.count}{BIG if caller.slow else ''}",
         workspace=workspace,
         gateway="",
         began_at=read_clock(),
@@ -77,7 +85,8 @@
         drop_connection(caller)
         chosen = gateway or caller.chooser.choice(caller.gateways)
         ask.gateway = chosen[0]
-        reader, writer = await asyncio.open_connection(*chosen)
+        connect = open_slowly if caller.slow else asyncio.open_connection
+        reader, writer = await connect(*chosen)
         caller.connection = (chosen[0], reader, writer)
 
     ask.gateway, reader, writer = caller.connection
@@ -85,6 +94,7 @@
     start = f"POST {ask.path} HTTP/1.1"
     writer.write(write_message(start, {"Host": HOST, **headers}, b"please"))
     ask.read = True
+    ask.sent_at = read_clock()
     answer = await read_head(reader)
     if answer is None:
         drop_connection(caller)
@@ -92,16 +102,30 @@
 
     ask.status = answer.status
     ask.signature = wire.read_signature(answer.headers)
+    body_reader = slow_down(reader, ask.kind, caller.chooser) if caller.slow else reader
     try:
-        await read_body(reader, answer)
+        await read_body(body_reader, answer)
         ask.whole = True
     finally:
-        ask.body = answer.body
+        compare_body(ask, answer)
 
     if answer.headers.get("connection", "").lower() == "close":
         drop_connection(caller)
 
 
+def compare_body(ask: Ask, answer: Message) -> None:
+    """Note whether a body is the right one, in place of keeping it."""
+    ask.size = len(answer.body)
+    if not 200 <= ask.status < 300:
+        return
+
+    make = make_stream if ask.kind == "stream" else make_body
+    expected = make(ask.request_id, ask.path)
+    ask.intact = expected.startswith(answer.body)
+    if ask.whole:
+        ask.intact = expected == answer.body
+
+
 def drop_connection(caller: Caller) -> None:
     """Close the kept connection."""
     if caller.connection is not None:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -7,10 +7,11 @@
 
 from waxwingwell_standin import wire
 
+from .records import BUDGET_SECONDS
 from .records import CALM_SECONDS
 from .records import DRAIN_SECONDS
-from .records import make_body
-from .records import make_stream
+from .records import GRACE_SECONDS
+from .records import PLANNED
 from .records import was_calm
 
 
@@ -18,12 +19,20 @@
     from collections.abc import Iterator
 
     from .records import Ask
+    from .records import Fault
     from .records import Journal
+    from .records import Run
 
 
 LEAVE_SLACK = 0.2
 """Seconds that a request may take on its way to an upstream."""
-STREAM_KIND = "stream"
+CROSSING_SECONDS = 0.2
+"""Within which a request and the close of its idle connection may cross."""
+LATE_SECONDS = 3.0
+"""After the signal of a planned stop, within which a request may be sent that the end
+of the grace cuts off."""
+LATE_WORK = GRACE_SECONDS * 5 / 6
+"""After the signal, from which on the work of an upstream may be cut off."""
 ORDER_KIND = "order"
 
 
@@ -37,6 +46,7 @@
         check_leaves,
         check_versions,
         check_calm_service,
+        check_planned_stops,
     ):
         found += check(journal)
 
@@ -68,13 +78,9 @@
         if not 200 <= ask.status < 300:
             continue
 
-        expected = make_body(ask.request_id)
-        if ask.kind == STREAM_KIND:
-            expected = make_stream(ask.request_id)
-
-        if ask.whole and ask.body != expected:
+        if ask.whole and not ask.intact:
             yield f"{ask.request_id}: a whole answer with another body"
-        elif not expected.startswith(ask.body):
+        elif not ask.intact:
             yield f"{ask.request_id}: events are missing, double or of another request"
 
         if not ask.signature.endswith(f"/{ask.request_id}"):
@@ -122,6 +128,59 @@
         )
 
 
+def check_planned_stops(journal: Journal) -> Iterator[str]:
+    """Check that a gateway that stops by plan, and nothing else amiss, cuts nothing."""
+    runs: dict[str, list[Run]] = {}
+    for run in journal.runs:
+        runs.setdefault(run.request_id, []).append(run)
+
+    for ask in journal.asks:
+        stop = find_stop(journal, ask)
+        if stop is None or not ask.read or ask.whole:
+            continue
+
+        if not was_calm(journal, ask.began_at, ask.ended_at, spared=PLANNED):
+            continue
+
+        if not is_excused(ask, stop, runs.get(ask.request_id, [])):
+            yield describe_cut(ask, stop, runs.get(ask.request_id, []))
+
+
+def find_stop(journal: Journal, ask: Ask) -> Fault | None:
+    """Return the planned stop of a request's gateway that fell into its time."""
+    for fault in journal.faults:
+        if fault.name != "stop" or fault.target != ask.gateway:
+            continue
+
+        if fault.began_at <= ask.ended_at and ask.began_at <= fault.ended_at:
+            return fault
+
+    return None
+
+
+def is_excused(ask: Ask, stop: Fault, runs: list[Run]) -> bool:
+    """Tell whether a planned stop may leave a request without a whole answer."""
+    if ask.ended_at >= ask.began_at + BUDGET_SECONDS:
+        return True
+
+    if not runs and ask.ended_at <= ask.sent_at + CROSSING_SECONDS:
+        return True
+
+    in_time = ask.sent_at <= stop.began_at + LATE_SECONDS
+    return in_time and any(one.ended_at >= stop.began_at + LATE_WORK for one in runs)
+
+
+def describe_cut(ask: Ask, stop: Fault, runs: list[Run]) -> str:
+    """Return what is known of a request that a planned stop cut off."""
+    sent, ended = ask.sent_at - stop.began_at, ask.ended_at - stop.began_at
+    ends = [f"{one.ended_at - stop.began_at:.3f}" for one in runs]
+    return (
+        f"{ask.request_id}: {ask.path} at {ask.gateway} ended with {ask.status} after "
+        f"{ask.size} bytes; s after SIGTERM: sent {sent:.3f}, upstreams done {ends}, "
+        f"connection ended {ended:.3f}"
+    )
+
+
 def is_served(ask: Ask) -> bool:
     """Tell whether a caller has a whole answer."""
     return 200 <= ask.status < 300 and ask.whole
--- a/bench/soak/http.py
+++ b/bench/soak/http.py
@@ -7,11 +7,19 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 
-if TYPE_CHECKING:
-    from asyncio import StreamReader
+class ByteReader(Protocol):
+    """What a message is read from."""
+
+    async def readline(self) -> bytes:
+        """Return the next line, or what there is of it at the end."""
+        ...
+
+    async def read(self, n: int = -1, /) -> bytes:
+        """Return some bytes; none at the end."""
+        ...
 
 
 class BrokenMessageError(Exception):
@@ -24,7 +32,7 @@
 
     start: str
     headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
+    body: bytearray = field(default_factory=bytearray)
 
     @property
     def status(self) -> int:
@@ -32,7 +40,7 @@
         return int(self.start.split()[1])
 
 
-async def read_head(reader: StreamReader) -> Message | None:
+async def read_head(reader: ByteReader) -> Message | None:
     """Return the head of the next message, or None at the end of the connection."""
     data = await reader.readline()
     if not data:
@@ -49,7 +57,7 @@
     return message
 
 
-async def read_body(reader: StreamReader, message: Message) -> None:
+async def read_body(reader: ByteReader, message: Message) -> None:
     """Read the whole body; what has come of a broken one stays in ``message``."""
     if message.headers.get("transfer-encoding", "").lower() == "chunked":
         await read_chunks(reader, message)
@@ -64,7 +72,7 @@
         message.body += data
 
 
-async def read_chunks(reader: StreamReader, message: Message) -> None:
+async def read_chunks(reader: ByteReader, message: Message) -> None:
     """Read a body in chunks."""
     while True:
         line = await reader.readline()
@@ -82,9 +90,9 @@
             return
 
 
-async def read_exactly(reader: StreamReader, size: int) -> bytes:
+async def read_exactly(reader: ByteReader, size: int) -> bytes:
     """Return just so many bytes."""
-    data = b""
+    data = bytearray()
     while len(data) < size:
         part = await reader.read(size - len(data))
         if not part:
@@ -92,7 +100,7 @@
 
         data += part
 
-    return data
+    return bytes(data)
 
 
 def write_message(start: str, headers: dict[str, str], body: bytes = b"") -> bytes:
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -78,7 +78,9 @@
             return True
 
         if answer is not None and 400 <= answer.status < 500:
-            journal.wrong.append(f"document {version} was refused: {answer.body!r}")
+            journal.wrong.append(
+                f"document {version} was refused: {bytes(answer.body)!r}"
+            )
             return False
 
         await asyncio.sleep(0.1)
@@ -93,9 +95,9 @@
     if answer is None or answer.status != 200:
         return None
 
-    version = wire.read_version(answer.body)
+    version = wire.read_version(bytes(answer.body))
     journal.read_back.append((sent_at, version))
-    if answer.body != journal.sent.get(version):
+    if bytes(answer.body) != journal.sent.get(version):
         journal.wrong.append(f"document {version} is read back with other content")
 
     return version
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -9,6 +9,16 @@
 
 EVENTS = 12
 """Events of a whole stream."""
+BUDGET_SECONDS = 5.0
+"""How long a caller waits for its answer."""
+GRACE_SECONDS = 8.0
+"""From the signal of a planned stop until the process may be killed."""
+BIG = "/big"
+"""Ends the path of a request whose answer exceeds the kernel's buffers."""
+BIG_BYTES = 6_000_000
+"""Of such an answer: both sides of a connection buffer at most four million."""
+PLANNED = frozenset({"stop", "hang_up", "change"})
+"""Faults by plan, during which no answer may be lost."""
 DRAIN_SECONDS = 2.0
 """After an acknowledged leave, the longest that new work may still arrive."""
 CALM_SECONDS = 3.0
@@ -25,6 +35,8 @@
     workspace: str
     saw_key: bool
     at: float
+    ended_at: float = float("inf")
+    """When the upstream had written its answer, or gave up."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,11 +49,15 @@
     workspace: str
     gateway: str
     began_at: float
+    sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     whole: bool = False
     signature: str = ""
-    body: bytes = b""
+    intact: bool = True
+    """What came of the body is the right one's, from its begin."""
+    size: int = 0
+    """Bytes of the body that came."""
     read: bool = True
     """The request was written on a connection that was made."""
 
@@ -80,24 +96,34 @@
     return time.monotonic()
 
 
-def was_calm(journal: Journal, since: float, until: float) -> bool:
-    """Tell whether no fault was under way, nor just over, in a time."""
+def was_calm(
+    journal: Journal, since: float, until: float, spared: frozenset[str] = frozenset()
+) -> bool:
+    """Tell whether no fault but the spared was under way, nor just over, in a time."""
     return not any(
         fault.began_at <= until and fault.ended_at + CALM_SECONDS >= since
         for fault in journal.faults
+        if fault.name not in spared
     )
 
 
-def make_body(request_id: str) -> bytes:
+def is_big(path: str) -> bool:
+    """Tell whether a request has a big answer."""
+    return path.endswith(BIG)
+
+
+def make_body(request_id: str, path: str) -> bytes:
     """Return what every upstream answers to a request: all of them know the same."""
-    return f"answer to {request_id}\n".encode() * 20
+    line = f"answer to {request_id}\n".encode()
+    return line * (BIG_BYTES // len(line) if is_big(path) else 20)
 
 
-def make_event(request_id: str, number: int) -> bytes:
+def make_event(request_id: str, path: str, number: int) -> bytes:
     """Return one event of a stream."""
-    return f"id: {number}\ndata: {request_id} part {number}\n\n".encode()
+    padding = " " + "x" * (BIG_BYTES // EVENTS) if is_big(path) else ""
+    return f"id: {number}\ndata: {request_id} part {number}{padding}\n\n".encode()
 
 
-def make_stream(request_id: str) -> bytes:
+def make_stream(request_id: str, path: str) -> bytes:
     """Return a whole stream."""
-    return b"".join(make_event(request_id, one + 1) for one in range(EVENTS))
+    return b"".join(make_event(request_id, path, one + 1) for one in range(EVENTS))
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -141,9 +141,12 @@
 async def stop(stage: Stage) -> str | None:
     """Stop a process as planned, and start it again."""
     member = pick_any(stage)
-    if member is None or member.process is None:
-        return None
+    return None if member is None else await stop_member(stage, member)
+
 
+async def stop_member(stage: Stage, member: Member) -> str:
+    """Stop this process as planned, and start it again; return its address."""
+    assert member.process is not None
     signal_member(member, signal.SIGTERM)
     deadline = read_clock() + TERM_SECONDS
     while member.process.poll() is None:
@@ -155,7 +158,7 @@
 
     restart_member(member)
     member.busy = False
-    return member.record.name
+    return member.record.address
 
 
 async def pause(stage: Stage) -> str | None:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -19,9 +19,11 @@
 from .operators import send_order
 from .proxies import Proxy
 from .proxies import open_proxy
+from .readers import BIG_STREAM_SECONDS
 from .records import EVENTS
 from .records import Journal
 from .records import Run
+from .records import is_big
 from .records import make_body
 from .records import make_event
 from .records import read_clock
@@ -37,6 +39,8 @@
 BEAT_SECONDS = 0.6
 EVENT_SECONDS = 0.05
 WORK_SECONDS = 0.02
+BIG_WORK_SECONDS = 2.0
+"""The longest work on a big answer."""
 LEAVE_SECONDS = 2.5
 """For which a leaving upstream goes on serving after its leave was acknowledged."""
 
@@ -170,12 +174,27 @@
         at=read_clock(),
     )
     upstream.journal.runs.append(run)
+    try:
+        return await work_on(upstream, sent, run, writer)
+    finally:
+        run.ended_at = read_clock()
+
+
+async def work_on(
+    upstream: Upstream, sent: wire.SentRequest, run: Run, writer: StreamWriter
+) -> bool:
+    """Work, and send the answer; false ends the connection."""
     headers = wire.write_answer(sent.request_id, upstream.name)
-    if path.startswith("/stream/"):
-        return await answer_stream(upstream, sent, headers, writer)
+    if run.path.startswith("/stream/"):
+        return await answer_stream(upstream, sent, run, headers, writer)
+
+    work = WORK_SECONDS
+    if is_big(run.path):
+        work = BIG_WORK_SECONDS * upstream.chooser.random()
 
-    await asyncio.sleep(WORK_SECONDS)
-    answer = write_message("HTTP/1.1 200 OK", headers, make_body(sent.request_id))
+    await asyncio.sleep(work)
+    body = make_body(sent.request_id, run.path)
+    answer = write_message("HTTP/1.1 200 OK", headers, body)
     if upstream.chooser.random() < upstream.bad:
         writer.write(answer[: upstream.chooser.randrange(len(answer))])
         writer.transport.abort()
@@ -189,6 +208,7 @@
 async def answer_stream(
     upstream: Upstream,
     sent: wire.SentRequest,
+    run: Run,
     headers: dict[str, str],
     writer: StreamWriter,
 ) -> bool:
@@ -197,9 +217,10 @@
     lines = [f"{name}: {value}" for name, value in head.items()]
     lines.append("Transfer-Encoding: chunked")
     writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
+    pace = BIG_STREAM_SECONDS / EVENTS if is_big(run.path) else upstream.pace
     cut = upstream.chooser.random() < upstream.bad
     for number in range(sent.resume_after + 1, EVENTS + 1):
-        event = make_event(sent.request_id, number)
+        event = make_event(sent.request_id, run.path, number)
         if cut and upstream.chooser.random() < 0.3:
             # In the middle of an event, as servers that crash do.
             writer.write(write_chunk(event[: len(event) // 2]))
@@ -209,7 +230,7 @@
 
         writer.write(write_chunk(event))
         await writer.drain()
-        await asyncio.sleep(upstream.pace)
+        await asyncio.sleep(pace)
 
     writer.write(b"0\r\n\r\n")
     await writer.drain()
--- a/tests/system/__init__.py
+++ b/tests/system/__init__.py
@@ -1,3 +1,5 @@
 """Failure tests of the whole system: real processes on loopback."""
 
 from __future__ import annotations
+
+from tests import platform_adapter  # noqa: F401  # puts the adapter on the path
--- /dev/null
+++ b/tests/system/test_planned_stops.py
@@ -0,0 +1,143 @@
+"""Planned stops of a gateway process whose callers have not read their answers yet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from bench.soak.__main__ import begin
+from bench.soak.__main__ import close_all
+from bench.soak.__main__ import open_stage
+from bench.soak.http import BrokenMessageError
+from bench.soak.http import Message
+from bench.soak.http import read_body
+from bench.soak.http import read_head
+from bench.soak.http import write_message
+from bench.soak.operators import HOST
+from bench.soak.operators import KEYS
+from bench.soak.processes import signal_member
+from bench.soak.processes import stop_fleet
+from bench.soak.readers import open_slowly
+from bench.soak.records import BUDGET_SECONDS
+from bench.soak.records import make_body
+from bench.soak.records import make_stream
+
+from waxwingwell_standin import wire
+
+
+if TYPE_CHECKING:
+    from bench.soak.records import Run
+    from bench.soak.schedule import Stage
+
+
+SEED = 1
+POLL_SECONDS = 0.02
+REQUEST = "unread-1"
+
+
+class PlannedStopsTest(unittest.TestCase):
+    """One gateway and one registry; the answer is larger than the kernel's buffers."""
+
+    CASES: ClassVar = {
+        "the answer is given before the signal": ("order", "answered"),
+        "the answer is given before new connections end": ("order", "running"),
+        "the answer is given after new connections ended": ("stream", "running"),
+    }
+
+    def test_an_unread_answer_outlasts_the_stop(self) -> None:
+        """Story: a caller gets status 200, and its connection ends in mid-answer.
+
+        Its upstream has served the answer to the end, and the gateway holds what the
+        caller has not read. The gateway is told to stop, sees no request under way,
+        and ends long before it must. Only then the caller reads on.
+        """
+        for name, (kind, moment) in self.CASES.items():
+            with self.subTest(name), tempfile.TemporaryDirectory() as folder:
+                path = f"/{kind}/1/big"
+                make = make_stream if kind == "stream" else make_body
+                body = asyncio.run(play(Path(folder), path, moment))
+                self.assertEqual(len(body), len(make(REQUEST, path)))
+                self.assertEqual(body, make(REQUEST, path))
+
+
+async def play(folder: Path, path: str, moment: str) -> bytes:
+    """Start the processes, and return what a caller gets of its answer."""
+    chooser = random.Random(SEED)
+    stage = await open_stage(
+        folder, chooser, registries=1, gateways=1, upstreams_each=1
+    )
+    background: list[asyncio.Task[None]] = []
+    try:
+        await begin(stage, background, callers_each=0)
+        return await read_late(stage, path, moment)
+    finally:
+        for task in background:
+            task.cancel()
+
+        await asyncio.gather(*background, return_exceptions=True)
+        stop_fleet(stage.fleet)
+        await close_all(stage.links, stage.upstreams)
+
+
+async def read_late(stage: Stage, path: str, moment: str) -> bytes:
+    """Stop the gateway, and read when it has looked for requests under way."""
+    gateway = stage.fleet.gateways[0]
+    front = (gateway.record.address, gateway.record.caller_port)
+    reader, writer = await open_slowly(*front)
+    writer.write(write_request(path))
+    run = await await_run(stage)
+    answer: Message | None = None
+    if moment == "answered":
+        answer = await read_head(reader)
+
+    signal_member(gateway, signal.SIGTERM)
+    answer = answer or await read_head(reader)
+    while run.ended_at == float("inf"):
+        await asyncio.sleep(POLL_SECONDS)
+
+    await await_look(front)
+    assert answer is not None
+    with contextlib.suppress(OSError, BrokenMessageError):
+        await read_body(reader, answer)
+
+    writer.transport.abort()
+    return bytes(answer.body)
+
+
+def write_request(path: str) -> bytes:
+    """Return a request in the platform's words."""
+    key = next(iter(KEYS.values()))[0]
+    headers = wire.write_request(REQUEST, key, BUDGET_SECONDS)
+    return write_message(f"POST {path} HTTP/1.1", {"Host": HOST, **headers}, b"please")
+
+
+async def await_run(stage: Stage) -> Run:
+    """Wait until an upstream works on the request."""
+    while True:
+        for run in stage.journal.runs:
+            if run.request_id == REQUEST:
+                return run
+
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def await_look(front: tuple[str, int]) -> None:
+    """Wait until the stopping gateway closes, or refuses, an idle connection.
+
+    It does so only where it also looks whether requests are under way.
+    """
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(*front)
+        await reader.read()
+        writer.transport.abort()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -16,6 +16,9 @@
     7,
 )
 FAULT_SECONDS = 6.0
+PLANNED_SEEDS = (4,)
+PLANNED_SECONDS = 1.0
+"""One series of stops."""
 
 
 class PlatformSoakTest(unittest.TestCase):
@@ -33,6 +36,30 @@
                 self.assertGreater(len(journal.asks), 0)
                 self.assertGreater(len(journal.accepted), 0)
 
+    def test_planned_stops_cut_no_answer(self) -> None:
+        """Story: a caller gets status 200, and its connection ends in mid-answer.
+
+        Gateways and registries stop in turn, as planned, and nothing else is amiss.
+        An upstream's answer is served to the end, and the gateway ends with the last
+        bytes of it: its callers read slowly, or it ends in the very same moment.
+        """
+        from bench.soak.__main__ import play
+
+        for seed in PLANNED_SEEDS:
+            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
+                journal, found = asyncio.run(
+                    play(
+                        Path(folder),
+                        seed,
+                        PLANNED_SECONDS,
+                        registries=3,
+                        gateways=3,
+                        planned=True,
+                    )
+                )
+                self.assertEqual(found, [])
+                self.assertGreater(len(journal.asks), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/system/test_soak_checks.py
@@ -0,0 +1,89 @@
+"""What the soak's check of planned stops counts as broken."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from typing import ClassVar
+
+from bench.soak.checks import check_planned_stops
+from bench.soak.records import Ask
+from bench.soak.records import Fault
+from bench.soak.records import Journal
+from bench.soak.records import Run
+
+
+STOP_AT = 100.0
+GATEWAY = "127.0.2.1"
+CUT: dict[str, Any] = {"sent_at": 102.0, "ended_at": 103.5, "status": 200}
+"""A request whose connection ends in mid-answer, 3.5 s after the signal."""
+
+
+class PlannedStopsCheckTest(unittest.TestCase):
+    """One planned stop of a gateway, from 100 to 104, and one request."""
+
+    CASES: ClassVar[dict[str, tuple[dict[str, Any], float | None, str, bool]]] = {
+        # name: (changes to the request, end of its upstream, other fault, broken)
+        "cut in the middle": ({}, 103.4, "", True),
+        "cut before the answer": ({"status": 0}, 103.4, "", True),
+        "cut without an upstream": ({"status": 0}, None, "", True),
+        "cut beside changed settings": ({}, 103.4, "hang_up", True),
+        "cut beside a new document": ({}, 103.4, "change", True),
+        "cut beside another stop": ({}, 103.4, "stop", True),
+        "cut beside a kill": ({}, 103.4, "kill", False),
+        "whole": ({"whole": True}, 103.4, "", False),
+        "refused": ({"whole": True, "status": 503}, None, "", False),
+        "another gateway": ({"gateway": "127.0.2.2"}, 103.4, "", False),
+        "never sent": ({"read": False}, None, "", False),
+        "at its deadline": ({"ended_at": 107.0}, 103.4, "", False),
+        "crossed the close": ({"status": 0, "ended_at": 102.1}, None, "", False),
+        "ran as it was closed": ({"status": 0, "ended_at": 102.1}, 102.1, "", True),
+        "upstream late": ({"ended_at": 106.9}, 106.8, "", False),
+        "upstream late, sent late": (
+            {"began_at": 103.5, "sent_at": 103.5, "ended_at": 106.9},
+            106.8,
+            "",
+            True,
+        ),
+    }
+
+    def test_only_answers_cut_by_the_stop_are_broken(self) -> None:
+        for name, (changes, upstream_end, fault, broken) in self.CASES.items():
+            with self.subTest(name):
+                journal = make_journal(changes, upstream_end, fault)
+                self.assertEqual(len(list(check_planned_stops(journal))), int(broken))
+
+
+def make_journal(
+    changes: dict[str, Any], upstream_end: float | None, fault: str
+) -> Journal:
+    """Return what was seen of the request, the stop and another fault."""
+    fields = {"gateway": GATEWAY, "began_at": 102.0, **CUT, **changes}
+    ask = Ask(request_id="one", kind="order", path="/order/1", workspace="a", **fields)
+    journal = Journal(asks=[ask])
+    journal.faults.append(make_fault("stop", GATEWAY, STOP_AT, 104.0))
+    if fault:
+        journal.faults.append(make_fault(fault, "registry-1", 99.0, 100.0))
+
+    if upstream_end is not None:
+        run = Run(
+            request_id="one",
+            upstream="desk-0",
+            path="/order/1",
+            workspace="a",
+            saw_key=False,
+            at=102.0,
+            ended_at=upstream_end,
+        )
+        journal.runs.append(run)
+
+    return journal
+
+
+def make_fault(name: str, target: str, began_at: float, ended_at: float) -> Fault:
+    """Return a fault."""
+    return Fault(name=name, target=target, began_at=began_at, ended_at=ended_at)
+
+
+if __name__ == "__main__":
+    unittest.main()
