--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 soak: setup
 	$(BIN)/python -m tests.soak
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --seeds 10
+	PYTHONPATH=platform $(BIN)/python -m bench.soak --planned --seeds 10
 
 bench: setup
 	$(BIN)/python -m bench
