Let a stopping gateway wait until its callers have closed

Callers that send requests ahead lost the end of a long answer: it had left the process, the kernel still held it, and the process ended. Now it takes nothing more, and waits up to 1 s until callers have closed (0.3 s at the limit of the stop, which is 0.3 s before the kill).

An error in the end of one request left the other callers untold, and the process standing until it was killed. Each is ended by itself, and the end of the stop can't be missed.

The stop is a module of its own.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -17,13 +17,9 @@
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
-from ..http.server import close_idle
-from ..http.server import count_unsettled
-from ..http.server import is_settled
 from ..links import ROUTING_TIMING
 from ..links import LinkHandlers
 from ..links import LinkNode
-from ..links import close_link
 from ..metrics_listener import serve_metrics
 from .arrivals import take_request
 from .context import GatewayContext
@@ -34,8 +30,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..http.records import HttpRequest
     from ..http.server import Responder
     from .dialect import Dialect
@@ -43,12 +37,6 @@
 
 
 REPORT_SECONDS = 0.25
-STOP_LOOK_SECONDS = 0.1
-STOP_MARGIN = 0.6
-"""Seconds before the process is killed at which it ends by itself."""
-BALANCER_SECONDS = 2.5
-"""How long a stopping gateway goes on taking connections: the balancer needs two looks,
-a second apart, to notice."""
 BACKLOG = 1024
 
 
@@ -156,61 +144,3 @@
     """Tell the balancer whether callers may be sent here."""
     ready = context.index is not None and not context.stopping
     responder.send(200 if ready else 503, [])
-
-
-def stop_gateway(daemon: GatewayDaemon, done: Callable[[], None]) -> None:
-    """Let running requests end and their answers leave, then close everything.
-
-    New connections are served until the balancer has noticed; connections that are
-    kept open are closed as their answers end. ``done`` is called last.
-    """
-    context = daemon.context
-    context.stopping = True
-    daemon.service.stopping = True
-    began_at = context.clock()
-    deadline = began_at + context.settings.grace - STOP_MARGIN
-    context.exit_at = deadline
-    log_event("gateway: Stopping", requests=len(context.exchanges))
-
-    def look() -> None:
-        now = context.clock()
-        noticed = now >= began_at + BALANCER_SECONDS
-        settled = noticed and is_settled(daemon.service)
-        if settled or now >= deadline + STOP_LOOK_SECONDS:
-            finish_stop(daemon)
-            done()
-            return
-
-        if noticed:
-            close_idle(daemon.service)
-
-        if now >= deadline:
-            end_requests(context, now)
-
-        context.reactor.callLater(STOP_LOOK_SECONDS, look)
-
-    look()
-
-
-def end_requests(context: GatewayContext, now: float) -> None:
-    """Tell callers what is known of their requests, as the process has to end.
-
-    Failure: their connections closed without a word, and the log took it for their
-    leave. The answers have one more look's time to go out.
-    """
-    for exchange in list(context.exchanges):
-        exchange.end_now("the process ends", now)
-
-
-def finish_stop(daemon: GatewayDaemon) -> None:
-    """Close everything."""
-    context = daemon.context
-    daemon.loop.stop()
-    for port in daemon.ports:
-        port.stopListening()
-
-    for link in context.controls.values():
-        close_link(link)
-
-    close_idle(daemon.service)
-    log_event("gateway: Stopped", unsettled=count_unsettled(daemon.service))
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -0,0 +1,115 @@
+"""The planned stop of a gateway: answers end and leave, then all is closed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ..events import log_event
+from ..http.server import close_idle
+from ..http.server import count_unsettled
+from ..http.server import is_settled
+from ..links import close_link
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .context import GatewayContext
+    from .daemon import GatewayDaemon
+
+
+LOOK_SECONDS = 0.1
+"""Between two looks at what is still under way."""
+BALANCER_SECONDS = 2.5
+"""How long a stopping gateway goes on taking connections: the balancer needs two looks,
+a second apart, to notice."""
+STOP_MARGIN = 0.6
+"""Seconds before the process is killed at which nothing new is begun, and whoever still
+waits is told."""
+LAST_SECONDS = 0.3
+"""Of the margin, for the last answers to leave: some ways between data centres."""
+CLOSE_SECONDS = 1.0
+"""How long callers may take to close after their answers, within that."""
+
+
+def stop_gateway(daemon: GatewayDaemon, done: Callable[[], None]) -> None:
+    """Let running requests end and their answers leave, then close everything.
+
+    New connections are served until the balancer has noticed; connections that are
+    kept open are closed as their answers end. ``done`` is called last.
+    """
+    context = daemon.context
+    context.stopping = True
+    daemon.service.stopping = True
+    began_at = context.clock()
+    deadline = began_at + context.settings.grace - STOP_MARGIN
+    context.exit_at = deadline
+    log_event("gateway: Stopping", requests=len(context.exchanges))
+
+    def look() -> None:
+        now = context.clock()
+        noticed = now >= began_at + BALANCER_SECONDS
+        if (noticed and is_settled(daemon.service)) or now >= deadline:
+            limit = min(now + CLOSE_SECONDS, deadline + LAST_SECONDS)
+            close_gateway(daemon, limit, done)
+            return
+
+        if noticed:
+            close_idle(daemon.service)
+
+        context.reactor.callLater(min(LOOK_SECONDS, deadline - now), look)
+
+    look()
+
+
+def close_gateway(
+    daemon: GatewayDaemon, limit: float, done: Callable[[], None]
+) -> None:
+    """Take nothing more, and wait up to ``limit`` until callers have read and closed.
+
+    Failure: the process ended while the kernel still held the end of an answer, and a
+    request that its caller had sent ahead made the kernel reset the connection.
+    """
+    context = daemon.context
+    for port in daemon.ports:
+        port.stopListening()
+
+    end_requests(context, context.clock())
+
+    def look() -> None:
+        close_idle(daemon.service)
+        now = context.clock()
+        if daemon.service.connections and now < limit:
+            context.reactor.callLater(min(LOOK_SECONDS, limit - now), look)
+            return
+
+        try:
+            finish_stop(daemon)
+        finally:
+            done()
+
+    look()
+
+
+def end_requests(context: GatewayContext, now: float) -> None:
+    """Tell callers what is known of their requests, as the process has to end.
+
+    Failure: their connections closed without a word, and the log took it for their
+    leave.
+    """
+    for exchange in list(context.exchanges):
+        try:
+            exchange.end_now("the process ends", now)
+        except Exception as error:  # the other callers must hear, and the stop go on
+            logger.opt(exception=error).error("gateway: Request not ended")
+
+
+def finish_stop(daemon: GatewayDaemon) -> None:
+    """End the duties and close the links."""
+    context = daemon.context
+    log_event("gateway: Stopped", unsettled=count_unsettled(daemon.service))
+    daemon.loop.stop()
+    for link in context.controls.values():
+        close_link(link)
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -8,11 +8,12 @@
 
 from twisted.internet.task import LoopingCall
 
-from waxwingwell.adapters.gateway.daemon import BALANCER_SECONDS
-from waxwingwell.adapters.gateway.daemon import STOP_LOOK_SECONDS
-from waxwingwell.adapters.gateway.daemon import STOP_MARGIN
 from waxwingwell.adapters.gateway.daemon import GatewayDaemon
-from waxwingwell.adapters.gateway.daemon import stop_gateway
+from waxwingwell.adapters.gateway.stopping import BALANCER_SECONDS
+from waxwingwell.adapters.gateway.stopping import CLOSE_SECONDS
+from waxwingwell.adapters.gateway.stopping import LOOK_SECONDS
+from waxwingwell.adapters.gateway.stopping import STOP_MARGIN
+from waxwingwell.adapters.gateway.stopping import stop_gateway
 from waxwingwell.routing.records import RouteKind
 
 from .support import LAST_CHUNK
@@ -56,8 +57,18 @@
 
     def wait(self, seconds: float) -> None:
         """Let the time pass in which the gateway looks a few times."""
-        for _ in range(round(seconds / STOP_LOOK_SECONDS)):
-            self.gateway.reactor.advance(STOP_LOOK_SECONDS)
+        for _ in range(round(seconds / LOOK_SECONDS)):
+            self.gateway.reactor.advance(LOOK_SECONDS)
+
+
+class Port:
+    """A listening port, which notes that it was closed."""
+
+    closed = False
+
+    def stopListening(self) -> None:  # noqa: N802
+        """Note it."""
+        self.closed = True
 
 
 def ask_and_hold(gateway: Gateway) -> tuple[Caller, Any]:
@@ -104,6 +115,33 @@
                     self.assertTrue(stop.ended)
                     self.assertTrue(caller.received.endswith(answer[-5:]))
 
+    def test_the_gateway_waits_for_callers_to_close(self) -> None:
+        """A caller that sent its next request ahead of a long answer's end.
+
+        The kernel held that end, and the process ended: the kernel found bytes that
+        nobody would read, reset the connection and dropped what it held.
+        """
+        for closes in (True, False):
+            with self.subTest(closes=closes):
+                gateway = make_gateway()
+                stop = Stop(gateway)
+                caller = gateway.ask()
+                caller.transport.stays = True
+                upstream = gateway.upstreams[-1]
+                upstream.accept()
+                stop.begin()
+                stop.wait(BALANCER_SECONDS)
+                upstream.answer(STREAM)
+                stop.wait(CLOSE_SECONDS / 2)
+                self.assertFalse(stop.ended)
+                if closes:
+                    caller.leave()
+                    stop.wait(2 * LOOK_SECONDS)
+                else:
+                    stop.wait(CLOSE_SECONDS)
+
+                self.assertTrue(stop.ended)
+
     def test_a_caller_that_never_reads_holds_the_stop_up_to_its_limit(self) -> None:
         gateway = make_gateway()
         stop = Stop(gateway)
@@ -113,7 +151,7 @@
         limit = gateway.context.settings.grace - STOP_MARGIN
         stop.wait(limit - 0.2)
         self.assertFalse(stop.ended)
-        stop.wait(0.4)
+        stop.wait(STOP_MARGIN)
         self.assertTrue(stop.ended)
 
 
@@ -145,6 +183,43 @@
                 self.assertEqual([one["extra"]["outcome"] for one in ends], [outcome])
                 self.assertEqual(ends[0]["extra"]["reason"], "the process ends")
 
+    def test_a_fault_with_one_caller_is_none_of_the_others(self) -> None:
+        """An error of ours in the end of one request.
+
+        The others were told nothing, and the process was never done with stopping: it
+        stood until it was killed.
+        """
+        gateway = make_gateway("u1", kind=RouteKind.ONCE)
+        stop = Stop(gateway)
+        callers = [gateway.ask(), gateway.ask(X_Id="q2")]
+        for exchange in list(gateway.context.exchanges):
+            if exchange.facts.request_id == "q1":
+                exchange.stop_attempt = None
+
+        stop.begin()
+        stop.wait(gateway.context.settings.grace)
+        self.assertTrue(stop.ended)
+        self.assertEqual([caller.status for caller in callers], [0, 503])
+
+    def test_nothing_is_begun_at_the_limit(self) -> None:
+        """Requests that came in the last look of a stop.
+
+        They were refused, and the process ended before the refusals had left.
+        """
+        gateway = make_gateway("u1", kind=RouteKind.ONCE)
+        stop = Stop(gateway)
+        port = Port()
+        stop.daemon.ports.append(port)
+        gateway.ask().transport.stays = True
+        stop.begin()
+        stop.wait(gateway.context.settings.grace - STOP_MARGIN - LOOK_SECONDS)
+        self.assertFalse(port.closed)
+        late = gateway.open_caller()
+        stop.wait(2 * LOOK_SECONDS)
+        self.assertFalse(stop.ended)
+        self.assertTrue(port.closed)
+        self.assertFalse(late.transport.connected)
+
     def test_a_stream_looks_broken(self) -> None:
         gateway = make_gateway("u1")
         stop = Stop(gateway)
