Close idle connections so that callers can tell, and hold no stop up for stray bytes

What a review of the connections' end found:

- Since connections end by a half-close, a request that crossed the close of an idle one was read and dropped, so that its caller could not tell that it had not been read.
Idle ones are closed for both directions again; only the end of an answer is half-closed.
- Half a next request cut the answer before it, though it was being read: the refusal follows that answer now.
- The line of a cut answer named the request before a refusal, and was missing while the next request was under way.
- Head, body and end of a whole answer went out in separate turns; the transport may now hold a piece of 64 KB.

--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -31,7 +31,7 @@
         self._on_progress = on_progress
         self._waiting = bytearray()
         self._handed = 0
-        self._closing = False
+        self._finishing = False
         transport.registerProducer(self, False)
 
     @property
@@ -42,19 +42,25 @@
     def write(self, data: bytes) -> None:
         """Send bytes after all that were written before."""
         self._waiting += data
-        if not self._handed:
+        if self._handed < PIECE_BYTES:
             self._hand_over()
 
-    def close(self) -> None:
+    def finish(self) -> None:
         """Close our side when everything has left; the other end closes its own.
 
         Failure: bytes that came after a connection was closed for both directions, such
         as a request sent ahead, made the kernel reset it and drop what it still held.
         """
-        self._closing = True
+        self._finishing = True
         if not self.unsent:
             self._half_close()
 
+    def close(self) -> None:
+        """Close both sides at once."""
+        # A transport with a producer waits for more instead of closing.
+        self._transport.unregisterProducer()
+        self._transport.loseConnection()
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Go on: the transport has sent what it had. It also asks at the start."""
         if not self._handed:
@@ -64,19 +70,19 @@
         self._on_progress()
         if self._waiting:
             self._hand_over()
-        elif self._closing:
+        elif self._finishing:
             self._half_close()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the connection's protocol is told that it was lost."""
 
     def _hand_over(self) -> None:
-        piece = bytes(self._waiting[:PIECE_BYTES])
-        del self._waiting[:PIECE_BYTES]
-        self._handed = len(piece)
+        size = PIECE_BYTES - self._handed
+        piece = bytes(self._waiting[:size])
+        del self._waiting[:size]
+        self._handed += len(piece)
         self._transport.write(piece)
 
     def _half_close(self) -> None:
-        # A transport with a producer waits for more instead of closing.
         self._transport.unregisterProducer()
         self._transport.loseWriteConnection()
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -117,6 +117,8 @@
         self._timer: Any = None
         self._close_after = False
         self._closing = False
+        self._to_read = False
+        """Bytes came beside the last request that were not looked at yet."""
         self._output: Output | None = None
         self._answered_id = ""
         """Request whose answer was written last."""
@@ -146,9 +148,10 @@
         self.service.connections.discard(self)
         self._stop_timer()
         responder, self._responder = self._responder, None
-        if responder is None:
+        if responder is None or not responder.started:
             self._log_cut(reason)
-        elif not responder.ended:
+
+        if responder is not None and not responder.ended:
             responder.ended = True
             responder.on_lost()
 
@@ -185,20 +188,21 @@
     @property
     def idle(self) -> bool:
         """Whether no request has begun to come, and no answer is under way."""
-        if self._responder is not None or self._request is not None:
-            return False
-
-        return not self._h11.trailing_data[0]
+        nothing_read = self._responder is None and self._request is None
+        return nothing_read and not self._to_read
 
     @property
     def settled(self) -> bool:
-        """Whether nobody is owed anything: no answer, and no byte of one."""
+        """Whether nobody is owed anything: no answer, and no byte of one.
+
+        The kernel may hold the end of an answer until the connection is lost.
+        """
         return not self.unsent and (self.idle or self._closing)
 
     def close_if_idle(self) -> None:
         """Close a connection on which no request is under way."""
         if self.idle:
-            self._lose()
+            self._close()
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -230,12 +234,13 @@
         self._size = 0
         reusable = self._h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if self._close_after or not reusable:
-            self._lose()
+            self._finish()
             return
 
         self._h11.start_next_cycle()
         self._wait(self.service.limits().idle_timeout)
         # Not by recursion: a caller may have sent hundreds of requests ahead.
+        self._to_read = bool(self._h11.trailing_data[0])
         self.service.reactor.callLater(0, self._read)
 
     def _write(self, event: Any) -> None:
@@ -247,6 +252,7 @@
             self._output.write(data)
 
     def _read(self) -> None:
+        self._to_read = False
         if self._responder is not None or not self._is_open():
             return
 
@@ -307,11 +313,12 @@
     def _refuse(self, status: int) -> None:
         """Answer what can't be read, and close."""
         self._close_after = True
+        self._answered_id = ""
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.send_head(status, [(b"Content-Length", b"0")])
             self._write(h11.EndOfMessage())
 
-        self._lose()
+        self._finish()
 
     def _wait(self, seconds: float) -> None:
         self._stop_timer()
@@ -325,16 +332,28 @@
 
     def _expire(self) -> None:
         """End a connection whose next request, or whose reader, does not come."""
-        if self.unsent:
+        if self._request is not None and not self._closing:
+            self._refuse(408)
+        elif self.unsent:
             self.abort()
         elif self._closing:
             cast("ITCPTransport", self.transport).loseConnection()
-        elif self._request is not None:
-            self._refuse(408)
         else:
-            self._lose()
+            self._close()
+
+    def _close(self) -> None:
+        """Close a connection on which nothing is under way.
+
+        A request that crosses the close is not read: the kernel resets the connection,
+        which tells the caller that it may send it again.
+        """
+        if self.unsent:
+            self._finish()
+        elif self._output is not None and not self._closing:
+            self._closing = True
+            self._output.close()
 
-    def _lose(self) -> None:
+    def _finish(self) -> None:
         """Close when what was written has left, and the caller has closed too.
 
         A caller that takes for too long to read or to close is left.
@@ -344,7 +363,7 @@
 
         self._closing = True
         self._wait(self.service.limits().idle_timeout)
-        self._output.close()
+        self._output.finish()
 
 
 def measure_head(request: h11.Request) -> int:
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -155,6 +155,29 @@
         self.assertTrue(stop.ended)
 
 
+class StrayBytesTest(unittest.TestCase):
+    """Bytes on a kept connection that are no whole request.
+
+    Nothing was asked by them, yet a stop waited for the rest up to its limit.
+    """
+
+    def test_they_hold_no_stop_up(self) -> None:
+        for data in (b"", b"\r", b"G", b"GET /x HTTP/1.1\r\nHo"):
+            with self.subTest(data=data):
+                gateway = make_gateway("u1", kind=RouteKind.ONCE)
+                stop = Stop(gateway)
+                caller = gateway.ask()
+                upstream = gateway.upstreams[-1]
+                upstream.accept()
+                upstream.answer(WHOLE)
+                if data:
+                    caller.send(data)
+
+                stop.begin()
+                stop.wait(BALANCER_SECONDS + 2 * LOOK_SECONDS)
+                self.assertTrue(stop.ended)
+
+
 class LimitTest(unittest.TestCase):
     """Requests that are still under way when a stopping process has to end.
 
--- a/tests/adapters/http/test_output.py
+++ b/tests/adapters/http/test_output.py
@@ -63,7 +63,7 @@
                 self.setUp()
                 self.transport.held = held
                 self.output.write(b"a" * (PIECE_BYTES + 1))
-                self.output.close()
+                self.output.finish()
                 self.assertIs(self.protocol.lost, not held)
                 self.transport.release()
                 self.assertTrue(self.protocol.lost)
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -197,6 +197,23 @@
 class CutAnswerTest(unittest.TestCase):
     """Answers that were given whole and did not leave whole."""
 
+    def test_only_the_answer_that_was_cut_is_named(self) -> None:
+        for name, data, requests in (
+            ("a refusal", b"no request\r\n\r\n", [""]),
+            ("the next under way", make_request("/b/"), ["q1"]),
+        ):
+            with self.subTest(name):
+                server = Server(answer=False)
+                server.send(make_request())
+                server.transport.held = requests == ["q1"]
+                server.responders[0].request_id = "q1"
+                server.responders[0].send(200, [])
+                server.transport.held = True
+                server.send(data)
+                found = note_lines(server.transport.abortConnection)
+                named = [record["extra"]["request"] for record in found]
+                self.assertEqual(named, requests)
+
     def test_the_log_names_them(self) -> None:
         """A caller with half an answer.
 
@@ -247,6 +264,26 @@
                 self.assertFalse(server.transport.connected)
                 self.assertFalse(server.transport.aborted)
 
+    def test_half_a_next_request_cuts_nothing(self) -> None:
+        """The head of a next request came while a long answer was read.
+
+        Its body did not come in time, and the connection was reset in the middle of the
+        answer before. The refusal follows that answer instead.
+        """
+        server = Server(answer=False)
+        server.send(make_request())
+        server.transport.held = True
+        body = b"x" * (4 * PIECE_BYTES)
+        server.responders[0].send(200, [], body)
+        server.send(make_request("/b/", b"hello")[:-5])
+        while server.connection.unsent:
+            server.clock.advance(LIMITS.header_timeout)
+            self.assertTrue(server.transport.connected)
+            server.transport.flush()
+
+        self.assertIn(body, server.received)
+        self.assertIn(b"HTTP/1.1 408", server.received)
+
     def test_a_caller_that_reads_nothing_is_left(self) -> None:
         for name, headers in (("closed", ("Connection: close",)), ("kept", ())):
             with self.subTest(name):
@@ -290,6 +327,25 @@
                 self.assertFalse(server.transport.aborted)
                 self.assertEqual(server.service.connections, set())
 
+    def test_an_idle_connection_is_closed_for_both_directions(self) -> None:
+        """A request that crosses the close of an idle connection.
+
+        Were it still read and dropped, its caller could not tell that it was not: the
+        kernel's reset says so, and an order can be sent again.
+        """
+        for how in ("a stop", "its time"):
+            with self.subTest(how):
+                server = Server()
+                server.transport.stays = True
+                server.send(make_request())
+                if how == "a stop":
+                    close_idle(server.service)
+                else:
+                    server.clock.advance(LIMITS.idle_timeout + 0.1)
+
+                self.assertFalse(server.transport.connected)
+                self.assertFalse(server.transport.half_closed)
+
     def test_a_request_sent_ahead_is_answered_or_not_run(self) -> None:
         """Idle connections are closed between two requests that came in one piece.
 
