Write the log's last lines before a process ends

Lines that waited for a lagging reader went with the process: of 401 lines, read after its end, 155 came, without the one of its stop. The stop's lines tell what became of the last requests. A process now waits up to 0.2 s for its reader. The new test's first case needs the function that did not exist; the review's run of a process showed the loss before.

--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -8,8 +8,11 @@
 
 import json
 import os
+import select
 import sys
+import time
 from collections import deque
+from typing import TYPE_CHECKING
 from typing import Any
 
 from loguru import logger
@@ -18,12 +21,18 @@
 from .measures import LINES_DROPPED
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 MAX_PENDING = 512
 """Lines kept for a reader that lags; about 128 KB."""
 RATE = 200
 """Lines a second above which routine ones are dropped. A line takes 320 bytes and 72
 us of processor time (20,000 lines to a pipe, one run): 64 KB and 14 ms a second.
 """
+LAST_SECONDS = 0.2
+"""For the last lines of a process that ends, whose reader lags."""
 ROUTINE = frozenset({"gateway: Placed", "gateway: Larger model"})
 """Events of requests that go well; the line of a request's end tells the rest."""
 
@@ -85,8 +94,25 @@
                 return
 
 
-def open_log(node: str) -> None:
-    """Send all log lines of this process to standard output as JSON."""
+def finish_output(output: Output, clock: Callable[[], float], limit: float) -> None:
+    """Wait up to ``limit`` on the clock for a reader that lags, as the process ends.
+
+    Failure: lines that waited for the reader were lost with the process. They are those
+    of its stop, which tell what became of the last requests.
+    """
+    poll = select.poll()
+    poll.register(output.descriptor, select.POLLOUT)
+    output.drain()
+    while output.pending and clock() < limit:
+        poll.poll(max(limit - clock(), 0.0) * 1000)
+        output.drain()
+
+
+def open_log(node: str) -> Callable[[], None]:
+    """Send all log lines of this process to standard output as JSON.
+
+    The result is called last, and writes the lines that still wait.
+    """
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
     output = Output(descriptor)
@@ -116,6 +142,11 @@
     logger.add(sink, level="INFO", format="{message}", catch=False)
     twisted_log.startLoggingWithObserver(take_twisted_event, setStdout=False)
 
+    def finish() -> None:
+        finish_output(output, time.monotonic, time.monotonic() + LAST_SECONDS)
+
+    return finish
+
 
 def take_twisted_event(event: dict[str, Any]) -> None:
     """Log an error that no code of ours caught, with its traceback on one line."""
--- a/tests/adapters/test_events.py
+++ b/tests/adapters/test_events.py
@@ -6,11 +6,13 @@
 import os
 import subprocess
 import sys
+import threading
 import unittest
 from pathlib import Path
 
 from waxwingwell.adapters.events import RATE
 from waxwingwell.adapters.events import Output
+from waxwingwell.adapters.events import finish_output
 
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -43,6 +45,12 @@
     return text.decode().splitlines(), b"lines" in errors
 
 
+def read_all(descriptor: int, found: list[bytes]) -> None:
+    """Read to the end of a pipe."""
+    while data := os.read(descriptor, 65_536):
+        found.append(data)
+
+
 class LogTest(unittest.TestCase):
     """What a process writes on standard output."""
 
@@ -64,6 +72,38 @@
         _, ended = run_program(3_000, "gateway: Request ended", read=False)
         self.assertTrue(ended)
 
+    def test_the_last_lines_reach_a_reader_that_lags(self) -> None:
+        """A process that ends while its lines wait.
+
+        The pipe was full, and the lines of its stop went with the process. So it waits
+        for the reader, though not for one that never reads.
+        """
+        for reads in (True, False):
+            with self.subTest(reads=reads):
+                reading, writing = os.pipe()
+                os.set_blocking(writing, False)
+                output = Output(writing)
+                written = 0
+                while len(output.pending) < 3:
+                    output.write(b"x" * 999 + b"\n")
+                    written += 1
+
+                times = iter(range(100))
+                found: list[bytes] = []
+                reader = threading.Thread(target=read_all, args=(reading, found))
+                if reads:
+                    reader.start()
+
+                finish_output(output, lambda: next(times), 90 if reads else 1)  # noqa: B023
+                self.assertIs(bool(output.pending), not reads)
+                os.close(writing)
+                if not reads:
+                    reader.start()
+
+                reader.join()
+                os.close(reading)
+                self.assertEqual(b"".join(found).count(b"\n") == written, reads)
+
     def test_routine_lines_are_bounded(self) -> None:
         for event, lines, written in (
             ("gateway: Placed", RATE - 1, RATE - 1),
