--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -46,8 +46,10 @@
         str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT)
     )
     result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
-    bad = [case.id() for case, _ in result.failures + result.errors]
-    bad += [case.id() for case in result.unexpectedSuccesses]
+    cases = [case for case, _ in result.failures + result.errors]
+    cases += result.unexpectedSuccesses
+    # Each failed part of a table is a case of its own, of one test.
+    bad = {getattr(case, "test_case", case).id() for case in cases}
     new = [name for name in bad if not any(name.startswith(red) for red in known)]
     faulthandler.cancel_dump_traceback_later()
     passed = result.testsRun - len(bad) - len(result.skipped)
