--- a/tests/adapters/test_events.py
+++ b/tests/adapters/test_events.py
@@ -90,7 +90,9 @@
 
                 times = iter(range(100))
                 found: list[bytes] = []
-                reader = threading.Thread(target=read_all, args=(reading, found))
+                reader = threading.Thread(
+                    target=read_all, args=(reading, found), daemon=True
+                )
                 if reads:
                     reader.start()
 
