Don't take a caller that reads a long answer for an idle one

Cause: an entry's connection counted as silent from the end of its request, though its answer was still in the write buffer; it was closed after idle_timeout (30 s) and reset 15 s later, in the middle of the answer of a caller that read steadily. Ruled out: streams (their requests have not ended while their callers are behind). Change: silence counts once all has left; a caller that takes nothing for idle_timeout is ended by the kernel (TCP_USER_TIMEOUT).

--- a/src/waxwingwell/adapters/connections.py
+++ b/src/waxwingwell/adapters/connections.py
@@ -71,8 +71,8 @@
     return connect
 
 
-def limit_silence(transport: Any) -> None:
-    """Let the kernel end a connection whose bytes nobody acknowledges."""
+def limit_silence(transport: Any, milliseconds: int = UNACKNOWLEDGED_MS) -> None:
+    """Let the kernel end a connection whose bytes nobody acknowledges or takes."""
     transport.getHandle().setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
     )
--- a/tests/adapters/entry/test_sites.py
+++ b/tests/adapters/entry/test_sites.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import socket
+import unittest
 from typing import TYPE_CHECKING
 from typing import Any
+from unittest import mock
 
 from klein import Klein
 from twisted.internet import reactor as default_reactor
@@ -12,8 +15,13 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
+from twisted.internet.task import Clock
 
+from tests.adapters.transports import BUFFER_SIZE
+from tests.adapters.transports import BufferedTransport
+from tests.adapters.transports import Handle
 from tests.standins.support import AsyncTestCase
+from waxwingwell.adapters.counting import CountingSite
 from waxwingwell.adapters.counting import close_connections
 from waxwingwell.adapters.entry.sites import make_site
 
@@ -26,6 +34,8 @@
 ADDRESS = "127.0.0.1"
 LARGE = 24 << 20
 """Bytes; more than the buffers of both kernels hold."""
+IDLE = 30.0
+"""Seconds of silence."""
 CLOSE_LIMIT = 5.0
 """Seconds after which a connection counts as never closed; no pass mark."""
 
@@ -81,3 +91,46 @@
         received = await caller.ended.addTimeout(CLOSE_LIMIT, reactor)
         self.assertGreater(received, LARGE)
         self.assertEqual(site.transports, set())
+
+
+class SilenceTest(unittest.TestCase):
+    """When a connection counts as idle."""
+
+    def test_a_caller_that_takes_a_long_answer_for_long(self) -> None:
+        """A caller reads a long answer slowly, and sends nothing meanwhile.
+
+        The request has ended long ago. Were the connection taken for an idle one, the
+        answer would end in the middle. Once the answer has left, silence counts.
+        """
+        clock = Clock()
+        app = Klein()
+        app.route("/")(lambda request: b"x" * 8 * BUFFER_SIZE)
+        site = CountingSite(app.resource(), reactor=clock, timeout=IDLE)
+        channel: Any = site.buildProtocol(None)
+        transport = BufferedTransport(channel)
+        channel.makeConnection(transport)
+        channel.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(10):
+            del transport.buffer[: BUFFER_SIZE // 2]
+            clock.advance(IDLE)
+
+        self.assertTrue(transport.connected)
+        transport.drain()
+        clock.advance(IDLE)
+        transport.drain()
+        self.assertFalse(transport.connected)
+        self.assertFalse(transport.aborted)
+
+    def test_a_caller_that_takes_nothing_is_left_to_the_kernel(self) -> None:
+        """A caller stops reading for good: its answer must not be held for ever."""
+        options: list[tuple[int, int, int]] = []
+        site = CountingSite(Klein().resource(), reactor=Clock(), timeout=IDLE)
+        channel: Any = site.buildProtocol(None)
+        transport = BufferedTransport(channel)
+        with mock.patch.object(
+            Handle, "setsockopt", lambda _, *option: options.append(option)
+        ):
+            channel.makeConnection(transport)
+
+        wanted = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(IDLE * 1000))
+        self.assertEqual(options, [wanted])
--- a/tests/adapters/transports.py
+++ b/tests/adapters/transports.py
@@ -7,13 +7,23 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
+from twisted.internet.interfaces import IPushProducer
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 
 BUFFER_SIZE = 1 << 16
 """Unsent bytes above which a producer is paused, as on a real connection."""
 
 
+class Handle:
+    """Stands for a socket."""
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Accept an option."""
+
+
+@implementer(IPushProducer)
 class BufferedTransport:
     """One end of a connection between processes, with a buffer of unsent bytes.
 
@@ -38,6 +48,10 @@
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Accept the option."""
 
+    def getHandle(self) -> Handle:  # noqa: N802
+        """Return what stands for the socket."""
+        return Handle()
+
     def getPeer(self) -> IPv4Address:  # noqa: N802
         """Return some address."""
         return IPv4Address("TCP", "127.0.0.1", 1)
@@ -52,6 +66,9 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Do nothing: the tests hand over what is read."""
 
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the tests hand over what is read."""
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         """Remember whom to pause, or to ask for more."""
         self._producer = producer
