Read what crosses the end of a registry's stop, and end in any case

Cause: the stop closed idle connections in the turn in which it closed the ports; a caller that had connected a moment before got a closed connection for its request. It ended without waiting for callers to close, so that the kernel could reset the end of an answer. A fault in a step of the stop would have kept the process from ending by itself. Before: the two new tests failed (no answer; never ended).

--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from ...state.group import leader_of
 from ...state.group import leads
 from ...state.group import transfer_leadership
@@ -56,12 +59,23 @@
             return
 
         # The first one asked may have stopped answering at this very moment.
-        begin_handover(context)
+        take_step(partial(begin_handover, context))
         context.reactor.callLater(LOOK_SECONDS, wait)
 
     wait()
 
 
+def take_step(step: Callable[[], None]) -> None:
+    """Do a part of the stop; a fault is logged, and the stop goes on.
+
+    Failure: the process would never end by itself, and be killed amid its answers.
+    """
+    try:
+        step()
+    except Exception as error:  # any fault of one step
+        logger.opt(exception=error).error("registry: Step of the stop failed")
+
+
 def list_successors(context: RegistryContext) -> list[str]:
     """Return the other voters, as far as this process leads them."""
     group = context.group
@@ -103,12 +117,14 @@
 ) -> None:
     """Close each connection when what was sent on it has left; cut at ``deadline``.
 
+    Callers that have their answers and don't close hold it up for a moment only.
+
     Duties go on: a leader that nobody follows any more must learn it and refuse the
     orders that wait.
     """
     context = daemon.context
     # A vote for our successor must leave before its link takes no more.
-    run_flush(context)
+    take_step(partial(run_flush, context))
     for port in daemon.ports:
         # Else gateways whose links we close would come back at once.
         port.stopListening()
@@ -116,17 +132,27 @@
     if context.node is not None:
         finish_links(context.node, context.controls.values())
 
+    limit = min(context.clock() + CLOSE_SECONDS, deadline)
+
     def wait() -> None:
-        close_idle(daemon.service)
-        closed = is_settled(daemon.service) and not list_connections(context)
-        if closed or context.clock() >= deadline:
-            finish_stop(daemon)
-            done()
+        now = context.clock()
+        links = list_connections(context)
+        closed = not daemon.service.connections and not links
+        settled = is_settled(daemon.service) and not links
+        if closed or (settled and now >= limit) or now >= deadline:
+            try:
+                finish_stop(daemon)
+            finally:
+                done()
+
             return
 
+        close_idle(daemon.service)
         context.reactor.callLater(LOOK_SECONDS, wait)
 
-    wait()
+    # A caller that connected just before the ports closed sends its request now: for a
+    # moment it is read and answered, where a close would leave it without an answer.
+    context.reactor.callLater(LOOK_SECONDS, wait)
 
 
 def finish_stop(daemon: RegistryDaemon) -> None:
--- a/tests/adapters/registry/test_stop.py
+++ b/tests/adapters/registry/test_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import contextmanager
 from functools import partial
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
@@ -42,6 +43,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from waxwingwell.messages import Message
 
 
@@ -149,6 +152,30 @@
             self.daemon, lambda: self.ended.append(self.clock.seconds())
         )
 
+    def lead(self) -> dict[str, Any]:
+        """Lead a group of two others; return what is known of each."""
+        names = ("127.0.0.2~1", "127.0.0.3~1")
+        known: dict[str, Any] = {
+            name: SimpleNamespace(acknowledged_at=0.0) for name in names
+        }
+        replica = SimpleNamespace(
+            progress=known, membership=SimpleNamespace(voters=names)
+        )
+        store = SimpleNamespace(close=lambda: None)
+        self.context.group = cast("Any", SimpleNamespace(replica=replica, store=store))
+        return known
+
+    @contextmanager
+    def patch_group(self) -> Iterator[mock.Mock]:
+        """Let this process lead for good; yield what asks others to."""
+        with (
+            mock.patch.object(stopping, "leader_of", lambda _: "127.0.0.1"),
+            mock.patch.object(stopping, "leads", lambda *_: True),
+            mock.patch.object(stopping, "run_flush"),
+            mock.patch.object(stopping, "transfer_leadership") as transfer,
+        ):
+            yield transfer
+
     def run(self, seconds: float, *, drain: tuple[BufferedTransport, ...] = ()) -> None:
         """Let time pass; the bytes on ``drain`` leave meanwhile."""
         for _ in range(round(seconds / 0.05)):
@@ -237,6 +264,16 @@
         self.assertTrue(stage.port.closed)
         self.assertEqual(len(stage.ended), 1)
 
+    def test_a_request_that_crosses_the_stop(self) -> None:
+        """A caller has connected just before; its request comes a moment later."""
+        stage = Stage()
+        caller = stage.open_caller()
+        stage.stop()
+        caller.protocol.dataReceived(LEAVE)
+        stage.run(0.5, drain=(caller, *stage.links))
+        self.assertIn(b"HTTP/1.1 200", caller.sent)
+        self.assertEqual(len(stage.ended), 1)
+
     def test_nothing_under_way(self) -> None:
         stage = Stage()
         idle = stage.open_caller()
@@ -252,22 +289,11 @@
         until the others have missed this one.
         """
         stage = Stage()
-        names = ("127.0.0.2~1", "127.0.0.3~1")
-        known = {name: SimpleNamespace(acknowledged_at=0.0) for name in names}
-        replica = SimpleNamespace(
-            progress=known, membership=SimpleNamespace(voters=names)
-        )
-        store = SimpleNamespace(close=lambda: None)
-        stage.context.group = cast("Any", SimpleNamespace(replica=replica, store=store))
-        with (
-            mock.patch.object(stopping, "leader_of", lambda _: "127.0.0.1"),
-            mock.patch.object(stopping, "leads", lambda *_: True),
-            mock.patch.object(stopping, "run_flush"),
-            mock.patch.object(stopping, "transfer_leadership") as transfer,
-        ):
+        known = stage.lead()
+        with stage.patch_group() as transfer:
             stage.stop()
             stage.run(0.5, drain=tuple(stage.links))
-            known[names[1]].acknowledged_at = 0.4
+            known["127.0.0.3~1"].acknowledged_at = 0.4
             stage.run(2.0, drain=tuple(stage.links))
 
         asked = [call.args[1] for call in transfer.call_args_list]
@@ -276,6 +302,16 @@
         self.assertEqual(len(stage.ended), 1)
         self.assertGreaterEqual(stage.ended[0], stopping.HANDOVER_SECONDS)
 
+    def test_a_fault_does_not_keep_the_process_from_ending(self) -> None:
+        stage = Stage()
+        stage.lead()
+        with stage.patch_group() as transfer:
+            transfer.side_effect = RuntimeError("a fault")
+            stage.stop()
+            stage.run(3.0, drain=tuple(stage.links))
+
+        self.assertEqual(len(stage.ended), 1)
+
     def test_answers_that_never_leave_are_counted(self) -> None:
         """Callers that read nothing: the process must end before it is killed.
 
