Log an answer over a link that can't be sent

Since the end of a link waits for answers, an error in sending one was dropped without a line, and the other end waited until its time was over.

--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -334,7 +334,7 @@
             self._end_if_settled()
 
         self._answering += 1
-        answer.addCallbacks(send_reply, report).addBoth(settle)
+        answer.addCallback(send_reply).addErrback(report).addBoth(settle)
 
     def _take_reply(self, reply: Reply) -> None:
         waiting = self._pending.pop(reply.number, None)
--- a/tests/adapters/test_link_ends.py
+++ b/tests/adapters/test_link_ends.py
@@ -4,7 +4,9 @@
 
 import unittest
 from typing import Any
+from typing import cast
 
+from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -163,3 +165,17 @@
         results = self.ask(self.near)
         self.near.protocol.abort()
         self.assertIsInstance(results[0], LinkLostError)
+
+    def test_an_answer_that_can_not_be_sent_leaves_a_line(self) -> None:
+        """An answer that has no form on the wire, by an error of ours.
+
+        Its caller waits until its time is over, and only a line tells why.
+        """
+        self.ask(self.near)
+        self.carry()
+        found: list[str] = []
+        sink = logger.add(found.append, level="ERROR", format="{message}")
+        self.far.calls[0].callback(cast("Any", object()))
+        logger.remove(sink)
+        self.assertEqual(len(found), 1)
+        self.assertIn("A call failed", found[0])
