--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -113,15 +113,14 @@
 
 
 def run_tick(context: GatewayContext) -> None:
-    """Do what is due a few times a second."""
+    """Do what is due a few times a second; what fails is logged, the rest goes on."""
     now = context.clock()
-    try:
-        for exchange in list(context.exchanges):
-            exchange.check_silence(now)
-
-        report_use(context)
-    except Exception as error:  # the loop must not end
-        logger.opt(exception=error).error("gateway: Tick failed")
+    checks = [partial(one.check_silence, now) for one in context.exchanges]
+    for duty in (*checks, partial(report_use, context)):
+        try:
+            duty()
+        except Exception as error:  # the loop must not end
+            logger.opt(exception=error).error("gateway: Duty failed")
 
 
 def read_limits(context: GatewayContext) -> HttpLimits:
