--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -80,8 +80,10 @@
 
     def look() -> None:
         close_idle(daemon.service)
+        close_idle(daemon.health)
         now = context.clock()
-        if daemon.service.connections and now < limit:
+        waiting = daemon.service.connections or daemon.health.connections
+        if waiting and now < limit:
             context.reactor.callLater(min(LOOK_SECONDS, limit - now), look)
             return
 
