--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -83,10 +83,10 @@
 class LastBytesTest(unittest.TestCase):
     """Answers that the upstream has ended and the caller has not got whole.
 
-    A stream ended in the middle as its gateway stopped. The gateway waited for requests,
-    which end when their last bytes are handed to the transport: those leave in the
-    reactor's next turn or later, and are dropped when it stops. Evidence: in 8 of 8 such
-    streams the log said "answered" and, 0.2 to 0.4 ms later, that the gateway had stopped.
+    A stream ended in the middle as its gateway stopped. That waited for requests, which
+    end when their last bytes are handed to the transport: they leave in the reactor's
+    next turn or later, and are dropped when it stops. Evidence: for 8 of 8 such streams
+    the log said "answered" and, 0.2 to 0.4 ms later, that the gateway had stopped.
     """
 
     def test_the_gateway_ends_after_the_last_byte_has_left(self) -> None:
