--- a/tests/adapters/registry/test_stop.py
+++ b/tests/adapters/registry/test_stop.py
@@ -305,11 +305,15 @@
     def test_a_fault_does_not_keep_the_process_from_ending(self) -> None:
         stage = Stage()
         stage.lead()
-        with stage.patch_group() as transfer:
+        with (
+            stage.patch_group() as transfer,
+            mock.patch.object(stopping, "logger") as log,
+        ):
             transfer.side_effect = RuntimeError("a fault")
             stage.stop()
             stage.run(3.0, drain=tuple(stage.links))
 
+        log.opt.return_value.error.assert_called()
         self.assertEqual(len(stage.ended), 1)
 
     def test_answers_that_never_leave_are_counted(self) -> None:
