--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -255,6 +255,12 @@
     for line in found:
         print(f"  BROKEN {line}", flush=True)
 
+    for fault in journal.faults if found else ():
+        since = fault.began_at - journal.faults[0].began_at
+        lasted = fault.ended_at - fault.began_at
+        target = f"{fault.name} {fault.target}"
+        print(f"  at {since:.3f} s: {target} for {lasted:.3f} s", flush=True)
+
 
 if __name__ == "__main__":
     fire.Fire(soak)
