--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -9,13 +9,11 @@
 
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_pause
-from ...routing.health import note_unreachable
 from ...routing.load import count_gateways
 from ...routing.records import RouteKind
 from ...routing.retries import FAILURE_PART
 from ...routing.retries import may_repeat
 from ...routing.retries import note_repeat
-from ...routing.silence import silence_limit
 from ..events import log_event
 from ..http.records import HeaderList
 from ..http.records import strip_hop_headers
@@ -38,6 +36,8 @@
 from .events import Pauses
 from .sending import log_placed
 from .sending import open_call
+from .watch import check_silence
+from .watch import limit_silence
 
 
 if TYPE_CHECKING:
@@ -51,11 +51,6 @@
 
 MAX_TRIES = 6
 """Sends of one request, those included that an upstream refused to run."""
-SILENT_OBJECTIVES = 1.5
-"""Objectives after which an answer that may be asked for again is asked of another
-upstream: it is late by then, and nineteen of twenty calls take a third of that."""
-SILENT_PART = 0.4
-"""Of the whole time, whichever is shorter: the second try has the longer part."""
 RETURN_SECONDS = 0.2
 """After which upstreams that a begun answer has met are asked again: time for a full
 one to end a call, and a tenth of what callers wait for the next event."""
@@ -146,12 +141,8 @@
         """Tell whether an upstream is expected to answer before the caller leaves."""
         return can_be_served(choice.placement.wait / 1000, self.deadline - now)
 
-    def _can_move(self, now: float) -> bool:
-        """Tell whether another upstream would take the request over now.
-
-        Failure: a silent upstream was given up, and then there was no other to go on.
-        Its answer may have been on its way.
-        """
+    def can_move(self, now: float) -> bool:
+        """Tell whether another upstream would take the request over now."""
         if self.tries >= MAX_TRIES or not self.may_run_again():
             return False
 
@@ -208,52 +199,11 @@
         attempt.learns = idle and self.route.kind is RouteKind.STREAM
         log_placed(self, attempt, now)
         attempt.call = open_call(self, attempt, now)
-        self._limit_silence(attempt, self.deadline - now)
-
-    def _limit_silence(self, attempt: Attempt, remaining: float) -> None:
-        """Ask another upstream if this one stays silent and a second may be asked.
-
-        Failure: an upstream went dark; it takes requests and answers nothing.
-        """
-        if self.route.kind is not RouteKind.IDEMPOTENT or not self.may_run_again():
-            return
-
-        total = self.deadline - self.began_at
-        limit = min(SILENT_OBJECTIVES * self.route.objective, SILENT_PART * total)
-        if limit < remaining:
-            attempt.timer = self.context.reactor.callLater(
-                limit, self._abandon, attempt
-            )
-
-    def _abandon(self, attempt: Attempt) -> None:
-        if attempt.over or attempt.first_at is not None:
-            return
-
-        if not self._can_move(self.context.clock()):
-            return
-
-        attempt.cancel()
-        self._finish_attempt(attempt, Fate.BROKEN, "silent")
+        limit_silence(self, attempt, self.deadline - now)
 
     def check_silence(self, now: float) -> None:
         """Ask another upstream if this one seems to have gone dark."""
-        attempt = self.attempt
-        if attempt is None or attempt.over or self.route.kind is not RouteKind.STREAM:
-            return
-
-        sign = self.context.signs.get(attempt.upstream, 0.0)
-        silent = now - max(attempt.began_at, attempt.last_at, sign)
-        expected = attempt.choice.placement.wait / 1000
-        started = attempt.first_at is not None
-        if silent <= silence_limit(started=started, expected=expected):
-            return
-
-        if not self._can_move(now):
-            return
-
-        note_unreachable(self.context.health, attempt.upstream, now)
-        attempt.cancel()
-        self._finish_attempt(attempt, Fate.BROKEN, f"silent for {silent:.1f} s")
+        check_silence(self, now)
 
     def end_now(self, reason: str, now: float) -> None:
         """Give the final answer at once."""
@@ -335,15 +285,15 @@
 
         if attempt.facts is None:
             fate = Fate.BROKEN if sent else Fate.UNREACHED
-            self._finish_attempt(attempt, fate, "no answer")
+            self.finish_attempt(attempt, fate, "no answer")
         elif attempt.facts.not_run:
-            self._finish_attempt(attempt, Fate.NOT_RUN, f"refused {attempt.status}")
+            self.finish_attempt(attempt, Fate.NOT_RUN, f"refused {attempt.status}")
         elif not whole or not is_sound(attempt, self.facts.request_id):
-            self._finish_attempt(attempt, Fate.BROKEN, "answer not whole")
+            self.finish_attempt(attempt, Fate.BROKEN, "answer not whole")
         elif attempt.status >= 500 or not self._is_passable(attempt):
-            self._finish_attempt(attempt, Fate.FAILED, f"status {attempt.status}")
+            self.finish_attempt(attempt, Fate.FAILED, f"status {attempt.status}")
         else:
-            self._finish_attempt(attempt, Fate.DONE, "")
+            self.finish_attempt(attempt, Fate.DONE, "")
 
     def _is_passable(self, attempt: Attempt) -> bool:
         """Tell whether the caller can still get this answer.
@@ -355,7 +305,7 @@
 
     # --- what follows ---------------------------------------------------------
 
-    def _finish_attempt(self, attempt: Attempt, fate: Fate, reason: str) -> None:
+    def finish_attempt(self, attempt: Attempt, fate: Fate, reason: str) -> None:
         """Count how a send ended, then answer, send again or give up."""
         release(self.context, attempt)
         now = self.context.clock()
