Tell news again to those whose link was full

An upstream's leave was acknowledged, and a gateway that read slowly at that moment went on sending requests to it: the link was full and the news dropped. Nothing told it again until the upstream's heartbeats were missed.

Cause: a message on a full link is dropped, and news is told once. Ruled out: links that are lost (whoever connects gets all news). Change: whom news did not reach gets all of it as soon as its link takes it; the same between controls, also when our own link was down.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -40,6 +40,8 @@
 
     index: int = -1
     version: int = -1
+    news: bool = True
+    """All news was sent; false if some found the link full."""
 
 
 @dataclass(slots=True)
@@ -68,6 +70,8 @@
     """Our links to the other controls, by name."""
     peers: dict[LinkProtocol, Sent] = field(default_factory=dict)
     """Connections of gateways, and what each has been sent."""
+    behind: set[str] = field(default_factory=set)
+    """Controls whose link was full, or down, when there was news."""
     fleet: FleetTable = field(default_factory=FleetTable)
     heard: dict[str, tuple[int, int]] = field(default_factory=dict)
     """Upstreams heard of directly since the last round of heartbeats."""
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -33,6 +33,7 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import close_link
+from ..links import is_link_up
 from ..links import open_link
 from ..measures import LINKS
 from .context import Reported
@@ -211,12 +212,38 @@
         incarnation=news.incarnation,
         sequence=news.sequence,
     )
-    body = ShareNews(news=(news,))
-    for protocol in list(context.peers):
-        protocol.cast(body)
+    send_news(context, ShareNews(news=(news,)))
 
-    for link in context.controls.values():
-        cast_link(link, body)
+
+def send_news(context: RegistryContext, body: ShareNews) -> None:
+    """Send news to everyone, and note whom it did not reach."""
+    for protocol, sent in context.peers.items():
+        sent.news = protocol.cast(body) and sent.news
+
+    for name, link in context.controls.items():
+        if not cast_link(link, body):
+            context.behind.add(name)
+
+
+def repeat_news(context: RegistryContext) -> None:
+    """Send all news to those whom some did not reach.
+
+    Failure: an upstream's leave was acknowledged while the link to a gateway was full,
+    and was dropped. The gateway went on sending requests to it.
+    """
+    gateways = [protocol for protocol, sent in context.peers.items() if not sent.news]
+    context.behind &= context.controls.keys()
+    controls = [one for one in context.behind if is_link_up(context.controls[one])]
+    if not gateways and not controls:
+        return
+
+    body = ShareNews(news=list_news(context))
+    for protocol in gateways:
+        context.peers[protocol].news = protocol.cast(body)
+
+    for name in controls:
+        if cast_link(context.controls[name], body):
+            context.behind.discard(name)
 
 
 def take_call(context: RegistryContext, sender: str, body: Any) -> Deferred[Message]:
@@ -265,6 +292,7 @@
 def run_sharing(context: RegistryContext, now: float) -> None:
     """Do what is due of the periodic sharing."""
     share_routing(context, now)
+    repeat_news(context)
     if is_due(context, "reports", REPORT_SECONDS, now):
         share_reports(context, now)
 
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -18,14 +18,18 @@
 
 @dataclass(eq=False, slots=True)
 class Connection:
-    """A link's connection that keeps what is sent on it."""
+    """A link's connection that keeps what is sent on it, unless it is full."""
 
     remote: str
+    full: bool = False
     sent: list[Any] = field(default_factory=list)
     closed: Deferred[None] = field(default_factory=Deferred)
 
     def cast(self, body: Any) -> bool:
         """Keep a message."""
+        if self.full:
+            return False
+
         self.sent.append(body)
         return True
 
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -12,6 +12,7 @@
 from waxwingwell.adapters.registry import hub
 from waxwingwell.adapters.registry.api import announce
 from waxwingwell.adapters.registry.api import withdraw
+from waxwingwell.adapters.registry.hub import run_sharing
 from waxwingwell.adapters.registry.hub import share_heartbeats
 from waxwingwell.adapters.registry.hub import sum_reports
 from waxwingwell.adapters.registry.hub import take_cast
@@ -90,6 +91,34 @@
         share_heartbeats(registry.context)
         self.assertEqual(gateway.sent[-1], ShareHeartbeats(heard=(("u1", 1, 2),)))
 
+    def test_news_that_found_a_link_full_is_told_again(self) -> None:
+        """An upstream leaves while a gateway reads slowly.
+
+        The leave was acknowledged, and the news of it dropped, as the link was full.
+        The gateway sent requests to the upstream until its heartbeats were missed.
+        """
+        for remote in ("gateway-1", "127.0.0.2"):
+            with self.subTest(remote=remote):
+                registry = make_registry()
+                announce(registry.context, make_news("u1"))
+                connection = registry.accept(remote)
+                take_greeting(registry.context, connection)
+                link: Any = SimpleNamespace(protocol=connection, stopped=False)
+                if remote == "127.0.0.2":
+                    registry.context.controls = {remote: link}
+
+                connection.sent.clear()
+                connection.full = True
+                withdraw(registry.context, "u1", None)
+                run_sharing(registry.context, registry.clock.seconds())
+                self.assertEqual(find_news(connection.sent), [])
+                connection.full = False
+                run_sharing(registry.context, registry.clock.seconds())
+                run_sharing(registry.context, registry.clock.seconds())
+                self.assertEqual(find_news(connection.sent), ["u1"])
+                [shared] = [one for one in connection.sent if type(one) is ShareNews]
+                self.assertIs(shared.news[0].state, UpstreamState.GONE)
+
     def test_a_leave_of_an_unknown_upstream(self) -> None:
         """A leave arrives at a control that has just restarted.
 
