Close a gateway's ports before its process ends

A caller whose connection came in the last 20 to 70 ms of a stopping gateway had it reset, and could not tell whether its order had been read.

Cause: the ports were told to close in the turn in which the reactor was stopped, which closes nothing any more; the kernel went on taking connections. Ruled out: connections that the gateway knew of (closed, or waited for). Change: the process ends after its ports have closed; callers are refused at once and go elsewhere.

--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from loguru import logger
+from twisted.internet.defer import DeferredList
+from twisted.internet.defer import maybeDeferred
 
 from ..events import log_event
 from ..http.server import close_idle
@@ -71,14 +73,16 @@
 
     Failure: the process ended while the kernel still held the end of an answer, and a
     request that its caller had sent ahead made the kernel reset the connection.
+
+    Failure: it ended in the turn in which its ports were to close. The kernel took
+    connections until the process was gone and reset them, so that their callers could
+    not tell whether an order had been read. A closed port refuses them.
     """
     context = daemon.context
-    for port in daemon.ports:
-        port.stopListening()
-
+    closing = [maybeDeferred(port.stopListening) for port in daemon.ports]
     end_requests(context, context.clock())
 
-    def look() -> None:
+    def look(_: object = None) -> None:
         close_idle(daemon.service)
         close_idle(daemon.health)
         now = context.clock()
@@ -92,7 +96,7 @@
         finally:
             done()
 
-    look()
+    DeferredList(closing).addCallback(look)
 
 
 def end_requests(context: GatewayContext, now: float) -> None:
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from waxwingwell.adapters.gateway.daemon import GatewayDaemon
@@ -62,13 +63,16 @@
 
 
 class Port:
-    """A listening port, which notes that it was closed."""
+    """A listening port, which closes when the test says so."""
 
-    closed = False
+    def __init__(self) -> None:
+        self.closing: Deferred[None] = Deferred()
+        self.told = False
 
-    def stopListening(self) -> None:  # noqa: N802
-        """Note it."""
-        self.closed = True
+    def stopListening(self) -> Deferred[None]:  # noqa: N802
+        """Begin to close."""
+        self.told = True
+        return self.closing
 
 
 def ask_and_hold(gateway: Gateway) -> tuple[Caller, Any]:
@@ -234,13 +238,29 @@
         gateway.ask().transport.stays = True
         stop.begin()
         stop.wait(gateway.context.settings.grace - STOP_MARGIN - LOOK_SECONDS)
-        self.assertFalse(port.closed)
+        self.assertFalse(port.told)
         late = gateway.open_caller()
         stop.wait(2 * LOOK_SECONDS)
         self.assertFalse(stop.ended)
-        self.assertTrue(port.closed)
+        port.closing.callback(None)
         self.assertFalse(late.transport.connected)
 
+    def test_the_ports_are_closed_first(self) -> None:
+        """A caller that connects as the process ends.
+
+        The kernel took its connection for a port that was still to be closed, and reset
+        it. Refused by a closed port, it would know that its order was not read.
+        """
+        gateway = make_gateway()
+        stop = Stop(gateway)
+        port = Port()
+        stop.daemon.ports.append(port)
+        stop.begin()
+        stop.wait(BALANCER_SECONDS + 2 * LOOK_SECONDS)
+        self.assertFalse(stop.ended)
+        port.closing.callback(None)
+        self.assertTrue(stop.ended)
+
     def test_a_stream_looks_broken(self) -> None:
         gateway = make_gateway("u1")
         stop = Stop(gateway)
