Leave callers that have just connected a moment, as connections are closed in a stop

Change: a new connection has 0.3 s for its first bytes; what comes once the ports are closed is refused as not run, and the refusal leaves.

--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -69,7 +69,7 @@
 def close_gateway(
     daemon: GatewayDaemon, limit: float, done: Callable[[], None]
 ) -> None:
-    """Take nothing more, and wait up to ``limit`` until callers have read and closed.
+    """Begin nothing more, and wait up to ``limit`` until callers have read and closed.
 
     Failure: the process ended while the kernel still held the end of an answer, and a
     request that its caller had sent ahead made the kernel reset the connection.
@@ -79,6 +79,7 @@
     not tell whether an order had been read. A closed port refuses them.
     """
     context = daemon.context
+    context.exit_at = context.clock()
     closing = [maybeDeferred(port.stopListening) for port in daemon.ports]
     end_requests(context, context.clock())
 
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -41,6 +41,8 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+FRESH_SECONDS = 0.3
+"""How long a new connection may wait for its first bytes: some ways, or one lost."""
 
 
 @dataclass(slots=True)
@@ -122,6 +124,9 @@
         self._output: Output | None = None
         self._answered_id = ""
         """Request whose answer was written last."""
+        self._made_at = service.reactor.seconds()
+        self._fresh = True
+        """Nothing has come yet."""
 
     def _new_h11(self) -> h11.Connection:
         limit = self.service.limits().header_bytes
@@ -139,6 +144,7 @@
         if self._closing:
             return
 
+        self._fresh = False
         self._h11.receive_data(data)
         if self._responder is None:
             self._read()
@@ -199,9 +205,14 @@
         """
         return not self.unsent and (self.idle or self._closing)
 
-    def close_if_idle(self) -> None:
-        """Close a connection on which no request is under way."""
-        if self.idle:
+    def close_if_idle(self, now: float) -> None:
+        """Close a connection on which no request is under way.
+
+        Failure: callers that had just connected met a closed connection, though their
+        requests were on their way. So they get a moment to send one.
+        """
+        awaited = self._fresh and now - self._made_at < FRESH_SECONDS
+        if self.idle and not awaited:
             self._close()
 
     def abort(self) -> None:
@@ -405,5 +416,6 @@
 
 def close_idle(service: HttpService) -> None:
     """Close the connections on which nothing is under way."""
+    now = service.reactor.seconds()
     for connection in list(service.connections):
-        connection.close_if_idle()
+        connection.close_if_idle(now)
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
+from tests.adapters.http.test_server import make_request
 from waxwingwell.adapters.gateway.daemon import GatewayDaemon
 from waxwingwell.adapters.gateway.stopping import BALANCER_SECONDS
 from waxwingwell.adapters.gateway.stopping import CLOSE_SECONDS
@@ -229,7 +230,8 @@
     def test_nothing_is_begun_at_the_limit(self) -> None:
         """Requests that came in the last look of a stop.
 
-        They were refused, and the process ended before the refusals had left.
+        They were refused, and the process ended before the refusals had left. A caller
+        that has connected hears that it may go elsewhere.
         """
         gateway = make_gateway("u1", kind=RouteKind.ONCE)
         stop = Stop(gateway)
@@ -243,7 +245,11 @@
         stop.wait(2 * LOOK_SECONDS)
         self.assertFalse(stop.ended)
         port.closing.callback(None)
-        self.assertFalse(late.transport.connected)
+        late.send(make_request("/chat/x", b"hi", "X-Key: k1"))
+        self.assertEqual(late.status, 503)
+        self.assertIn(b"Retry-After", late.received)
+        self.assertEqual(len(gateway.upstreams), 1)
+        self.assertFalse(stop.ended)
 
     def test_the_ports_are_closed_first(self) -> None:
         """A caller that connects as the process ends.
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -13,6 +13,7 @@
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.records import strip_hop_headers
+from waxwingwell.adapters.http.server import FRESH_SECONDS
 from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.adapters.http.server import Responder
@@ -193,6 +194,23 @@
                 close_idle(server.service)
                 self.assertIs(server.transport.connected, not answer)
 
+    def test_a_caller_that_has_just_connected_is_waited_for(self) -> None:
+        """A connection made a moment before idle ones are closed.
+
+        Its caller's request was on its way, and met a closed connection.
+        """
+        server = Server()
+        server.service.stopping = True
+        close_idle(server.service)
+        self.assertTrue(server.transport.connected)
+        server.send(make_request())
+        self.assertIn(b"HTTP/1.1 200", server.received)
+        self.assertFalse(server.transport.connected)
+        silent = Server()
+        silent.clock.advance(FRESH_SECONDS)
+        close_idle(silent.service)
+        self.assertFalse(silent.transport.connected)
+
 
 class CutAnswerTest(unittest.TestCase):
     """Answers that were given whole and did not leave whole."""
