Measure a gateway's whole path against the bare hop, and its log

What was measured until now was the entry's path; the gateway's was not, nor what its log takes. `python -m bench.gateway_path` starts the soak's registries and one gateway, upstreams and load in processes of their own, and drives the bare hop and the gateway in turn: whole answers of 500 bytes and streams of 12 events, with a few callers and at a fixed rate. The load can be offered at a rate, and counts a late request from when it was due. For the log the gateway is started with its lines as they are, to nowhere, not made, or timed; the product has no switch for it. With `profile` it prints where the gateway's time goes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "control_plane",
     "decisions",
     "gateway",
+    "gateway_path",
     "path",
     "state",
     "versions",
--- a/bench/bare_hop.py
+++ b/bench/bare_hop.py
@@ -1,6 +1,7 @@
 """The baseline: a bare klein and treq hop, with no work of ours in it.
 
-``python -m bench.bare_hop PORT UPSTREAM_PORT`` serves until it is told to stop.
+``python -m bench.bare_hop PORT UPSTREAM_PORT [PATH]`` serves until it is told to stop;
+the path is the upstream's, in place of the chats'.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 
 
 reactor: Any = installed
+CHATS = "/v1/chat/completions"
 
 
 class PassingProtocol(Protocol):
@@ -37,15 +39,15 @@
         self.ended.callback(None)
 
 
-def make_app(upstream_port: int) -> Klein:
+def make_app(upstream_port: int, path: str = CHATS) -> Klein:
     """Return an application that passes every chat on."""
     app = Klein()
     pool = HTTPConnectionPool(reactor)
     pool.maxPersistentPerHost = 256
     agent = Agent(reactor, pool=pool)
-    url = f"http://127.0.0.1:{upstream_port}/v1/chat/completions"
+    url = f"http://127.0.0.1:{upstream_port}{path}"
 
-    @app.route("/v1/chat/completions", methods=["POST"])
+    @app.route(CHATS, methods=["POST"])
     async def pass_on(request: Any) -> None:
         response: Any = await treq.post(
             url, data=request.content.read(), agent=agent, unbuffered=True
@@ -61,7 +63,7 @@
 def main() -> None:
     """Serve until told to stop."""
     port, upstream_port = (int(value) for value in sys.argv[1:3])
-    site: Any = Site(make_app(upstream_port).resource())
+    site: Any = Site(make_app(upstream_port, *sys.argv[3:4]).resource())
     site.log = lambda request: None
     reactor.listenTCP(port, site, interface="127.0.0.1")
     reactor.run()
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""A closed-loop load of chats over kept-alive connections.
+"""A load of chats over kept-alive connections, closed-loop or at a fixed rate.
 
 ``python -m bench.load PORT CONNECTIONS SECONDS STREAM`` prints one JSON line. Bounded
 by its seconds and to loopback. Sockets without HTTP libraries, so that the
@@ -12,11 +12,17 @@
 import socket
 import sys
 import time
+from collections import deque
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 KEY = "caller-of-the-launcher"
 END = b"data: [DONE]\n\n"
 CHUNKED_END = b"0\r\n\r\n"
@@ -43,6 +49,9 @@
     connections: int
     seconds: float
     stream: bool
+    host: str = "127.0.0.1"
+    rate: float = 0.0
+    """Requests offered in a second; 0: as soon as the answer before is whole."""
 
 
 def make_request(load: Load) -> bytes:
@@ -62,23 +71,36 @@
     )
 
 
-def run_load(load: Load) -> dict[str, float]:
-    """Drive the load and return requests/s, latencies (ms) and events/s."""
-    request = make_request(load)
+def run_load(
+    load: Load, make: Callable[[int], bytes] | None = None
+) -> dict[str, float]:
+    """Drive the load and return requests/s, latencies (ms) and events/s.
+
+    ``make`` returns the bytes of each request by its number.
+    """
+    chat = make_request(load)
+    make = make or (lambda _: chat)
     chooser = selectors.DefaultSelector()
+    idle: deque[Caller] = deque()
     for _ in range(load.connections):
-        sock = socket.create_connection(("127.0.0.1", load.port), timeout=10)
+        sock = socket.create_connection((load.host, load.port), timeout=10)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = Caller(sock)
         chooser.register(sock, selectors.EVENT_READ, caller)
-        send(caller, request)
+        idle.append(caller)
 
     whole = HdrHistogram(1, 60_000_000, 3)
     first = HdrHistogram(1, 60_000_000, 3)
-    done = events = errors = 0
-    began = time.monotonic()
-    while time.monotonic() < began + WARM_UP + load.seconds:
-        for key, _ in chooser.select(timeout=1):
+    done = events = errors = sent = answered = 0
+    began = due = now = time.monotonic()
+    while now < began + WARM_UP + load.seconds:
+        while idle and due <= now:
+            sent += 1
+            # A late request counts from when it was due: waiting is latency too.
+            send(idle.popleft(), make(sent), due if load.rate else now)
+            due += 1 / load.rate if load.rate else 0.0
+
+        for key, _ in chooser.select(max(due - now, 0.0) if idle else 1.0):
             caller = key.data
             data = caller.sock.recv(262_144)
             now = time.monotonic()
@@ -90,6 +112,7 @@
             if not is_whole(caller):
                 continue
 
+            answered += 1
             if now > began + WARM_UP:
                 done += 1
                 errors += not caller.data.startswith(b"HTTP/1.1 200")
@@ -97,9 +120,12 @@
                 whole.record_value(int((now - caller.began) * 1e6))
                 first.record_value(int((caller.first - caller.began) * 1e6))
 
-            send(caller, request)
+            idle.append(caller)
+
+        now = time.monotonic()
 
     return {
+        "requests": answered,
         "requests_per_s": done / load.seconds,
         "events_per_s": events / load.seconds,
         "errors": errors,
@@ -110,9 +136,9 @@
     }
 
 
-def send(caller: Caller, request: bytes) -> None:
+def send(caller: Caller, request: bytes, began: float) -> None:
     """Send one more request."""
-    caller.began = time.monotonic()
+    caller.began = began
     caller.first = 0.0
     caller.data = bytearray()
     caller.length = -1
--- a/bench/path.py
+++ b/bench/path.py
@@ -45,6 +45,8 @@
     """What one load over one server gave."""
 
     name: str
+    requests: int
+    """Answered ones, those of the warm-up too."""
     requests_per_s: float
     events_per_s: float
     errors: float
@@ -65,7 +67,10 @@
     @property
     def cpu_us_per_event(self) -> float:
         """Microseconds of the server's processor time for one event."""
-        return self.cpu_share * 1e6 / max(self.events_per_s, 1e-9)
+        if not self.events_per_s:
+            return 0.0
+
+        return self.cpu_share * 1e6 / self.events_per_s
 
 
 def start_servers(deployment: Deployment, interval: float, events: int) -> None:
@@ -170,7 +175,8 @@
         lines.append(
             f"  {item.name:8} {item.requests_per_s:8.0f} req/s "
             f"{item.events_per_s:8.0f} events/s  p50 {item.p50_ms:7.1f}  "
-            f"p99 {item.p99_ms:7.1f}  first p50 {item.first_p50_ms:6.1f} ms  "
+            f"p99 {item.p99_ms:7.1f}  first p50 {item.first_p50_ms:6.1f}  "
+            f"p99 {item.first_p99_ms:6.1f} ms  "
             f"core {item.cpu_share:4.2f}  {item.cpu_us_per_request:6.0f} us/req  "
             f"{item.cpu_us_per_event:5.1f} us/event  {item.rss_mb:5.0f} MB  "
             f"errors {item.errors:.0f}"
@@ -183,6 +189,7 @@
         f"requests/s {_mean_ratio(ours, hops, 'requests_per_s'):.2f}, "
         f"p99 {_mean_ratio(ours, hops, 'p99_ms'):.2f}, "
         f"first event {_mean_ratio(ours, hops, 'first_p50_ms'):.2f}, "
+        f"its p99 {_mean_ratio(ours, hops, 'first_p99_ms'):.2f}, "
         f"us/event {_mean_ratio(ours, hops, 'cpu_us_per_event'):.2f}"
     )
     return "\n".join(lines)
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -17,6 +17,7 @@
 
 
 ROOT = Path(__file__).resolve().parents[2]
+START = ROOT / "platform" / "start.py"
 PORT_TRIES = 100
 TERM_SECONDS = 12.0
 """A planned stop takes 8 s at most; beyond this the process counts as hung."""
@@ -114,13 +115,16 @@
     return True
 
 
-def start_member(member: Member) -> None:
-    """Start a process with its settings of now; its output goes to its log."""
+def start_member(member: Member, script: tuple[str, ...] = (str(START),)) -> None:
+    """Start a process with its settings of now; its output goes to its log.
+
+    The role is the last argument of the script.
+    """
     member.settings.write_text(wire.write_settings(member.record))
     paths = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform"), *sys.path])
     with member.log.open("ab") as log:
         member.process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "start.py"), member.role],
+            [sys.executable, *script, member.role],
             stdout=log,
             stderr=log,
             stdin=subprocess.DEVNULL,
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -61,6 +61,8 @@
     sequence: int = 0
     pace: float = EVENT_SECONDS
     """Seconds between two events of a stream."""
+    work: float = WORK_SECONDS
+    """Seconds on a small answer."""
     bad: float = 0.0
     """Share of answers that are lost or cut."""
     leaving: bool = False
@@ -188,7 +190,7 @@
     if run.path.startswith("/stream/"):
         return await answer_stream(upstream, sent, run, headers, writer)
 
-    work = WORK_SECONDS
+    work = upstream.work
     if is_big(run.path):
         work = BIG_WORK_SECONDS * upstream.chooser.random()
 
