--- a/tests/adapters/entry/test_sites.py
+++ b/tests/adapters/entry/test_sites.py
@@ -4,7 +4,6 @@
 
 import socket
 import unittest
-from typing import TYPE_CHECKING
 from typing import Any
 from unittest import mock
 
@@ -13,10 +12,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
-from twisted.internet.protocol import Protocol
-from twisted.internet.protocol import connectionDone
 from twisted.internet.task import Clock
 
+from tests.adapters.callers import LARGE
+from tests.adapters.callers import Caller
 from tests.adapters.transports import BUFFER_SIZE
 from tests.adapters.transports import BufferedTransport
 from tests.adapters.transports import Handle
@@ -26,42 +25,14 @@
 from waxwingwell.adapters.entry.sites import make_site
 
 
-if TYPE_CHECKING:
-    from twisted.python.failure import Failure
-
-
 reactor: Any = default_reactor
 ADDRESS = "127.0.0.1"
-LARGE = 24 << 20
-"""Bytes; more than the buffers of both kernels hold."""
 IDLE = 30.0
 """Seconds of silence."""
 CLOSE_LIMIT = 5.0
 """Seconds after which a connection counts as never closed; no pass mark."""
 
 
-class Caller(Protocol):
-    """Sends one request and reads only once it is told to."""
-
-    def __init__(self) -> None:
-        self.received = 0
-        self.ended: Deferred[int] = Deferred()
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Ask, and read nothing yet."""
-        transport: Any = self.transport
-        transport.pauseProducing()
-        transport.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Count what came."""
-        self.received += len(data)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell how much came."""
-        self.ended.callback(self.received)
-
-
 class CloseTest(AsyncTestCase):
     """A planned stop closes connections after their last byte."""
 
--- a/tests/adapters/registry/test_stop_sockets.py
+++ b/tests/adapters/registry/test_stop_sockets.py
@@ -13,9 +13,9 @@
 from twisted.internet.defer import succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
-from twisted.internet.protocol import Protocol
-from twisted.internet.protocol import connectionDone
 
+from tests.adapters.callers import LARGE
+from tests.adapters.callers import Caller
 from tests.standins.support import AsyncTestCase
 from waxwingwell.adapters.connections import make_tcp_connector
 from waxwingwell.adapters.links import ROUTING_TIMING
@@ -36,8 +36,6 @@
 
 
 if TYPE_CHECKING:
-    from twisted.python.failure import Failure
-
     from waxwingwell.adapters.http.records import HttpRequest
     from waxwingwell.adapters.http.server import Responder
     from waxwingwell.messages import Message
@@ -45,30 +43,6 @@
 
 reactor: Any = default_reactor
 ADDRESS = "127.0.0.1"
-LARGE = 24 << 20
-"""Bytes; more than the buffers of both kernels hold."""
-
-
-class Caller(Protocol):
-    """Sends one request and reads only once it is told to."""
-
-    def __init__(self) -> None:
-        self.received = 0
-        self.ended: Deferred[int] = Deferred()
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Ask, and read nothing yet."""
-        transport: Any = self.transport
-        transport.pauseProducing()
-        transport.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Count what came."""
-        self.received += len(data)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell how much came."""
-        self.ended.callback(self.received)
 
 
 class LagTest(AsyncTestCase):
