--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -307,9 +307,12 @@
     found: list[Any] = []
     sink = logger.add(lambda text: found.append(text.record))
     logger.enable("waxwingwell.adapters.events")
-    action()
-    logger.disable("waxwingwell.adapters.events")
-    logger.remove(sink)
+    try:
+        action()
+    finally:
+        logger.disable("waxwingwell.adapters.events")
+        logger.remove(sink)
+
     return found
 
 
