Guard steps that must not end their caller in one place

'Run it, log its error, go on' stood in four places: the duties of gateways and of registries, the end of a stop's requests, and the steps of a registry's stop. One function beside log_event serves all; messages and their origin stay. A registry's stop counts its unsettled answers by the function that the gateway's calls.

No change of behaviour. The test of a fault in a stop watches the logger where it is now; its assertions are the same.

--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -158,6 +158,17 @@
     logger.bind(traceback=text).error("unhandled error")
 
 
+def run_logged(step: Callable[[], object], failed: str) -> None:
+    """Run a step; an error of it is logged as ``failed``, and the caller goes on.
+
+    Failure: one step's error would end a loop, or a stop, that others depend on.
+    """
+    try:
+        step()
+    except Exception as error:  # any fault of the step
+        logger.opt(depth=1, exception=error).error(failed)
+
+
 def log_event(event: str, **fields: Any) -> None:
     """Write one line: what happened, with the inputs that decided it."""
     logger.bind(**fields).info(event)
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from loguru import logger
 from twisted.internet.task import LoopingCall
 
 from ...routing.messages import RoutingBody
 from ..clock import read_clock
 from ..events import log_event
+from ..events import run_logged
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -117,10 +117,7 @@
     now = context.clock()
     checks = [partial(one.check_silence, now) for one in context.exchanges]
     for duty in (*checks, partial(report_use, context)):
-        try:
-            duty()
-        except Exception as error:  # the loop must not end
-            logger.opt(exception=error).error("gateway: Duty failed")
+        run_logged(duty, "gateway: Duty failed")
 
 
 def read_limits(context: GatewayContext) -> HttpLimits:
--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
-from loguru import logger
 from twisted.internet.defer import DeferredList
 from twisted.internet.defer import maybeDeferred
 
 from ..events import log_event
+from ..events import run_logged
 from ..http.server import close_idle
 from ..http.server import count_unsettled
 from ..http.server import is_settled
@@ -107,10 +108,8 @@
     leave.
     """
     for exchange in list(context.exchanges):
-        try:
-            exchange.end_now("the process ends", now)
-        except Exception as error:  # the other callers must hear, and the stop go on
-            logger.opt(exception=error).error("gateway: Request not ended")
+        end = partial(exchange.end_now, "the process ends", now)
+        run_logged(end, "gateway: Request not ended")
 
 
 def finish_stop(daemon: GatewayDaemon) -> None:
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from loguru import logger
 from twisted.internet.task import LoopingCall
 
 from ..clock import read_clock
 from ..events import log_event
+from ..events import run_logged
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -117,7 +117,4 @@
     """
     now = context.clock()
     for duty in (tick_member, watch_rollouts, run_sharing):
-        try:
-            duty(context, now)
-        except Exception as error:  # any fault of one duty
-            logger.opt(exception=error).error("registry: Duty failed")
+        run_logged(partial(duty, context, now), "registry: Duty failed")
--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -5,13 +5,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from ...state.group import leader_of
 from ...state.group import leads
 from ...state.group import transfer_leadership
 from ..events import log_event
+from ..events import run_logged
 from ..http.server import close_idle
+from ..http.server import count_unsettled
 from ..http.server import is_settled
 from ..links import finish_links
 from ..links import list_protocols
@@ -34,6 +34,7 @@
 """Kept for closing connections at the end of the time to stop."""
 STOP_MARGIN = 0.6
 """Seconds before the process is killed at which it ends by itself."""
+STEP_FAILED = "registry: Step of the stop failed"
 
 
 def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
@@ -59,23 +60,12 @@
             return
 
         # The first one asked may have stopped answering at this very moment.
-        take_step(partial(begin_handover, context))
+        run_logged(partial(begin_handover, context), STEP_FAILED)
         context.reactor.callLater(LOOK_SECONDS, wait)
 
     wait()
 
 
-def take_step(step: Callable[[], None]) -> None:
-    """Do a part of the stop; a fault is logged, and the stop goes on.
-
-    Failure: the process would never end by itself, and be killed amid its answers.
-    """
-    try:
-        step()
-    except Exception as error:  # any fault of one step
-        logger.opt(exception=error).error("registry: Step of the stop failed")
-
-
 def list_successors(context: RegistryContext) -> list[str]:
     """Return the other voters, as far as this process leads them."""
     group = context.group
@@ -124,7 +114,7 @@
     """
     context = daemon.context
     # A vote for our successor must leave before its link takes no more.
-    take_step(partial(run_flush, context))
+    run_logged(partial(run_flush, context), STEP_FAILED)
     for port in daemon.ports:
         # Else gateways whose links we close would come back at once.
         port.stopListening()
@@ -161,7 +151,7 @@
     if daemon.loop.running:
         daemon.loop.stop()
 
-    answers = sum(not one.settled for one in daemon.service.connections)
+    answers = count_unsettled(daemon.service)
     calls = count_calls(context)
     links = list_connections(context)
     for protocol in links:
--- a/tests/adapters/registry/test_stop.py
+++ b/tests/adapters/registry/test_stop.py
@@ -18,6 +18,7 @@
 from tests.adapters.transports import carry
 from tests.adapters.transports import join
 from tests.routing.factories import make_news
+from waxwingwell.adapters import events
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.server import HttpConnection
@@ -307,7 +308,7 @@
         stage.lead()
         with (
             stage.patch_group() as transfer,
-            mock.patch.object(stopping, "logger") as log,
+            mock.patch.object(events, "logger") as log,
         ):
             transfer.side_effect = RuntimeError("a fault")
             stage.stop()
