Keep the version of sessions that other gateways run while a roll-out begins

Cause: in the first half of a roll-out a session under way keeps its version, but a gateway knew only the sessions that it had served itself. With 78 gateways nearly every session's next request reaches one that has not, and moves.

Ruled out: moving only requests without a session (all of them name one); a wait before the first share (sessions go on, however long it is).

Change: gateways report the places of sessions under way that keep a former version, and the place in the log that they hold; the sums carry both. Nothing moves before every gateway has told that it knows of the first share. A request counts as under way from its send to its end, so that a long stream's session does not lapse.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -12,14 +12,13 @@
 from ...routing.load import end_prefill
 from ...routing.load import end_use
 from ...routing.prefixes import note_parts
+from ...routing.sessions import end_session
 from ...routing.speeds import learn_speed
-from ...routing.versions import note_session
 from ..http.client import UpstreamCall
 from ..http.records import HeaderList
 from ..measures import ATTEMPTS
 from ..measures import FIRST_BYTE
 from .choice import Choice
-from .choice import session_of
 from .context import VersionTally
 from .dialect import AnswerFacts
 
@@ -133,6 +132,10 @@
 
     end_reading(context, attempt)
     end_use(context.load, attempt.upstream)
+    choice = attempt.choice
+    version = choice.placement.upstream.version
+    now = context.clock()
+    end_session(context.sessions, choice.service, choice.session, version, now)
 
 
 def count_fate(
@@ -162,9 +165,6 @@
     if not failed and attempt.first_at is not None:
         tally.seconds += attempt.first_at - attempt.began_at
 
-    session = session_of(facts)
-    service = attempt.choice.service
-    note_session(context.sessions, service, session, upstream.version, now)
     if not failed and facts.parts:
         model = attempt.choice.model or facts.model
         note_parts(context.prefixes, attempt.upstream, model, facts.parts, now)
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -17,6 +17,7 @@
 from ...routing.placement import place_request
 from ...routing.pools import list_pool
 from ...routing.rollouts import hash_share
+from ...routing.sessions import find_last
 from ...routing.speeds import guess_speed
 from ...routing.versions import list_allowed
 
@@ -41,6 +42,8 @@
     """Where a request goes."""
 
     service: str
+    session: str
+    """What requests of one session share."""
     model: str
     placement: Placement
     pressure: float
@@ -120,7 +123,7 @@
         return None
 
     pressure = placement.wait / 1000 / max(limit, 0.001)
-    return Choice(service, model, placement, pressure, len(pool))
+    return Choice(service, key, model, placement, pressure, len(pool))
 
 
 def session_of(facts: RequestFacts) -> str:
@@ -156,13 +159,17 @@
         oldest = min(serving, key=lambda one: one.incarnation)
         context.established[service] = oldest.version
 
+    rollout = context.rollouts.get(service)
+    sessions = context.sessions
     return list_allowed(
         serving,
-        context.rollouts.get(service),
+        rollout,
         established=context.established,
         session=session,
-        last=context.sessions.last.get((service, session)),
+        last=find_last(sessions, (service, session), now),
         session_life=context.settings.session_life,
         now=now,
         spent=spent,
+        kept=sessions.kept,
+        settled=rollout is not None and rollout.ordered_at in sessions.settled,
     )
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -18,8 +18,8 @@
 from ...routing.messages import UpstreamUse
 from ...routing.prefixes import PrefixTable
 from ...routing.retries import RetryTable
+from ...routing.sessions import SessionTable
 from ...routing.speeds import SpeedTable
-from ...routing.versions import SessionTable
 from ..links import Link
 from ..links import LinkNode
 from .dialect import Dialect
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -8,6 +8,7 @@
 from ...routing.load import begin_use
 from ...routing.load import note_work
 from ...routing.records import RouteKind
+from ...routing.sessions import begin_session
 from ..events import log_event
 from ..http.client import CallHandlers
 from ..http.client import UpstreamCall
@@ -55,6 +56,10 @@
     attempt.work = placement.work
     begin_use(exchange.context.load, attempt.upstream, attempt.work)
     note_work(exchange.context.load, attempt.work, now)
+    choice = attempt.choice
+    version = placement.upstream.version
+    sessions = exchange.context.sessions
+    begin_session(sessions, choice.service, choice.session, version, now)
     remaining = exchange.deadline - now
     dispatch = Dispatch(
         upstream=attempt.upstream,
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -26,6 +26,9 @@
 from ...routing.messages import ShareRouting
 from ...routing.messages import VersionEvidence
 from ...routing.records import Document
+from ...routing.sessions import list_kept
+from ...routing.sessions import note_moves
+from ...routing.sessions import take_kept
 from ..connections import make_tcp_connector
 from ..events import log_event
 from ..links import cast_link
@@ -69,6 +72,7 @@
             gateways=body.gateways,
             now=now,
         )
+        take_kept(context.sessions, body.kept, body.held)
 
 
 def take_routing(context: GatewayContext, body: ShareRouting) -> None:
@@ -98,6 +102,7 @@
 
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
+    note_moves(context.sessions, body.rollouts, body.index)
 
 
 def know_controls(context: GatewayContext, body: ShareMembers) -> None:
@@ -147,9 +152,16 @@
         )
         for (service, version), tally in context.tallies.items()
     )
-    work = read_work(context.load, context.clock())
+    now = context.clock()
+    work = read_work(context.load, now)
+    life = context.settings.session_life
     report = GatewayReport(
-        gateway=context.settings.node, use=use, evidence=evidence, work=work
+        gateway=context.settings.node,
+        use=use,
+        evidence=evidence,
+        work=work,
+        held=context.routing_index,
+        kept=list_kept(context.sessions, context.rollouts.values(), life, now),
     )
     if cast_link(link, report):
         context.reported = use
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -386,4 +386,6 @@
             for name, total in running.items()
         ),
         work=sum(report.work for report in reports),
+        held=min((report.held for report in reports), default=-1),
+        kept=tuple({place for report in reports for place in report.kept}),
     )
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -151,6 +151,10 @@
     evidence: tuple[VersionEvidence, ...]
     work: float = 0.0
     """Milliseconds of reading asked of engines in the last seconds."""
+    held: int = -1
+    """Place in the controls' log of the state that the gateway holds."""
+    kept: tuple[int, ...] = ()
+    """Places of sessions under way that keep a former version in a move."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -159,6 +163,9 @@
     gateways: int
     use: tuple[UpstreamUse, ...]
     work: float = 0.0
+    held: int = -1
+    """The oldest place in the controls' log among the gateways'."""
+    kept: tuple[int, ...] = ()
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -19,10 +19,13 @@
     from .messages import VersionEvidence
 
 
+MAX_PLACE = 0xFFFFFFFF
 FIRST_SHARE = 0.08
 """Share of sessions in the first half, about half of the exposure usually allowed."""
 SECOND_SHARE = 0.3
 """Share after the first half, while the version shows how it does under more load."""
+KEEPING_SHARE = 0.2
+"""Share from which on sessions under way move too: the second half of a move."""
 GROW_AT = 0.5
 """Part of the duration after which sessions may change their version."""
 FULL_AT = 0.6
@@ -64,7 +67,17 @@
 
 def hash_share(key: str) -> float:
     """Return a number from 0 to 1 on which all gateways agree for a session."""
-    return xxh32_intdigest(key.encode()) / 0xFFFFFFFF
+    return share_of(xxh32_intdigest(key.encode()))
+
+
+def hash_place(rollout: RolloutState, session: str) -> int:
+    """Return a session's place in a move, on which all gateways agree."""
+    return xxh32_intdigest(f"{rollout.ordered_at}/{session}".encode())
+
+
+def share_of(place: int) -> float:
+    """Return the share of sessions whose places come before ``place``."""
+    return place / MAX_PLACE
 
 
 def add_evidence(parts: Iterable[VersionEvidence | Evidence]) -> Evidence:
--- a/src/waxwingwell/routing/versions.py
+++ b/src/waxwingwell/routing/versions.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
-from .rollouts import hash_share
+from .rollouts import KEEPING_SHARE
+from .rollouts import hash_place
+from .rollouts import share_of
+from .sessions import is_early
 
 
 if TYPE_CHECKING:
@@ -23,29 +23,6 @@
     from .messages import RolloutState
 
 
-MAX_SESSIONS = 4_000
-
-
-@dataclass(slots=True)
-class SessionTable:
-    """The version that sessions ran on last at this gateway, and when."""
-
-    last: OrderedDict[tuple[str, str], tuple[str, float]] = field(
-        default_factory=OrderedDict
-    )
-
-
-def note_session(
-    table: SessionTable, service: str, session: str, version: str, now: float
-) -> None:
-    """Remember the version that a session ran on."""
-    key = (service, session)
-    table.last[key] = (version, now)
-    table.last.move_to_end(key)
-    while len(table.last) > MAX_SESSIONS:
-        table.last.popitem(last=False)
-
-
 def list_allowed(
     upstreams: Sequence[Announcement],
     rollout: RolloutState | None,
@@ -56,13 +33,17 @@
     session_life: float,
     now: float,
     spent: Collection[str] = (),
+    kept: Collection[int] = (),
+    settled: bool = True,
 ) -> list[Announcement]:
     """Return the upstreams whose version a session may use.
 
     Without a roll-out only the established version is used: upstreams of another one
     may announce themselves before the order that names it is known here. While a move
     is under way, a request that can't use the upstreams in ``spent`` any more keeps the
-    former version if they are all that the target has.
+    former version if they are all that the target has. ``kept`` are the places of
+    sessions that run on the former version at any gateway; unless ``settled``, these
+    are not all known yet.
     """
     if not upstreams:
         return []
@@ -83,7 +64,10 @@
     if all(one.upstream in spent for one in target):
         return former
 
-    if moves(rollout, session, last, session_life, now):
+    if is_early(rollout) and not settled:
+        return former
+
+    if moves(rollout, session, last, session_life, now, kept):
         return target
 
     return former
@@ -95,20 +79,24 @@
     last: tuple[str, float] | None,
     session_life: float,
     now: float,
+    kept: Collection[int],
 ) -> bool:
     """Tell whether a session uses the target of a move under way.
 
-    While the share is small, a session that ran on the former version keeps it.
+    While the share is small, a session that runs on the former version keeps it.
     """
-    if hash_share(f"{rollout.ordered_at}/{session}") >= rollout.share:
+    place = hash_place(rollout, session)
+    if share_of(place) >= rollout.share:
         return False
 
-    if rollout.share >= KEEPING_SHARE or last is None:
+    if rollout.share >= KEEPING_SHARE:
         return True
 
-    version, at = last
-    return version == rollout.target or now - at > session_life
+    if place in kept:
+        return False
 
+    if last is None:
+        return True
 
-KEEPING_SHARE = 0.2
-"""Share from which on sessions under way move too: the second half of a move."""
+    version, at = last
+    return version == rollout.target or now - at > session_life
--- a/tests/adapters/gateway/test_steering.py
+++ b/tests/adapters/gateway/test_steering.py
@@ -4,19 +4,28 @@
 
 import unittest
 import zlib
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
 
 from tests.routing.factories import make_document
 from tests.routing.factories import make_news
+from tests.routing.factories import make_rollout
 from waxwingwell.adapters.gateway.choice import list_candidates
+from waxwingwell.adapters.gateway.steering import report_use
 from waxwingwell.adapters.gateway.steering import take_cast
+from waxwingwell.adapters.gateway.steering import take_routing
+from waxwingwell.routing.fleet import take_news
 from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.messages import ShareHeartbeats
 from waxwingwell.routing.messages import ShareNews
 from waxwingwell.routing.messages import ShareRouting
 from waxwingwell.routing.messages import UpstreamUse
+from waxwingwell.routing.rollouts import FIRST_SHARE
+from waxwingwell.routing.rollouts import hash_place
+from waxwingwell.routing.rollouts import share_of
 
 from .support import make_gateway
 
@@ -116,3 +125,53 @@
         }
         self.assertEqual(found, {"u1": (3, 70.0), "u2": (1, 5.0)})
         self.assertEqual(context.load.gateways, 4)
+
+
+class MoveTest(unittest.TestCase):
+    """What gateways tell each other of the sessions in a move."""
+
+    def test_a_session_under_way_is_told_of_and_kept(self) -> None:
+        """Its next request reaches a gateway that has never served it."""
+        rollout = make_rollout(share=0.19)
+        first, other = make_gateway(), make_gateway("u1", "u2")
+        first.ask(X_Id=find_session(rollout))
+        sent: list[Any] = []
+        first.context.home = "c"
+        link = SimpleNamespace(
+            stopped=False, protocol=SimpleNamespace(cast=sent.append)
+        )
+        first.context.controls = {"c": link}
+        for gateway in (first, other):
+            take_routing(gateway.context, move(rollout))
+
+        report_use(first.context)
+        [report] = sent
+        self.assertEqual(report.held, 1)
+        total = FleetReport(gateways=2, use=(), held=report.held, kept=report.kept)
+        take_news(other.context.fleet, make_news("n1", version="v2"), 0.0)
+        take_cast(other.context, "control", total)
+        found = {
+            session: list_candidates(other.context, "chat", session, 0.1)[0].version
+            for session in list_sessions(rollout)
+        }
+        self.assertEqual(found.pop(find_session(rollout)), "v1")
+        self.assertEqual(set(found.values()), {"v2"})
+
+
+def move(rollout: RolloutState) -> ShareRouting:
+    """Return a state of the controls with a move."""
+    return ShareRouting(index=1, version=-1, document=b"", rollouts=(rollout,))
+
+
+def list_sessions(rollout: RolloutState) -> list[str]:
+    """Return sessions of a move's first share."""
+    return [
+        name
+        for name in map(str, range(400))
+        if share_of(hash_place(rollout, name)) < FIRST_SHARE
+    ]
+
+
+def find_session(rollout: RolloutState) -> str:
+    """Return a session of a move's first share."""
+    return list_sessions(rollout)[0]
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -190,3 +190,20 @@
                 use=(UpstreamUse(upstream="u1", running=4, backlog=20.0),),
             ),
         )
+
+    def test_what_gateways_know_of_a_move(self) -> None:
+        """A gateway acts on sessions of which not every gateway has told yet."""
+        for name, told, held, kept in (
+            ("none", (), -1, set()),
+            ("one lags", ((8, (1, 2)), (7, (2, 3))), 7, {1, 2, 3}),
+            ("one does not tell", ((8, (1,)), (-1, ())), -1, {1}),
+        ):
+            with self.subTest(name):
+                reports = [
+                    GatewayReport(
+                        gateway=str(place), use=(), evidence=(), held=at, kept=places
+                    )
+                    for place, (at, places) in enumerate(told)
+                ]
+                total = sum_reports(reports)
+                self.assertEqual((total.held, set(total.kept)), (held, kept))
--- /dev/null
+++ b/tests/routing/test_sessions.py
@@ -0,0 +1,203 @@
+"""Sessions keep their version while the first share of a move is under way."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import dataclass
+from dataclasses import field
+
+from waxwingwell.routing.messages import RolloutState
+from waxwingwell.routing.rollouts import FIRST_SHARE
+from waxwingwell.routing.rollouts import hash_place
+from waxwingwell.routing.rollouts import share_of
+from waxwingwell.routing.sessions import SessionTable
+from waxwingwell.routing.sessions import begin_session
+from waxwingwell.routing.sessions import end_session
+from waxwingwell.routing.sessions import find_last
+from waxwingwell.routing.sessions import list_kept
+from waxwingwell.routing.sessions import note_moves
+from waxwingwell.routing.sessions import take_kept
+from waxwingwell.routing.versions import list_allowed
+
+from .factories import make_news
+from .factories import make_rollout
+
+
+SESSION_LIFE = 5.0
+ORDER_INDEX = 7
+"""Place in the controls' log of the order, without a share."""
+SHARE_INDEX = 8
+"""Place of the first share."""
+BOTH = [make_news("a", version="v1"), make_news("b", version="v2")]
+
+
+@dataclass
+class Peer:
+    """One gateway: its table, and the place in the log that it has reached."""
+
+    sessions: SessionTable = field(default_factory=SessionTable)
+    rollout: RolloutState | None = None
+    held: int = -1
+
+    def hear(self, rollout: RolloutState, index: int) -> None:
+        """Take the state of the controls."""
+        self.rollout = rollout
+        self.held = index
+        note_moves(self.sessions, [rollout], index)
+
+    def choose(self, session: str, now: float) -> str:
+        """Return the version that a session would run on."""
+        rollout = self.rollout
+        allowed = list_allowed(
+            BOTH,
+            rollout,
+            established={"chat": "v1"},
+            session=session,
+            last=find_last(self.sessions, ("chat", session), now),
+            session_life=SESSION_LIFE,
+            now=now,
+            kept=self.sessions.kept,
+            settled=rollout is not None and rollout.ordered_at in self.sessions.settled,
+        )
+        return allowed[0].version
+
+    def run(self, session: str, now: float, *, ends: bool = True) -> str:
+        """Run a request of a session."""
+        version = self.choose(session, now)
+        begin_session(self.sessions, "chat", session, version, now)
+        if ends:
+            end_session(self.sessions, "chat", session, version, now)
+
+        return version
+
+
+def share_sums(peers: list[Peer], now: float) -> None:
+    """Let a control tell all gateways what they reported."""
+    rollouts = [[peer.rollout] if peer.rollout else [] for peer in peers]
+    kept = {
+        place
+        for peer, known in zip(peers, rollouts, strict=True)
+        for place in list_kept(peer.sessions, known, SESSION_LIFE, now)
+    }
+    held = min(peer.held for peer in peers)
+    for peer in peers:
+        take_kept(peer.sessions, kept, held)
+
+
+def find_session(rollout: RolloutState) -> str:
+    """Return a session of the first share."""
+    names = map(str, range(1_000))
+    return next(
+        name for name in names if share_of(hash_place(rollout, name)) < FIRST_SHARE
+    )
+
+
+class KeptSessionTest(unittest.TestCase):
+    """A session that changes gateways while the first share moves."""
+
+    def setUp(self) -> None:
+        self.ordered = make_rollout(share=0.0)
+        self.begun = make_rollout(share=FIRST_SHARE)
+        self.session = find_session(self.begun)
+        self.peers = [Peer() for _ in range(78)]
+        for peer in self.peers:
+            peer.hear(self.ordered, ORDER_INDEX)
+
+    def begin(self, *peers: Peer) -> None:
+        """Let gateways hear of the first share."""
+        for peer in peers or self.peers:
+            peer.hear(self.begun, SHARE_INDEX)
+
+    def test_a_session_under_way_elsewhere_keeps_its_version(self) -> None:
+        """A session meets a gateway that has not served it, and changes its version."""
+        for name, ends, asked_at, expected in (
+            ("just ended", True, 11.5, "v1"),
+            ("under way for longer than a session lives", False, 17.0, "v1"),
+            ("over", True, 17.0, "v2"),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.peers[0].run(self.session, 10.0, ends=ends)
+                self.begin()
+                share_sums(self.peers, asked_at)
+                self.assertEqual(self.peers[50].run(self.session, asked_at), expected)
+
+    def test_nothing_moves_before_every_gateway_has_told(self) -> None:
+        """One gateway learns of the share late, and lets sessions begin meanwhile."""
+        *early, late = self.peers
+        self.begin(*early)
+        share_sums(self.peers, 10.0)
+        self.assertEqual(early[0].choose(self.session, 10.1), "v1")
+        late.run(self.session, 10.2)
+        self.begin(late)
+        self.assertEqual(early[0].choose(self.session, 10.3), "v1")
+        share_sums(self.peers, 10.4)
+        self.assertEqual(early[0].choose(self.session, 10.5), "v1")
+
+    def test_without_sums_the_former_version_is_kept(self) -> None:
+        """The control that a gateway reports to is away as the move begins."""
+        self.begin()
+        self.assertEqual(self.peers[0].choose(self.session, 10.0), "v1")
+
+    def test_a_moved_session_stays_at_every_gateway(self) -> None:
+        self.begin()
+        share_sums(self.peers, 10.0)
+        for now, peer in enumerate(self.peers[:20], 11):
+            self.assertEqual(peer.run(self.session, now), "v2")
+            share_sums(self.peers, now)
+
+    def test_a_gateway_that_starts_in_the_middle_waits_for_the_sums(self) -> None:
+        """A gateway without memory meets a session that another runs."""
+        self.peers[0].run(self.session, 10.0)
+        self.begin()
+        share_sums(self.peers, 10.0)
+        fresh = Peer()
+        fresh.hear(self.begun, SHARE_INDEX)
+        self.assertEqual(fresh.choose(self.session, 10.2), "v1")
+        share_sums([*self.peers, fresh], 10.3)
+        self.assertEqual(fresh.choose(self.session, 10.4), "v1")
+
+    def test_few_of_many_sessions_change_their_version(self) -> None:
+        """Gateways hear of the move at different times, and of each other later."""
+        draw = random.Random(5)
+        heard_at = [10.0 + draw.random() * 0.5 for _ in self.peers]
+        last: dict[str, tuple[float, str]] = {}
+        changed = moved = 0
+        for step in range(1_500):
+            now = 9.0 + step / 100
+            for peer, at in zip(self.peers, heard_at, strict=True):
+                if peer.held < SHARE_INDEX and now >= at:
+                    self.begin(peer)
+
+            if step % 25 == 0:
+                share_sums(self.peers, now)
+
+            for _ in range(3):
+                session = str(draw.randrange(3_000))
+                version = draw.choice(self.peers).run(session, now)
+                moved += version == "v2"
+                at, former = last.get(session, (-100.0, ""))
+                changed += now - at <= SESSION_LIFE and version != former
+                last[session] = (now, version)
+
+        self.assertGreater(moved, 50)
+        self.assertLessEqual(changed, 3)
+
+    def test_only_early_moves_are_told_of(self) -> None:
+        peer = self.peers[0]
+        peer.run(self.session, 10.0)
+        place = hash_place(self.begun, self.session)
+        for name, rollout, expected in (
+            ("ordered", self.ordered, (place,)),
+            ("begun", self.begun, (place,)),
+            ("second half", make_rollout(share=0.3), ()),
+            ("completed", make_rollout(state="completed"), ()),
+        ):
+            with self.subTest(name):
+                found = list_kept(peer.sessions, [rollout], SESSION_LIFE, 11.0)
+                self.assertEqual(found, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
