Let requests wait for a gateway's first configuration

Cause: after all processes were killed, a gateway takes connections 0.2 to 0.8 s before the controls have elected a leader.

Ruled out: a longer Retry-After alone (callers of short requests may wait 0.5 s at most); faster elections (0.3 s of the wait is the promise to the former leader's lease).

It can be expected to be served, so this is no holding of what is lost.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...routing.lookup import find_route
@@ -16,6 +17,9 @@
 from .endings import RETRY_AFTER
 from .endings import retry_after
 from .exchange import Exchange
+from .waiting import Waiting
+from .waiting import find_wait
+from .waiting import keep_waiting
 
 
 if TYPE_CHECKING:
@@ -28,6 +32,7 @@
     from .dialect import RequestFacts
 
 
+NO_CONFIGURATION = "no configuration in force"
 STREAM_SECONDS = 4.5
 """How long a stream may take that a stopping gateway still begins: nineteen of twenty
 end sooner."""
@@ -38,13 +43,38 @@
 def take_request(
     context: GatewayContext, request: HttpRequest, responder: Responder
 ) -> None:
-    """Find out what is asked by whom, and begin to serve it."""
+    """Begin to serve a request, as soon as there is a configuration."""
     now = context.clock()
     facts = context.dialect.read_request(request.headers)
     responder.request_id = facts.request_id
+    if context.index is not None or context.stopping:
+        serve_request(context, request, facts, responder, now)
+        return
+
+    limit = find_wait(context.room, facts.budget)
+    if limit <= 0.0:
+        refuse(facts, responder, 503, NO_CONFIGURATION)
+        return
+
+    waiting = Waiting(
+        serve=partial(serve_request, context, request, facts, responder, now),
+        refuse=partial(refuse, facts, responder, 503, NO_CONFIGURATION),
+    )
+    keep_waiting(context.room, context.reactor, responder, waiting, limit)
+
+
+def serve_request(
+    context: GatewayContext,
+    request: HttpRequest,
+    facts: RequestFacts,
+    responder: Responder,
+    arrived_at: float,
+) -> None:
+    """Find out what is asked by whom, and begin to serve it."""
+    now = context.clock()
     index = context.index
     if index is None or is_shut(context, now):
-        refuse(facts, responder, 503, "no configuration in force")
+        refuse(facts, responder, 503, NO_CONFIGURATION)
         return
 
     host = read_host(request)
@@ -65,7 +95,7 @@
 
     service = choose_service(route, session_of(facts))
     note_request(context.retries, service, now, context.settings.retries)
-    Exchange(context, request, facts, route, workspace, responder, now).start()
+    Exchange(context, request, facts, route, workspace, responder, arrived_at).start()
 
 
 def is_shut(context: GatewayContext, now: float) -> bool:
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -24,6 +24,7 @@
 from ..links import LinkNode
 from .dialect import Dialect
 from .settings import GatewaySettings
+from .waiting import WaitingRoom
 
 
 @dataclass(slots=True)
@@ -80,6 +81,8 @@
     tallies: dict[tuple[str, str], VersionTally] = field(default_factory=dict)
     exchanges: set[Running] = field(default_factory=set)
     """Requests under way."""
+    room: WaitingRoom = field(default_factory=WaitingRoom)
+    """Requests that wait for the first configuration."""
     heard_at: float = 0.0
     """When any control was heard of last."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -35,6 +35,7 @@
 from ..links import close_link
 from ..links import is_link_up
 from ..links import open_link
+from .waiting import admit_all
 
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
     note_moves(context.sessions, body.rollouts, body.index)
+    admit_all(context.room)
 
 
 def know_controls(context: GatewayContext, body: ShareMembers) -> None:
--- /dev/null
+++ b/tests/adapters/gateway/test_waiting.py
@@ -0,0 +1,93 @@
+"""Requests that reach a gateway before its first configuration."""
+
+from __future__ import annotations
+
+import unittest
+import zlib
+from typing import Any
+
+import msgspec
+
+from tests.routing.factories import make_document
+from waxwingwell.adapters.gateway import waiting
+from waxwingwell.adapters.gateway.steering import take_cast
+from waxwingwell.routing.messages import ShareRouting
+
+from .support import Caller
+from .support import make_answer
+from .support import make_gateway
+
+
+class WaitingTest(unittest.TestCase):
+    """A gateway that has just started, as the controls elect a leader."""
+
+    def setUp(self) -> None:
+        self.gateway = make_gateway()
+        self.gateway.context.index = None
+
+    def configure(self) -> None:
+        """Let a control tell of its first document."""
+        encoded = msgspec.msgpack.encode(make_document(version=1))
+        body = ShareRouting(
+            index=1, version=1, document=zlib.compress(encoded), rollouts=()
+        )
+        take_cast(self.gateway.context, "control", body)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass."""
+        self.gateway.reactor.advance(seconds)
+
+    def test_requests_are_served_once_there_is_a_configuration(self) -> None:
+        """Callers are refused twice in the second before, and are lost."""
+        callers = [self.gateway.ask(X_Id="q1") for _ in range(3)]
+        self.pass_time(0.7)
+        self.assertEqual([caller.status for caller in callers], [0, 0, 0])
+        self.configure()
+        for upstream in self.gateway.upstreams:
+            upstream.accept()
+            upstream.answer(make_answer())
+
+        self.assertEqual([caller.status for caller in callers], [200, 200, 200])
+
+    def test_the_wait_counts_as_a_part_of_the_callers_time(self) -> None:
+        self.gateway.ask(X_Budget="6")
+        self.pass_time(1.5)
+        self.configure()
+        [exchange] = self.gateway.context.exchanges
+        self.assertEqual(exchange.deadline, 6.0)
+
+    def test_how_long_a_request_waits(self) -> None:
+        for name, budget, early, late in (
+            ("a caller with little time", "1.5", 0.45, 0.1),
+            ("a caller with much", "30", 1.9, 0.2),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                caller = self.gateway.ask(X_Budget=budget)
+                self.pass_time(early)
+                self.assertEqual(caller.status, 0)
+                self.pass_time(late)
+                self.assertEqual(caller.status, 503)
+                self.configure()
+                self.assertEqual(self.gateway.upstreams, [])
+
+    def test_few_wait_at_a_time(self) -> None:
+        callers = [self.gateway.ask() for _ in range(waiting.MAX_WAITING + 1)]
+        refused = [caller for caller in callers if caller.status == 503]
+        self.assertEqual(refused, callers[-1:])
+
+    def test_whoever_leaves_is_not_served(self) -> None:
+        caller: Caller = self.gateway.ask()
+        caller.leave()
+        self.configure()
+        self.pass_time(3.0)
+        self.assertEqual(self.gateway.upstreams, [])
+
+    def test_a_stopping_gateway_refuses_at_once(self) -> None:
+        context: Any = self.gateway.context
+        context.stopping = True
+        self.assertEqual(self.gateway.ask().status, 503)
+
+
+if __name__ == "__main__":
+    unittest.main()
