Ask a larger model where a better answer gains more than it costs

Cause: one bar of confidence stood for all requests and fell with pressure, which contains the request's own reading, and with usage, which counted the smallest model's reading and speeds guessed at other engines.

Change: gain (chance of a poor answer by its confidence, chance to begin in time) against price (cost in the document, tokens read and made) and crowding (square of the usage above a half), both as parts of the answer's worth, which grows with the tokens that its caller allows and with its size beside its route's usual one. Usage counts what larger models read; a model's first samples of speed count most, where one in twenty did.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -15,6 +15,7 @@
 from ...routing.placement import Placement
 from ...routing.placement import Surroundings
 from ...routing.placement import place_request
+from ...routing.pools import Pool
 from ...routing.pools import list_pool
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last
@@ -48,6 +49,7 @@
     placement: Placement
     pressure: float
     """Expected wait, as a share of the time in which the first event is due."""
+    pool: Pool
     engines: int
     """Upstreams that are kept for its model."""
 
@@ -101,9 +103,8 @@
     if not model and is_sized(route, facts.model):
         model = first_model(route)
 
-    pool = list_pool(
-        [one.upstream for one in allowed], find_pool(route, facts.model, model)
-    )
+    kind = find_pool(route, facts.model, model)
+    pool = list_pool([one.upstream for one in allowed], kind)
     demand = Demand(
         service=record,
         model=model or facts.model,
@@ -123,7 +124,7 @@
         return None
 
     pressure = placement.wait / 1000 / max(limit, 0.001)
-    return Choice(service, key, model, placement, pressure, len(pool))
+    return Choice(service, key, model, placement, pressure, kind, len(pool))
 
 
 def session_of(facts: RequestFacts) -> str:
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -75,6 +75,8 @@
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
+    sizes: dict[str, float] = field(default_factory=dict)
+    """Usual size of a request by route."""
     signs: dict[str, float] = field(default_factory=dict)
     """When the last byte came from each upstream."""
     retries: RetryTable = field(default_factory=RetryTable)
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -5,8 +5,11 @@
 from typing import TYPE_CHECKING
 
 from ...routing.load import estimate_usage
+from ...routing.models import Stake
+from ...routing.models import find_price
 from ...routing.models import is_sized
 from ...routing.models import wants_larger
+from ...routing.models import weigh_size
 from ...routing.retries import CHOICE_PART
 from ..events import log_event
 from .choice import choose_upstream
@@ -50,8 +53,8 @@
     if larger is None:
         return None
 
-    usage = estimate_usage(exchange.context.load, larger.engines, now)
-    if not wants_larger(facts.confidence, larger.pressure, usage):
+    stake = weigh_stake(exchange, larger, now)
+    if not wants_larger(facts.confidence, stake):
         return None
 
     log_event(
@@ -60,6 +63,29 @@
         model=larger.model,
         confidence=facts.confidence,
         pressure=round(larger.pressure, 2),
-        usage=round(usage, 2),
+        usage=round(stake.usage, 2),
+        price=round(find_price(stake), 2),
     )
     return larger
+
+
+def weigh_stake(exchange: Exchange, larger: Choice, now: float) -> Stake:
+    """Return what asking a larger model costs, and what it may bring."""
+    request = exchange.facts
+    services = exchange.index.services if exchange.index is not None else {}
+    models = services[larger.service].models if larger.service in services else ()
+    weight = weigh_size(
+        exchange.context.sizes,
+        exchange.route.name,
+        request.prompt_tokens,
+        request.output_tokens,
+    )
+    return Stake(
+        weight=weight,
+        output_tokens=request.output_tokens,
+        prompt_tokens=request.prompt_tokens,
+        uncached=larger.placement.uncached,
+        cost=next((one.cost for one in models if one.name == larger.model), 0.0),
+        pressure=larger.pressure,
+        usage=estimate_usage(exchange.context.load, larger.engines, now),
+    )
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -7,6 +7,7 @@
 
 from ...routing.load import begin_use
 from ...routing.load import note_work
+from ...routing.pools import Pool
 from ...routing.records import RouteKind
 from ...routing.sessions import begin_session
 from ..events import log_event
@@ -55,8 +56,10 @@
     placement = attempt.choice.placement
     attempt.work = placement.work
     begin_use(exchange.context.load, attempt.upstream, attempt.work)
-    note_work(exchange.context.load, attempt.work, now)
     choice = attempt.choice
+    if choice.pool is not Pool.SMALL:
+        note_work(exchange.context.load, attempt.work, now)
+
     version = placement.upstream.version
     sessions = exchange.context.sessions
     begin_session(sessions, choice.service, choice.session, version, now)
--- a/src/waxwingwell/routing/speeds.py
+++ b/src/waxwingwell/routing/speeds.py
@@ -36,6 +36,7 @@
     """Milliseconds a prompt token, by model."""
 
     known: dict[str, float] = field(default_factory=dict)
+    samples: dict[str, int] = field(default_factory=dict)
 
 
 def guess_speed(table: SpeedTable, models: Sequence[str], model: str) -> float:
@@ -59,5 +60,7 @@
     guess = guess_speed(table, models, model)
     sample = max(took_ms - FIRST_EVENT_MS, 0.1) / tokens
     sample = min(max(sample, guess / BOUND), guess * BOUND)
-    mean = (1 - LEARNING) * math.log(guess) + LEARNING * math.log(sample)
+    table.samples[model] = table.samples.get(model, 0) + 1
+    weight = max(1.0 / (table.samples[model] + 1), LEARNING)
+    mean = (1 - weight) * math.log(guess) + weight * math.log(sample)
     table.known[model] = math.exp(mean)
