Try links again sooner while all processes start

Cause: after a loss of power VMs come back within half a second of each other. The first to start call the others while these have no power yet: the packet is lost, the kernel sends it again after a second, and our limit of a connection was a second, too. The controls that were up had no link to a majority, so elections failed though all voters were there.

Change: a link's limit and pause begin at a quarter and double with each failure up to what they were.

--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -46,6 +46,7 @@
 
 
 PROTOCOL_VERSION = 1
+MAX_DOUBLINGS = 10
 MAX_FRAME = 64 * 1024 * 1024
 """Bytes; a snapshot of the control state must fit."""
 
@@ -62,15 +63,19 @@
     suspicious: float = 0.8
     """Silence after which it is replaced if a call on it went unanswered, too."""
     connect: float = 1.0
+    """Longest time for an attempt to connect."""
     retry: float = 0.2
-    """Pause before the next attempt to connect."""
+    """Longest pause before the next attempt."""
+    first_part: float = 1.0
+    """Part of both at the first attempt; it doubles with each that fails."""
 
 
 ROUTING_TIMING = LinkTiming(
-    beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.25
+    beat=0.5, silent=2.0, suspicious=1.2, connect=1.0, retry=0.25, first_part=0.25
 )
-"""Between gateways and registries: with hundreds of gateways, half the heartbeats. The
-pause before a new try counts when all start at once: callers are refused meanwhile."""
+"""Between gateways and registries: with hundreds of gateways, half the heartbeats.
+Failure: all VMs get their power back within half a second. The first packet to one that
+had none is lost, and sent again by the kernel after a second, while callers wait."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -407,6 +412,8 @@
     protocol: LinkProtocol | None = None
     stopped: bool = False
     on_up: Callable[[], None] = lambda: None
+    failures: int = 0
+    """Attempts to connect in a row that failed."""
 
 
 class _ConnectingFactory(Factory):
@@ -480,9 +487,11 @@
     if link.stopped:
         return
 
+    timing = link.node.timing
     attempt = link.connect(_ConnectingFactory(link.node))
     attempt.addTimeout(
-        link.node.timing.connect, cast("IReactorTime", link.node.reactor)
+        timing.connect * find_part(timing, link.failures),
+        cast("IReactorTime", link.node.reactor),
     )
 
     def hold(protocol: LinkProtocol) -> None:
@@ -491,6 +500,7 @@
             return
 
         link.protocol = protocol
+        link.failures = 0
         protocol.remote = protocol.remote or link.name
         protocol.closed.addCallback(lambda _: lose())
         link.on_up()
@@ -499,8 +509,19 @@
         link.protocol = None
         retry()
 
-    def retry(_: object = None) -> None:
+    def fail(_: object) -> None:
+        retry()
+        link.failures += 1
+
+    def retry() -> None:
         if not link.stopped:
-            link.node.reactor.callLater(link.node.timing.retry, _connect_link, link)
+            pause = timing.retry * find_part(timing, link.failures)
+            link.node.reactor.callLater(pause, _connect_link, link)
+
+    attempt.addCallbacks(hold, fail)
+
 
-    attempt.addCallbacks(hold, retry)
+def find_part(timing: LinkTiming, failures: int) -> float:
+    """Return the part of a link's times that holds after so many failed attempts."""
+    doublings = min(failures, MAX_DOUBLINGS)
+    return min(timing.first_part * 2.0**doublings, 1.0)
--- a/tests/adapters/test_links.py
+++ b/tests/adapters/test_links.py
@@ -13,10 +13,13 @@
 from waxwingwell.adapters.bodies import Body
 from waxwingwell.adapters.exceptions import LinkDownError
 from waxwingwell.adapters.exceptions import LinkLostError
+from waxwingwell.adapters.links import ROUTING_TIMING
 from waxwingwell.adapters.links import LinkHandlers
 from waxwingwell.adapters.links import LinkNode
 from waxwingwell.adapters.links import LinkProtocol
 from waxwingwell.adapters.links import LinkTiming
+from waxwingwell.adapters.links import close_link
+from waxwingwell.adapters.links import open_link
 from waxwingwell.messages import AskInForce
 from waxwingwell.messages import Drain
 from waxwingwell.messages import InForce
@@ -142,3 +145,39 @@
                 end.dataReceived(data)
                 transport: Any = end.transport
                 self.assertTrue(transport.aborted)
+
+
+class ConnectingTest(AsyncTestCase):
+    """How long a link waits for a connection, and how soon it tries again."""
+
+    def test_attempts_grow_longer(self) -> None:
+        """All VMs start within half a second; the first to start calls the others.
+
+        Their connections hang, and each would wait a second before the next attempt.
+        """
+        for name, timing, expected in (
+            ("from the first", LinkTiming(retry=0.25), [0.0, 1.25, 2.5]),
+            ("growing", ROUTING_TIMING, [0.0, 0.3125, 0.9375, 2.1875, 3.4375]),
+        ):
+            with self.subTest(name):
+                clock = Clock()
+                handlers = LinkHandlers(
+                    lambda sender, body: succeed(Drain()),
+                    lambda sender, body: None,
+                    Body,
+                )
+                node = LinkNode("near", clock, handlers, timing)
+                begun: list[float] = []
+
+                def connect(
+                    factory: Any, begun: list[float] = begun, clock: Clock = clock
+                ) -> Deferred[Any]:
+                    begun.append(clock.seconds())
+                    return Deferred()
+
+                link = open_link(node, "far", connect)
+                for _ in range(16 * 4):
+                    clock.advance(0.0625)
+
+                close_link(link)
+                self.assertEqual(begun[: len(expected)], expected)
