--- a/src/waxwingwell/routing/models.py
+++ b/src/waxwingwell/routing/models.py
@@ -28,6 +28,8 @@
 TOKEN_WORTH = 0.006
 """Worth of an answer for each token that its caller allows, in the unit of the models'
 prices for a token in a thousand: a caller allows more where it expects more."""
+LEAST_PRICE = 0.03
+"""Price of any answer, as a part of what it is worth: it is asked for once more."""
 USUAL_PART = 0.3
 """Part of the tokens allowed that an answer usually has."""
 READ_PART = 0.25
@@ -133,4 +135,4 @@
     made = USUAL_PART * stake.output_tokens + READ_PART * stake.prompt_tokens
     excess = max(stake.usage - EASY_USAGE, 0.0)
     crowding = CROWD_PRICE * excess * excess * stake.uncached
-    return (stake.cost * made / 1000.0 + crowding) / worth
+    return max((stake.cost * made / 1000.0 + crowding) / worth, LEAST_PRICE)
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from waxwingwell.adapters.gateway.waiting import WAIT_SECONDS
 from waxwingwell.routing.load import begin_use
 from waxwingwell.routing.records import RouteKind
 
@@ -320,12 +321,14 @@
     def test_without_a_document_nothing_is_denied(self) -> None:
         """A gateway that starts.
 
-        It knows no document yet. A caller whose key is good must not hear that it is
-        unknown; it may come back.
+        It knows no document yet, and gets none while the caller waits. A caller whose
+        key is good must not hear that it is unknown; it may come back.
         """
         gateway = make_gateway()
         gateway.context.index = None
         caller = gateway.ask()
+        self.assertEqual(caller.status, 0)
+        gateway.reactor.advance(WAIT_SECONDS)
         self.assertEqual(caller.status, 503)
         self.assertIn(b"Retry-After", caller.received)
 
--- a/tests/routing/test_models.py
+++ b/tests/routing/test_models.py
@@ -38,6 +38,7 @@
             ("very unsure, and dear", 0.3, {"output_tokens": 84}, True),
             ("dear beyond any answer", 0.0, {"output_tokens": 20}, False),
             ("nothing is known of it", 0.3, {"output_tokens": 0, "cost": 0.0}, True),
+            ("free, and sure", 0.8, {"cost": 0.0}, False),
         ):
             with self.subTest(name):
                 found = wants_larger(confidence, make_stake(**fields))
