Open a gateway's port for callers before its libraries load

Half a second of it is the time without a process; 0.25 to 0.4 s a gateway spends on loading its libraries.

Ruled out: loading less (Twisted and what it brings are half of it).

Change: the port opens as soon as the settings are read, after 20 ms of processor time, and the reactor adopts it; the kernel keeps early connections meanwhile.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -21,6 +21,8 @@
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..metrics_listener import serve_metrics
+from ..ports import adopt_port
+from ..ports import open_port
 from .arrivals import take_request
 from .context import GatewayContext
 from .steering import connect_control
@@ -30,6 +32,8 @@
 
 
 if TYPE_CHECKING:
+    import socket
+
     from ..http.records import HttpRequest
     from ..http.server import Responder
     from .dialect import Dialect
@@ -37,7 +41,6 @@
 
 
 REPORT_SECONDS = 0.25
-BACKLOG = 1024
 
 
 @dataclass(slots=True)
@@ -52,9 +55,15 @@
 
 
 def start_gateway(
-    settings: GatewaySettings, reactor: Any, dialect: Dialect
+    settings: GatewaySettings,
+    reactor: Any,
+    dialect: Dialect,
+    callers: socket.socket | None = None,
 ) -> GatewayDaemon:
-    """Begin to serve; errors: ``CannotListenError``."""
+    """Begin to serve; errors: ``CannotListenError`` or ``OSError``.
+
+    ``callers`` is the port for callers if it is open already.
+    """
     context = GatewayContext(
         settings=settings,
         reactor=reactor,
@@ -84,11 +93,8 @@
         limits=HttpLimits,
     )
     ports = [
-        reactor.listenTCP(
-            settings.callers[1],
-            HttpFactory(service),
-            backlog=BACKLOG,
-            interface=settings.callers[0],
+        adopt_port(
+            reactor, callers or open_port(settings.callers), HttpFactory(service)
         ),
         reactor.listenTCP(
             settings.readiness[1], HttpFactory(health), interface=settings.readiness[0]
