--- a/src/waxwingwell/commands/main.py
+++ b/src/waxwingwell/commands/main.py
@@ -10,6 +10,7 @@
 from .explain import explain
 from .groups import COMMANDS
 from .recover import COMMANDS as RECOVER
+from .review import review
 from .serve import serve
 
 
@@ -26,6 +27,7 @@
         "experiment": run_experiment,
         "explain": explain,
         "recover": RECOVER,
+        "review": review,
         "serve": serve,
         "version": show_version,
     }
