--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -40,6 +40,8 @@
     from .settings import GatewaySettings
 
 
+TICK_SECONDS = 0.125
+"""Between two looks at streams that may have stalled."""
 REPORT_SECONDS = 0.25
 
 
@@ -107,7 +109,7 @@
         connect_control(context, name)
 
     loop = LoopingCall(run_tick, context)
-    loop.start(REPORT_SECONDS, now=False)
+    loop.start(TICK_SECONDS, now=False)
     log_event("gateway: Started", address=settings.address)
     return GatewayDaemon(context, service, health, ports, loop)
 
@@ -122,7 +124,12 @@
     """Do what is due a few times a second; what fails is logged, the rest goes on."""
     now = context.clock()
     checks = [partial(one.check_silence, now) for one in context.exchanges]
-    for duty in (*checks, partial(report_use, context)):
+    duties = [*checks]
+    if now >= context.report_at:
+        context.report_at = now + REPORT_SECONDS - TICK_SECONDS / 2
+        duties.append(partial(report_use, context))
+
+    for duty in duties:
         run_logged(duty, "gateway: Duty failed")
 
 
