--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -12,7 +12,6 @@
 from ...routing.load import end_prefill
 from ...routing.load import end_use
 from ...routing.prefixes import note_parts
-from ...routing.rhythm import end_stream
 from ...routing.sessions import end_session
 from ...routing.speeds import learn_speed
 from ..http.client import UpstreamCall
@@ -133,9 +132,6 @@
 
     end_reading(context, attempt)
     end_use(context.load, attempt.upstream)
-    if attempt.streaming:
-        end_stream(context.rhythms, attempt.upstream)
-
     choice = attempt.choice
     version = choice.placement.upstream.version
     now = context.clock()
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -18,7 +18,6 @@
 from ...routing.messages import UpstreamUse
 from ...routing.prefixes import PrefixTable
 from ...routing.retries import RetryTable
-from ...routing.rhythm import RhythmTable
 from ...routing.sessions import SessionTable
 from ...routing.speeds import SpeedTable
 from ..links import Link
@@ -78,7 +77,6 @@
     speeds: SpeedTable = field(default_factory=SpeedTable)
     sizes: dict[str, float] = field(default_factory=dict)
     """Usual size of a request by route."""
-    rhythms: RhythmTable = field(default_factory=RhythmTable)
     signs: dict[str, float] = field(default_factory=dict)
     """When the last byte came from each upstream."""
     retries: RetryTable = field(default_factory=RetryTable)
@@ -87,8 +85,6 @@
     """Requests under way."""
     room: WaitingRoom = field(default_factory=WaitingRoom)
     """Requests that wait for the first configuration."""
-    report_at: float = 0.0
-    """When the next report is due."""
     heard_at: float = 0.0
     """When any control was heard of last."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -40,8 +40,6 @@
     from .settings import GatewaySettings
 
 
-TICK_SECONDS = 0.125
-"""Between two looks at streams that may have stalled."""
 REPORT_SECONDS = 0.25
 
 
@@ -109,7 +107,7 @@
         connect_control(context, name)
 
     loop = LoopingCall(run_tick, context)
-    loop.start(TICK_SECONDS, now=False)
+    loop.start(REPORT_SECONDS, now=False)
     log_event("gateway: Started", address=settings.address)
     return GatewayDaemon(context, service, health, ports, loop)
 
@@ -124,12 +122,7 @@
     """Do what is due a few times a second; what fails is logged, the rest goes on."""
     now = context.clock()
     checks = [partial(one.check_silence, now) for one in context.exchanges]
-    duties = [*checks]
-    if now >= context.report_at:
-        context.report_at = now + REPORT_SECONDS - TICK_SECONDS / 2
-        duties.append(partial(report_use, context))
-
-    for duty in duties:
+    for duty in (*checks, partial(report_use, context)):
         run_logged(duty, "gateway: Duty failed")
 
 
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -14,8 +14,6 @@
 from ...routing.retries import FAILURE_PART
 from ...routing.retries import may_repeat
 from ...routing.retries import note_repeat
-from ...routing.rhythm import begin_stream
-from ...routing.rhythm import note_event
 from ..events import log_event
 from ..http.records import HeaderList
 from ..http.records import strip_hop_headers
@@ -227,7 +225,6 @@
 
         if self._is_stream(attempt):
             attempt.streaming = True
-            begin_stream(self.context.rhythms, attempt.upstream, attempt.last_at)
             if not self.responder.started:
                 self.responder.start(status, strip_hop_headers(headers))
 
@@ -262,7 +259,6 @@
             return
 
         end_reading(self.context, attempt)
-        note_event(self.context.rhythms, attempt.upstream, attempt.last_at)
         whole = self.splitter.feed(data)
         if whole:
             self.pauses.note(attempt.last_at)
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -26,7 +26,6 @@
 from ...routing.messages import ShareRouting
 from ...routing.messages import VersionEvidence
 from ...routing.records import Document
-from ...routing.rhythm import forget_engines
 from ...routing.sessions import list_kept
 from ...routing.sessions import note_moves
 from ...routing.sessions import take_kept
@@ -63,7 +62,6 @@
         refresh(context.fleet, body.heard, now)
         context.fleet_at = now
         drop_tombstones(context.fleet, now)
-        forget_engines(context.rhythms, context.fleet.upstreams)
     elif isinstance(body, ShareMembers):
         know_controls(context, body)
     elif isinstance(body, FleetReport):
--- a/src/waxwingwell/adapters/gateway/watch.py
+++ b/src/waxwingwell/adapters/gateway/watch.py
@@ -11,7 +11,6 @@
 
 from ...routing.health import note_unreachable
 from ...routing.records import RouteKind
-from ...routing.rhythm import find_gap
 from ...routing.silence import silence_limit
 from .attempts import Fate
 
@@ -63,9 +62,7 @@
     silent = now - max(attempt.began_at, attempt.last_at, sign)
     expected = attempt.choice.placement.wait / 1000
     started = attempt.first_at is not None
-    longest = find_gap(exchange.context.rhythms, attempt.upstream)
-    limit = silence_limit(started=started, expected=expected, longest_gap=longest)
-    if silent <= limit:
+    if silent <= silence_limit(started=started, expected=expected):
         return
 
     if not exchange.can_move(now):
--- a/src/waxwingwell/routing/silence.py
+++ b/src/waxwingwell/routing/silence.py
@@ -17,23 +17,11 @@
 """How far the wait for a first event may exceed what is expected."""
 
 
-GAP_FACTOR = 1.5
-"""How far a gap of an engine's streams may exceed the longest one of late."""
-LEAST_SECONDS = 0.4
-"""Two packets lost one after the other."""
-
-
-def silence_limit(
-    *, started: bool, expected: float, longest_gap: float | None = None
-) -> float:
+def silence_limit(*, started: bool, expected: float) -> float:
     """Return the seconds of silence after which an upstream counts as dark.
 
-    ``expected`` is the wait for the first event as it was estimated, ``longest_gap``
-    the longest one between events of engines of late, in seconds, if known.
+    ``expected`` is the wait for the first event as it was estimated, in seconds.
     """
-    if longest_gap is not None:
-        return min(max(GAP_FACTOR * longest_gap, LEAST_SECONDS), STALL_SECONDS)
-
     if started:
         return STALL_SECONDS
 
