Serve the other waiting requests when one fails, and end no wait without a document

Read again: an error in serving one request that waited for the configuration would have lost those after it; a control that holds no document yet, as at a first start, would have ended every wait with a refusal. Both have a test that fails without the change. A line tells that a request waits.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -60,6 +60,7 @@
         serve=partial(serve_request, context, request, facts, responder, now),
         refuse=partial(refuse, facts, responder, 503, NO_CONFIGURATION),
     )
+    log_event("gateway: Waits", request=facts.request_id, limit_ms=round(limit * 1000))
     keep_waiting(context.room, context.reactor, responder, waiting, limit)
 
 
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -104,7 +104,8 @@
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
     note_moves(context.sessions, body.rollouts, body.index)
-    admit_all(context.room)
+    if context.index is not None:
+        admit_all(context.room)
 
 
 def know_controls(context: GatewayContext, body: ShareMembers) -> None:
--- a/src/waxwingwell/adapters/gateway/waiting.py
+++ b/src/waxwingwell/adapters/gateway/waiting.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from ...routing.admission import LONGEST_PART
+from ..events import run_logged
 
 
 if TYPE_CHECKING:
@@ -83,4 +84,4 @@
     room.waiting.clear()
     for waiting in admitted:
         waiting.timer.cancel()
-        waiting.serve()
+        run_logged(waiting.serve, "gateway: Waiting request failed")
--- a/tests/adapters/gateway/test_waiting.py
+++ b/tests/adapters/gateway/test_waiting.py
@@ -18,6 +18,11 @@
 from .support import make_gateway
 
 
+def raise_error() -> None:
+    """Fail."""
+    raise RuntimeError
+
+
 class WaitingTest(unittest.TestCase):
     """A gateway that has just started, as the controls elect a leader."""
 
@@ -49,6 +54,25 @@
 
         self.assertEqual([caller.status for caller in callers], [200, 200, 200])
 
+    def test_a_control_without_a_document_ends_no_wait(self) -> None:
+        caller = self.gateway.ask()
+        body = ShareRouting(index=0, version=-1, document=b"", rollouts=())
+        take_cast(self.gateway.context, "control", body)
+        self.assertEqual(caller.status, 0)
+
+    def test_a_fault_with_one_request_is_none_of_the_others(self) -> None:
+        """The first of those that wait can't be served; the rest must not be lost."""
+        room = self.gateway.context.room
+        self.gateway.ask()
+        served = self.gateway.ask()
+        first = next(iter(room.waiting))
+        first.serve = raise_error
+        self.configure()
+        [upstream] = self.gateway.upstreams
+        upstream.accept()
+        upstream.answer(make_answer())
+        self.assertEqual(served.status, 200)
+
     def test_the_wait_counts_as_a_part_of_the_callers_time(self) -> None:
         self.gateway.ask(X_Budget="6")
         self.pass_time(1.5)
