--- /dev/null
+++ b/tests/routing/test_model_load.py
@@ -0,0 +1,198 @@
+"""What callers get from the choice of models, at light load, at the limit and beyond.
+
+Engines of the larger model read prompts one after another; a request counts in full if
+its answer is good and begins in time, and the use of models is taken off.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from waxwingwell.routing.health import HealthTable
+from waxwingwell.routing.load import LoadTable
+from waxwingwell.routing.load import begin_use
+from waxwingwell.routing.load import end_prefill
+from waxwingwell.routing.load import end_use
+from waxwingwell.routing.load import estimate_usage
+from waxwingwell.routing.load import note_work
+from waxwingwell.routing.models import Stake
+from waxwingwell.routing.models import find_doubt
+from waxwingwell.routing.models import wants_larger
+from waxwingwell.routing.models import weigh_size
+from waxwingwell.routing.placement import Demand
+from waxwingwell.routing.placement import Placement
+from waxwingwell.routing.placement import Surroundings
+from waxwingwell.routing.placement import place_request
+from waxwingwell.routing.prefixes import PrefixTable
+from waxwingwell.routing.records import Service
+
+from .factories import make_news
+
+
+ENGINES = 6
+TOKEN_MS = 0.05
+SMALL_SECONDS = 0.1
+"""Until the smallest model's first event."""
+STREAM_SECONDS = 3.0
+COST = 0.25
+LATE_WORTH = 0.3
+POOR_WORTH = 0.05
+SECONDS = 60.0
+CHAT = Service(name="chat", slots=32, memory_tokens=500_000)
+NAMES = [f"e{number}" for number in range(ENGINES)]
+UPSTREAMS = [make_news(name, slots=32) for name in NAMES]
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Requests of one route."""
+
+    name: str
+    share: float
+    prompt: int
+    output: int
+    objective: float
+    worth: float
+
+
+KINDS = (
+    Kind("plan", 0.25, 6_600, 1_100, 1.5, 3.9),
+    Kind("answer", 0.25, 600, 950, 1.0, 2.5),
+    Kind("tag", 0.5, 1_800, 84, 1.0, 0.33),
+)
+Policy = Callable[[float, Stake], bool]
+
+
+@dataclass
+class Engines:
+    """Engines that read one prompt at a time, and what a gateway knows of them."""
+
+    load: LoadTable = field(default_factory=LoadTable)
+    free_at: dict[str, float] = field(default_factory=dict)
+    ends: list[tuple[float, int, str, str, float]] = field(default_factory=list)
+    sent: int = 0
+
+    def __post_init__(self) -> None:
+        self.around = Surroundings("north", self.load, HealthTable(), PrefixTable())
+
+    def settle(self, now: float) -> None:
+        """Count what has ended by now."""
+        while self.ends and self.ends[0][0] <= now:
+            _, _, what, name, work = heapq.heappop(self.ends)
+            if what == "read":
+                end_prefill(self.load, name, work)
+            else:
+                end_use(self.load, name)
+
+    def send(self, name: str, work: float, now: float) -> float:
+        """Let an engine read a prompt; return when its first event comes."""
+        begin_use(self.load, name, work)
+        note_work(self.load, work, now)
+        read_at = max(self.free_at.get(name, 0.0), now) + work / 1000
+        self.free_at[name] = read_at
+        self.sent += 1
+        heapq.heappush(self.ends, (read_at, self.sent, "read", name, work))
+        end = (read_at + STREAM_SECONDS, self.sent, "end", name, work)
+        heapq.heappush(self.ends, end)
+        return read_at
+
+
+def find_rate(load: float) -> float:
+    """Return requests a second that would fill the engines' time ``load`` times."""
+    work = sum(kind.share * kind.prompt * TOKEN_MS / 1000 for kind in KINDS)
+    return load * ENGINES / work
+
+
+def play(policy: Policy, load: float, seed: int = 3) -> float:
+    """Return what callers got, as a share of what good answers in time are worth."""
+    draw = random.Random(seed)
+    engines = Engines()
+    usual: dict[str, float] = {}
+    now = earned = owed = 0.0
+    while now < SECONDS:
+        now += draw.expovariate(find_rate(load))
+        kind = draw.choices(KINDS, [one.share for one in KINDS])[0]
+        prompt = int(kind.prompt * draw.lognormvariate(-0.5, 1.0))
+        weight = weigh_size(usual, kind.name, prompt, kind.output)
+        worth = kind.worth * weight
+        owed += worth
+        answered_at = now + SMALL_SECONDS
+        engines.settle(answered_at)
+        confidence = draw.random()
+        placement = place(engines, prompt, answered_at)
+        left = kind.objective - SMALL_SECONDS
+        stake = Stake(
+            output_tokens=kind.output,
+            prompt_tokens=prompt,
+            uncached=prompt,
+            weight=weight,
+            cost=COST,
+            pressure=placement.wait / 1000 / left,
+            usage=estimate_usage(engines.load, ENGINES, answered_at),
+        )
+        if not policy(confidence, stake):
+            doubt = find_doubt(confidence)
+            earned += worth * (1.0 - doubt + doubt * POOR_WORTH)
+            continue
+
+        first_at = engines.send(
+            placement.upstream.upstream, prompt * TOKEN_MS, answered_at
+        )
+        timely = first_at <= now + kind.objective
+        earned += worth * (1.0 if timely else LATE_WORTH)
+        earned -= COST * (0.3 * kind.output + prompt / 4) / 1000
+
+    return earned / owed
+
+
+def place(engines: Engines, prompt: int, now: float) -> Placement:
+    """Return where the larger model would run."""
+    demand = Demand(CHAT, "large", prompt, token_ms=TOKEN_MS)
+    found = place_request(demand, UPSTREAMS, engines.around, now, lambda: 0.0)
+    assert found is not None
+    return found
+
+
+def ask_never(confidence: float, stake: Stake) -> bool:
+    """Keep every answer of the smallest model."""
+    return False
+
+
+def ask_always(confidence: float, stake: Stake) -> bool:
+    """Ask the larger model for every request."""
+    return True
+
+
+def ask_below_bar(confidence: float, stake: Stake) -> bool:
+    """Ask where the smallest model is unsure, whatever it costs."""
+    return confidence < 0.55
+
+
+def ask_below_falling_bar(confidence: float, stake: Stake) -> bool:
+    """Ask where it is unsure; the bar falls with pressure and usage, for all alike."""
+    room = min(max(1.25 - stake.pressure, 0.0), 1.0)
+    spare = min(max((1.2 - stake.usage) / 0.6, 0.0), 1.0)
+    return confidence < 0.55 * room * spare
+
+
+FIXED = (ask_never, ask_always, ask_below_bar, ask_below_falling_bar)
+
+
+class ModelLoadTest(unittest.TestCase):
+    """The choice by gain and price, beside fixed choices."""
+
+    def test_callers_are_served_at_least_as_well_as_by_any_fixed_choice(self) -> None:
+        """Engines fill up, and a fixed choice serves callers late or poorly."""
+        for load in (0.3, 0.7, 1.0, 1.5, 2.5):
+            best = max(play(policy, load) for policy in FIXED)
+            with self.subTest(load=load):
+                self.assertGreaterEqual(play(wants_larger, load), best)
+
+
+if __name__ == "__main__":
+    unittest.main()
