--- a/src/waxwingwell/routing/speeds.py
+++ b/src/waxwingwell/routing/speeds.py
@@ -18,8 +18,7 @@
 SMALLEST_MS = 0.006
 """First guess: milliseconds a prompt token takes a route's smallest model."""
 LARGEST_MS = 0.055
-"""First guess for the largest model; both as measured on engines with 57 tokens a ms at
-a pace of 1, where the models' paces are 0.3 and 3."""
+"""First guess for the largest model; what is learned replaces both."""
 FIRST_EVENT_MS = 25.0
 """To connect, begin and make the first event of an empty prompt."""
 LEARNING = 0.05
