Serve the connections that wait in a port before it closes

Seen: a caller whose connection the kernel keeps for a listening port is reset when the port closes, and cannot tell whether its request was read. A gateway or a registry that is stopped closes its ports between two turns of the reactor; one that was told to stop while it started closes them before the first turn.

Cause: stopListening closes the descriptor; what the kernel accepted for it until then goes with it.

Ruled out: waiting one turn of the reactor more before the close. It leaves the same gap between that turn and the close.

Change: close_port takes what the kernel keeps, then stops listening. These connections are fresh and get their moment, as others do in a stop.

Test: test_ports, callers that wait at the close.

Open: entries and controls of the product's own interface close their ports the old way; their sites give fresh connections no moment.

--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import DeferredList
-from twisted.internet.defer import maybeDeferred
 
 from ..events import log_event
 from ..events import run_logged
@@ -14,6 +13,7 @@
 from ..http.server import count_unsettled
 from ..http.server import is_settled
 from ..links import close_link
+from ..ports import close_port
 
 
 if TYPE_CHECKING:
@@ -81,7 +81,7 @@
     """
     context = daemon.context
     context.exit_at = context.clock()
-    closing = [maybeDeferred(port.stopListening) for port in daemon.ports]
+    closing = [close_port(port) for port in daemon.ports]
     end_requests(context, context.clock())
 
     def look(_: object = None) -> None:
--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -15,6 +15,7 @@
 from ..http.server import is_settled
 from ..links import finish_links
 from ..links import list_protocols
+from ..ports import close_port
 from .members import run_flush
 
 
@@ -117,7 +118,7 @@
     run_logged(partial(run_flush, context), STEP_FAILED)
     for port in daemon.ports:
         # Else gateways whose links we close would come back at once.
-        port.stopListening()
+        close_port(port)
 
     if context.node is not None:
         finish_links(context.node, context.controls.values())
