Stop a process that is told to while it starts without cutting its callers

Seen: callers of a gateway that was stopped while it started were reset: "ended with 0 after 0 bytes", 13 to 98 ms after SIGTERM, up to 26 callers at one stop.

Cause: a gateway opens its port for callers before its libraries load, and SIGTERM and SIGINT kept their default action until the role stood. The signal ended the process, and the kernel reset the connections in the port.

Evidence: the new test connects five callers as soon as the port is open, has each send a whole request, and signals. After: an answer for each, exit code 0.

Ruled out: opening the port later again (refused callers use their retries up while all processes start); blocking the signals, as the time at which they came would be lost, and the grace counts from there; answering 503 from the start script, which would need a second HTTP server.

Change: the first statements of start.py note signals. The role stands, then stops as planned, its time counted from the signal; requests without a configuration are refused at once with a short Retry-After. A process that was told to stop before its ports were open ends at once.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -75,7 +75,8 @@
     now = context.clock()
     index = context.index
     if index is None or is_shut(context, now):
-        refuse(facts, responder, 503, NO_CONFIGURATION)
+        pause = STOPPING_RETRY_AFTER if context.stopping else RETRY_AFTER
+        refuse(facts, responder, 503, NO_CONFIGURATION, pause)
         return
 
     host = read_host(request)
--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -37,16 +37,19 @@
 """How long callers may take to close after their answers, within that."""
 
 
-def stop_gateway(daemon: GatewayDaemon, done: Callable[[], None]) -> None:
+def stop_gateway(
+    daemon: GatewayDaemon, done: Callable[[], None], told_at: float | None = None
+) -> None:
     """Let running requests end and their answers leave, then close everything.
 
     New connections are served until the balancer has noticed; connections that are
-    kept open are closed as their answers end. ``done`` is called last.
+    kept open are closed as their answers end. ``done`` is called last. ``told_at`` is
+    when the process was told to stop, if that was earlier: its time counts from there.
     """
     context = daemon.context
     context.stopping = True
     daemon.service.stopping = True
-    began_at = context.clock()
+    began_at = context.clock() if told_at is None else told_at
     deadline = began_at + context.settings.grace - STOP_MARGIN
     context.exit_at = deadline
     log_event("gateway: Stopping", requests=len(context.exchanges))
--- a/src/waxwingwell/adapters/registry/stopping.py
+++ b/src/waxwingwell/adapters/registry/stopping.py
@@ -38,9 +38,14 @@
 STEP_FAILED = "registry: Step of the stop failed"
 
 
-def stop_registry(daemon: RegistryDaemon, done: Callable[[], None]) -> None:
+def stop_registry(
+    daemon: RegistryDaemon, done: Callable[[], None], told_at: float | None = None
+) -> None:
     """Hand leadership over, answer what was read, close all, and call ``done``.
 
+    ``told_at`` is when the process was told to stop, if that was earlier: its time
+    counts from there.
+
     Requests and calls that come meanwhile are answered, too. Failure: an order is
     carried out, or a leave is made known, and the process ends before the answer is
     there or while it waits in a buffer; operators can't tell what is in force.
@@ -48,7 +53,7 @@
     context = daemon.context
     context.stopping = True
     daemon.service.stopping = True
-    began_at = context.clock()
+    began_at = context.clock() if told_at is None else told_at
     deadline = began_at + context.settings.grace - STOP_MARGIN
     log_event("registry: Stopping", leading=context.led == context.settings.address)
 
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -50,9 +50,9 @@
             loop=loop,
         )
 
-    def begin(self) -> None:
+    def begin(self, told_at: float | None = None) -> None:
         """Tell the gateway to stop."""
-        stop_gateway(self.daemon, self._note_end)
+        stop_gateway(self.daemon, self._note_end, told_at)
 
     def _note_end(self) -> None:
         self.ended = True
@@ -209,6 +209,21 @@
                 self.assertEqual([one["extra"]["outcome"] for one in ends], [outcome])
                 self.assertEqual(ends[0]["extra"]["reason"], "the process ends")
 
+    def test_the_time_counts_from_the_signal(self) -> None:
+        """Guards against a stop, asked for during a slow start, that is cut by a kill.
+
+        The process took its whole time from the end of its start on.
+        """
+        gateway = make_gateway("u1", kind=RouteKind.ONCE)
+        stop = Stop(gateway)
+        caller = gateway.ask()
+        late = 5.0
+        gateway.reactor.advance(late)
+        stop.begin(told_at=0.0)
+        stop.wait(gateway.context.settings.grace - STOP_MARGIN - late + LOOK_SECONDS)
+        self.assertTrue(stop.ended)
+        self.assertEqual(caller.status, 503)
+
     def test_a_fault_with_one_caller_is_none_of_the_others(self) -> None:
         """An error of ours in the end of one request.
 
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -9,6 +9,7 @@
 import tomllib
 import unittest
 from pathlib import Path
+from typing import ClassVar
 
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -52,6 +53,69 @@
 """
 
 
+ROLE_THAT_STOPS = """
+import os, signal
+from waxwingwell.adapters.signals import ProcessStart
+from waxwingwell_platform import main
+class Reactor:
+    def callFromThread(self, call, *arguments):
+        call(*arguments)
+    def run(self, installSignalHandlers):
+        print("running")
+def start(fields):
+    {in_start}
+    return main.Role(
+        stop=lambda told_at: print("stopped", told_at <= main.read_clock()),
+        reload=lambda new: None,
+    )
+main.start_gateway = start
+main._reactor = Reactor
+start_of_process = ProcessStart(main.read_clock())
+main.keep_signals(start_of_process)
+{before}
+main.main(["start.py", "gateway"], start_of_process)
+"""
+KILL = "os.kill(os.getpid(), signal.{signal})"
+
+
+class StopTest(unittest.TestCase):
+    """A role that is told to stop while it starts."""
+
+    MOMENTS: ClassVar = {
+        "before the settings are read": ("before", KILL, ""),
+        "while the role starts": ("in_start", KILL, "stopped True\nrunning\n"),
+    }
+
+    def test_the_process_ends_in_order(self) -> None:
+        """Guards against the default action of signals, which ends the process."""
+        for name, (place, code, printed) in self.MOMENTS.items():
+            for number in ("SIGTERM", "SIGINT"):
+                with self.subTest(name, number=number):
+                    steps = {"before": "", "in_start": "pass"}
+                    steps[place] = code.format(signal=number)
+                    done = run_role(ROLE_THAT_STOPS.format(signal=number, **steps))
+                    self.assertEqual(done.returncode, 0, done.stderr)
+                    self.assertEqual(done.stdout, printed)
+
+
+def run_role(code: str) -> subprocess.CompletedProcess[str]:
+    """Run code in a process that has a settings file."""
+    with tempfile.TemporaryDirectory() as name:
+        settings = Path(name) / "settings.toml"
+        settings.write_text('node_name = "n1"\n')
+        return subprocess.run(
+            [sys.executable, "-c", code],
+            env={
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join([str(ROOT / "platform"), *sys.path]),
+                "WAXWINGWELL_SETTINGS": str(settings),
+            },
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+
 class StartTest(unittest.TestCase):
     """The start script over packages that were built."""
 
--- /dev/null
+++ b/tests/system/test_signalled_start.py
@@ -0,0 +1,126 @@
+"""Signals that reach a gateway process while it starts, and what its callers get."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from bench.soak.__main__ import begin
+from bench.soak.__main__ import close_all
+from bench.soak.__main__ import open_stage
+from bench.soak.http import read_body
+from bench.soak.http import read_head
+from bench.soak.processes import kill_member
+from bench.soak.processes import restart_member
+from bench.soak.processes import signal_member
+from bench.soak.processes import stop_fleet
+
+from .test_planned_stops import write_request
+
+
+if TYPE_CHECKING:
+    from bench.soak.processes import Member
+    from bench.soak.schedule import Stage
+
+
+SEED = 1
+POLL_SECONDS = 0.001
+CALLERS = 5
+
+
+class SignalledStartTest(unittest.TestCase):
+    """One gateway and one registry; callers connect as soon as the port is open."""
+
+    CASES: ClassVar = {
+        "told to stop": (signal.SIGTERM,),
+        "interrupted": (signal.SIGINT,),
+        "told twice to stop": (signal.SIGTERM, signal.SIGTERM),
+        "settings change, then told to stop": (signal.SIGHUP, signal.SIGTERM),
+        "told to stop, then settings change": (signal.SIGTERM, signal.SIGHUP),
+    }
+
+    def test_callers_get_an_answer(self) -> None:
+        """Guards against a gateway that ends with callers waiting in its port."""
+        for name, signals in self.CASES.items():
+            with self.subTest(name), tempfile.TemporaryDirectory() as folder:
+                statuses, code = asyncio.run(play(Path(folder), signals))
+                self.assertLessEqual(set(statuses), {200, 503})
+                self.assertEqual(len(statuses), CALLERS)
+                self.assertEqual(code, 0)
+
+
+async def play(
+    folder: Path, signals: tuple[signal.Signals, ...]
+) -> tuple[list[int], int]:
+    """Signal a gateway that starts; return statuses of callers and its exit code."""
+    stage = await open_stage(
+        folder, random.Random(SEED), registries=1, gateways=1, upstreams_each=1
+    )
+    background: list[asyncio.Task[None]] = []
+    try:
+        await begin(stage, background, callers_each=0)
+        return await signal_start(stage, signals)
+    finally:
+        for task in background:
+            task.cancel()
+
+        await asyncio.gather(*background, return_exceptions=True)
+        stop_fleet(stage.fleet)
+        await close_all(stage.links, stage.upstreams)
+
+
+async def signal_start(
+    stage: Stage, signals: tuple[signal.Signals, ...]
+) -> tuple[list[int], int]:
+    """Start the gateway anew, and signal it once callers wait in its port."""
+    gateway = stage.fleet.gateways[0]
+    kill_member(gateway)
+    restart_member(gateway)
+    connections = [await connect_early(gateway) for _ in range(CALLERS)]
+    for _, writer in connections:
+        writer.write(write_request("/order/1"))
+
+    for number in signals:
+        signal_member(gateway, number)
+
+    statuses = [await read_status(reader) for reader, _ in connections]
+    for _, writer in connections:
+        writer.transport.abort()
+
+    assert gateway.process is not None
+    code = await asyncio.to_thread(gateway.process.wait)
+    return statuses, code
+
+
+async def connect_early(
+    gateway: Member,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as soon as the gateway's port is open."""
+    front = (gateway.record.address, gateway.record.caller_port)
+    while True:
+        with contextlib.suppress(ConnectionRefusedError):
+            return await asyncio.open_connection(*front)
+
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def read_status(reader: asyncio.StreamReader) -> int:
+    """Return the status of a whole answer, or 0 where the connection ended."""
+    with contextlib.suppress(OSError):
+        answer = await read_head(reader)
+        if answer is not None:
+            await read_body(reader, answer)
+            return answer.status
+
+    return 0
+
+
+if __name__ == "__main__":
+    unittest.main()
