Ignore signals once a process is about to end

Seen: a process that had stopped as planned ended by a signal, -15, -2 or -1, though its callers had their answers: it looks like a crash.

Cause: the interpreter restores the signals' default actions as it ends, some milliseconds before the process is gone.

Evidence: a process with handlers, signalled every 0.3 ms from its last line on: 20 of 20 ended by the signal; with the signals ignored 20 of 20 ended with 0. The new cases of test_start failed before with -15, -2 and -1.

--- a/src/waxwingwell/adapters/signals.py
+++ b/src/waxwingwell/adapters/signals.py
@@ -1,4 +1,4 @@
-"""Signals of a process whose role can't act on them yet.
+"""Signals of a process whose role can't act on them yet, or not any more.
 
 Imported before anything else, so it loads as little as possible: the public module
 ``signal`` takes as long to load as the interpreter takes to start.
@@ -45,3 +45,13 @@
 
     for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
         _signal.signal(number, keep)
+
+
+def ignore_signals() -> None:
+    """Ignore signals from now on: the process is about to end.
+
+    Failure: the interpreter restores their default actions as it ends, and a signal
+    makes a planned stop look like a crash.
+    """
+    for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+        _signal.signal(number, _signal.SIG_IGN)
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -62,6 +62,9 @@
         call(*arguments)
     def run(self, installSignalHandlers):
         print("running")
+class SignalledAtExit:
+    def __del__(self):
+        os.kill(os.getpid(), signal.{signal})
 def start(fields):
     {in_start}
     return main.Role(
@@ -74,16 +77,19 @@
 main.keep_signals(start_of_process)
 {before}
 main.main(["start.py", "gateway"], start_of_process)
+{after}
 """
 KILL = "os.kill(os.getpid(), signal.{signal})"
+AT_EXIT = "import sys; sys.modules['late'] = SignalledAtExit()"
 
 
 class StopTest(unittest.TestCase):
-    """A role that is told to stop while it starts."""
+    """A role that is told to stop while it starts, or once more as it ends."""
 
     MOMENTS: ClassVar = {
         "before the settings are read": ("before", KILL, ""),
         "while the role starts": ("in_start", KILL, "stopped True\nrunning\n"),
+        "as the interpreter ends": ("after", AT_EXIT, "running\n"),
     }
 
     def test_the_process_ends_in_order(self) -> None:
@@ -91,12 +97,18 @@
         for name, (place, code, printed) in self.MOMENTS.items():
             for number in ("SIGTERM", "SIGINT"):
                 with self.subTest(name, number=number):
-                    steps = {"before": "", "in_start": "pass"}
+                    steps = {"before": "", "in_start": "pass", "after": ""}
                     steps[place] = code.format(signal=number)
                     done = run_role(ROLE_THAT_STOPS.format(signal=number, **steps))
                     self.assertEqual(done.returncode, 0, done.stderr)
                     self.assertEqual(done.stdout, printed)
 
+    def test_settings_signalled_at_the_end_are_no_crash(self) -> None:
+        """Guards against a planned stop that is taken for a crash."""
+        steps = {"before": "", "in_start": "pass", "after": AT_EXIT}
+        done = run_role(ROLE_THAT_STOPS.format(signal="SIGHUP", **steps))
+        self.assertEqual(done.returncode, 0, done.stderr)
+
 
 def run_role(code: str) -> subprocess.CompletedProcess[str]:
     """Run code in a process that has a settings file."""
