--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -8,6 +8,8 @@
 import socket
 import subprocess
 import sys
+import sysconfig
+import tomllib
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -17,7 +19,9 @@
 
 
 ROOT = Path(__file__).resolve().parents[2]
-START = ROOT / "platform" / "start.py"
+DEPLOY = ROOT / "deploy" / "system.toml"
+PACKAGES = (str(ROOT / "src"), str(ROOT / "platform"), sysconfig.get_path("purelib"))
+"""Where processes find our own packages and the libraries."""
 PORT_TRIES = 100
 TERM_SECONDS = 12.0
 """A planned stop takes 8 s at most; beyond this the process counts as hung."""
@@ -115,22 +119,33 @@
     return True
 
 
-def start_member(member: Member, script: tuple[str, ...] = (str(START),)) -> None:
+def read_command(role: str) -> list[str]:
+    """Return how the deploy file starts a role, with the interpreter of this process.
+
+    Its options decide how long the interpreter takes until our code runs.
+    """
+    roles = tomllib.loads(DEPLOY.read_text())["roles"]
+    _, *arguments = roles[role]["run"].split()
+    return [sys.executable, *arguments]
+
+
+def start_member(member: Member, script: tuple[str, ...] = ()) -> None:
     """Start a process with its settings of now; its output goes to its log.
 
-    The role is the last argument of the script.
+    A script in place of the deploy file's command gets the role as its last argument.
     """
     member.settings.write_text(wire.write_settings(member.record))
-    paths = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform"), *sys.path])
+    own = [sys.executable, *script, member.role]
     with member.log.open("ab") as log:
         member.process = subprocess.Popen(
-            [sys.executable, *script, member.role],
+            own if script else read_command(member.role),
             stdout=log,
             stderr=log,
             stdin=subprocess.DEVNULL,
+            cwd=ROOT,
             env={
                 **os.environ,
-                "PYTHONPATH": paths,
+                "PYTHONPATH": os.pathsep.join(PACKAGES),
                 "WAXWINGWELL_SETTINGS": str(member.settings),
             },
         )
