Refuse the requests that wait for a configuration when a gateway ends

Seen: a request that waits for the first configuration of a gateway that is stopped gets no answer if the grace is shorter than its wait: the process ends, and the connection is reset.

Cause: the end of a stop told what is known to requests under way. Requests in the waiting room are none yet.

Evidence: test_stopping, requests without a configuration are refused, with a grace of 1.6 s: status 0 before, 503 after.

Ruled out by tests that pass on the code before: a caller that goes away and whose connection carried another request, requests sent ahead, a document that is replaced at once by one without the route.

--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -14,6 +14,7 @@
 from ..http.server import is_settled
 from ..links import close_link
 from ..ports import close_port
+from .waiting import refuse_all
 
 
 if TYPE_CHECKING:
@@ -114,6 +115,8 @@
         end = partial(exchange.end_now, "the process ends", now)
         run_logged(end, "gateway: Request not ended")
 
+    refuse_all(context.room)
+
 
 def finish_stop(daemon: GatewayDaemon) -> None:
     """End the duties and close the links."""
--- a/src/waxwingwell/adapters/gateway/waiting.py
+++ b/src/waxwingwell/adapters/gateway/waiting.py
@@ -80,8 +80,25 @@
 
 def admit_all(room: WaitingRoom) -> None:
     """Serve the requests that wait, the first one first."""
-    admitted = list(room.waiting)
+    for waiting in empty_room(room):
+        run_logged(waiting.serve, "gateway: Waiting request failed")
+
+
+def refuse_all(room: WaitingRoom) -> None:
+    """Refuse the requests that wait: the process ends, and other gateways may serve.
+
+    Failure: a gateway with a short grace ended while requests waited for their first
+    configuration, and their connections closed without a word.
+    """
+    for waiting in empty_room(room):
+        run_logged(waiting.refuse, "gateway: Waiting request not refused")
+
+
+def empty_room(room: WaitingRoom) -> list[Waiting]:
+    """Take all requests out; their waits are over."""
+    taken = list(room.waiting)
     room.waiting.clear()
-    for waiting in admitted:
+    for waiting in taken:
         waiting.timer.cancel()
-        run_logged(waiting.serve, "gateway: Waiting request failed")
+
+    return taken
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -24,6 +24,7 @@
 from .support import make_answer
 from .support import make_chunk
 from .support import make_gateway
+from .support import make_settings
 from .support import make_stream_head
 from .support import note_lines
 
@@ -209,6 +210,20 @@
                 self.assertEqual([one["extra"]["outcome"] for one in ends], [outcome])
                 self.assertEqual(ends[0]["extra"]["reason"], "the process ends")
 
+    def test_requests_without_a_configuration_are_refused(self) -> None:
+        """Guards against a process that ends with requests in its waiting room."""
+        gateway = make_gateway("u1")
+        gateway.context.settings = make_settings(grace=STOP_MARGIN + 1.0)
+        gateway.context.index = None
+        stop = Stop(gateway)
+        caller = gateway.ask()
+        self.assertEqual(caller.status, 0)
+        stop.begin()
+        stop.wait(1.0 + STOP_MARGIN)
+        self.assertTrue(stop.ended)
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After", caller.received)
+
     def test_the_time_counts_from_the_signal(self) -> None:
         """Guards against a stop, asked for during a slow start, that is cut by a kill.
 
--- a/tests/adapters/gateway/test_waiting.py
+++ b/tests/adapters/gateway/test_waiting.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tests.adapters.http.test_server import make_request
 from tests.routing.factories import make_document
 from waxwingwell.adapters.gateway import waiting
 from waxwingwell.adapters.gateway.steering import take_cast
@@ -30,11 +31,11 @@
         self.gateway = make_gateway()
         self.gateway.context.index = None
 
-    def configure(self) -> None:
-        """Let a control tell of its first document."""
-        encoded = msgspec.msgpack.encode(make_document(version=1))
+    def configure(self, version: int = 1, **fields: Any) -> None:
+        """Let a control tell of a document."""
+        encoded = msgspec.msgpack.encode(make_document(version=version, **fields))
         body = ShareRouting(
-            index=1, version=1, document=zlib.compress(encoded), rollouts=()
+            index=version, version=version, document=zlib.compress(encoded), rollouts=()
         )
         take_cast(self.gateway.context, "control", body)
 
@@ -107,6 +108,44 @@
         self.pass_time(3.0)
         self.assertEqual(self.gateway.upstreams, [])
 
+    def test_requests_that_were_sent_ahead_are_served_in_turn(self) -> None:
+        """Guards against a wait that outlives its request on a kept connection."""
+        caller = self.gateway.ask(X_Id="q1")
+        caller.send(make_request("/chat/x", b"hi", "X-Key: k1", "X-Id: q1"))
+        self.assertEqual(len(self.gateway.context.room.waiting), 1)
+        self.configure()
+        for _ in range(2):
+            upstream = self.gateway.upstreams[-1]
+            upstream.accept()
+            upstream.answer(make_answer())
+            self.pass_time(0.0)
+
+        self.assertEqual(caller.received.count(b"HTTP/1.1 200"), 2)
+
+    def test_the_next_request_of_a_refused_caller_waits_anew(self) -> None:
+        """Guards against the end of one wait that ends the next one, too."""
+        caller = self.gateway.ask(X_Budget="1.5")
+        self.pass_time(0.5)
+        self.assertEqual(caller.status, 503)
+        caller.send(make_request("/chat/x", b"hi", "X-Key: k1", "X-Budget: 9"))
+        self.pass_time(0.5)
+        self.assertEqual(len(self.gateway.context.room.waiting), 1)
+        caller.leave()
+        self.assertEqual(len(self.gateway.context.room.waiting), 0)
+        self.configure()
+        self.assertEqual(self.gateway.upstreams, [])
+
+    def test_a_document_that_is_replaced_at_once_serves_who_waited(self) -> None:
+        """Guards against requests that are lost between two documents."""
+        caller = self.gateway.ask()
+        self.configure(version=1)
+        self.configure(version=2, routes=())
+        [upstream] = self.gateway.upstreams
+        upstream.accept()
+        upstream.answer(make_answer())
+        self.assertEqual(caller.status, 200)
+        self.assertEqual(self.gateway.ask().status, 404)
+
     def test_a_stopping_gateway_refuses_at_once(self) -> None:
         context: Any = self.gateway.context
         context.stopping = True
