Keep the evidence of gateways that restart while a roll-out is under way

Seen: a bad version is not taken back while gateways restart, and a good one is taken back for "too few answers to tell", though enough were given.

Cause: the leader summed the latest counters of the gateways that report. A gateway that restarts begins to count anew, and one that is gone is dropped after 3 s; what it had seen of the target was forgotten.

Evidence: test_rollouts plays the leader's watch.

Ruled out as a cause of a move that hangs: a gateway that stands still or is cut off. Its last report holds the first share up for as long as a report counts, 3 s (played), and a link that is silent one way is replaced after 2 s (ROUTING_TIMING).

Change: gains of counters are added to totals as reports come; counters that are lower or missing count whole.

Left: a new leader knows the evidence of running gateways alone.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -10,7 +10,7 @@
 from ...routing.fleet import FleetTable
 from ...routing.messages import GatewayReport
 from ...routing.messages import RoutingBody
-from ...routing.rollouts import Evidence
+from ...routing.rollouts import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
 from ...state.consensus.records import Membership
 from ...state.group import Group
@@ -49,8 +49,7 @@
     """What the leader remembers of a move under way."""
 
     began_at: float
-    before: dict[tuple[str, str], Evidence]
-    """By gateway and version: evidence when the move began."""
+    evidence: EvidenceTable
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -6,10 +6,11 @@
 
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
-from ...routing.rollouts import Evidence
+from ...routing.rollouts import EvidenceTable
 from ...routing.rollouts import add_evidence
+from ...routing.rollouts import count_report
+from ...routing.rollouts import split_evidence
 from ...routing.rollouts import step_rollout
-from ...routing.rollouts import subtract_evidence
 from ..events import log_event
 from .api import submit
 from .context import RolloutWatch
@@ -41,7 +42,8 @@
 ) -> None:
     """Propose the next step of a move, if there is one."""
     watch = find_watch(context, rollout, now)
-    target, former = weigh_evidence(context, rollout, watch)
+    gather_evidence(context, rollout, watch)
+    target, former = split_evidence(watch.evidence, rollout.target)
     step = step_rollout(rollout, target, former, now - watch.began_at)
     if not step.ended and step.share <= rollout.share:
         return
@@ -95,27 +97,16 @@
             for part in known.report.evidence
             if part.service == rollout.service and part.version != rollout.target
         }
-        watch = RolloutWatch(now - age, before)
+        watch = RolloutWatch(now - age, EvidenceTable(counted=before))
         context.watches[key] = watch
 
     return watch
 
 
-def weigh_evidence(
+def gather_evidence(
     context: RegistryContext, rollout: RolloutState, watch: RolloutWatch
-) -> tuple[Evidence, Evidence]:
-    """Return the evidence on the target and on all other versions."""
-    target = former = Evidence()
+) -> None:
+    """Count what gateways have reported since the last look."""
     for known in context.reports.values():
-        for part in known.report.evidence:
-            if part.service != rollout.service:
-                continue
-
-            before = watch.before.get((known.report.gateway, part.version), Evidence())
-            since = subtract_evidence(add_evidence([part]), before)
-            if part.version == rollout.target:
-                target = add_evidence([target, since])
-            else:
-                former = add_evidence([former, since])
-
-    return target, former
+        parts = [one for one in known.report.evidence if one.service == rollout.service]
+        count_report(watch.evidence, known.report.gateway, parts)
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from xxhash import xxh32_intdigest
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from .messages import RolloutState
     from .messages import VersionEvidence
@@ -55,6 +57,21 @@
     seconds: float = 0.0
 
 
+@dataclass(slots=True)
+class EvidenceTable:
+    """Evidence on a service's versions since a move began.
+
+    Failure: a gateway restarts, and its counters begin anew. Were only the latest
+    counters summed, the failures that it has seen would be forgotten, and a bad version
+    would go on for as long as gateways restart.
+    """
+
+    counted: dict[tuple[str, str], Evidence] = field(default_factory=dict)
+    """Counters by gateway and version, as they were counted last."""
+    totals: dict[str, Evidence] = field(default_factory=dict)
+    """By version."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """What to do next with a move."""
@@ -104,6 +121,33 @@
     )
 
 
+def count_report(
+    table: EvidenceTable, gateway: str, parts: Sequence[VersionEvidence]
+) -> None:
+    """Add what a gateway's counters of a service gained since its last report.
+
+    Counters that are missing began anew: the process has restarted.
+    """
+    present = {part.version for part in parts}
+    for key in [key for key in table.counted if key[0] == gateway]:
+        if key[1] not in present:
+            del table.counted[key]
+
+    for part in parts:
+        key = (gateway, part.version)
+        latest = add_evidence([part])
+        gained = subtract_evidence(latest, table.counted.get(key, Evidence()))
+        table.counted[key] = latest
+        total = table.totals.get(part.version, Evidence())
+        table.totals[part.version] = add_evidence([total, gained])
+
+
+def split_evidence(table: EvidenceTable, target: str) -> tuple[Evidence, Evidence]:
+    """Return the evidence on the target and on all other versions."""
+    others = [total for version, total in table.totals.items() if version != target]
+    return table.totals.get(target, Evidence()), add_evidence(others)
+
+
 def is_bad(target: Evidence, former: Evidence) -> str:
     """Return why the target is bad, or the empty string."""
     if target.failures >= FAILURES_STOP:
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -6,7 +6,10 @@
 
 from waxwingwell.routing.messages import VersionEvidence
 from waxwingwell.routing.rollouts import Evidence
+from waxwingwell.routing.rollouts import EvidenceTable
 from waxwingwell.routing.rollouts import add_evidence
+from waxwingwell.routing.rollouts import count_report
+from waxwingwell.routing.rollouts import split_evidence
 from waxwingwell.routing.rollouts import step_rollout
 from waxwingwell.routing.rollouts import subtract_evidence
 from waxwingwell.routing.versions import list_allowed
@@ -18,6 +21,13 @@
 GOOD = Evidence(answers=40, failures=1, seconds=20.0)
 
 
+def make_part(answers: int, failures: int) -> VersionEvidence:
+    """Return a gateway's counters of the target."""
+    return VersionEvidence(
+        service="chat", version="v2", answers=answers, failures=failures, seconds=1.0
+    )
+
+
 class StepTest(unittest.TestCase):
     """The next step of a move of 20 seconds."""
 
@@ -66,6 +76,23 @@
         restarted = Evidence(2, 1, 0.5)
         self.assertEqual(subtract_evidence(restarted, total), restarted)
 
+    def test_counters_that_begin_anew_count_whole(self) -> None:
+        """Guards against evidence that is lost as a gateway restarts."""
+        for name, reports, expected in (
+            ("they go on", ((3, 3), (5, 4)), (5, 4)),
+            ("they are lower", ((3, 3), (1, 1)), (4, 4)),
+            ("they were missing", ((3, 3), None, (5, 5)), (8, 8)),
+        ):
+            with self.subTest(name):
+                table = EvidenceTable()
+                for report in reports:
+                    parts = [make_part(*report)] if report else []
+                    count_report(table, "g1", parts)
+
+                target, former = split_evidence(table, "v2")
+                self.assertEqual((target.answers, target.failures), expected)
+                self.assertEqual(former, Evidence())
+
 
 class VersionTest(unittest.TestCase):
     """The upstreams that a session may use."""
