Let no signal cut the callers of the roles of waxwingwell serve

Seen: `serve entry` and `serve control` end at SIGHUP, before and after the start, and cut every request; `serve embedded`, told to stop while it starts, ends with its ports open; any signal in the last milliseconds of a stop makes it look like a crash.

Cause: SIGHUP had no handler; a stop ended the reactor though the role was still starting; the interpreter restores default actions as it ends.

A second SIGTERM changed nothing before and does not now.

Change: a stop waits for the start; SIGHUP stops the embedded role, which belongs to a terminal, and tells the others' log that settings are read at the start; signals are ignored once the reactor has ended.

--- a/src/waxwingwell/commands/serve.py
+++ b/src/waxwingwell/commands/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -26,6 +27,9 @@
 from ..adapters.settings import EntrySettings
 from ..adapters.settings import read_settings
 from ..adapters.settings import render_findings
+from ..adapters.signals import RELOAD_SIGNAL
+from ..adapters.signals import STOP_SIGNALS
+from ..adapters.signals import ignore_signals
 from ..adapters.telemetry import start_logs
 
 
@@ -95,11 +99,16 @@
             return
 
         stopping.append(True)
+        if running:
+            end()
+
+    def end() -> None:
         done = ensureDeferred(_stop_all(running))
         done.addErrback(report).addBoth(lambda _: _stop_reactor(reactor))
 
     def report(failure: Any) -> None:
         code[0] = EXIT_FAULT
+        stopping.append(True)
         if failure.check(SettingsError):
             logger.error("serve: {}", failure.getErrorMessage())
             return
@@ -109,12 +118,14 @@
     def begin() -> None:
         started = Deferred.fromCoroutine(_start(settings, reactor, stop))
         started.addCallbacks(running.append, report)
-        started.addCallback(lambda _: stop() if code[0] else None)
+        # Told to stop meanwhile: the ports are open, and callers may wait in them.
+        started.addCallback(lambda _: end() if stopping else None)
 
-    _catch_signals(reactor, stop)
+    _catch_signals(reactor, stop, settings)
     _calm_collector()
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
+    ignore_signals()
     return code[0]
 
 
@@ -154,14 +165,24 @@
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
 
 
-def _catch_signals(reactor: Any, stop: Callable[[], None]) -> None:
-    import signal
+def _catch_signals(
+    reactor: Any, stop: Callable[[], None], settings: AnySettings
+) -> None:
+    """Stop at SIGINT and SIGTERM; SIGHUP ends only what belongs to a terminal."""
 
     def handle(number: int, frame: object) -> None:
         reactor.callFromThread(stop)
 
-    signal.signal(signal.SIGINT, handle)
-    signal.signal(signal.SIGTERM, handle)
+    def note_change(number: int, frame: object) -> None:
+        reactor.callFromThread(
+            logger.warning, "serve: Settings are read at the start; restart to change."
+        )
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, handle)
+
+    embedded = isinstance(settings, EmbeddedSettings)
+    signal.signal(RELOAD_SIGNAL, handle if embedded else note_change)
 
 
 def _stop_reactor(reactor: Any) -> None:
