Stop stand-ins in order at signals during their start, and end soaks cleanly

Seen: a stand-in that is signalled while it starts ends by the signal, and its callers are reset; a soak that is ended by SIGTERM, as by timeout, would leave its gateways and registries running.

Cause: Twisted installs its handlers as the reactor starts, after the port is open, and has none for SIGHUP; the soak ended without its cleanup.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -226,6 +227,8 @@
     With ``planned`` processes are only stopped by plan, and some callers read slowly.
     Without ``first`` the seeds are fresh. Logs of broken seeds stay in ``keep``.
     """
+    # Without this the product's processes would outlive a soak that is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     start = random.SystemRandom().getrandbits(31) if first is None else first
     broken = 0
     for seed in range(start, start + seeds):
--- a/src/waxwingwell_standins/program.py
+++ b/src/waxwingwell_standins/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -40,8 +41,9 @@
 
     def serve(settings: str) -> None:
         """Serve with the JSON settings of the file."""
-        running = start(read_settings(Path(settings), kind))
         reactor: Any = get_reactor()
+        stop_at_signals(reactor)
+        running = start(read_settings(Path(settings), kind))
         reactor.addSystemEventTrigger("before", "shutdown", running.stop)
         ports = {"port": running.port}
         control = getattr(running, "control", None)
@@ -49,11 +51,25 @@
             ports["control_port"] = control.port
 
         print(msgspec.json.encode(ports).decode(), flush=True)
-        reactor.run()
+        reactor.run(installSignalHandlers=False)
 
     fire.Fire(serve)
 
 
+def stop_at_signals(reactor: Any) -> None:
+    """Stop in order at a signal, also at one that comes while the stand-in starts."""
+    stopping: list[int] = []
+
+    def handle(number: int, frame: object) -> None:
+        if not stopping:
+            reactor.callFromThread(reactor.stop)
+
+        stopping.append(number)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, handle)
+
+
 def read_settings(path: Path, kind: type[SettingsT]) -> SettingsT:
     """Decode a settings file, or leave with a message that names the place."""
     try:
--- a/tests/standins/test_program.py
+++ b/tests/standins/test_program.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -33,3 +36,45 @@
                         read_settings(path, EngineSettings)
 
                     self.assertIn(place, str(caught.exception.code))
+
+
+SIGNALLED_IN_START = """
+import os, signal, sys
+from types import SimpleNamespace
+from waxwingwell_standins import program
+from waxwingwell_standins.settings import EngineSettings
+
+def start(settings):
+    {signals}
+    return SimpleNamespace(port=7, stop=lambda: print("stopped"))
+
+program.run_program(EngineSettings, start)
+"""
+
+
+class SignalTest(unittest.TestCase):
+    """A stand-in that is signalled while it starts."""
+
+    def test_it_stops_in_order(self) -> None:
+        """Guards against a stand-in whose callers are reset as it starts."""
+        for names in (("SIGTERM",), ("SIGHUP",), ("SIGINT", "SIGTERM")):
+            with self.subTest(names), tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "engine.json"
+                path.write_text("{}", encoding="utf-8")
+                signals = "; ".join(
+                    f"os.kill(os.getpid(), signal.{name})" for name in names
+                )
+                done = subprocess.run(
+                    [
+                        sys.executable,
+                        "-c",
+                        SIGNALLED_IN_START.format(signals=signals),
+                        str(path),
+                    ],
+                    env={**os.environ},
+                    capture_output=True,
+                    text=True,
+                    check=False,
+                )
+                self.assertEqual(done.returncode, 0, done.stderr)
+                self.assertEqual(done.stdout, '{"port":7}\nstopped\n')
