Take any number of known failures, each for one test alone

In its place an entry must be whole: it begins with a test's id and names an issue, else the run ends. And it covers just this test: before, an entry covered every test whose id began with it.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,46 @@
+"""The list of tests that may fail."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from .known_red import is_known
+from .known_red import read_entries
+
+
+ENTRY = "tests.a.ThingTest.test_one: python -m tests, seed 4, seen once; issue 7"
+
+
+class KnownRedTest(unittest.TestCase):
+    """Entries name single tests and their issues."""
+
+    def read(self, text: str) -> list[str]:
+        """Return the entries of a file with this text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "KNOWN-RED.txt"
+            path.write_text(text, encoding="utf-8")
+            return read_entries(path)
+
+    def test_any_number_of_entries_is_taken(self) -> None:
+        """Guards against a verdict that turns red for the length of the list alone."""
+        self.assertEqual(self.read("\n".join([ENTRY] * 9)), [ENTRY] * 9)
+        self.assertEqual(read_entries(Path("missing")), [])
+
+    def test_incomplete_entries_end_the_run(self) -> None:
+        for text in ("something fails", "tests.a.ThingTest: no number", f"x {ENTRY}"):
+            with self.subTest(text), self.assertRaises(SystemExit) as caught:
+                self.read(f"{ENTRY}\n\n{text}")
+
+            self.assertIn("line 3", str(caught.exception.code))
+
+    def test_an_entry_is_about_one_test(self) -> None:
+        """Guards against an entry that lets other tests fail, too."""
+        for name, known in (
+            ("tests.a.ThingTest.test_one", True),
+            ("tests.a.ThingTest.test_one_more", False),
+            ("tests.a.ThingTest", False),
+        ):
+            with self.subTest(name):
+                self.assertEqual(is_known(name, [ENTRY]), known)
