Let the soak signal processes as they start, and look at exit codes

The checks are those of planned stops.

A planned stop must end with 0 in all schedules; only within the first half second of a process may it end by its own signal, as the interpreter takes some of that on a busy machine.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,6 +33,7 @@
 from .records import read_clock
 from .schedule import Stage
 from .schedule import run_faults
+from .starts import run_starts
 from .stops import run_stops
 from .stops import start_slow_callers
 from .upstreams import EVENT_SECONDS
@@ -58,6 +59,7 @@
     gateways: int,
     *,
     planned: bool = False,
+    starts: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Play one seed; return what was seen and the promises that were broken."""
     stage = await open_stage(
@@ -71,7 +73,10 @@
     background: list[asyncio.Task[None]] = []
     try:
         await begin(stage, background)
-        if planned:
+        if starts:
+            background += start_slow_callers(stage)
+            await run_starts(stage, seconds)
+        elif planned:
             background += start_slow_callers(stage)
             await run_stops(stage, seconds)
         else:
@@ -221,10 +226,12 @@
     keep: str = "",
     *,
     planned: bool = False,
+    starts: bool = False,
 ) -> None:
     """Play seeds one after the other; exit 1 if a promise was broken.
 
-    With ``planned`` processes are only stopped by plan, and some callers read slowly.
+    With ``planned`` processes are only stopped by plan, and some callers read slowly;
+    with ``starts`` they are signalled as they start again, too.
     Without ``first`` the seeds are fresh. Logs of broken seeds stay in ``keep``.
     """
     # Without this the product's processes would outlive a soak that is ended.
@@ -234,7 +241,15 @@
     for seed in range(start, start + seeds):
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             journal, found = asyncio.run(
-                play(Path(name), seed, seconds, registries, gateways, planned=planned)
+                play(
+                    Path(name),
+                    seed,
+                    seconds,
+                    registries,
+                    gateways,
+                    planned=planned,
+                    starts=starts,
+                )
             )
             report(seed, journal, found)
             broken += bool(found)
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -17,6 +17,8 @@
 
 from waxwingwell_standin import wire
 
+from .records import read_clock
+
 
 ROOT = Path(__file__).resolve().parents[2]
 DEPLOY = ROOT / "deploy" / "system.toml"
@@ -35,6 +37,7 @@
     record: wire.ProcessRecord
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    started_at: float = 0.0
     busy: bool = False
     """A fault is at work on it."""
 
@@ -136,6 +139,7 @@
     """
     member.settings.write_text(wire.write_settings(member.record))
     own = [sys.executable, *script, member.role]
+    member.started_at = read_clock()
     with member.log.open("ab") as log:
         member.process = subprocess.Popen(
             own if script else read_command(member.role),
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -37,6 +37,8 @@
 """Seconds; longer than links' heartbeats and elections take."""
 BAD_SHARE = 0.3
 POLL_SECONDS = 0.05
+START_SECONDS = 0.5
+"""Longer than an interpreter takes to start on a busy machine."""
 
 
 @dataclass(slots=True)
@@ -144,10 +146,13 @@
     return None if member is None else await stop_member(stage, member)
 
 
-async def stop_member(stage: Stage, member: Member) -> str:
+async def stop_member(
+    stage: Stage, member: Member, number: signal.Signals = signal.SIGTERM
+) -> str:
     """Stop this process as planned, and start it again; return its address."""
     assert member.process is not None
-    signal_member(member, signal.SIGTERM)
+    signal_member(member, number)
+    age = read_clock() - member.started_at
     deadline = read_clock() + TERM_SECONDS
     while member.process.poll() is None:
         if read_clock() > deadline:
@@ -156,6 +161,11 @@
 
         await asyncio.sleep(POLL_SECONDS)
 
+    code = member.process.returncode
+    # Until the program's first line the signal's default action holds.
+    if code and (age > START_SECONDS or code != -number):
+        stage.journal.wrong.append(f"{member.record.name} stopped with {code}")
+
     restart_member(member)
     member.busy = False
     return member.record.address
--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -89,11 +90,13 @@
         await note_stop(stage, member)
 
 
-async def note_stop(stage: Stage, member: Member) -> None:
+async def note_stop(
+    stage: Stage, member: Member, number: signal.Signals = signal.SIGTERM
+) -> None:
     """Stop a process, and note it as a fault."""
 
     async def stop(stage: Stage) -> str:
-        return await stop_member(stage, member)
+        return await stop_member(stage, member, number)
 
     await work(stage, stop)
 
