Name the gateways that hold a roll-out up

Seen: a roll-out that is ordered while gateways are upgraded is taken back for "too few answers to tell", and nothing says why.

Cause: nothing moves in the first half before every gateway tells which state it holds, and older programs never do (moved-session.md).

Change: the line of each step names them. That they hold it up stays: a session that runs at one of them would change its version.

Test: test_rollouts, the log names who holds a move up; the field was not there before.

--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -59,6 +59,7 @@
         elapsed=round(now - watch.began_at, 2),
         answers=target.answers,
         failures=target.failures,
+        untold=list_untold(context),
     )
     if step.ended:
         command = EndRollout(
@@ -79,6 +80,15 @@
     submit(context, grown)
 
 
+def list_untold(context: RegistryContext) -> list[str]:
+    """Return the gateways that do not tell which state they hold.
+
+    Nothing moves in the first half while there is one: older programs never tell.
+    """
+    reports = context.reports.items()
+    return sorted(name for name, known in reports if known.report.held < 0)
+
+
 def find_watch(
     context: RegistryContext, rollout: RolloutState, now: float
 ) -> RolloutWatch:
--- a/tests/adapters/registry/test_rollouts.py
+++ b/tests/adapters/registry/test_rollouts.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from tests.adapters.gateway.support import note_lines
 from tests.routing.factories import make_rollout
 from waxwingwell.adapters.registry import rollouts
 from waxwingwell.adapters.registry.hub import REPORT_LIFE
@@ -137,5 +138,20 @@
         self.assertEqual(held[-1], ORDER_INDEX)
 
 
+class UntoldGatewayTest(unittest.TestCase):
+    """A gateway of an older program, which does not tell what it holds."""
+
+    def test_the_log_names_who_holds_a_move_up(self) -> None:
+        """Guards against a move that is taken back during an upgrade, unexplained."""
+        leader = Leader()
+        leader.registry.clock.advance(DURATION)
+        leader.report("g1", FORMER)
+        leader.report("old", FORMER, held=-1)
+        found = note_lines(leader.step)
+        [line] = [one for one in found if one["message"] == "registry: Roll-out step"]
+        self.assertEqual(line["extra"]["untold"], ["old"])
+        self.assertEqual(leader.ended, [False])
+
+
 if __name__ == "__main__":
     unittest.main()
