--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,7 @@
 import tempfile
 from collections import Counter
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import fire
 
@@ -33,6 +34,8 @@
 from .records import read_clock
 from .schedule import Stage
 from .schedule import run_faults
+from .seeds import KEPT_SEEDS
+from .seeds import SoakCase
 from .starts import run_starts
 from .stops import run_stops
 from .stops import start_slow_callers
@@ -42,6 +45,10 @@
 from .upstreams import start_upstream
 
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
 RECOVERY_SECONDS = 12.0
 """After the last fault, within which all serve again."""
 CALLERS_EACH = 6
@@ -227,40 +234,58 @@
     *,
     planned: bool = False,
     starts: bool = False,
+    kept: bool = False,
 ) -> None:
     """Play seeds one after the other; exit 1 if a promise was broken.
 
     With ``planned`` processes are only stopped by plan, and some callers read slowly;
     with ``starts`` they are signalled as they start again, too.
-    Without ``first`` the seeds are fresh. Logs of broken seeds stay in ``keep``.
+    Without ``first`` the seeds are fresh; with ``kept`` they are those that have failed
+    before. Logs of broken seeds stay in ``keep``.
     """
     # Without this the product's processes would outlive a soak that is ended.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     start = random.SystemRandom().getrandbits(31) if first is None else first
+    cases: Sequence[SoakCase] = [
+        SoakCase(seed, seconds=seconds, planned=planned, starts=starts)
+        for seed in range(start, start + seeds)
+    ]
+    if kept:
+        cases = KEPT_SEEDS
+
     broken = 0
-    for seed in range(start, start + seeds):
+    for case in cases:
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             journal, found = asyncio.run(
-                play(
-                    Path(name),
-                    seed,
-                    seconds,
-                    registries,
-                    gateways,
-                    planned=planned,
-                    starts=starts,
-                )
+                play_case(Path(name), case, registries, gateways)
             )
-            report(seed, journal, found)
+            report(case.seed, journal, found)
             broken += bool(found)
             if found and keep:
                 with contextlib.suppress(FileExistsError):
-                    shutil.copytree(name, Path(keep) / str(seed))
+                    shutil.copytree(name, Path(keep) / str(case.seed))
 
-    print(f"{seeds - broken} seeds kept every promise, {broken} did not", flush=True)
+    print(
+        f"{len(cases) - broken} seeds kept every promise, {broken} did not", flush=True
+    )
     sys.exit(1 if broken else 0)
 
 
+async def play_case(
+    folder: Path, case: SoakCase, registries: int, gateways: int
+) -> tuple[Journal, list[str]]:
+    """Play a seed with its schedule."""
+    return await play(
+        folder,
+        case.seed,
+        case.seconds,
+        registries,
+        gateways,
+        planned=case.planned,
+        starts=case.starts,
+    )
+
+
 def report(seed: int, journal: Journal, found: list[str]) -> None:
     """Print what was seen of a seed."""
     served = sum(is_served(ask) for ask in journal.asks)
--- /dev/null
+++ b/bench/soak/seeds.py
@@ -0,0 +1,36 @@
+"""Seeds that have failed; they stay as cases, with what they found."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SoakCase:
+    """One seed, with its schedule and how many seconds of faults it plays."""
+
+    seed: int
+    cause: str = ""
+    """What it found."""
+    seconds: float = 12.0
+    planned: bool = False
+    starts: bool = False
+
+
+CHANGED_AT_START = "changed settings ended a process that was starting"
+STOPPED_AT_START = "a gateway that was stopped as it started reset its callers"
+KEPT_SEEDS = (
+    SoakCase(202, CHANGED_AT_START, seconds=6.0),
+    SoakCase(4, CHANGED_AT_START, seconds=1.0, planned=True),
+    SoakCase(914602595, f"{CHANGED_AT_START}; {STOPPED_AT_START}", planned=True),
+    SoakCase(914602596, STOPPED_AT_START, planned=True),
+    SoakCase(713001, STOPPED_AT_START, planned=True),
+    SoakCase(713002, STOPPED_AT_START, planned=True),
+    SoakCase(713003, STOPPED_AT_START, planned=True),
+    SoakCase(713101, STOPPED_AT_START, planned=True),
+    SoakCase(713102, STOPPED_AT_START, planned=True),
+    SoakCase(713103, STOPPED_AT_START, planned=True),
+    SoakCase(713201, STOPPED_AT_START, planned=True),
+    SoakCase(713202, STOPPED_AT_START, planned=True),
+    SoakCase(713203, STOPPED_AT_START, planned=True),
+)
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -19,6 +19,10 @@
 PLANNED_SEEDS = (4,)
 PLANNED_SECONDS = 1.0
 """One series of stops."""
+STARTS_SEED = 100
+STARTS_SECONDS = 1.0
+STOPPED_AT_START = 713002
+"""Broken before gateways kept signals during their start."""
 
 
 class PlatformSoakTest(unittest.TestCase):
@@ -60,6 +64,22 @@
                 self.assertEqual(found, [])
                 self.assertGreater(len(journal.asks), 0)
 
+    def test_signals_at_starts_cut_no_answer(self) -> None:
+        """Guards against processes that are signalled as they start, and end."""
+        from bench.soak.__main__ import play_case
+        from bench.soak.seeds import KEPT_SEEDS
+        from bench.soak.seeds import SoakCase
+
+        kept = [case for case in KEPT_SEEDS if case.seed == STOPPED_AT_START]
+        fresh = SoakCase(STARTS_SEED, seconds=STARTS_SECONDS, starts=True)
+        for case in (fresh, *kept):
+            with self.subTest(seed=case.seed), tempfile.TemporaryDirectory() as folder:
+                journal, found = asyncio.run(
+                    play_case(Path(folder), case, registries=3, gateways=3)
+                )
+                self.assertEqual(found, [])
+                self.assertGreater(len(journal.asks), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
