--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -35,6 +35,11 @@
 
             self.assertIn("line 3", str(caught.exception.code))
 
+    def test_a_run_by_hand_lets_no_test_fail(self) -> None:
+        entry = "bench.soak --first 9 --seeds 1: a caller was reset; issue 7"
+        self.assertEqual(self.read(entry), [entry])
+        self.assertFalse(is_known("tests.a.ThingTest.test_one", [entry]))
+
     def test_an_entry_is_about_one_test(self) -> None:
         """Guards against an entry that lets other tests fail, too."""
         for name, known in (
