--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -18,6 +18,7 @@
 
 
 CHANGED_AT_START = "changed settings ended a process that was starting"
+LEFT_LATE = "a gateway's process was there 12 s after its signal, 7 s after it stopped"
 STOPPED_AT_START = "a gateway that was stopped as it started reset its callers"
 KEPT_SEEDS = (
     SoakCase(202, CHANGED_AT_START, seconds=6.0),
@@ -35,4 +36,5 @@
     SoakCase(713201, STOPPED_AT_START, planned=True),
     SoakCase(713202, STOPPED_AT_START, planned=True),
     SoakCase(713203, STOPPED_AT_START, planned=True),
+    SoakCase(1970201329, LEFT_LATE, planned=True),
 )
