--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -19,6 +19,7 @@
 
 CHANGED_AT_START = "changed settings ended a process that was starting"
 LEFT_LATE = "a gateway's process was there 12 s after its signal, 7 s after it stopped"
+RESET_UNREAD = "a caller of a stopping gateway was reset 0.26 s after it had sent"
 STOPPED_AT_START = "a gateway that was stopped as it started reset its callers"
 KEPT_SEEDS = (
     SoakCase(202, CHANGED_AT_START, seconds=6.0),
@@ -37,4 +38,5 @@
     SoakCase(713202, STOPPED_AT_START, planned=True),
     SoakCase(713203, STOPPED_AT_START, planned=True),
     SoakCase(1970201329, LEFT_LATE, planned=True),
+    SoakCase(1970201331, f"{CHANGED_AT_START}; {RESET_UNREAD}", planned=True),
 )
