--- a/bench/soak/starts.py
+++ b/bench/soak/starts.py
@@ -11,6 +11,8 @@
 from .stops import LONGEST_STEP
 from .stops import alter
 from .stops import note_stop
+from .stops import overlap
+from .stops import run_series
 from .stops import split
 
 
@@ -32,23 +34,12 @@
 
 async def run_starts(stage: Stage, seconds: float) -> None:
     """Restart processes in overlapping series, signalled as they start, for a time."""
-    until = read_clock() + seconds
-    while read_clock() < until:
-        await asyncio.gather(
-            restart_gateways(split(stage)),
-            restart_registries(split(stage)),
-            alter(split(stage)),
-        )
+    await run_series(stage, seconds, restart_gateways, restart_registries, alter)
 
 
 async def restart_gateways(stage: Stage) -> None:
     """Restart every gateway; the restarts overlap."""
-    tasks = []
-    for member in stage.random.sample(stage.fleet.gateways, len(stage.fleet.gateways)):
-        tasks.append(asyncio.create_task(restart(split(stage), member)))
-        await asyncio.sleep(LONGEST_STEP * stage.random.random())
-
-    await asyncio.gather(*tasks)
+    await overlap(stage, restart)
 
 
 async def restart_registries(stage: Stage) -> None:
--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -12,6 +12,7 @@
 from .callers import call_forever
 from .callers import call_once
 from .readers import BIG_STREAM_SECONDS
+from .records import read_clock
 from .schedule import change
 from .schedule import hang_up
 from .schedule import stop_member
@@ -19,6 +20,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from .processes import Member
@@ -51,21 +54,30 @@
 
 async def run_stops(stage: Stage, seconds: float) -> None:
     """Stop all processes in turn, series after series, for a time."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + seconds
-    while loop.time() < until:
-        await asyncio.gather(
-            stop_gateways(split(stage)),
-            stop_registries(split(stage)),
-            alter(split(stage)),
-        )
+    await run_series(stage, seconds, stop_gateways, stop_registries, alter)
+
+
+async def run_series(
+    stage: Stage, seconds: float, *series: Callable[[Stage], Awaitable[None]]
+) -> None:
+    """Run series beside each other, again and again for a time."""
+    until = read_clock() + seconds
+    while read_clock() < until:
+        await asyncio.gather(*[one(split(stage)) for one in series])
 
 
 async def stop_gateways(stage: Stage) -> None:
     """Stop every gateway; the stops overlap."""
+    await overlap(stage, stop_at_end)
+
+
+async def overlap(
+    stage: Stage, deed: Callable[[Stage, Member], Awaitable[None]]
+) -> None:
+    """Do something to every gateway, in any order; the deeds overlap."""
     tasks = []
     for member in stage.random.sample(stage.fleet.gateways, len(stage.fleet.gateways)):
-        tasks.append(asyncio.create_task(stop_at_end(split(stage), member)))
+        tasks.append(asyncio.ensure_future(deed(split(stage), member)))
         await asyncio.sleep(LONGEST_STEP * stage.random.random())
 
     await asyncio.gather(*tasks)
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -184,21 +184,7 @@
 
         Were the signal dropped, the process would keep the former settings for good.
         """
-        with tempfile.TemporaryDirectory() as name:
-            settings = Path(name) / "settings.toml"
-            settings.write_text('node_name = "n1"\n')
-            done = subprocess.run(
-                [sys.executable, "-c", SIGNALLED_IN_START],
-                env={
-                    **os.environ,
-                    "PYTHONPATH": os.pathsep.join([str(ROOT / "platform"), *sys.path]),
-                    "WAXWINGWELL_SETTINGS": str(settings),
-                },
-                capture_output=True,
-                text=True,
-                check=False,
-            )
-
+        done = run_role(SIGNALLED_IN_START)
         self.assertEqual(done.returncode, 0, done.stderr)
         self.assertIn("reloaded n1", done.stdout)
         self.assertIn("running", done.stdout)
--- /dev/null
+++ b/tests/system/stages.py
@@ -0,0 +1,43 @@
+"""Processes of the soak for tests that play one case with them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import TYPE_CHECKING
+
+from bench.soak.__main__ import begin
+from bench.soak.__main__ import close_all
+from bench.soak.__main__ import open_stage
+from bench.soak.processes import stop_fleet
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+    from bench.soak.schedule import Stage
+
+
+SEED = 1
+
+
+@contextlib.asynccontextmanager
+async def open_small_stage(folder: Path) -> AsyncIterator[Stage]:
+    """Serve with one gateway, one registry and one upstream each; without callers."""
+    chooser = random.Random(SEED)
+    stage = await open_stage(
+        folder, chooser, registries=1, gateways=1, upstreams_each=1
+    )
+    background: list[asyncio.Task[None]] = []
+    try:
+        await begin(stage, background, callers_each=0)
+        yield stage
+    finally:
+        for task in background:
+            task.cancel()
+
+        await asyncio.gather(*background, return_exceptions=True)
+        stop_fleet(stage.fleet)
+        await close_all(stage.links, stage.upstreams)
--- a/tests/system/test_planned_stops.py
+++ b/tests/system/test_planned_stops.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 import tempfile
 import unittest
@@ -12,9 +11,6 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from bench.soak.__main__ import begin
-from bench.soak.__main__ import close_all
-from bench.soak.__main__ import open_stage
 from bench.soak.http import BrokenMessageError
 from bench.soak.http import Message
 from bench.soak.http import read_body
@@ -23,7 +19,6 @@
 from bench.soak.operators import HOST
 from bench.soak.operators import KEYS
 from bench.soak.processes import signal_member
-from bench.soak.processes import stop_fleet
 from bench.soak.readers import open_slowly
 from bench.soak.records import BUDGET_SECONDS
 from bench.soak.records import make_body
@@ -31,13 +26,14 @@
 
 from waxwingwell_standin import wire
 
+from .stages import open_small_stage
+
 
 if TYPE_CHECKING:
     from bench.soak.records import Run
     from bench.soak.schedule import Stage
 
 
-SEED = 1
 POLL_SECONDS = 0.02
 REQUEST = "unread-1"
 
@@ -69,21 +65,8 @@
 
 async def play(folder: Path, path: str, moment: str) -> bytes:
     """Start the processes, and return what a caller gets of its answer."""
-    chooser = random.Random(SEED)
-    stage = await open_stage(
-        folder, chooser, registries=1, gateways=1, upstreams_each=1
-    )
-    background: list[asyncio.Task[None]] = []
-    try:
-        await begin(stage, background, callers_each=0)
+    async with open_small_stage(folder) as stage:
         return await read_late(stage, path, moment)
-    finally:
-        for task in background:
-            task.cancel()
-
-        await asyncio.gather(*background, return_exceptions=True)
-        stop_fleet(stage.fleet)
-        await close_all(stage.links, stage.upstreams)
 
 
 async def read_late(stage: Stage, path: str, moment: str) -> bytes:
--- a/tests/system/test_signalled_start.py
+++ b/tests/system/test_signalled_start.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 import tempfile
 import unittest
@@ -12,16 +11,13 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from bench.soak.__main__ import begin
-from bench.soak.__main__ import close_all
-from bench.soak.__main__ import open_stage
 from bench.soak.http import read_body
 from bench.soak.http import read_head
 from bench.soak.processes import kill_member
 from bench.soak.processes import restart_member
 from bench.soak.processes import signal_member
-from bench.soak.processes import stop_fleet
 
+from .stages import open_small_stage
 from .test_planned_stops import write_request
 
 
@@ -30,7 +26,6 @@
     from bench.soak.schedule import Stage
 
 
-SEED = 1
 POLL_SECONDS = 0.001
 CALLERS = 5
 
@@ -60,20 +55,8 @@
     folder: Path, signals: tuple[signal.Signals, ...]
 ) -> tuple[list[int], int]:
     """Signal a gateway that starts; return statuses of callers and its exit code."""
-    stage = await open_stage(
-        folder, random.Random(SEED), registries=1, gateways=1, upstreams_each=1
-    )
-    background: list[asyncio.Task[None]] = []
-    try:
-        await begin(stage, background, callers_each=0)
+    async with open_small_stage(folder) as stage:
         return await signal_start(stage, signals)
-    finally:
-        for task in background:
-            task.cancel()
-
-        await asyncio.gather(*background, return_exceptions=True)
-        stop_fleet(stage.fleet)
-        await close_all(stage.links, stage.upstreams)
 
 
 async def signal_start(
