Report to a control in the gateway's own data centre

Cause: a gateway drew its home from all controls, so four of five reports and sums crossed data centres.

Change: controls tell where they are; a gateway reports to one nearby if any can be reached, and returns there when it is back.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -60,6 +60,8 @@
     controls: dict[str, Link] = field(default_factory=dict)
     home: str = ""
     """The control that we report to."""
+    near: set[str] = field(default_factory=set)
+    """Controls in our own data centre."""
     index: DocumentIndex | None = None
     routing_index: int = -1
     """Place in the controls' log of the state held; it never steps back."""
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -66,6 +66,7 @@
         drop_tombstones(context.fleet, now)
     elif isinstance(body, ShareMembers):
         know_controls(context, body)
+        note_place(context, sender, body.data_centre)
     elif isinstance(body, FleetReport):
         take_sum(
             context.load,
@@ -137,6 +138,17 @@
     context.controls[name] = open_link(context.node, name, connect)
 
 
+def note_place(context: GatewayContext, control: str, data_centre: str) -> None:
+    """Note whether a control is near; report to one that is, once there is one."""
+    if data_centre != context.settings.data_centre:
+        context.near.discard(control)
+        return
+
+    context.near.add(control)
+    if context.home not in context.near:
+        choose_home(context)
+
+
 def report_use(context: GatewayContext) -> None:
     """Tell one control what we have running and what answers we saw."""
     link = context.controls.get(context.home)
@@ -178,8 +190,13 @@
 
 
 def choose_home(context: GatewayContext) -> None:
-    """Report to a control that can be reached, drawn by lot to spread the load."""
+    """Report to a control that can be reached, to one in our data centre if any can.
+
+    Reports and sums are most of what gateways and controls tell each other, and bytes
+    between data centres are dear. A lot spreads gateways over the controls.
+    """
     up = [name for name, link in context.controls.items() if is_link_up(link)]
-    former, context.home = context.home, context.random.choice(up) if up else ""
+    near = [name for name in up if name in context.near]
+    former, context.home = context.home, context.random.choice(near or up or [""])
     if context.home != former:
         log_event("gateway: Reports go to", control=context.home, before=former)
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -162,7 +162,9 @@
     if len(names) < 2:
         names |= context.controls.keys()
 
-    return ShareMembers(controls=tuple(sorted(names)))
+    return ShareMembers(
+        controls=tuple(sorted(names)), data_centre=context.settings.data_centre
+    )
 
 
 def list_news(context: RegistryContext) -> tuple[Announcement, ...]:
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -123,6 +123,8 @@
     """Controls that a process may connect to, by name."""
 
     controls: tuple[str, ...]
+    data_centre: str = ""
+    """Of the control that tells this."""
 
 
 class UpstreamUse(Message, frozen=True, kw_only=True):
--- a/tests/adapters/gateway/test_steering.py
+++ b/tests/adapters/gateway/test_steering.py
@@ -20,6 +20,7 @@
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.messages import ShareHeartbeats
+from waxwingwell.routing.messages import ShareMembers
 from waxwingwell.routing.messages import ShareNews
 from waxwingwell.routing.messages import ShareRouting
 from waxwingwell.routing.messages import UpstreamUse
@@ -127,6 +128,55 @@
         self.assertEqual(context.load.gateways, 4)
 
 
+class HomeTest(unittest.TestCase):
+    """Which control a gateway reports to."""
+
+    def test_it_reports_to_a_control_in_its_own_data_centre(self) -> None:
+        """Guards against reports and sums that cross data centres without need."""
+        for name, places, down, expected in (
+            ("one is near", {"a": "south", "b": "north", "c": "south"}, "", {"b"}),
+            ("two are near", {"a": "north", "b": "north", "c": "west"}, "", {"a", "b"}),
+            ("none is near", {"a": "south", "b": "west"}, "", {"a", "b"}),
+            ("the near one is down", {"a": "south", "b": "north"}, "b", {"a"}),
+        ):
+            with self.subTest(name):
+                self.assertIn(find_home(places, down), expected)
+
+    def test_it_returns_to_a_near_control(self) -> None:
+        """Guards against gateways that stay far after a near control has restarted."""
+        gateway = make_gateway()
+        context = gateway.context
+        context.controls = {"a": make_link(), "b": make_link()}
+        context.home = "a"
+        body = ShareMembers(controls=("a", "b"), data_centre="north")
+        take_cast(context, "b", body)
+        self.assertEqual(context.home, "b")
+
+
+def make_link() -> Any:
+    """Return a link that is up and keeps nothing."""
+    return SimpleNamespace(
+        stopped=False, protocol=SimpleNamespace(cast=lambda body: True)
+    )
+
+
+def find_home(places: dict[str, str], down: str) -> str:
+    """Return where a gateway in the north reports, knowing where controls are."""
+    gateway = make_gateway()
+    context = gateway.context
+    context.controls = {name: make_link() for name in places}
+    controls = tuple(places)
+    for name, data_centre in places.items():
+        body = ShareMembers(controls=controls, data_centre=data_centre)
+        take_cast(context, name, body)
+
+    if down:
+        context.controls[down].protocol = None
+
+    report_use(context)
+    return str(context.home)
+
+
 class MoveTest(unittest.TestCase):
     """What gateways tell each other of the sessions in a move."""
 
