Let controls tell each other sums in place of reports

Cause: each control passed every report of its gateways on to the other four: 195 x 4 x 4 messages a second of some 0.5 KB. Counted from the messages' sizes, that and the sums were most of what crosses data centres.

Change: a control sums the reports of its own gateways; others get the sum, with evidence on versions where it has changed in a roll-out, and of each gateway every 2 s. What a gateway has running counts for 1 s, what it knows of a move for 3 s as before. Uses and evidence travel as arrays. `routing/reports` holds the tables; the hub loses them.

Ruled out: evidence summed by control. A gateway that changes its home would be counted twice, and what a control knew would go with it.

Gateways and controls have to be upgraded together: neither reads the other's messages of before.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from ...routing.fleet import FleetTable
-from ...routing.messages import GatewayReport
 from ...routing.messages import RoutingBody
+from ...routing.reports import ReportTable
 from ...routing.rollouts import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
 from ...state.consensus.records import Membership
@@ -24,16 +24,6 @@
 RegistryBody = RoutingBody | ConsensusBody
 
 
-@dataclass(slots=True)
-class Reported:
-    """The latest report of one gateway."""
-
-    report: GatewayReport
-    at: float
-    direct: bool
-    """It came over the gateway's own link, so we answer to it."""
-
-
 @dataclass(slots=True)
 class Sent:
     """What a gateway's link has been sent."""
@@ -74,7 +64,7 @@
     fleet: FleetTable = field(default_factory=FleetTable)
     heard: dict[str, tuple[int, int]] = field(default_factory=dict)
     """Upstreams heard of directly since the last round of heartbeats."""
-    reports: dict[str, Reported] = field(default_factory=dict)
+    reports: ReportTable = field(default_factory=ReportTable)
     watches: dict[tuple[str, float], RolloutWatch] = field(default_factory=dict)
     due: dict[str, float] = field(default_factory=dict)
     """When each periodic duty ran last, by its name."""
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -14,7 +14,7 @@
 from ...routing.fleet import drop_tombstones
 from ...routing.fleet import refresh
 from ...routing.fleet import take_news
-from ...routing.messages import FleetReport
+from ...routing.messages import ControlReport
 from ...routing.messages import GatewayReport
 from ...routing.messages import NotAccepted
 from ...routing.messages import ReadRouting
@@ -23,8 +23,11 @@
 from ...routing.messages import ShareNews
 from ...routing.messages import ShareRouting
 from ...routing.messages import SubmitRouting
-from ...routing.messages import UpstreamUse
-from ...routing.retries import add_repeats
+from ...routing.reports import drop_old
+from ...routing.reports import make_control_report
+from ...routing.reports import sum_fleet
+from ...routing.reports import take_control_report
+from ...routing.reports import take_report
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
 from ...state.group import allow_name
@@ -37,7 +40,6 @@
 from ..links import is_link_up
 from ..links import open_link
 from ..measures import LINKS
-from .context import Reported
 from .context import Sent
 from .members import is_current
 from .members import read_here
@@ -57,8 +59,6 @@
 REPORT_SECONDS = 0.25
 """Between two sums of what gateways have running."""
 MEMBER_SECONDS = 2.0
-REPORT_LIFE = 3.0
-"""Seconds after which a gateway that reports nothing counts as gone."""
 COMPRESSION = 6
 
 
@@ -275,23 +275,14 @@
     elif isinstance(body, ShareHeartbeats):
         refresh(context.fleet, body.heard, context.clock())
     elif isinstance(body, GatewayReport):
-        take_report(context, sender, body)
+        take_report(context.reports, body, context.clock())
+    elif isinstance(body, ControlReport):
+        take_control_report(context.reports, sender, body, context.clock())
     elif isinstance(body, ShareMembers):
         for name in body.controls:
             know_control(context, name)
 
 
-def take_report(context: RegistryContext, sender: str, report: GatewayReport) -> None:
-    """Keep a gateway's report; pass it on if it came from the gateway itself."""
-    direct = sender == report.gateway
-    context.reports[report.gateway] = Reported(report, context.clock(), direct)
-    if not direct:
-        return
-
-    for link in context.controls.values():
-        cast_link(link, report)
-
-
 def run_sharing(context: RegistryContext, now: float) -> None:
     """Do what is due of the periodic sharing."""
     share_routing(context, now)
@@ -337,15 +328,6 @@
         protocol.cast(body)
 
 
-def list_homed(context: RegistryContext) -> list[LinkProtocol]:
-    """Return the connections of gateways that report to this control."""
-    return [
-        protocol
-        for protocol in context.peers
-        if (known := context.reports.get(protocol.remote)) and known.direct
-    ]
-
-
 def share_members(context: RegistryContext) -> None:
     """Tell everyone which controls there are."""
     body = list_members(context)
@@ -356,40 +338,25 @@
         cast_link(link, body)
 
 
+def list_homed(context: RegistryContext) -> list[LinkProtocol]:
+    """Return the connections of gateways that report to this control."""
+    homed = context.reports.homed
+    return [protocol for protocol in context.peers if protocol.remote in homed]
+
+
 def share_reports(context: RegistryContext, now: float) -> None:
-    """Send the sum of all reports to the gateways that report to this control."""
-    gone = [
-        name for name, known in context.reports.items() if now - known.at > REPORT_LIFE
-    ]
-    for name in gone:
-        del context.reports[name]
+    """Tell controls the sum over our gateways, and these the sum over all."""
+    drop_old(context.reports, now)
+    moves = context.state.rollouts.values()
+    urgent = any(move.state == "in_progress" for move in moves)
+    report = make_control_report(context.reports, now, urgent=urgent)
+    for link in context.controls.values():
+        cast_link(link, report)
 
     homed = list_homed(context)
     if not homed:
         return
 
-    body = sum_reports([known.report for known in context.reports.values()])
+    body = sum_fleet(context.reports, now)
     for protocol in homed:
         protocol.cast(body)
-
-
-def sum_reports(reports: list[GatewayReport]) -> FleetReport:
-    """Add up what gateways have running at each upstream."""
-    running: dict[str, list[float]] = {}
-    for report in reports:
-        for use in report.use:
-            total = running.setdefault(use.upstream, [0, 0])
-            total[0] += use.running
-            total[1] += use.backlog
-
-    return FleetReport(
-        gateways=len(reports),
-        use=tuple(
-            UpstreamUse(upstream=name, running=int(total[0]), backlog=total[1])
-            for name, total in running.items()
-        ),
-        work=sum(report.work for report in reports),
-        held=min((report.held for report in reports), default=-1),
-        kept=tuple({place for report in reports for place in report.kept}),
-        repeats=add_repeats(part for report in reports for part in report.repeats),
-    )
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -6,6 +6,7 @@
 
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
+from ...routing.reports import list_untold
 from ...routing.rollouts import EvidenceTable
 from ...routing.rollouts import add_evidence
 from ...routing.rollouts import count_report
@@ -59,7 +60,7 @@
         elapsed=round(now - watch.began_at, 2),
         answers=target.answers,
         failures=target.failures,
-        untold=list_untold(context),
+        untold=list_untold(context.reports),
     )
     if step.ended:
         command = EndRollout(
@@ -80,15 +81,6 @@
     submit(context, grown)
 
 
-def list_untold(context: RegistryContext) -> list[str]:
-    """Return the gateways that do not tell which state they hold.
-
-    Nothing moves in the first half while there is one: older programs never tell.
-    """
-    reports = context.reports.items()
-    return sorted(name for name, known in reports if known.report.held < 0)
-
-
 def find_watch(
     context: RegistryContext, rollout: RolloutState, now: float
 ) -> RolloutWatch:
@@ -102,9 +94,9 @@
         age = context.wall_clock() - rollout.ordered_at
         age = min(max(age, 0.0), rollout.duration)
         before = {
-            (known.report.gateway, part.version): add_evidence([part])
-            for known in context.reports.values()
-            for part in known.report.evidence
+            (gateway, part.version): add_evidence([part])
+            for gateway, known in context.reports.evidence.items()
+            for part in known.versions
             if part.service == rollout.service and part.version != rollout.target
         }
         watch = RolloutWatch(now - age, EvidenceTable(counted=before))
@@ -117,6 +109,6 @@
     context: RegistryContext, rollout: RolloutState, watch: RolloutWatch
 ) -> None:
     """Count what gateways have reported since the last look."""
-    for known in context.reports.values():
-        parts = [one for one in known.report.evidence if one.service == rollout.service]
-        count_report(watch.evidence, known.report.gateway, parts)
+    for gateway, known in context.reports.evidence.items():
+        parts = [one for one in known.versions if one.service == rollout.service]
+        count_report(watch.evidence, gateway, parts)
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -116,7 +116,7 @@
 def list_use(table: LoadTable) -> tuple[UpstreamUse, ...]:
     """Return our own use, to be told to others."""
     return tuple(
-        UpstreamUse(upstream=name, running=use.running, backlog=use.backlog)
+        UpstreamUse(upstream=name, running=use.running, backlog=round(use.backlog))
         for name, use in table.own.items()
     )
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -127,12 +127,12 @@
     """Of the control that tells this."""
 
 
-class UpstreamUse(Message, frozen=True, kw_only=True):
+class UpstreamUse(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What gateways have running at an upstream."""
 
     upstream: str
     running: int
-    backlog: float
+    backlog: int
     """Milliseconds of work for prompts whose first event has not come back yet."""
 
 
@@ -146,7 +146,7 @@
     """Sends beyond the first of a request."""
 
 
-class VersionEvidence(Message, frozen=True, kw_only=True):
+class VersionEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Answers of one version of a service since a gateway started."""
 
     service: str
@@ -184,6 +184,23 @@
     repeats: tuple[ServiceRepeats, ...] = ()
 
 
+class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway has seen of versions since it started."""
+
+    gateway: str
+    versions: tuple[VersionEvidence, ...]
+
+
+class ControlReport(Message, frozen=True, kw_only=True):
+    """What one control tells the others of the gateways that report to it."""
+
+    total: FleetReport
+    evidence: tuple[GatewayEvidence, ...] = ()
+    """Of gateways whose evidence changed, and now and then of each."""
+    untold: tuple[str, ...] = ()
+    """Gateways that do not tell which state they hold."""
+
+
 RoutingBody = (
     SubmitRouting
     | Accepted
@@ -196,4 +213,5 @@
     | ShareMembers
     | GatewayReport
     | FleetReport
+    | ControlReport
 )
--- a/tests/adapters/gateway/test_steering.py
+++ b/tests/adapters/gateway/test_steering.py
@@ -114,17 +114,17 @@
     def test_our_own_share_is_not_counted_twice(self) -> None:
         gateway = make_gateway()
         context = gateway.context
-        context.reported = (UpstreamUse(upstream="u1", running=2, backlog=30.0),)
+        context.reported = (UpstreamUse(upstream="u1", running=2, backlog=30),)
         total = (
-            UpstreamUse(upstream="u1", running=5, backlog=100.0),
-            UpstreamUse(upstream="u2", running=1, backlog=5.0),
+            UpstreamUse(upstream="u1", running=5, backlog=100),
+            UpstreamUse(upstream="u2", running=1, backlog=5),
         )
         take_cast(context, "control", FleetReport(gateways=4, use=total, work=9.0))
         found = {
             name: (use.running, use.backlog)
             for name, use in context.load.others.items()
         }
-        self.assertEqual(found, {"u1": (3, 70.0), "u2": (1, 5.0)})
+        self.assertEqual(found, {"u1": (3, 70), "u2": (1, 5)})
         self.assertEqual(context.load.gateways, 4)
 
 
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -14,15 +14,12 @@
 from waxwingwell.adapters.registry.api import withdraw
 from waxwingwell.adapters.registry.hub import run_sharing
 from waxwingwell.adapters.registry.hub import share_heartbeats
-from waxwingwell.adapters.registry.hub import sum_reports
 from waxwingwell.adapters.registry.hub import take_cast
 from waxwingwell.adapters.registry.hub import take_greeting
 from waxwingwell.routing.fleet import UpstreamState
-from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import ShareHeartbeats
 from waxwingwell.routing.messages import ShareNews
-from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.state.consensus.records import Membership
 
 from .support import make_registry
@@ -173,37 +170,3 @@
                 registry.context.group = cast("Any", SimpleNamespace(replica=replica))
                 hub.allow_member(registry.context, "x")
                 self.assertEqual(replica.names, expected)
-
-
-class ReportTest(unittest.TestCase):
-    """Sums of what gateways have running."""
-
-    def test_sum(self) -> None:
-        use = (UpstreamUse(upstream="u1", running=2, backlog=10.0),)
-        reports = [
-            GatewayReport(gateway=name, use=use, evidence=()) for name in ("a", "b")
-        ]
-        self.assertEqual(
-            sum_reports(reports),
-            FleetReport(
-                gateways=2,
-                use=(UpstreamUse(upstream="u1", running=4, backlog=20.0),),
-            ),
-        )
-
-    def test_what_gateways_know_of_a_move(self) -> None:
-        """A gateway acts on sessions of which not every gateway has told yet."""
-        for name, told, held, kept in (
-            ("none", (), -1, set()),
-            ("one lags", ((8, (1, 2)), (7, (2, 3))), 7, {1, 2, 3}),
-            ("one does not tell", ((8, (1,)), (-1, ())), -1, {1}),
-        ):
-            with self.subTest(name):
-                reports = [
-                    GatewayReport(
-                        gateway=str(place), use=(), evidence=(), held=at, kept=places
-                    )
-                    for place, (at, places) in enumerate(told)
-                ]
-                total = sum_reports(reports)
-                self.assertEqual((total.held, set(total.kept)), (held, kept))
--- a/tests/adapters/registry/test_rollouts.py
+++ b/tests/adapters/registry/test_rollouts.py
@@ -9,17 +9,17 @@
 from tests.adapters.gateway.support import note_lines
 from tests.routing.factories import make_rollout
 from waxwingwell.adapters.registry import rollouts
-from waxwingwell.adapters.registry.hub import REPORT_LIFE
 from waxwingwell.adapters.registry.hub import REPORT_SECONDS
 from waxwingwell.adapters.registry.hub import share_reports
 from waxwingwell.adapters.registry.hub import take_greeting
-from waxwingwell.adapters.registry.hub import take_report
 from waxwingwell.routing.messages import EndRollout
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import GrowRollout
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.messages import VersionEvidence
+from waxwingwell.routing.reports import REPORT_LIFE
+from waxwingwell.routing.reports import take_report
 from waxwingwell.routing.rollouts import FIRST_SHARE
 
 from .support import make_registry
@@ -61,7 +61,7 @@
     ) -> None:
         """Take a gateway's report."""
         report = GatewayReport(gateway=gateway, use=(), evidence=evidence, held=held)
-        take_report(self.context, gateway, report)
+        take_report(self.context.reports, report, self.context.clock())
 
     def step(self) -> None:
         """Look at the evidence, then let time pass until the next look."""
--- /dev/null
+++ b/tests/routing/test_reports.py
@@ -0,0 +1,192 @@
+"""Sums of what gateways report, at one control and over all."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from waxwingwell.routing.messages import ControlReport
+from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import GatewayReport
+from waxwingwell.routing.messages import ServiceRepeats
+from waxwingwell.routing.messages import UpstreamUse
+from waxwingwell.routing.messages import VersionEvidence
+from waxwingwell.routing.reports import EVIDENCE_SECONDS
+from waxwingwell.routing.reports import REPORT_LIFE
+from waxwingwell.routing.reports import USE_LIFE
+from waxwingwell.routing.reports import ReportTable
+from waxwingwell.routing.reports import drop_old
+from waxwingwell.routing.reports import list_untold
+from waxwingwell.routing.reports import make_control_report
+from waxwingwell.routing.reports import sum_fleet
+from waxwingwell.routing.reports import sum_totals
+from waxwingwell.routing.reports import take_control_report
+from waxwingwell.routing.reports import take_report
+from waxwingwell.routing.reports import total_of
+
+
+USE = (UpstreamUse(upstream="u1", running=2, backlog=10),)
+
+
+def make_report(gateway: str, **fields: Any) -> GatewayReport:
+    """Return a gateway's report."""
+    return GatewayReport(**{"gateway": gateway, "use": (), "evidence": (), **fields})
+
+
+def make_evidence(answers: int) -> tuple[VersionEvidence, ...]:
+    """Return what a gateway has seen of a version."""
+    return (
+        VersionEvidence(
+            service="chat", version="v1", answers=answers, failures=0, seconds=0.5
+        ),
+    )
+
+
+class SumTest(unittest.TestCase):
+    """Sums of what gateways have running."""
+
+    def test_sum(self) -> None:
+        reports = [make_report(name, use=USE) for name in ("a", "b")]
+        self.assertEqual(
+            sum_totals(map(total_of, reports)),
+            FleetReport(
+                gateways=2,
+                use=(UpstreamUse(upstream="u1", running=4, backlog=20),),
+            ),
+        )
+
+    def test_what_gateways_know_of_a_move(self) -> None:
+        """A gateway acts on sessions of which not every gateway has told yet."""
+        for name, told, held, kept in (
+            ("none", (), -1, set()),
+            ("one lags", ((8, (1, 2)), (7, (2, 3))), 7, {1, 2, 3}),
+            ("one does not tell", ((8, (1,)), (-1, ())), -1, {1}),
+        ):
+            with self.subTest(name):
+                reports = [
+                    make_report(str(place), held=at, kept=places)
+                    for place, (at, places) in enumerate(told)
+                ]
+                total = sum_totals(map(total_of, reports))
+                self.assertEqual((total.held, set(total.kept)), (held, kept))
+
+
+class Controls:
+    """Two controls that tell each other of their gateways."""
+
+    def __init__(self) -> None:
+        self.first = ReportTable()
+        self.second = ReportTable()
+
+    def exchange(self, now: float, *, urgent: bool = False) -> ControlReport:
+        """Let each tell the other; return what the second tells."""
+        first = make_control_report(self.first, now, urgent=urgent)
+        second = make_control_report(self.second, now, urgent=urgent)
+        take_control_report(self.first, "second", second, now)
+        take_control_report(self.second, "first", first, now)
+        return second
+
+
+class ControlTest(unittest.TestCase):
+    """Sums over gateways that report to different controls."""
+
+    def test_both_controls_have_the_sum_of_all(self) -> None:
+        controls = Controls()
+        repeats = (ServiceRepeats("chat", 10, 4),)
+        take_report(
+            controls.first, make_report("a", use=USE, held=8, repeats=repeats), 0.0
+        )
+        take_report(
+            controls.second, make_report("b", use=USE, held=7, repeats=repeats), 0.0
+        )
+        controls.exchange(0.0)
+        for table in (controls.first, controls.second):
+            total = sum_fleet(table, 0.0)
+            self.assertEqual(total.gateways, 2)
+            self.assertEqual(total.use[0].running, 4)
+            self.assertEqual(total.held, 7)
+            self.assertEqual(total.repeats, (ServiceRepeats("chat", 20, 8),))
+
+    def test_a_control_without_gateways_holds_no_move_up(self) -> None:
+        """Guards against roll-outs that stand still while a control has no gateway."""
+        controls = Controls()
+        take_report(controls.first, make_report("a", held=8), 0.0)
+        controls.exchange(0.0)
+        self.assertEqual(sum_fleet(controls.first, 0.0).held, 8)
+
+    def test_a_gateway_that_is_silent(self) -> None:
+        """Guards against requests counted as running at a gateway that is gone.
+
+        It may only stand still, so that it holds a move up for longer.
+        """
+        for age, running, gateways in (
+            (USE_LIFE, 2, 1),
+            (USE_LIFE + 0.1, 0, 1),
+            (REPORT_LIFE, 0, 1),
+            (REPORT_LIFE + 0.1, 0, 0),
+        ):
+            for place in ("its home", "the other control"):
+                with self.subTest(age=age, place=place):
+                    controls = Controls()
+                    take_report(controls.second, make_report("b", use=USE), 0.0)
+                    controls.exchange(0.0)
+                    home = place == "its home"
+                    table = controls.second if home else controls.first
+                    drop_old(table, age)
+                    total = sum_fleet(table, age)
+                    self.assertEqual(sum(one.running for one in total.use), running)
+                    self.assertEqual(total.gateways, gateways)
+
+    def test_a_gateway_that_changes_its_home(self) -> None:
+        """Guards against its requests being counted twice for longer than a moment."""
+        controls = Controls()
+        take_report(controls.first, make_report("a", use=USE), 0.0)
+        at = USE_LIFE + 0.1
+        take_report(controls.second, make_report("a", use=USE), at)
+        controls.exchange(at)
+        for table in (controls.first, controls.second):
+            self.assertEqual(sum_fleet(table, at).use, USE)
+
+    def test_gateways_that_do_not_tell_what_they_hold(self) -> None:
+        controls = Controls()
+        take_report(controls.first, make_report("a", held=-1), 0.0)
+        take_report(controls.second, make_report("b", held=-1), 0.0)
+        take_report(controls.second, make_report("c", held=3), 0.0)
+        controls.exchange(0.0)
+        self.assertEqual(list_untold(controls.first), ["a", "b"])
+
+
+class EvidenceTest(unittest.TestCase):
+    """When evidence on versions is passed on."""
+
+    def test_when_evidence_is_passed_on(self) -> None:
+        """Guards against bytes for evidence that nobody needs, and against its lack."""
+        for name, urgent, answers, at, expected in (
+            ("nothing new", True, 1, 0.25, False),
+            ("new, in a move", True, 2, 0.25, True),
+            ("new, no move", False, 2, 0.25, False),
+            ("nothing new for long", True, 1, EVIDENCE_SECONDS, True),
+            ("no move for long", False, 2, EVIDENCE_SECONDS, True),
+        ):
+            with self.subTest(name):
+                controls = Controls()
+                for now, seen in ((10.0, 1), (10.0 + at, answers)):
+                    report = make_report("b", evidence=make_evidence(seen))
+                    take_report(controls.second, report, now)
+                    told = controls.exchange(now, urgent=urgent)
+
+                self.assertIs(bool(told.evidence), expected)
+
+    def test_evidence_outlasts_a_control(self) -> None:
+        """Guards against failures forgotten as their gateway's home is lost."""
+        controls = Controls()
+        report = make_report("b", evidence=make_evidence(3))
+        take_report(controls.second, report, 0.0)
+        controls.exchange(0.0, urgent=True)
+        drop_old(controls.first, REPORT_LIFE + 0.1)
+        known = controls.first.evidence["b"].versions
+        self.assertEqual(known, make_evidence(3))
+
+
+if __name__ == "__main__":
+    unittest.main()
