Let gateways tell each other which prompts' parts engines have read

Cause: a gateway sends to one engine about once in 40 s and knew only its own prompts, for which 30 s are kept. Of the rest it guessed by hash.

Change: reports carry hashes of shared parts that engines have read, noted when the answer begins in place of its end; sums spread them. 5 bytes a part, told again after 5 s at the earliest.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -118,6 +118,15 @@
     attempt.stop_timer()
 
 
+def note_read(
+    context: GatewayContext, facts: RequestFacts, attempt: Attempt, now: float
+) -> None:
+    """Note that the upstream holds the parts of the prompt: its answer has begun."""
+    if facts.parts and attempt.status < 300:
+        model = attempt.choice.model or facts.model
+        note_parts(context.prefixes, attempt.upstream, model, facts.parts, now)
+
+
 def end_reading(context: GatewayContext, attempt: Attempt) -> None:
     """Note that the upstream has read the prompt."""
     if attempt.work:
@@ -141,12 +150,11 @@
 def count_fate(
     context: GatewayContext,
     route: Route,
-    facts: RequestFacts,
     attempt: Attempt,
     fate: Fate,
     now: float,
 ) -> None:
-    """Tell the tables of health, versions and prefixes how the send went."""
+    """Tell the tables of health and versions how the send went."""
     ATTEMPTS.labels(route.kind.value, fate.value).inc()
     if fate is Fate.UNREACHED:
         note_unreachable(context.health, attempt.upstream, now)
@@ -164,7 +172,3 @@
     tally.failures += failed
     if not failed and attempt.first_at is not None:
         tally.seconds += attempt.first_at - attempt.began_at
-
-    if not failed and facts.parts:
-        model = attempt.choice.model or facts.model
-        note_parts(context.prefixes, attempt.upstream, model, facts.parts, now)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -23,6 +23,7 @@
 from .attempts import end_reading
 from .attempts import is_sound
 from .attempts import note_first
+from .attempts import note_read
 from .attempts import release
 from .choice import Choice
 from .choice import choose_upstream
@@ -217,8 +218,10 @@
         attempt.headers = headers
         attempt.facts = self.context.dialect.read_answer(status, headers)
         attempt.body = []
-        note_first(self.context, self.route, attempt, self.context.clock())
-        larger = find_larger(self, attempt, self.context.clock())
+        now = self.context.clock()
+        note_first(self.context, self.route, attempt, now)
+        note_read(self.context, self.facts, attempt, now)
+        larger = find_larger(self, attempt, now)
         if larger is not None:
             self._ask_larger(attempt, larger)
             return
@@ -233,7 +236,7 @@
         now = self.context.clock()
         attempt.cancel()
         release(self.context, attempt)
-        count_fate(self.context, self.route, self.facts, attempt, Fate.DONE, now)
+        count_fate(self.context, self.route, attempt, Fate.DONE, now)
         self.runs += 1
         self.dropped = True
         self._note_repeat(attempt, now)
@@ -309,7 +312,7 @@
         """Count how a send ended, then answer, send again or give up."""
         release(self.context, attempt)
         now = self.context.clock()
-        count_fate(self.context, self.route, self.facts, attempt, fate, now)
+        count_fate(self.context, self.route, attempt, fate, now)
         if fate in (Fate.BROKEN, Fate.FAILED, Fate.DONE):
             self.runs += 1
 
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -25,6 +25,9 @@
 from ...routing.messages import ShareNews
 from ...routing.messages import ShareRouting
 from ...routing.messages import VersionEvidence
+from ...routing.prefixes import drop_news
+from ...routing.prefixes import list_news
+from ...routing.prefixes import take_told
 from ...routing.records import Document
 from ...routing.retries import list_repeats
 from ...routing.retries import take_repeats
@@ -77,6 +80,7 @@
             now=now,
         )
         take_repeats(context.retries, body.repeats, context.reported_repeats, now)
+        take_told(context.prefixes, body.read, now)
         take_kept(context.sessions, body.kept, body.held)
 
 
@@ -182,11 +186,13 @@
         held=context.routing_index,
         kept=list_kept(context.sessions, context.rollouts.values(), life, now),
         repeats=repeats,
+        read=list_news(context.prefixes),
     )
     if cast_link(link, report):
         context.reported = use
         context.reported_work = work
         context.reported_repeats = repeats
+        drop_news(context.prefixes, report.read)
 
 
 def choose_home(context: GatewayContext) -> None:
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -353,10 +353,6 @@
     for link in context.controls.values():
         cast_link(link, report)
 
-    homed = list_homed(context)
-    if not homed:
-        return
-
     body = sum_fleet(context.reports, now)
-    for protocol in homed:
+    for protocol in list_homed(context):
         protocol.cast(body)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -170,6 +170,8 @@
     kept: tuple[int, ...] = ()
     """Places of sessions under way that keep a former version in a move."""
     repeats: tuple[ServiceRepeats, ...] = ()
+    read: tuple[int, ...] = ()
+    """Hashes of parts of prompts that engines have read since the last report."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -182,6 +184,8 @@
     """The oldest place in the controls' log among the gateways'."""
     kept: tuple[int, ...] = ()
     repeats: tuple[ServiceRepeats, ...] = ()
+    read: tuple[int, ...] = ()
+    """Hashes of parts of prompts that engines have read since the last sum."""
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -10,6 +10,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .messages import ControlReport
 from .messages import FleetReport
 from .messages import GatewayEvidence
@@ -31,6 +33,8 @@
 EVIDENCE_SECONDS = 2.0
 """After which evidence is passed on again though nothing has changed: a link may have
 been down."""
+MAX_READ = 2_000
+"""Parts of prompts kept for one sum, 10 KB."""
 EVIDENCE_LIFE = 10.0
 """Seconds after which evidence of a gateway that nobody hears of is dropped."""
 
@@ -72,6 +76,10 @@
     """By control."""
     evidence: dict[str, Evident] = field(default_factory=dict)
     """By gateway, wherever it reports."""
+    read: dict[int, None] = field(default_factory=dict)
+    """Parts of prompts that gateways homed here have told of since the last sum."""
+    read_elsewhere: dict[int, None] = field(default_factory=dict)
+    """The same of gateways homed at other controls."""
 
 
 def take_report(table: ReportTable, report: GatewayReport, now: float) -> None:
@@ -84,6 +92,7 @@
         held.at = now
 
     table.evidence[report.gateway] = Evident(report.evidence, now)
+    note_read(table.read, report.read)
 
 
 def take_control_report(
@@ -94,6 +103,15 @@
     for one in report.evidence:
         table.evidence[one.gateway] = Evident(one.versions, now)
 
+    note_read(table.read_elsewhere, report.total.read)
+
+
+def note_read(held: dict[int, None], read: Iterable[int]) -> None:
+    """Keep parts until the next sum, within a bound."""
+    for key in read:
+        if len(held) < MAX_READ:
+            held[key] = None
+
 
 def drop_old(table: ReportTable, now: float) -> None:
     """Forget gateways and controls that report no more."""
@@ -126,8 +144,9 @@
             held.passed = versions
             held.passed_at = now
 
+    total = sum_homed(table, now)
     return ControlReport(
-        total=sum_homed(table, now),
+        total=msgspec.structs.replace(total, read=tuple(table.read)),
         evidence=tuple(evidence),
         untold=tuple(
             name for name, held in table.homed.items() if held.report.held < 0
@@ -144,12 +163,16 @@
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
-    """Return the sum over all gateways."""
+    """Return the sum over all gateways; parts that were read are told once."""
     others = [
         cut_use(one.report.total, fresh=now - one.at <= USE_LIFE)
         for one in table.controls.values()
     ]
-    return sum_totals([sum_homed(table, now), *others])
+    total = sum_totals([sum_homed(table, now), *others])
+    read = table.read | table.read_elsewhere
+    table.read.clear()
+    table.read_elsewhere.clear()
+    return msgspec.structs.replace(total, read=tuple(read))
 
 
 def total_of(report: GatewayReport, *, fresh: bool = True) -> FleetReport:
