Force the answer that never comes in a test of orders

Cause: the test delayed the relays by 0.7 s each way, so that the word of the reservation came 1.4 s after the call, 0.4 s after its time. An entry that was late by so much read the word first and served the order, rightly.

Change: relays can be mute: what goes to the target passes, nothing comes back, on new connections either. The test asserts what it did, and besides that the refusal names the control that could not be reached.

Ruled out: muting open connections alone. The entry replaces its link and is served in time, as it should be (201).

--- a/src/waxwingwell_standins/pipes.py
+++ b/src/waxwingwell_standins/pipes.py
@@ -35,6 +35,8 @@
     ends: list[End] = field(default_factory=list)
     silent: bool = False
     """Drop what arrives, and keep both connections open."""
+    mute: bool = False
+    """Drop what arrives over the second connection; what goes there passes."""
     delay: float = 0.0
     waiting: list[bytes] = field(default_factory=list)
     """Bytes that came before the second connection was made."""
@@ -91,7 +93,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass bytes on, unless the pair is silent."""
-        if self.pair.silent:
+        if self.pair.silent or (self.pair.mute and self is not self.pair.ends[0]):
             return
 
         if len(self.pair.ends) < 2:
--- a/src/waxwingwell_standins/relay.py
+++ b/src/waxwingwell_standins/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay that makes faults: cut, silent for good, refuse, delay."""
+"""TCP relay that makes faults: cut, silent for good, mute, refuse, delay."""
 
 from __future__ import annotations
 
@@ -40,6 +40,8 @@
     """Cut each new connection at once."""
     blackhole: bool = False
     """Take new connections, and let nothing through on them."""
+    mute: bool = False
+    """Let nothing through that comes from the target; what goes there passes."""
     pipes: PipeTable = field(default_factory=PipeTable)
     listening: Any = None
     control: Listener | None = None
@@ -59,6 +61,12 @@
         for pair in self.pipes.pairs:
             silence_pair(pair)
 
+    def set_mute(self, mute: bool) -> None:
+        """Drop all answers from now on, or let them through again."""
+        self.mute = mute
+        for pair in self.pipes.pairs:
+            pair.mute = mute
+
     def cut(self) -> None:
         """Cut every open connection; new ones work."""
         for pair in list(self.pipes.pairs):
@@ -95,6 +103,7 @@
         return
 
     pair.silent = relay.blackhole
+    pair.mute = relay.mute
     pair.delay = relay.delay
     connect_pair(relay.pipes, pair, relay.settings.target, lambda: abort_pair(pair))
 
@@ -107,6 +116,7 @@
     delay: float | None = None
     refuse: bool | None = None
     blackhole: bool | None = None
+    mute: bool | None = None
 
 
 def add_control_route(app: Klein, relay: Relay) -> None:
@@ -136,6 +146,8 @@
     relay.delay = relay.delay if order.delay is None else order.delay
     relay.refuse = relay.refuse if order.refuse is None else order.refuse
     relay.blackhole = relay.blackhole if order.blackhole is None else order.blackhole
+    if order.mute is not None:
+        relay.set_mute(order.mute)
 
 
 if __name__ == "__main__":
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -91,18 +91,19 @@
         self.assertEqual(self.count(name), 1)
 
     def test_reservation_committed_but_never_answered(self) -> None:
-        """Control records an order, and the word of it comes too late at the entry.
+        """Control records an order, and the word of it never reaches the entry.
 
         The entry refuses the order as "not run", rightly. The caller comes back
         later with the same key, as it was told to, and must be served: a row left
         open by the refusal would answer "is running" for as long as the entry lives.
         """
         name = "unheard"
-        set_relays(self.system, RELAYED, delay=0.7, cut=True)
+        set_relays(self.system, RELAYED, mute=True)
         first = self.order(RELAYED, name)
         self.assertEqual((first.status, first.outcome), (503, "not_run"))
+        self.assertEqual(first.code, "control_unavailable")
         self.assertEqual(self.count(name), 0)
-        set_relays(self.system, RELAYED, delay=0.0, cut=True)
+        set_relays(self.system, RELAYED, mute=False, cut=True)
         last = self.order_until(OTHER, name, is_final)
         self.assertEqual(last.status, 201)
         self.assertEqual(self.count(name), 1)
