--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,6 +32,7 @@
 from .proxies import open_proxy
 from .records import Journal
 from .records import read_clock
+from .records import watch_stalls
 from .schedule import Stage
 from .schedule import run_faults
 from .seeds import KEPT_SEEDS
@@ -77,7 +78,7 @@
         upstreams_each=UPSTREAMS_EACH,
     )
     journal = stage.journal
-    background: list[asyncio.Task[None]] = []
+    background = [asyncio.create_task(watch_stalls(journal))]
     try:
         await begin(stage, background)
         if starts:
@@ -298,6 +299,10 @@
     for line in found:
         print(f"  BROKEN {line}", flush=True)
 
+    for began_at, ended_at in journal.stalls if found else ():
+        since = began_at - journal.faults[0].began_at if journal.faults else 0.0
+        print(f"  at {since:.3f} s: soak stalled for {ended_at - began_at:.3f} s")
+
     for fault in journal.faults if found else ():
         since = fault.began_at - journal.faults[0].began_at
         lasted = fault.ended_at - fault.began_at
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass
 from dataclasses import field
@@ -21,6 +22,10 @@
 """Faults by plan, during which no answer may be lost."""
 DRAIN_SECONDS = 2.0
 """After an acknowledged leave, the longest that new work may still arrive."""
+PULSE_SECONDS = 0.02
+STALL_SECONDS = 0.1
+"""Beyond which the soak's loop counts as stalled: half of what requests that cross the
+close of a connection are allowed."""
 CALM_SECONDS = 3.0
 """Time since the last fault after which bounds in time hold again."""
 
@@ -89,6 +94,8 @@
     """When a read was sent, and the version that it returned."""
     wrong: list[str] = field(default_factory=list)
     """Promises broken that showed at once."""
+    stalls: list[tuple[float, float]] = field(default_factory=list)
+    """Spans in which the soak's own loop did not run: it saw their events late."""
 
 
 def read_clock() -> float:
@@ -96,6 +103,18 @@
     return time.monotonic()
 
 
+async def watch_stalls(journal: Journal) -> None:
+    """Note the spans in which this loop does not run."""
+    before = read_clock()
+    while True:
+        await asyncio.sleep(PULSE_SECONDS)
+        now = read_clock()
+        if now - before > STALL_SECONDS:
+            journal.stalls.append((before, now))
+
+        before = now
+
+
 def was_calm(
     journal: Journal, since: float, until: float, spared: frozenset[str] = frozenset()
 ) -> bool:
--- a/tests/system/support.py
+++ b/tests/system/support.py
@@ -175,7 +175,13 @@
 def _reset(deployment: Deployment) -> bool:
     try:
         # Open connections keep their delay.
-        order = {"delay": 0.0, "refuse": False, "blackhole": False, "mute": False, "cut": True}
+        order = {
+            "delay": 0.0,
+            "refuse": False,
+            "blackhole": False,
+            "mute": False,
+            "cut": True,
+        }
         set_relays(deployment, RELAYED, **order)
         set_faults(deployment, "service")
         for engine in ENGINES:
