Play the placing of many gateways without a network

`waxwingwell experiment gateways` plays the product's own tables and choice with 6, 195 and 1,000 gateways on 39 or 45 engines: sums that lag, prompts read one after the other, memory of parts, unsure answers asked again. Beside it choices by lot, least running and a sample of two.

What all read at once makes all choose alike.

--- a/src/waxwingwell/commands/experiment.py
+++ b/src/waxwingwell/commands/experiment.py
@@ -15,6 +15,7 @@
 DEFAULT_SEEDS = 20
 RUNNERS = {
     "fleet": ("..experiments.fleet", "run_fleet"),
+    "gateways": ("..experiments.gateways", "run_gateways"),
     "quality": ("..experiments.quality", "run_quality"),
 }
 """Module and function of each experiment; imported only when it is run."""
