Compare a sample of upstreams in place of all, so that gateways spread

Cause: 195 gateways read the same sums, 0.25 to 0.75 s old, and each took the best of all engines; until the next sum hundreds of requests met at the same one. A scatter of a tenth of the cost does not depend on their number.

Change: with more than four upstreams one nearby, one of all, one kept for other models and the one that holds most of the prompt are compared. The former choice stays as a policy of the experiment.

The test of models gave a constant for a random draw, with which a sample is always the same one; it draws from a seeded generator now, and asserts the same.

--- a/src/waxwingwell/experiments/gateways.py
+++ b/src/waxwingwell/experiments/gateways.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
 from dataclasses import asdict
 from dataclasses import dataclass
 from statistics import mean
@@ -14,6 +13,8 @@
 from ..routing.placement import Placement
 from ..routing.placement import Surroundings
 from ..routing.placement import place_request
+from ..routing.placement import prefer_for
+from ..routing.placement import scatter
 from ..routing.placement import weigh_upstream
 from .measures import pick_quantile
 from .placing import Choose
@@ -24,6 +25,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..routing.fleet import Announcement
 
 
@@ -36,7 +39,7 @@
         engines=39,
         slots=32,
         memory_tokens=505_000,
-        read_ms=(0.0176, 0.055),
+        read_ms=(0.009, 0.055),
         step_ms=(3.1, 6.2),
         kinds=(
             Kind(42.0, 512, 4_870, 6_610, 437, 384),
@@ -49,7 +52,7 @@
         engines=45,
         slots=64,
         memory_tokens=455_000,
-        read_ms=(0.0177, 0.055),
+        read_ms=(0.009, 0.055),
         step_ms=(3.8, 7.6),
         kinds=(
             Kind(45.0, 512, 4_870, 6_610, 300, 380),
@@ -99,10 +102,27 @@
     return place_request(demand, pair, around, now, draw)
 
 
+def place_at_best_of_all(
+    demand: Demand,
+    candidates: list[Announcement],
+    around: Surroundings,
+    now: float,
+    draw: Callable[[], float],
+) -> Placement | None:
+    """Take the engine with the least cost of all, scattered by a tenth."""
+    preferred = prefer_for(demand, candidates, around.data_centre)
+    weighed = [
+        weigh_upstream(demand, one, around, now, preferred=preferred)
+        for one in candidates
+    ]
+    return min(weighed, key=lambda placement: placement.cost * scatter(draw))
+
+
 POLICIES: dict[str, Choose] = {
     "random": place_at_random,
     "least running": place_least_running,
     "sample of two": place_by_sample,
+    "best of all": place_at_best_of_all,
     "product": place_request,
 }
 
@@ -140,9 +160,9 @@
             "policy          gateways  busiest  p50 s  p95 s  p99 s  found    far",
         ]
         lines += [
-            f"{row.policy:15} {row.gateways:8}  {row.busiest:7.2f}  {row.first_p50:5.3f}"
-            f"  {row.first_p95:5.3f}  {row.first_p99:5.3f}  {row.found:5.3f}"
-            f"  {row.far:5.3f}"
+            f"{row.policy:15} {row.gateways:8}  {row.busiest:7.2f}"
+            f"  {row.first_p50:5.3f}  {row.first_p95:5.3f}  {row.first_p99:5.3f}"
+            f"  {row.found:5.3f}  {row.far:5.3f}"
             for row in self.rows
         ]
         return "\n".join(lines)
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -43,6 +43,8 @@
 """Cost of a failed try, against which an upstream's share of failures is weighed."""
 SCATTER = 0.1
 """Share by which costs are scattered."""
+FEW_UPSTREAMS = 4
+"""Up to which all are compared; of more, a sample is drawn."""
 REREAD_TOKEN_MS = 0.02
 """Least cost of a token that is read again, however fast the model: it pushes other
 prompts' parts out of the engine's memory."""
@@ -104,8 +106,8 @@
     """Return the best upstream, or None if there is none.
 
     Upstreams that could not be reached are used only where no other is left. ``draw``
-    returns a number from 0 to 1: without some scatter all gateways, which read the same
-    sums, would send to the same upstream until the next sum.
+    returns a number from 0 to 1. Failure: all gateways read the same sums. If each took
+    the best of all upstreams, hundreds would send to the same one until the next sum.
     """
     sound = [
         one
@@ -117,21 +119,73 @@
         return None
 
     preferred = prefer_for(demand, usable, surroundings.data_centre)
+    compared = usable
+    if len(usable) > FEW_UPSTREAMS:
+        compared = draw_sample(demand, usable, surroundings.data_centre, draw)
+        compared += find_holder(demand, usable, surroundings, now, preferred=preferred)
+
     weighed = [
         weigh_upstream(demand, one, surroundings, now, preferred=preferred)
-        for one in usable
+        for one in compared
     ]
     return min(weighed, key=lambda placement: placement.cost * scatter(draw))
 
 
+def draw_sample(
+    demand: Demand,
+    usable: list[Announcement],
+    data_centre: str,
+    draw: Callable[[], float],
+) -> list[Announcement]:
+    """Return one upstream nearby, one of all, and one kept for other models.
+
+    The better of a few drawn by lot spreads requests evenly, however many gateways
+    there are and however old the sums.
+    """
+    kept = list_kept(demand, usable)
+    near = [one for one in kept if one.data_centre == data_centre]
+    strays = [one for one in usable if demand.pool and one.upstream not in demand.pool]
+    groups = [group for group in (near, kept, strays) if group]
+    return [group[min(int(draw() * len(group)), len(group) - 1)] for group in groups]
+
+
+def find_holder(
+    demand: Demand,
+    usable: list[Announcement],
+    surroundings: Surroundings,
+    now: float,
+    *,
+    preferred: str,
+) -> list[Announcement]:
+    """Return the upstream that has probably cached most of the prompt, if any has."""
+    if not demand.parts:
+        return []
+
+    def expect(upstream: Announcement) -> float:
+        return expect_cached(
+            surroundings.prefixes,
+            upstream.upstream,
+            demand.model,
+            demand.parts,
+            now,
+            preferred=upstream.upstream == preferred,
+        )
+
+    return [max(list_kept(demand, usable), key=expect)]
+
+
+def list_kept(demand: Demand, usable: list[Announcement]) -> list[Announcement]:
+    """Return the upstreams that are kept for a request's model; all, if none is."""
+    kept = [one for one in usable if one.upstream in demand.pool]
+    return kept or usable
+
+
 def scatter(draw: Callable[[], float]) -> float:
     """Return a factor by which one gateway's view differs from the others'."""
     return 1.0 + SCATTER * draw()
 
 
-def prefer_for(
-    demand: Demand, usable: Collection[Announcement], data_centre: str
-) -> str:
+def prefer_for(demand: Demand, usable: list[Announcement], data_centre: str) -> str:
     """Return the upstream that should hold the largest shared part of the prompt.
 
     Each data centre has one of its own, if it has any upstream kept for the model.
@@ -141,7 +195,7 @@
         return ""
 
     part = shared[-1][0]
-    kept = [one for one in usable if one.upstream in demand.pool] or list(usable)
+    kept = list_kept(demand, usable)
     near = [one.upstream for one in kept if one.data_centre == data_centre]
     names = near or [one.upstream for one in kept]
     return prefer_upstream(names, f"{demand.model}/{part}")
--- a/tests/routing/test_model_load.py
+++ b/tests/routing/test_model_load.py
@@ -76,6 +76,7 @@
     free_at: dict[str, float] = field(default_factory=dict)
     ends: list[tuple[float, int, str, str, float]] = field(default_factory=list)
     sent: int = 0
+    draw: random.Random = field(default_factory=lambda: random.Random(7))
 
     def __post_init__(self) -> None:
         self.around = Surroundings("north", self.load, HealthTable(), PrefixTable())
@@ -153,7 +154,8 @@
 def place(engines: Engines, prompt: int, now: float) -> Placement:
     """Return where the larger model would run."""
     demand = Demand(CHAT, "large", prompt, token_ms=TOKEN_MS)
-    found = place_request(demand, UPSTREAMS, engines.around, now, lambda: 0.0)
+    draw = engines.draw.random
+    found = place_request(demand, UPSTREAMS, engines.around, now, draw)
     assert found is not None
     return found
 
