--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -45,7 +45,7 @@
 """Share by which costs are scattered."""
 FEW_UPSTREAMS = 4
 """Up to which all are compared; of more, a sample is drawn."""
-REREAD_TOKEN_MS = 0.04
+REREAD_TOKEN_MS = 0.02
 """Least cost of a token that is read again, however fast the model: it pushes other
 prompts' parts out of the engine's memory."""
 WARMING_MS = 400.0
