--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -13,8 +13,6 @@
 from ...routing.fleet import drop_tombstones
 from ...routing.fleet import refresh
 from ...routing.fleet import take_news
-from ...routing.health import list_met
-from ...routing.health import take_met
 from ...routing.load import list_use
 from ...routing.load import read_work
 from ...routing.load import take_sum
@@ -83,7 +81,6 @@
         )
         take_repeats(context.retries, body.repeats, context.reported_repeats, now)
         take_told(context.prefixes, body.read, now)
-        take_met(context.health, body.met, now)
         take_kept(context.sessions, body.kept, body.held)
 
 
@@ -190,14 +187,12 @@
         kept=list_kept(context.sessions, context.rollouts.values(), life, now),
         repeats=repeats,
         read=list_news(context.prefixes),
-        met=list_met(context.health),
     )
     if cast_link(link, report):
         context.reported = use
         context.reported_work = work
         context.reported_repeats = repeats
         drop_news(context.prefixes, report.read)
-        context.health.news.clear()
 
 
 def choose_home(context: GatewayContext) -> None:
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -136,18 +136,6 @@
     """Milliseconds of work for prompts whose first event has not come back yet."""
 
 
-class UpstreamMet(msgspec.Struct, frozen=True, array_like=True):
-    """What gateways met at an upstream since the last report."""
-
-    upstream: str
-    answers: int
-    """Sends that reached it."""
-    failures: int
-    """Those that broke, failed or were refused."""
-    doubters: int
-    """Gateways that could not reach it, or took it for dark."""
-
-
 class ServiceRepeats(msgspec.Struct, frozen=True, array_like=True):
     """Requests for a service within the window of the retry budget."""
 
@@ -184,7 +172,6 @@
     repeats: tuple[ServiceRepeats, ...] = ()
     read: tuple[int, ...] = ()
     """Hashes of parts of prompts that engines have read since the last report."""
-    met: tuple[UpstreamMet, ...] = ()
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -199,7 +186,6 @@
     repeats: tuple[ServiceRepeats, ...] = ()
     read: tuple[int, ...] = ()
     """Hashes of parts of prompts that engines have read since the last sum."""
-    met: tuple[UpstreamMet, ...] = ()
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -12,12 +12,10 @@
 
 import msgspec
 
-from .health import add_met
 from .messages import ControlReport
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
-from .messages import UpstreamMet
 from .messages import UpstreamUse
 from .messages import VersionEvidence
 from .retries import add_repeats
@@ -82,10 +80,6 @@
     """Parts of prompts that gateways homed here have told of since the last sum."""
     read_elsewhere: dict[int, None] = field(default_factory=dict)
     """The same of gateways homed at other controls."""
-    met: tuple[UpstreamMet, ...] = ()
-    """What gateways homed here have met at upstreams since the last sum."""
-    met_elsewhere: tuple[UpstreamMet, ...] = ()
-    """The same of gateways homed at other controls."""
 
 
 def take_report(table: ReportTable, report: GatewayReport, now: float) -> None:
@@ -99,7 +93,6 @@
 
     table.evidence[report.gateway] = Evident(report.evidence, now)
     note_read(table.read, report.read)
-    table.met = add_met([*table.met, *report.met])
 
 
 def take_control_report(
@@ -111,7 +104,6 @@
         table.evidence[one.gateway] = Evident(one.versions, now)
 
     note_read(table.read_elsewhere, report.total.read)
-    table.met_elsewhere = add_met([*table.met_elsewhere, *report.total.met])
 
 
 def note_read(held: dict[int, None], read: Iterable[int]) -> None:
@@ -154,7 +146,7 @@
 
     total = sum_homed(table, now)
     return ControlReport(
-        total=msgspec.structs.replace(total, read=tuple(table.read), met=table.met),
+        total=msgspec.structs.replace(total, read=tuple(table.read)),
         evidence=tuple(evidence),
         untold=tuple(
             name for name, held in table.homed.items() if held.report.held < 0
@@ -171,7 +163,7 @@
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
-    """Return the sum over all gateways; what happened since the last is told once."""
+    """Return the sum over all gateways; parts that were read are told once."""
     others = [
         cut_use(one.report.total, fresh=now - one.at <= USE_LIFE)
         for one in table.controls.values()
@@ -180,9 +172,7 @@
     read = table.read | table.read_elsewhere
     table.read.clear()
     table.read_elsewhere.clear()
-    met = add_met([*table.met, *table.met_elsewhere])
-    table.met = table.met_elsewhere = ()
-    return msgspec.structs.replace(total, read=tuple(read), met=met)
+    return msgspec.structs.replace(total, read=tuple(read))
 
 
 def total_of(report: GatewayReport, *, fresh: bool = True) -> FleetReport:
