Pass evidence on only after a new report

What could happen: a gateway changes its home in a roll-out, and its former home passes on the evidence that it holds once more, after the new home has passed on newer. Counters that fall count as a restarted gateway's, so its answers and failures on the version would be counted twice.

The new test failed before: evidence of 5 answers came back over 6.

--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -47,7 +48,7 @@
     at: float
     passed: tuple[VersionEvidence, ...] = ()
     """Evidence as it was passed on last."""
-    passed_at: float = 0.0
+    passed_at: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -139,6 +140,10 @@
     evidence = []
     for name, held in table.homed.items():
         versions = held.report.evidence
+        # What has been passed on already may be older than what another home tells.
+        if held.at <= held.passed_at:
+            continue
+
         due = now - held.passed_at >= EVIDENCE_SECONDS
         if due or (urgent and versions != held.passed):
             evidence.append(GatewayEvidence(name, versions))
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -191,6 +191,19 @@
 
                 self.assertIs(bool(told.evidence), expected)
 
+    def test_a_former_home_does_not_bring_old_evidence_back(self) -> None:
+        """Guards against answers counted twice after a gateway has changed its home."""
+        controls = Controls()
+        old = make_report("b", evidence=make_evidence(5))
+        take_report(controls.second, old, 10.0)
+        controls.exchange(10.0, urgent=True)
+        new = make_report("b", evidence=make_evidence(6))
+        take_report(controls.first, new, 10.5)
+        for now in (10.5, 10.0 + EVIDENCE_SECONDS, 10.5 + EVIDENCE_SECONDS):
+            controls.exchange(now, urgent=True)
+            known = controls.first.evidence["b"].versions
+            self.assertEqual(known, make_evidence(6))
+
     def test_evidence_outlasts_a_control(self) -> None:
         """Guards against failures forgotten as their gateway's home is lost."""
         controls = Controls()
