Name no holder of a prompt that nobody has read

What could happen: where no engine is expected to hold any part, the first of the list was compared with the sample, the same for all gateways.

Found by reading the diff; prompts of the deployments at hand all have shared parts, for which there is a home by hash. The new test failed before.

--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -171,7 +171,8 @@
             preferred=upstream.upstream == preferred,
         )
 
-    return [max(list_kept(demand, usable), key=expect)]
+    best = max(list_kept(demand, usable), key=expect)
+    return [best] if expect(best) > 0.0 else []
 
 
 def list_kept(demand: Demand, usable: list[Announcement]) -> list[Announcement]:
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -18,7 +18,9 @@
 from waxwingwell.routing.load import take_sum
 from waxwingwell.routing.placement import Demand
 from waxwingwell.routing.placement import Surroundings
+from waxwingwell.routing.placement import find_holder
 from waxwingwell.routing.placement import place_request
+from waxwingwell.routing.placement import prefer_for
 from waxwingwell.routing.prefixes import PrefixTable
 from waxwingwell.routing.prefixes import note_parts
 from waxwingwell.routing.records import Service
@@ -102,6 +104,21 @@
         busy = make_load(near2=15)
         self.assertEqual(place(demand, prefixes=prefixes, load=busy), "near")
 
+    def test_a_prompt_that_nobody_has_read_has_no_holder(self) -> None:
+        """Guards against gateways that compare the same engine for want of a holder."""
+        engines = [make_news(f"e{number}") for number in range(8)]
+        around = Surroundings("north", LoadTable(), HealthTable(), PrefixTable())
+        for name, parts, expected in (
+            ("own part only", (("own", 100),), 0),
+            ("no part", (), 0),
+            ("shared parts", PARTS, 1),
+        ):
+            with self.subTest(name):
+                demand = Demand(ENGINE, "small", 4_600, parts)
+                preferred = prefer_for(demand, engines, "north")
+                found = find_holder(demand, engines, around, 10.0, preferred=preferred)
+                self.assertEqual(len(found), expected)
+
     def test_an_engine_kept_for_the_model_is_used_until_it_is_full(self) -> None:
         for name, backlog, expected in (
             ("idle", 0.0, "near2"),
