--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,12 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup run demo test format lint types unit soak bench processes
+# Deployments of the users that each landing is played on; `make regression` needs their
+# bench in PLATFORM_BENCH and the folder of their site files in PLATFORM_SITES.
+REGRESSION_SITES := large/entoto-fit-large further/kwahu-birds \
+	further-grown/kwahu-birds-grown grown/entoto-fit-grown grown/papa-frio-grown
+
+.PHONY: setup run demo test format lint types unit soak bench processes regression
 
 setup: $(STAMP)
 
@@ -45,3 +50,10 @@
 
 processes: setup
 	$(BIN)/python scripts/processes.py
+
+regression:
+	@test -n "$(PLATFORM_BENCH)" || { echo "regression: PLATFORM_BENCH is not set"; exit 2; }
+	@test -n "$(PLATFORM_SITES)" || { echo "regression: PLATFORM_SITES is not set"; exit 2; }
+	for site in $(REGRESSION_SITES); do \
+		"$(PLATFORM_BENCH)" score "$(PLATFORM_SITES)/$$site.toml" --jobs 2 || exit 1; \
+	done
