Share what placing and the tables of sums wrote twice

The tokens that an upstream has cached were asked for in the same words by the sample and by the weighing; one function serves both, and the holder is found without asking for it again. Age up to which sums count stood three times; the tables of repeats and of prompts take it from the table of load. The policies of the experiment use the product's list of upstreams that are kept for a model.

Tests keep their assertions; one import names the new place.

--- a/src/waxwingwell/experiments/gateways.py
+++ b/src/waxwingwell/experiments/gateways.py
@@ -12,6 +12,7 @@
 from ..routing.placement import Demand
 from ..routing.placement import Placement
 from ..routing.placement import Surroundings
+from ..routing.placement import list_kept
 from ..routing.placement import place_request
 from ..routing.placement import prefer_for
 from ..routing.placement import scatter
@@ -71,7 +72,7 @@
     draw: Callable[[], float],
 ) -> Placement | None:
     """Take any engine of the pool."""
-    kept = [one for one in candidates if one.upstream in demand.pool]
+    kept = list_kept(demand, candidates)
     chosen = kept[int(draw() * len(kept))]
     return weigh_upstream(demand, chosen, around, now, preferred="")
 
@@ -84,7 +85,7 @@
     draw: Callable[[], float],
 ) -> Placement | None:
     """Take the engine of the pool with the fewest requests, by the sums."""
-    kept = [one for one in candidates if one.upstream in demand.pool]
+    kept = list_kept(demand, candidates)
     chosen = min(kept, key=lambda one: read_use(around.load, one.upstream).running)
     return weigh_upstream(demand, chosen, around, now, preferred="")
 
@@ -97,7 +98,7 @@
     draw: Callable[[], float],
 ) -> Placement | None:
     """Choose between two engines of the pool, drawn by lot."""
-    kept = [one for one in candidates if one.upstream in demand.pool]
+    kept = list_kept(demand, candidates)
     pair = [kept[int(draw() * len(kept))] for _ in range(2)]
     return place_request(demand, pair, around, now, draw)
 
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -161,18 +161,33 @@
     if not demand.parts:
         return []
 
-    def expect(upstream: Announcement) -> float:
-        return expect_cached(
-            surroundings.prefixes,
-            upstream.upstream,
-            demand.model,
-            demand.parts,
-            now,
-            preferred=upstream.upstream == preferred,
-        )
+    expected, best = max(
+        (
+            (estimate_cached(demand, one, surroundings, now, preferred=preferred), one)
+            for one in list_kept(demand, usable)
+        ),
+        key=lambda pair: pair[0],
+    )
+    return [best] if expected > 0.0 else []
+
 
-    best = max(list_kept(demand, usable), key=expect)
-    return [best] if expect(best) > 0.0 else []
+def estimate_cached(
+    demand: Demand,
+    upstream: Announcement,
+    surroundings: Surroundings,
+    now: float,
+    *,
+    preferred: str,
+) -> float:
+    """Return the tokens of a request that an upstream probably need not read again."""
+    return expect_cached(
+        surroundings.prefixes,
+        upstream.upstream,
+        demand.model,
+        demand.parts,
+        now,
+        preferred=upstream.upstream == preferred,
+    )
 
 
 def list_kept(demand: Demand, usable: list[Announcement]) -> list[Announcement]:
@@ -224,13 +239,8 @@
     slots = upstream.slots or demand.service.slots or 1
     over = max(use.running + 1 - slots, 0)
     if demand.service.memory_tokens:
-        cached = expect_cached(
-            surroundings.prefixes,
-            upstream.upstream,
-            demand.model,
-            demand.parts,
-            now,
-            preferred=upstream.upstream == preferred,
+        cached = estimate_cached(
+            demand, upstream, surroundings, now, preferred=preferred
         )
         uncached = max(int(demand.prompt_tokens - cached), 0)
         wait += use.backlog + uncached * demand.token_ms
--- a/src/waxwingwell/routing/prefixes.py
+++ b/src/waxwingwell/routing/prefixes.py
@@ -16,6 +16,8 @@
 
 from xxhash import xxh32_intdigest
 
+from .load import FRESH_SECONDS
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,8 +35,6 @@
 """Probability that the upstream chosen by hash has a part that we did not send."""
 TOLD_TRUST = 0.2
 """The same while others tell what they send: it may be on its way."""
-FRESH_SECONDS = 1.5
-"""Age up to which others count as telling."""
 LEARNING_SECONDS = 10.0
 """Time for which others must have told before their silence says anything."""
 
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -13,6 +13,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .load import FRESH_SECONDS
 from .messages import ServiceRepeats
 
 
@@ -26,8 +27,6 @@
 CHOICE_PART = 0.6
 """Part that we use of our own choice, as to ask a larger model. Failure: with one part
 for both, larger models used the budget up, and streams that broke were not resumed."""
-FRESH_SECONDS = 1.5
-"""Age up to which the others' counts are used."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/routing/test_prefixes.py
+++ b/tests/routing/test_prefixes.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from waxwingwell.routing.prefixes import FRESH_SECONDS
+from waxwingwell.routing.load import FRESH_SECONDS
 from waxwingwell.routing.prefixes import LEARNING_SECONDS
 from waxwingwell.routing.prefixes import LIFE_SECONDS
 from waxwingwell.routing.prefixes import MAX_NEWS
