Draw on the shared budget of repeats no faster than sums arrive

What callers saw: upstreams that failed for all got more repeats than the budget allows over all gateways, and so failed for longer.

Cause: each gateway could use all that the last sum had left.

Change: half of what a gateway's requests and its share of the slack allow is its own and needs no sum. The slack is shared by the most gateways heard of within a minute, and a gateway has none in its first window.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -72,6 +72,8 @@
         dialect=dialect,
     )
     context.heard_at = read_clock()
+    context.retries.began_at = read_clock()
+    context.retries.phase = context.random.random()
     context.node = LinkNode(
         name=settings.node,
         reactor=reactor,
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -23,6 +23,9 @@
 """Age up to which the others' sum is used; it comes four times a second."""
 MANY_GATEWAYS = 64
 """Assumed by a gateway that has heard of no other yet; about the largest in use."""
+MOST_SECONDS = 60.0
+"""For which the largest number of gateways counts after it was heard last: longer than
+controls are cut off from each other."""
 USAGE_SECONDS = 3.0
 """Time over which the usage of engines is taken; bursts last a few seconds."""
 
@@ -50,6 +53,10 @@
     """When we sent prompts lately, and the milliseconds of reading each asks for."""
     gateways: int = 1
     """Gateways that share the upstreams, this one among them."""
+    most_gateways: int = 1
+    """The most that were heard of lately."""
+    most_at: float = -math.inf
+    """When they were heard of last."""
 
 
 def note_work(table: LoadTable, work: float, now: float) -> None:
@@ -62,10 +69,14 @@
 def count_gateways(table: LoadTable) -> int:
     """Return how many gateways share a budget; many until a control has told.
 
-    Failure: all gateways restart while controls are away. Each would take the whole
-    budget for its own, and together they would send many times what is allowed.
+    Failure: all gateways restart while controls are away, or controls are cut off from
+    each other and sum a part of the gateways. Each gateway would take too large a part
+    of the budget, and together they would send many times what is allowed.
     """
-    return MANY_GATEWAYS if table.others_at == -math.inf else table.gateways
+    if table.others_at == -math.inf:
+        return MANY_GATEWAYS
+
+    return max(table.most_gateways, table.gateways)
 
 
 def estimate_usage(table: LoadTable, engines: int, now: float) -> float:
@@ -143,6 +154,9 @@
     table.others_work = max(work, 0.0)
     table.others_at = now
     table.gateways = max(gateways, 1)
+    if gateways >= table.most_gateways or now - table.most_at > MOST_SECONDS:
+        table.most_gateways = table.gateways
+        table.most_at = now
 
 
 def read_use(table: LoadTable, upstream: str) -> Use:
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -144,6 +144,10 @@
     """Callers' requests."""
     repeats: int
     """Sends beyond the first of a request."""
+    drawn: float = 0.0
+    """Repeats that the gateways' own parts of the budget do not cover."""
+    shares: int = 0
+    """Gateways whose share of the slack is counted in."""
 
 
 class VersionEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- /dev/null
+++ b/tests/routing/test_retry_budget.py
@@ -0,0 +1,92 @@
+"""The budget of repeats while sums lag, and while gateways and controls fail."""
+
+from __future__ import annotations
+
+import unittest
+
+from .budget_plays import Play
+from .budget_plays import run_play
+
+
+GOAL = 0.85
+"""Least part of the budget that is used where every request fails."""
+
+
+class LagTest(unittest.TestCase):
+    """Sums that lag behind."""
+
+    def test_a_service_that_fails_for_all_gateways(self) -> None:
+        """Guards against repeats beyond the budget: each gateway uses the same rest."""
+        for play in (
+            Play(gateways=6, rate=35, ratio=0.05, slack=0.0),
+            Play(gateways=6, rate=35, ratio=0.3, slack=20.0, wanted=1),
+            Play(gateways=9, rate=35, ratio=0.1, slack=58.0),
+            Play(gateways=9, rate=35, ratio=0.9, slack=58.0),
+            Play(gateways=78, rate=390, ratio=0.1, slack=58.0, wanted=3),
+            Play(gateways=78, rate=390, ratio=0.2, slack=58.0, failing=0.5),
+            Play(gateways=78, rate=390, ratio=0.2, slack=58.0, rising=4.0),
+            Play(gateways=78, rate=390, ratio=0.1, slack=58.0, delay=0.05),
+            Play(gateways=78, rate=390, ratio=0.1, slack=58.0, hot=0.33),
+            Play(gateways=78, rate=390, ratio=0.2, slack=58.0, fail_at=0.0),
+            Play(gateways=1_000, rate=1_500, ratio=0.3, slack=430.0, seconds=26.0),
+        ):
+            with self.subTest(play):
+                used, allowed = run_play(play).most_used(play)
+                self.assertLessEqual(used, allowed)
+
+    def test_most_of_the_budget_is_used_where_all_fail(self) -> None:
+        """Guards against a budget that is kept by giving little of it away."""
+        for play in (
+            Play(gateways=195, rate=500, ratio=0.2, slack=58.0),
+            Play(gateways=195, rate=500, ratio=0.9, slack=430.0),
+            Play(gateways=195, rate=1_000, ratio=0.1, slack=58.0),
+        ):
+            with self.subTest(play):
+                outcome = run_play(play)
+                used, allowed = outcome.most_used(play)
+                self.assertLessEqual(used, allowed)
+                self.assertGreaterEqual(outcome.mean_use(play), GOAL)
+
+    def test_few_requests_that_fail(self) -> None:
+        """Guards against repeats refused while most of the budget is unused."""
+        for play in (
+            Play(gateways=195, rate=166, ratio=0.9, slack=430.0, failing=0.5, wanted=1),
+            Play(
+                gateways=78,
+                rate=390,
+                ratio=0.2,
+                slack=58.0,
+                failing=0.1,
+                wanted=1,
+                hot=0.33,
+            ),
+        ):
+            with self.subTest(play):
+                outcome = run_play(play)
+                self.assertGreater(len(outcome.repeats) / outcome.asked, 0.95)
+
+
+class FaultTest(unittest.TestCase):
+    """Controls and gateways that fail while the budget is used up."""
+
+    def test_the_budget_is_kept(self) -> None:
+        """Guards against counts that are lost, partial, or summed twice."""
+        tight = {"gateways": 78, "rate": 390, "ratio": 0.2, "slack": 58.0}
+        usual = {"gateways": 78, "rate": 390, "ratio": 0.9, "slack": 180.0}
+        small = {"gateways": 9, "rate": 35, "ratio": 0.9, "slack": 58.0}
+        for name, fields in (
+            ("no controls", {**tight, "uncontrolled": True}),
+            ("controls cut in two, tight", {**tight, "cut": (8.0, 20.0)}),
+            ("controls cut in two", {**usual, "cut": (8.0, 20.0)}),
+            ("controls cut in two, small", {**small, "cut": (8.0, 20.0)}),
+            ("a control stands still", {**tight, "paused": (12.0, 18.0)}),
+            ("controls killed in turn", {**tight, "killed": (13.0, 14.5, 16.0, 17.5)}),
+            ("all controls killed before", {**tight, "all_killed": 13.5}),
+            ("all controls killed after", {**tight, "all_killed": 15.0}),
+            ("gateways that reach no control", {**tight, "unlinked": (13.0, 20.0)}),
+        ):
+            for seed in (1, 2):
+                with self.subTest(name, seed=seed):
+                    play = Play(**fields, seed=seed, seconds=30.0)
+                    used, allowed = run_play(play).most_used(play)
+                    self.assertLessEqual(used, allowed)
