Count repeats until their window is over, whatever became of the gateway

Cause: a sum dropped the repeats of whoever was silent for a second, and a gateway that starts anew knows of none, while upstreams count them still.

Change: a control keeps the repeats of a gateway that is silent, gone, or replaced by a new process (told by a number that each start draws) until their window is over, without the requests that allow them. A gateway that changes its home tells the former one, with its evidence and all else that is not counted twice.

Left: gateways killed within a second of the controls that count them.

--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from typing import TYPE_CHECKING
 from typing import Any
@@ -163,7 +164,16 @@
     if link is None:
         return
 
-    use = list_use(context.load)
+    report = make_report(context)
+    if cast_link(link, report):
+        context.reported = report.use
+        context.reported_work = report.work
+        context.reported_repeats = report.repeats
+        drop_news(context.prefixes, report.read)
+
+
+def make_report(context: GatewayContext) -> GatewayReport:
+    """Return what we tell a control."""
     evidence = tuple(
         VersionEvidence(
             service=service,
@@ -175,24 +185,24 @@
         for (service, version), tally in context.tallies.items()
     )
     now = context.clock()
-    work = read_work(context.load, now)
     life = context.settings.session_life
-    repeats = list_repeats(context.retries, context.settings.retries, now)
-    report = GatewayReport(
+    return GatewayReport(
         gateway=context.settings.node,
-        use=use,
+        run=run_of(context),
+        use=list_use(context.load),
         evidence=evidence,
-        work=work,
+        work=read_work(context.load, now),
         held=context.routing_index,
         kept=list_kept(context.sessions, context.rollouts.values(), life, now),
-        repeats=repeats,
+        repeats=list_repeats(context.retries, context.settings.retries, now),
         read=list_news(context.prefixes),
     )
-    if cast_link(link, report):
-        context.reported = use
-        context.reported_work = work
-        context.reported_repeats = repeats
-        drop_news(context.prefixes, report.read)
+
+
+def run_of(context: GatewayContext) -> int:
+    """Return what tells this process from others of the same gateway."""
+    began_at = context.retries.began_at
+    return round(began_at * 1000) if math.isfinite(began_at) else 0
 
 
 def choose_home(context: GatewayContext) -> None:
@@ -205,4 +215,17 @@
     near = [name for name in up if name in context.near]
     former, context.home = context.home, context.random.choice(near or up or [""])
     if context.home != former:
+        leave_home(context, former)
         log_event("gateway: Reports go to", control=context.home, before=former)
+
+
+def leave_home(context: GatewayContext, control: str) -> None:
+    """Tell the former home that another control counts our requests and repeats."""
+    link = context.controls.get(control)
+    if link is None or not is_link_up(link):
+        return
+
+    report = make_report(context)
+    cast_link(
+        link, msgspec.structs.replace(report, use=(), work=0.0, repeats=(), read=())
+    )
--- a/src/waxwingwell/adapters/registry/settings.py
+++ b/src/waxwingwell/adapters/registry/settings.py
@@ -24,4 +24,6 @@
     """Disks that may be lost at once; the group has two voters more for each."""
     grace: float = 8.0
     """Seconds from the order to stop until the process is killed."""
+    retry_window: float = 10.0
+    """Seconds for which a repeat counts in the budget of repeats."""
     metrics: tuple[str, int] | None = None
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -165,6 +165,8 @@
     """What one gateway tells the others, through a control."""
 
     gateway: str
+    run: int = 0
+    """Drawn at random when the gateway starts."""
     use: tuple[UpstreamUse, ...]
     evidence: tuple[VersionEvidence, ...]
     work: float = 0.0
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -17,6 +17,7 @@
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
+from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
 from .retries import add_repeats
@@ -59,6 +60,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Departed:
+    """What a gateway had used of the budget of repeats when it was heard of last."""
+
+    repeats: tuple[ServiceRepeats, ...]
+    at: float
+
+
 @dataclass(slots=True)
 class Evident:
     """The latest evidence of one gateway."""
@@ -77,6 +86,10 @@
     """By control."""
     evidence: dict[str, Evident] = field(default_factory=dict)
     """By gateway, wherever it reports."""
+    departed: list[Departed] = field(default_factory=list)
+    """Of gateways that were homed here and ended, within the window of the budget."""
+    retry_window: float = 10.0
+    """Seconds for which a repeat counts in the budget."""
     read: dict[int, None] = field(default_factory=dict)
     """Parts of prompts of which gateways homed here should be told."""
     read_here: dict[int, None] = field(default_factory=dict)
@@ -89,6 +102,9 @@
     if held is None:
         table.homed[report.gateway] = Reported(report, now)
     else:
+        if report.run != held.report.run:
+            note_departed(table, held)
+
         held.report = report
         held.at = now
 
@@ -97,6 +113,17 @@
     note_read(table.read_here, report.read)
 
 
+def note_departed(table: ReportTable, held: Reported) -> None:
+    """Keep what a gateway that ended has used of the budget of repeats.
+
+    Failure: gateways are killed when a service fails and its budget is used up. Started
+    anew they know of no repeat, and would use the budget again within its window.
+    """
+    used = keep_used(held.report.repeats)
+    if used:
+        table.departed.append(Departed(used, held.at))
+
+
 def take_control_report(
     table: ReportTable, control: str, report: ControlReport, now: float
 ) -> None:
@@ -117,6 +144,13 @@
 
 def drop_old(table: ReportTable, now: float) -> None:
     """Forget gateways and controls that report no more."""
+    for held in table.homed.values():
+        if now - held.at > REPORT_LIFE:
+            note_departed(table, held)
+
+    table.departed = [
+        one for one in table.departed if now - one.at <= table.retry_window
+    ]
     table.homed = {
         name: one for name, one in table.homed.items() if now - one.at <= REPORT_LIFE
     }
@@ -163,10 +197,13 @@
 
 def sum_homed(table: ReportTable, now: float) -> FleetReport:
     """Return the sum over the gateways that are homed here."""
-    return sum_totals(
+    total = sum_totals(
         total_of(held.report, fresh=now - held.at <= USE_LIFE)
         for held in table.homed.values()
     )
+    departed = (part for one in table.departed for part in one.repeats)
+    repeats = add_repeats([*total.repeats, *departed])
+    return msgspec.structs.replace(total, repeats=repeats)
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
@@ -198,24 +235,37 @@
     """Return a sum without what is running, unless it is fresh.
 
     What gateways know of a move counts longer: a gateway that is silent for a moment
-    still holds it up.
+    still holds it up. So do repeats: they were sent, whatever became of the sender.
     """
     if fresh:
         return total
 
     return FleetReport(
-        gateways=total.gateways, use=(), held=total.held, kept=total.kept
+        gateways=total.gateways,
+        use=(),
+        held=total.held,
+        kept=total.kept,
+        repeats=keep_used(total.repeats),
+    )
+
+
+def keep_used(parts: Iterable[ServiceRepeats]) -> tuple[ServiceRepeats, ...]:
+    """Return counts of repeats without the requests that allow more of them."""
+    return tuple(
+        ServiceRepeats(one.service, 0, one.repeats, one.drawn)
+        for one in parts
+        if one.repeats
     )
 
 
 def sum_totals(totals: Iterable[FleetReport]) -> FleetReport:
     """Add sums up."""
-    counted = [one for one in totals if one.gateways]
+    counted = [one for one in totals if one.gateways or one.repeats]
     return FleetReport(
         gateways=sum(one.gateways for one in counted),
         use=add_use(use for one in counted for use in one.use),
         work=sum(one.work for one in counted),
-        held=min((one.held for one in counted), default=-1),
+        held=min((one.held for one in counted if one.gateways), default=-1),
         kept=tuple({place for one in counted for place in one.kept}),
         repeats=add_repeats(part for one in counted for part in one.repeats),
     )
--- a/tests/adapters/gateway/test_steering.py
+++ b/tests/adapters/gateway/test_steering.py
@@ -152,6 +152,27 @@
         take_cast(context, "b", body)
         self.assertEqual(context.home, "b")
 
+    def test_its_former_home_counts_it_no_more(self) -> None:
+        """Guards against repeats that two controls sum, so that callers are refused."""
+        gateway = make_gateway()
+        context = gateway.context
+        gateway.ask()
+        told: list[Any] = []
+        former = SimpleNamespace(
+            stopped=False, protocol=SimpleNamespace(cast=told.append)
+        )
+        context.controls = {"a": former, "b": make_link()}
+        context.home = "a"
+        report_use(context)
+        body = ShareMembers(controls=("a", "b"), data_centre="north")
+        take_cast(context, "b", body)
+        first, last = told
+        self.assertEqual([one.requests for one in first.repeats], [1])
+        self.assertEqual(last.repeats, ())
+        self.assertEqual(last.use, ())
+        self.assertEqual(last.held, first.held)
+        self.assertEqual(last.evidence, first.evidence)
+
 
 def make_link() -> Any:
     """Return a link that is up and keeps nothing."""
--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -299,6 +299,7 @@
             repeats = list_repeats(gateway.retries, self.limits, now)
             body = GatewayReport(
                 gateway=gateway.name,
+                run=gateway.run,
                 use=(),
                 evidence=(),
                 repeats=repeats,
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -42,6 +42,11 @@
     )
 
 
+def make_counts(requests: int, repeats: int) -> tuple[ServiceRepeats, ...]:
+    """Return a gateway's requests and repeats of one service."""
+    return (ServiceRepeats("chat", requests, repeats),)
+
+
 class SumTest(unittest.TestCase):
     """Sums of what gateways have running."""
 
@@ -147,6 +152,41 @@
         for table in (controls.first, controls.second):
             self.assertEqual(sum_fleet(table, at).use, USE)
 
+    def test_repeats_count_until_their_window_is_over(self) -> None:
+        """Guards against a budget that is used again once its user is gone.
+
+        A gateway stands still or ends, or a new process has taken its place, which
+        knows of no repeat. Its requests allow no repeats any more.
+        """
+        for name, run, age, requests, repeats in (
+            ("it reports", 1, 0.0, 20, 4),
+            ("it is silent", None, USE_LIFE + 0.1, 0, 4),
+            ("it is gone", None, REPORT_LIFE + 0.1, 0, 4),
+            ("its window is over", None, REPORT_LIFE + 10.1, 0, 0),
+            ("it has started anew", 2, 0.5, 1, 5),
+            ("it started anew long ago", 2, 10.5, 1, 1),
+        ):
+            for place in ("its home", "the other control"):
+                with self.subTest(name, place=place):
+                    controls = Controls()
+                    report = make_report("a", run=1, repeats=make_counts(20, 4))
+                    take_report(controls.second, report, 0.0)
+                    controls.exchange(0.0)
+                    if run is not None:
+                        counts = make_counts(20, 4) if run == 1 else make_counts(1, 1)
+                        report = make_report("a", run=run, repeats=counts)
+                        take_report(controls.second, report, age)
+
+                    for table in (controls.first, controls.second):
+                        drop_old(table, age)
+
+                    controls.exchange(age)
+                    home = place == "its home"
+                    table = controls.second if home else controls.first
+                    total = sum_fleet(table, age).repeats
+                    self.assertEqual(sum(one.requests for one in total), requests)
+                    self.assertEqual(sum(one.repeats for one in total), repeats)
+
     def test_gateways_that_do_not_tell_what_they_hold(self) -> None:
         controls = Controls()
         take_report(controls.first, make_report("a", held=-1), 0.0)
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -83,6 +83,9 @@
             ("controls killed in turn", {**tight, "killed": (13.0, 14.5, 16.0, 17.5)}),
             ("all controls killed before", {**tight, "all_killed": 13.5}),
             ("all controls killed after", {**tight, "all_killed": 15.0}),
+            ("a third of the gateways killed", {**tight, "restarted": 15.0}),
+            ("all gateways killed", {**tight, "all_restarted": 15.0}),
+            ("all gateways killed, small", {**small, "all_restarted": 16.0}),
             ("gateways that reach no control", {**tight, "unlinked": (13.0, 20.0)}),
         ):
             for seed in (1, 2):
@@ -90,3 +93,27 @@
                     play = Play(**fields, seed=seed, seconds=30.0)
                     used, allowed = run_play(play).most_used(play)
                     self.assertLessEqual(used, allowed)
+
+    def test_gateways_are_killed_with_the_controls_that_count_them(self) -> None:
+        """Guards against counts that no process holds any more."""
+        play = Play(
+            gateways=6,
+            rate=12,
+            ratio=0.5,
+            slack=0,
+            wanted=3,
+            rising=3,
+            seconds=30.0,
+            delay=0.003,
+            killed=(
+                14.262853873237459,
+                15.9159159066602,
+                15.607264500164058,
+                18.181157697660698,
+                16.765077871010547,
+            ),
+            all_restarted=17.621858421940118,
+            seed=100,
+        )
+        used, allowed = run_play(play).most_used(play)
+        self.assertLessEqual(used, allowed)
