Tell what the soak itself did while its loop stood still

The soak now notes for each stall the processor time of its own thread and what the machine's host took away: a stall full of work is the soak's, one without is a process that was not scheduled. A process that does not stop is described by the kernel's state of it. A request that failed in calm seconds is printed with the runs that upstreams began for it.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -303,9 +303,13 @@
     for line in found:
         print(f"  BROKEN {line}", flush=True)
 
-    for began_at, ended_at in journal.stalls if found else ():
-        since = began_at - journal.faults[0].began_at if journal.faults else 0.0
-        print(f"  at {since:.3f} s: soak stalled for {ended_at - began_at:.3f} s")
+    for stall in journal.stalls if found else ():
+        since = stall.began_at - journal.faults[0].began_at if journal.faults else 0.0
+        print(
+            f"  at {since:.3f} s: soak stalled for "
+            f"{stall.ended_at - stall.began_at:.3f} s, worked {stall.worked:.3f} s, "
+            f"machine without {stall.stolen:.2f} processor seconds"
+        )
 
     for fault in journal.faults if found else ():
         since = fault.began_at - journal.faults[0].began_at
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -118,22 +118,26 @@
 
 def check_calm_service(journal: Journal) -> Iterator[str]:
     """Check that in calm times every proper request gets its whole answer."""
+    runs = group_runs(journal)
     for ask in journal.asks:
         if is_served(ask) or not was_calm(journal, ask.began_at, ask.ended_at):
             continue
 
+        spans = [
+            f"{one.upstream} {one.at - ask.began_at:.3f} to "
+            f"{one.ended_at - ask.began_at:.3f}"
+            for one in runs.get(ask.request_id, [])
+        ]
         yield (
             f"{ask.request_id}: {ask.kind} at {ask.gateway} ended with {ask.status} "
-            f"though nothing was amiss for {CALM_SECONDS} s"
+            f"though nothing was amiss for {CALM_SECONDS} s; s after its begin: runs "
+            f"{spans}, ended {ask.ended_at - ask.began_at:.3f} after {ask.size} bytes"
         )
 
 
 def check_planned_stops(journal: Journal) -> Iterator[str]:
     """Check that a gateway that stops by plan, and nothing else amiss, cuts nothing."""
-    runs: dict[str, list[Run]] = {}
-    for run in journal.runs:
-        runs.setdefault(run.request_id, []).append(run)
-
+    runs = group_runs(journal)
     for ask in journal.asks:
         stop = find_stop(journal, ask)
         if stop is None or not ask.read or ask.whole:
@@ -146,6 +150,15 @@
             yield describe_cut(ask, stop, runs.get(ask.request_id, []))
 
 
+def group_runs(journal: Journal) -> dict[str, list[Run]]:
+    """Return the runs of each request."""
+    runs: dict[str, list[Run]] = {}
+    for run in journal.runs:
+        runs.setdefault(run.request_id, []).append(run)
+
+    return runs
+
+
 def find_stop(journal: Journal, ask: Ask) -> Fault | None:
     """Return the planned stop of a request's gateway that fell into its time."""
     for fault in journal.faults:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from pathlib import Path
 
 
 EVENTS = 12
@@ -22,6 +24,9 @@
 """Faults by plan, during which no answer may be lost."""
 DRAIN_SECONDS = 2.0
 """After an acknowledged leave, the longest that new work may still arrive."""
+STAT = Path("/proc/stat")
+STOLEN_FIELD = 8
+"""Of the first line, after its name."""
 PULSE_SECONDS = 0.02
 STALL_SECONDS = 0.1
 """Beyond which the soak's loop counts as stalled: half of what requests that cross the
@@ -77,6 +82,18 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stall:
+    """A span in which the soak's own loop did not run: it saw its events late."""
+
+    began_at: float
+    ended_at: float
+    worked: float
+    """Processor seconds of the loop's thread: it was busy, or was not scheduled."""
+    stolen: float
+    """Processor seconds, over all cores, that the machine's host gave to others."""
+
+
 @dataclass(slots=True)
 class Journal:
     """Everything seen in one run."""
@@ -94,8 +111,7 @@
     """When a read was sent, and the version that it returned."""
     wrong: list[str] = field(default_factory=list)
     """Promises broken that showed at once."""
-    stalls: list[tuple[float, float]] = field(default_factory=list)
-    """Spans in which the soak's own loop did not run: it saw their events late."""
+    stalls: list[Stall] = field(default_factory=list)
 
 
 def read_clock() -> float:
@@ -103,14 +119,32 @@
     return time.monotonic()
 
 
+def read_stolen(text: str) -> float:
+    """Return the stolen processor seconds that ``/proc/stat`` tells."""
+    ticks = int(text.split(maxsplit=9)[STOLEN_FIELD])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def read_spent() -> tuple[float, float, float]:
+    """Return the steady clock, this thread's processor time, and what was stolen."""
+    return read_clock(), time.thread_time(), read_stolen(STAT.read_text())
+
+
 async def watch_stalls(journal: Journal) -> None:
     """Note the spans in which this loop does not run."""
-    before = read_clock()
+    before = read_spent()
     while True:
         await asyncio.sleep(PULSE_SECONDS)
-        now = read_clock()
-        if now - before > STALL_SECONDS:
-            journal.stalls.append((before, now))
+        now = read_spent()
+        if now[0] - before[0] > STALL_SECONDS:
+            journal.stalls.append(
+                Stall(
+                    began_at=before[0],
+                    ended_at=now[0],
+                    worked=now[1] - before[1],
+                    stolen=now[2] - before[2],
+                )
+            )
 
         before = now
 
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -14,6 +14,7 @@
 from .processes import TERM_SECONDS
 from .processes import Fleet
 from .processes import Member
+from .processes import describe_state
 from .processes import kill_member
 from .processes import restart_member
 from .processes import signal_member
@@ -156,7 +157,8 @@
     deadline = read_clock() + TERM_SECONDS
     while member.process.poll() is None:
         if read_clock() > deadline:
-            stage.journal.wrong.append(f"{member.record.name} did not stop")
+            state = describe_state(member)
+            stage.journal.wrong.append(f"{member.record.name} did not stop: {state}")
             kill_member(member)
 
         await asyncio.sleep(POLL_SECONDS)
