--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -166,7 +166,7 @@
 
     gateway: str
     run: int = 0
-    """Drawn at random when the gateway starts."""
+    """Tells a process of this gateway from the one before."""
     use: tuple[UpstreamUse, ...]
     evidence: tuple[VersionEvidence, ...]
     work: float = 0.0
