--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -11,14 +11,17 @@
 from bisect import bisect_left
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from itertools import count
 from typing import TYPE_CHECKING
+from typing import Any
 
 from waxwingwell.adapters.registry.hub import EXCHANGE_SECONDS
 from waxwingwell.adapters.registry.hub import REPORT_SECONDS
 from waxwingwell.routing.load import LoadTable
 from waxwingwell.routing.load import count_gateways
 from waxwingwell.routing.load import take_sum
+from waxwingwell.routing.messages import ControlReport
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import ServiceRepeats
@@ -376,7 +379,7 @@
         return exchange
 
     def _deliver(
-        self, receiver: Control, sender: str, body: object
+        self, receiver: Control, sender: str, body: ControlReport
     ) -> Callable[[float], None]:
         run = receiver.run
 
@@ -384,7 +387,7 @@
             if receiver.paused:
                 self._at(at + 0.1, arrive)
             elif receiver.up and receiver.run == run:
-                take_control_report(receiver.reports, sender, body, at)  # type: ignore[arg-type]
+                take_control_report(receiver.reports, sender, body, at)
 
         return arrive
 
@@ -417,5 +420,50 @@
 
 
 def run_play(play: Play) -> Outcome:
-    """Play to the end."""
+    """Play from the start of all processes; return what was used of the budget."""
     return Fleet(play).run()
+
+
+FAULTS = (
+    "cut",
+    "paused",
+    "killed",
+    "all_killed",
+    "restarted",
+    "all_restarted",
+    "unlinked",
+)
+SPANS = frozenset({"cut", "paused", "unlinked"})
+"""Faults that last."""
+
+
+def draw_play(seed: int) -> Play:
+    """Return a deployment, and one or two faults around the moment of failure."""
+    chooser = random.Random(seed)
+    gateways = chooser.choice((6, 9, 30, 78))
+    fail_at = chooser.choice((0.0, 5.0, 14.0))
+    play = Play(
+        gateways=gateways,
+        rate=gateways * chooser.choice((2.0, 4.0, 5.0)),
+        ratio=chooser.choice((0.05, 0.1, 0.2, 0.5, 0.9)),
+        slack=chooser.choice((0.0, 20.0, 58.0, 180.0)),
+        wanted=chooser.choice((1, 2, 3)),
+        failing=chooser.choice((0.5, 1.0)),
+        rising=chooser.choice((0.0, 3.0)),
+        delay=chooser.choice((0.003, 0.01, 0.03)),
+        fail_at=fail_at,
+        seconds=30.0,
+        seed=seed,
+    )
+    faults: dict[str, Any] = {}
+    for name in chooser.sample(FAULTS, chooser.choice((1, 1, 2))):
+        at = max(fail_at + chooser.uniform(-3.0, 4.0), 0.1)
+        if name in SPANS:
+            faults[name] = (at, at + chooser.uniform(1.0, 9.0))
+        elif name == "killed":
+            step = chooser.uniform(0.5, 2.0)
+            faults[name] = tuple(at + place * step for place in range(CONTROLS))
+        else:
+            faults[name] = at
+
+    return replace(play, **faults)
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -5,11 +5,14 @@
 import unittest
 
 from .budget_plays import Play
+from .budget_plays import draw_play
 from .budget_plays import run_play
 
 
 GOAL = 0.85
 """Least part of the budget that is used where every request fails."""
+DRAWN = 12
+"""Plays that are drawn."""
 
 
 class LagTest(unittest.TestCase):
@@ -94,9 +97,18 @@
                     used, allowed = run_play(play).most_used(play)
                     self.assertLessEqual(used, allowed)
 
+    def test_drawn_deployments_and_faults(self) -> None:
+        """Guards against a budget that is kept only where it was looked at."""
+        for seed in range(DRAWN):
+            with self.subTest(seed=seed):
+                play = draw_play(seed)
+                used, allowed = run_play(play).most_used(play)
+                self.assertLessEqual(used, allowed, play)
+
     def test_gateways_are_killed_with_the_controls_that_count_them(self) -> None:
         """Guards against counts that no process holds any more."""
-        play = Play(
+        killed = (14.262853873237459, 15.9159159066602, 15.607264500164058)
+        small = Play(
             gateways=6,
             rate=12,
             ratio=0.5,
@@ -105,15 +117,11 @@
             rising=3,
             seconds=30.0,
             delay=0.003,
-            killed=(
-                14.262853873237459,
-                15.9159159066602,
-                15.607264500164058,
-                18.181157697660698,
-                16.765077871010547,
-            ),
+            killed=(*killed, 18.181157697660698, 16.765077871010547),
             all_restarted=17.621858421940118,
             seed=100,
         )
-        used, allowed = run_play(play).most_used(play)
-        self.assertLessEqual(used, allowed)
+        for name, play in (("six", small), ("many", draw_play(291))):
+            with self.subTest(name):
+                used, allowed = run_play(play).most_used(play)
+                self.assertLessEqual(used, allowed)
