Pass a reset on through the soak's proxies

Cause: a gateway leaves an upstream by a reset, as it should.

Change: the close is outside of what is suppressed. Test: without the change the target waits for good.

--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -100,8 +100,9 @@
             writer.write(data)
             await writer.drain()
 
-        if writer not in proxy.dead:
-            writer.close()
+    # A side that is reset has ended, too.
+    if writer not in proxy.dead:
+        writer.close()
 
 
 def reset_pairs(proxy: Proxy) -> None:
