--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -12,6 +12,7 @@
 from .records import DRAIN_SECONDS
 from .records import GRACE_SECONDS
 from .records import PLANNED
+from .records import sum_stalls
 from .records import was_calm
 
 
@@ -131,7 +132,8 @@
         yield (
             f"{ask.request_id}: {ask.kind} at {ask.gateway} ended with {ask.status} "
             f"though nothing was amiss for {CALM_SECONDS} s; s after its begin: runs "
-            f"{spans}, ended {ask.ended_at - ask.began_at:.3f} after {ask.size} bytes"
+            f"{spans}, ended {ask.ended_at - ask.began_at:.3f} after {ask.size} bytes, "
+            f"soak stalled for {sum_stalls(journal, ask.began_at, ask.ended_at):.3f}"
         )
 
 
@@ -147,7 +149,9 @@
             continue
 
         if not is_excused(ask, stop, runs.get(ask.request_id, [])):
-            yield describe_cut(ask, stop, runs.get(ask.request_id, []))
+            stalled = sum_stalls(journal, ask.sent_at, ask.ended_at)
+            told = describe_cut(ask, stop, runs.get(ask.request_id, []))
+            yield f"{told}, soak stalled for {stalled:.3f} of it"
 
 
 def group_runs(journal: Journal) -> dict[str, list[Run]]:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -149,6 +149,14 @@
         before = now
 
 
+def sum_stalls(journal: Journal, since: float, until: float) -> float:
+    """Return the seconds of a time in which this loop did not run."""
+    spans = (
+        min(one.ended_at, until) - max(one.began_at, since) for one in journal.stalls
+    )
+    return sum(span for span in spans if span > 0.0)
+
+
 def was_calm(
     journal: Journal, since: float, until: float, spared: frozenset[str] = frozenset()
 ) -> bool:
--- a/tests/system/test_soak_records.py
+++ b/tests/system/test_soak_records.py
@@ -16,6 +16,7 @@
 from bench.soak.records import Journal
 from bench.soak.records import Stall
 from bench.soak.records import read_stolen
+from bench.soak.records import sum_stalls
 from bench.soak.records import watch_stalls
 
 
@@ -61,6 +62,20 @@
                 self.assertGreaterEqual(first.ended_at - first.began_at, STALLED)
                 self.assertIs(first.worked >= STALLED, busy)
 
+    def test_stalls_within_a_time(self) -> None:
+        journal = Journal()
+        for began_at, ended_at in ((1.0, 2.0), (3.0, 3.5)):
+            stall = Stall(began_at=began_at, ended_at=ended_at, worked=0.0, stolen=0.0)
+            journal.stalls.append(stall)
+
+        for since, until, expected in (
+            (0.0, 4.0, 1.5),
+            (1.5, 3.25, 0.75),
+            (2.0, 3.0, 0.0),
+        ):
+            with self.subTest(since=since, until=until):
+                self.assertAlmostEqual(sum_stalls(journal, since, until), expected)
+
     def test_stolen_time(self) -> None:
         text = "cpu  10 0 10 100 0 0 0 250 0 0\ncpu0 1 0 1 1 0 0 0 5 0 0\n"
         self.assertAlmostEqual(read_stolen(text), 2.5)
