Read and log the limits that upstreams state

What callers saw: nothing yet. The record of an overrun limit can't tell whether no gateway knows of the limit or each keeps it by itself, as the header is dropped where responses are decoded. Each gateway now records what an upstream states and logs each change; no request is placed otherwise than before.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -12,6 +12,7 @@
 
 from ...routing.fleet import FleetTable
 from ...routing.health import HealthTable
+from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
 from ...routing.lookup import DocumentIndex
 from ...routing.messages import RolloutState
@@ -81,6 +82,7 @@
     reported_work: float = 0.0
     reported_retries: tuple[ServiceRepeats, ...] = ()
     health: HealthTable = field(default_factory=HealthTable)
+    limits: LimitTable = field(default_factory=LimitTable)
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -60,6 +60,10 @@
     """The body is content-encoded, so it is not as the upstream sent it."""
     confidence: float | None = None
     """The model's confidence in its response, 0 to 1."""
+    rate_limit: float | None = None
+    """Requests per second that the upstream takes from all gateways together."""
+    rejection_limit: float | None = None
+    """Rejections per second for lack of room beyond which the upstream crashes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -19,6 +19,7 @@
 from .attempts import is_valid_response
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
+from .attempts import record_limits
 from .attempts import record_outcome
 from .attempts import release_attempt
 from .choice import Choice
@@ -210,6 +211,7 @@
         attempt.body = []
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
+        record_limits(self.context, attempt, now)
         record_cached_blocks(self.context, self.facts, attempt, now)
         larger = find_larger(self, attempt, now)
         if larger is not None:
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -117,3 +117,18 @@
                 self.assertIs(facts.not_run, not_run)
                 self.assertIs(facts.signed, is_signed)
                 self.assertEqual(facts.confidence, confidence)
+
+    def test_limits_that_an_upstream_states(self) -> None:
+        signed = (b"Waxwingwell-Server-Signature", b"x")
+        for status, headers, rate, rejections in (
+            (200, [], None, None),
+            (200, [(b"Server-Limit", b"1.7")], 1.7, None),
+            (503, [(b"server-limit", b"0")], 0.0, None),
+            (200, [(b"Server-Limit", b"-1"), (b"Server-Brittle", b"4")], None, 4.0),
+            (200, [(b"Server-Limit", b"x"), (b"Server-Brittle", b"nan")], None, None),
+            (421, [(b"Server-Limit", b"2"), (b"Server-Brittle", b"4")], None, None),
+        ):
+            with self.subTest(status=status, headers=headers):
+                facts = DIALECT.read_response(status, [signed, *headers])
+                self.assertEqual(facts.rate_limit, rate)
+                self.assertEqual(facts.rejection_limit, rejections)
