--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -134,10 +134,13 @@
 def record_limits(context: GatewayContext, attempt: Attempt, now: float) -> None:
     """Record the limit that a response names, or that it names none.
 
-    A response of another server at the upstream's address says nothing about it.
+    Only a response that the upstream itself has signed shows that its limit has ended.
     """
     facts = attempt.facts
-    if facts is None or not (facts.signed or facts.rate_limit is not None):
+    if facts is None:
+        return
+
+    if facts.rate_limit is None and (facts.not_run or not facts.signed):
         return
 
     upstream = attempt.choice.placement.upstream
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -65,11 +65,15 @@
     """Decode the head of an upstream's response."""
     found = {name.lower(): value.decode() for name, value in headers}
     confidence = found.get(b"x-confidence")
+    rate_limit = found.get(b"x-limit")
+    rejection_limit = found.get(b"x-brittle")
     return ResponseFacts(
         not_run=b"x-not-run" in found,
         signed=b"x-signed" in found,
         request_id=found.get(b"x-id"),
         confidence=None if confidence is None else float(confidence),
+        rate_limit=None if rate_limit is None else float(rate_limit),
+        rejection_limit=None if rejection_limit is None else float(rejection_limit),
     )
 
 
