Keep the limits that upstreams name over all gateways

What callers saw: an upstream in need that had named 1.9 requests a second got 27 in 4 s, of 16 allowed, and answered late.

Cause: no gateway read the header, and reading it alone does not help: the limit holds for the sum over all gateways, and none of the three limits we had that hold for a sum (retry budget, cold upstreams, places) bounds a rate of 1.7 a second before hundreds of gateways.

Ruled out: retries, escalations and resumed streams (2 of 121 placements in the record); an equal part for each gateway (at 83 gateways one request in 49 s each, and all phases may meet); draws without messages as for cold upstreams (with 6 deviations kept free they use a fifth of the limit); parts by each gateway's requests as in the retry budget (their phases are random, so that a window gets twice its mean now and then).

Change: controls grant permits, each at the part of the rate that its attached gateways are of all gateways, so that split, killed and new controls never add up to more. What gateways know of limits passes round with it; a limit ends only if no response names it again for a while. A request for which all upstreams lack a permit waits for up to a third of its time, is refused at once if none can come, and takes nothing from the retry budget.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -9,7 +9,6 @@
 
 from ...routing.fleet import MISSED_HEARTBEATS
 from ...routing.fleet import list_serving
-from ...routing.load import count_reported_gateways
 from ...routing.models import find_pool
 from ...routing.models import first_model
 from ...routing.models import has_model_choice
@@ -23,8 +22,7 @@
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
 from ...routing.versions import list_allowed_upstreams
-from ...routing.warmup import is_cold
-from ...routing.warmup import may_send
+from .restrictions import may_use
 
 
 if TYPE_CHECKING:
@@ -33,7 +31,6 @@
     from ...routing.fleet import Announcement
     from ...routing.lookup import DocumentIndex
     from ...routing.records import Route
-    from ...routing.records import Service
     from .context import GatewayContext
     from .dialect import RequestFacts
 
@@ -115,7 +112,7 @@
         candidate
         for candidate in allowed
         if candidate.upstream not in excluded
-        and may_use(context, record, candidate.upstream, now)
+        and may_use(context, record, candidate, now)
     ]
     if not model and has_model_choice(route, facts.model):
         model = first_model(route)
@@ -147,26 +144,16 @@
     return Choice(service, key, model, placement, pressure, kind, len(pool))
 
 
-def may_use(
-    context: GatewayContext, service: Service, upstream: str, now: float
+def has_restricted_upstream(
+    context: GatewayContext, service: str, session: str, excluded: set[str], now: float
 ) -> bool:
-    """Return whether an upstream is warm, or this gateway may send it a request."""
-    cold = is_cold(
-        context.warm_up,
-        context.fleet.upstreams[upstream],
-        service,
-        context.health,
-        heartbeats_at=context.heartbeats_at,
-        now=now,
-    )
-    return not cold or may_send(
-        context.warm_up,
-        upstream,
-        service,
-        context.settings.warm_up,
-        gateway=context.settings.node,
-        gateways=count_reported_gateways(context.load),
-        now=now,
+    """Return whether an upstream is left that only lacks a permit or room at present.
+
+    Call it after ``choose_upstream`` has found none.
+    """
+    return any(
+        candidate.upstream not in excluded
+        for candidate in list_candidates(context, service, session, now)
     )
 
 
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -18,6 +18,7 @@
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
+from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
 from ...routing.retries import RetryTable
@@ -83,6 +84,9 @@
     reported_retries: tuple[ServiceRepeats, ...] = ()
     health: HealthTable = field(default_factory=HealthTable)
     limits: LimitTable = field(default_factory=LimitTable)
+    permits: PermitTable = field(default_factory=PermitTable)
+    granting_at: float = -math.inf
+    """Time of the last totals from a control that grants permits."""
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -36,6 +36,7 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .permit_waits import wait_for_permit
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
 from .sending import log_placement
@@ -148,7 +149,9 @@
 
         choice = self.choose_upstream(now)
         if choice is None:
-            self._retry_tried_upstreams()
+            if not wait_for_permit(self, self._send_next, now):
+                self._retry_tried_upstreams()
+
             return
 
         if not self.is_in_time(choice, now):
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/permit_waits.py
@@ -0,0 +1,56 @@
+"""Waits of requests for upstreams that lack only a permit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.admission import choose_retry_after
+from .choice import find_session_key
+from .choice import has_restricted_upstream
+from .endings import give_up
+from .restrictions import estimate_permit_seconds
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .exchange import Exchange
+
+
+POLL_SECONDS = 0.25
+"""Seconds between checks for a permit; permits arrive in response to reports."""
+MAX_WAIT_PART = 0.33
+"""Part of a request's time for which it waits, so that its caller can still try
+another gateway."""
+
+
+def wait_for_permit(
+    exchange: Exchange, send_next: Callable[[], None], now: float
+) -> bool:
+    """Wait or refuse a request whose upstreams lack only a permit.
+
+    Returns False if there is no such upstream, or if it is too late to refuse the
+    caller. The wait calls ``send_next`` when a permit may have arrived; a request that
+    has no chance of one in time is refused at once.
+    """
+    if exchange.responder.started or exchange.response_dropped:
+        return False
+
+    service = exchange.find_service()
+    session = find_session_key(exchange.facts)
+    if not has_restricted_upstream(
+        exchange.context, service, session, exchange.tried_upstreams, now
+    ):
+        return False
+
+    expected = estimate_permit_seconds(exchange.context, now)
+    total = exchange.deadline - exchange.started_at
+    latest = exchange.started_at + MAX_WAIT_PART * total
+    if now >= latest or now + expected > exchange.deadline:
+        pause = choose_retry_after(expected, exchange.deadline - now)
+        give_up(exchange, "all upstreams are at their limits", pause)
+        return True
+
+    delay = min(POLL_SECONDS, latest - now)
+    exchange.context.reactor.callLater(delay, send_next)
+    return True
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -10,12 +10,12 @@
 from ...routing.pools import Pool
 from ...routing.records import RouteKind
 from ...routing.sessions import start_session
-from ...routing.warmup import record_request
 from ..events import log_event
 from ..http.client import CallHandlers
 from ..http.client import UpstreamCall
 from ..http.records import strip_hop_headers
 from .dialect import Dispatch
+from .restrictions import record_send
 
 
 if TYPE_CHECKING:
@@ -58,7 +58,7 @@
     """Start a call to the upstream and count it as this gateway's load there."""
     placement = attempt.choice.placement
     attempt.work = placement.work
-    record_request(exchange.context.warm_up, attempt.upstream, now)
+    record_send(exchange.context, attempt.upstream, now)
     add_running(exchange.context.load, attempt.upstream, attempt.work)
     choice = attempt.choice
     if choice.pool is not Pool.SMALL:
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -14,18 +14,25 @@
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
+from ...routing.limits import apply_states
+from ...routing.limits import drop_limits
+from ...routing.limits import list_states
 from ...routing.load import apply_totals
+from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
 from ...routing.load import sum_recent_prefill
 from ...routing.lookup import index_document
 from ...routing.messages import FleetReport
 from ...routing.messages import GatewayReport
+from ...routing.messages import GrantPermits
 from ...routing.messages import NotAccepted
 from ...routing.messages import ShareHeartbeats
 from ...routing.messages import ShareMembers
 from ...routing.messages import ShareNews
 from ...routing.messages import ShareRouting
 from ...routing.messages import VersionEvidence
+from ...routing.permits import apply_grants
+from ...routing.permits import take_requests
 from ...routing.prefixes import apply_reported_blocks
 from ...routing.prefixes import list_unreported_blocks
 from ...routing.prefixes import mark_reported
@@ -69,6 +76,7 @@
         apply_heartbeats(context.fleet, body.heard, now)
         context.heartbeats_at = now
         drop_tombstones(context.fleet, now)
+        drop_limits(context.limits, context.fleet.upstreams, now)
     elif isinstance(body, ShareMembers):
         update_controls(context, body)
         record_data_centre(context, sender, body.data_centre)
@@ -82,8 +90,14 @@
             now=now,
         )
         apply_retry_totals(context.retries, body.repeats, context.reported_retries, now)
+        if body.grants:
+            context.granting_at = now
+
         apply_reported_blocks(context.prefixes, body.read, now)
         apply_kept_sessions(context.sessions, body.kept, body.held)
+    elif isinstance(body, GrantPermits):
+        apply_grants(context.permits, body.permits, body.reported_at, now)
+        apply_states(context.limits, body.limits, now)
 
 
 def apply_routing(context: GatewayContext, body: ShareRouting) -> None:
@@ -216,6 +230,10 @@
         ),
         repeats=list_retries(context.retries, context.settings.retries, now),
         read=list_unreported_blocks(context.prefixes),
+        reported_at=now,
+        gateways=count_known_gateways(context.load),
+        permits=take_requests(context.permits, now),
+        limits=list_states(context.limits, now),
     )
 
 
@@ -256,5 +274,8 @@
 
     report = make_report(context)
     cast_link(
-        link, msgspec.structs.replace(report, use=(), work=0.0, repeats=(), read=())
+        link,
+        msgspec.structs.replace(
+            report, use=(), work=0.0, repeats=(), read=(), permits=()
+        ),
     )
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -15,6 +15,7 @@
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import describe_upstream
 from ...routing.fleet import drop_tombstones
+from ...routing.limits import drop_limits
 from ...routing.messages import ControlReport
 from ...routing.messages import GatewayReport
 from ...routing.messages import NotAccepted
@@ -28,6 +29,7 @@
 from ...routing.reports import make_control_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
+from ...routing.reports import respond_to_report
 from ...routing.reports import sum_fleet
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
@@ -300,6 +302,7 @@
         apply_heartbeats(context.fleet, body.heard, context.clock())
     elif isinstance(body, GatewayReport):
         receive_report(context.reports, body, context.clock())
+        respond_to_gateway(context, sender, body)
     elif isinstance(body, ControlReport):
         receive_control_report(context.reports, sender, body, context.clock())
     elif isinstance(body, ShareMembers):
@@ -307,6 +310,19 @@
             connect_control(context, name)
 
 
+def respond_to_gateway(
+    context: RegistryContext, gateway: str, report: GatewayReport
+) -> None:
+    """Send a gateway the permits that it gets, and the limits of upstreams."""
+    response = respond_to_report(context.reports, report, context.clock())
+    if response is None:
+        return
+
+    for protocol in context.gateway_links:
+        if protocol.remote == gateway:
+            protocol.cast(response)
+
+
 def run_sharing(context: RegistryContext, now: float) -> None:
     """Send the periodic messages that are due."""
     share_routing(context, now)
@@ -320,6 +336,7 @@
     if is_due(context, "heartbeats", HEARTBEAT_SECONDS, now):
         share_heartbeats(context)
         drop_tombstones(context.fleet, now)
+        drop_limits(context.reports.limits, context.fleet.upstreams, now)
 
     if is_due(context, "members", MEMBER_SECONDS, now):
         follow_members(context)
--- a/src/waxwingwell/routing/limits.py
+++ b/src/waxwingwell/routing/limits.py
@@ -1,7 +1,8 @@
 """Limits that upstreams state in their responses.
 
 An upstream in need names the requests per second that it takes from all gateways
-together. The limit applies until a response no longer names it.
+together. The limit applies until its responses no longer name it. Gateways and controls
+exchange what they know, as most gateways get no response of a limited upstream.
 """
 
 from __future__ import annotations
@@ -9,6 +10,36 @@
 import math
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .messages import LimitState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from collections.abc import Iterable
+
+
+OVERSHOOT = 1.5
+"""Multiple of a limit that an upstream tolerates within ``WINDOW_SECONDS``."""
+SLACK = 5.0
+"""Requests within ``WINDOW_SECONDS`` that it tolerates in addition."""
+WINDOW_SECONDS = 4.0
+MIN_LIFT_SECONDS = 2.0
+"""Least time from a response that names no limit until the limit ends. A response that
+was overtaken would otherwise end it for all gateways at once."""
+LIFT_REQUESTS = 3.0
+"""Requests at the limited rate for which the limit still applies, so that one of their
+responses can name it again."""
+MIN_RATE = 0.05
+"""Least rate in requests per second; with none, no response would show the end."""
+SAME_NAMING_SECONDS = 0.5
+"""Difference up to which two times count as the same naming. Without it, each exchange
+would add the delay of its messages, and a limit would seem to be named for ever."""
+RETENTION_SECONDS = 10.0
+"""Seconds for which the end of a limit is passed on."""
+UNKNOWN_SECONDS = 60.0
+"""Seconds after which the limit of an upstream that is not known is dropped."""
 
 
 @dataclass(slots=True)
@@ -19,9 +50,9 @@
     rate: float
     """Requests per second that all gateways together may send."""
     named_at: float
-    """Time at which the last response that names the limit arrived."""
-    cleared_at: float = -math.inf
-    """Time at which the last request was sent whose response names no limit."""
+    """Time of the last response that names the limit."""
+    lifted_at: float = math.inf
+    """Time at which the limit ends."""
 
 
 @dataclass(slots=True)
@@ -59,16 +90,81 @@
         return rate is not None or held is not None
 
     newer = sent_at > held.named_at
-    was_cleared = held.cleared_at > held.named_at
+    was_lifted = held.lifted_at < math.inf
     if rate is None:
-        if newer:
-            held.cleared_at = max(held.cleared_at, sent_at)
+        if newer and not was_lifted:
+            held.lifted_at = now + compute_lift_seconds(held.rate)
 
-        return newer and not was_cleared
+        return newer and not was_lifted
 
-    changed = was_cleared or (rate != held.rate and (newer or rate < held.rate))
+    changed = was_lifted or (rate != held.rate and (newer or rate < held.rate))
     if newer or rate < held.rate:
         held.rate = rate
 
     held.named_at = now
+    held.lifted_at = math.inf
     return changed
+
+
+def compute_lift_seconds(rate: float) -> float:
+    """Return the seconds for which a limit applies after a response without it."""
+    return max(MIN_LIFT_SECONDS, LIFT_REQUESTS / max(rate, MIN_RATE))
+
+
+def find_rate(
+    table: LimitTable, upstream: str, incarnation: int, now: float
+) -> float | None:
+    """Return the requests per second that an upstream takes, or None without limit."""
+    held = table.upstreams.get(upstream)
+    if held is None or held.incarnation != incarnation or now >= held.lifted_at:
+        return None
+
+    return max(held.rate, MIN_RATE)
+
+
+def list_states(table: LimitTable, now: float) -> tuple[LimitState, ...]:
+    """Return the limits to pass on, among them those that have ended recently."""
+    return tuple(
+        LimitState(
+            upstream,
+            held.incarnation,
+            held.rate,
+            round(now - held.named_at, 3),
+            None if held.lifted_at == math.inf else round(held.lifted_at - now, 3),
+        )
+        for upstream, held in table.upstreams.items()
+    )
+
+
+def apply_states(table: LimitTable, states: Iterable[LimitState], now: float) -> None:
+    """Merge limits that another process knows of; the newest naming counts."""
+    for state in states:
+        received = UpstreamLimit(
+            state.incarnation,
+            state.rate,
+            now - state.named_age,
+            math.inf if state.lifted_in is None else now + state.lifted_in,
+        )
+        held = table.upstreams.get(state.upstream)
+        if held is None or is_newer(received, held):
+            table.upstreams[state.upstream] = received
+        elif not is_newer(held, received):
+            held.lifted_at = min(held.lifted_at, received.lifted_at)
+
+
+def is_newer(limit: UpstreamLimit, other: UpstreamLimit) -> bool:
+    """Return whether a limit was named later than another one of the same upstream."""
+    if limit.incarnation != other.incarnation:
+        return limit.incarnation > other.incarnation
+
+    return limit.named_at > other.named_at + SAME_NAMING_SECONDS
+
+
+def drop_limits(table: LimitTable, known: Container[str], now: float) -> None:
+    """Remove limits that ended a while ago, and those of unknown upstreams."""
+    table.upstreams = {
+        upstream: held
+        for upstream, held in table.upstreams.items()
+        if now - held.lifted_at < RETENTION_SECONDS
+        and (upstream in known or now - held.named_at < UNKNOWN_SECONDS)
+    }
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -88,6 +88,11 @@
     return math.inf if table.others_at == -math.inf else count_gateways(table)
 
 
+def count_known_gateways(table: LoadTable) -> int:
+    """Return the largest recent number of gateways, or 0 before any report."""
+    return 0 if table.others_at == -math.inf else count_gateways(table)
+
+
 def estimate_usage(table: LoadTable, engines: int, now: float) -> float:
     """Return the share of the engines' time that prefill takes.
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -183,6 +183,41 @@
     """Total of the times to the first byte."""
 
 
+class LimitState(msgspec.Struct, frozen=True, array_like=True):
+    """The limit on requests that an upstream has named, as known to the sender."""
+
+    upstream: str
+    incarnation: int
+    rate: float
+    """Requests per second that all gateways together may send."""
+    named_age: float
+    """Seconds since a response named the limit."""
+    lifted_in: float | None = None
+    """Seconds until the limit ends, negative if it has; None while it applies."""
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway's need of permits to send requests to a limited upstream."""
+
+    upstream: str
+    rate: float
+    """Permits per second that all controls together may grant."""
+    wanted: int
+    """Requests since the last report, less the permits that the gateway still has."""
+    returned: int = 0
+    """Permits that the gateway has not used in time."""
+
+
+class GrantPermits(Message, frozen=True, kw_only=True):
+    """A control's response to a gateway's report while some upstreams are limited."""
+
+    reported_at: float
+    """Time of the report by the gateway's own clock, from which permits count."""
+    permits: tuple[str, ...] = ()
+    """Upstreams to which the gateway may send a request, one entry for each."""
+    limits: tuple[LimitState, ...] = ()
+
+
 class GatewayReport(Message, frozen=True, kw_only=True):
     """Report of one gateway to the others, through a control."""
 
@@ -200,6 +235,13 @@
     repeats: tuple[ServiceRepeats, ...] = ()
     read: tuple[int, ...] = ()
     """Hashes of prompt blocks that engines have processed since the last report."""
+    reported_at: float | None = None
+    """Time of the report by the gateway's own clock; None from older releases, which
+    do not understand ``GrantPermits``."""
+    gateways: int = 0
+    """Largest number of gateways that were known recently; 0 if it is not known."""
+    permits: tuple[PermitRequest, ...] = ()
+    limits: tuple[LimitState, ...] = ()
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -214,6 +256,8 @@
     repeats: tuple[ServiceRepeats, ...] = ()
     read: tuple[int, ...] = ()
     """Hashes of prompt blocks that engines have processed since the last totals."""
+    grants: bool = False
+    """Whether the control grants permits for limited upstreams."""
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -231,6 +275,7 @@
     """Evidence of gateways where it changed, and periodically of each gateway."""
     untold: tuple[str, ...] = ()
     """Gateways that do not report which state they have."""
+    limits: tuple[LimitState, ...] = ()
 
 
 RoutingBody = (
@@ -245,5 +290,6 @@
     | ShareMembers
     | GatewayReport
     | FleetReport
+    | GrantPermits
     | ControlReport
 )
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -13,13 +13,20 @@
 
 import msgspec
 
+from .limits import LimitTable
+from .limits import apply_states
+from .limits import list_states
 from .messages import ControlReport
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
+from .messages import GrantPermits
 from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
+from .permits import GrantTable
+from .permits import drop_buckets
+from .permits import grant_permits
 from .retries import sum_retries
 
 
@@ -37,6 +44,8 @@
 down."""
 MAX_TOTAL_BLOCKS = 2_000
 """Prompt blocks stored for one message of totals, 10 KB."""
+UNUSED_BUCKET_SECONDS = 10.0
+"""Seconds after which the permits of an upstream that nobody asks for are dropped."""
 EVIDENCE_TTL_SECONDS = 10.0
 """Seconds without a report after which a gateway's evidence is dropped."""
 
@@ -98,6 +107,9 @@
     """Hashes of prompt blocks for the next totals to the attached gateways."""
     blocks_for_controls: dict[int, None] = field(default_factory=dict)
     """Hashes of prompt blocks for the next report to the other controls."""
+    grants: GrantTable = field(default_factory=GrantTable)
+    """Permits for requests to limited upstreams."""
+    limits: LimitTable = field(default_factory=LimitTable)
 
 
 def receive_report(table: ReportTable, report: GatewayReport, now: float) -> None:
@@ -117,6 +129,33 @@
     queue_blocks(table.blocks_for_controls, report.read)
 
 
+def respond_to_report(
+    table: ReportTable, report: GatewayReport, now: float
+) -> GrantPermits | None:
+    """Return the response to a gateway's report, or None if there is nothing to tell.
+
+    A gateway that does not know how many others there are gets no permits: this control
+    may have started after the others, and its own count may be too low.
+    """
+    apply_states(table.limits, report.limits, now)
+    if report.reported_at is None or not (report.permits or table.limits.upstreams):
+        return None
+
+    permits: tuple[str, ...] = ()
+    if report.gateways:
+        counted = len(table.attached) + sum(
+            one.report.total.gateways for one in table.controls.values()
+        )
+        part = len(table.attached) / max(counted, report.gateways, 1)
+        permits = grant_permits(table.grants, report.permits, part, now)
+
+    return GrantPermits(
+        reported_at=report.reported_at,
+        permits=permits,
+        limits=list_states(table.limits, now),
+    )
+
+
 def record_departed(table: ReportTable, held: GatewayEntry) -> None:
     """Record the retries of a gateway process that has ended or stopped reporting.
 
@@ -136,6 +175,7 @@
     for one in report.evidence:
         table.evidence[one.gateway] = EvidenceEntry(one.versions, now)
 
+    apply_states(table.limits, report.limits, now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
@@ -152,6 +192,7 @@
         if now - held.received_at > REPORT_TTL_SECONDS:
             record_departed(table, held)
 
+    drop_buckets(table.grants, now - UNUSED_BUCKET_SECONDS)
     table.departed = [
         one for one in table.departed if now - one.received_at <= table.retry_window
     ]
@@ -204,6 +245,7 @@
         untold=tuple(
             name for name, held in table.attached.items() if held.report.held < 0
         ),
+        limits=list_states(table.limits, now),
     )
 
 
@@ -225,7 +267,9 @@
         for one in table.controls.values()
     ]
     total = sum_totals([sum_attached(table, now), *others])
-    total = msgspec.structs.replace(total, read=tuple(table.blocks_for_gateways))
+    total = msgspec.structs.replace(
+        total, read=tuple(table.blocks_for_gateways), grants=True
+    )
     table.blocks_for_gateways.clear()
     return total
 
--- a/src/waxwingwell/routing/warmup.py
+++ b/src/waxwingwell/routing/warmup.py
@@ -1,9 +1,10 @@
-"""Limit on requests to cold upstreams, which all gateways keep without messages.
+"""Cold upstreams, and limits that all gateways keep without messages.
 
-A cold upstream crashes if it gets many requests within a second. The limit holds for
-all gateways together, also while they have no contact with any control. So a gateway
-that has a whole request of the limit to itself sends that many; of more gateways, each
-draws whether it may send one, so that few of them do at the same time.
+A cold upstream crashes if it gets many requests within a second. Controls grant permits
+for such requests, but the limit also holds for gateways that have no contact with any
+control. Of these, a gateway that has a whole request of the limit to itself sends that
+many; of more gateways, each draws whether it may send one, so that few of them do at
+the same time.
 """
 
 from __future__ import annotations
@@ -23,11 +24,13 @@
     from .records import Service
 
 
-WINDOW_SECONDS = 1.4
-"""Seconds between requests that never arrive within the same second, although opening a
-connection may delay the first of them by 0.4 s."""
-SLOT_SECONDS = 1.0
-"""Seconds for which one draw is valid."""
+WINDOW_SECONDS = 1.0
+"""Seconds in which a cold upstream may get the requests of its limit."""
+CONNECT_SECONDS = 0.4
+"""Seconds by which opening a connection may delay a request; a later one may arrive
+together with it."""
+MAX_WINDOW_SECONDS = 4.0
+"""Longest window of any limit on the requests to an upstream."""
 DEVIATIONS = 6.0
 """Standard deviations between the expected number of requests and the limit."""
 SILENT_SECONDS = 3.0
@@ -59,7 +62,7 @@
     """This gateway's latest requests, and the evacuations that were withdrawn."""
 
     sent: deque[tuple[float, str]] = field(default_factory=deque)
-    """Times and upstreams of the requests within the window."""
+    """Times and upstreams of the requests within the longest window."""
     returned_at: dict[str, float] = field(default_factory=dict)
     """Time at which a data centre's evacuation was withdrawn, as known here."""
     began_at: float = -math.inf
@@ -68,7 +71,8 @@
 
 def record_request(table: WarmUpTable, upstream: str, now: float) -> None:
     """Record a request that is sent to an upstream."""
-    while table.sent and table.sent[0][0] < now - WINDOW_SECONDS:
+    kept_seconds = MAX_WINDOW_SECONDS + CONNECT_SECONDS
+    while table.sent and table.sent[0][0] < now - kept_seconds:
         table.sent.popleft()
 
     table.sent.append((now, upstream))
@@ -115,25 +119,30 @@
     return now < known.backoff_until + service.warm_up_seconds
 
 
-def may_send(
+def compute_limit(service: Service, limits: WarmUpLimits) -> float:
+    """Return how many requests a cold upstream may get within ``WINDOW_SECONDS``."""
+    return service.warm_up_rate * limits.overshoot * WINDOW_SECONDS + limits.slack
+
+
+def may_send_alone(
     table: WarmUpTable,
     upstream: str,
-    service: Service,
-    limits: WarmUpLimits,
+    limit: float,
+    window: float,
     *,
     gateway: str,
     gateways: float,
     now: float,
 ) -> bool:
-    """Return whether this gateway may send a request to a cold upstream now.
+    """Return whether a gateway without a control may send a request to an upstream.
 
-    ``gateways`` is the number of gateways that may send to it.
+    ``limit`` is the number of requests that ``gateways`` may send together within
+    ``window`` seconds.
     """
-    since = now - WINDOW_SECONDS
+    since = now - window - CONNECT_SECONDS
     if table.began_at > since:
         return False
 
-    limit = service.warm_up_rate * limits.overshoot + limits.slack
     recent = sum(1 for at, name in table.sent if name == upstream and at > since)
     own_share = math.floor(limit / gateways)
     if own_share >= 1:
@@ -142,7 +151,7 @@
     if recent:
         return False
 
-    slot = math.floor(now / SLOT_SECONDS)
+    slot = math.floor(now / window)
     key = f"{gateway}/{upstream}/{slot}".encode()
     drawn = xxh32_intdigest(key) / DRAW_RANGE
     return drawn < count_expected(limit) / gateways
--- a/tests/adapters/gateway/test_limits.py
+++ b/tests/adapters/gateway/test_limits.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
+from waxwingwell.adapters.gateway.permit_waits import POLL_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
+from waxwingwell.adapters.gateway.steering import make_report
+from waxwingwell.routing.limits import record_statement
 from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import GrantPermits
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.retries import list_retries
 
+from .support import LAST_CHUNK
 from .support import Gateway
+from .support import make_chunk
 from .support import make_gateway
 from .support import make_response
+from .support import make_stream_head
 
 
 RATE = 2.0
@@ -75,3 +84,107 @@
                 times = self.play(gateways, 12.0)
                 told = [at for at in times if at >= times[0] + 2 + TOLD_SECONDS]
                 self.assertLessEqual(count_worst_window(told), ALLOWED)
+
+
+def apply_limit(gateway: Gateway, *names: str) -> None:
+    """Let a gateway know of upstreams that each take ``RATE`` requests per second."""
+    now = gateway.reactor.seconds()
+    for name in names:
+        record_statement(gateway.context.limits, name, 1, RATE, sent_at=now, now=now)
+
+
+class PermitTest(unittest.TestCase):
+    """Requests to upstreams at their limits, while a control grants permits."""
+
+    def make_gateway(self, *names: str, **route: Any) -> Gateway:
+        """Return one of nine gateways, with limits at all of its upstreams."""
+        gateway = make_gateway(*names, **route)
+        totals = FleetReport(gateways=9, use=(), grants=True)
+        handle_cast(gateway.context, "c1", totals)
+        apply_limit(gateway, *names)
+        return gateway
+
+    def grant(self, gateway: Gateway, *upstreams: str) -> None:
+        """Report the gateway's needs and let the control grant permits."""
+        report = make_report(gateway.context)
+        assert report.reported_at is not None
+        granted = GrantPermits(reported_at=report.reported_at, permits=upstreams)
+        handle_cast(gateway.context, "c1", granted)
+
+    def test_an_upstream_without_a_permit_is_left_out(self) -> None:
+        for kind in RouteKind:
+            with self.subTest(kind=kind):
+                gateway = self.make_gateway("u1", "u2", kind=kind)
+                gateway.context.limits.upstreams.pop("u2")
+                for _ in range(8):
+                    gateway.ask()
+
+                sent = [one.accept() for one in gateway.upstreams]
+                self.assertEqual(sum(b"X-Upstream: u2" in one for one in sent), 8)
+
+    def test_a_request_waits_for_a_permit(self) -> None:
+        """Guards against refusals although a permit comes in time."""
+        gateway = self.make_gateway("u1")
+        caller = gateway.ask()
+        self.assertEqual(gateway.upstreams, [])
+        self.grant(gateway, "u1")
+        gateway.reactor.advance(POLL_SECONDS)
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.respond(make_stream_head() + make_chunk(b"id: 1\n\n") + LAST_CHUNK)
+        self.assertEqual(caller.status, 200)
+
+    def test_a_request_that_waits_in_vain_is_refused_early(self) -> None:
+        """Guards against callers that wait until their deadline for a refusal."""
+        gateway = self.make_gateway("u1")
+        caller = gateway.ask()
+        for _ in range(14):
+            gateway.reactor.advance(POLL_SECONDS)
+
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After", caller.received)
+        self.assertEqual(gateway.upstreams, [])
+        self.assertEqual(len(gateway.context.exchanges), 0)
+
+    def test_a_request_without_a_chance_of_a_permit_is_refused_at_once(self) -> None:
+        gateway = self.make_gateway("u1")
+        caller = gateway.ask(X_Budget="1")
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After", caller.received)
+
+    def test_waits_do_not_use_the_retry_budget(self) -> None:
+        """Guards against limits that leave no retries for failures."""
+        gateway = self.make_gateway("u1")
+        gateway.ask()
+        gateway.reactor.advance(POLL_SECONDS)
+        limits = gateway.context.settings.retries
+        [counts] = list_retries(gateway.context.retries, limits, 1.0)
+        self.assertEqual(counts.repeats, 0)
+
+    def test_a_retry_needs_a_permit_too(self) -> None:
+        """Guards against retries and resumed streams that overrun a limit."""
+        gateway = self.make_gateway("u1", "u2")
+        gateway.context.limits.upstreams.pop("u2")
+        gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.respond(make_stream_head() + make_chunk(b"id: 1\n\n"))
+        upstream.reset()
+        gateway.reactor.advance(1.0)
+        for one in gateway.upstreams[1:]:
+            self.assertIn(b"X-Upstream: u2", one.accept())
+
+    def test_the_first_to_be_told_tells_the_others(self) -> None:
+        """Guards against a limit that only the gateways with a response know of."""
+        gateway = self.make_gateway("u1", "u2")
+        [state] = [
+            one for one in make_report(gateway.context).limits if one.upstream == "u1"
+        ]
+        other = make_gateway("u1", "u2", kind=RouteKind.IDEMPOTENT)
+        handle_cast(other.context, "c1", FleetReport(gateways=9, use=(), grants=True))
+        handle_cast(other.context, "c1", GrantPermits(reported_at=0.0, limits=(state,)))
+        for _ in range(8):
+            other.ask()
+
+        sent = [one.accept() for one in other.upstreams]
+        self.assertEqual(sum(b"X-Upstream: u2" in one for one in sent), 8)
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
+from waxwingwell.routing.limits import MIN_LIFT_SECONDS
+from waxwingwell.routing.limits import MIN_RATE
+from waxwingwell.routing.limits import SAME_NAMING_SECONDS
 from waxwingwell.routing.limits import LimitTable
+from waxwingwell.routing.limits import apply_states
+from waxwingwell.routing.limits import drop_limits
+from waxwingwell.routing.limits import find_rate
+from waxwingwell.routing.limits import list_states
 from waxwingwell.routing.limits import record_statement
+from waxwingwell.routing.messages import LimitState
 
 
 class StatementTest(unittest.TestCase):
@@ -33,8 +42,77 @@
                     for one, limit, sent, at in statements
                 ]
                 held = table.upstreams.get("u1")
-                if held is not None and held.cleared_at > held.named_at:
+                if held is not None and held.lifted_at < math.inf:
                     held = None
 
                 self.assertEqual(None if held is None else held.rate, rate)
                 self.assertEqual(sum(changed), changes)
+
+    def test_a_limit_ends_only_if_no_response_names_it_again(self) -> None:
+        """Guards against a response out of order that frees an upstream in need."""
+        table = LimitTable()
+        record_statement(table, "u1", 1, 2.0, sent_at=0.0, now=1.0)
+        record_statement(table, "u1", 1, None, sent_at=2.0, now=3.0)
+        self.assertEqual(find_rate(table, "u1", 1, 3.0 + MIN_LIFT_SECONDS / 2), 2.0)
+        self.assertIsNone(find_rate(table, "u1", 1, 3.0 + MIN_LIFT_SECONDS))
+        record_statement(table, "u1", 1, 2.0, sent_at=2.5, now=3.5)
+        self.assertEqual(find_rate(table, "u1", 1, 3.0 + MIN_LIFT_SECONDS), 2.0)
+
+    def test_a_limit_of_nothing_still_lets_a_request_through(self) -> None:
+        """Guards against a limit whose end no response can show."""
+        table = LimitTable()
+        record_statement(table, "u1", 1, 0.0, sent_at=0.0, now=1.0)
+        self.assertEqual(find_rate(table, "u1", 1, 2.0), MIN_RATE)
+
+    def test_another_incarnation_has_no_limit(self) -> None:
+        table = LimitTable()
+        record_statement(table, "u1", 1, 2.0, sent_at=0.0, now=1.0)
+        self.assertIsNone(find_rate(table, "u1", 2, 2.0))
+
+
+class ExchangeTest(unittest.TestCase):
+    """Limits that processes tell each other; each has a clock of its own."""
+
+    def test_the_newest_naming_counts(self) -> None:
+        """Each state is rate, age of its naming, and seconds until it ends."""
+        for name, first, second, rate in (
+            ("unknown", None, (2.0, 1.0, None), 2.0),
+            ("newer", (2.0, 5.0, None), (3.0, 1.0, None), 3.0),
+            ("older", (2.0, 1.0, None), (3.0, 5.0, None), 2.0),
+            ("ended", (2.0, 1.0, None), (2.0, 1.01, -1.0), None),
+            ("named after it ended", (2.0, 1.0, None), (2.0, 5.0, -1.0), 2.0),
+            ("ends soon", (2.0, 1.0, None), (2.0, 1.0, 0.5), 2.0),
+        ):
+            with self.subTest(name):
+                table = LimitTable()
+                for one in (first, second):
+                    if one is not None:
+                        apply_states(table, [LimitState("u1", 1, *one)], 100.0)
+
+                self.assertEqual(find_rate(table, "u1", 1, 100.0), rate)
+
+    def test_a_limit_does_not_become_newer_by_being_passed_on(self) -> None:
+        """Guards against a limit that two processes confirm to each other for ever."""
+        tables = [LimitTable(), LimitTable()]
+        record_statement(tables[0], "u1", 1, 2.0, sent_at=0.0, now=0.0)
+        now = 0.0
+        for step in range(200):
+            states = list_states(tables[step % 2], now)
+            now += 0.01
+            apply_states(tables[(step + 1) % 2], states, now)
+
+        for table in tables:
+            self.assertLess(table.upstreams["u1"].named_at, SAME_NAMING_SECONDS)
+
+    def test_old_limits_are_dropped(self) -> None:
+        for name, state, known, kept in (
+            ("in force", LimitState("u1", 1, 2.0, 90.0), True, True),
+            ("of an upstream that left", LimitState("u1", 1, 2.0, 90.0), False, False),
+            ("ended", LimitState("u1", 1, 2.0, 2.0, -1.0), True, True),
+            ("ended long ago", LimitState("u1", 1, 2.0, 90.0, -60.0), True, False),
+        ):
+            with self.subTest(name):
+                table = LimitTable()
+                apply_states(table, [state], 100.0)
+                drop_limits(table, {"u1"} if known else set(), 100.0)
+                self.assertEqual("u1" in table.upstreams, kept)
--- a/tests/routing/test_warmup.py
+++ b/tests/routing/test_warmup.py
@@ -13,10 +13,12 @@
 from waxwingwell.routing.health import record_response
 from waxwingwell.routing.health import record_unreachable
 from waxwingwell.routing.records import Service
+from waxwingwell.routing.warmup import WINDOW_SECONDS
 from waxwingwell.routing.warmup import WarmUpLimits
 from waxwingwell.routing.warmup import WarmUpTable
+from waxwingwell.routing.warmup import compute_limit
 from waxwingwell.routing.warmup import is_cold
-from waxwingwell.routing.warmup import may_send
+from waxwingwell.routing.warmup import may_send_alone
 from waxwingwell.routing.warmup import record_request
 from waxwingwell.routing.warmup import record_return
 
@@ -52,11 +54,11 @@
                 tables[number] = WarmUpTable(began_at=clocks[number] + at)
 
             now = clocks[number] + at
-            if may_send(
+            if may_send_alone(
                 tables[number],
                 f"u{seed}",
-                ENGINE,
-                LIMITS,
+                compute_limit(ENGINE, LIMITS),
+                WINDOW_SECONDS,
                 gateway=f"g{number}",
                 gateways=gateways if known is None else known,
                 now=now,
