Add failing tests of brittle upstreams

What callers would see: an upstream that states that it crashes by a few rejections a second, and is full, gets a request of every gateway and falls over with all that it runs.

--- /dev/null
+++ b/tests/adapters/gateway/test_brittle.py
@@ -0,0 +1,76 @@
+"""Tests of upstreams that crash if they have to reject many requests."""
+
+from __future__ import annotations
+
+import unittest
+
+from waxwingwell.adapters.gateway.steering import handle_cast
+from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import UpstreamUse
+from waxwingwell.routing.records import RouteKind
+
+from .support import Gateway
+from .support import make_gateway
+from .support import make_response
+
+
+SLOTS = 4
+"""Slots of the upstreams of these tests."""
+REJECTIONS = 3
+"""Rejections per second beyond which an upstream crashes."""
+STATED = f"X-Brittle: {REJECTIONS}"
+
+
+def make_fleet(count: int, *names: str) -> list[Gateway]:
+    """Return gateways that know that their upstreams are brittle."""
+    fleet = [make_gateway(*names, kind=RouteKind.IDEMPOTENT) for _ in range(count)]
+    for gateway in fleet:
+        gateway.ask()
+        [upstream] = gateway.upstreams
+        gateway.reactor.tcpClients.clear()
+        upstream.accept()
+        upstream.respond(make_response(b"fine", 200, STATED))
+
+    return fleet
+
+
+def share_totals(fleet: list[Gateway], running: dict[str, int]) -> None:
+    """Send the totals of running requests, by upstream, to all gateways."""
+    use = tuple(
+        UpstreamUse(upstream=name, running=one, backlog=0)
+        for name, one in running.items()
+    )
+    totals = FleetReport(gateways=len(fleet), use=use, grants=True)
+    for gateway in fleet:
+        handle_cast(gateway.context, "c1", totals)
+
+
+def count_sent(fleet: list[Gateway]) -> int:
+    """Return how many gateways send a request to an upstream."""
+    for gateway in fleet:
+        gateway.ask()
+
+    return sum(len(gateway.upstreams) for gateway in fleet)
+
+
+class BrittleTest(unittest.TestCase):
+    """A full upstream gets few requests from all gateways together."""
+
+    def test_a_full_upstream_gets_no_requests(self) -> None:
+        """Guards against upstreams that crash as each gateway sends them one more."""
+        for count in (1, 9, 83, 500):
+            with self.subTest(gateways=count):
+                fleet = make_fleet(count, "u1")
+                share_totals(fleet, {"u1": SLOTS})
+                self.assertEqual(count_sent(fleet), 0)
+
+    def test_gateways_do_not_all_take_the_last_slot(self) -> None:
+        """Guards against totals by which every gateway sees the same free slot."""
+        for count in (9, 83, 500):
+            with self.subTest(gateways=count):
+                fleet = make_fleet(count, "u1")
+                for number, gateway in enumerate(fleet):
+                    gateway.context.random.seed(number)
+
+                share_totals(fleet, {"u1": SLOTS - 1})
+                self.assertLessEqual(count_sent(fleet), 1 + REJECTIONS)
