Revert "Grant permits for cold upstreams"

A cold upstream is slow besides being limited. The draws stay for cold upstreams; permits serve limits that upstreams name.

--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -31,8 +31,6 @@
 
 PERMIT_SECONDS = 1.25
 """Seconds for which a permit for an upstream that names a limit is valid."""
-COLD_PERMIT_SECONDS = 0.5
-"""The same for a cold upstream, whose limit holds for a shorter window."""
 ALONE_PART = 0.5
 """Part of a named limit that gateways without a control may use. Permits that others
 have used until then count in the same window."""
@@ -48,11 +46,6 @@
     """Length of the window in seconds."""
     permit_rate: float
     """Permits per second that all controls together may grant; 0 for none."""
-    permit_seconds: float
-    """Seconds for which a permit is valid."""
-    shared_equally: bool = False
-    """Whether no permit is needed while each gateway has a whole request of the limit
-    to itself."""
 
 
 def may_use(
@@ -62,44 +55,12 @@
 
     If it lacks a permit, one is requested with the next report.
     """
-    restrictions = find_restrictions(context, service, upstream, now)
-    if not restrictions:
-        return True
-
-    granting = has_granting_control(context, now)
-    gateways = count_reported_gateways(context.load)
-    permits = [one for one in restrictions if granting and needs_permit(one, gateways)]
-    if permits and not may_use_permit(context, upstream.upstream, permits, now):
-        return False
-
     return all(
-        may_use_alone(context, upstream.upstream, one, now)
-        for one in restrictions
-        if one not in permits
+        is_permitted(context, upstream.upstream, restriction, now)
+        for restriction in find_restrictions(context, service, upstream, now)
     )
 
 
-def needs_permit(restriction: Restriction, gateways: float) -> bool:
-    """Return whether a gateway in contact with a control needs a permit."""
-    if restriction.permit_rate <= 0.0:
-        return False
-
-    return not (restriction.shared_equally and restriction.limit >= gateways)
-
-
-def may_use_permit(
-    context: GatewayContext, upstream: str, restrictions: list[Restriction], now: float
-) -> bool:
-    """Return whether there is a permit for an upstream; if not, want one."""
-    if has_permit(context.permits, upstream, now):
-        return True
-
-    rate = min(one.permit_rate for one in restrictions)
-    valid_seconds = min(one.permit_seconds for one in restrictions)
-    want_permit(context.permits, upstream, rate, valid_seconds)
-    return False
-
-
 def find_restrictions(
     context: GatewayContext, service: Service, upstream: Announcement, now: float
 ) -> list[Restriction]:
@@ -118,7 +79,8 @@
         heartbeats_at=context.heartbeats_at,
         now=now,
     ):
-        restrictions.append(restrict_cold(context, service))
+        limit = compute_limit(service, context.settings.warm_up)
+        restrictions.append(Restriction(limit, WARM_UP_WINDOW_SECONDS, 0.0))
 
     return restrictions
 
@@ -129,30 +91,20 @@
     highest = compute_permit_rate(
         tolerated + SLACK, WINDOW_SECONDS, PERMIT_SECONDS, len(context.controls)
     )
-    return Restriction(
-        ALONE_PART * tolerated, WINDOW_SECONDS, min(rate, highest), PERMIT_SECONDS
-    )
-
-
-def restrict_cold(context: GatewayContext, service: Service) -> Restriction:
-    """Return the restriction on a cold upstream of a service."""
-    limit = compute_limit(service, context.settings.warm_up)
-    highest = compute_permit_rate(
-        limit, WARM_UP_WINDOW_SECONDS, COLD_PERMIT_SECONDS, len(context.controls)
-    )
-    return Restriction(
-        limit,
-        WARM_UP_WINDOW_SECONDS,
-        min(service.warm_up_rate, highest),
-        COLD_PERMIT_SECONDS,
-        shared_equally=True,
-    )
+    return Restriction(ALONE_PART * tolerated, WINDOW_SECONDS, min(rate, highest))
 
 
-def may_use_alone(
+def is_permitted(
     context: GatewayContext, upstream: str, restriction: Restriction, now: float
 ) -> bool:
-    """Return whether this gateway may send a request without a control's permit."""
+    """Return whether a restriction allows this gateway a request to an upstream."""
+    if restriction.permit_rate > 0.0 and has_granting_control(context, now):
+        if has_permit(context.permits, upstream, now):
+            return True
+
+        want_permit(context.permits, upstream, restriction.permit_rate, PERMIT_SECONDS)
+        return False
+
     return may_send_alone(
         context.warm_up,
         upstream,
