Bound the requests that meet at a full brittle upstream

Cause: nothing read the statement, and the load that gateways know is up to 0.75 s old and the same for all of them.

Change: while half of the slots are free, each request draws whether it may go there, by the room and by the rate at which all gateways place requests; nearer the slots it needs a permit, granted at the rate that fills the room before the load is known again; without a free slot nothing is sent. Requests wait for room up to a third of their time, 50 at a gateway, and are refused at once beyond that. An upstream that rejects one all the same is limited to half of N a second until it answers again: what it rejects for want of memory shows in no load.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -9,13 +9,11 @@
 
 from ...routing.health import record_response
 from ...routing.health import record_unreachable
-from ...routing.limits import record_statement
 from ...routing.load import remove_backlog
 from ...routing.load import remove_running
 from ...routing.prefill_speed import record_prefill_time
 from ...routing.prefixes import record_blocks
 from ...routing.sessions import finish_session
-from ..events import log_event
 from ..http.client import UpstreamCall
 from ..http.records import HeaderList
 from ..metrics import ATTEMPTS
@@ -131,36 +129,6 @@
         )
 
 
-def record_limits(context: GatewayContext, attempt: Attempt, now: float) -> None:
-    """Record the limit that a response names, or that it names none.
-
-    Only a response that the upstream itself has signed shows that its limit has ended.
-    """
-    facts = attempt.facts
-    if facts is None:
-        return
-
-    if facts.rate_limit is None and (facts.not_run or not facts.signed):
-        return
-
-    upstream = attempt.choice.placement.upstream
-    if not record_statement(
-        context.limits,
-        upstream.upstream,
-        upstream.incarnation,
-        facts.rate_limit,
-        sent_at=attempt.started_at,
-        now=now,
-    ):
-        return
-
-    log_event(
-        "gateway: Upstream limit changed",
-        upstream=upstream.upstream,
-        rate=facts.rate_limit,
-    )
-
-
 def finish_prefill(context: GatewayContext, attempt: Attempt) -> None:
     """Record that the upstream has finished the prefill."""
     if attempt.work:
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -22,6 +22,7 @@
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
 from ...routing.retries import RetryTable
+from ...routing.room import BrittleTable
 from ...routing.sessions import SessionTable
 from ...routing.warmup import WarmUpTable
 from ..links import Link
@@ -84,9 +85,12 @@
     reported_retries: tuple[ServiceRepeats, ...] = ()
     health: HealthTable = field(default_factory=HealthTable)
     limits: LimitTable = field(default_factory=LimitTable)
+    brittle: BrittleTable = field(default_factory=BrittleTable)
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
+    waiting: int = 0
+    """Requests that wait for a permit or for room at an upstream."""
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -19,7 +19,6 @@
 from .attempts import is_valid_response
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
-from .attempts import record_limits
 from .attempts import record_outcome
 from .attempts import release_attempt
 from .choice import Choice
@@ -41,6 +40,7 @@
 from .retrying import record_exchange_retry
 from .sending import log_placement
 from .sending import open_call
+from .statements import record_statements
 from .watch import check_responsiveness
 from .watch import start_response_timer
 
@@ -214,7 +214,7 @@
         attempt.body = []
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
-        record_limits(self.context, attempt, now)
+        record_statements(self.context, attempt, now)
         record_cached_blocks(self.context, self.facts, attempt, now)
         larger = find_larger(self, attempt, now)
         if larger is not None:
--- a/src/waxwingwell/adapters/gateway/permit_waits.py
+++ b/src/waxwingwell/adapters/gateway/permit_waits.py
@@ -1,10 +1,11 @@
-"""Waits of requests for upstreams that lack only a permit."""
+"""Waits of requests for upstreams that lack only a permit, or room."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from ...routing.admission import choose_retry_after
+from ...routing.room import is_brittle
 from .choice import find_session_key
 from .choice import has_restricted_upstream
 from .endings import give_up
@@ -19,6 +20,10 @@
 
 POLL_SECONDS = 0.25
 """Seconds between checks for a permit; permits arrive in response to reports."""
+ROOM_SECONDS = 0.25
+"""Expected seconds until a full upstream has room: totals come after as long."""
+MAX_WAITING = 50
+"""Requests that wait at one gateway; more of them would wait in vain."""
 MAX_WAIT_PART = 0.33
 """Part of a request's time for which it waits, so that its caller can still try
 another gateway."""
@@ -27,7 +32,7 @@
 def wait_for_permit(
     exchange: Exchange, send_next: Callable[[], None], now: float
 ) -> bool:
-    """Wait or refuse a request whose upstreams lack only a permit.
+    """Wait or refuse a request whose upstreams lack only a permit, or room.
 
     Returns False if there is no such upstream, or if it is too late to refuse the
     caller. The wait calls ``send_next`` when a permit may have arrived; a request that
@@ -43,14 +48,23 @@
     ):
         return False
 
-    expected = estimate_permit_seconds(exchange.context, now)
+    context = exchange.context
+    expected = estimate_permit_seconds(context, now)
+    if is_brittle(context.brittle, service, now):
+        expected = min(expected, ROOM_SECONDS)
+
     total = exchange.deadline - exchange.started_at
     latest = exchange.started_at + MAX_WAIT_PART * total
-    if now >= latest or now + expected > exchange.deadline:
+    in_vain = now >= latest or now + expected > exchange.deadline
+    if in_vain or context.waiting >= MAX_WAITING:
         pause = choose_retry_after(expected, exchange.deadline - now)
         give_up(exchange, "all upstreams are at their limits", pause)
         return True
 
-    delay = min(POLL_SECONDS, latest - now)
-    exchange.context.reactor.callLater(delay, send_next)
+    def end_wait() -> None:
+        context.waiting -= 1
+        send_next()
+
+    context.waiting += 1
+    context.reactor.callLater(min(POLL_SECONDS, latest - now), end_wait)
     return True
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -137,6 +137,20 @@
     return tuple(one for one in counts if one.requests or one.repeats)
 
 
+def count_requests(
+    table: RetryTable, service: str, limits: RetryLimits, gateways: int, now: float
+) -> float:
+    """Return the callers' requests for a service at all gateways within the window.
+
+    Without recent totals, each other gateway is assumed to have as many as this one.
+    """
+    own = len(find_account(table, service, now - limits.window).requests)
+    if now - table.others_at > MAX_TOTAL_AGE_SECONDS or service not in table.others:
+        return own * gateways
+
+    return own + table.others[service].requests
+
+
 def count_own(
     table: RetryTable, service: str, limits: RetryLimits, now: float
 ) -> ServiceRepeats:
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -5,6 +5,7 @@
 import unittest
 
 from waxwingwell.adapters.gateway.steering import handle_cast
+from waxwingwell.adapters.gateway.steering import make_report
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.routing.records import RouteKind
@@ -74,3 +75,46 @@
 
                 share_totals(fleet, {"u1": SLOTS - 1})
                 self.assertLessEqual(count_sent(fleet), 1 + REJECTIONS)
+
+    def test_a_rejection_limits_the_requests_of_all_gateways(self) -> None:
+        """Guards against an upstream that rejects though its slots seem to be free."""
+        [gateway] = make_fleet(1, "u1")
+        share_totals([gateway], {})
+        gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.respond(make_response(b"", 503, "X-Not-Run: 1", STATED))
+        [state] = make_report(gateway.context).limits
+        self.assertEqual((state.upstream, state.lifted_in), ("u1", None))
+        self.assertLessEqual(state.rate, REJECTIONS)
+
+    def test_a_request_waits_for_room(self) -> None:
+        """Guards against refusals although a request of others ends in time."""
+        for name, running, status in (
+            ("room in time", 0, 200),
+            ("no room", SLOTS, 503),
+        ):
+            with self.subTest(name):
+                [gateway] = make_fleet(1, "u1")
+                share_totals([gateway], {"u1": SLOTS})
+                caller = gateway.ask()
+                self.assertEqual((gateway.upstreams, caller.status), ([], 0))
+                share_totals([gateway], {"u1": running})
+                for _ in range(14):
+                    gateway.reactor.advance(0.25)
+
+                for upstream in gateway.upstreams:
+                    upstream.accept()
+                    upstream.respond(make_response())
+
+                self.assertEqual(caller.status, status)
+                self.assertEqual(gateway.context.waiting, 0)
+
+    def test_upstreams_that_are_brittle_no_more_are_used_as_before(self) -> None:
+        [gateway] = make_fleet(1, "u1")
+        gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.respond(make_response())
+        share_totals([gateway], {"u1": SLOTS})
+        self.assertEqual(count_sent([gateway]), 2)
--- a/tests/adapters/gateway/test_limits.py
+++ b/tests/adapters/gateway/test_limits.py
@@ -5,20 +5,28 @@
 import unittest
 from typing import Any
 
+from tests.routing.factories import make_announcement
+from tests.routing.factories import make_document
+from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.permit_waits import POLL_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.gateway.steering import make_report
+from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.limits import record_statement
+from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GrantPermits
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.records import Service
 from waxwingwell.routing.retries import list_retries
+from waxwingwell.routing.warmup import WarmUpLimits
 
 from .support import LAST_CHUNK
 from .support import Gateway
 from .support import make_chunk
 from .support import make_gateway
 from .support import make_response
+from .support import make_settings
 from .support import make_stream_head
 
 
@@ -188,3 +196,33 @@
 
         sent = [one.accept() for one in other.upstreams]
         self.assertEqual(sum(b"X-Upstream: u2" in one for one in sent), 8)
+
+
+class ColdTest(unittest.TestCase):
+    """Cold upstreams, whose limit holds for all gateways together."""
+
+    def ask(self, gateways: int, *, grants: bool) -> tuple[int, int]:
+        """Return how many of 8 requests are sent, and how many permits are wanted."""
+        gateway = make_gateway("u1", kind=RouteKind.IDEMPOTENT)
+        service = Service(name="chat", slots=4, warm_up_seconds=3.0, warm_up_rate=7.8)
+        document = make_document(
+            routes=(make_route(kind=RouteKind.IDEMPOTENT),), services=(service,)
+        )
+        gateway.context.index = index_document(document)
+        gateway.context.settings = make_settings(warm_up=WarmUpLimits(1.5, 5.0))
+        gateway.context.warm_up.began_at = -10.0
+        cold = make_announcement("u1", warming=30.0, sequence=2)
+        apply_announcement(gateway.context.fleet, cold, 0.0)
+        totals = FleetReport(gateways=gateways, use=(), grants=grants)
+        handle_cast(gateway.context, "c1", totals)
+        for _ in range(8):
+            gateway.ask()
+
+        wanted = sum(one.wanted for one in make_report(gateway.context).permits)
+        return len(gateway.upstreams), wanted
+
+    def test_cold_upstreams_need_no_permits(self) -> None:
+        for gateways, sent in ((2, 8), (8, 2), (88, 0)):
+            for grants in (True, False):
+                with self.subTest(gateways=gateways, grants=grants):
+                    self.assertEqual(self.ask(gateways, grants=grants), (sent, 0))
