Let the soak's upstreams name limits and be brittle

Stand-in upstreams state a limit on the rate of requests, or that they crash by a few rejections a second, for nine seconds each, while registries and gateways are killed. Checked are the limit over all gateways and the crashes, from 3 s after the first statement on.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -23,6 +23,7 @@
 from .checks import is_served
 from .evacuations import prepare_evacuations
 from .evacuations import run_evacuations
+from .limits import run_limits
 from .operators import publish
 from .operators import read_documents_forever
 from .operators import read_newest
@@ -72,6 +73,7 @@
     planned: bool = False,
     starts: bool = False,
     evacuations: bool = False,
+    limits: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated."""
     environment = await open_environment(
@@ -95,6 +97,8 @@
             await run_starts(environment, seconds)
         elif evacuations:
             await run_evacuations(environment, seconds)
+        elif limits:
+            await run_limits(environment, seconds)
         elif planned:
             background += start_slow_callers(environment)
             await run_stops(environment, seconds)
@@ -261,15 +265,16 @@
     planned: bool = False,
     starts: bool = False,
     evacuations: bool = False,
+    limits: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
     With ``planned`` there are only planned stops, and some callers read slowly; with
     ``starts`` processes are also signalled while they restart. With ``evacuations``
-    data centres are evacuated while registries fail. Without ``first`` the
-    seeds are random; with ``kept`` they are those that have failed before. The logs of
-    failed seeds are copied to ``keep``.
+    data centres are evacuated while registries fail; with ``limits`` upstreams name
+    limits or are brittle. Without ``first`` the seeds are random; with ``kept`` they
+    are those that have failed before. The logs of failed seeds are copied to ``keep``.
     """
     # Otherwise the product's processes would outlive a terminated soak test.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -281,6 +286,7 @@
             planned=planned,
             starts=starts,
             evacuations=evacuations,
+            limits=limits,
         )
         for seed in range(start, start + seeds)
     ]
@@ -318,6 +324,7 @@
         planned=case.planned,
         starts=case.starts,
         evacuations=case.evacuations,
+        limits=case.limits,
     )
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -37,6 +37,8 @@
 ORDER_KIND = "order"
 EVACUATE_SECONDS = 2.5
 """Seconds after its acknowledgement within which an evacuation is in force."""
+TOLD_SECONDS = 3.0
+"""Seconds after an upstream's first statement from which on gateways heed it."""
 REGISTRY_FAULTS = frozenset({"disturb_registry"})
 """Faults that leave a majority of registries, and all links of gateways to them."""
 
@@ -54,6 +56,8 @@
         check_planned_stops,
         check_evacuations,
         check_cold_upstreams,
+        check_limits,
+        check_crashes,
     ):
         findings += check(journal)
 
@@ -156,6 +160,36 @@
                 yield f"{span.upstream}: {count} requests within a second while cold"
 
 
+def check_limits(journal: Journal) -> Iterator[str]:
+    """Check that no upstream got more requests than the limit that it had named."""
+    window = wire.RATE_LIMIT_WINDOW_SECONDS
+    for span in journal.limit_spans:
+        allowed = span.rate * window * wire.RATE_LIMIT_OVERSHOOT + wire.RATE_LIMIT_SLACK
+        since = span.began_at + TOLD_SECONDS
+        times = sorted(
+            run.at
+            for run in journal.runs
+            if run.upstream == span.upstream and since <= run.at < span.ended_at
+        )
+        for place, at in enumerate(times):
+            count = sum(one < at + window for one in times[place:])
+            if count > allowed:
+                yield (
+                    f"{span.upstream}: {count} requests in {window} s of {allowed:.1f} "
+                    f"allowed, {at - span.began_at:.1f} s after it named its limit"
+                )
+
+
+def check_crashes(journal: Journal) -> Iterator[str]:
+    """Check that few brittle upstreams crashed in one time of brittleness."""
+    allowed = wire.CRASHES_SLACK + wire.CRASHES_PART * journal.upstreams
+    for began_at, ended_at in journal.brittle_spans:
+        since = began_at + TOLD_SECONDS
+        count = sum(since <= at < ended_at for at, _ in journal.crashes)
+        if count > allowed:
+            yield f"brittle upstreams crashed {count} times of {allowed:.1f} allowed"
+
+
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -115,6 +115,17 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitSpan:
+    """A time span in which an upstream names a limit."""
+
+    upstream: str
+    rate: float
+    """Requests per second that it takes from all gateways together."""
+    began_at: float
+    ended_at: float
+
+
 @dataclass(slots=True)
 class Journal:
     """Everything observed in one run."""
@@ -135,6 +146,13 @@
     then; zeros if there is no limit."""
     evacuations: list[Evacuation] = field(default_factory=list)
     cold_spans: list[ColdSpan] = field(default_factory=list)
+    limit_spans: list[LimitSpan] = field(default_factory=list)
+    brittle_spans: list[tuple[float, float]] = field(default_factory=list)
+    """Time spans in which all upstreams are brittle."""
+    upstreams: int = 0
+    """Number of upstreams of each service."""
+    crashes: list[tuple[float, str]] = field(default_factory=list)
+    """Times at which brittle upstreams crashed for what they had to reject."""
     violations: list[str] = field(default_factory=list)
     """Violations that were detected during the run."""
     stalls: list[Stall] = field(default_factory=list)
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -16,6 +16,7 @@
     planned: bool = False
     starts: bool = False
     evacuations: bool = False
+    limits: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -6,7 +6,9 @@
 import contextlib
 import random
 import time
+from collections import deque
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from waxwingwell_standin import wire
@@ -67,6 +69,15 @@
     """Share of responses that are truncated, possibly to nothing."""
     data_centre: str = wire.DATA_CENTRES[0]
     cold_until: float = 0.0
+    rate_limit: float | None = None
+    """Requests per second that it names as its limit."""
+    rejection_limit: int | None = None
+    """Rejections per second beyond which it crashes, as it states."""
+    slots: int = 64
+    """Requests that it serves at once; it rejects more only while it is brittle."""
+    running: int = 0
+    rejected: deque[float] = field(default_factory=deque)
+    """Times of rejections within the last second."""
     leaving: bool = False
     up: bool = False
 
@@ -131,6 +142,7 @@
         leaving=upstream.leaving,
         data_centre=upstream.data_centre,
         warming=max(upstream.cold_until - read_clock(), 0.0),
+        slots=upstream.slots,
     )
     path = wire.instance_path(upstream.name)
     for control in upstream.rng.sample(upstream.controls, len(upstream.controls)):
@@ -178,6 +190,10 @@
         writer.write(write_message("HTTP/1.1 421 Misdirected", refusal))
         return True
 
+    if upstream.rejection_limit is not None and upstream.running >= upstream.slots:
+        reject(upstream, sent, writer)
+        return upstream.up
+
     path = request.start.split()[1]
     run = Run(
         request_id=sent.request_id,
@@ -188,17 +204,42 @@
         at=read_clock(),
     )
     upstream.journal.runs.append(run)
+    upstream.running += 1
     try:
         return await process_request(upstream, sent, run, writer)
     finally:
+        upstream.running -= 1
         run.ended_at = read_clock()
 
 
+def reject(
+    upstream: Upstream, sent: wire.ReceivedRequest, writer: StreamWriter
+) -> None:
+    """Reject a request for lack of room; too many rejections crash the upstream."""
+    now = read_clock()
+    upstream.rejected.append(now)
+    while upstream.rejected[0] < now - 1.0:
+        upstream.rejected.popleft()
+
+    headers = {**wire.write_refusal(sent.request_id), **write_statements(upstream)}
+    writer.write(write_message("HTTP/1.1 503 Full", headers))
+    assert upstream.rejection_limit is not None
+    if len(upstream.rejected) > upstream.rejection_limit:
+        upstream.rejected.clear()
+        upstream.journal.crashes.append((now, upstream.name))
+
+
+def write_statements(upstream: Upstream) -> dict[str, str]:
+    """Return the headers by which an upstream states what it takes."""
+    return wire.write_statements(upstream.rate_limit, upstream.rejection_limit)
+
+
 async def process_request(
     upstream: Upstream, sent: wire.ReceivedRequest, run: Run, writer: StreamWriter
 ) -> bool:
     """Process a request and send its response; return False after an abort."""
-    headers = wire.write_response(sent.request_id, upstream.name)
+    signature = wire.write_response(sent.request_id, upstream.name)
+    headers = {**signature, **write_statements(upstream)}
     if run.path.startswith("/stream/"):
         return await send_stream(upstream, sent, run, headers, writer)
 
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -21,6 +21,9 @@
 """Long enough for one series of stops."""
 STARTS_SEED = 100
 STARTS_SECONDS = 1.0
+LIMITS_SEED = 100
+LIMITS_SECONDS = 9.0
+"""Long enough for one time in which upstreams state limits."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -66,6 +69,24 @@
                 self.assertEqual(findings, [])
                 self.assertGreater(len(journal.requests), 0)
 
+    def test_upstreams_that_state_limits(self) -> None:
+        """Guards against upstreams in need that get more than they can take."""
+        from bench.soak.__main__ import run_seed
+
+        with tempfile.TemporaryDirectory() as folder:
+            journal, findings = asyncio.run(
+                run_seed(
+                    Path(folder),
+                    LIMITS_SEED,
+                    LIMITS_SECONDS,
+                    registries=3,
+                    gateways=3,
+                    limits=True,
+                )
+            )
+            self.assertEqual(findings, [])
+            self.assertTrue(journal.limit_spans or journal.brittle_spans)
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -6,10 +6,13 @@
 from typing import Any
 from typing import ClassVar
 
+from bench.soak.checks import check_crashes
+from bench.soak.checks import check_limits
 from bench.soak.checks import check_planned_stops
 from bench.soak.records import CallerRequest
 from bench.soak.records import Fault
 from bench.soak.records import Journal
+from bench.soak.records import LimitSpan
 from bench.soak.records import Run
 
 
@@ -94,5 +97,52 @@
     return Fault(name=name, target=target, began_at=began_at, ended_at=ended_at)
 
 
+class LimitsCheckTest(unittest.TestCase):
+    """Upstreams that state limits."""
+
+    def test_requests_beyond_a_named_limit(self) -> None:
+        """A limit of 1 a second allows 11 requests within 4 s."""
+        for name, upstream, since, requests, is_violation in (
+            ("at the limit", "u1", 104.0, 11, False),
+            ("beyond it", "u1", 104.0, 12, True),
+            ("before gateways must know", "u1", 100.0, 12, False),
+            ("another upstream", "u2", 104.0, 12, False),
+        ):
+            with self.subTest(name):
+                journal = Journal()
+                journal.limit_spans.append(
+                    LimitSpan(upstream="u1", rate=1.0, began_at=100.0, ended_at=110.0)
+                )
+                journal.runs += [
+                    make_run(upstream, since + number * 0.2)
+                    for number in range(requests)
+                ]
+                self.assertEqual(any(check_limits(journal)), is_violation)
+
+    def test_crashes_of_brittle_upstreams(self) -> None:
+        for name, crashes, is_violation in (
+            ("few", [104.0, 105.0], False),
+            ("many", [104.0, 105.0, 106.0], True),
+            ("before gateways must know", [101.0, 102.0, 106.0], False),
+            ("brittle no more", [104.0, 105.0, 111.0], False),
+        ):
+            with self.subTest(name):
+                journal = Journal(upstreams=3, brittle_spans=[(100.0, 110.0)])
+                journal.crashes += [(at, "u1") for at in crashes]
+                self.assertEqual(any(check_crashes(journal)), is_violation)
+
+
+def make_run(upstream: str, at: float) -> Run:
+    """Return a request that an upstream processes."""
+    return Run(
+        request_id=f"r{at}",
+        upstream=upstream,
+        path="/order/1",
+        workspace="a",
+        saw_key=False,
+        at=at,
+    )
+
+
 if __name__ == "__main__":
     unittest.main()
