--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -23,6 +23,7 @@
 from .proxies import open_proxy
 from .readers import LARGE_STREAM_SECONDS
 from .records import EVENTS
+from .records import Crash
 from .records import Journal
 from .records import Run
 from .records import is_large
@@ -226,7 +227,8 @@
     assert upstream.rejection_limit is not None
     if len(upstream.rejected) > upstream.rejection_limit:
         upstream.rejected.clear()
-        upstream.journal.crashes.append((now, upstream.name))
+        crash = Crash(at=now, upstream=upstream.name, service=upstream.service)
+        upstream.journal.crashes.append(crash)
 
 
 def write_statements(upstream: Upstream) -> dict[str, str]:
