Relay requests of gateways that have lost the path to all upstreams

Cause: a gateway takes its own loss of the network for the fault of each upstream by itself, one connection after the other, and knows no way round it, though other gateways reach all upstreams.

Ruled out: upstreams that were down (the others used them); a shorter wait for a connection alone (the later refusals came after 27 to 330 ms); not being ready alone (open connections stay, and a whole data centre may be cut off).

Change: two upstreams in a row that are not reached, without a response on any new connection in between, count as a lost path. Requests then go to another gateway, over an internal port of its own; that one handles them as its own callers' and never relays them. It refuses at once while it has lost its path or is stopping, which costs no retry. Earlier runs go with a request, so that its attempts and its budget are counted once. A lost connection to a relay means that the request may have run. Controls tell gateways of others that reach upstreams, every 2 s and at once after a loss. A lost path is probed twice a second with a health check of one upstream; its first response brings the path back and ends the back-offs. After two failed probes, without a relay, requests are refused at once.

Old connections that live on neither hide a loss nor end it. One upstream that falls silent loses no path.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -21,6 +21,7 @@
 from .callers import call_once
 from .checks import check_journal
 from .checks import is_served
+from .cuts import run_cuts
 from .evacuations import prepare_evacuations
 from .evacuations import run_evacuations
 from .limits import run_limits
@@ -74,6 +75,7 @@
     starts: bool = False,
     evacuations: bool = False,
     limits: bool = False,
+    cuts: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated."""
     environment = await open_environment(
@@ -99,6 +101,8 @@
             await run_evacuations(environment, seconds)
         elif limits:
             await run_limits(environment, seconds)
+        elif cuts:
+            await run_cuts(environment, seconds)
         elif planned:
             background += start_slow_callers(environment)
             await run_stops(environment, seconds)
@@ -132,7 +136,7 @@
     fleet = make_fleet(folder, registries, gateways)
     links = [
         await open_proxy(
-            (member.record.address, fleet.relay_port),
+            (member.record.address, fleet.proxy_port),
             (member.record.address, fleet.link_port),
         )
         for member in fleet.registries
@@ -266,6 +270,7 @@
     starts: bool = False,
     evacuations: bool = False,
     limits: bool = False,
+    cuts: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -273,8 +278,9 @@
     With ``planned`` there are only planned stops, and some callers read slowly; with
     ``starts`` processes are also signalled while they restart. With ``evacuations``
     data centres are evacuated while registries fail; with ``limits`` upstreams name
-    limits or are brittle. Without ``first`` the seeds are random; with ``kept`` they
-    are those that have failed before. The logs of failed seeds are copied to ``keep``.
+    limits or are brittle, with ``cuts`` gateways are cut off from all upstreams.
+    Without ``first`` the seeds are random; with ``kept`` they are those that have
+    failed before. The logs of failed seeds are copied to ``keep``.
     """
     # Otherwise the product's processes would outlive a terminated soak test.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -287,6 +293,7 @@
             starts=starts,
             evacuations=evacuations,
             limits=limits,
+            cuts=cuts,
         )
         for seed in range(start, start + seeds)
     ]
@@ -325,6 +332,7 @@
         starts=case.starts,
         evacuations=case.evacuations,
         limits=case.limits,
+        cuts=case.cuts,
     )
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -37,6 +37,11 @@
 ORDER_KIND = "order"
 EVACUATE_SECONDS = 2.5
 """Seconds after its acknowledgement within which an evacuation is in force."""
+MIN_SERVED_PART = 2 / 3
+"""Least share of requests served without a path to upstreams, relative to others."""
+MAX_FAILED_TRIES = 10
+MAX_FAILED_PART = 0.02
+"""Requests that may fail there in any case, and the part of all in addition."""
 TOLD_SECONDS = 3.0
 """Seconds after an upstream's first statement from which on gateways heed it."""
 REGISTRY_FAULTS = frozenset({"disturb_registry"})
@@ -58,6 +63,7 @@
         check_cold_upstreams,
         check_limits,
         check_crashes,
+        check_cuts,
     ):
         findings += check(journal)
 
@@ -196,6 +202,31 @@
                 )
 
 
+def check_cuts(journal: Journal) -> Iterator[str]:
+    """Check that gateways without a path to upstreams serve about like the others."""
+    for span in journal.cut_spans:
+        since = span.began_at + TOLD_SECONDS
+        tries = [
+            request
+            for request in journal.requests
+            if since <= request.began_at and request.ended_at < span.ended_at
+        ]
+        cut = [one for one in tries if one.gateway in span.gateways]
+        others = [one for one in tries if one.gateway not in span.gateways]
+        if not cut or not others:
+            continue
+
+        served = sum(is_served(one) for one in cut)
+        others_share = sum(is_served(one) for one in others) / len(others)
+        failed = len(cut) - served
+        too_many = failed > MAX_FAILED_TRIES + MAX_FAILED_PART * len(tries)
+        if too_many and served < MIN_SERVED_PART * others_share * len(cut):
+            yield (
+                f"{sorted(span.gateways)}, cut off from all upstreams, served {served} "
+                f"of {len(cut)} requests, the others {others_share:.2f} of theirs"
+            )
+
+
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -25,6 +25,9 @@
 PACKAGES = (str(ROOT / "src"), str(ROOT / "platform"), sysconfig.get_path("purelib"))
 """Import path of the processes: the product's packages and the libraries."""
 PORT_ATTEMPTS = 100
+PORTS = 8
+"""Consecutive ports of a process: three internal ones of the registries, three of the
+gateways, and two for callers, operators and readiness checks."""
 STOP_TIMEOUT_SECONDS = 12.0
 """Seconds after which a stopping process counts as hung; a planned stop takes at most
 8 s."""
@@ -62,7 +65,7 @@
     gateways: list[Member] = field(default_factory=list)
     link_port: int = 0
     """Port on which registries accept links."""
-    relay_port: int = 0
+    proxy_port: int = 0
     """Port to which gateways connect for links, on which the proxies listen."""
 
     @property
@@ -75,18 +78,18 @@
     """Return a fleet whose processes have not been started."""
     registry_addresses = tuple(f"127.0.1.{number + 1}" for number in range(registries))
     gateway_addresses = tuple(f"127.0.2.{number + 1}" for number in range(gateways))
-    ports = find_ports(registry_addresses + gateway_addresses, 6)
-    fleet = Fleet(folder, link_port=ports[0], relay_port=ports[2])
+    ports = find_ports(registry_addresses + gateway_addresses, PORTS)
+    fleet = Fleet(folder, link_port=ports[0], proxy_port=ports[3])
     for number, address in enumerate(registry_addresses + gateway_addresses):
         is_registry = address in registry_addresses
         name = f"registry-{number}" if is_registry else f"gateway-{number - registries}"
         record = wire.ProcessRecord(
             name=name,
             address=address,
-            link_port=fleet.link_port if is_registry else fleet.relay_port,
-            admin_port=ports[4],
-            caller_port=ports[4],
-            ready_port=ports[5],
+            link_port=fleet.link_port if is_registry else fleet.proxy_port,
+            admin_port=ports[6],
+            caller_port=ports[6],
+            ready_port=ports[7],
             seeds=registry_addresses[:3],
             data_folder=folder / f"{name}.data" if is_registry else None,
             first_start=True,
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import os
 from asyncio import StreamWriter
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from enum import StrEnum
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 
@@ -16,6 +19,18 @@
 
 
 READ_BYTES = 65_536
+HELD_POLL_SECONDS = 0.02
+
+
+class CutMode(StrEnum):
+    """What happens to the connections of a process without a path."""
+
+    SILENT = "silent"
+    """Old and new connections drop all data."""
+    RESET = "reset"
+    """Old and new connections are reset."""
+    OLD_LIVE = "old live"
+    """New connections are reset while old ones work."""
 
 
 class ProxyFault(StrEnum):
@@ -23,6 +38,8 @@
 
     NONE = "none"
     DELAY = "delay"
+    HELD = "held"
+    """Hold all data back until the fault ends."""
     SILENCE = "silence"
     """Drop all data, and keep the connections open."""
     ONE_WAY = "one way"
@@ -41,6 +58,12 @@
     pairs: set[tuple[StreamWriter, StreamWriter]] = field(default_factory=set)
     blackholed: set[StreamWriter] = field(default_factory=set)
     """Connections that drop all further data, though new ones work."""
+    cuts: dict[int, CutMode] = field(default_factory=dict)
+    """Processes, by id, whose new connections have no path to the target."""
+    list_processes: Callable[[], list[int]] = list
+    """Returns the ids of the processes that may be cut off."""
+    owners: dict[StreamWriter, int] = field(default_factory=dict)
+    """Processes, by id, of open connections."""
 
     @property
     def port(self) -> int:
@@ -66,6 +89,11 @@
     proxy: Proxy, reader: StreamReader, writer: StreamWriter
 ) -> None:
     """Connect to the target, and forward data both ways until both sides end."""
+    owner = find_owner(writer, proxy.list_processes())
+    if proxy.cuts.get(owner) in (CutMode.RESET, CutMode.OLD_LIVE):
+        writer.transport.abort()
+        return
+
     try:
         target_reader, target_writer = await asyncio.open_connection(*proxy.target)
     except OSError:
@@ -74,6 +102,10 @@
 
     pair = (writer, target_writer)
     proxy.pairs.add(pair)
+    proxy.owners[writer] = owner
+    if proxy.cuts.get(owner) is CutMode.SILENT:
+        proxy.blackholed.update(pair)
+
     outbound = asyncio.create_task(
         forward(proxy, reader, target_writer, is_inbound=False)
     )
@@ -84,6 +116,7 @@
         await asyncio.gather(outbound, inbound)
     finally:
         proxy.pairs.discard(pair)
+        proxy.owners.pop(writer, None)
         proxy.blackholed.difference_update(pair)
         for one in pair:
             one.close()
@@ -95,6 +128,9 @@
     """Forward data in one direction, subject to the injected fault."""
     with contextlib.suppress(OSError):
         while data := await reader.read(READ_BYTES):
+            while proxy.injected_fault is ProxyFault.HELD:
+                await asyncio.sleep(HELD_POLL_SECONDS)
+
             if proxy.injected_fault is ProxyFault.DELAY:
                 await asyncio.sleep(proxy.delay)
 
@@ -127,6 +163,54 @@
         proxy.blackholed.update(pair)
 
 
+def cut_process(proxy: Proxy, process: int, mode: CutMode) -> None:
+    """Take the path to the target away from a process."""
+    proxy.cuts[process] = mode
+    for pair in list(proxy.pairs):
+        if proxy.owners.get(pair[0]) != process or mode is CutMode.OLD_LIVE:
+            continue
+
+        if mode is CutMode.SILENT:
+            proxy.blackholed.update(pair)
+            continue
+
+        for writer in pair:
+            writer.transport.abort()
+
+
+def rejoin_process(proxy: Proxy, process: int) -> None:
+    """Give a process its path back; its silent connections stay silent."""
+    proxy.cuts.pop(process, None)
+
+
+def find_owner(writer: StreamWriter, processes: list[int]) -> int:
+    """Return which of the processes is at the other end of a connection, or 0."""
+    if not processes:
+        return 0
+
+    port = writer.get_extra_info("peername")[1]
+    inode = find_inode(Path("/proc/net/tcp").read_text(), port)
+    link = f"socket:[{inode}]"
+    for process in processes:
+        with contextlib.suppress(OSError):
+            descriptors = list(Path(f"/proc/{process}/fd").iterdir())
+            if any(os.readlink(one) == link for one in descriptors):
+                return process
+
+    return 0
+
+
+def find_inode(table: str, port: int) -> str:
+    """Return the inode of the socket with a local port in the text of a TCP table."""
+    ending = f":{port:04X}"
+    for line in table.splitlines()[1:]:
+        fields = line.split()
+        if fields[1].endswith(ending):
+            return fields[9]
+
+    return ""
+
+
 async def close_proxy(proxy: Proxy) -> None:
     """Stop listening and reset all connections."""
     if proxy.server is not None:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -126,6 +126,16 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CutSpan:
+    """A time span in which some gateways are cut off from all upstreams."""
+
+    gateways: frozenset[str]
+    """Addresses of these gateways."""
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Crash:
     """A crash of a brittle upstream for what it had to reject."""
@@ -160,6 +170,7 @@
     """Time spans in which all upstreams are brittle."""
     upstreams: int = 0
     """Number of upstreams of each service."""
+    cut_spans: list[CutSpan] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     """Violations that were detected during the run."""
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -17,6 +17,7 @@
     starts: bool = False
     evacuations: bool = False
     limits: bool = False
+    cuts: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
+from ...routing.reachability import has_lost_path
 from ...routing.records import RouteKind
 from ...routing.retries import record_request
 from ..events import log_event
@@ -17,6 +19,7 @@
 from .endings import RETRY_AFTER
 from .endings import retry_after
 from .exchange import Exchange
+from .relaying import read_runs
 from .waiting import QueuedRequest
 from .waiting import compute_wait_limit
 from .waiting import enqueue_request
@@ -64,14 +67,36 @@
     enqueue_request(context.startup_queue, context.reactor, responder, waiting, limit)
 
 
+def handle_relayed(
+    context: GatewayContext, request: HttpRequest, responder: Responder
+) -> None:
+    """Serve a request of another gateway, unless this one can't reach upstreams."""
+    headers, runs = read_runs(request.headers)
+    own = replace(request, headers=headers)
+    facts = context.dialect.read_request(headers)
+    responder.request_id = facts.request_id
+    if has_lost_path(context.path):
+        refuse(facts, responder, 503, "no path to any upstream")
+        return
+
+    now = context.clock()
+    serve_request(context, own, facts, responder, now, relayed=True, runs=runs)
+
+
 def serve_request(
     context: GatewayContext,
     request: HttpRequest,
     facts: RequestFacts,
     responder: Responder,
     arrived_at: float,
+    *,
+    relayed: bool = False,
+    runs: int = 0,
 ) -> None:
-    """Find a request's route and workspace, and start its exchange or refuse it."""
+    """Find a request's route and workspace, and start its exchange or refuse it.
+
+    A relayed request was counted by the gateway that its caller is connected to.
+    """
     now = context.clock()
     index = context.index
     if index is None or must_fail_closed(context, now):
@@ -102,9 +127,21 @@
         )
         return
 
-    service = choose_service(route, find_session_key(facts))
-    record_request(context.retries, service, now, context.settings.retries)
-    Exchange(context, request, facts, route, workspace, responder, arrived_at).start()
+    if not relayed:
+        service = choose_service(route, find_session_key(facts))
+        record_request(context.retries, service, now, context.settings.retries)
+
+    Exchange(
+        context,
+        request,
+        facts,
+        route,
+        workspace,
+        responder,
+        arrived_at,
+        relayed=relayed,
+        runs=runs,
+    ).start()
 
 
 def must_fail_closed(context: GatewayContext, now: float) -> bool:
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -66,6 +66,11 @@
         """Id of the chosen upstream."""
         return self.choice.placement.upstream.upstream
 
+    @property
+    def relayed(self) -> bool:
+        """Whether another gateway runs the request at an upstream of its choice."""
+        return self.choice.relayed
+
     def cancel(self) -> None:
         """Cancel the call to the upstream, if it was started."""
         if self.call is not None:
@@ -122,7 +127,7 @@
     context: GatewayContext, facts: RequestFacts, attempt: Attempt, now: float
 ) -> None:
     """Record the prompt blocks as cached at the upstream once its response starts."""
-    if facts.prompt_blocks and attempt.status < 300:
+    if facts.prompt_blocks and attempt.status < 300 and not attempt.relayed:
         model = attempt.choice.model or facts.model
         record_blocks(
             context.prefixes, attempt.upstream, model, facts.prompt_blocks, now
@@ -140,6 +145,8 @@
     """Mark the attempt as finished and release the load and session it holds."""
     attempt.finished = True
     attempt.stop_timer()
+    if attempt.relayed:
+        return
 
     finish_prefill(context, attempt)
     remove_running(context.load, attempt.upstream)
@@ -162,6 +169,9 @@
         record_unreachable(context.health, attempt.upstream, now)
         return
 
+    if attempt.relayed:
+        return
+
     failed = outcome in (
         AttemptOutcome.BROKEN,
         AttemptOutcome.FAILED,
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -19,6 +19,7 @@
 from ...routing.pools import Pool
 from ...routing.pools import list_pool
 from ...routing.prefill_speed import estimate_token_ms
+from ...routing.reachability import is_cut_off
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
 from ...routing.versions import list_allowed_upstreams
@@ -55,6 +56,8 @@
     pool: Pool
     engines: int
     """Number of upstreams in the pool of its model."""
+    relayed: bool = False
+    """Whether ``placement`` names another gateway instead of an upstream."""
 
 
 def choose_service(route: Route, key: str) -> str:
@@ -159,6 +162,9 @@
 
 def explain_missing_upstream(context: GatewayContext, service: str, now: float) -> str:
     """Return why no upstream of a service may be used, for the log."""
+    if is_cut_off(context.path):
+        return "no path to any upstream"
+
     if list_serving(
         context.fleet,
         service,
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -15,12 +15,14 @@
 from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
 from ...routing.lookup import DocumentIndex
+from ...routing.messages import RelayGateway
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
 from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
+from ...routing.reachability import PathTable
 from ...routing.retries import RetryTable
 from ...routing.room import BrittleTable
 from ...routing.sessions import SessionTable
@@ -86,6 +88,9 @@
     health: HealthTable = field(default_factory=HealthTable)
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
+    path: PathTable = field(default_factory=PathTable)
+    relays: tuple[RelayGateway, ...] = ()
+    """Other gateways that reach upstreams."""
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -23,8 +23,10 @@
 from ..metrics_listener import serve_metrics
 from ..ports import adopt_port
 from ..ports import open_port
+from .arrivals import handle_relayed
 from .arrivals import handle_request
 from .context import GatewayContext
+from .probing import probe_path
 from .steering import connect_control
 from .steering import handle_call
 from .steering import handle_cast
@@ -51,6 +53,8 @@
     context: GatewayContext
     service: HttpService
     health: HttpService
+    relays: HttpService
+    """Serves the requests of other gateways."""
     ports: list[Any]
     loop: LoopingCall
 
@@ -96,6 +100,11 @@
         handle=partial(respond_readiness, context),
         limits=HttpLimits,
     )
+    relays = HttpService(
+        reactor=reactor,
+        handle=partial(handle_relayed, context),
+        limits=partial(read_limits, context),
+    )
     ports = [
         adopt_port(
             reactor, callers or open_port(settings.callers), HttpFactory(service)
@@ -104,6 +113,10 @@
             settings.readiness[1], HttpFactory(health), interface=settings.readiness[0]
         ),
     ]
+    if settings.relay is not None:
+        host, port = settings.relay
+        ports.append(reactor.listenTCP(port, HttpFactory(relays), interface=host))
+
     if settings.metrics is not None:
         ports.append(serve_metrics(reactor, settings.metrics))
 
@@ -113,7 +126,7 @@
     loop = LoopingCall(run_tick, context)
     loop.start(REPORT_SECONDS, now=False)
     log_event("gateway: Started", address=settings.address)
-    return GatewayDaemon(context, service, health, ports, loop)
+    return GatewayDaemon(context, service, health, relays, ports, loop)
 
 
 def connect_controls(daemon: GatewayDaemon, settings: GatewaySettings) -> None:
@@ -128,7 +141,8 @@
     checks = [
         partial(exchange.check_responsiveness, now) for exchange in context.exchanges
     ]
-    for task in (*checks, partial(send_report, context)):
+    tasks = (*checks, partial(probe_path, context), partial(send_report, context))
+    for task in tasks:
         run_logged(task, "gateway: Periodic task failed")
 
 
--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -73,3 +73,6 @@
     read_request: Callable[[HeaderList], RequestFacts]
     write_request: Callable[[HeaderList, Dispatch], HeaderList]
     read_response: Callable[[int, HeaderList], ResponseFacts]
+    write_relayed: Callable[[HeaderList, float | None, str], HeaderList]
+    """Returns a caller's headers for another gateway, with the seconds that are left
+    and the id of the last event that the caller has received."""
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -82,7 +82,7 @@
 def find_larger(exchange: Exchange, attempt: Attempt, now: float) -> Choice | None:
     """Return the choice of a larger model if it is worth its cost, or None."""
     facts = attempt.facts
-    if facts is None or facts.confidence is None:
+    if facts is None or facts.confidence is None or attempt.relayed:
         return None
 
     sized = (
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -9,6 +9,8 @@
 
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_retry_after
+from ...routing.reachability import has_lost_path
+from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
 from ..events import log_event
 from ..http.records import HeaderList
@@ -36,6 +38,10 @@
 from .events import EventPauses
 from .events import EventSplitter
 from .permit_waits import wait_for_permit
+from .probing import record_reached
+from .probing import record_unanswered
+from .relaying import choose_relay
+from .relaying import is_refused_by_relay
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
 from .sending import log_placement
@@ -75,6 +81,9 @@
         workspace: Workspace | None,
         responder: Responder,
         now: float,
+        *,
+        relayed: bool = False,
+        runs: int = 0,
     ) -> None:
         self.context = context
         self.index = context.index
@@ -93,8 +102,10 @@
         self.deadline = now + budget
         self.attempt: Attempt | None = None
         self.attempt_count = 0
-        self.runs = 0
-        """Attempts that may have run."""
+        self.runs = runs
+        """Attempts that may have run, also before another gateway relayed this."""
+        self.relayed = relayed
+        """Whether another gateway sent the request, so that it is not relayed again."""
         self.tried_upstreams: set[str] = set()
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = EventPauses()
@@ -118,10 +129,14 @@
         self._send_next()
 
     def choose_upstream(self, now: float) -> Choice | None:
-        """Return the best upstream that has not been tried."""
+        """Return the best upstream that has not been tried, or a relay to one."""
         if self.finished or self.index is None:
             return None
 
+        relay = choose_relay(self, now)
+        if relay is not None or is_cut_off(self.context.path):
+            return relay
+
         return choose_upstream(
             self.context,
             self.index,
@@ -144,12 +159,14 @@
         if self.finished:
             return
 
-        if self.attempt_count == 0:
+        if self.attempt_count == 0 and not has_lost_path(self.context.path):
             self.model = find_first_model(self, now)
 
         choice = self.choose_upstream(now)
         if choice is None:
-            if not wait_for_permit(self, self._send_next, now):
+            if is_cut_off(self.context.path) or not wait_for_permit(
+                self, self._send_next, now
+            ):
                 self._retry_tried_upstreams()
 
             return
@@ -215,6 +232,9 @@
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
         record_statements(self.context, attempt, now)
+        if not attempt.relayed:
+            record_reached(self.context, now)
+
         record_cached_blocks(self.context, self.facts, attempt, now)
         larger = find_larger(self, attempt, now)
         if larger is not None:
@@ -283,7 +303,13 @@
 
         if attempt.facts is None:
             outcome = AttemptOutcome.BROKEN if sent else AttemptOutcome.UNREACHED
+            if not attempt.relayed:
+                record_unanswered(self.context, attempt.upstream, self.context.clock())
+
             self.finish_attempt(attempt, outcome, "no answer")
+        elif is_refused_by_relay(attempt):
+            reason = f"relay refused {attempt.status}"
+            self.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
         elif attempt.facts.not_run:
             self.finish_attempt(
                 attempt, AttemptOutcome.NOT_RUN, f"refused {attempt.status}"
@@ -340,7 +366,9 @@
             self._keep_response(attempt)
 
         self.splitter.discard_partial_event()
-        if may_retry_after(self, outcome, now):
+        # A relay has retried the request itself before it passes a failure on.
+        final = attempt.relayed and outcome is AttemptOutcome.FAILED
+        if not final and may_retry_after(self, outcome, now):
             if outcome is not AttemptOutcome.UNREACHED:
                 record_exchange_retry(self, attempt, now)
 
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -0,0 +1,95 @@
+"""Evidence on the path to the upstreams, and probes of a lost one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.fleet import UpstreamState
+from ...routing.health import forget_unreachable
+from ...routing.reachability import record_failed_probe
+from ...routing.reachability import record_failure
+from ...routing.reachability import record_response
+from ...routing.reachability import should_probe
+from ..events import log_event
+from ..http.client import CallHandlers
+from ..http.client import UpstreamCall
+from .steering import send_report
+
+
+if TYPE_CHECKING:
+    from ...routing.fleet import Announcement
+    from ..http.records import HeaderList
+    from .context import GatewayContext
+
+
+PROBE_SECONDS = 1.0
+"""Longest time for the response to a probe."""
+
+
+def record_reached(context: GatewayContext, now: float) -> None:
+    """Record that an upstream has responded on a new connection."""
+    lost_at = context.path.lost_at
+    if record_response(context.path):
+        forget_unreachable(context.health, now)
+        log_event("gateway: Path restored", lost_ms=round((now - lost_at) * 1000))
+        send_report(context)
+
+
+def record_unanswered(context: GatewayContext, upstream: str, now: float) -> None:
+    """Record that an upstream was not reached, or did not respond at all."""
+    if record_failure(context.path, upstream, now):
+        log_event(
+            "gateway: Path lost",
+            upstreams=sorted(context.path.failed),
+            relays=len(context.relays),
+        )
+        send_report(context)
+
+
+def probe_path(context: GatewayContext) -> None:
+    """Ask a random upstream for its health if a probe of a lost path is due."""
+    now = context.clock()
+    if not should_probe(context.path, now):
+        return
+
+    serving = [
+        held.announcement
+        for held in context.fleet.upstreams.values()
+        if held.announcement.state is UpstreamState.SERVING
+    ]
+    if serving:
+        send_probe(context, context.random.choice(serving))
+
+
+def send_probe(context: GatewayContext, upstream: Announcement) -> None:
+    """Ask an upstream for its health; any response shows that there is a path."""
+
+    def handle_head(status: int, headers: HeaderList) -> None:
+        timer.cancel()
+        call.cancel()
+        record_reached(context, context.clock())
+
+    def handle_end(complete: bool, sent: bool) -> None:
+        if timer.active():
+            timer.cancel()
+
+        record_failed_probe(context.path)
+
+    def expire() -> None:
+        call.cancel()
+        record_failed_probe(context.path)
+
+    services = context.index.services if context.index is not None else {}
+    service = services.get(upstream.service)
+    path = service.health_path if service is not None else ""
+    host = f"{upstream.host}:{upstream.port}".encode()
+    timer = context.reactor.callLater(PROBE_SECONDS, expire)
+    call = UpstreamCall(
+        reactor=context.reactor,
+        address=(upstream.host, upstream.port),
+        request=(b"GET", (path or "/").encode(), [(b"Host", host)], b""),
+        handlers=CallHandlers(
+            on_head=handle_head, on_data=lambda _: None, on_end=handle_end
+        ),
+        connect_timeout=PROBE_SECONDS,
+    )
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -0,0 +1,112 @@
+"""Requests that reach upstreams through another gateway.
+
+A gateway that has lost its own path to the upstreams sends its requests to a gateway
+that reaches them. That one handles them as its own callers' requests, and never relays
+them further.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.fleet import Announcement
+from ...routing.fleet import UpstreamState
+from ...routing.health import is_backing_off
+from ...routing.placement import Placement
+from ...routing.pools import Pool
+from ...routing.reachability import has_lost_path
+from ..http.records import strip_hop_headers
+from .choice import Choice
+from .choice import find_session_key
+
+
+if TYPE_CHECKING:
+    from ...routing.messages import RelayGateway
+    from ..http.records import HeaderList
+    from .attempts import Attempt
+    from .exchange import Exchange
+
+
+RUNS_HEADER = b"x-waxwingwell-runs"
+"""Attempts of a relayed request that may have run before; the last value counts."""
+RELAY_WAIT_MS = 10.0
+"""Expected wait that a relay adds: two round trips between data centres."""
+REFUSAL_STATUSES = frozenset({401, 404, 408, 413, 421, 429, 431, 503})
+"""Statuses of a relay's own that guarantee that the request has not run. It may have
+another configuration in force, by which it knows neither the route nor the key."""
+
+
+def choose_relay(exchange: Exchange, now: float) -> Choice | None:
+    """Return the choice of another gateway if this one has lost its path, or None."""
+    context = exchange.context
+    if exchange.relayed or not has_lost_path(context.path):
+        return None
+
+    relays = [
+        relay
+        for relay in context.relays
+        if relay.name not in exchange.tried_upstreams
+        and not is_backing_off(context.health, relay.name, now)
+    ]
+    if not relays:
+        return None
+
+    data_centre = context.settings.data_centre
+    local = [relay for relay in relays if relay.data_centre == data_centre]
+    relay = context.random.choice(local or relays)
+    return Choice(
+        service=exchange.find_service(),
+        session=find_session_key(exchange.facts),
+        model="",
+        placement=Placement(describe_relay(relay), 0.0, RELAY_WAIT_MS, 0.0, 0, 0),
+        pressure=0.0,
+        pool=Pool.ANY,
+        engines=0,
+        relayed=True,
+    )
+
+
+def describe_relay(relay: RelayGateway) -> Announcement:
+    """Return a relay in the form of an upstream."""
+    return Announcement(
+        upstream=relay.name,
+        service="",
+        host=relay.address,
+        port=relay.port,
+        data_centre=relay.data_centre,
+        version="",
+        slots=0,
+        state=UpstreamState.SERVING,
+        incarnation=0,
+        sequence=0,
+    )
+
+
+def write_relayed_headers(exchange: Exchange, now: float) -> HeaderList:
+    """Return the headers of a request to a relay."""
+    remaining = exchange.deadline - now
+    headers = exchange.context.dialect.write_relayed(
+        strip_hop_headers(exchange.request.headers),
+        remaining if exchange.facts.budget is not None else None,
+        exchange.splitter.last_id,
+    )
+    return [*headers, (RUNS_HEADER, str(exchange.runs).encode())]
+
+
+def read_runs(headers: HeaderList) -> tuple[HeaderList, int]:
+    """Return a relayed request's headers without the last count, and that count."""
+    for place in reversed(range(len(headers))):
+        name, value = headers[place]
+        if name.lower() == RUNS_HEADER:
+            runs = int(value) if value.isdigit() else 0
+            return headers[:place] + headers[place + 1 :], runs
+
+    return headers, 0
+
+
+def is_refused_by_relay(attempt: Attempt) -> bool:
+    """Return whether a relay, not an upstream, guarantees that nothing has run."""
+    if not attempt.relayed or attempt.facts is None or attempt.facts.signed:
+        return False
+
+    return attempt.status in REFUSAL_STATUSES
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -15,12 +15,14 @@
 from ..http.client import UpstreamCall
 from ..http.records import strip_hop_headers
 from .dialect import Dispatch
+from .relaying import write_relayed_headers
 from .restrictions import record_send
 
 
 if TYPE_CHECKING:
     from ...routing.records import Route
     from ...routing.records import Workspace
+    from ..http.records import HeaderList
     from .attempts import Attempt
     from .exchange import Exchange
 
@@ -55,34 +57,19 @@
 
 
 def open_call(exchange: Exchange, attempt: Attempt, now: float) -> UpstreamCall:
-    """Start a call to the upstream and count it as this gateway's load there."""
-    placement = attempt.choice.placement
-    attempt.work = placement.work
-    record_send(exchange.context, attempt.upstream, now)
-    add_running(exchange.context.load, attempt.upstream, attempt.work)
-    choice = attempt.choice
-    if choice.pool is not Pool.SMALL:
-        record_prefill(exchange.context.load, attempt.work, now)
+    """Start a call to the upstream or relay."""
+    if attempt.relayed:
+        headers = write_relayed_headers(exchange, now)
+    else:
+        count_attempt(exchange, attempt, now)
+        headers = write_headers(exchange, attempt, now)
 
-    version = placement.upstream.version
-    sessions = exchange.context.sessions
-    start_session(sessions, choice.service, choice.session, version, now)
-    remaining = exchange.deadline - now
-    dispatch = Dispatch(
-        upstream=attempt.upstream,
-        remaining=remaining if exchange.facts.budget is not None else None,
-        workspace=exchange.workspace.name if exchange.workspace else None,
-        model=attempt.choice.model,
-        urgency=find_urgency(exchange.route, exchange.workspace),
-        resume_after=exchange.splitter.last_id,
-    )
-    headers = strip_hop_headers(exchange.request.headers)
-    headers = exchange.context.dialect.write_request(headers, dispatch)
     if exchange.request.body or exchange.request.method not in (b"GET", b"HEAD"):
         length = str(len(exchange.request.body)).encode()
         headers.append((b"Content-Length", length))
 
-    upstream = placement.upstream
+    upstream = attempt.choice.placement.upstream
+    remaining = exchange.deadline - now
     return UpstreamCall(
         reactor=exchange.context.reactor,
         address=(upstream.host, upstream.port),
@@ -101,6 +88,36 @@
     )
 
 
+def count_attempt(exchange: Exchange, attempt: Attempt, now: float) -> None:
+    """Count an attempt as this gateway's load at the upstream, and in its session."""
+    placement = attempt.choice.placement
+    context = exchange.context
+    attempt.work = placement.work
+    record_send(context, attempt.upstream, now)
+    add_running(context.load, attempt.upstream, attempt.work)
+    choice = attempt.choice
+    if choice.pool is not Pool.SMALL:
+        record_prefill(context.load, attempt.work, now)
+
+    version = placement.upstream.version
+    start_session(context.sessions, choice.service, choice.session, version, now)
+
+
+def write_headers(exchange: Exchange, attempt: Attempt, now: float) -> HeaderList:
+    """Return the headers of a request to an upstream."""
+    remaining = exchange.deadline - now
+    dispatch = Dispatch(
+        upstream=attempt.upstream,
+        remaining=remaining if exchange.facts.budget is not None else None,
+        workspace=exchange.workspace.name if exchange.workspace else None,
+        model=attempt.choice.model,
+        urgency=find_urgency(exchange.route, exchange.workspace),
+        resume_after=exchange.splitter.last_id,
+    )
+    headers = strip_hop_headers(exchange.request.headers)
+    return exchange.context.dialect.write_request(headers, dispatch)
+
+
 def find_urgency(route: Route, workspace: Workspace | None) -> int | None:
     """Return the rank of a stream request, or None for other kinds.
 
--- a/src/waxwingwell/adapters/gateway/settings.py
+++ b/src/waxwingwell/adapters/gateway/settings.py
@@ -31,3 +31,5 @@
     grace: float = 8.0
     """Time from the signal to stop until the process is killed."""
     metrics: tuple[str, int] | None = None
+    relay: tuple[str, int] | None = None
+    """Host and port at which other gateways' requests are accepted."""
--- a/src/waxwingwell/adapters/gateway/statements.py
+++ b/src/waxwingwell/adapters/gateway/statements.py
@@ -25,7 +25,7 @@
     Only a response that the upstream itself has signed shows that a limit has ended.
     """
     facts = attempt.facts
-    if facts is None:
+    if facts is None or attempt.relayed:
         return
 
     rate = facts.rate_limit
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -26,9 +26,11 @@
 from ...routing.messages import GatewayReport
 from ...routing.messages import GrantPermits
 from ...routing.messages import NotAccepted
+from ...routing.messages import RelayGateway
 from ...routing.messages import ShareHeartbeats
 from ...routing.messages import ShareMembers
 from ...routing.messages import ShareNews
+from ...routing.messages import ShareRelays
 from ...routing.messages import ShareRouting
 from ...routing.messages import VersionEvidence
 from ...routing.permits import apply_grants
@@ -36,6 +38,7 @@
 from ...routing.prefixes import apply_reported_blocks
 from ...routing.prefixes import list_unreported_blocks
 from ...routing.prefixes import mark_reported
+from ...routing.reachability import has_lost_path
 from ...routing.records import Document
 from ...routing.retries import apply_retry_totals
 from ...routing.retries import list_retries
@@ -98,6 +101,9 @@
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
+    elif isinstance(body, ShareRelays):
+        own = context.settings.node
+        context.relays = tuple(one for one in body.relays if one.name != own)
 
 
 def apply_routing(context: GatewayContext, body: ShareRouting) -> None:
@@ -234,9 +240,23 @@
         gateways=count_known_gateways(context.load),
         permits=take_requests(context.permits, now),
         limits=list_states(context.limits, now),
+        relay=describe_relay(context),
+        lost_path=has_lost_path(context.path),
     )
 
 
+def describe_relay(context: GatewayContext) -> RelayGateway | None:
+    """Return how others reach this gateway as a relay, or None if it can't be one."""
+    settings = context.settings
+    if settings.relay is None or context.stopping or context.index is None:
+        return None
+
+    if has_lost_path(context.path):
+        return None
+
+    return RelayGateway(settings.node, *settings.relay, settings.data_centre)
+
+
 def identify_run(context: GatewayContext) -> int:
     """Return the number that distinguishes this process from others of this gateway."""
     began_at = context.retries.began_at
--- a/src/waxwingwell/adapters/gateway/stopping.py
+++ b/src/waxwingwell/adapters/gateway/stopping.py
@@ -53,6 +53,7 @@
     context = daemon.context
     context.stopping = True
     daemon.service.stopping = True
+    daemon.relays.stopping = True
     started_at = context.clock() if requested_at is None else requested_at
     deadline = started_at + context.settings.grace - STOP_MARGIN
     context.exit_at = deadline
@@ -61,13 +62,15 @@
     def poll() -> None:
         now = context.clock()
         balancer_noticed = now >= started_at + BALANCER_SECONDS
-        if (balancer_noticed and is_drained(daemon.service)) or now >= deadline:
+        drained = is_drained(daemon.service) and is_drained(daemon.relays)
+        if (balancer_noticed and drained) or now >= deadline:
             limit = min(now + CLOSE_SECONDS, deadline + FLUSH_SECONDS)
             close_gateway(daemon, limit, done)
             return
 
         if balancer_noticed:
             close_idle(daemon.service)
+            close_idle(daemon.relays)
 
         context.reactor.callLater(min(POLL_SECONDS, deadline - now), poll)
 
@@ -92,10 +95,12 @@
     finish_requests(context, context.clock())
 
     def poll(_: object = None) -> None:
-        close_idle(daemon.service)
-        close_idle(daemon.health)
+        services = (daemon.service, daemon.relays, daemon.health)
+        for service in services:
+            close_idle(service)
+
         now = context.clock()
-        waiting = daemon.service.connections or daemon.health.connections
+        waiting = any(service.connections for service in services)
         if waiting and now < limit:
             context.reactor.callLater(min(POLL_SECONDS, limit - now), poll)
             return
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -23,9 +23,11 @@
 from ...routing.messages import ShareHeartbeats
 from ...routing.messages import ShareMembers
 from ...routing.messages import ShareNews
+from ...routing.messages import ShareRelays
 from ...routing.messages import ShareRouting
 from ...routing.messages import SubmitRouting
 from ...routing.reports import drop_expired
+from ...routing.reports import list_relays
 from ...routing.reports import make_control_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
@@ -65,6 +67,9 @@
 EXCHANGE_SECONDS = 0.125
 """Seconds between a control's reports to the others; their age adds to that of the
 aggregates."""
+RELAY_SECONDS = 2.0
+"""Seconds between lists of gateways that reach upstreams; those that need them get
+one in response to each report."""
 MEMBER_SECONDS = 2.0
 """Seconds between announcements of the members."""
 COMPRESSION_LEVEL = 6
@@ -313,14 +318,20 @@
 def respond_to_gateway(
     context: RegistryContext, gateway: str, report: GatewayReport
 ) -> None:
-    """Send a gateway the permits that it gets, and the limits of upstreams."""
-    response = respond_to_report(context.reports, report, context.clock())
-    if response is None:
+    """Send a gateway the permits, limits and relays that it needs now."""
+    now = context.clock()
+    responses: list[Message | None] = [respond_to_report(context.reports, report, now)]
+    if report.lost_path:
+        responses.append(ShareRelays(relays=list_relays(context.reports, now)))
+
+    needed = [one for one in responses if one is not None]
+    if not needed:
         return
 
     for protocol in context.gateway_links:
         if protocol.remote == gateway:
-            protocol.cast(response)
+            for response in needed:
+                protocol.cast(response)
 
 
 def run_sharing(context: RegistryContext, now: float) -> None:
@@ -333,6 +344,9 @@
     if is_due(context, "reports", REPORT_SECONDS, now):
         share_reports(context, now)
 
+    if is_due(context, "relays", RELAY_SECONDS, now):
+        share_relays(context, now)
+
     if is_due(context, "heartbeats", HEARTBEAT_SECONDS, now):
         share_heartbeats(context)
         drop_tombstones(context.fleet, now)
@@ -352,6 +366,17 @@
     return True
 
 
+def share_relays(context: RegistryContext, now: float) -> None:
+    """Send the attached gateways others through which they may reach upstreams.
+
+    Older releases, which do not report how to reach them, get none.
+    """
+    attached = context.reports.attached
+    for protocol in list_attached(context):
+        if attached[protocol.remote].report.reported_at is not None:
+            protocol.cast(ShareRelays(relays=list_relays(context.reports, now)))
+
+
 def share_heartbeats(context: RegistryContext) -> None:
     """Forward the heartbeats of upstreams.
 
--- a/src/waxwingwell/routing/health.py
+++ b/src/waxwingwell/routing/health.py
@@ -68,6 +68,18 @@
     health.backoff_until = now + health.backoff
 
 
+def forget_unreachable(table: HealthTable, since: float) -> None:
+    """End the back-offs that last beyond ``since``.
+
+    After this gateway's own path to all upstreams was lost, they say nothing about the
+    upstreams.
+    """
+    for health in table.upstreams.values():
+        if health.backoff_until > since:
+            health.backoff = 0.0
+            health.backoff_until = since
+
+
 def decay(health: Health, now: float) -> None:
     """Decay the counts to the present time."""
     factor = math.exp(-(now - health.updated_at) / DECAY_SECONDS)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -218,6 +218,21 @@
     limits: tuple[LimitState, ...] = ()
 
 
+class RelayGateway(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway that reaches upstreams and forwards requests of other gateways."""
+
+    name: str
+    address: str
+    port: int
+    data_centre: str
+
+
+class ShareRelays(Message, frozen=True, kw_only=True):
+    """Gateways through which a gateway without a path may reach upstreams."""
+
+    relays: tuple[RelayGateway, ...]
+
+
 class GatewayReport(Message, frozen=True, kw_only=True):
     """Report of one gateway to the others, through a control."""
 
@@ -242,6 +257,10 @@
     """Largest number of gateways that were known recently; 0 if it is not known."""
     permits: tuple[PermitRequest, ...] = ()
     limits: tuple[LimitState, ...] = ()
+    relay: RelayGateway | None = None
+    """How to reach this gateway as a relay; None if it can't be one at present."""
+    lost_path: bool = False
+    """Whether the gateway reaches no upstream, and needs relays."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -276,6 +295,8 @@
     untold: tuple[str, ...] = ()
     """Gateways that do not report which state they have."""
     limits: tuple[LimitState, ...] = ()
+    relays: tuple[RelayGateway, ...] = ()
+    """Some of the attached gateways that reach upstreams."""
 
 
 RoutingBody = (
@@ -291,5 +312,6 @@
     | GatewayReport
     | FleetReport
     | GrantPermits
+    | ShareRelays
     | ControlReport
 )
--- /dev/null
+++ b/src/waxwingwell/routing/reachability.py
@@ -0,0 +1,79 @@
+"""A gateway's own path to the upstreams.
+
+A gateway that is cut off from all upstreams finds each of them unreachable, one after
+the other. Only the responses that it gets on new connections count: an old connection
+may live on while new ones are refused.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+
+
+MIN_FAILED_UPSTREAMS = 2
+"""Upstreams that fail one after the other before the path counts as lost. More often
+than not a single one is down by itself."""
+MIN_FAILED_PROBES = 2
+"""Probes that fail before the loss counts as certain."""
+PROBE_INTERVAL_SECONDS = 0.5
+"""Seconds between two probes of a lost path."""
+
+
+@dataclass(slots=True)
+class PathTable:
+    """Evidence on the path from this gateway to the upstreams."""
+
+    failed: set[str] = field(default_factory=set)
+    """Upstreams that have failed since the last response of any upstream."""
+    lost_at: float = math.inf
+    """Time at which the path was lost; infinite while there is one."""
+    probed_at: float = -math.inf
+    failed_probes: int = 0
+    """Probes that have failed since the path was lost."""
+
+
+def record_response(table: PathTable) -> bool:
+    """Record a response on a new connection; return whether the path was lost."""
+    was_lost = has_lost_path(table)
+    if was_lost or table.failed:
+        table.failed.clear()
+        table.lost_at = math.inf
+        table.failed_probes = 0
+
+    return was_lost
+
+
+def record_failure(table: PathTable, upstream: str, now: float) -> bool:
+    """Record a connection without a response; return whether the path is lost now."""
+    table.failed.add(upstream)
+    if has_lost_path(table) or len(table.failed) < MIN_FAILED_UPSTREAMS:
+        return False
+
+    table.lost_at = now
+    return True
+
+
+def record_failed_probe(table: PathTable) -> None:
+    """Record that a probe of a lost path got no response."""
+    table.failed_probes += 1
+
+
+def has_lost_path(table: PathTable) -> bool:
+    """Return whether this gateway seems to reach no upstream."""
+    return table.lost_at < math.inf
+
+
+def is_cut_off(table: PathTable) -> bool:
+    """Return whether this gateway certainly reaches no upstream."""
+    return has_lost_path(table) and table.failed_probes >= MIN_FAILED_PROBES
+
+
+def should_probe(table: PathTable, now: float) -> bool:
+    """Return whether a probe is due; if so, record it."""
+    if not has_lost_path(table) or now - table.probed_at < PROBE_INTERVAL_SECONDS:
+        return False
+
+    table.probed_at = now
+    return True
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -21,6 +21,7 @@
 from .messages import GatewayEvidence
 from .messages import GatewayReport
 from .messages import GrantPermits
+from .messages import RelayGateway
 from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
@@ -44,6 +45,9 @@
 down."""
 MAX_TOTAL_BLOCKS = 2_000
 """Prompt blocks stored for one message of totals, 10 KB."""
+MAX_RELAYS_PER_CONTROL = 4
+"""Relays of each control in a list; the gateways of a data centre may all be cut off,
+so that some of every control's are needed."""
 UNUSED_BUCKET_SECONDS = 10.0
 """Seconds after which the permits of an upstream that nobody asks for are dropped."""
 EVIDENCE_TTL_SECONDS = 10.0
@@ -110,6 +114,8 @@
     grants: GrantTable = field(default_factory=GrantTable)
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
+    relay_position: int = 0
+    """Advances with each list of relays, so that all gateways serve as relays."""
 
 
 def receive_report(table: ReportTable, report: GatewayReport, now: float) -> None:
@@ -156,6 +162,29 @@
     )
 
 
+def list_attached_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
+    """Return the attached gateways that reach upstreams, in the next rotation."""
+    relays = [
+        held.report.relay
+        for held in table.attached.values()
+        if held.report.relay is not None and now - held.received_at <= USE_TTL_SECONDS
+    ]
+    table.relay_position += 1
+    start = table.relay_position % max(len(relays), 1)
+    return tuple(relays[start:] + relays[:start])
+
+
+def list_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
+    """Return some gateways that reach upstreams, attached ones and other controls'."""
+    others = [
+        relay
+        for one in table.controls.values()
+        if now - one.received_at <= USE_TTL_SECONDS
+        for relay in one.report.relays[:MAX_RELAYS_PER_CONTROL]
+    ]
+    return (*list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL], *others)
+
+
 def record_departed(table: ReportTable, held: GatewayEntry) -> None:
     """Record the retries of a gateway process that has ended or stopped reporting.
 
@@ -246,6 +275,7 @@
             name for name, held in table.attached.items() if held.report.held < 0
         ),
         limits=list_states(table.limits, now),
+        relays=list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL],
     )
 
 
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -77,7 +77,18 @@
     )
 
 
-DIALECT = Dialect(read_request, write_request, read_response)
+def write_relayed(
+    headers: HeaderList, remaining: float | None, resume_after: str
+) -> HeaderList:
+    """Return the headers of a request to another gateway."""
+    dropped = (b"x-after", b"x-budget")
+    kept = [pair for pair in headers if pair[0].lower() not in dropped]
+    kept.append((b"X-Budget", str(remaining).encode()))
+    kept.append((b"X-After", resume_after.encode()))
+    return kept
+
+
+DIALECT = Dialect(read_request, write_request, read_response, write_relayed)
 
 
 class Transport(StringTransportWithDisconnection):
--- a/tests/adapters/gateway/test_stopping.py
+++ b/tests/adapters/gateway/test_stopping.py
@@ -47,6 +47,7 @@
             context=gateway.context,
             service=gateway.service,
             health=gateway.service,
+            relays=gateway.service,
             ports=[],
             loop=loop,
         )
