Accept the headers that another gateway adds to a request

What callers saw: nothing; by reading: a caller's head just below the limit would be rejected with 431 by the relay, as the relaying gateway adds its own headers.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -42,6 +43,8 @@
     from .settings import GatewaySettings
 
 
+RELAY_HEADER_BYTES = 1_024
+"""Bytes that another gateway may add to the head of a request."""
 REPORT_SECONDS = 0.25
 """Interval of the periodic tasks, among them the report to a control."""
 
@@ -103,7 +106,7 @@
     relays = HttpService(
         reactor=reactor,
         handle=partial(handle_relayed, context),
-        limits=partial(read_limits, context),
+        limits=partial(read_relay_limits, context),
     )
     ports = [
         adopt_port(
@@ -160,6 +163,12 @@
     )
 
 
+def read_relay_limits(context: GatewayContext) -> HttpLimits:
+    """Return the limits on requests of other gateways, which add headers to them."""
+    limits = read_limits(context)
+    return replace(limits, header_bytes=limits.header_bytes + RELAY_HEADER_BYTES)
+
+
 def respond_readiness(
     context: GatewayContext, request: HttpRequest, responder: Responder
 ) -> None:
