Let a relay wait for its upstream before a stream fails over

What callers saw: nothing; by reading: a relayed stream without its first event failed over after 1.5 s, while its relay's engine had a queue, and ran twice. The relay fails over by itself; the gateway behind it waits 2 s longer, by the route's objective. The test is in tests/adapters/gateway/test_relaying.

--- a/src/waxwingwell/adapters/gateway/watch.py
+++ b/src/waxwingwell/adapters/gateway/watch.py
@@ -25,6 +25,8 @@
 UNRESPONSIVE_OBJECTIVES = 1.5
 """Multiple of the route's objective after which an idempotent call without a response
 fails over: it is late by then, and 95 % of calls take a third of that."""
+RELAY_SECONDS = 2.0
+"""Seconds that a relay may take longer than an upstream, to fail over to another."""
 UNRESPONSIVE_SHARE = 0.4
 """Share of the request's whole time that bounds the same wait, so that the second
 attempt has the longer part."""
@@ -57,6 +59,21 @@
     exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, "no response in time")
 
 
+def find_limit(exchange: Exchange, attempt: Attempt) -> float:
+    """Return the seconds without data after which an attempt at a stream fails over.
+
+    A relay needs the time in which it fails over itself. How long its upstream's queue
+    is, is not known here.
+    """
+    started = attempt.first_byte_at is not None
+    if not attempt.relayed:
+        expected = attempt.choice.placement.wait / 1000
+        return find_idle_timeout(started=started, expected=expected)
+
+    objective = exchange.route.objective
+    return RELAY_SECONDS + find_idle_timeout(started=started, expected=objective)
+
+
 def check_responsiveness(exchange: Exchange, now: float) -> None:
     """Fail over a stream if its upstream seems to be unresponsive."""
     attempt = exchange.attempt
@@ -69,9 +86,7 @@
 
     active_at = exchange.context.upstream_active_at.get(attempt.upstream, 0.0)
     idle = now - max(attempt.started_at, attempt.last_byte_at, active_at)
-    expected = attempt.choice.placement.wait / 1000
-    started = attempt.first_byte_at is not None
-    if idle <= find_idle_timeout(started=started, expected=expected):
+    if idle <= find_limit(exchange, attempt):
         return
 
     if not can_fail_over(exchange, now):
