Probe no upstream that takes hardly any requests

What callers saw: nothing; by reading: probes of a lost path could go to evacuated data centres, and to cold or limited upstreams.

--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -6,6 +6,7 @@
 
 from ...routing.fleet import UpstreamState
 from ...routing.health import forget_unreachable
+from ...routing.limits import find_rate
 from ...routing.reachability import record_failed_probe
 from ...routing.reachability import record_failure
 from ...routing.reachability import record_response
@@ -52,13 +53,35 @@
     if not should_probe(context.path, now):
         return
 
+    candidates = list_probed(context, now)
+    if candidates:
+        send_probe(context, context.random.choice(candidates))
+
+
+def list_probed(context: GatewayContext, now: float) -> list[Announcement]:
+    """Return the upstreams that may be probed.
+
+    Cold ones, and those that name a limit, are probed only if there are no others.
+    """
     serving = [
-        held.announcement
+        held
         for held in context.fleet.upstreams.values()
         if held.announcement.state is UpstreamState.SERVING
+        and held.announcement.data_centre not in context.evacuated
+    ]
+    unlimited = [
+        held
+        for held in serving
+        if held.cold_until <= now
+        and find_rate(
+            context.limits,
+            held.announcement.upstream,
+            held.announcement.incarnation,
+            now,
+        )
+        is None
     ]
-    if serving:
-        send_probe(context, context.random.choice(serving))
+    return [held.announcement for held in unlimited or serving]
 
 
 def send_probe(context: GatewayContext, upstream: Announcement) -> None:
