Keep the model of a started stream that goes on through a relay

What callers saw: nothing; by reading: a stream that a larger model had begun was resumed at the relay with the smallest one. A relayed request names the model once a part of the response has been made.

--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -46,6 +46,18 @@
     resume_after: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayedRequest:
+    """Values in which a request to another gateway differs from its caller's."""
+
+    remaining: float | None
+    """Seconds that the caller still waits; None if it does not say."""
+    model: str = ""
+    """Model that has made a part of the response; empty if there is none yet."""
+    resume_after: str = ""
+    """Id of the last event that the caller has received."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseFacts:
     """Properties of a response that its upstream states in headers."""
@@ -73,6 +85,5 @@
     read_request: Callable[[HeaderList], RequestFacts]
     write_request: Callable[[HeaderList, Dispatch], HeaderList]
     read_response: Callable[[int, HeaderList], ResponseFacts]
-    write_relayed: Callable[[HeaderList, float | None, str], HeaderList]
-    """Returns a caller's headers for another gateway, with the seconds that are left
-    and the id of the last event that the caller has received."""
+    write_relayed: Callable[[HeaderList, RelayedRequest], HeaderList]
+    """Returns a caller's headers for another gateway."""
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -18,6 +18,7 @@
 from ..http.records import strip_hop_headers
 from .choice import Choice
 from .choice import find_session_key
+from .dialect import RelayedRequest
 
 
 if TYPE_CHECKING:
@@ -57,7 +58,7 @@
     return Choice(
         service=exchange.find_service(),
         session=find_session_key(exchange.facts),
-        model="",
+        model=find_bound_model(exchange),
         placement=Placement(describe_relay(relay), 0.0, RELAY_WAIT_MS, 0.0, 0, 0),
         pressure=0.0,
         pool=Pool.ANY,
@@ -66,6 +67,12 @@
     )
 
 
+def find_bound_model(exchange: Exchange) -> str:
+    """Return the model that must go on with a response, or an empty string."""
+    bound = exchange.responder.started or exchange.response_dropped
+    return exchange.model if bound else ""
+
+
 def describe_relay(relay: RelayGateway) -> Announcement:
     """Return a relay in the form of an upstream."""
     return Announcement(
@@ -85,10 +92,13 @@
 def write_relayed_headers(exchange: Exchange, now: float) -> HeaderList:
     """Return the headers of a request to a relay."""
     remaining = exchange.deadline - now
+    relayed = RelayedRequest(
+        remaining=remaining if exchange.facts.budget is not None else None,
+        model=find_bound_model(exchange),
+        resume_after=exchange.splitter.last_id,
+    )
     headers = exchange.context.dialect.write_relayed(
-        strip_hop_headers(exchange.request.headers),
-        remaining if exchange.facts.budget is not None else None,
-        exchange.splitter.last_id,
+        strip_hop_headers(exchange.request.headers), relayed
     )
     return [*headers, (RUNS_HEADER, str(exchange.runs).encode())]
 
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -23,6 +23,7 @@
 from waxwingwell.adapters.gateway.context import GatewayContext
 from waxwingwell.adapters.gateway.dialect import Dialect
 from waxwingwell.adapters.gateway.dialect import Dispatch
+from waxwingwell.adapters.gateway.dialect import RelayedRequest
 from waxwingwell.adapters.gateway.dialect import RequestFacts
 from waxwingwell.adapters.gateway.dialect import ResponseFacts
 from waxwingwell.adapters.gateway.settings import GatewaySettings
@@ -77,14 +78,15 @@
     )
 
 
-def write_relayed(
-    headers: HeaderList, remaining: float | None, resume_after: str
-) -> HeaderList:
+def write_relayed(headers: HeaderList, relayed: RelayedRequest) -> HeaderList:
     """Return the headers of a request to another gateway."""
-    dropped = (b"x-after", b"x-budget")
+    dropped = {b"x-after", b"x-budget"} | ({b"x-model"} if relayed.model else set())
     kept = [pair for pair in headers if pair[0].lower() not in dropped]
-    kept.append((b"X-Budget", str(remaining).encode()))
-    kept.append((b"X-After", resume_after.encode()))
+    kept.append((b"X-Budget", str(relayed.remaining).encode()))
+    kept.append((b"X-After", relayed.resume_after.encode()))
+    if relayed.model:
+        kept.append((b"X-Model", relayed.model.encode()))
+
     return kept
 
 
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -14,7 +14,9 @@
 
 from tests.adapters.registry.support import Registry
 from tests.adapters.registry.support import make_registry
+from tests.routing.factories import make_announcement
 from waxwingwell.adapters.gateway.arrivals import handle_relayed
+from waxwingwell.adapters.gateway.probing import list_probed
 from waxwingwell.adapters.gateway.probing import probe_path
 from waxwingwell.adapters.gateway.probing import record_reached
 from waxwingwell.adapters.gateway.probing import record_unanswered
@@ -24,8 +26,11 @@
 from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.adapters.registry import hub
+from waxwingwell.routing.fleet import UpstreamState
+from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.health import is_backing_off
 from waxwingwell.routing.health import record_unreachable
+from waxwingwell.routing.limits import record_statement
 from waxwingwell.routing.reachability import has_lost_path
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.retries import list_retries
@@ -246,6 +251,33 @@
         self.assertTrue(caller.received.endswith(LAST_CHUNK))
         self.assertEqual(caller.received.count(b"data: "), 2)
 
+    def test_a_relay_may_wait_for_its_upstream(self) -> None:
+        """Guards against streams that run twice while their engine has a queue."""
+        [cut, other] = make_fleet(objective=4.0).gateways
+        cut.context.load.others_at = 0.0
+        cut_off(cut)
+        cut.ask()
+        open_relayed(cut.upstreams[0], other)
+        cut.reactor.advance(5.0)
+        for exchange in list(cut.context.exchanges):
+            exchange.check_responsiveness(cut.reactor.seconds())
+
+        self.assertEqual(len(cut.upstreams), 1)
+
+    def test_a_started_stream_keeps_its_model(self) -> None:
+        """Guards against streams that a smaller model goes on with."""
+        [cut, _] = make_fleet(models=("small", "large")).gateways
+        cut.context.load.others_at = 0.0
+        cut.ask(X_Model="*")
+        upstream = cut.upstreams[0]
+        upstream.accept()
+        upstream.respond(make_stream_head() + make_chunk(b"id: 1\ndata: a\n\n"))
+        cut_off(cut)
+        upstream.reset()
+        relayed = cut.upstreams[1].accept()
+        self.assertIn(b"X-Model: small", relayed)
+        self.assertNotIn(b"X-Model: *", relayed)
+
     def test_a_caller_that_leaves_cancels_the_request_everywhere(self) -> None:
         """Guards against upstreams that work for callers that are gone."""
         [cut, other] = make_fleet().gateways
@@ -340,6 +372,37 @@
             now = cut.reactor.seconds()
             self.assertFalse(is_backing_off(cut.context.health, name, now))
 
+    def test_which_upstreams_are_probed(self) -> None:
+        """Guards against probes of upstreams that take no, or hardly any, requests."""
+        for name, changes, probed in (
+            ("all", {}, {"u1", "u2", "u3"}),
+            ("cold", {"u1": {"warming": 9.0}}, {"u2", "u3"}),
+            ("leaving", {"u1": {"state": UpstreamState.LEAVING}}, {"u2", "u3"}),
+            ("evacuated", {"u1": {"data_centre": "south"}}, {"u2", "u3"}),
+            (
+                "all cold",
+                {one: {"warming": 9.0} for one in ("u1", "u2", "u3")},
+                {"u1", "u2", "u3"},
+            ),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway()
+                context = gateway.context
+                context.evacuated = frozenset({"south"})
+                for upstream, fields in changes.items():
+                    changed: Any = {"sequence": 2, **fields}
+                    announcement = make_announcement(upstream, **changed)
+                    apply_announcement(context.fleet, announcement, 0.0)
+
+                found = {one.upstream for one in list_probed(context, 0.0)}
+                self.assertEqual(found, probed)
+
+    def test_a_limited_upstream_is_not_probed(self) -> None:
+        context = make_gateway().context
+        record_statement(context.limits, "u1", 1, 2.0, sent_at=0.0, now=0.0)
+        found = {one.upstream for one in list_probed(context, 0.0)}
+        self.assertEqual(found, {"u2", "u3"})
+
     def test_probes_are_few(self) -> None:
         """Guards against gateways that flood upstreams as their path comes back."""
         [cut, _] = make_fleet().gateways
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -6,6 +6,7 @@
 import unittest
 
 from waxwingwell.adapters.gateway.dialect import Dispatch
+from waxwingwell.adapters.gateway.dialect import RelayedRequest
 from waxwingwell.adapters.gateway.dialect import RequestFacts
 from waxwingwell_platform.headers import DIALECT
 
@@ -100,6 +101,43 @@
                 self.assertEqual(found[b"waxwingwell-model"], expected)
 
 
+class RelayedTest(unittest.TestCase):
+    """Headers of a client's request to another gateway."""
+
+    def test_the_other_gateway_gets_what_the_client_sent(self) -> None:
+        own = [
+            (b"Api-Key", b"k1"),
+            (b"Waxwingwell-Model", b"*"),
+            (b"Waxwingwell-Deadline-Ms", b"2500"),
+            (b"Last-Event-Id", b"1"),
+        ]
+        for name, relayed, expected in (
+            (
+                "not started",
+                RelayedRequest(remaining=1.5),
+                {b"waxwingwell-model": b"*", b"waxwingwell-deadline-ms": b"1500"},
+            ),
+            (
+                "started",
+                RelayedRequest(remaining=1.5, model="small", resume_after="7"),
+                {
+                    b"waxwingwell-model": b"small",
+                    b"waxwingwell-deadline-ms": b"1500",
+                    b"last-event-id": b"7",
+                },
+            ),
+            (
+                "no deadline",
+                RelayedRequest(remaining=None),
+                {b"waxwingwell-model": b"*"},
+            ),
+        ):
+            with self.subTest(name):
+                written = DIALECT.write_relayed(own, relayed)
+                found = {key.lower(): value for key, value in written}
+                self.assertEqual(found, {b"api-key": b"k1", **expected})
+
+
 class ResponseTest(unittest.TestCase):
     """Headers of an upstream's response."""
 
