--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -24,6 +24,9 @@
 LIMITS_SEED = 100
 LIMITS_SECONDS = 9.0
 """Long enough for one time in which upstreams state limits."""
+CUTS_SEED = 100
+CUTS_SECONDS = 1.0
+"""Long enough for one cut of gateways from all upstreams."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -87,6 +90,24 @@
             self.assertEqual(findings, [])
             self.assertTrue(journal.limit_spans or journal.brittle_spans)
 
+    def test_gateways_without_a_path_to_upstreams(self) -> None:
+        """Guards against refusals at gateways that are cut off from all upstreams."""
+        from bench.soak.__main__ import run_seed
+
+        with tempfile.TemporaryDirectory() as folder:
+            journal, findings = asyncio.run(
+                run_seed(
+                    Path(folder),
+                    CUTS_SEED,
+                    CUTS_SECONDS,
+                    registries=3,
+                    gateways=3,
+                    cuts=True,
+                )
+            )
+            self.assertEqual(findings, [])
+            self.assertTrue(journal.cut_spans)
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -7,10 +7,12 @@
 from typing import ClassVar
 
 from bench.soak.checks import check_crashes
+from bench.soak.checks import check_cuts
 from bench.soak.checks import check_limits
 from bench.soak.checks import check_planned_stops
 from bench.soak.records import CallerRequest
 from bench.soak.records import Crash
+from bench.soak.records import CutSpan
 from bench.soak.records import Fault
 from bench.soak.records import Journal
 from bench.soak.records import LimitSpan
@@ -137,6 +139,47 @@
                 self.assertEqual(any(check_crashes(journal)), is_violation)
 
 
+class CutsCheckTest(unittest.TestCase):
+    """Gateways that are cut off from all upstreams, from 100 s to 110 s."""
+
+    def test_gateways_that_serve_far_less_than_others(self) -> None:
+        for name, cut, others, began_at, is_violation in (
+            ("as often", (30, 0), (30, 0), 104.0, False),
+            ("far less", (10, 20), (30, 0), 104.0, True),
+            ("less, as others do", (10, 20), (10, 20), 104.0, False),
+            ("a few failed", (2, 10), (300, 0), 104.0, False),
+            ("before gateways must know", (0, 30), (30, 0), 101.0, False),
+        ):
+            with self.subTest(name):
+                journal = Journal()
+                span = CutSpan(
+                    gateways=frozenset({"127.0.2.1"}), began_at=100.0, ended_at=110.0
+                )
+                journal.cut_spans.append(span)
+                for gateway, counts in (("127.0.2.1", cut), ("127.0.2.2", others)):
+                    for status, count in zip((200, 503), counts, strict=True):
+                        journal.requests += [
+                            make_request(gateway, status, began_at)
+                        ] * count
+
+                self.assertEqual(any(check_cuts(journal)), is_violation)
+
+
+def make_request(gateway: str, status: int, began_at: float) -> CallerRequest:
+    """Return a request with a complete response."""
+    return CallerRequest(
+        request_id="one",
+        kind="order",
+        path="/order/1",
+        workspace="a",
+        gateway=gateway,
+        began_at=began_at,
+        ended_at=began_at + 0.1,
+        status=status,
+        complete=True,
+    )
+
+
 def make_run(upstream: str, at: float) -> Run:
     """Return a request that an upstream processes."""
     return Run(
