Probe a suspect path before it counts as lost

Cause: three upstreams crash together there.

Change: two unreached upstreams make the path suspect, and three others are probed at once; four that fail in a row, or all, make it lost.

--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -7,6 +7,7 @@
 from ...routing.fleet import UpstreamState
 from ...routing.health import forget_unreachable
 from ...routing.limits import find_rate
+from ...routing.reachability import is_suspect
 from ...routing.reachability import record_failed_probe
 from ...routing.reachability import record_failure
 from ...routing.reachability import record_response
@@ -19,12 +20,16 @@
 
 if TYPE_CHECKING:
     from ...routing.fleet import Announcement
+    from ...routing.fleet import Upstream
     from ..http.records import HeaderList
     from .context import GatewayContext
 
 
 PROBE_SECONDS = 1.0
 """Longest time for the response to a probe."""
+PROBE_CONNECT_SECONDS = 0.4
+SUSPECT_PROBES = 3
+"""Upstreams that are probed at once while the path is suspect."""
 
 
 def record_reached(context: GatewayContext, now: float) -> None:
@@ -38,7 +43,8 @@
 
 def record_unanswered(context: GatewayContext, upstream: str, now: float) -> None:
     """Record that an upstream was not reached, or did not respond at all."""
-    if record_failure(context.path, upstream, now):
+    known = len(list_serving(context))
+    if record_failure(context.path, upstream, known, now):
         log_event(
             "gateway: Path lost",
             upstreams=sorted(context.path.failed),
@@ -46,29 +52,46 @@
         )
         send_report(context)
 
+    probe_path(context)
+
 
 def probe_path(context: GatewayContext) -> None:
-    """Ask a random upstream for its health if a probe of a lost path is due."""
+    """Ask upstreams for their health if a probe is due.
+
+    A path that is suspect is probed at several upstreams that have not failed yet, so
+    that a loss is soon certain. One is enough to find a lost path back.
+    """
     now = context.clock()
     if not should_probe(context.path, now):
         return
 
     candidates = list_probed(context, now)
-    if candidates:
-        send_probe(context, context.random.choice(candidates))
+    count = 1
+    if is_suspect(context.path):
+        failed = context.path.failed
+        candidates = [one for one in candidates if one.upstream not in failed]
+        count = SUSPECT_PROBES
 
+    for upstream in context.random.sample(candidates, min(count, len(candidates))):
+        send_probe(context, upstream)
 
-def list_probed(context: GatewayContext, now: float) -> list[Announcement]:
-    """Return the upstreams that may be probed.
 
-    Cold ones, and those that name a limit, are probed only if there are no others.
-    """
-    serving = [
+def list_serving(context: GatewayContext) -> list[Upstream]:
+    """Return the upstreams that serve, but for evacuated ones."""
+    return [
         held
         for held in context.fleet.upstreams.values()
         if held.announcement.state is UpstreamState.SERVING
         and held.announcement.data_centre not in context.evacuated
     ]
+
+
+def list_probed(context: GatewayContext, now: float) -> list[Announcement]:
+    """Return the upstreams that may be probed.
+
+    Cold ones, and those that name a limit, are probed only if there are no others.
+    """
+    serving = list_serving(context)
     unlimited = [
         held
         for held in serving
@@ -96,11 +119,15 @@
         if timer.active():
             timer.cancel()
 
-        record_failed_probe(context.path)
+        handle_failure()
 
     def expire() -> None:
         call.cancel()
+        handle_failure()
+
+    def handle_failure() -> None:
         record_failed_probe(context.path)
+        record_unanswered(context, upstream.upstream, context.clock())
 
     services = context.index.services if context.index is not None else {}
     service = services.get(upstream.service)
@@ -114,5 +141,5 @@
         handlers=CallHandlers(
             on_head=handle_head, on_data=lambda _: None, on_end=handle_end
         ),
-        connect_timeout=PROBE_SECONDS,
+        connect_timeout=PROBE_CONNECT_SECONDS,
     )
--- a/src/waxwingwell/routing/reachability.py
+++ b/src/waxwingwell/routing/reachability.py
@@ -12,13 +12,15 @@
 from dataclasses import field
 
 
-MIN_FAILED_UPSTREAMS = 2
-"""Upstreams that fail one after the other before the path counts as lost. More often
-than not a single one is down by itself."""
+MIN_SUSPICIOUS_UPSTREAMS = 2
+"""Upstreams that fail one after the other before the path is probed."""
+MIN_FAILED_UPSTREAMS = 4
+"""Upstreams that fail one after the other before the path counts as lost, or all if
+there are fewer. Some may crash at the same time."""
 MIN_FAILED_PROBES = 2
 """Probes that fail before the loss counts as certain."""
 PROBE_INTERVAL_SECONDS = 0.5
-"""Seconds between two probes of a lost path."""
+"""Seconds between probes of a path that is lost or suspect."""
 
 
 @dataclass(slots=True)
@@ -45,10 +47,14 @@
     return was_lost
 
 
-def record_failure(table: PathTable, upstream: str, now: float) -> bool:
-    """Record a connection without a response; return whether the path is lost now."""
+def record_failure(table: PathTable, upstream: str, known: int, now: float) -> bool:
+    """Record a connection without a response; return whether the path is lost now.
+
+    ``known`` is the number of upstreams that could be used.
+    """
     table.failed.add(upstream)
-    if has_lost_path(table) or len(table.failed) < MIN_FAILED_UPSTREAMS:
+    needed = min(MIN_FAILED_UPSTREAMS, max(known, MIN_SUSPICIOUS_UPSTREAMS))
+    if has_lost_path(table) or len(table.failed) < needed:
         return False
 
     table.lost_at = now
@@ -57,7 +63,8 @@
 
 def record_failed_probe(table: PathTable) -> None:
     """Record that a probe of a lost path got no response."""
-    table.failed_probes += 1
+    if has_lost_path(table):
+        table.failed_probes += 1
 
 
 def has_lost_path(table: PathTable) -> bool:
@@ -65,6 +72,11 @@
     return table.lost_at < math.inf
 
 
+def is_suspect(table: PathTable) -> bool:
+    """Return whether the path may be lost, although too few upstreams have failed."""
+    return not has_lost_path(table) and len(table.failed) >= MIN_SUSPICIOUS_UPSTREAMS
+
+
 def is_cut_off(table: PathTable) -> bool:
     """Return whether this gateway certainly reaches no upstream."""
     return has_lost_path(table) and table.failed_probes >= MIN_FAILED_PROBES
@@ -72,7 +84,10 @@
 
 def should_probe(table: PathTable, now: float) -> bool:
     """Return whether a probe is due; if so, record it."""
-    if not has_lost_path(table) or now - table.probed_at < PROBE_INTERVAL_SECONDS:
+    if not has_lost_path(table) and not is_suspect(table):
+        return False
+
+    if now - table.probed_at < PROBE_INTERVAL_SECONDS:
         return False
 
     table.probed_at = now
