--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -23,6 +23,7 @@
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
 from ...routing.versions import list_allowed_upstreams
+from .restrictions import has_restrictions
 from .restrictions import may_use
 
 
@@ -111,12 +112,10 @@
 
     spent = excluded if response_started else set()
     allowed = list_candidates(context, service, key, now, spent)
-    untried = [
-        candidate
-        for candidate in allowed
-        if candidate.upstream not in excluded
-        and may_use(context, record, candidate, now)
-    ]
+    untried = [one for one in allowed if one.upstream not in excluded]
+    if has_restrictions(context, record):
+        untried = [one for one in untried if may_use(context, record, one, now)]
+
     if not model and has_model_choice(route, facts.model):
         model = first_model(route)
 
--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -66,6 +66,12 @@
     """Seconds for which a permit is valid."""
 
 
+def has_restrictions(context: GatewayContext, service: Service) -> bool:
+    """Return whether any upstream of a service may be restricted at present."""
+    stated = context.limits.upstreams or context.brittle.services
+    return bool(stated) or service.warm_up_rate > 0.0
+
+
 def may_use(
     context: GatewayContext, service: Service, upstream: Announcement, now: float
 ) -> bool:
