--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -108,6 +108,7 @@
         "gateway: Request ended",
         request=exchange.facts.request_id,
         route=exchange.route.name,
+        relayed=exchange.relayed or None,
         outcome=outcome,
         model=exchange.model,
         confidence=response.confidence if response is not None else None,
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -48,6 +48,7 @@
         version=placement.upstream.version,
         model=attempt.choice.model,
         attempt=exchange.attempt_count,
+        relayed=attempt.relayed or None,
         running=placement.running,
         uncached=placement.uncached,
         wait_ms=round(placement.wait),
--- a/src/waxwingwell/commands/explain.py
+++ b/src/waxwingwell/commands/explain.py
@@ -150,12 +150,16 @@
 
 
 def describe_outcome(explanation: Explanation) -> str:
-    """Return the outcome that the last line of the request reports."""
+    """Return the outcome that the last line of the request reports.
+
+    Of a request that another gateway relayed, what its caller's gateway reports counts.
+    """
     ends = [line for line in explanation.lines if "outcome" in line.fields]
     if not ends:
         return "No process logged how it ended: the one that handled it may have died."
 
-    end = ends[-1].fields
+    own = [line for line in ends if not line.fields.get("relayed")]
+    end = (own or ends)[-1].fields
     cause = OUTCOME_TEXTS.get(str(end["outcome"]), f"It ended as {end['outcome']}.")
     reason = end.get("reason") or "none given"
     return f"{cause} Status {end.get('status', 0)}, reason: {reason}."
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -89,6 +89,18 @@
         self.assertNotIn("registry", explanation)
         self.assertLess(explanation.index("Document"), explanation.index("Placed"))
 
+    def test_the_gateway_of_the_caller_tells_the_outcome(self) -> None:
+        """Guards against the outcome at a relay, of which the caller saw nothing."""
+        with tempfile.TemporaryDirectory() as folder:
+            own = write_log(folder, "e1.log", end(outcome="cut", reason="no answer"))
+            relay = write_log(
+                folder, "e2.log", end(node="e2", outcome="answered", relayed=True)
+            )
+            explanation = explain("q1", own, relay)
+
+        self.assertIn("broke off after it had begun", explanation)
+        self.assertIn("relayed=True", explanation)
+
     def test_unknown_requests_and_files(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = write_log(folder, "e1.log", end(outcome="cut"))
