Ask a relay again after it has refused one request

Cause: a refusal by a relay counted as an upstream that is not reached; its back-off doubled each time, as no success ended it, and a relay that backs off was not used even as the only one. Both tests fail on the commit before.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,8 @@
 	$(BIN)/python -m tests.soak
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --seeds 10
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --planned --seeds 10
+	PYTHONPATH=platform $(BIN)/python -m bench.soak --limits --seeds 10
+	PYTHONPATH=platform $(BIN)/python -m bench.soak --cuts --seeds 10
 
 bench: setup
 	$(BIN)/python -m bench
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -165,11 +165,13 @@
 ) -> None:
     """Record an attempt's outcome in the metrics and the health and version tables."""
     ATTEMPTS.labels(route.kind.value, outcome.value).inc()
-    if outcome is AttemptOutcome.UNREACHED:
+    if outcome is AttemptOutcome.UNREACHED and attempt.facts is None:
         record_unreachable(context.health, attempt.upstream, now)
         return
 
     if attempt.relayed:
+        # A relay that refuses one request may serve the next one.
+        record_response(context.health, attempt.upstream, now, failed=False)
         return
 
     failed = outcome in (
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -44,17 +44,18 @@
         return None
 
     relays = [
-        relay
-        for relay in context.relays
-        if relay.name not in exchange.tried_upstreams
-        and not is_backing_off(context.health, relay.name, now)
+        relay for relay in context.relays if relay.name not in exchange.tried_upstreams
     ]
     if not relays:
         return None
 
+    reachable = [
+        one for one in relays if not is_backing_off(context.health, one.name, now)
+    ]
+    usable = reachable or relays
     data_centre = context.settings.data_centre
-    local = [relay for relay in relays if relay.data_centre == data_centre]
-    relay = context.random.choice(local or relays)
+    local = [one for one in usable if one.data_centre == data_centre]
+    relay = context.random.choice(local or usable)
     return Choice(
         service=exchange.find_service(),
         session=find_session_key(exchange.facts),
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -215,6 +215,28 @@
         self.assertNotEqual(fleet.gateways[0].upstreams[-1].host, ADDRESSES[0])
         self.assertEqual(caller.status, 0)
 
+    def test_a_relay_that_refused_is_asked_again(self) -> None:
+        """Guards against back-offs of the only gateway that reaches upstreams."""
+        [cut, other] = make_fleet(kind=RouteKind.ONCE).gateways
+        cut_off(cut)
+        cut_off(other)
+        for _ in range(3):
+            cut.reactor.tcpClients.clear()
+            cut.ask()
+            near = cut.upstreams[0]
+            self.assertEqual(near.host, ADDRESSES[1])
+            open_relayed(near, other).pump()
+
+    def test_a_relay_that_was_not_reached_is_used_if_it_is_the_only_one(self) -> None:
+        """Guards against refusals while the only relay is backing off."""
+        [cut, _] = make_fleet(kind=RouteKind.ONCE).gateways
+        cut_off(cut)
+        cut.ask()
+        cut.upstreams[-1].refuse()
+        cut.reactor.tcpClients.clear()
+        cut.ask()
+        self.assertEqual(cut.upstreams[0].host, ADDRESSES[1])
+
     def test_a_request_that_may_have_run_is_not_repeated(self) -> None:
         """Guards against an order that runs twice after its relay was lost."""
         [cut, other, _] = make_fleet(3, kind=RouteKind.ONCE).gateways
