--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -188,8 +188,11 @@
     if not processes:
         return 0
 
-    port = writer.get_extra_info("peername")[1]
-    inode = find_inode(Path("/proc/net/tcp").read_text(), port)
+    ports = (
+        writer.get_extra_info("peername")[1],
+        writer.get_extra_info("sockname")[1],
+    )
+    inode = find_inode(Path("/proc/net/tcp").read_text(), ports)
     link = f"socket:[{inode}]"
     for process in processes:
         with contextlib.suppress(OSError):
@@ -200,12 +203,15 @@
     return 0
 
 
-def find_inode(table: str, port: int) -> str:
-    """Return the inode of the socket with a local port in the text of a TCP table."""
-    ending = f":{port:04X}"
+def find_inode(table: str, ports: tuple[int, int]) -> str:
+    """Return the inode of the socket with a local and a remote port in a TCP table.
+
+    The kernel gives the same local port to connections to different addresses.
+    """
+    local, remote = (f":{port:04X}" for port in ports)
     for line in table.splitlines()[1:]:
         fields = line.split()
-        if fields[1].endswith(ending):
+        if fields[1].endswith(local) and fields[2].endswith(remote):
             return fields[9]
 
     return ""
--- a/tests/system/test_soak_proxies.py
+++ b/tests/system/test_soak_proxies.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from bench.soak.proxies import close_proxy
+from bench.soak.proxies import find_inode
 from bench.soak.proxies import open_proxy
 
 
@@ -48,9 +49,23 @@
     return received
 
 
+TABLE = """\
+  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode
+   0: 0100007F:1F90 0201007F:0050 01 00000000:00000000 00:00000000 00000000     0        0 11
+   1: 0100007F:1F90 0301007F:0051 01 00000000:00000000 00:00000000 00000000     0        0 12
+   2: 0301007F:0051 0100007F:1F90 01 00000000:00000000 00:00000000 00000000     0        0 13
+"""  # noqa: E501
+
+
 class ProxyTest(unittest.TestCase):
     """A proxy between a gateway and an upstream."""
 
+    def test_connections_that_share_a_local_port_are_told_apart(self) -> None:
+        """Guards against a cut that misses some connections of its process."""
+        for ports, inode in (((8080, 80), "11"), ((8080, 81), "12"), ((9, 80), "")):
+            with self.subTest(ports=ports):
+                self.assertEqual(find_inode(TABLE, ports), inode)
+
     def test_the_end_of_a_connection_reaches_the_target(self) -> None:
         """Guards against upstreams that keep connections of exited gateways."""
         for name, reset in (("closed", False), ("reset", True)):
