Keep slots of brittle upstreams free for permits of several controls

Cause, read from the log: pairs of rejections in the same tenth of a second, from two gateways each: each control may have a permit in store, so that two are granted for one free slot.

Change: as many slots as there are further controls are kept free, a quarter of the slots at most. Ruled out: more than one permit a request (one attempt each in the log).

--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -23,6 +23,7 @@
 from ...routing.room import INTERVAL_SECONDS
 from ...routing.room import Room
 from ...routing.room import compute_fill_rate
+from ...routing.room import count_reserved_slots
 from ...routing.room import is_ample
 from ...routing.room import is_brittle
 from ...routing.room import may_fill
@@ -181,8 +182,9 @@
 
     slots = upstream.slots or service.slots or 1
     running = get_total_load(context.load, upstream.upstream).running
+    reserved = count_reserved_slots(slots, len(context.controls))
     work = STREAM_SECONDS if service.memory_tokens else CALL_MS / 1000
-    return Room(max(slots - running, 0), slots, work)
+    return Room(max(slots - running - reserved, 0), slots, work)
 
 
 def may_enter(
--- a/src/waxwingwell/routing/room.py
+++ b/src/waxwingwell/routing/room.py
@@ -23,6 +23,8 @@
 """Time until a request is included in all gateways' totals."""
 AMPLE_PART = 0.5
 """Part of the slots from which free ones count as much room."""
+MAX_RESERVED_PART = 0.25
+"""Largest part of the slots that is kept free."""
 STATEMENT_SECONDS = 10.0
 """Seconds for which a statement counts; upstreams repeat it in every response."""
 
@@ -72,6 +74,11 @@
     return known is not None and now - known.stated_at <= STATEMENT_SECONDS
 
 
+def count_reserved_slots(slots: int, controls: int) -> int:
+    """Return the slots kept free for permits that controls grant at the same moment."""
+    return min(max(controls - 1, 0), int(MAX_RESERVED_PART * slots))
+
+
 def is_ample(room: Room) -> bool:
     """Return whether so much room is left that no permit is needed."""
     return room.free >= AMPLE_PART * room.slots
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -4,9 +4,11 @@
 
 import unittest
 
+from waxwingwell.adapters.gateway.permit_waits import POLL_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.gateway.steering import make_report
 from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import GrantPermits
 from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.routing.records import RouteKind
 
@@ -76,6 +78,22 @@
                 share_totals(fleet, {"u1": SLOTS - 1})
                 self.assertLessEqual(count_sent(fleet), 1 + REJECTIONS)
 
+    def test_slots_are_kept_free_for_permits_of_several_controls(self) -> None:
+        """Guards against permits of two controls that meet at the last slot."""
+        for controls, running, sent in ((1, 3, 1), (3, 3, 0), (3, 2, 1)):
+            with self.subTest(controls=controls, running=running):
+                [gateway] = make_fleet(1, "u1")
+                names = [f"c{number}" for number in range(controls)]
+                gateway.context.controls = dict.fromkeys(names)
+                share_totals([gateway], {"u1": running})
+                gateway.ask()
+                granted = GrantPermits(
+                    reported_at=gateway.reactor.seconds(), permits=("u1",)
+                )
+                handle_cast(gateway.context, "c1", granted)
+                gateway.reactor.advance(POLL_SECONDS)
+                self.assertEqual(len(gateway.upstreams), sent)
+
     def test_a_rejection_limits_the_requests_of_all_gateways(self) -> None:
         """Guards against an upstream that rejects though its slots seem to be free."""
         [gateway] = make_fleet(1, "u1")
