Split responses to gateways from the hub, and shorten what reads twice

No behaviour changes: the responses of a control to its gateways have a module of their own, as have forwarded streams' conditions; the soak kills a process in one place.

--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -6,11 +6,10 @@
 from typing import TYPE_CHECKING
 
 from .evacuations import disturb_registries
-from .processes import kill_member
-from .processes import restart_member
 from .records import LimitSpan
 from .records import read_clock
 from .schedule import hold_fault
+from .schedule import kill_for_a_while
 from .schedule import record_fault
 from .schedule import reserve_member
 from .upstreams import start_upstream
@@ -102,14 +101,7 @@
 async def kill_gateway(environment: SoakEnvironment) -> str | None:
     """Kill a gateway, and restart it."""
     member = reserve_member(environment, environment.fleet.gateways, 1)
-    if member is None:
-        return None
-
-    kill_member(member)
-    await hold_fault(environment)
-    restart_member(member)
-    member.has_fault = False
-    return member.record.name
+    return None if member is None else await kill_for_a_while(environment, member)
 
 
 async def restart_crashed(environment: SoakEnvironment) -> None:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -124,9 +124,11 @@
 async def kill(environment: SoakEnvironment) -> str | None:
     """Kill a process, and restart it."""
     member = reserve_any_member(environment)
-    if member is None:
-        return None
+    return None if member is None else await kill_for_a_while(environment, member)
+
 
+async def kill_for_a_while(environment: SoakEnvironment, member: Member) -> str:
+    """Kill a reserved process, and restart it; return its name."""
     kill_member(member)
     await hold_fault(environment)
     restart_member(member)
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -13,6 +13,7 @@
 from ...routing.load import remove_running
 from ...routing.prefill_speed import record_prefill_time
 from ...routing.prefixes import record_blocks
+from ...routing.records import RouteKind
 from ...routing.sessions import finish_session
 from ..http.client import UpstreamCall
 from ..http.records import HeaderList
@@ -99,6 +100,16 @@
     return facts.signed or attempt.status >= 300
 
 
+def is_forwarded_stream(attempt: Attempt, route: Route, request_id: str) -> bool:
+    """Return whether a response is forwarded as it arrives."""
+    success = 200 <= attempt.status < 300
+    return (
+        success
+        and route.kind is RouteKind.STREAM
+        and is_valid_response(attempt, request_id)
+    )
+
+
 def record_first_byte(
     context: GatewayContext, route: Route, attempt: Attempt, now: float
 ) -> None:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -18,6 +18,7 @@
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
+from .attempts import is_forwarded_stream
 from .attempts import is_valid_response
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
@@ -241,7 +242,7 @@
             self._switch_to_larger_model(attempt, larger)
             return
 
-        if self._is_stream(attempt):
+        if is_forwarded_stream(attempt, self.route, self.facts.request_id):
             attempt.streaming = True
             if not self.responder.started:
                 self.responder.start(status, strip_hop_headers(headers))
@@ -257,15 +258,6 @@
         record_exchange_retry(self, attempt, now)
         self._send_to(larger, now)
 
-    def _is_stream(self, attempt: Attempt) -> bool:
-        """Return whether the response is forwarded as it arrives."""
-        success = 200 <= attempt.status < 300
-        return (
-            success
-            and self.route.kind is RouteKind.STREAM
-            and is_valid_response(attempt, self.facts.request_id)
-        )
-
     def handle_data(self, attempt: Attempt, data: bytes) -> None:
         """Handle a chunk of a response's body."""
         attempt.last_byte_at = self.context.clock()
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -23,15 +23,12 @@
 from ...routing.messages import ShareHeartbeats
 from ...routing.messages import ShareMembers
 from ...routing.messages import ShareNews
-from ...routing.messages import ShareRelays
 from ...routing.messages import ShareRouting
 from ...routing.messages import SubmitRouting
 from ...routing.reports import drop_expired
-from ...routing.reports import list_relays
 from ...routing.reports import make_control_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
-from ...routing.reports import respond_to_report
 from ...routing.reports import sum_fleet
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
@@ -51,6 +48,9 @@
 from .members import read_local_state
 from .members import request_flush
 from .members import submit_locally
+from .responses import list_attached
+from .responses import respond_to_gateway
+from .responses import share_relays
 
 
 if TYPE_CHECKING:
@@ -315,25 +315,6 @@
             connect_control(context, name)
 
 
-def respond_to_gateway(
-    context: RegistryContext, gateway: str, report: GatewayReport
-) -> None:
-    """Send a gateway the permits, limits and relays that it needs now."""
-    now = context.clock()
-    responses: list[Message | None] = [respond_to_report(context.reports, report, now)]
-    if report.lost_path:
-        responses.append(ShareRelays(relays=list_relays(context.reports, now)))
-
-    needed = [one for one in responses if one is not None]
-    if not needed:
-        return
-
-    for protocol in context.gateway_links:
-        if protocol.remote == gateway:
-            for response in needed:
-                protocol.cast(response)
-
-
 def run_sharing(context: RegistryContext, now: float) -> None:
     """Send the periodic messages that are due."""
     share_routing(context, now)
@@ -366,17 +347,6 @@
     return True
 
 
-def share_relays(context: RegistryContext, now: float) -> None:
-    """Send the attached gateways others through which they may reach upstreams.
-
-    Older releases, which do not report how to reach them, get none.
-    """
-    attached = context.reports.attached
-    for protocol in list_attached(context):
-        if attached[protocol.remote].report.reported_at is not None:
-            protocol.cast(ShareRelays(relays=list_relays(context.reports, now)))
-
-
 def share_heartbeats(context: RegistryContext) -> None:
     """Forward the heartbeats of upstreams.
 
@@ -407,14 +377,6 @@
         cast_link(link, body)
 
 
-def list_attached(context: RegistryContext) -> list[LinkProtocol]:
-    """Return the connections of the gateways attached to this control."""
-    attached = context.reports.attached
-    return [
-        protocol for protocol in context.gateway_links if protocol.remote in attached
-    ]
-
-
 def exchange_reports(context: RegistryContext, now: float) -> None:
     """Send the other controls the aggregate over the attached gateways."""
     known_rollouts = context.state.rollouts.values()
--- /dev/null
+++ b/src/waxwingwell/adapters/registry/responses.py
@@ -0,0 +1,54 @@
+"""What a control sends to the gateways that report to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...routing.messages import ShareRelays
+from ...routing.reports import list_relays
+from ...routing.reports import respond_to_report
+
+
+if TYPE_CHECKING:
+    from ...messages import Message
+    from ...routing.messages import GatewayReport
+    from ..links import LinkProtocol
+    from .context import RegistryContext
+
+
+def respond_to_gateway(
+    context: RegistryContext, gateway: str, report: GatewayReport
+) -> None:
+    """Send a gateway the permits, limits and relays that it needs now."""
+    now = context.clock()
+    responses: list[Message | None] = [respond_to_report(context.reports, report, now)]
+    if report.lost_path:
+        responses.append(ShareRelays(relays=list_relays(context.reports, now)))
+
+    needed = [one for one in responses if one is not None]
+    if not needed:
+        return
+
+    for protocol in context.gateway_links:
+        if protocol.remote == gateway:
+            for response in needed:
+                protocol.cast(response)
+
+
+def share_relays(context: RegistryContext, now: float) -> None:
+    """Send the attached gateways others through which they may reach upstreams.
+
+    Older releases, which do not report how to reach them, get none.
+    """
+    attached = context.reports.attached
+    for protocol in list_attached(context):
+        if attached[protocol.remote].report.reported_at is not None:
+            protocol.cast(ShareRelays(relays=list_relays(context.reports, now)))
+
+
+def list_attached(context: RegistryContext) -> list[LinkProtocol]:
+    """Return the connections of the gateways attached to this control."""
+    attached = context.reports.attached
+    return [
+        protocol for protocol in context.gateway_links if protocol.remote in attached
+    ]
--- a/src/waxwingwell/routing/room.py
+++ b/src/waxwingwell/routing/room.py
@@ -58,7 +58,7 @@
 def record_brittleness(
     table: BrittleTable, service: str, rejections: float | None, now: float
 ) -> bool:
-    """Record what a response of a service states; return whether it is news."""
+    """Record what a response of a service states; return whether that has changed."""
     known = is_brittle(table, service, now)
     if rejections is not None:
         table.services[service] = BrittleService(rejections, now)
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -6,10 +6,15 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from tests import platform_adapter  # noqa: F401  # puts the adapter on the path
 
 
+if TYPE_CHECKING:
+    from bench.soak.records import Journal
+
+
 FAULT_SEEDS = (
     # Signals a settings reload to a registry during its start, which must not end it.
     202,
@@ -72,41 +77,26 @@
                 self.assertEqual(findings, [])
                 self.assertGreater(len(journal.requests), 0)
 
-    def test_upstreams_that_state_limits(self) -> None:
-        """Guards against upstreams in need that get more than they can take."""
+    def run_briefly(self, seed: int, seconds: float, **mode: bool) -> Journal:
+        """Run a seed, check that every guarantee held, and return its journal."""
         from bench.soak.__main__ import run_seed
 
         with tempfile.TemporaryDirectory() as folder:
             journal, findings = asyncio.run(
-                run_seed(
-                    Path(folder),
-                    LIMITS_SEED,
-                    LIMITS_SECONDS,
-                    registries=3,
-                    gateways=3,
-                    limits=True,
-                )
+                run_seed(Path(folder), seed, seconds, registries=3, gateways=3, **mode)
             )
             self.assertEqual(findings, [])
-            self.assertTrue(journal.limit_spans or journal.brittle_spans)
+            return journal
+
+    def test_upstreams_that_state_limits(self) -> None:
+        """Guards against upstreams in need that get more than they can take."""
+        journal = self.run_briefly(LIMITS_SEED, LIMITS_SECONDS, limits=True)
+        self.assertTrue(journal.limit_spans or journal.brittle_spans)
 
     def test_gateways_without_a_path_to_upstreams(self) -> None:
         """Guards against refusals at gateways that are cut off from all upstreams."""
-        from bench.soak.__main__ import run_seed
-
-        with tempfile.TemporaryDirectory() as folder:
-            journal, findings = asyncio.run(
-                run_seed(
-                    Path(folder),
-                    CUTS_SEED,
-                    CUTS_SECONDS,
-                    registries=3,
-                    gateways=3,
-                    cuts=True,
-                )
-            )
-            self.assertEqual(findings, [])
-            self.assertTrue(journal.cut_spans)
+        journal = self.run_briefly(CUTS_SEED, CUTS_SECONDS, cuts=True)
+        self.assertTrue(journal.cut_spans)
 
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
