Let a rejection limit a brittle upstream for two seconds only

Cause: a rejection was recorded as a limit that the upstream had named, of half a request a second, which ends only some seconds after a response without it; a control that stood still passed it on again, as if it had just been named.

Change: such a limit ends by itself 2 s after the rejection, and never takes the place of one that the upstream names. The wait for the end of a named one is 4 s at most. The brittleness that a rejection states counts as any other.

Ruled out: upstreams that were full (three free of four slots each in the log).

--- a/src/waxwingwell/adapters/gateway/statements.py
+++ b/src/waxwingwell/adapters/gateway/statements.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.limits import record_rejection
 from ...routing.limits import record_statement
 from ...routing.room import record_brittleness
 from ..events import log_event
@@ -28,21 +29,37 @@
     if facts is None or attempt.relayed:
         return
 
-    rate = facts.rate_limit
     if facts.not_run and facts.rejection_limit is not None:
-        rejected_rate = facts.rejection_limit * REJECTED_RATE_PART
-        rate = rejected_rate if rate is None else min(rate, rejected_rate)
+        limit_rejecting(context, attempt, facts.rejection_limit, now)
+
+    is_own = facts.signed and not facts.not_run
+    if is_own or facts.rate_limit is not None:
+        record_rate(context, attempt, facts.rate_limit, now)
+
+    if is_own or facts.rejection_limit is not None:
+        record_rejection_limit(context, attempt, facts.rejection_limit, now)
 
-    if rate is None and (facts.not_run or not facts.signed):
-        return
 
-    record_rate(context, attempt, rate, now)
+def record_rejection_limit(
+    context: GatewayContext, attempt: Attempt, rejections: float | None, now: float
+) -> None:
+    """Record the rejections per second beyond which a service's upstreams crash."""
     service = attempt.choice.service
-    if record_brittleness(context.brittle, service, facts.rejection_limit, now):
+    if record_brittleness(context.brittle, service, rejections, now):
+        log_event("gateway: Service brittle", service=service, rejections=rejections)
+
+
+def limit_rejecting(
+    context: GatewayContext, attempt: Attempt, rejections: float, now: float
+) -> None:
+    """Limit the requests to a brittle upstream that has rejected one."""
+    upstream = attempt.choice.placement.upstream
+    rate = rejections * REJECTED_RATE_PART
+    if record_rejection(
+        context.limits, upstream.upstream, upstream.incarnation, rate, now
+    ):
         log_event(
-            "gateway: Service brittle",
-            service=service,
-            rejections=facts.rejection_limit,
+            "gateway: Upstream limit changed", upstream=upstream.upstream, rate=rate
         )
 
 
--- a/src/waxwingwell/routing/limits.py
+++ b/src/waxwingwell/routing/limits.py
@@ -28,6 +28,10 @@
 MIN_LIFT_SECONDS = 2.0
 """Least time from a response that names no limit until the limit ends. A response that
 was overtaken would otherwise end it for all gateways at once."""
+MAX_LIFT_SECONDS = 4.0
+"""Longest such time; upstreams that need nothing any more would be left unused."""
+REJECTION_SECONDS = 2.0
+"""Seconds for which a rejection limits an upstream."""
 LIFT_REQUESTS = 3.0
 """Requests at the limited rate for which the limit still applies, so that one of their
 responses can name it again."""
@@ -106,9 +110,32 @@
     return changed
 
 
+def record_rejection(
+    table: LimitTable, upstream: str, incarnation: int, rate: float, now: float
+) -> bool:
+    """Limit an upstream that has rejected a request, for a while.
+
+    Returns whether it had no limit before. One that the upstream itself names stays as
+    it is, as it outlasts the rejection.
+    """
+    held = table.upstreams.get(upstream)
+    if held is not None and incarnation < held.incarnation:
+        return False
+
+    in_force = find_rate(table, upstream, incarnation, now)
+    if in_force is not None and held is not None and held.lifted_at == math.inf:
+        return False
+
+    table.upstreams[upstream] = UpstreamLimit(
+        incarnation, rate, now, now + REJECTION_SECONDS
+    )
+    return in_force is None
+
+
 def compute_lift_seconds(rate: float) -> float:
     """Return the seconds for which a limit applies after a response without it."""
-    return max(MIN_LIFT_SECONDS, LIFT_REQUESTS / max(rate, MIN_RATE))
+    seconds = max(MIN_LIFT_SECONDS, LIFT_REQUESTS / max(rate, MIN_RATE))
+    return min(seconds, MAX_LIFT_SECONDS)
 
 
 def find_rate(
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -7,12 +7,14 @@
 
 from waxwingwell.routing.limits import MIN_LIFT_SECONDS
 from waxwingwell.routing.limits import MIN_RATE
+from waxwingwell.routing.limits import REJECTION_SECONDS
 from waxwingwell.routing.limits import SAME_NAMING_SECONDS
 from waxwingwell.routing.limits import LimitTable
 from waxwingwell.routing.limits import apply_states
 from waxwingwell.routing.limits import drop_limits
 from waxwingwell.routing.limits import find_rate
 from waxwingwell.routing.limits import list_states
+from waxwingwell.routing.limits import record_rejection
 from waxwingwell.routing.limits import record_statement
 from waxwingwell.routing.messages import LimitState
 
@@ -64,6 +66,23 @@
         record_statement(table, "u1", 1, 0.0, sent_at=0.0, now=1.0)
         self.assertEqual(find_rate(table, "u1", 1, 2.0), MIN_RATE)
 
+    def test_a_rejection(self) -> None:
+        """Each case is a named rate, the rate of a rejection, and what is in force."""
+        for name, named, rejected, soon, later in (
+            ("no limit named", None, 1.0, 1.0, None),
+            ("a lower one named", 0.5, 1.0, 0.5, 0.5),
+            ("a higher one named", 2.0, 1.0, 2.0, 2.0),
+        ):
+            with self.subTest(name):
+                table = LimitTable()
+                if named is not None:
+                    record_statement(table, "u1", 1, named, sent_at=0.0, now=1.0)
+
+                record_rejection(table, "u1", 1, rejected, 2.0)
+                self.assertEqual(find_rate(table, "u1", 1, 3.0), soon)
+                after = 2.0 + REJECTION_SECONDS
+                self.assertEqual(find_rate(table, "u1", 1, after), later)
+
     def test_another_incarnation_has_no_limit(self) -> None:
         table = LimitTable()
         record_statement(table, "u1", 1, 2.0, sent_at=0.0, now=1.0)
