Pass on that upstreams are brittle no more

Cause, by the log: that gateway held the service brittle for 10 s after the last statement that it had got itself. The others' requests filled the announced slots, which did no harm any more; so it found no room, sent nothing, and got no response that would have shown the end.

At that time the upstreams ran 3 to 5 requests of 4 slots, and no limit of a rejection was in force there.

Change: statements on rejections are passed round like named limits, the newest counts. The first response of a new incarnation ends the limit of the former one for all; before, the gateway dropped it and got it back from its control each time (47 lines in the same log).

--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -42,6 +42,8 @@
 from ...routing.records import Document
 from ...routing.retries import apply_retry_totals
 from ...routing.retries import list_retries
+from ...routing.room import apply_statements
+from ...routing.room import list_statements
 from ...routing.sessions import apply_kept_sessions
 from ...routing.sessions import list_kept_sessions
 from ...routing.sessions import record_rollouts
@@ -101,6 +103,7 @@
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
+        apply_statements(context.brittle, body.brittle, now)
     elif isinstance(body, ShareRelays):
         own = context.settings.node
         context.relays = tuple(one for one in body.relays if one.name != own)
@@ -240,6 +243,7 @@
         gateways=count_known_gateways(context.load),
         permits=take_requests(context.permits, now),
         limits=list_states(context.limits, now),
+        brittle=list_statements(context.brittle, now),
         relay=describe_relay(context),
         lost_path=has_lost_path(context.path),
     )
--- a/src/waxwingwell/routing/limits.py
+++ b/src/waxwingwell/routing/limits.py
@@ -88,10 +88,9 @@
     if held is None or incarnation > held.incarnation:
         if rate is not None:
             table.upstreams[upstream] = UpstreamLimit(incarnation, rate, now)
-        elif held is not None:
-            del table.upstreams[upstream]
+            return True
 
-        return rate is not None or held is not None
+        return held is not None and end_limit(held, now)
 
     newer = sent_at > held.named_at
     was_lifted = held.lifted_at < math.inf
@@ -110,6 +109,13 @@
     return changed
 
 
+def end_limit(held: UpstreamLimit, now: float) -> bool:
+    """End the limit of an incarnation that is gone; return whether it was in force."""
+    was_in_force = now < held.lifted_at
+    held.lifted_at = min(held.lifted_at, now)
+    return was_in_force
+
+
 def record_rejection(
     table: LimitTable, upstream: str, incarnation: int, rate: float, now: float
 ) -> bool:
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -196,6 +196,16 @@
     """Seconds until the limit ends, negative if it has; None while it applies."""
 
 
+class BrittleState(msgspec.Struct, frozen=True, array_like=True):
+    """What the upstreams of a service have stated about rejections."""
+
+    service: str
+    rejections: float | None
+    """Rejections per second beyond which an upstream crashes; None if it does not."""
+    age: float
+    """Seconds since the statement."""
+
+
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """A gateway's need of permits to send requests to a limited upstream."""
 
@@ -216,6 +226,7 @@
     permits: tuple[str, ...] = ()
     """Upstreams to which the gateway may send a request, one entry for each."""
     limits: tuple[LimitState, ...] = ()
+    brittle: tuple[BrittleState, ...] = ()
 
 
 class RelayGateway(msgspec.Struct, frozen=True, array_like=True):
@@ -257,6 +268,7 @@
     """Largest number of gateways that were known recently; 0 if it is not known."""
     permits: tuple[PermitRequest, ...] = ()
     limits: tuple[LimitState, ...] = ()
+    brittle: tuple[BrittleState, ...] = ()
     relay: RelayGateway | None = None
     """How to reach this gateway as a relay; None if it can't be one at present."""
     lost_path: bool = False
@@ -295,6 +307,7 @@
     untold: tuple[str, ...] = ()
     """Gateways that do not report which state they have."""
     limits: tuple[LimitState, ...] = ()
+    brittle: tuple[BrittleState, ...] = ()
     relays: tuple[RelayGateway, ...] = ()
     """Some of the attached gateways that reach upstreams."""
 
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -29,6 +29,9 @@
 from .permits import drop_buckets
 from .permits import grant_permits
 from .retries import sum_retries
+from .room import BrittleTable
+from .room import apply_statements
+from .room import list_statements
 
 
 if TYPE_CHECKING:
@@ -114,6 +117,7 @@
     grants: GrantTable = field(default_factory=GrantTable)
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
+    brittle: BrittleTable = field(default_factory=BrittleTable)
     relay_position: int = 0
     """Advances with each list of relays, so that all gateways serve as relays."""
 
@@ -144,7 +148,10 @@
     may have started after the others, and its own count may be too low.
     """
     apply_states(table.limits, report.limits, now)
-    if report.reported_at is None or not (report.permits or table.limits.upstreams):
+    apply_statements(table.brittle, report.brittle, now)
+    limits = list_states(table.limits, now)
+    brittle = list_statements(table.brittle, now)
+    if report.reported_at is None or not (report.permits or limits or brittle):
         return None
 
     permits: tuple[str, ...] = ()
@@ -158,7 +165,8 @@
     return GrantPermits(
         reported_at=report.reported_at,
         permits=permits,
-        limits=list_states(table.limits, now),
+        limits=limits,
+        brittle=brittle,
     )
 
 
@@ -205,6 +213,7 @@
         table.evidence[one.gateway] = EvidenceEntry(one.versions, now)
 
     apply_states(table.limits, report.limits, now)
+    apply_statements(table.brittle, report.brittle, now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
@@ -275,6 +284,7 @@
             name for name, held in table.attached.items() if held.report.held < 0
         ),
         limits=list_states(table.limits, now),
+        brittle=list_statements(table.brittle, now),
         relays=list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL],
     )
 
--- a/src/waxwingwell/routing/room.py
+++ b/src/waxwingwell/routing/room.py
@@ -12,9 +12,12 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .messages import BrittleState
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
 
 INTERVAL_SECONDS = 0.25
@@ -27,22 +30,25 @@
 """Largest part of the slots that is kept free."""
 STATEMENT_SECONDS = 10.0
 """Seconds for which a statement counts; upstreams repeat it in every response."""
+SAME_STATEMENT_SECONDS = 0.25
+"""Difference up to which two statements count as equally new, as each message adds its
+delay to the age."""
 
 
 @dataclass(slots=True)
-class BrittleService:
-    """What the upstreams of a service state about rejections."""
+class Statement:
+    """What the upstreams of a service have stated last about rejections."""
 
-    rejections: float
-    """Rejections per second beyond which an upstream crashes."""
+    rejections: float | None
+    """Rejections per second beyond which an upstream crashes; None if it does not."""
     stated_at: float
 
 
 @dataclass(slots=True)
 class BrittleTable:
-    """Brittle services by name."""
+    """Statements by service, while one of them was brittle recently."""
 
-    services: dict[str, BrittleService] = field(default_factory=dict)
+    services: dict[str, Statement] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +66,8 @@
 ) -> bool:
     """Record what a response of a service states; return whether that has changed."""
     known = is_brittle(table, service, now)
-    if rejections is not None:
-        table.services[service] = BrittleService(rejections, now)
-    else:
-        table.services.pop(service, None)
+    if rejections is not None or service in table.services:
+        table.services[service] = Statement(rejections, now)
 
     return known != (rejections is not None)
 
@@ -71,7 +75,38 @@
 def is_brittle(table: BrittleTable, service: str, now: float) -> bool:
     """Return whether the upstreams of a service are brittle at present."""
     known = table.services.get(service)
-    return known is not None and now - known.stated_at <= STATEMENT_SECONDS
+    return (
+        known is not None
+        and known.rejections is not None
+        and now - known.stated_at <= STATEMENT_SECONDS
+    )
+
+
+def list_statements(table: BrittleTable, now: float) -> tuple[BrittleState, ...]:
+    """Return the statements to pass on, after dropping old ones."""
+    table.services = {
+        service: known
+        for service, known in table.services.items()
+        if now - known.stated_at <= STATEMENT_SECONDS
+    }
+    return tuple(
+        BrittleState(service, known.rejections, round(now - known.stated_at, 3))
+        for service, known in table.services.items()
+    )
+
+
+def apply_statements(
+    table: BrittleTable, states: Iterable[BrittleState], now: float
+) -> None:
+    """Merge what other processes know; the newest statement counts.
+
+    A gateway that finds no room gets no response that would show the end.
+    """
+    for state in states:
+        stated_at = now - state.age
+        known = table.services.get(state.service)
+        if known is None or stated_at > known.stated_at + SAME_STATEMENT_SECONDS:
+            table.services[state.service] = Statement(state.rejections, stated_at)
 
 
 def count_reserved_slots(slots: int, controls: int) -> int:
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -12,6 +12,8 @@
 from waxwingwell.routing.messages import GrantPermits
 from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.reports import ReportTable
+from waxwingwell.routing.reports import respond_to_report
 
 from .support import Gateway
 from .support import make_gateway
@@ -107,6 +109,27 @@
         self.assertEqual(state.upstream, "u1")
         self.assertLessEqual(state.rate, REJECTIONS)
 
+    def test_a_gateway_without_a_response_learns_of_the_end(self) -> None:
+        """Guards against refusals by a gateway that finds no room and gets no response.
+
+        The others' requests fill the slots, which does no harm any more.
+        """
+        fleet = make_fleet(2, "u1")
+        told = fleet[0]
+        told.reactor.advance(1.0)
+        told.ask()
+        upstream = told.upstreams[-1]
+        upstream.accept()
+        upstream.respond(make_response())
+        reports = ReportTable()
+        report = make_report(told.context)
+        respond_to_report(reports, report, 100.0)
+        response = respond_to_report(reports, make_report(fleet[1].context), 100.0)
+        share_totals(fleet, {"u1": SLOTS})
+        fleet[1].reactor.advance(1.0)
+        handle_cast(fleet[1].context, "c1", response)
+        self.assertEqual(count_sent([fleet[1]]), 1)
+
     def test_a_rejection_limits_only_for_a_while(self) -> None:
         """Guards against refusals by upstreams that are not brittle any more."""
         [gateway] = make_fleet(1, "u1")
