--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -21,6 +21,7 @@
 from ...routing.placement import CALL_MS
 from ...routing.retries import count_requests
 from ...routing.room import INTERVAL_SECONDS
+from ...routing.room import LAG_SECONDS
 from ...routing.room import Room
 from ...routing.room import compute_fill_rate
 from ...routing.room import count_reserved_slots
@@ -126,7 +127,9 @@
     if rate is not None:
         restrictions.append(restrict_rate(context, rate))
 
-    if room is not None and not is_ample(room):
+    if room is not None and not has_fresh_totals(context, now):
+        restrictions.append(restrict_unknown(room))
+    elif room is not None and not is_ample(room):
         restrictions.append(restrict_entries(room))
 
     held = context.fleet.upstreams[upstream.upstream]
@@ -173,6 +176,16 @@
     )
 
 
+def restrict_unknown(room: Room) -> Restriction:
+    """Return the restriction on a brittle upstream whose load is not known."""
+    return Restriction(room.slots, ROOM_WINDOW_SECONDS, 0.0, 0.0)
+
+
+def has_fresh_totals(context: GatewayContext, now: float) -> bool:
+    """Return whether what the other gateways run is known as well as it can be."""
+    return now - context.load.others_at <= LAG_SECONDS
+
+
 def find_room(
     context: GatewayContext, service: Service, upstream: Announcement, now: float
 ) -> Room | None:
@@ -191,7 +204,7 @@
     context: GatewayContext, service: Service, room: Room, now: float
 ) -> bool:
     """Return whether a brittle upstream has room for a request, as far as is known."""
-    if room.free <= 0 or not is_ample(room):
+    if room.free <= 0 or not is_ample(room) or not has_fresh_totals(context, now):
         return room.free > 0
 
     rate = estimate_request_rate(context, service.name, now)
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -14,6 +14,7 @@
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.reports import ReportTable
 from waxwingwell.routing.reports import respond_to_report
+from waxwingwell.routing.room import LAG_SECONDS
 
 from .support import Gateway
 from .support import make_gateway
@@ -97,6 +98,25 @@
                 gateway.reactor.advance(POLL_SECONDS)
                 self.assertEqual(len(gateway.upstreams), sent)
 
+    def test_old_totals_show_no_room(self) -> None:
+        """Guards against requests that meet because a control stands still."""
+        for count, sent in ((1, 4), (4, 4), (9, 0), (83, 0)):
+            with self.subTest(gateways=count):
+                fleet = make_fleet(count, "u1")
+                for gateway in fleet:
+                    gateway.context.warm_up.began_at = -10.0
+
+                share_totals(fleet, {})
+                for gateway in fleet:
+                    gateway.reactor.advance(LAG_SECONDS + 0.8)
+                    for _ in range(SLOTS):
+                        gateway.ask()
+
+                    gateway.reactor.advance(0.01)
+
+                total = sum(len(gateway.upstreams) for gateway in fleet)
+                self.assertLessEqual(total, sent)
+
     def test_a_rejection_limits_the_requests_of_all_gateways(self) -> None:
         """Guards against an upstream that rejects though its slots seem to be free."""
         [gateway] = make_fleet(1, "u1")
@@ -117,6 +137,7 @@
         fleet = make_fleet(2, "u1")
         told = fleet[0]
         told.reactor.advance(1.0)
+        share_totals(fleet, {})
         told.ask()
         upstream = told.upstreams[-1]
         upstream.accept()
@@ -167,6 +188,7 @@
 
     def test_upstreams_that_are_brittle_no_more_are_used_as_before(self) -> None:
         [gateway] = make_fleet(1, "u1")
+        share_totals([gateway], {})
         gateway.ask()
         [upstream] = gateway.upstreams
         upstream.accept()
