Name relays' two descriptions apart, and reuse two constants

No behaviour changes. describe_relay stood for a gateway's own offer to the others and for the form of another one as an upstream; the waits for a permit wrote the part of a request's time and the interval of totals again; the estimate of a permit's wait took a time that it did not use; two tests set up the same rejection.

--- a/src/waxwingwell/adapters/gateway/permit_waits.py
+++ b/src/waxwingwell/adapters/gateway/permit_waits.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.admission import MAX_RETRY_AFTER_PART
 from ...routing.admission import choose_retry_after
+from ...routing.room import INTERVAL_SECONDS
 from ...routing.room import is_brittle
 from .choice import find_session_key
 from .choice import has_restricted_upstream
@@ -20,13 +22,8 @@
 
 POLL_SECONDS = 0.25
 """Seconds between checks for a permit; permits arrive in response to reports."""
-ROOM_SECONDS = 0.25
-"""Expected seconds until a full upstream has room: totals come after as long."""
 MAX_WAITING = 50
 """Requests that wait at one gateway; more of them would wait in vain."""
-MAX_WAIT_PART = 0.33
-"""Part of a request's time for which it waits, so that its caller can still try
-another gateway."""
 
 
 def wait_for_permit(
@@ -49,12 +46,14 @@
         return False
 
     context = exchange.context
-    expected = estimate_permit_seconds(context, now)
+    expected = estimate_permit_seconds(context)
     if is_brittle(context.brittle, service, now):
-        expected = min(expected, ROOM_SECONDS)
+        # The load of a full upstream is known again with the next totals.
+        expected = min(expected, INTERVAL_SECONDS)
 
     total = exchange.deadline - exchange.started_at
-    latest = exchange.started_at + MAX_WAIT_PART * total
+    # Its caller can still try another gateway in the larger part.
+    latest = exchange.started_at + MAX_RETRY_AFTER_PART * total
     in_vain = now >= latest or now + expected > exchange.deadline
     if in_vain or context.waiting >= MAX_WAITING:
         pause = choose_retry_after(expected, exchange.deadline - now)
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -60,7 +60,7 @@
         service=exchange.find_service(),
         session=find_session_key(exchange.facts),
         model=find_bound_model(exchange),
-        placement=Placement(describe_relay(relay), 0.0, RELAY_WAIT_MS, 0.0, 0, 0),
+        placement=Placement(describe_as_upstream(relay), 0.0, RELAY_WAIT_MS, 0.0, 0, 0),
         pressure=0.0,
         pool=Pool.ANY,
         engines=0,
@@ -74,7 +74,7 @@
     return exchange.model if bound else ""
 
 
-def describe_relay(relay: RelayGateway) -> Announcement:
+def describe_as_upstream(relay: RelayGateway) -> Announcement:
     """Return a relay in the form of an upstream."""
     return Announcement(
         upstream=relay.name,
--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -249,7 +249,7 @@
     use_permit(context.permits, upstream, now)
 
 
-def estimate_permit_seconds(context: GatewayContext, now: float) -> float:
+def estimate_permit_seconds(context: GatewayContext) -> float:
     """Return the expected seconds until this gateway gets a permit."""
     rates = [need.rate for need in context.permits.needs.values() if need.requests]
     gateways = count_reported_gateways(context.load)
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -244,12 +244,12 @@
         permits=take_requests(context.permits, now),
         limits=list_states(context.limits, now),
         brittle=list_statements(context.brittle, now),
-        relay=describe_relay(context),
+        relay=make_relay_offer(context),
         lost_path=has_lost_path(context.path),
     )
 
 
-def describe_relay(context: GatewayContext) -> RelayGateway | None:
+def make_relay_offer(context: GatewayContext) -> RelayGateway | None:
     """Return how others reach this gateway as a relay, or None if it can't be one."""
     settings = context.settings
     if settings.relay is None or context.stopping or context.index is None:
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -60,6 +60,15 @@
     return sum(len(gateway.upstreams) for gateway in fleet)
 
 
+def reject_request(gateway: Gateway) -> None:
+    """Let the only upstream reject the next request, though its slots seem free."""
+    share_totals([gateway], {})
+    gateway.ask()
+    [upstream] = gateway.upstreams
+    upstream.accept()
+    upstream.respond(make_response(b"", 503, "X-Not-Run: 1", STATED))
+
+
 class BrittleTest(unittest.TestCase):
     """A full upstream gets few requests from all gateways together."""
 
@@ -120,11 +129,7 @@
     def test_a_rejection_limits_the_requests_of_all_gateways(self) -> None:
         """Guards against an upstream that rejects though its slots seem to be free."""
         [gateway] = make_fleet(1, "u1")
-        share_totals([gateway], {})
-        gateway.ask()
-        [upstream] = gateway.upstreams
-        upstream.accept()
-        upstream.respond(make_response(b"", 503, "X-Not-Run: 1", STATED))
+        reject_request(gateway)
         [state] = make_report(gateway.context).limits
         self.assertEqual(state.upstream, "u1")
         self.assertLessEqual(state.rate, REJECTIONS)
@@ -154,11 +159,7 @@
     def test_a_rejection_limits_only_for_a_while(self) -> None:
         """Guards against refusals by upstreams that are not brittle any more."""
         [gateway] = make_fleet(1, "u1")
-        share_totals([gateway], {})
-        gateway.ask()
-        [upstream] = gateway.upstreams
-        upstream.accept()
-        upstream.respond(make_response(b"", 503, "X-Not-Run: 1", STATED))
+        reject_request(gateway)
         gateway.reactor.advance(REJECTION_SECONDS)
         share_totals([gateway], {})
         gateway.reactor.tcpClients.clear()
