Log what frames an upstream's response

A response that ends with its connection could not be told from one with a length or chunks: the log lines of an attempt and of a request now say which. No decision changes.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -17,6 +17,7 @@
 from ...routing.sessions import finish_session
 from ..http.client import UpstreamCall
 from ..http.records import HeaderList
+from ..http.records import find_framing
 from ..metrics import ATTEMPTS
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
@@ -72,6 +73,11 @@
         """Whether another gateway runs the request at an upstream of its choice."""
         return self.choice.relayed
 
+    @property
+    def framing(self) -> str | None:
+        """What ends the response: its length, chunks or the close; None before it."""
+        return None if self.headers is None else find_framing(self.headers)
+
     def cancel(self) -> None:
         """Cancel the call to the upstream, if it was started."""
         if self.call is not None:
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -113,6 +113,7 @@
         model=exchange.model,
         confidence=response.confidence if response is not None else None,
         status=status,
+        framing=attempt.framing if attempt is not None else None,
         reason=reason,
         attempts=exchange.attempt_count,
         runs=exchange.runs,
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -351,6 +351,7 @@
             fate=outcome.value,
             reason=reason,
             status=attempt.status,
+            framing=attempt.framing,
             ms=round((now - attempt.started_at) * 1000),
             events=self.splitter.events,
         )
--- a/src/waxwingwell/adapters/http/records.py
+++ b/src/waxwingwell/adapters/http/records.py
@@ -64,3 +64,14 @@
             return value
 
     return None
+
+
+def find_framing(headers: HeaderList) -> str:
+    """Return what ends a response with these headers: its length, chunks or the close.
+
+    Responses to ``HEAD`` and those without a body are not considered.
+    """
+    if find_header(headers, b"transfer-encoding") is not None:
+        return "chunks"
+
+    return "close" if find_header(headers, b"content-length") is None else "length"
