--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ...routing.records import RouteKind
 from ..events import log_event
 from ..http.records import HeaderList
+from ..http.records import find_retry_after
 from ..http.records import strip_hop_headers
 from .attempts import Attempt
 from .attempts import AttemptOutcome
@@ -352,6 +353,7 @@
             reason=reason,
             status=attempt.status,
             framing=attempt.framing,
+            retry_after=find_retry_after(attempt.headers or []),
             ms=round((now - attempt.started_at) * 1000),
             events=self.splitter.events,
         )
