Check the upstream before an end that it did not state is passed on

Callers got streams, and bodies of calls, that were framed as complete and lacked their end: the engine's process had died in the middle of a response with neither a length nor chunks, which ends with its connection, and a process that dies closes it cleanly.

Cause: an end that the peer has not stated was passed on as stated. Ruled out: bytes lost between two attempts (chunks or a length would show), a reset lost on the way.

Change: three ends are told apart. Inside an event, or before the first event of an attempt, a stream is broken off, whatever the close. Any other unstated end counts once the upstream accepts another connection; nothing is sent on it.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -16,6 +16,7 @@
 from ...routing.records import RouteKind
 from ...routing.sessions import finish_session
 from ..http.client import UpstreamCall
+from ..http.connection_check import ConnectionCheck
 from ..http.records import HeaderList
 from ..http.records import find_framing
 from ..metrics import ATTEMPTS
@@ -47,7 +48,11 @@
 
     choice: Choice
     started_at: float
+    events_before: int = 0
+    """Events of the stream that earlier attempts have forwarded."""
     call: UpstreamCall | None = None
+    check: ConnectionCheck | None = None
+    """Check of the upstream after a response whose end is not stated."""
     status: int = 0
     headers: HeaderList | None = None
     facts: ResponseFacts | None = None
@@ -79,10 +84,13 @@
         return None if self.headers is None else find_framing(self.headers)
 
     def cancel(self) -> None:
-        """Cancel the call to the upstream, if it was started."""
+        """Cancel the call to the upstream, and the check of one that has ended."""
         if self.call is not None:
             self.call.cancel()
 
+        if self.check is not None:
+            self.check.cancel()
+
     def stop_timer(self) -> None:
         """Cancel the timer that limits the wait for the first byte."""
         if self.timer is not None and self.timer.active():
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +14,7 @@
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
 from ..events import log_event
+from ..http.client import ResponseEnd
 from ..http.records import HeaderList
 from ..http.records import find_retry_after
 from ..http.records import strip_hop_headers
@@ -44,6 +46,8 @@
 from .probing import record_unanswered
 from .relaying import choose_relay
 from .relaying import is_refused_by_relay
+from .response_ends import check_upstream
+from .response_ends import is_cut_in_event
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
 from .sending import log_placement
@@ -54,6 +58,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ...routing.records import Route
     from ...routing.records import Workspace
     from ..http.records import HttpRequest
@@ -206,7 +212,7 @@
     def _send_to(self, choice: Choice, now: float) -> None:
         self.attempt_count += 1
         self.model = choice.model
-        attempt = Attempt(choice, now)
+        attempt = Attempt(choice, now, self.splitter.events)
         self.attempt = attempt
         self.tried_upstreams.add(attempt.upstream)
         idle = choice.placement.wait - choice.placement.work < IDLE_WAIT_MS
@@ -275,14 +281,22 @@
             self.pauses.record(attempt.last_byte_at)
             self.responder.write(complete_events)
 
-    def handle_end(self, attempt: Attempt, complete: bool, sent: bool) -> None:
-        """Handle the end of a call.
+    def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
+        """Handle the end of a call."""
+        self._end_attempt(sent, partial(self._classify_end, attempt, end, sent))
+
+    def _handle_check(self, attempt: Attempt, accepted: bool) -> None:
+        """Handle the result of a check after an end that was not stated."""
+        self._end_attempt(True, partial(self._classify_checked, attempt, accepted))
+
+    def _end_attempt(self, sent: bool, classify: Callable[[], None]) -> None:
+        """Classify the end of an attempt.
 
         An internal error here must end the request: no further event follows the call's
         end, so the caller would otherwise wait until the deadline.
         """
         try:
-            self._classify_end(attempt, complete, sent)
+            classify()
         except Exception as error:  # any internal error
             logger.opt(exception=error).error("gateway: Answer failed")
             if not self.finished:
@@ -290,7 +304,7 @@
                 self.runs += sent
                 give_up(self, "internal error")
 
-    def _classify_end(self, attempt: Attempt, complete: bool, sent: bool) -> None:
+    def _classify_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
         if attempt.finished:
             return
 
@@ -307,9 +321,30 @@
             self.finish_attempt(
                 attempt, AttemptOutcome.NOT_RUN, f"refused {attempt.status}"
             )
-        elif not complete or not is_valid_response(attempt, self.facts.request_id):
+        elif end is ResponseEnd.CUT or not is_valid_response(
+            attempt, self.facts.request_id
+        ):
             self.finish_attempt(attempt, AttemptOutcome.BROKEN, "answer not whole")
-        elif attempt.status >= 500 or not self._can_forward(attempt):
+        elif is_cut_in_event(self, attempt, end):
+            self.finish_attempt(attempt, AttemptOutcome.BROKEN, "ended inside an event")
+        elif end is ResponseEnd.UNSTATED:
+            on_result = partial(self._handle_check, attempt)
+            attempt.check = check_upstream(self, attempt, on_result)
+        else:
+            self._classify_whole(attempt)
+
+    def _classify_checked(self, attempt: Attempt, accepted: bool) -> None:
+        if attempt.finished:
+            return
+
+        if accepted:
+            self._classify_whole(attempt)
+        else:
+            self.finish_attempt(attempt, AttemptOutcome.BROKEN, "upstream gone")
+
+    def _classify_whole(self, attempt: Attempt) -> None:
+        """Classify an attempt whose response is whole, by its status."""
+        if attempt.status >= 500 or not self._can_forward(attempt):
             self.finish_attempt(
                 attempt, AttemptOutcome.FAILED, f"status {attempt.status}"
             )
--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from ...routing.fleet import Announcement
     from ...routing.fleet import Upstream
+    from ..http.client import ResponseEnd
     from ..http.records import HeaderList
     from .context import GatewayContext
 
@@ -115,7 +116,7 @@
         call.cancel()
         record_reached(context, context.clock())
 
-    def handle_end(complete: bool, sent: bool) -> None:
+    def handle_end(end: ResponseEnd, sent: bool) -> None:
         if timer.active():
             timer.cancel()
 
--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
@@ -29,17 +30,28 @@
 MAX_HEAD_BYTES = 65_536
 
 
+class ResponseEnd(Enum):
+    """What is known of the end of a response."""
+
+    STATED = "stated"
+    """Its length was reached, or its last chunk received."""
+    UNSTATED = "unstated"
+    """It has neither a length nor chunks, and its connection was closed cleanly."""
+    CUT = "cut"
+    """It ended early, or there was none."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallHandlers:
     """Callbacks for a response as it arrives.
 
-    ``on_end`` is called once, last. Its arguments tell whether the response is complete
-    and whether any byte of the request had been sent.
+    ``on_end`` is called once, last. Its arguments tell how the response ended and
+    whether any byte of the request had been sent.
     """
 
     on_head: Callable[[int, HeaderList], None]
     on_data: Callable[[bytes], None]
-    on_end: Callable[[bool, bool], None]
+    on_end: Callable[[ResponseEnd, bool], None]
 
 
 class UpstreamCall:
@@ -88,11 +100,11 @@
         if not self._ended:
             self.handlers.on_data(data)
 
-    def finish(self, *, complete: bool) -> None:
+    def finish(self, end: ResponseEnd) -> None:
         """Report the outcome of the call, once."""
         if not self._ended:
             self._ended = True
-            self.handlers.on_end(complete, self.sent)
+            self.handlers.on_end(end, self.sent)
 
     @property
     def ended(self) -> bool:
@@ -104,6 +116,8 @@
     def __init__(self, call: UpstreamCall) -> None:
         self._call = call
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._closed = False
+        """Whether the upstream has closed the connection cleanly."""
 
     def connectionMade(self) -> None:  # noqa: N802
         self._call.set_protocol(self)
@@ -128,12 +142,12 @@
         self._process_events()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        # A clean close completes a response without a length; a reset does not.
         if not self._call.ended and reason.check(ConnectionDone):
+            self._closed = True
             self._h11.receive_data(b"")
             self._process_events()
 
-        self._call.finish(complete=False)
+        self._call.finish(ResponseEnd.CUT)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -144,7 +158,7 @@
             while not self._call.ended and self._handle_event(self._h11.next_event()):
                 pass
         except h11.RemoteProtocolError:
-            self._call.finish(complete=False)
+            self._call.finish(ResponseEnd.CUT)
             self.abort()
 
     def _handle_event(self, event: Any) -> bool:
@@ -156,7 +170,9 @@
         elif isinstance(event, h11.Data):
             self._call.handle_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._call.finish(complete=True)
+            self._call.finish(
+                ResponseEnd.UNSTATED if self._closed else ResponseEnd.STATED
+            )
             self.abort()
             return False
 
@@ -173,4 +189,4 @@
         return _CallProtocol(self._call)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
-        self._call.finish(complete=False)
+        self._call.finish(ResponseEnd.CUT)
