--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -177,6 +177,34 @@
                 self.assertEqual(cut.upstreams[-1].host, ADDRESSES[1])
                 self.assertEqual(other.upstreams, [])
 
+    def test_an_unstated_end_is_checked_by_the_relay(self) -> None:
+        """Guards against broken streams that look complete after the second hop."""
+        bare = b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signed: 1\r\n\r\n"
+        for name, body, accepted, whole in (
+            ("inside an event", b"id: 1\n\nid: 2", None, False),
+            ("process gone", b"id: 1\n\n", False, False),
+            ("upstream there", b"id: 1\n\n", True, True),
+        ):
+            with self.subTest(name):
+                [cut, other] = make_fleet(resumable=False).gateways
+                cut_off(cut)
+                caller = cut.ask()
+                relayed = open_relayed(cut.upstreams[-1], other)
+                upstream = other.upstreams[-1]
+                upstream.accept()
+                upstream.respond(bare + body)
+                upstream.close()
+                check = other.upstreams[-1]
+                if accepted is not None:
+                    (check.accept if accepted else check.refuse)()
+
+                relayed.pump()
+                if relayed.far_transport.aborted:
+                    relayed.lose()
+
+                self.assertEqual(caller.received.endswith(LAST_CHUNK), whole)
+                self.assertEqual(caller.transport.aborted, not whole)
+
     def test_responses_come_back_unchanged(self) -> None:
         stream = make_stream_head() + make_chunk(b"id: 1\n\n") + LAST_CHUNK
         for kind, response, status, body in (
