Let the soak's upstreams end responses with their connection

A quarter of all responses have neither a length nor chunks. A crash closes connections cleanly in half of the cases, as that of a killed process does, and refuses new ones.

--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -119,6 +119,6 @@
 
 async def restart_upstream(upstream: Upstream) -> None:
     """Crash an upstream, and restart it under the same id."""
-    await stop_upstream(upstream)
+    stop_upstream(upstream)
     await asyncio.sleep(DOWN_SECONDS)
     await start_upstream(upstream)
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -55,6 +55,8 @@
     delay: float = 0.0
     """Seconds by which data is delayed while the fault is ``DELAY``."""
     server: asyncio.Server | None = None
+    address: tuple[str, int] = ("", 0)
+    """Address on which the proxy listens, also while it refuses connections."""
     pairs: set[tuple[StreamWriter, StreamWriter]] = field(default_factory=set)
     blackholed: set[StreamWriter] = field(default_factory=set)
     """Connections that drop all further data, though new ones work."""
@@ -68,21 +70,40 @@
     @property
     def port(self) -> int:
         """Port on which the proxy listens."""
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+        return self.address[1]
 
 
 async def open_proxy(listen: tuple[str, int], target: tuple[str, int]) -> Proxy:
     """Listen, and forward connections to the target."""
     proxy = Proxy(target)
+    await listen_at(proxy, listen)
+    return proxy
+
+
+async def listen_at(proxy: Proxy, address: tuple[str, int]) -> None:
+    """Accept connections at an address; with port 0 the kernel chooses one."""
 
     async def accept(reader: StreamReader, writer: StreamWriter) -> None:
         # At the end of a run the event loop cancels the forwarding tasks.
         with contextlib.suppress(asyncio.CancelledError):
             await relay_connection(proxy, reader, writer)
 
-    proxy.server = await asyncio.start_server(accept, *listen)
-    return proxy
+    proxy.server = await asyncio.start_server(accept, *address)
+    proxy.address = (address[0], int(proxy.server.sockets[0].getsockname()[1]))
+
+
+def refuse_connections(proxy: Proxy) -> None:
+    """Refuse new connections until ``listen_at`` is called again."""
+    if proxy.server is not None:
+        proxy.server.close()
+        proxy.server = None
+
+
+def close_pairs(proxy: Proxy) -> None:
+    """Close every open connection cleanly, without the data still to come."""
+    for pair in list(proxy.pairs):
+        for writer in pair:
+            writer.close()
 
 
 async def relay_connection(
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -260,7 +260,7 @@
     if upstream is None:
         return None
 
-    await stop_upstream(upstream)
+    stop_upstream(upstream, resets=environment.random.random() < 0.5)
     await hold_fault(environment)
     await start_upstream(upstream)
     return upstream.name
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -20,7 +20,11 @@
 from .http import write_message
 from .operators import call_control
 from .proxies import Proxy
+from .proxies import close_pairs
+from .proxies import listen_at
 from .proxies import open_proxy
+from .proxies import refuse_connections
+from .proxies import reset_pairs
 from .readers import LARGE_STREAM_SECONDS
 from .records import EVENTS
 from .records import Crash
@@ -44,6 +48,7 @@
 WORK_SECONDS = 0.02
 MAX_LARGE_WORK_SECONDS = 2.0
 """Maximum seconds of work on a large response."""
+UNFRAMED_SHARE = 0.25
 LEAVE_SECONDS = 2.5
 """Seconds for which an upstream keeps serving after its leave was acknowledged."""
 
@@ -68,6 +73,8 @@
     """Seconds of work on a small response."""
     truncated_share: float = 0.0
     """Share of responses that are truncated, possibly to nothing."""
+    unframed_share: float = UNFRAMED_SHARE
+    """Share of responses with neither a length nor chunks."""
     data_centre: str = wire.DATA_CENTRES[0]
     cold_until: float = 0.0
     rate_limit: float | None = None
@@ -101,22 +108,28 @@
         upstream.proxy = await open_proxy((upstream.host, 0), target)
 
     upstream.proxy.target = target
+    if upstream.proxy.server is None:
+        await listen_at(upstream.proxy, upstream.proxy.address)
+
     upstream.born = time.time_ns() // 1_000_000
     upstream.sequence = 0
     upstream.leaving = False
     upstream.up = True
 
 
-async def stop_upstream(upstream: Upstream) -> None:
-    """Crash an upstream: reset all connections without announcing a leave."""
+def stop_upstream(upstream: Upstream, *, resets: bool = True) -> None:
+    """Crash an upstream without announcing a leave.
+
+    Its connections are reset or, as those of a killed process, closed cleanly in the
+    middle of its responses. New connections are refused.
+    """
     upstream.up = False
     if upstream.server is not None:
         upstream.server.close()
 
     if upstream.proxy is not None:
-        for pair in list(upstream.proxy.pairs):
-            for writer in pair:
-                writer.transport.abort()
+        refuse_connections(upstream.proxy)
+        (reset_pairs if resets else close_pairs)(upstream.proxy)
 
 
 async def send_heartbeats(upstream: Upstream) -> None:
@@ -165,7 +178,7 @@
     for control in upstream.controls:
         await call_control(control, "DELETE", path, wire.write_leave(upstream.born))
 
-    await stop_upstream(upstream)
+    stop_upstream(upstream)
 
 
 async def serve_connection(
@@ -257,9 +270,16 @@
         writer.transport.abort()
         return False
 
-    writer.write(response)
+    unframed = upstream.rng.random() < upstream.unframed_share
+    writer.write(write_head(headers) + body if unframed else response)
     await writer.drain()
-    return True
+    return not unframed
+
+
+def write_head(headers: dict[str, str]) -> bytes:
+    """Return the head of a success; without further headers it has no framing."""
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
 
 
 async def send_stream(
@@ -271,9 +291,10 @@
 ) -> bool:
     """Send the events after the last one that the caller has received."""
     head = {**headers, "Content-Type": "text/event-stream"}
-    lines = [f"{name}: {value}" for name, value in head.items()]
-    lines.append("Transfer-Encoding: chunked")
-    writer.write("\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode())
+    unframed = upstream.rng.random() < upstream.unframed_share
+    framing = {} if unframed else {"Transfer-Encoding": "chunked"}
+    writer.write(write_head({**head, **framing}))
+    encode = bytes if unframed else write_chunk
     event_interval = (
         LARGE_STREAM_SECONDS / EVENTS if is_large(run.path) else upstream.event_interval
     )
@@ -282,15 +303,19 @@
         event = make_event(sent.request_id, run.path, number)
         if truncated and upstream.rng.random() < 0.3:
             # Truncate the stream within an event, like a server that crashes.
-            writer.write(write_chunk(event[: len(event) // 2]))
+            writer.write(encode(event[: len(event) // 2]))
             await writer.drain()
-            writer.transport.abort()
+            if not unframed:
+                writer.transport.abort()
+
             return False
 
-        writer.write(write_chunk(event))
+        writer.write(encode(event))
         await writer.drain()
         await asyncio.sleep(event_interval)
 
-    writer.write(b"0\r\n\r\n")
+    if not unframed:
+        writer.write(b"0\r\n\r\n")
+
     await writer.drain()
-    return True
+    return not unframed
