Reset connections in the soak where it says so

A new test of the soak's crashes failed: asyncio's abort closes a connection without writing what is buffered, but as cleanly as any other close unless something is unread. So no connection of the soak had been reset. Resets now have no linger time.

--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import os
+import socket
+import struct
 from asyncio import StreamWriter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,6 +22,8 @@
 
 READ_BYTES = 65_536
 HELD_POLL_SECONDS = 0.02
+ZERO_LINGER = struct.pack("ii", 1, 0)
+"""SO_LINGER with a timeout of zero, so that a close resets the connection."""
 
 
 class CutMode(StrEnum):
@@ -112,13 +116,13 @@
     """Connect to the target, and forward data both ways until both sides end."""
     owner = find_owner(writer, proxy.list_processes())
     if proxy.cuts.get(owner) in (CutMode.RESET, CutMode.OLD_LIVE):
-        writer.transport.abort()
+        reset_connection(writer)
         return
 
     try:
         target_reader, target_writer = await asyncio.open_connection(*proxy.target)
     except OSError:
-        writer.transport.abort()
+        reset_connection(writer)
         return
 
     pair = (writer, target_writer)
@@ -171,11 +175,21 @@
         writer.close()
 
 
+def reset_connection(writer: StreamWriter) -> None:
+    """Reset a connection; ``abort`` alone closes it as cleanly as a finished one."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
+        )
+
+    writer.transport.abort()
+
+
 def reset_pairs(proxy: Proxy) -> None:
     """Reset every open connection; new connections work."""
     for pair in list(proxy.pairs):
         for writer in pair:
-            writer.transport.abort()
+            reset_connection(writer)
 
 
 def blackhole_pairs(proxy: Proxy) -> None:
@@ -196,7 +210,7 @@
             continue
 
         for writer in pair:
-            writer.transport.abort()
+            reset_connection(writer)
 
 
 def rejoin_process(proxy: Proxy, process: int) -> None:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -24,6 +24,7 @@
 from .proxies import listen_at
 from .proxies import open_proxy
 from .proxies import refuse_connections
+from .proxies import reset_connection
 from .proxies import reset_pairs
 from .readers import LARGE_STREAM_SECONDS
 from .records import EVENTS
@@ -267,7 +268,7 @@
     response = write_message("HTTP/1.1 200 OK", headers, body)
     if upstream.rng.random() < upstream.truncated_share:
         writer.write(response[: upstream.rng.randrange(len(response))])
-        writer.transport.abort()
+        reset_connection(writer)
         return False
 
     unframed = upstream.rng.random() < upstream.unframed_share
@@ -306,7 +307,7 @@
             writer.write(encode(event[: len(event) // 2]))
             await writer.drain()
             if not unframed:
-                writer.transport.abort()
+                reset_connection(writer)
 
             return False
 
--- a/tests/system/test_soak_proxies.py
+++ b/tests/system/test_soak_proxies.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 import unittest
 from typing import TYPE_CHECKING
 
@@ -14,6 +12,7 @@
 from bench.soak.proxies import listen_at
 from bench.soak.proxies import open_proxy
 from bench.soak.proxies import refuse_connections
+from bench.soak.proxies import reset_connection
 from bench.soak.proxies import reset_pairs
 
 
@@ -26,8 +25,6 @@
 
 
 HOST = "127.0.0.1"
-ZERO_LINGER = struct.pack("ii", 1, 0)
-"""SO_LINGER with a timeout of zero, so that a close resets the connection."""
 
 
 async def end_connection(*, reset: bool) -> bytes:
@@ -45,8 +42,7 @@
     reader, target_writer = await accepted.get()
     await reader.readexactly(1)
     if reset:
-        own_socket = writer.get_extra_info("socket")
-        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
+        reset_connection(writer)
 
     writer.close()
     received = await reader.read()
