Read the rest and the leave that upstreams state

Retry-After of a rejection (seconds, or a date against the response's own) and the header of a server that leaves reach the gateway's types; the log says how long a rest an attempt was asked for. No decision changes.

--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -76,6 +76,10 @@
     """Requests per second that the upstream takes from all gateways together."""
     rejection_limit: float | None = None
     """Rejections per second for lack of room beyond which the upstream crashes."""
+    rest: float | None = None
+    """Seconds for which the upstream wants no request of this gateway."""
+    leaving: bool = False
+    """The upstream leaves, and takes no new work."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -16,7 +16,6 @@
 from ..events import log_event
 from ..http.client import ResponseEnd
 from ..http.records import HeaderList
-from ..http.records import find_retry_after
 from ..http.records import strip_hop_headers
 from .attempts import Attempt
 from .attempts import AttemptOutcome
@@ -388,7 +387,7 @@
             reason=reason,
             status=attempt.status,
             framing=attempt.framing,
-            retry_after=find_retry_after(attempt.headers or []),
+            rest=attempt.facts and attempt.facts.rest,
             ms=round((now - attempt.started_at) * 1000),
             events=self.splitter.events,
         )
--- a/src/waxwingwell/adapters/http/records.py
+++ b/src/waxwingwell/adapters/http/records.py
@@ -66,12 +66,6 @@
     return None
 
 
-def find_retry_after(headers: HeaderList) -> str | None:
-    """Return the text of ``Retry-After``, or None."""
-    value = find_header(headers, b"retry-after")
-    return None if value is None else value.decode("latin-1")
-
-
 def find_framing(headers: HeaderList) -> str:
     """Return what ends a response with these headers: its length, chunks or the close.
 
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -68,6 +68,7 @@
     confidence = found.get(b"x-confidence")
     rate_limit = found.get(b"x-limit")
     rejection_limit = found.get(b"x-brittle")
+    rest = found.get(b"x-rest")
     return ResponseFacts(
         not_run=b"x-not-run" in found,
         signed=b"x-signed" in found,
@@ -75,6 +76,8 @@
         confidence=None if confidence is None else float(confidence),
         rate_limit=None if rate_limit is None else float(rate_limit),
         rejection_limit=None if rejection_limit is None else float(rejection_limit),
+        rest=None if rest is None else float(rest),
+        leaving=b"x-leaving" in found,
     )
 
 
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -170,3 +170,36 @@
                 facts = DIALECT.read_response(status, [signed, *headers])
                 self.assertEqual(facts.rate_limit, rate)
                 self.assertEqual(facts.rejection_limit, rejections)
+
+    def test_the_rest_that_a_rejection_asks_for(self) -> None:
+        noon = "Thu, 03 Dec 2026 12:00:00 GMT"
+        later = "Thu, 03 Dec 2026 12:00:07 GMT"
+        for status, headers, rest in (
+            (503, [("Retry-After", "3")], 3.0),
+            (429, [("retry-after", "0.25")], 0.25),
+            (503, [("Retry-After", "86400")], 86400.0),
+            (503, [("Retry-After", later), ("Date", noon)], 7.0),
+            (503, [("Retry-After", noon), ("Date", later)], None),
+            (503, [("Retry-After", later)], None),
+            (503, [("Retry-After", "0")], None),
+            (503, [("Retry-After", "-2")], None),
+            (503, [("Retry-After", "inf")], None),
+            (503, [("Retry-After", "soon")], None),
+            (503, [], None),
+            (200, [("Retry-After", "3")], None),
+            (421, [("Retry-After", "3")], None),
+        ):
+            with self.subTest(status=status, headers=headers):
+                pairs = [(name.encode(), value.encode()) for name, value in headers]
+                self.assertEqual(DIALECT.read_response(status, pairs).rest, rest)
+
+    def test_an_upstream_that_leaves(self) -> None:
+        for status, headers, leaving in (
+            (200, [(b"Server-Leaving", b"1")], True),
+            (503, [(b"server-leaving", b" 1 ")], True),
+            (200, [(b"Server-Leaving", b"0")], False),
+            (200, [(b"Connection", b"close")], False),
+            (421, [(b"Server-Leaving", b"1")], False),
+        ):
+            with self.subTest(status=status, headers=headers):
+                self.assertIs(DIALECT.read_response(status, headers).leaving, leaving)
