--- /dev/null
+++ b/tests/adapters/gateway/test_rests.py
@@ -0,0 +1,286 @@
+"""Tests of upstreams that reject a request and ask this gateway for rest."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from tests.routing.factories import make_announcement
+from tests.routing.factories import make_document
+from tests.routing.factories import make_route
+from waxwingwell.adapters.gateway.exchange import RETRY_DELAY_SECONDS
+from waxwingwell.adapters.gateway.probing import list_probed
+from waxwingwell.adapters.gateway.probing import probe_path
+from waxwingwell.adapters.gateway.probing import record_unanswered
+from waxwingwell.routing.fleet import apply_announcement
+from waxwingwell.routing.lookup import index_document
+from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.records import Service
+from waxwingwell.routing.retries import RetryLimits
+from waxwingwell.routing.retries import list_retries
+
+from .support import LAST_CHUNK
+from .support import Caller
+from .support import Gateway
+from .support import Upstream
+from .support import make_chunk
+from .support import make_gateway
+from .support import make_response
+from .support import make_settings
+from .support import make_stream_head
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+REST_SECONDS = 3.0
+RESTING = make_response(b"", 503, "X-Not-Run: 1", f"X-Rest: {REST_SECONDS}")
+SHORT_REST = make_response(b"", 503, "X-Not-Run: 1", "X-Rest: 0.4")
+EVENT = make_chunk(b"id: 1\ndata: a\n\n")
+PORTS = {name: make_announcement(name).port for name in ("u1", "u2", "u3")}
+
+
+def make_sole_gateway(*names: str, **route: object) -> Gateway:
+    """Return a gateway that has the whole retry budget to itself."""
+    gateway = make_gateway(*names, **route)
+    gateway.context.load.others_at = 0.0
+    return gateway
+
+
+def add_upstream(gateway: Gateway, name: str) -> None:
+    """Let another upstream announce itself."""
+    announcement = make_announcement(name)
+    apply_announcement(gateway.context.fleet, announcement, gateway.reactor.seconds())
+
+
+def reject(gateway: Gateway, response: bytes = RESTING) -> Upstream:
+    """Let the upstream asked last reject its request."""
+    upstream = gateway.upstreams[-1]
+    upstream.accept()
+    upstream.respond(response)
+    return upstream
+
+
+def make_resting(**route: object) -> Gateway:
+    """Return a gateway that u1, then its only upstream, has asked for rest."""
+    gateway = make_sole_gateway("u1", **route)
+    gateway.ask()
+    reject(gateway)
+    gateway.reactor.tcpClients.clear()
+    add_upstream(gateway, "u2")
+    return gateway
+
+
+def count_asked(gateway: Gateway, name: str) -> int:
+    """Return the connections to an upstream."""
+    return sum(one.port == PORTS[name] for one in gateway.upstreams)
+
+
+def ask_first(gateway: Gateway) -> None:
+    """Send a request to the upstream that does not rest."""
+    gateway.ask()
+
+
+def fail_over(gateway: Gateway) -> None:
+    """Fail a request at the upstream that does not rest."""
+    gateway.ask()
+    gateway.upstreams[-1].refuse()
+
+
+def reset_stream(gateway: Gateway) -> None:
+    """Reset a stream that has begun at the upstream that does not rest."""
+    gateway.ask()
+    upstream = gateway.upstreams[-1]
+    upstream.accept()
+    upstream.respond(make_stream_head() + EVENT)
+    upstream.reset()
+    gateway.reactor.advance(RETRY_DELAY_SECONDS)
+
+
+def be_unsure(gateway: Gateway) -> None:
+    """Get a response of low confidence from the upstream that does not rest."""
+    gateway.ask(X_Model="*")
+    upstream = gateway.upstreams[-1]
+    upstream.accept()
+    upstream.respond(make_stream_head("X-Confidence: 0.1"))
+
+
+def hear_no_heartbeats(gateway: Gateway) -> None:
+    """Send a request while all upstreams seem to be silent."""
+    gateway.context.heartbeats_at = 1_000.0
+    gateway.ask()
+
+
+def probe_upstreams(gateway: Gateway) -> None:
+    """Probe the path to the upstreams."""
+    for name in ("u1", "u2"):
+        record_unanswered(gateway.context, name, gateway.reactor.seconds())
+
+    probe_path(gateway.context)
+
+
+class RestTest(unittest.TestCase):
+    """One upstream rests; what leads to it on other days must not."""
+
+    def test_an_upstream_that_rests_gets_no_request(self) -> None:
+        """Guards against requests on any path to an upstream that asked for rest."""
+        cases: tuple[tuple[str, Callable[[Gateway], None], dict[str, object]], ...] = (
+            ("first attempt", ask_first, {}),
+            ("failover", fail_over, {}),
+            ("resumed stream", reset_stream, {}),
+            ("larger model", be_unsure, {"models": ("small", "large")}),
+            ("no heartbeats", hear_no_heartbeats, {}),
+            ("probe", probe_upstreams, {}),
+        )
+        for name, act, route in cases:
+            with self.subTest(name):
+                gateway = make_resting(**route)
+                for _ in range(6):
+                    act(gateway)
+                    gateway.reactor.advance(0.4)
+
+                self.assertEqual(count_asked(gateway, "u1"), 0)
+
+    def test_an_upstream_is_used_again_after_its_rest(self) -> None:
+        """Guards against upstreams that are left unused once they have rested."""
+        gateway = make_resting()
+        gateway.reactor.advance(REST_SECONDS)
+        for _ in range(20):
+            gateway.ask()
+
+        self.assertGreater(count_asked(gateway, "u1"), 0)
+
+    def test_a_new_incarnation_does_not_rest(self) -> None:
+        """Guards against rests that outlive the process that asked for them."""
+        gateway = make_resting()
+        apply_announcement(
+            gateway.context.fleet, make_announcement("u1", incarnation=2), 0.0
+        )
+        for _ in range(20):
+            gateway.ask()
+
+        self.assertGreater(count_asked(gateway, "u1"), 0)
+
+    def test_the_longest_rest_counts(self) -> None:
+        """Guards against a later, shorter rest that ends a longer one."""
+        gateway = make_sole_gateway("u1")
+        asked = [gateway.ask() for _ in range(2)]
+        self.assertEqual(len(asked), 2)
+        for upstream, response in zip(
+            gateway.upstreams, (RESTING, SHORT_REST), strict=True
+        ):
+            upstream.accept()
+            upstream.respond(response)
+
+        gateway.reactor.tcpClients.clear()
+        gateway.reactor.advance(REST_SECONDS - 0.5)
+        gateway.ask(X_Budget="0.2")
+        self.assertEqual(gateway.upstreams, [])
+
+    def test_probes_prefer_no_resting_upstream(self) -> None:
+        """Guards against probes as requests that an upstream does not want."""
+        gateway = make_resting()
+        probed = list_probed(gateway.context, gateway.reactor.seconds())
+        self.assertEqual([one.upstream for one in probed], ["u2"])
+
+
+class AllRestTest(unittest.TestCase):
+    """All upstreams of a service rest."""
+
+    def rest_all(self, response: bytes = RESTING, **route: object) -> Gateway:
+        """Return a gateway whose only upstream rests."""
+        gateway = make_sole_gateway("u1", **route)
+        gateway.ask()
+        reject(gateway, response)
+        gateway.reactor.tcpClients.clear()
+        return gateway
+
+    def test_a_request_is_refused_with_the_end_of_the_rest(self) -> None:
+        """Guards against callers that come back before an upstream may serve them."""
+        gateway = self.rest_all()
+        caller = gateway.ask(X_Budget="6")
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After: 1.98\r\n", caller.received)
+        self.assertEqual(gateway.upstreams, [])
+
+    def test_a_short_rest_is_waited_for(self) -> None:
+        """Guards against refusals of requests that could be served in time."""
+        for kind in RouteKind:
+            with self.subTest(kind=kind):
+                gateway = self.rest_all(SHORT_REST, kind=kind)
+                caller = gateway.ask()
+                self.assertEqual(caller.status, 0)
+                gateway.reactor.advance(0.35)
+                self.assertEqual(gateway.upstreams, [])
+                gateway.reactor.advance(0.3)
+                self.assertEqual(len(gateway.upstreams), 1)
+
+    def test_the_caller_of_the_rejected_request_learns_the_rest(self) -> None:
+        """Guards against a Retry-After that ignores the rest just asked for."""
+        gateway = make_sole_gateway("u1")
+        caller = gateway.ask(X_Budget="6")
+        reject(gateway)
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"Retry-After: 1.98\r\n", caller.received)
+
+    def test_a_started_stream_waits_for_the_rest(self) -> None:
+        """Guards against a resumed stream that asks its only upstream again at once."""
+        gateway = make_sole_gateway("u1")
+        caller, upstream = self.start_stream(gateway)
+        upstream.reset()
+        gateway.reactor.advance(RETRY_DELAY_SECONDS)
+        reject(gateway)
+        asked = len(gateway.upstreams)
+        for _ in range(14):
+            gateway.reactor.advance(RETRY_DELAY_SECONDS)
+
+        self.assertEqual(len(gateway.upstreams), asked)
+        gateway.reactor.advance(2 * RETRY_DELAY_SECONDS)
+        self.assertEqual(len(gateway.upstreams), asked + 1)
+        last = gateway.upstreams[-1]
+        last.accept()
+        last.respond(
+            make_stream_head() + make_chunk(b"id: 2\ndata: b\n\n") + LAST_CHUNK
+        )
+        self.assertTrue(caller.received.endswith(LAST_CHUNK))
+
+    def start_stream(self, gateway: Gateway) -> tuple[Caller, Upstream]:
+        """Request a stream and forward its first event."""
+        caller = gateway.ask()
+        upstream = gateway.upstreams[-1]
+        upstream.accept()
+        upstream.respond(make_stream_head() + EVENT)
+        return caller, upstream
+
+
+class BudgetTest(unittest.TestCase):
+    """Rejections that ask for rest, and the retry budget."""
+
+    def test_rounds_over_resting_upstreams_leave_budget_for_failures(self) -> None:
+        """Guards against rejections that use up the retries of failed requests."""
+        limits = RetryLimits(ratio=0.0, slack=10.0, window=10.0)
+        gateway = make_sole_gateway(*(f"u{number}" for number in range(1, 40)))
+        gateway.context.settings = make_settings(retries=limits)
+        gateway.context.index = index_document(
+            make_document(
+                routes=(make_route(max_attempts=6),),
+                services=(Service(name="chat", slots=4),),
+            )
+        )
+        for _ in range(12):
+            gateway.ask()
+            asked = 0
+            while len(gateway.upstreams) > asked:
+                asked = len(gateway.upstreams)
+                reject(gateway)
+
+            gateway.reactor.tcpClients.clear()
+
+        [counts] = list_retries(gateway.context.retries, limits, 0.0)
+        self.assertLessEqual(counts.repeats, 6)
+        gateway.ask()
+        upstream = gateway.upstreams[-1]
+        upstream.accept()
+        upstream.reset()
+        self.assertEqual(len(gateway.upstreams), 2)
