Leave an upstream alone for the rest that it asks for

Cause: what an upstream says to one gateway was not kept as state of that upstream; a rejection only lowered a score. Ruled out: a path that bypasses what others heed; nothing read the header.

Change: rests are kept beside the limits that upstreams name, and heeded on every path, probes included.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -23,6 +23,7 @@
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
 from ...routing.versions import list_allowed_upstreams
+from .restrictions import get_rest_seconds
 from .restrictions import has_restrictions
 from .restrictions import may_use
 
@@ -146,17 +147,25 @@
     return Choice(service, key, model, placement, pressure, kind, len(pool))
 
 
-def has_restricted_upstream(
+def list_restricted(
     context: GatewayContext, service: str, session: str, excluded: set[str], now: float
-) -> bool:
-    """Return whether an upstream is left that only lacks a permit or room at present.
+) -> list[Announcement]:
+    """Return the upstreams that only lack a permit or room at present, or rest.
 
     Call it after ``choose_upstream`` has found none.
     """
-    return any(
-        candidate.upstream not in excluded
+    return [
+        candidate
         for candidate in list_candidates(context, service, session, now)
-    )
+        if candidate.upstream not in excluded
+    ]
+
+
+def find_shortest_rest(
+    context: GatewayContext, upstreams: Collection[Announcement], now: float
+) -> float:
+    """Return the seconds until the first of some upstreams has rested; 0 if one has."""
+    return min((get_rest_seconds(context, one, now) for one in upstreams), default=0.0)
 
 
 def explain_missing_upstream(context: GatewayContext, service: str, now: float) -> str:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -40,6 +40,8 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .permit_waits import choose_pause
+from .permit_waits import may_serve_later
 from .permit_waits import wait_for_permit
 from .probing import record_reached
 from .probing import record_unanswered
@@ -193,12 +195,11 @@
         a moment, the stream would be cut although either could finish it. The same
         applies after a response was dropped in favour of a larger model's.
         """
-        if not self.tried_upstreams or not (
-            self.responder.started or self.response_dropped
-        ):
-            now = self.context.clock()
+        now = self.context.clock()
+        bound = self.responder.started or self.response_dropped
+        if not bound or not (self.tried_upstreams or may_serve_later(self, now)):
             reason = explain_missing_upstream(self.context, self.find_service(), now)
-            give_up(self, reason)
+            give_up(self, reason, choose_pause(self, now))
             return
 
         self.tried_upstreams.clear()
--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -15,6 +15,8 @@
 from ..events import log_event
 from ..http.client import CallHandlers
 from ..http.client import UpstreamCall
+from .restrictions import is_resting
+from .statements import record_stated_rest
 from .steering import send_report
 
 
@@ -90,9 +92,14 @@
 def list_probed(context: GatewayContext, now: float) -> list[Announcement]:
     """Return the upstreams that may be probed.
 
-    Cold ones, and those that name a limit, are probed only if there are no others.
+    Cold ones, and those that name a limit, are probed only if there are no others; one
+    that rests is not, as a probe is a request.
     """
-    serving = list_serving(context)
+    serving = [
+        held
+        for held in list_serving(context)
+        if not is_resting(context, held.announcement, now)
+    ]
     unlimited = [
         held
         for held in serving
@@ -114,7 +121,10 @@
     def handle_head(status: int, headers: HeaderList) -> None:
         timer.cancel()
         call.cancel()
-        record_reached(context, context.clock())
+        now = context.clock()
+        facts = context.dialect.read_response(status, headers)
+        record_stated_rest(context, upstream, facts, now)
+        record_reached(context, now)
 
     def handle_end(end: ResponseEnd, sent: bool) -> None:
         if timer.active():
--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -10,6 +10,7 @@
 from ...routing.limits import SLACK
 from ...routing.limits import WINDOW_SECONDS
 from ...routing.limits import find_rate
+from ...routing.limits import find_rest_seconds
 from ...routing.load import MAX_TOTAL_AGE_SECONDS
 from ...routing.load import count_gateways
 from ...routing.load import count_reported_gateways
@@ -70,7 +71,8 @@
 
 def has_restrictions(context: GatewayContext, service: Service) -> bool:
     """Return whether any upstream of a service may be restricted at present."""
-    stated = context.limits.upstreams or context.brittle.services
+    limits = context.limits
+    stated = limits.upstreams or limits.rests or context.brittle.services
     return bool(stated) or service.warm_up_rate > 0.0
 
 
@@ -81,6 +83,9 @@
 
     If it lacks a permit, one is requested with the next report.
     """
+    if is_resting(context, upstream, now):
+        return False
+
     room = find_room(context, service, upstream, now)
     if room is not None and not may_enter(context, service, room, now):
         return False
@@ -101,6 +106,19 @@
     )
 
 
+def is_resting(context: GatewayContext, upstream: Announcement, now: float) -> bool:
+    """Return whether an upstream has asked this gateway for rest."""
+    return get_rest_seconds(context, upstream, now) > 0.0
+
+
+def get_rest_seconds(
+    context: GatewayContext, upstream: Announcement, now: float
+) -> float:
+    """Return the seconds for which an upstream wants no request of this gateway."""
+    limits = context.limits
+    return find_rest_seconds(limits, upstream.upstream, upstream.incarnation, now)
+
+
 def may_use_permit(
     context: GatewayContext, upstream: str, restrictions: list[Restriction], now: float
 ) -> bool:
--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -7,6 +7,7 @@
 from ...routing.load import count_gateways
 from ...routing.records import RouteKind
 from ...routing.retries import FAILURE_PART
+from ...routing.retries import OPTIONAL_PART
 from ...routing.retries import may_retry
 from ...routing.retries import record_retry
 from .attempts import AttemptOutcome
@@ -65,8 +66,21 @@
     elif exchange.runs and not retryable:
         return False
 
-    return outcome is AttemptOutcome.UNREACHED or has_retry_budget(
-        exchange, now, FAILURE_PART
+    if outcome is AttemptOutcome.UNREACHED:
+        return True
+
+    part = OPTIONAL_PART if is_asked_for_rest(exchange.attempt) else FAILURE_PART
+    return has_retry_budget(exchange, now, part)
+
+
+def is_asked_for_rest(attempt: Attempt | None) -> bool:
+    """Return whether an attempt's upstream asks for rest.
+
+    Others of its service are probably at capacity, too; a round over all of them must
+    leave retries for requests that fail.
+    """
+    return (
+        attempt is not None and attempt.facts is not None and bool(attempt.facts.rest)
     )
 
 
--- a/src/waxwingwell/adapters/gateway/statements.py
+++ b/src/waxwingwell/adapters/gateway/statements.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING
 
 from ...routing.limits import record_rejection
+from ...routing.limits import record_rest
 from ...routing.limits import record_statement
 from ...routing.room import record_brittleness
 from ..events import log_event
 
 
 if TYPE_CHECKING:
+    from ...routing.fleet import Announcement
     from .attempts import Attempt
     from .context import GatewayContext
+    from .dialect import ResponseFacts
 
 
 REJECTED_RATE_PART = 0.5
@@ -29,6 +32,7 @@
     if facts is None or attempt.relayed:
         return
 
+    record_stated_rest(context, attempt.choice.placement.upstream, facts, now)
     if facts.not_run and facts.rejection_limit is not None:
         limit_rejecting(context, attempt, facts.rejection_limit, now)
 
@@ -40,6 +44,15 @@
         record_rejection_limit(context, attempt, facts.rejection_limit, now)
 
 
+def record_stated_rest(
+    context: GatewayContext, upstream: Announcement, facts: ResponseFacts, now: float
+) -> None:
+    """Record the rest that a response asks for, if any."""
+    if facts.rest is not None:
+        name, incarnation = upstream.upstream, upstream.incarnation
+        record_rest(context.limits, name, incarnation, facts.rest, now)
+
+
 def record_rejection_limit(
     context: GatewayContext, attempt: Attempt, rejections: float | None, now: float
 ) -> None:
--- a/src/waxwingwell/routing/limits.py
+++ b/src/waxwingwell/routing/limits.py
@@ -3,6 +3,9 @@
 An upstream in need names the requests per second that it takes from all gateways
 together. The limit applies until its responses no longer name it. Gateways and controls
 exchange what they know, as most gateways get no response of a limited upstream.
+
+An upstream that rejects a request may ask its gateway for rest: no further request of
+that gateway for some seconds. Rests are not exchanged, as each gateway is asked itself.
 """
 
 from __future__ import annotations
@@ -42,6 +45,9 @@
 would add the delay of its messages, and a limit would seem to be named for ever."""
 RETENTION_SECONDS = 10.0
 """Seconds for which the end of a limit is passed on."""
+MAX_REST_SECONDS = 3600.0
+"""Longest rest that is granted; an upstream that wants no requests for longer would
+leave."""
 UNKNOWN_SECONDS = 60.0
 """Seconds after which the limit of an upstream that is not known is dropped."""
 
@@ -59,11 +65,20 @@
     """Time at which the limit ends."""
 
 
+@dataclass(slots=True)
+class Rest:
+    """Time for which one incarnation of an upstream wants no request."""
+
+    incarnation: int
+    until: float
+
+
 @dataclass(slots=True)
 class LimitTable:
-    """Limits by upstream."""
+    """Limits and rests by upstream."""
 
     upstreams: dict[str, UpstreamLimit] = field(default_factory=dict)
+    rests: dict[str, Rest] = field(default_factory=dict)
 
 
 def record_statement(
@@ -138,6 +153,32 @@
     return in_force is None
 
 
+def record_rest(
+    table: LimitTable, upstream: str, incarnation: int, seconds: float, now: float
+) -> None:
+    """Record the rest that a rejection asks for; of several the last to end counts."""
+    held = table.rests.get(upstream)
+    if held is not None and incarnation < held.incarnation:
+        return
+
+    until = now + min(seconds, MAX_REST_SECONDS)
+    if held is not None and incarnation == held.incarnation:
+        until = max(until, held.until)
+
+    table.rests[upstream] = Rest(incarnation, until)
+
+
+def find_rest_seconds(
+    table: LimitTable, upstream: str, incarnation: int, now: float
+) -> float:
+    """Return the seconds for which an upstream still rests, or 0."""
+    held = table.rests.get(upstream)
+    if held is None or held.incarnation != incarnation:
+        return 0.0
+
+    return max(held.until - now, 0.0)
+
+
 def compute_lift_seconds(rate: float) -> float:
     """Return the seconds for which a limit applies after a response without it."""
     seconds = max(MIN_LIFT_SECONDS, LIFT_REQUESTS / max(rate, MIN_RATE))
@@ -194,7 +235,10 @@
 
 
 def drop_limits(table: LimitTable, known: Container[str], now: float) -> None:
-    """Remove limits that ended a while ago, and those of unknown upstreams."""
+    """Remove limits and rests that have ended, and limits of unknown upstreams."""
+    table.rests = {
+        upstream: held for upstream, held in table.rests.items() if held.until > now
+    }
     table.upstreams = {
         upstream: held
         for upstream, held in table.upstreams.items()
