--- a/tests/adapters/gateway/test_rests.py
+++ b/tests/adapters/gateway/test_rests.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import unittest
-from typing import TYPE_CHECKING
 
 from tests.routing.factories import make_announcement
 from tests.routing.factories import make_document
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.exchange import RETRY_DELAY_SECONDS
 from waxwingwell.adapters.gateway.probing import list_probed
-from waxwingwell.adapters.gateway.probing import probe_path
-from waxwingwell.adapters.gateway.probing import record_unanswered
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.records import RouteKind
@@ -19,39 +16,25 @@
 from waxwingwell.routing.retries import RetryLimits
 from waxwingwell.routing.retries import list_retries
 
+from .paths import PATHS
+from .paths import add_upstream
+from .paths import count_asked
+from .paths import make_sole_gateway
+from .paths import probe_upstreams
 from .support import LAST_CHUNK
 from .support import Caller
 from .support import Gateway
 from .support import Upstream
 from .support import make_chunk
-from .support import make_gateway
 from .support import make_response
 from .support import make_settings
 from .support import make_stream_head
 
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
 REST_SECONDS = 3.0
 RESTING = make_response(b"", 503, "X-Not-Run: 1", f"X-Rest: {REST_SECONDS}")
 SHORT_REST = make_response(b"", 503, "X-Not-Run: 1", "X-Rest: 0.4")
 EVENT = make_chunk(b"id: 1\ndata: a\n\n")
-PORTS = {name: make_announcement(name).port for name in ("u1", "u2", "u3")}
-
-
-def make_sole_gateway(*names: str, **route: object) -> Gateway:
-    """Return a gateway that has the whole retry budget to itself."""
-    gateway = make_gateway(*names, **route)
-    gateway.context.load.others_at = 0.0
-    return gateway
-
-
-def add_upstream(gateway: Gateway, name: str) -> None:
-    """Let another upstream announce itself."""
-    announcement = make_announcement(name)
-    apply_announcement(gateway.context.fleet, announcement, gateway.reactor.seconds())
 
 
 def reject(gateway: Gateway, response: bytes = RESTING) -> Upstream:
@@ -72,68 +55,12 @@
     return gateway
 
 
-def count_asked(gateway: Gateway, name: str) -> int:
-    """Return the connections to an upstream."""
-    return sum(one.port == PORTS[name] for one in gateway.upstreams)
-
-
-def ask_first(gateway: Gateway) -> None:
-    """Send a request to the upstream that does not rest."""
-    gateway.ask()
-
-
-def fail_over(gateway: Gateway) -> None:
-    """Fail a request at the upstream that does not rest."""
-    gateway.ask()
-    gateway.upstreams[-1].refuse()
-
-
-def reset_stream(gateway: Gateway) -> None:
-    """Reset a stream that has begun at the upstream that does not rest."""
-    gateway.ask()
-    upstream = gateway.upstreams[-1]
-    upstream.accept()
-    upstream.respond(make_stream_head() + EVENT)
-    upstream.reset()
-    gateway.reactor.advance(RETRY_DELAY_SECONDS)
-
-
-def be_unsure(gateway: Gateway) -> None:
-    """Get a response of low confidence from the upstream that does not rest."""
-    gateway.ask(X_Model="*")
-    upstream = gateway.upstreams[-1]
-    upstream.accept()
-    upstream.respond(make_stream_head("X-Confidence: 0.1"))
-
-
-def hear_no_heartbeats(gateway: Gateway) -> None:
-    """Send a request while all upstreams seem to be silent."""
-    gateway.context.heartbeats_at = 1_000.0
-    gateway.ask()
-
-
-def probe_upstreams(gateway: Gateway) -> None:
-    """Probe the path to the upstreams."""
-    for name in ("u1", "u2"):
-        record_unanswered(gateway.context, name, gateway.reactor.seconds())
-
-    probe_path(gateway.context)
-
-
 class RestTest(unittest.TestCase):
     """One upstream rests; what leads to it on other days must not."""
 
     def test_an_upstream_that_rests_gets_no_request(self) -> None:
         """Guards against requests on any path to an upstream that asked for rest."""
-        cases: tuple[tuple[str, Callable[[Gateway], None], dict[str, object]], ...] = (
-            ("first attempt", ask_first, {}),
-            ("failover", fail_over, {}),
-            ("resumed stream", reset_stream, {}),
-            ("larger model", be_unsure, {"models": ("small", "large")}),
-            ("no heartbeats", hear_no_heartbeats, {}),
-            ("probe", probe_upstreams, {}),
-        )
-        for name, act, route in cases:
+        for name, act, route in (*PATHS, ("probe", probe_upstreams, {})):
             with self.subTest(name):
                 gateway = make_resting(**route)
                 while gateway.reactor.seconds() < REST_SECONDS - 0.5:
