--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -205,6 +205,37 @@
                 self.assertEqual(caller.received.endswith(LAST_CHUNK), whole)
                 self.assertEqual(caller.transport.aborted, not whole)
 
+    def test_a_leave_is_known_at_both_gateways(self) -> None:
+        """Guards against a gateway that has passed a leave on and forgets it."""
+        for kind, response in (
+            (RouteKind.ONCE, make_response(b"fine", 200, "X-Leaving: 1")),
+            (RouteKind.IDEMPOTENT, make_response(b"no", 404, "X-Leaving: 1")),
+            (
+                RouteKind.STREAM,
+                make_stream_head("X-Leaving: 1")
+                + make_chunk(b"id: 1\n\n")
+                + LAST_CHUNK,
+            ),
+        ):
+            with self.subTest(kind=kind):
+                [cut, other] = make_fleet(kind=kind).gateways
+                cut_off(cut)
+                caller = cut.ask()
+                relayed = open_relayed(cut.upstreams[0], other)
+                [upstream] = other.upstreams
+                upstream.accept()
+                upstream.respond(response)
+                relayed.pump()
+                self.assertNotIn(b"x-waxwingwell", caller.received.lower())
+                record_reached(cut.context, cut.reactor.seconds())
+                for gateway in (cut, other):
+                    gateway.reactor.tcpClients.clear()
+                    for _ in range(20):
+                        gateway.ask()
+
+                    ports = {one.port for one in gateway.upstreams}
+                    self.assertNotIn(upstream.port, ports)
+
     def test_responses_come_back_unchanged(self) -> None:
         stream = make_stream_head() + make_chunk(b"id: 1\n\n") + LAST_CHUNK
         for kind, response, status, body in (
