Send nothing to an upstream that says in a response that it leaves

Upstreams state it in each response, errors and rejections too; gateways knew it from announcements only, which come late through the controls or not at all at a gateway that is cut off from them.

Cause: as for rests, what an upstream says in its response was not kept as its state.

Change: a leave is kept beside limits and rests, by incarnation. Such an upstream counts as gone on each path, also where all seem silent and for sessions that have its version. It ends with a new incarnation, or once the upstream is heard to serve a minute later: nothing is sent to it, so that no response could end it, and heartbeats may be late. A relay names the upstream to the gateway that passes the response on.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -57,6 +57,8 @@
     headers: HeaderList | None = None
     facts: ResponseFacts | None = None
     body: list[bytes] | None = None
+    relayed_upstream: str = ""
+    """Id of the upstream behind a relay, if the relay names it."""
     first_byte_at: float | None = None
     last_byte_at: float = 0.0
     """Time at which the last byte was received."""
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -4,11 +4,11 @@
 
 import math
 from dataclasses import dataclass
-from functools import partial
 from typing import TYPE_CHECKING
 
 from ...routing.fleet import MISSED_HEARTBEATS
 from ...routing.fleet import list_serving
+from ...routing.limits import is_leaving
 from ...routing.models import find_pool
 from ...routing.models import first_model
 from ...routing.models import has_model_choice
@@ -173,13 +173,7 @@
     if is_cut_off(context.path):
         return "no path to any upstream"
 
-    if list_serving(
-        context.fleet,
-        service,
-        heard_after=-math.inf,
-        now=now,
-        evacuated=context.evacuated,
-    ):
+    if list_staying(context, service, -math.inf, now):
         return "no upstream left"
 
     if context.evacuated and list_serving(
@@ -210,17 +204,17 @@
 ) -> list[Announcement]:
     """Return the upstreams that may run a session's request.
 
+    One that leaves counts as gone: its session's version does not hold a session back.
     Heartbeats arrive through the controls, so missing ones count only up to the last
     report of a control. If all upstreams seem unresponsive, the controls lack
     announcements: all are used then, because an attempt at a dead upstream only costs
     a failed connection, while refusing costs the request.
     """
-    list_heard = partial(
-        list_serving, context.fleet, service, now=now, evacuated=context.evacuated
+    serving = list_staying(
+        context, service, context.heartbeats_at - UNRESPONSIVE_SECONDS, now
     )
-    serving = list_heard(heard_after=context.heartbeats_at - UNRESPONSIVE_SECONDS)
     if not serving:
-        serving = list_heard(heard_after=-math.inf)
+        serving = list_staying(context, service, -math.inf, now)
 
     if service not in context.established and serving:
         oldest = min(serving, key=lambda candidate: candidate.incarnation)
@@ -240,3 +234,30 @@
         kept=sessions.kept,
         settled=rollout is not None and rollout.ordered_at in sessions.settled,
     )
+
+
+def list_staying(
+    context: GatewayContext, service: str, heard_after: float, now: float
+) -> list[Announcement]:
+    """Return the serving upstreams that have not said in a response that they leave."""
+    serving = list_serving(
+        context.fleet,
+        service,
+        heard_after=heard_after,
+        now=now,
+        evacuated=context.evacuated,
+    )
+    if not context.limits.leaves:
+        return serving
+
+    upstreams = context.fleet.upstreams
+    return [
+        one
+        for one in serving
+        if not is_leaving(
+            context.limits,
+            one.upstream,
+            one.incarnation,
+            upstreams[one.upstream].heard_at,
+        )
+    ]
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from ..events import log_event
-from ..http.records import strip_hop_headers
 from ..metrics import REQUEST_SECONDS
 from ..metrics import REQUESTS
+from .relaying import make_response_headers
 
 
 if TYPE_CHECKING:
@@ -29,7 +29,7 @@
         exchange.responder.write(exchange.splitter.partial_event)
         exchange.responder.finish()
     else:
-        headers = strip_hop_headers(attempt.headers or [])
+        headers = make_response_headers(exchange, attempt)
         exchange.responder.send(attempt.status, headers, b"".join(attempt.body or []))
 
     record_end(exchange, "answered", attempt.status, now)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -15,8 +15,6 @@
 from ...routing.records import RouteKind
 from ..events import log_event
 from ..http.client import ResponseEnd
-from ..http.records import HeaderList
-from ..http.records import strip_hop_headers
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
@@ -47,6 +45,8 @@
 from .probing import record_unanswered
 from .relaying import choose_relay
 from .relaying import is_refused_by_relay
+from .relaying import make_response_headers
+from .relaying import read_upstream
 from .response_ends import check_upstream
 from .response_ends import is_cut_in_event
 from .retrying import may_retry_after
@@ -63,6 +63,7 @@
 
     from ...routing.records import Route
     from ...routing.records import Workspace
+    from ..http.records import HeaderList
     from ..http.records import HttpRequest
     from ..http.server import Responder
     from .context import GatewayContext
@@ -233,6 +234,9 @@
 
     def handle_head(self, attempt: Attempt, status: int, headers: HeaderList) -> None:
         """Handle the head of an upstream's response."""
+        if attempt.relayed:
+            headers, attempt.relayed_upstream = read_upstream(headers)
+
         attempt.status = status
         attempt.headers = headers
         attempt.facts = self.context.dialect.read_response(status, headers)
@@ -252,7 +256,7 @@
         if is_forwarded_stream(attempt, self.route, self.facts.request_id):
             attempt.streaming = True
             if not self.responder.started:
-                self.responder.start(status, strip_hop_headers(headers))
+                self.responder.start(status, make_response_headers(self, attempt))
 
     def _switch_to_larger_model(self, attempt: Attempt, larger: Choice) -> None:
         """Drop a low-confidence response before the caller has received any of it."""
@@ -413,7 +417,7 @@
 
     def _keep_response(self, attempt: Attempt) -> None:
         """Keep an upstream's own error response, sent if no attempt succeeds."""
-        headers = strip_hop_headers(attempt.headers or [])
+        headers = make_response_headers(self, attempt)
         self.last_response = (attempt.status, headers, b"".join(attempt.body or []))
 
     def _handle_caller_gone(self) -> None:
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -30,6 +30,8 @@
 
 RUNS_HEADER = b"x-waxwingwell-runs"
 """Attempts of a relayed request that may have run before; the last value counts."""
+UPSTREAM_HEADER = b"x-waxwingwell-upstream"
+"""Id of the upstream whose response says that it leaves; the last value counts."""
 RELAY_WAIT_MS = 10.0
 """Expected wait that a relay adds: two round trips between data centres."""
 REFUSAL_STATUSES = frozenset({401, 404, 408, 413, 421, 429, 431, 503})
@@ -106,13 +108,38 @@
 
 def read_runs(headers: HeaderList) -> tuple[HeaderList, int]:
     """Return a relayed request's headers without the last count, and that count."""
+    rest, value = take_last(headers, RUNS_HEADER)
+    return rest, int(value) if value.isdigit() else 0
+
+
+def read_upstream(headers: HeaderList) -> tuple[HeaderList, str]:
+    """Return a relay's response headers without the upstream, and its id or ``""``."""
+    rest, value = take_last(headers, UPSTREAM_HEADER)
+    return rest, value.decode("latin-1")
+
+
+def take_last(headers: HeaderList, name: bytes) -> tuple[HeaderList, bytes]:
+    """Return the headers without the last one of this lower-case name, and its value.
+
+    The value is empty if there is none.
+    """
     for place in reversed(range(len(headers))):
-        name, value = headers[place]
-        if name.lower() == RUNS_HEADER:
-            runs = int(value) if value.isdigit() else 0
-            return headers[:place] + headers[place + 1 :], runs
+        if headers[place][0].lower() == name:
+            return headers[:place] + headers[place + 1 :], headers[place][1]
+
+    return headers, b""
+
+
+def make_response_headers(exchange: Exchange, attempt: Attempt) -> HeaderList:
+    """Return the headers of an upstream's response for the caller.
+
+    A gateway for which this one relays has to know which upstream leaves.
+    """
+    headers = strip_hop_headers(attempt.headers or [])
+    if exchange.relayed and attempt.facts is not None and attempt.facts.leaving:
+        headers.append((UPSTREAM_HEADER, attempt.upstream.encode("latin-1")))
 
-    return headers, 0
+    return headers
 
 
 def is_refused_by_relay(attempt: Attempt) -> bool:
--- a/src/waxwingwell/adapters/gateway/statements.py
+++ b/src/waxwingwell/adapters/gateway/statements.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.limits import record_leave
 from ...routing.limits import record_rejection
 from ...routing.limits import record_rest
 from ...routing.limits import record_statement
@@ -29,7 +30,14 @@
     Only a response that the upstream itself has signed shows that a limit has ended.
     """
     facts = attempt.facts
-    if facts is None or attempt.relayed:
+    if facts is None:
+        return
+
+    if facts.leaving:
+        name = attempt.relayed_upstream if attempt.relayed else attempt.upstream
+        record_stated_leave(context, name, now)
+
+    if attempt.relayed:
         return
 
     record_stated_rest(context, attempt.choice.placement.upstream, facts, now)
@@ -44,6 +52,16 @@
         record_rejection_limit(context, attempt, facts.rejection_limit, now)
 
 
+def record_stated_leave(context: GatewayContext, upstream: str, now: float) -> None:
+    """Record that an upstream leaves, as its response says."""
+    held = context.fleet.upstreams.get(upstream)
+    if held is None:
+        return
+
+    if record_leave(context.limits, upstream, held.announcement.incarnation, now):
+        log_event("gateway: Upstream leaves", upstream=upstream)
+
+
 def record_stated_rest(
     context: GatewayContext, upstream: Announcement, facts: ResponseFacts, now: float
 ) -> None:
--- a/src/waxwingwell/routing/limits.py
+++ b/src/waxwingwell/routing/limits.py
@@ -6,6 +6,9 @@
 
 An upstream that rejects a request may ask its gateway for rest: no further request of
 that gateway for some seconds. Rests are not exchanged, as each gateway is asked itself.
+
+An upstream that leaves says so in its responses as well as in its announcements, which
+may not arrive. That is not exchanged either: the announcements tell the others.
 """
 
 from __future__ import annotations
@@ -48,6 +51,9 @@
 MAX_REST_SECONDS = 3600.0
 """Longest rest that is granted; an upstream that wants no requests for longer would
 leave."""
+LEAVE_SECONDS = 60.0
+"""Seconds after which an upstream that has said that it leaves, and still announces
+that it serves, has stayed. Heartbeats have arrived tens of seconds late."""
 UNKNOWN_SECONDS = 60.0
 """Seconds after which the limit of an upstream that is not known is dropped."""
 
@@ -73,12 +79,21 @@
     until: float
 
 
+@dataclass(slots=True)
+class Leave:
+    """The last statement of one incarnation of an upstream that it leaves."""
+
+    incarnation: int
+    stated_at: float
+
+
 @dataclass(slots=True)
 class LimitTable:
-    """Limits and rests by upstream."""
+    """Limits, rests and leaves by upstream."""
 
     upstreams: dict[str, UpstreamLimit] = field(default_factory=dict)
     rests: dict[str, Rest] = field(default_factory=dict)
+    leaves: dict[str, Leave] = field(default_factory=dict)
 
 
 def record_statement(
@@ -179,6 +194,32 @@
     return max(held.until - now, 0.0)
 
 
+def record_leave(
+    table: LimitTable, upstream: str, incarnation: int, now: float
+) -> bool:
+    """Record that an upstream says that it leaves; return whether that is new."""
+    held = table.leaves.get(upstream)
+    if held is not None and incarnation < held.incarnation:
+        return False
+
+    table.leaves[upstream] = Leave(incarnation, now)
+    return held is None or incarnation > held.incarnation
+
+
+def is_leaving(
+    table: LimitTable, upstream: str, incarnation: int, heard_at: float
+) -> bool:
+    """Return whether an upstream has said that it leaves.
+
+    ``heard_at`` is the time of its last announcement, which says that it serves.
+    """
+    held = table.leaves.get(upstream)
+    if held is None or held.incarnation != incarnation:
+        return False
+
+    return heard_at < held.stated_at + LEAVE_SECONDS
+
+
 def compute_lift_seconds(rate: float) -> float:
     """Return the seconds for which a limit applies after a response without it."""
     seconds = max(MIN_LIFT_SECONDS, LIFT_REQUESTS / max(rate, MIN_RATE))
@@ -235,7 +276,10 @@
 
 
 def drop_limits(table: LimitTable, known: Container[str], now: float) -> None:
-    """Remove limits and rests that have ended, and limits of unknown upstreams."""
+    """Remove limits and rests that have ended, and statements of unknown upstreams."""
+    table.leaves = {
+        upstream: held for upstream, held in table.leaves.items() if upstream in known
+    }
     table.rests = {
         upstream: held for upstream, held in table.rests.items() if held.until > now
     }
