--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -43,6 +43,7 @@
 from .seeds import KEPT_SEEDS
 from .seeds import SoakCase
 from .starts import run_starts
+from .statements import run_statements
 from .stops import run_stops
 from .stops import start_slow_callers
 from .upstreams import EVENT_SECONDS
@@ -76,6 +77,7 @@
     evacuations: bool = False,
     limits: bool = False,
     cuts: bool = False,
+    statements: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated."""
     environment = await open_environment(
@@ -103,6 +105,8 @@
             await run_limits(environment, seconds)
         elif cuts:
             await run_cuts(environment, seconds)
+        elif statements:
+            await run_statements(environment, seconds)
         elif planned:
             background += start_slow_callers(environment)
             await run_stops(environment, seconds)
@@ -271,6 +275,7 @@
     evacuations: bool = False,
     limits: bool = False,
     cuts: bool = False,
+    statements: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -278,7 +283,8 @@
     With ``planned`` there are only planned stops, and some callers read slowly; with
     ``starts`` processes are also signalled while they restart. With ``evacuations``
     data centres are evacuated while registries fail; with ``limits`` upstreams name
-    limits or are brittle, with ``cuts`` gateways are cut off from all upstreams.
+    limits or are brittle, with ``cuts`` gateways are cut off from all upstreams, with
+    ``statements`` upstreams ask for rest or say that they leave.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds are copied to ``keep``.
     """
@@ -294,6 +300,7 @@
             evacuations=evacuations,
             limits=limits,
             cuts=cuts,
+            statements=statements,
         )
         for seed in range(start, start + seeds)
     ]
@@ -333,6 +340,7 @@
         evacuations=case.evacuations,
         limits=case.limits,
         cuts=case.cuts,
+        statements=case.statements,
     )
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -64,6 +64,8 @@
         check_limits,
         check_crashes,
         check_cuts,
+        check_rests,
+        check_stated_leaves,
     ):
         findings += check(journal)
 
@@ -227,6 +229,40 @@
             )
 
 
+def check_rests(journal: Journal) -> Iterator[str]:
+    """Check that a gateway leaves an upstream alone for the rest that it asks for."""
+    for rest in journal.rests:
+        since = rest.at + wire.REST_TRANSIT_SECONDS
+        times = [
+            one.at - rest.at
+            for one in journal.arrivals
+            if one.process == rest.process != 0
+            and one.upstream == rest.upstream
+            and since <= one.at < rest.at + rest.seconds
+        ]
+        if len(times) > wire.REST_SLACK:
+            yield (
+                f"{rest.upstream[0]} asked process {rest.process} for {rest.seconds} s "
+                f"of rest and got requests after {[round(one, 2) for one in times]} s"
+            )
+
+
+def check_stated_leaves(journal: Journal) -> Iterator[str]:
+    """Check that a gateway heeds the leave that an upstream states in a response."""
+    sent_at = {one.request_id: one.sent_at for one in journal.requests}
+    for arrival in journal.arrivals:
+        left_at = journal.left_at.get((arrival.process, arrival.upstream))
+        sent = sent_at.get(arrival.request_id)
+        if left_at is None or sent is None or not arrival.process:
+            continue
+
+        if sent > left_at + DRAIN_SECONDS + LEAVE_TRANSIT_SECONDS:
+            yield (
+                f"{arrival.request_id}: sent to {arrival.upstream[0]} by process "
+                f"{arrival.process} {sent - left_at:.1f} s after it had said it leaves"
+            )
+
+
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -70,6 +70,8 @@
     """Returns the ids of the processes that may be cut off."""
     owners: dict[StreamWriter, int] = field(default_factory=dict)
     """Processes, by id, of open connections."""
+    peers: dict[int, int] = field(default_factory=dict)
+    """Processes, by id, whose data arrives at the target from a local port."""
 
     @property
     def port(self) -> int:
@@ -128,6 +130,8 @@
     pair = (writer, target_writer)
     proxy.pairs.add(pair)
     proxy.owners[writer] = owner
+    target_port = int(target_writer.get_extra_info("sockname")[1])
+    proxy.peers[target_port] = owner
     if proxy.cuts.get(owner) is CutMode.SILENT:
         proxy.blackholed.update(pair)
 
@@ -142,6 +146,7 @@
     finally:
         proxy.pairs.discard(pair)
         proxy.owners.pop(writer, None)
+        proxy.peers.pop(target_port, None)
         proxy.blackholed.difference_update(pair)
         for one in pair:
             one.close()
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -145,6 +145,28 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A request that reached an upstream, whether or not it ran."""
+
+    request_id: str
+    process: int
+    """Id of the gateway's process; 0 if it is not known."""
+    upstream: tuple[str, int]
+    """Id and start of the upstream's process."""
+    at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rest:
+    """A rejection by which an upstream asked a gateway for rest."""
+
+    process: int
+    upstream: tuple[str, int]
+    at: float
+    seconds: float
+
+
 @dataclass(slots=True)
 class Journal:
     """Everything observed in one run."""
@@ -172,6 +194,11 @@
     """Number of upstreams of each service."""
     cut_spans: list[CutSpan] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    rests: list[Rest] = field(default_factory=list)
+    left_at: dict[tuple[int, tuple[str, int]], float] = field(default_factory=dict)
+    """Times at which a gateway's process first got a response in which an upstream says
+    that it leaves."""
     violations: list[str] = field(default_factory=list)
     """Violations that were detected during the run."""
     stalls: list[Stall] = field(default_factory=list)
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -18,6 +18,7 @@
     evacuations: bool = False
     limits: bool = False
     cuts: bool = False
+    statements: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -28,8 +28,10 @@
 from .proxies import reset_pairs
 from .readers import LARGE_STREAM_SECONDS
 from .records import EVENTS
+from .records import Arrival
 from .records import Crash
 from .records import Journal
+from .records import Rest
 from .records import Run
 from .records import is_large
 from .records import make_body
@@ -82,6 +84,12 @@
     """Requests per second that it names as its limit."""
     rejection_limit: int | None = None
     """Rejections per second beyond which it crashes, as it states."""
+    rejected_share: float = 0.0
+    """Share of requests that it rejects, each time asking for rest."""
+    rest: float = 0.0
+    """Seconds of rest that it asks for."""
+    says_leaving: bool = False
+    """Whether it says in its responses that it leaves, without announcing it."""
     slots: int = 64
     """Requests that it serves at once; it rejects more only while it is brittle."""
     running: int = 0
@@ -90,6 +98,11 @@
     leaving: bool = False
     up: bool = False
 
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Id and start of the upstream's process."""
+        return self.name, self.born
+
 
 async def start_upstream(upstream: Upstream) -> None:
     """Listen behind a proxy, and enable heartbeats."""
@@ -186,16 +199,19 @@
     upstream: Upstream, reader: StreamReader, writer: StreamWriter
 ) -> None:
     """Serve one request after the other."""
+    assert upstream.proxy is not None
+    port = int(writer.get_extra_info("peername")[1])
     while (request := await read_head(reader)) is not None:
         await read_body(reader, request)
-        if not await serve_request(upstream, request, writer):
+        process = upstream.proxy.peers.get(port, 0)
+        if not await serve_request(upstream, request, writer, process):
             return
 
 
 async def serve_request(
-    upstream: Upstream, request: Message, writer: StreamWriter
+    upstream: Upstream, request: Message, writer: StreamWriter, process: int
 ) -> bool:
-    """Process a request, unless it is meant for another server.
+    """Process a request of a gateway's process, unless it is meant for another server.
 
     Returns False if the connection has to be closed.
     """
@@ -205,6 +221,11 @@
         writer.write(write_message("HTTP/1.1 421 Misdirected", refusal))
         return True
 
+    record_arrival(upstream, sent, process)
+    if upstream.rng.random() < upstream.rejected_share:
+        ask_for_rest(upstream, sent, writer, process)
+        return True
+
     if upstream.rejection_limit is not None and upstream.running >= upstream.slots:
         reject(upstream, sent, writer)
         return upstream.up
@@ -221,12 +242,55 @@
     upstream.journal.runs.append(run)
     upstream.running += 1
     try:
-        return await process_request(upstream, sent, run, writer)
+        served = await process_request(upstream, sent, run, writer)
+        record_leave(upstream, process)
+        return served
     finally:
         upstream.running -= 1
         run.ended_at = read_clock()
 
 
+def record_arrival(
+    upstream: Upstream, sent: wire.ReceivedRequest, process: int
+) -> None:
+    """Record a request that has arrived."""
+    upstream.journal.arrivals.append(
+        Arrival(
+            request_id=sent.request_id,
+            process=process,
+            upstream=upstream.identity,
+            at=read_clock(),
+        )
+    )
+
+
+def ask_for_rest(
+    upstream: Upstream, sent: wire.ReceivedRequest, writer: StreamWriter, process: int
+) -> None:
+    """Reject a request, and ask its gateway for rest."""
+    headers = {
+        **wire.write_refusal(sent.request_id),
+        **wire.write_rest(upstream.rest),
+        **write_statements(upstream),
+    }
+    writer.write(write_message("HTTP/1.1 503 Busy", headers))
+    rest = Rest(
+        process=process,
+        upstream=upstream.identity,
+        at=read_clock(),
+        seconds=upstream.rest,
+    )
+    upstream.journal.rests.append(rest)
+    record_leave(upstream, process)
+
+
+def record_leave(upstream: Upstream, process: int) -> None:
+    """Record that a response to a gateway's process says that the upstream leaves."""
+    if upstream.leaving or upstream.says_leaving:
+        key = (process, upstream.identity)
+        upstream.journal.left_at.setdefault(key, read_clock())
+
+
 def reject(
     upstream: Upstream, sent: wire.ReceivedRequest, writer: StreamWriter
 ) -> None:
@@ -247,7 +311,11 @@
 
 def write_statements(upstream: Upstream) -> dict[str, str]:
     """Return the headers by which an upstream states what it takes."""
-    return wire.write_statements(upstream.rate_limit, upstream.rejection_limit)
+    return wire.write_statements(
+        upstream.rate_limit,
+        upstream.rejection_limit,
+        leaving=upstream.leaving or upstream.says_leaving,
+    )
 
 
 async def process_request(
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -32,6 +32,9 @@
 CUTS_SEED = 100
 CUTS_SECONDS = 1.0
 """Long enough for one cut of gateways from all upstreams."""
+STATEMENTS_SEED = 100
+STATEMENTS_SECONDS = 6.0
+"""Long enough for some rests and a leave."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -98,6 +101,12 @@
         journal = self.run_briefly(CUTS_SEED, CUTS_SECONDS, cuts=True)
         self.assertTrue(journal.cut_spans)
 
+    def test_upstreams_that_rest_and_leave(self) -> None:
+        """Guards against requests to upstreams that have asked to be left alone."""
+        journal = self.run_briefly(STATEMENTS_SEED, STATEMENTS_SECONDS, statements=True)
+        self.assertTrue(journal.rests)
+        self.assertTrue(any(one.process for one in journal.arrivals))
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -1,4 +1,4 @@
-"""The soak test's check of planned stops."""
+"""The soak test's checks, on records made by hand."""
 
 from __future__ import annotations
 
@@ -10,16 +10,22 @@
 from bench.soak.checks import check_cuts
 from bench.soak.checks import check_limits
 from bench.soak.checks import check_planned_stops
+from bench.soak.checks import check_rests
+from bench.soak.checks import check_stated_leaves
+from bench.soak.records import Arrival
 from bench.soak.records import CallerRequest
 from bench.soak.records import Crash
 from bench.soak.records import CutSpan
 from bench.soak.records import Fault
 from bench.soak.records import Journal
 from bench.soak.records import LimitSpan
+from bench.soak.records import Rest
 from bench.soak.records import Run
 
 
 STOP_AT = 100.0
+U1 = ("u1", 1)
+"""Id and start of an upstream's process."""
 GATEWAY = "127.0.2.1"
 CUT_REQUEST: dict[str, Any] = {"sent_at": 102.0, "ended_at": 103.5, "status": 200}
 """A request whose connection ends within its response, 3.5 s after the signal."""
@@ -165,6 +171,48 @@
                 self.assertEqual(any(check_cuts(journal)), is_violation)
 
 
+class StatementsCheckTest(unittest.TestCase):
+    """Upstreams that ask a gateway for rest, or tell it that they leave, at 100 s."""
+
+    def test_requests_within_a_rest(self) -> None:
+        for name, process, upstream, times, is_violation in (
+            ("two", 1, U1, (100.6, 102.9), False),
+            ("three", 1, U1, (100.6, 101.0, 102.9), True),
+            ("under way", 1, U1, (100.1, 100.2, 100.4), False),
+            ("after it", 1, U1, (103.0, 103.1, 103.2), False),
+            ("another gateway", 2, U1, (101.0, 101.1, 101.2), False),
+            ("unknown gateway", 0, U1, (101.0, 101.1, 101.2), False),
+            ("another upstream", 1, ("u2", 1), (101.0, 101.1, 101.2), False),
+            ("its next process", 1, ("u1", 2), (101.0, 101.1, 101.2), False),
+        ):
+            with self.subTest(name):
+                journal = Journal()
+                rest = Rest(process=1, upstream=U1, at=100.0, seconds=3.0)
+                journal.rests.append(rest)
+                journal.arrivals += [
+                    Arrival(request_id="one", process=process, upstream=upstream, at=at)
+                    for at in times
+                ]
+                self.assertEqual(any(check_rests(journal)), is_violation)
+
+    def test_requests_after_a_stated_leave(self) -> None:
+        for name, process, upstream, sent_at, is_violation in (
+            ("sent late", 1, U1, 103.0, True),
+            ("sent before", 1, U1, 101.9, False),
+            ("another gateway", 2, U1, 103.0, False),
+            ("its next process", 1, ("u1", 2), 103.0, False),
+        ):
+            with self.subTest(name):
+                request = make_request("127.0.2.1", 200, sent_at)
+                request.sent_at = sent_at
+                journal = Journal(requests=[request], left_at={(1, U1): 100.0})
+                arrival = Arrival(
+                    request_id="one", process=process, upstream=upstream, at=104.0
+                )
+                journal.arrivals.append(arrival)
+                self.assertEqual(any(check_stated_leaves(journal)), is_violation)
+
+
 def make_request(gateway: str, status: int, began_at: float) -> CallerRequest:
     """Return a request with a complete response."""
     return CallerRequest(
