Split the end of a response from the request's life cycle

The waits for permits are waits for upstreams now, as rests are waited for, too. No change of behaviour.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -147,20 +147,6 @@
     return Choice(service, key, model, placement, pressure, kind, len(pool))
 
 
-def list_restricted(
-    context: GatewayContext, service: str, session: str, excluded: set[str], now: float
-) -> list[Announcement]:
-    """Return the upstreams that only lack a permit or room at present, or rest.
-
-    Call it after ``choose_upstream`` has found none.
-    """
-    return [
-        candidate
-        for candidate in list_candidates(context, service, session, now)
-        if candidate.upstream not in excluded
-    ]
-
-
 def find_shortest_rest(
     context: GatewayContext, upstreams: Collection[Announcement], now: float
 ) -> float:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -6,20 +6,16 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from loguru import logger
-
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_retry_after
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
 from ..events import log_event
-from ..http.client import ResponseEnd
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
 from .attempts import is_forwarded_stream
-from .attempts import is_valid_response
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
 from .attempts import record_outcome
@@ -38,31 +34,28 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
-from .permit_waits import choose_pause
-from .permit_waits import may_serve_later
-from .permit_waits import wait_for_permit
 from .probing import record_reached
-from .probing import record_unanswered
 from .relaying import choose_relay
-from .relaying import is_refused_by_relay
 from .relaying import make_response_headers
 from .relaying import read_upstream
-from .response_ends import check_upstream
-from .response_ends import is_cut_in_event
+from .response_ends import classify_end
+from .response_ends import end_attempt
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
 from .sending import log_placement
 from .sending import open_call
 from .statements import record_statements
+from .upstream_waits import choose_pause
+from .upstream_waits import may_serve_later
+from .upstream_waits import wait_for_upstream
 from .watch import check_responsiveness
 from .watch import start_response_timer
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ...routing.records import Route
     from ...routing.records import Workspace
+    from ..http.client import ResponseEnd
     from ..http.records import HeaderList
     from ..http.records import HttpRequest
     from ..http.server import Responder
@@ -174,7 +167,7 @@
 
         choice = self.choose_upstream(now)
         if choice is None:
-            if is_cut_off(self.context.path) or not wait_for_permit(
+            if is_cut_off(self.context.path) or not wait_for_upstream(
                 self, self._send_next, now
             ):
                 self._retry_tried_upstreams()
@@ -287,81 +280,7 @@
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
         """Handle the end of a call."""
-        self._end_attempt(sent, partial(self._classify_end, attempt, end, sent))
-
-    def _handle_check(self, attempt: Attempt, accepted: bool) -> None:
-        """Handle the result of a check after an end that was not stated."""
-        self._end_attempt(True, partial(self._classify_checked, attempt, accepted))
-
-    def _end_attempt(self, sent: bool, classify: Callable[[], None]) -> None:
-        """Classify the end of an attempt.
-
-        An internal error here must end the request: no further event follows the call's
-        end, so the caller would otherwise wait until the deadline.
-        """
-        try:
-            classify()
-        except Exception as error:  # any internal error
-            logger.opt(exception=error).error("gateway: Answer failed")
-            if not self.finished:
-                self.stop_attempt()
-                self.runs += sent
-                give_up(self, "internal error")
-
-    def _classify_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
-        if attempt.finished:
-            return
-
-        if attempt.facts is None:
-            outcome = AttemptOutcome.BROKEN if sent else AttemptOutcome.UNREACHED
-            if not attempt.relayed:
-                record_unanswered(self.context, attempt.upstream, self.context.clock())
-
-            self.finish_attempt(attempt, outcome, "no answer")
-        elif is_refused_by_relay(attempt):
-            reason = f"relay refused {attempt.status}"
-            self.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
-        elif attempt.facts.not_run:
-            self.finish_attempt(
-                attempt, AttemptOutcome.NOT_RUN, f"refused {attempt.status}"
-            )
-        elif end is ResponseEnd.CUT or not is_valid_response(
-            attempt, self.facts.request_id
-        ):
-            self.finish_attempt(attempt, AttemptOutcome.BROKEN, "answer not whole")
-        elif is_cut_in_event(self, attempt, end):
-            self.finish_attempt(attempt, AttemptOutcome.BROKEN, "ended inside an event")
-        elif end is ResponseEnd.UNSTATED:
-            on_result = partial(self._handle_check, attempt)
-            attempt.check = check_upstream(self, attempt, on_result)
-        else:
-            self._classify_whole(attempt)
-
-    def _classify_checked(self, attempt: Attempt, accepted: bool) -> None:
-        if attempt.finished:
-            return
-
-        if accepted:
-            self._classify_whole(attempt)
-        else:
-            self.finish_attempt(attempt, AttemptOutcome.BROKEN, "upstream gone")
-
-    def _classify_whole(self, attempt: Attempt) -> None:
-        """Classify an attempt whose response is whole, by its status."""
-        if attempt.status >= 500 or not self._can_forward(attempt):
-            self.finish_attempt(
-                attempt, AttemptOutcome.FAILED, f"status {attempt.status}"
-            )
-        else:
-            self.finish_attempt(attempt, AttemptOutcome.DONE, "")
-
-    def _can_forward(self, attempt: Attempt) -> bool:
-        """Return whether this response can still be sent to the caller.
-
-        If an upstream refuses to resume a stream, its refusal can't follow the events
-        that the caller has received, and another upstream may resume the stream.
-        """
-        return attempt.streaming or not self.responder.started
+        end_attempt(self, sent, partial(classify_end, self, attempt, end, sent))
 
     # --- end of an attempt ----------------------------------------------------
 
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -1,4 +1,4 @@
-"""Whether a response that has ended is whole.
+"""The end of a response: whether it is whole, and what it means for its attempt.
 
 A response with neither a length nor chunks ends with its connection, which a process
 that dies in the middle of it closes as cleanly as one that has finished. Its end is
@@ -7,13 +7,20 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from ...routing.health import record_unreachable
 from ..events import log_event
 from ..http.client import ResponseEnd
 from ..http.connection_check import ConnectionCheck
+from .attempts import AttemptOutcome
+from .attempts import is_valid_response
+from .endings import give_up
 from .probing import record_unanswered
+from .relaying import is_refused_by_relay
 from .sending import CONNECT_SECONDS
 
 
@@ -24,6 +31,79 @@
     from .exchange import Exchange
 
 
+def end_attempt(exchange: Exchange, sent: bool, classify: Callable[[], None]) -> None:
+    """Classify the end of an attempt.
+
+    An internal error here must end the request: no further event follows the call's
+    end, so the caller would otherwise wait until the deadline.
+    """
+    try:
+        classify()
+    except Exception as error:  # any internal error
+        logger.opt(exception=error).error("gateway: Answer failed")
+        if not exchange.finished:
+            exchange.stop_attempt()
+            exchange.runs += sent
+            give_up(exchange, "internal error")
+
+
+def classify_end(
+    exchange: Exchange, attempt: Attempt, end: ResponseEnd, sent: bool
+) -> None:
+    """Finish an attempt by how its call has ended, or check its upstream first."""
+    if attempt.finished:
+        return
+
+    if attempt.facts is None:
+        outcome = AttemptOutcome.BROKEN if sent else AttemptOutcome.UNREACHED
+        if not attempt.relayed:
+            now = exchange.context.clock()
+            record_unanswered(exchange.context, attempt.upstream, now)
+
+        exchange.finish_attempt(attempt, outcome, "no answer")
+    elif is_refused_by_relay(attempt):
+        reason = f"relay refused {attempt.status}"
+        exchange.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
+    elif attempt.facts.not_run:
+        reason = f"refused {attempt.status}"
+        exchange.finish_attempt(attempt, AttemptOutcome.NOT_RUN, reason)
+    elif end is ResponseEnd.CUT or not is_valid_response(
+        attempt, exchange.facts.request_id
+    ):
+        exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, "answer not whole")
+    elif is_cut_in_event(exchange, attempt, end):
+        exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, "ended inside an event")
+    elif end is ResponseEnd.UNSTATED:
+        attempt.check = check_upstream(exchange, attempt)
+    else:
+        classify_whole(exchange, attempt)
+
+
+def classify_checked(exchange: Exchange, attempt: Attempt, accepted: bool) -> None:
+    """Finish an attempt by whether its upstream has accepted another connection."""
+    if attempt.finished:
+        return
+
+    if accepted:
+        classify_whole(exchange, attempt)
+    else:
+        exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, "upstream gone")
+
+
+def classify_whole(exchange: Exchange, attempt: Attempt) -> None:
+    """Finish an attempt whose response is whole, by its status.
+
+    If an upstream refuses to resume a stream, its refusal can't follow the events that
+    the caller has received, and another upstream may resume the stream.
+    """
+    can_forward = attempt.streaming or not exchange.responder.started
+    if attempt.status >= 500 or not can_forward:
+        reason = f"status {attempt.status}"
+        exchange.finish_attempt(attempt, AttemptOutcome.FAILED, reason)
+    else:
+        exchange.finish_attempt(attempt, AttemptOutcome.DONE, "")
+
+
 def is_cut_in_event(exchange: Exchange, attempt: Attempt, end: ResponseEnd) -> bool:
     """Return whether a stream has ended inside an event, or before any.
 
@@ -40,9 +120,7 @@
     return splitter.events > 0 and bool(splitter.partial_event.strip())
 
 
-def check_upstream(
-    exchange: Exchange, attempt: Attempt, on_result: Callable[[bool], None]
-) -> ConnectionCheck:
+def check_upstream(exchange: Exchange, attempt: Attempt) -> ConnectionCheck:
     """Check whether an upstream that has closed a connection still accepts others."""
     context = exchange.context
     upstream = attempt.choice.placement.upstream
@@ -61,7 +139,8 @@
             record_unreachable(context.health, attempt.upstream, now)
             record_unanswered(context, attempt.upstream, now)
 
-        on_result(accepted)
+        classify = partial(classify_checked, exchange, attempt, accepted)
+        end_attempt(exchange, True, classify)
 
     return ConnectionCheck(
         reactor=context.reactor,
--- a/src/waxwingwell/adapters/gateway/permit_waits.py
+++ b/src/waxwingwell/adapters/gateway/upstream_waits.py
@@ -12,7 +12,6 @@
 from .choice import find_session_key
 from .choice import find_shortest_rest
 from .choice import list_candidates
-from .choice import list_restricted
 from .endings import RETRY_AFTER
 from .endings import give_up
 from .restrictions import estimate_permit_seconds
@@ -32,7 +31,7 @@
 """Requests that wait at one gateway; more of them would wait in vain."""
 
 
-def wait_for_permit(
+def wait_for_upstream(
     exchange: Exchange, send_next: Callable[[], None], now: float
 ) -> bool:
     """Wait or refuse a request whose upstreams lack only a permit or room, or rest.
@@ -45,11 +44,8 @@
         return False
 
     context = exchange.context
-    service = exchange.find_service()
-    session = find_session_key(exchange.facts)
-    upstreams = list_restricted(
-        context, service, session, exchange.tried_upstreams, now
-    )
+    tried = exchange.tried_upstreams
+    upstreams = [one for one in list_all(exchange, now) if one.upstream not in tried]
     if not upstreams:
         return False
 
@@ -57,7 +53,7 @@
     # Its caller can still try another gateway in the larger part.
     latest = exchange.started_at + MAX_RETRY_AFTER_PART * total
     rest = find_shortest_rest(context, upstreams, now)
-    expected = rest or estimate_wait(context, service, now)
+    expected = rest or estimate_wait(context, exchange.find_service(), now)
     limit = latest if rest else exchange.deadline
     in_vain = now >= latest or now + expected > limit
     if in_vain or context.waiting >= MAX_WAITING:
@@ -102,6 +98,6 @@
 
 
 def list_all(exchange: Exchange, now: float) -> list[Announcement]:
-    """Return the upstreams that may run a request, also those tried, or at rest."""
+    """Return the upstreams that may run a request, also those tried or restricted."""
     service, session = exchange.find_service(), find_session_key(exchange.facts)
     return list_candidates(exchange.context, service, session, now)
--- a/tests/adapters/gateway/test_brittle.py
+++ b/tests/adapters/gateway/test_brittle.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from waxwingwell.adapters.gateway.permit_waits import POLL_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.gateway.steering import make_report
+from waxwingwell.adapters.gateway.upstream_waits import POLL_SECONDS
 from waxwingwell.routing.limits import REJECTION_SECONDS
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GrantPermits
