--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -16,7 +16,7 @@
 from ..http.client import CallHandlers
 from ..http.client import UpstreamCall
 from .restrictions import is_resting
-from .statements import record_stated_rest
+from .statements import record_pauses
 from .steering import send_report
 
 
@@ -123,7 +123,7 @@
         call.cancel()
         now = context.clock()
         facts = context.dialect.read_response(status, headers)
-        record_stated_rest(context, upstream, facts, now)
+        record_pauses(context, upstream, facts, now)
         record_reached(context, now)
 
     def handle_end(end: ResponseEnd, sent: bool) -> None:
--- a/src/waxwingwell/adapters/gateway/statements.py
+++ b/src/waxwingwell/adapters/gateway/statements.py
@@ -33,14 +33,14 @@
     if facts is None:
         return
 
-    if facts.leaving:
-        name = attempt.relayed_upstream if attempt.relayed else attempt.upstream
-        record_stated_leave(context, name, now)
-
     if attempt.relayed:
+        # The upstream has asked the relay for rest, not this gateway.
+        if facts.leaving:
+            record_stated_leave(context, attempt.relayed_upstream, now)
+
         return
 
-    record_stated_rest(context, attempt.choice.placement.upstream, facts, now)
+    record_pauses(context, attempt.choice.placement.upstream, facts, now)
     if facts.not_run and facts.rejection_limit is not None:
         limit_rejecting(context, attempt, facts.rejection_limit, now)
 
@@ -52,8 +52,20 @@
         record_rejection_limit(context, attempt, facts.rejection_limit, now)
 
 
+def record_pauses(
+    context: GatewayContext, upstream: Announcement, facts: ResponseFacts, now: float
+) -> None:
+    """Record that an upstream leaves or asks for rest, as its response says."""
+    if facts.leaving:
+        record_stated_leave(context, upstream.upstream, now)
+
+    if facts.rest is not None:
+        name, incarnation = upstream.upstream, upstream.incarnation
+        record_rest(context.limits, name, incarnation, facts.rest, now)
+
+
 def record_stated_leave(context: GatewayContext, upstream: str, now: float) -> None:
-    """Record that an upstream leaves, as its response says."""
+    """Record that an upstream leaves."""
     held = context.fleet.upstreams.get(upstream)
     if held is None:
         return
@@ -62,15 +74,6 @@
         log_event("gateway: Upstream leaves", upstream=upstream)
 
 
-def record_stated_rest(
-    context: GatewayContext, upstream: Announcement, facts: ResponseFacts, now: float
-) -> None:
-    """Record the rest that a response asks for, if any."""
-    if facts.rest is not None:
-        name, incarnation = upstream.upstream, upstream.incarnation
-        record_rest(context.limits, name, incarnation, facts.rest, now)
-
-
 def record_rejection_limit(
     context: GatewayContext, attempt: Attempt, rejections: float | None, now: float
 ) -> None:
--- a/tests/adapters/gateway/test_rests.py
+++ b/tests/adapters/gateway/test_rests.py
@@ -17,6 +17,7 @@
 from waxwingwell.routing.retries import list_retries
 
 from .paths import PATHS
+from .paths import PORTS
 from .paths import add_upstream
 from .paths import count_asked
 from .paths import make_sole_gateway
@@ -105,6 +106,24 @@
         gateway.ask(X_Budget="0.2")
         self.assertEqual(gateway.upstreams, [])
 
+    def test_a_rejected_probe_counts_as_well(self) -> None:
+        """Guards against requests to an upstream that has rejected a probe."""
+        gateway = make_sole_gateway("u1", "u2")
+        probe_upstreams(gateway)
+        for probe in gateway.upstreams:
+            if probe.port == PORTS["u1"]:
+                probe.accept()
+                probe.respond(RESTING)
+            else:
+                probe.refuse()
+
+        asked = count_asked(gateway, "u1")
+        self.assertGreater(asked, 0)
+        for _ in range(6):
+            gateway.ask()
+
+        self.assertEqual(count_asked(gateway, "u1"), asked)
+
     def test_probes_prefer_no_resting_upstream(self) -> None:
         """Guards against probes as requests that an upstream does not want."""
         gateway = make_resting()
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -5,6 +5,7 @@
 import math
 import unittest
 
+from waxwingwell.routing.limits import MAX_REST_SECONDS
 from waxwingwell.routing.limits import MIN_LIFT_SECONDS
 from waxwingwell.routing.limits import MIN_RATE
 from waxwingwell.routing.limits import REJECTION_SECONDS
@@ -13,12 +14,49 @@
 from waxwingwell.routing.limits import apply_states
 from waxwingwell.routing.limits import drop_limits
 from waxwingwell.routing.limits import find_rate
+from waxwingwell.routing.limits import find_rest_seconds
 from waxwingwell.routing.limits import list_states
 from waxwingwell.routing.limits import record_rejection
+from waxwingwell.routing.limits import record_rest
 from waxwingwell.routing.limits import record_statement
 from waxwingwell.routing.messages import LimitState
 
 
+class RestTest(unittest.TestCase):
+    """Rejections that ask for rest, all of upstream u1."""
+
+    def test_the_rest_that_is_left(self) -> None:
+        """Each rejection is incarnation, seconds of rest and time; asked for at 10."""
+        for name, rejections, incarnation, left in (
+            ("none", [], 1, 0.0),
+            ("seconds", [(1, 3.0, 9.0)], 1, 2.0),
+            ("fraction", [(1, 0.25, 9.9)], 1, 0.15),
+            ("over", [(1, 3.0, 7.0)], 1, 0.0),
+            ("shorter later", [(1, 3.0, 9.0), (1, 0.5, 9.5)], 1, 2.0),
+            ("longer later", [(1, 0.5, 9.0), (1, 3.0, 9.5)], 1, 2.5),
+            ("a day", [(1, 86_400.0, 10.0)], 1, MAX_REST_SECONDS),
+            ("restarted", [(1, 3.0, 9.0)], 2, 0.0),
+            ("late rejection of before", [(2, 3.0, 9.0), (1, 9.0, 9.5)], 2, 2.0),
+            ("asked anew", [(1, 9.0, 9.0), (2, 3.0, 9.5)], 2, 2.5),
+        ):
+            with self.subTest(name):
+                table = LimitTable()
+                for one, seconds, at in rejections:
+                    record_rest(table, "u1", one, seconds, at)
+
+                found = find_rest_seconds(table, "u1", incarnation, 10.0)
+                self.assertAlmostEqual(found, left)
+
+    def test_rests_that_are_over_are_dropped(self) -> None:
+        """Guards against a table that grows with each rejection."""
+        table = LimitTable()
+        record_rest(table, "u1", 1, 3.0, 0.0)
+        drop_limits(table, {"u1"}, 2.0)
+        self.assertEqual(set(table.rests), {"u1"})
+        drop_limits(table, {"u1"}, 3.0)
+        self.assertEqual(table.rests, {})
+
+
 class StatementTest(unittest.TestCase):
     """Responses that name a limit, and responses that name none."""
 
