--- a/src/waxwingwell/adapters/gateway/upstream_waits.py
+++ b/src/waxwingwell/adapters/gateway/upstream_waits.py
@@ -66,11 +66,22 @@
         send_next()
 
     context.waiting += 1
-    delay = min(rest or POLL_SECONDS, latest - now)
+    delay = min(choose_delay(context, rest), latest - now)
     context.reactor.callLater(delay, end_wait)
     return True
 
 
+def choose_delay(context: GatewayContext, rest: float) -> float:
+    """Return the seconds until a waiting request is placed again.
+
+    Requests that wait for the same rest would otherwise all arrive at its end.
+    """
+    if 0.0 < rest <= POLL_SECONDS:
+        return rest + POLL_SECONDS * context.random.random()
+
+    return POLL_SECONDS
+
+
 def estimate_wait(context: GatewayContext, service: str, now: float) -> float:
     """Return the expected seconds until a permit arrives, or room is known."""
     expected = estimate_permit_seconds(context)
--- a/tests/adapters/gateway/test_rests.py
+++ b/tests/adapters/gateway/test_rests.py
@@ -162,6 +162,22 @@
                 gateway.reactor.advance(0.3)
                 self.assertEqual(len(gateway.upstreams), 1)
 
+    def test_waiting_requests_do_not_arrive_together(self) -> None:
+        """Guards against a crowd at an upstream that has just rested."""
+        gateway = self.rest_all(SHORT_REST)
+        waiting = 30
+        for _ in range(waiting):
+            gateway.ask()
+
+        arrived = []
+        for _ in range(30):
+            before = len(gateway.upstreams)
+            gateway.reactor.advance(0.025)
+            arrived.append(len(gateway.upstreams) - before)
+
+        self.assertEqual(sum(arrived), waiting)
+        self.assertLess(max(arrived), waiting / 2)
+
     def test_the_caller_of_the_rejected_request_learns_the_rest(self) -> None:
         """Guards against a Retry-After that ignores the rest just asked for."""
         gateway = make_sole_gateway("u1")
