--- a/tests/adapters/gateway/test_unstated_ends.py
+++ b/tests/adapters/gateway/test_unstated_ends.py
@@ -7,12 +7,12 @@
 
 from waxwingwell.routing.records import RouteKind
 
+from .paths import make_sole_gateway
 from .support import LAST_CHUNK
 from .support import Caller
 from .support import Gateway
 from .support import Upstream
 from .support import make_chunk
-from .support import make_gateway
 from .support import make_response
 from .support import make_stream_head
 
@@ -26,13 +26,6 @@
 """Head of a response with neither a length nor chunks."""
 
 
-def make_sole_gateway(*names: str, **route: Any) -> Gateway:
-    """Return a gateway that has the whole retry budget to itself."""
-    gateway = make_gateway(*names, **route)
-    gateway.context.load.others_at = 0.0
-    return gateway
-
-
 def refuse_check(gateway: Gateway) -> None:
     """Refuse the connection by which the gateway checks an upstream, if any."""
     gateway.upstreams[-1].refuse()
@@ -57,6 +50,16 @@
     return caller, second
 
 
+def end_by_close(gateway: Gateway, body: bytes) -> tuple[Caller, Upstream]:
+    """Send a request, and end its response by the close of the connection."""
+    caller = gateway.ask()
+    upstream = gateway.upstreams[0]
+    upstream.accept()
+    upstream.respond(BARE_HEAD + body)
+    upstream.close()
+    return caller, upstream
+
+
 def finish_resumed(gateway: Gateway, events: bytes) -> None:
     """Let the next upstream send the rest of the stream in chunks."""
     upstream = gateway.upstreams[-1]
@@ -117,11 +120,7 @@
         ):
             with self.subTest(name):
                 gateway = make_sole_gateway("u1", resumable=False)
-                caller = gateway.ask()
-                upstream = gateway.upstreams[0]
-                upstream.accept()
-                upstream.respond(BARE_HEAD + body)
-                upstream.close()
+                caller, _ = end_by_close(gateway, body)
                 if check is not None:
                     check(gateway)
 
@@ -159,11 +158,7 @@
         for name, resumable in (("resumable", True), ("not resumable", False)):
             with self.subTest(name):
                 gateway = make_sole_gateway(resumable=resumable)
-                caller = gateway.ask()
-                upstream = gateway.upstreams[0]
-                upstream.accept()
-                upstream.respond(BARE_HEAD + FIRST_EVENT + SECOND_EVENT)
-                upstream.close()
+                caller, _ = end_by_close(gateway, FIRST_EVENT + SECOND_EVENT)
                 self.accept_check(gateway)
                 self.assertTrue(caller.received.endswith(LAST_CHUNK))
                 self.assertIn(SECOND_EVENT, caller.received)
@@ -172,11 +167,7 @@
     def test_a_check_sends_no_request(self) -> None:
         """Guards against checks that count as requests at an upstream."""
         gateway = make_sole_gateway()
-        caller = gateway.ask()
-        upstream = gateway.upstreams[0]
-        upstream.accept()
-        upstream.respond(BARE_HEAD + FIRST_EVENT)
-        upstream.close()
+        caller, upstream = end_by_close(gateway, FIRST_EVENT)
         check = gateway.upstreams[-1]
         self.assertEqual((check.host, check.port), (upstream.host, upstream.port))
         self.assertEqual(check.accept(), b"")
@@ -186,11 +177,7 @@
     def test_a_check_ends_with_its_request(self) -> None:
         """Guards against checks that end a request twice."""
         gateway = make_sole_gateway()
-        caller = gateway.ask()
-        upstream = gateway.upstreams[0]
-        upstream.accept()
-        upstream.respond(BARE_HEAD + FIRST_EVENT)
-        upstream.close()
+        caller, _ = end_by_close(gateway, FIRST_EVENT)
         caller.leave()
         refuse_check(gateway)
         self.assertEqual(len(gateway.upstreams), 2)
@@ -210,7 +197,7 @@
         for kind in (RouteKind.IDEMPOTENT, RouteKind.ONCE):
             with self.subTest(kind):
                 gateway = make_sole_gateway(kind=kind)
-                caller = self.ask_bare(gateway)
+                caller, _ = end_by_close(gateway, b"fine")
                 gateway.upstreams[-1].accept()
                 self.assertEqual(caller.status, 200)
                 self.assertTrue(caller.received.endswith(b"fine"))
@@ -220,7 +207,7 @@
         for check in (refuse_check, leave_check):
             with self.subTest(check.__name__):
                 gateway = make_sole_gateway(kind=RouteKind.IDEMPOTENT)
-                caller = self.ask_bare(gateway)
+                caller, _ = end_by_close(gateway, b"fine")
                 check(gateway)
                 self.assertEqual(caller.received, b"")
                 second = gateway.upstreams[-1]
@@ -231,16 +218,7 @@
     def test_a_request_that_may_run_once_fails(self) -> None:
         """Guards against a second run, and a success without the whole body."""
         gateway = make_sole_gateway(kind=RouteKind.ONCE)
-        caller = self.ask_bare(gateway)
+        caller, _ = end_by_close(gateway, b"fine")
         refuse_check(gateway)
         self.assertEqual(caller.status, 502)
         self.assertEqual(len(gateway.upstreams), 2)
-
-    def ask_bare(self, gateway: Gateway) -> Caller:
-        """Send a call whose response ends with its connection."""
-        caller = gateway.ask()
-        upstream = gateway.upstreams[0]
-        upstream.accept()
-        upstream.respond(BARE_HEAD + b"fine")
-        upstream.close()
-        return caller
