Keep the known relays while a control that lists them stands still

Evidence: the gateways' logs, no relay known from 2.7 to 4.5 s after the loss, in which the third moved its reports to the suspended control and away from it. Ruled out: a cut third gateway; it served all of its own requests. An empty list counts 5 s after the last one that named a relay now; a relay that is none any more refuses at once. The new test failed before.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -91,6 +91,8 @@
     path: PathTable = field(default_factory=PathTable)
     relays: tuple[RelayGateway, ...] = ()
     """Other gateways that reach upstreams."""
+    relays_at: float = -math.inf
+    """Time of the last list of relays that named one."""
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -62,6 +62,11 @@
     from .context import GatewayContext
 
 
+RELAY_RETENTION_SECONDS = 5.0
+"""Seconds for which relays are known after the last list that named one. A gateway
+leaves a control that stands still after two seconds or so."""
+
+
 def handle_call(sender: str, body: Any) -> Deferred[Message]:
     """Reject a call: a gateway serves no calls, only casts."""
     reason = f"{type(body).__name__} from {sender} is not understood"
@@ -105,8 +110,25 @@
         apply_states(context.limits, body.limits, now)
         apply_statements(context.brittle, body.brittle, now)
     elif isinstance(body, ShareRelays):
-        own = context.settings.node
-        context.relays = tuple(one for one in body.relays if one.name != own)
+        replace_relays(context, body.relays, now)
+
+
+def replace_relays(
+    context: GatewayContext, listed: tuple[RelayGateway, ...], now: float
+) -> None:
+    """Replace the known relays by those that a control lists.
+
+    If it lists none, the control that knows of them may only stand still: the known
+    ones are kept for a while, as one that is no relay any more refuses at once.
+    """
+    own = context.settings.node
+    relays = tuple(one for one in listed if one.name != own)
+    if relays:
+        context.relays_at = now
+    elif now - context.relays_at <= RELAY_RETENTION_SECONDS:
+        return
+
+    context.relays = relays
 
 
 def apply_routing(context: GatewayContext, body: ShareRouting) -> None:
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -20,6 +20,7 @@
 from waxwingwell.adapters.gateway.probing import probe_path
 from waxwingwell.adapters.gateway.probing import record_reached
 from waxwingwell.adapters.gateway.probing import record_unanswered
+from waxwingwell.adapters.gateway.steering import RELAY_RETENTION_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.gateway.steering import make_report
 from waxwingwell.adapters.http.records import HttpLimits
@@ -31,6 +32,7 @@
 from waxwingwell.routing.health import is_backing_off
 from waxwingwell.routing.health import record_unreachable
 from waxwingwell.routing.limits import record_statement
+from waxwingwell.routing.messages import ShareRelays
 from waxwingwell.routing.reachability import has_lost_path
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.retries import list_retries
@@ -286,6 +288,24 @@
             self.assertEqual(near.host, ADDRESSES[1])
             open_relayed(near, other).pump()
 
+    def test_an_empty_list_of_relays_counts_after_a_while(self) -> None:
+        """Guards against refusals while a control that knows a relay stands still."""
+        for name, seconds, asked in (
+            ("at once", 0.0, True),
+            ("soon", RELAY_RETENTION_SECONDS - 0.1, True),
+            ("later", RELAY_RETENTION_SECONDS + 0.1, False),
+        ):
+            with self.subTest(name):
+                [cut, _] = make_fleet(kind=RouteKind.ONCE).gateways
+                cut_off(cut)
+                cut.context.relays_at = cut.reactor.seconds()
+                cut.reactor.advance(seconds)
+                cut.reactor.tcpClients.clear()
+                handle_cast(cut.context, "127.0.0.1", ShareRelays(relays=()))
+                cut.ask()
+                hosts = [one.host for one in cut.upstreams]
+                self.assertEqual(ADDRESSES[1] in hosts, asked)
+
     def test_a_relay_that_was_not_reached_is_used_if_it_is_the_only_one(self) -> None:
         """Guards against refusals while the only relay is backing off."""
         [cut, _] = make_fleet(kind=RouteKind.ONCE).gateways
