--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -241,9 +241,12 @@
     )
     upstream.journal.runs.append(run)
     upstream.running += 1
+    identity, leaves = upstream.identity, says_leave(upstream)
     try:
         served = await process_request(upstream, sent, run, writer)
-        record_leave(upstream, process)
+        if leaves:
+            record_leave(upstream, identity, process)
+
         return served
     finally:
         upstream.running -= 1
@@ -281,14 +284,18 @@
         seconds=upstream.rest,
     )
     upstream.journal.rests.append(rest)
-    record_leave(upstream, process)
+    if says_leave(upstream):
+        record_leave(upstream, upstream.identity, process)
+
+
+def says_leave(upstream: Upstream) -> bool:
+    """Return whether responses that begin now say that the upstream leaves."""
+    return upstream.leaving or upstream.says_leaving
 
 
-def record_leave(upstream: Upstream, process: int) -> None:
-    """Record that a response to a gateway's process says that the upstream leaves."""
-    if upstream.leaving or upstream.says_leaving:
-        key = (process, upstream.identity)
-        upstream.journal.left_at.setdefault(key, read_clock())
+def record_leave(upstream: Upstream, identity: tuple[str, int], process: int) -> None:
+    """Record that a response to a gateway's process has said so."""
+    upstream.journal.left_at.setdefault((process, identity), read_clock())
 
 
 def reject(
@@ -314,7 +321,7 @@
     return wire.write_statements(
         upstream.rate_limit,
         upstream.rejection_limit,
-        leaving=upstream.leaving or upstream.says_leaving,
+        leaving=says_leave(upstream),
     )
 
 
