Leave out the soak's own stalls when rests are checked

By the gateways' logs none was placed within a rest that its gateway knew; the soak stood still for 0.1 to 0.4 s at a time in between, and held the rejection and what was sent before it. A test holds both sides.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -230,15 +230,19 @@
 
 
 def check_rests(journal: Journal) -> Iterator[str]:
-    """Check that a gateway leaves an upstream alone for the rest that it asks for."""
+    """Check that a gateway leaves an upstream alone for the rest that it asks for.
+
+    While the soak stands still, both the rejection and what was sent before it wait.
+    """
     for rest in journal.rests:
-        since = rest.at + wire.REST_TRANSIT_SECONDS
         times = [
             one.at - rest.at
             for one in journal.arrivals
             if one.process == rest.process != 0
             and one.upstream == rest.upstream
-            and since <= one.at < rest.at + rest.seconds
+            and rest.at < one.at < rest.at + rest.seconds
+            and one.at - rest.at - sum_stalls(journal, rest.at, one.at)
+            >= wire.REST_TRANSIT_SECONDS
         ]
         if len(times) > wire.REST_SLACK:
             yield (
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -21,6 +21,7 @@
 from bench.soak.records import LimitSpan
 from bench.soak.records import Rest
 from bench.soak.records import Run
+from bench.soak.records import Stall
 
 
 STOP_AT = 100.0
@@ -195,6 +196,27 @@
                 ]
                 self.assertEqual(any(check_rests(journal)), is_violation)
 
+    def test_requests_that_the_soak_held_back(self) -> None:
+        """Guards against findings on what was sent before a rejection was read."""
+        for name, stalled, is_violation in (("long", 0.4, False), ("short", 0.1, True)):
+            with self.subTest(name):
+                journal = Journal(
+                    rests=[Rest(process=1, upstream=U1, at=100.0, seconds=3.0)],
+                    stalls=[
+                        Stall(
+                            began_at=100.1,
+                            ended_at=100.1 + stalled,
+                            cpu_seconds=stalled,
+                            steal_seconds=0.0,
+                        )
+                    ],
+                )
+                journal.arrivals += [
+                    Arrival(request_id="one", process=1, upstream=U1, at=at)
+                    for at in (100.7, 100.75, 100.8)
+                ]
+                self.assertEqual(any(check_rests(journal)), is_violation)
+
     def test_requests_after_a_stated_leave(self) -> None:
         for name, process, upstream, sent_at, is_violation in (
             ("sent late", 1, U1, 103.0, True),
