--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -306,6 +306,8 @@
             "gateway: Attempt ended",
             request=self.facts.request_id,
             upstream=attempt.upstream,
+            incarnation=attempt.choice.placement.upstream.incarnation,
+            blocks=[block for block, _ in self.facts.prompt_blocks[:-1]],
             attempt=self.attempt_count,
             fate=outcome.value,
             reason=reason,
@@ -314,6 +316,7 @@
             rest=attempt.facts and attempt.facts.rest,
             ms=round((now - attempt.started_at) * 1000),
             events=self.splitter.events,
+            events_before=attempt.events_before,
         )
         if outcome is AttemptOutcome.FAILED:
             self._keep_response(attempt)
