--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -49,10 +49,16 @@
         key=found.get(b"x-key"),
         model=found.get(b"x-model", ""),
         prompt_tokens=int(found.get(b"x-tokens", "0")),
+        prompt_blocks=read_blocks(found.get(b"x-blocks", "")),
         resume_after=found.get(b"x-after", ""),
     )
 
 
+def read_blocks(text: str) -> tuple[tuple[str, int], ...]:
+    """Decode the ids of prompt blocks, of a hundred tokens each."""
+    return tuple((name, 100) for name in text.split(",") if name)
+
+
 def write_request(headers: HeaderList, dispatch: Dispatch) -> HeaderList:
     """Return the headers of a request to an upstream."""
     kept = [pair for pair in headers if pair[0].lower() != b"x-after"]
