Let the soak's prompts crash upstreams beside sound requests and ordinary crashes

Streams of the soak carry prompt blocks in all its modes: one of three shared first, one of forty, and their own.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,6 +32,7 @@
 from .processes import make_fleet
 from .processes import start_member
 from .processes import stop_fleet
+from .prompts import run_prompts
 from .proxies import Proxy
 from .proxies import close_proxy
 from .proxies import open_proxy
@@ -78,6 +79,7 @@
     limits: bool = False,
     cuts: bool = False,
     statements: bool = False,
+    prompts: bool = False,
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated."""
     environment = await open_environment(
@@ -107,6 +109,8 @@
             await run_cuts(environment, seconds)
         elif statements:
             await run_statements(environment, seconds)
+        elif prompts:
+            await run_prompts(environment, seconds)
         elif planned:
             background += start_slow_callers(environment)
             await run_stops(environment, seconds)
@@ -276,6 +280,7 @@
     limits: bool = False,
     cuts: bool = False,
     statements: bool = False,
+    prompts: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -284,7 +289,8 @@
     ``starts`` processes are also signalled while they restart. With ``evacuations``
     data centres are evacuated while registries fail; with ``limits`` upstreams name
     limits or are brittle, with ``cuts`` gateways are cut off from all upstreams, with
-    ``statements`` upstreams ask for rest or say that they leave.
+    ``statements`` upstreams ask for rest or say that they leave, with ``prompts`` some
+    prompts crash upstreams.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds are copied to ``keep``.
     """
@@ -301,6 +307,7 @@
             limits=limits,
             cuts=cuts,
             statements=statements,
+            prompts=prompts,
         )
         for seed in range(start, start + seeds)
     ]
@@ -341,6 +348,7 @@
         limits=case.limits,
         cuts=case.cuts,
         statements=case.statements,
+        prompts=case.prompts,
     )
 
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -21,6 +21,7 @@
 from .readers import open_slowly
 from .records import BUDGET_SECONDS
 from .records import LARGE_SUFFIX
+from .records import POISONED_BLOCK
 from .records import CallerRequest
 from .records import Journal
 from .records import make_body
@@ -30,6 +31,8 @@
 
 MAX_PAUSE_SECONDS = 0.05
 KINDS = ("stream", "order", "read")
+FIRST_BLOCKS = 3
+SUBJECTS = 40
 
 
 @dataclass(slots=True)
@@ -44,6 +47,8 @@
     count: int = 0
     slow: bool = False
     """Whether the caller requests only large responses, and reads them slowly."""
+    poisoned: bool = False
+    """Whether its prompts hold the block that crashes upstreams."""
 
 
 async def call_forever(caller: Caller) -> None:
@@ -66,6 +71,7 @@
         workspace=workspace,
         gateway="",
         began_at=read_clock(),
+        poisoned=caller.poisoned,
     )
     try:
         async with asyncio.timeout(BUDGET_SECONDS + 1.0):
@@ -92,9 +98,11 @@
         caller.connection = (chosen[0], reader, writer)
 
     request.gateway, reader, writer = caller.connection
-    headers = wire.write_request(
-        request.request_id, KEYS[request.workspace][0], BUDGET_SECONDS
-    )
+    key = KEYS[request.workspace][0]
+    headers = wire.write_request(request.request_id, key, BUDGET_SECONDS)
+    if request.kind == "stream":
+        headers |= wire.write_prompt(list_blocks(caller, request))
+
     start = f"POST {request.path} HTTP/1.1"
     writer.write(write_message(start, {"Host": HOST, **headers}, b"please"))
     request.written = True
@@ -119,6 +127,15 @@
         drop_connection(caller)
 
 
+def list_blocks(caller: Caller, request: CallerRequest) -> tuple[str, ...]:
+    """Return the blocks of a prompt: one of all callers, one of some, and its own."""
+    second = f"{caller.count % SUBJECTS}ab"
+    if caller.poisoned:
+        second = POISONED_BLOCK
+
+    return f"{caller.count % FIRST_BLOCKS}f", second, request.request_id
+
+
 def check_body(request: CallerRequest, response: Message) -> None:
     """Record whether a body is as expected, so that it need not be kept."""
     request.size = len(response.body)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -44,6 +44,8 @@
 """Requests that may fail there in any case, and the part of all in addition."""
 TOLD_SECONDS = 3.0
 """Seconds after an upstream's first statement from which on gateways heed it."""
+MIN_SOUND = 20
+"""Sound streams from which on their served share is checked."""
 REGISTRY_FAULTS = frozenset({"disturb_registry"})
 """Faults that leave a majority of registries, and all links of gateways to them."""
 
@@ -66,6 +68,8 @@
         check_cuts,
         check_rests,
         check_stated_leaves,
+        check_poisoned_prompts,
+        check_sound_prompts,
     ):
         findings += check(journal)
 
@@ -267,6 +271,44 @@
             )
 
 
+def check_poisoned_prompts(journal: Journal) -> Iterator[str]:
+    """Check that few requests with a poisoned prompt are sent after some crashes."""
+    crashes = sorted(one.at for one in journal.poisoned_crashes)
+    if len(crashes) < wire.TOLERATED_CRASHES:
+        return
+
+    since = crashes[wire.TOLERATED_CRASHES - 1] + TOLD_SECONDS
+    poisoned = {one.request_id for one in journal.requests if one.poisoned}
+    times = [
+        round(one.at - crashes[0], 2)
+        for one in journal.arrivals
+        if one.request_id in poisoned and one.at > since
+    ]
+    if len(times) > wire.TOLERATED_POISONED_REQUESTS:
+        yield (
+            f"{len(times)} requests that crash upstreams were sent after "
+            f"{len(crashes)} crashes, {times} s after the first"
+        )
+
+
+def check_sound_prompts(journal: Journal) -> Iterator[str]:
+    """Check that sound streams are served although others crash upstreams."""
+    crashes = sorted(one.at for one in journal.poisoned_crashes)
+    if not crashes:
+        return
+
+    last = crashes[min(len(crashes), wire.TOLERATED_CRASHES) - 1]
+    since = last + 2 * TOLD_SECONDS
+    sound = [
+        one
+        for one in journal.requests
+        if one.kind == "stream" and not one.poisoned and one.began_at > since
+    ]
+    served = sum(is_served(one) for one in sound)
+    if len(sound) >= MIN_SOUND and served < len(sound) / 2:
+        yield f"{served} of {len(sound)} sound streams are served beside poisoned ones"
+
+
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
@@ -279,6 +321,9 @@
     """Check that without recent faults every request gets its complete response."""
     runs = group_runs(journal)
     for request in journal.requests:
+        if request.poisoned:
+            continue
+
         if is_served(request) or not is_undisturbed(
             journal, request.began_at, request.ended_at
         ):
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 
 
+POISONED_BLOCK = "dead"
+"""Prompt block that crashes each upstream that begins a response to it."""
 EVENTS = 12
 """Number of events in a complete stream."""
 BUDGET_SECONDS = 5.0
@@ -71,6 +73,8 @@
     """Received bytes of the body."""
     written: bool = True
     """Whether the request was written to an established connection."""
+    poisoned: bool = False
+    """Whether its prompt holds the block that crashes upstreams."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -138,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Crash:
-    """A crash of a brittle upstream for what it had to reject."""
+    """A crash of an upstream for a request that it rejected or began to serve."""
 
     at: float
     upstream: str
@@ -194,6 +198,8 @@
     """Number of upstreams of each service."""
     cut_spans: list[CutSpan] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
+    poisoned_crashes: list[Crash] = field(default_factory=list)
+    """Crashes of upstreams that began a response to a poisoned prompt."""
     arrivals: list[Arrival] = field(default_factory=list)
     rests: list[Rest] = field(default_factory=list)
     left_at: dict[tuple[int, tuple[str, int]], float] = field(default_factory=dict)
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -19,6 +19,7 @@
     limits: bool = False
     cuts: bool = False
     statements: bool = False
+    prompts: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -28,6 +28,7 @@
 from .proxies import reset_pairs
 from .readers import LARGE_STREAM_SECONDS
 from .records import EVENTS
+from .records import POISONED_BLOCK
 from .records import Arrival
 from .records import Crash
 from .records import Journal
@@ -52,6 +53,8 @@
 MAX_LARGE_WORK_SECONDS = 2.0
 """Maximum seconds of work on a large response."""
 UNFRAMED_SHARE = 0.25
+MAX_CRASH_SECONDS = 0.08
+"""Longest time from the start of a response to a poisoned prompt until the crash."""
 LEAVE_SECONDS = 2.5
 """Seconds for which an upstream keeps serving after its leave was acknowledged."""
 
@@ -352,6 +355,17 @@
     return not unframed
 
 
+async def crash_on_prompt(upstream: Upstream, writer: StreamWriter) -> None:
+    """Crash an upstream that has begun a response to a poisoned prompt."""
+    identity = upstream.identity
+    await writer.drain()
+    await asyncio.sleep(MAX_CRASH_SECONDS * upstream.rng.random())
+    if upstream.up and upstream.identity == identity:
+        crash = Crash(at=read_clock(), upstream=upstream.name, service=upstream.service)
+        upstream.journal.poisoned_crashes.append(crash)
+        stop_upstream(upstream, resets=upstream.rng.random() < 0.5)
+
+
 def write_head(headers: dict[str, str]) -> bytes:
     """Return the head of a success; without further headers it has no framing."""
     lines = [f"{name}: {value}" for name, value in headers.items()]
@@ -371,6 +385,10 @@
     framing = {} if unframed else {"Transfer-Encoding": "chunked"}
     writer.write(write_head({**head, **framing}))
     encode = bytes if unframed else write_chunk
+    if POISONED_BLOCK in sent.prompt_blocks[:-1]:
+        await crash_on_prompt(upstream, writer)
+        return False
+
     event_interval = (
         LARGE_STREAM_SECONDS / EVENTS if is_large(run.path) else upstream.event_interval
     )
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -35,6 +35,9 @@
 STATEMENTS_SEED = 100
 STATEMENTS_SECONDS = 6.0
 """Long enough for some rests and a leave."""
+PROMPTS_SEED = 9000
+PROMPTS_SECONDS = 8.0
+"""Long enough for more crashes than are tolerated."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -107,6 +110,11 @@
         self.assertTrue(journal.rests)
         self.assertTrue(any(one.process for one in journal.arrivals))
 
+    def test_prompts_that_crash_upstreams(self) -> None:
+        """Guards against prompts that crash one upstream after the other."""
+        journal = self.run_briefly(PROMPTS_SEED, PROMPTS_SECONDS, prompts=True)
+        self.assertTrue(journal.poisoned_crashes)
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
