--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -27,7 +27,10 @@
 EXITED_LATE = "a gateway logged its stop 7 s after its signal but still ran after 12 s"
 RESET_UNREAD = "a stopping gateway reset a caller 0.26 s after its request was sent"
 STOPPED_AT_START = "a gateway that was stopped during its start reset its callers"
+UNANNOUNCED_PROCESS = "crashes of processes that were not announced counted as one"
 KEPT_SEEDS = (
+    SoakCase(9000, UNANNOUNCED_PROCESS, seconds=10.0, prompts=True),
+    SoakCase(9001, UNANNOUNCED_PROCESS, seconds=10.0, prompts=True),
     SoakCase(202, RELOADED_AT_START, seconds=6.0),
     SoakCase(4, RELOADED_AT_START, seconds=1.0, planned=True),
     SoakCase(107, RELOADED_AT_START, seconds=3.0, starts=True),
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -36,7 +36,7 @@
 STATEMENTS_SECONDS = 6.0
 """Long enough for some rests and a leave."""
 PROMPTS_SEED = 9000
-PROMPTS_SECONDS = 8.0
+PROMPTS_SECONDS = 10.0
 """Long enough for more crashes than are tolerated."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
