End a resumed stream that two living upstreams find complete

Callers with every event were cut off: a stream with neither a length nor chunks breaks off after its last event, what is resumed is empty, and each empty resumption counted as broken until the attempts were used.

Cause: an empty resumption was taken for a process that dies before its first event. It may as well say that nothing is left, if its upstream still accepts connections.

Change: a resumption that ends with its connection before an event has its upstream checked while the next one is tried. If a second upstream agrees, and both accept connections, the stream is complete. One alone is not enough, as a fault may close a connection of an upstream that lives; a stated end is accepted as before.

Evidence: test_unstated_ends.EmptyResumptionTest, its first test fails on the code before (the caller is aborted), and passes now; a single one, or one whose upstream is gone, ends no stream.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -121,6 +121,8 @@
         self.relayed = relayed
         """Whether another gateway sent the request, so that it is not relayed again."""
         self.tried_upstreams: set[str] = set()
+        self.empty_upstreams: set[str] = set()
+        """Upstreams that live, and sent no event when they resumed the stream."""
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = EventPauses()
         self.response_dropped = False
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -72,14 +72,22 @@
     elif attempt.facts.not_run:
         reason = f"refused {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.NOT_RUN, reason)
-    elif end is ResponseEnd.CUT or not is_valid_response(
-        attempt, exchange.facts.request_id
-    ):
+    else:
+        classify_response(exchange, attempt, end)
+
+
+def classify_response(exchange: Exchange, attempt: Attempt, end: ResponseEnd) -> None:
+    """Finish an attempt to which an upstream has responded, by the response's end."""
+    request_id = exchange.facts.request_id
+    if end is ResponseEnd.CUT or not is_valid_response(attempt, request_id):
         break_attempt(exchange, attempt, "answer not whole")
+    elif is_empty_resumption(exchange, attempt, end):
+        classify_empty(exchange, attempt)
     elif is_cut_in_event(exchange, attempt, end):
         break_attempt(exchange, attempt, "ended inside an event")
     elif end is ResponseEnd.UNSTATED:
-        attempt.check = check_upstream(exchange, attempt)
+        classify = partial(classify_checked, exchange, attempt)
+        attempt.check = check_upstream(exchange, attempt, classify)
     else:
         classify_whole(exchange, attempt)
 
@@ -95,6 +103,39 @@
         break_attempt(exchange, attempt, "upstream gone")
 
 
+def is_empty_resumption(exchange: Exchange, attempt: Attempt, end: ResponseEnd) -> bool:
+    """Return whether a resumed stream has ended with its connection before an event."""
+    if not attempt.streaming or end is not ResponseEnd.UNSTATED:
+        return False
+
+    splitter = exchange.splitter
+    is_empty = splitter.events == attempt.events_before and not splitter.partial_event
+    return is_empty and attempt.events_before > 0
+
+
+def classify_empty(exchange: Exchange, attempt: Attempt) -> None:
+    """Finish an attempt that has sent no event of a resumed stream.
+
+    Nothing may be left of it, if it broke off after its last event. That is certain
+    enough if two upstreams that still accept connections agree.
+    """
+    agreeing = exchange.empty_upstreams
+
+    def record_check(accepted: bool) -> None:
+        if accepted:
+            agreeing.add(attempt.upstream)
+
+    def classify(accepted: bool) -> None:
+        record_check(accepted)
+        classify_checked(exchange, attempt, accepted and len(agreeing) > 1)
+
+    if agreeing - {attempt.upstream}:
+        attempt.check = check_upstream(exchange, attempt, classify)
+    else:
+        check_upstream(exchange, attempt, record_check)
+        break_attempt(exchange, attempt, "ended before an event")
+
+
 def break_attempt(exchange: Exchange, attempt: Attempt, reason: str) -> None:
     """Finish an attempt whose response has broken off."""
     record_break(exchange, attempt, exchange.context.clock())
@@ -131,7 +172,9 @@
     return splitter.events > 0 and bool(splitter.partial_event.strip())
 
 
-def check_upstream(exchange: Exchange, attempt: Attempt) -> ConnectionCheck:
+def check_upstream(
+    exchange: Exchange, attempt: Attempt, on_checked: Callable[[bool], None]
+) -> ConnectionCheck:
     """Check whether an upstream that has closed a connection still accepts others."""
     context = exchange.context
     upstream = attempt.choice.placement.upstream
@@ -151,8 +194,7 @@
             record_unreachable(context.health, attempt.upstream, now)
             record_unanswered(context, attempt.upstream, now)
 
-        classify = partial(classify_checked, exchange, attempt, accepted)
-        end_attempt(exchange, True, classify)
+        end_attempt(exchange, True, partial(on_checked, accepted))
 
     return ConnectionCheck(
         reactor=context.reactor,
--- a/tests/adapters/gateway/test_unstated_ends.py
+++ b/tests/adapters/gateway/test_unstated_ends.py
@@ -150,6 +150,48 @@
                 self.assertTrue(caller.received.endswith(LAST_CHUNK))
 
 
+class EmptyResumptionTest(unittest.TestCase):
+    """Streams that break off after their last event: nothing is left to resume."""
+
+    def play(self, *checks: bool, **route: object) -> Caller:
+        """Resume a stream at upstreams that close at once; some still accept others."""
+        gateway = make_sole_gateway("u1", "u2", "u3", "u4", **route)
+        caller, upstream = start_resumed(gateway)
+        for accepted in checks:
+            upstream.respond(BARE_HEAD)
+            opened = len(gateway.upstreams)
+            upstream.close()
+            check, *retries = gateway.upstreams[opened:]
+            self.assertEqual(check.port, upstream.port)
+            if accepted:
+                check.accept()
+            else:
+                check.refuse()
+
+            if retries:
+                upstream = retries[0]
+                upstream.accept()
+
+        return caller
+
+    def test_two_living_upstreams_that_agree_end_a_stream(self) -> None:
+        """Guards against callers cut off although they have every event."""
+        caller = self.play(True, True)
+        self.assertTrue(caller.received.endswith(LAST_CHUNK))
+        self.assertFalse(caller.transport.aborted)
+
+    def test_fewer_do_not(self) -> None:
+        """Guards against streams that look complete before their last event."""
+        for name, checks, route in (
+            ("the first is gone", (False, True), {}),
+            ("the second is gone", (True, False), {}),
+            ("no second", (True,), {"max_attempts": 2}),
+        ):
+            with self.subTest(name):
+                caller = self.play(*checks, **route)
+                self.assertFalse(caller.received.endswith(LAST_CHUNK))
+
+
 class WholeStreamTest(unittest.TestCase):
     """Streams of sound upstreams that end with their connection."""
 
