Let the soak crowd one gateway with most new connections

Checked is that the gateway serves, from 3 s on, at least three quarters as large a share of what it reads as all gateways did in the 5 s before.

The soak's modes are one table now.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -21,6 +21,7 @@
 from .callers import call_once
 from .checks import check_journal
 from .checks import is_served
+from .crowds import run_crowds
 from .cuts import run_cuts
 from .evacuations import prepare_evacuations
 from .evacuations import run_evacuations
@@ -54,6 +55,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 
@@ -66,22 +69,33 @@
 """Timeout of the first start, which is slow on a loaded machine."""
 
 
+SCHEDULES: dict[str, Callable[[SoakEnvironment, float], Awaitable[None]]] = {
+    "planned": run_stops,
+    "starts": run_starts,
+    "evacuations": run_evacuations,
+    "limits": run_limits,
+    "cuts": run_cuts,
+    "statements": run_statements,
+    "prompts": run_prompts,
+    "crowds": run_crowds,
+}
+SLOW_CALLER_MODES = frozenset({"planned", "starts"})
+
+
 async def run_seed(
     folder: Path,
     seed: int,
     seconds: float,
     registries: int,
     gateways: int,
-    *,
-    planned: bool = False,
-    starts: bool = False,
-    evacuations: bool = False,
-    limits: bool = False,
-    cuts: bool = False,
-    statements: bool = False,
-    prompts: bool = False,
+    **modes: bool,
 ) -> tuple[Journal, list[str]]:
-    """Run one seed; return its journal and the guarantees that were violated."""
+    """Run one seed; return its journal and the guarantees that were violated.
+
+    Of ``modes``, which are named in ``SCHEDULES``, at most one is true; without one, all
+    faults are injected.
+    """
+    mode = next((name for name, chosen in modes.items() if chosen), "")
     environment = await open_environment(
         folder,
         random.Random(seed),
@@ -90,7 +104,7 @@
         upstreams_per_service=UPSTREAMS_PER_SERVICE,
     )
     journal = environment.journal
-    if evacuations:
+    if mode == "evacuations":
         prepare_evacuations(environment)
 
     background = [asyncio.create_task(watch_stalls(journal))]
@@ -98,25 +112,10 @@
     gc.disable()
     try:
         await start_traffic(environment, background)
-        if starts:
-            background += start_slow_callers(environment)
-            await run_starts(environment, seconds)
-        elif evacuations:
-            await run_evacuations(environment, seconds)
-        elif limits:
-            await run_limits(environment, seconds)
-        elif cuts:
-            await run_cuts(environment, seconds)
-        elif statements:
-            await run_statements(environment, seconds)
-        elif prompts:
-            await run_prompts(environment, seconds)
-        elif planned:
+        if mode in SLOW_CALLER_MODES:
             background += start_slow_callers(environment)
-            await run_stops(environment, seconds)
-        else:
-            await run_faults(environment, seconds)
 
+        await SCHEDULES.get(mode, run_faults)(environment, seconds)
         await check_recovery(environment)
     finally:
         gc.enable()
@@ -195,6 +194,7 @@
     for number in range(callers_per_gateway * len(gateways)):
         rng = random.Random(environment.random.getrandbits(64))
         caller = Caller(f"caller{number}", gateways, environment.journal, rng)
+        caller.crowd = environment.crowd
         background.append(asyncio.create_task(call_forever(caller)))
 
     rng = random.Random(environment.random.getrandbits(64))
@@ -281,6 +281,7 @@
     cuts: bool = False,
     statements: bool = False,
     prompts: bool = False,
+    crowds: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -290,7 +291,7 @@
     data centres are evacuated while registries fail; with ``limits`` upstreams name
     limits or are brittle, with ``cuts`` gateways are cut off from all upstreams, with
     ``statements`` upstreams ask for rest or say that they leave, with ``prompts`` some
-    prompts crash upstreams.
+    prompts crash upstreams, with ``crowds`` most new connections go to one gateway.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds are copied to ``keep``.
     """
@@ -308,6 +309,7 @@
             cuts=cuts,
             statements=statements,
             prompts=prompts,
+            crowds=crowds,
         )
         for seed in range(start, start + seeds)
     ]
@@ -342,13 +344,7 @@
         case.seconds,
         registries,
         gateways,
-        planned=case.planned,
-        starts=case.starts,
-        evacuations=case.evacuations,
-        limits=case.limits,
-        cuts=case.cuts,
-        statements=case.statements,
-        prompts=case.prompts,
+        **{name: getattr(case, name) for name in SCHEDULES},
     )
 
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,6 +7,7 @@
 from asyncio import StreamReader
 from asyncio import StreamWriter
 from dataclasses import dataclass
+from dataclasses import field
 
 from waxwingwell_standin import wire
 
@@ -35,6 +36,15 @@
 SUBJECTS = 40
 
 
+@dataclass(slots=True)
+class Crowd:
+    """The gateway to which most callers open new connections, while there is one."""
+
+    gateway: tuple[str, int] = ("", 0)
+    share: float = 0.0
+    """Share of the requests that go there, each on a new connection."""
+
+
 @dataclass(slots=True)
 class Caller:
     """One caller with its persistent connection."""
@@ -49,6 +59,7 @@
     """Whether the caller requests only large responses, and reads them slowly."""
     poisoned: bool = False
     """Whether its prompts hold the block that crashes upstreams."""
+    crowd: Crowd = field(default_factory=Crowd)
 
 
 async def call_forever(caller: Caller) -> None:
@@ -89,6 +100,9 @@
 ) -> None:
     """Write the request and read the response."""
     request.written = False
+    if gateway is None and caller.rng.random() < caller.crowd.share:
+        gateway = caller.crowd.gateway
+
     if gateway is not None or caller.connection is None:
         drop_connection(caller)
         chosen = gateway or caller.rng.choice(caller.gateways)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -46,6 +46,10 @@
 """Seconds after an upstream's first statement from which on gateways heed it."""
 MIN_SOUND = 20
 """Sound streams from which on their served share is checked."""
+BEFORE_CROWD_SECONDS = 5.0
+"""Seconds before a crowd with which its service is compared."""
+MIN_CROWDED_PART = 3 / 4
+"""Least share of requests that a crowded gateway serves, relative to before."""
 REGISTRY_FAULTS = frozenset({"disturb_registry"})
 """Faults that leave a majority of registries, and all links of gateways to them."""
 
@@ -70,6 +74,7 @@
         check_stated_leaves,
         check_poisoned_prompts,
         check_sound_prompts,
+        check_crowds,
     ):
         findings += check(journal)
 
@@ -309,6 +314,37 @@
         yield f"{served} of {len(sound)} sound streams are served beside poisoned ones"
 
 
+def check_crowds(journal: Journal) -> Iterator[str]:
+    """Check that a gateway that gets most new connections serves about as before.
+
+    A request that the gateway has not read does not count.
+    """
+    ran = {run.request_id for run in journal.runs}
+    read = [one for one in journal.requests if one.status or one.request_id in ran]
+    for span in journal.crowd_spans:
+        before = [
+            one
+            for one in read
+            if span.began_at - BEFORE_CROWD_SECONDS <= one.began_at < span.began_at
+        ]
+        crowded = [
+            one
+            for one in read
+            if one.gateway == span.gateway
+            and span.began_at + TOLD_SECONDS <= one.began_at < span.ended_at
+        ]
+        if min(len(before), len(crowded)) < MIN_SOUND:
+            continue
+
+        served = sum(is_served(one) for one in crowded)
+        share = sum(is_served(one) for one in before) / len(before)
+        if served < MIN_CROWDED_PART * share * len(crowded):
+            yield (
+                f"{span.gateway}, which got most new connections, served {served} of "
+                f"{len(crowded)} requests; all gateways {share:.2f} of theirs before"
+            )
+
+
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -140,6 +140,16 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrowdSpan:
+    """A time span in which most new connections go to one gateway."""
+
+    gateway: str
+    """Address of the gateway."""
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Crash:
     """A crash of an upstream for a request that it rejected or began to serve."""
@@ -197,6 +207,7 @@
     upstreams: int = 0
     """Number of upstreams of each service."""
     cut_spans: list[CutSpan] = field(default_factory=list)
+    crowd_spans: list[CrowdSpan] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     poisoned_crashes: list[Crash] = field(default_factory=list)
     """Crashes of upstreams that began a response to a poisoned prompt."""
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,8 +8,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 
+from .callers import Crowd
 from .operators import publish
 from .processes import STOP_TIMEOUT_SECONDS
 from .processes import Fleet
@@ -53,6 +55,7 @@
     """Proxies between gateways and registries."""
     controls: tuple[tuple[str, int], ...]
     random: random.Random
+    crowd: Crowd = field(default_factory=Crowd)
 
 
 FaultAction = Callable[[SoakEnvironment], Awaitable[str | None]]
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -20,6 +20,7 @@
     cuts: bool = False
     statements: bool = False
     prompts: bool = False
+    crowds: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -38,6 +38,9 @@
 PROMPTS_SEED = 9000
 PROMPTS_SECONDS = 10.0
 """Long enough for more crashes than are tolerated."""
+CROWDS_SEED = 9100
+CROWDS_SECONDS = 1.0
+"""Long enough for one crowd."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -115,6 +118,11 @@
         journal = self.run_briefly(PROMPTS_SEED, PROMPTS_SECONDS, prompts=True)
         self.assertTrue(journal.poisoned_crashes)
 
+    def test_most_connections_at_one_gateway(self) -> None:
+        """Guards against a gateway that serves less as most connections go to it."""
+        journal = self.run_briefly(CROWDS_SEED, CROWDS_SECONDS, crowds=True)
+        self.assertTrue(journal.crowd_spans)
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
