--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -92,7 +92,7 @@
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated.
 
-    Of ``modes``, which are named in ``SCHEDULES``, at most one is true; without one, all
+    Of ``modes``, which ``SCHEDULES`` names, at most one is true; without one, all
     faults are injected.
     """
     mode = next((name for name, chosen in modes.items() if chosen), "")
