Bound the evidence on crashes in one message

A process that suspects 128 blocks of 16 crashes each would send 47 KB with each full report, once a second. 256 pairs, those of the blocks with the most crashes first, are 6 KB.

--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from functools import lru_cache
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from xxhash import xxh3_64_intdigest
@@ -47,6 +48,8 @@
 """Suspected blocks that a process remembers."""
 MAX_CRASHES = 16
 """Crashes that are remembered for each of them."""
+MAX_LISTED = 256
+"""Pairs of block and crash in one message, 6 KB."""
 RETENTION_SECONDS = 3600.0
 """Seconds for which a crash makes a block suspect."""
 QUARANTINE_SECONDS = 86_400.0
@@ -252,14 +255,17 @@
     """Return what is known of all blocks, or some, that were in several crashes.
 
     Ordinary crashes make many blocks suspect of one, which only controls need to know.
+    Of too many, those with the most crashes are listed.
     """
-    listed = table.blocks if blocks is None else set(blocks)
-    return tuple(
+    known = table.blocks.keys() if blocks is None else table.blocks.keys() & set(blocks)
+    listed = [block for block in known if len(table.blocks[block]) > 1]
+    listed.sort(key=lambda block: -len(list_suspected(table.blocks[block])))
+    evidence = (
         make_evidence(block, crash, held, now)
         for block in listed
-        if len(table.blocks.get(block, ())) > 1
         for crash, held in table.blocks[block].items()
     )
+    return tuple(islice(evidence, MAX_LISTED))
 
 
 def list_unreported(table: QuarantineTable, now: float) -> tuple[CrashEvidence, ...]:
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -9,6 +9,7 @@
 from waxwingwell.routing.messages import CrashEvidence
 from waxwingwell.routing.quarantine import MAX_BLOCKS
 from waxwingwell.routing.quarantine import MAX_CRASHES
+from waxwingwell.routing.quarantine import MAX_LISTED
 from waxwingwell.routing.quarantine import MAX_SOUND_BLOCKS
 from waxwingwell.routing.quarantine import MIN_CRASHES
 from waxwingwell.routing.quarantine import QUARANTINE_SECONDS
@@ -177,6 +178,18 @@
 class ExchangeTest(unittest.TestCase):
     """Evidence that processes exchange."""
 
+    def test_messages_are_bounded(self) -> None:
+        """Guards against messages that grow with crashes, or leave out the cause."""
+        table = make_quarantined(POISON)
+        for number in range(2):
+            crash(table, 50 + number, *range(100, 100 + MAX_BLOCKS))
+
+        listed = list_evidence(table, 0.0)
+        self.assertLessEqual(len(listed), MAX_LISTED)
+        found = QuarantineTable()
+        merge_evidence(found, listed, 0.0)
+        self.assertTrue(is_quarantined(found, (POISON,)))
+
     def test_the_order_and_number_of_messages_do_not_matter(self) -> None:
         """Guards against counts that depend on the way of a message."""
         rng = random.Random(1)
