--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -65,6 +65,11 @@
     if attempt is not None and attempt.call is not None:
         exchange.runs += attempt.call.sent
 
+    log_event(
+        "gateway: Refused as quarantined",
+        request=exchange.facts.request_id,
+        blocks=[block for block, _ in exchange.facts.prompt_blocks[:-1]],
+    )
     give_up(exchange, "quarantined prompt block", QUARANTINE_RETRY_AFTER)
 
 
