--- a/tests/adapters/gateway/engines.py
+++ b/tests/adapters/gateway/engines.py
@@ -75,6 +75,8 @@
     begun: list[float] = field(default_factory=list)
     """Times at which an engine began a response to one."""
     crashes: list[float] = field(default_factory=list)
+    statements: tuple[str, ...] = ()
+    """Header lines of all responses."""
     closes_cleanly: bool = False
     """Whether the connections of an engine that crashes are closed, not reset."""
 
@@ -107,7 +109,8 @@
 
         first = read_next_event(request)
         request_id = read_header(request, b"X-Id").decode()
-        call.respond(make_stream_head(f"X-Id: {request_id}") + make_event(first))
+        head = make_stream_head(f"X-Id: {request_id}", *self.statements)
+        call.respond(head + make_event(first))
         if is_poisoned(request):
             self.begun.append(self.reactor.seconds())
             self.reactor.callLater(CRASH_SECONDS, self.crash_running, engine, call)
