Bound what is kept of broken requests, cleared crashes and unsent changes

Read in the diff, each with a test that failed before: a break held its requests with their bodies for a minute; a block that had been cleared of 16 crashes could not be suspected again; a gateway without controls kept the key of every change that it could not report.

--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -69,7 +69,7 @@
         return
 
     if has_survived(attempt):
-        record_survival(context.quarantine, exchange.blocks, now)
+        record_success(exchange, now)
         return
 
     if is_planned_end(context, upstream):
@@ -79,10 +79,12 @@
     lag = None if started_at is None else round(now - started_at, 2)
     broken = BrokenRequest(exchange, lag)
     held = find_break(context, upstream, now)
-    held.requests.append(broken)
     if held.crashed:
         record_crashed_requests(context, held, [broken], now)
-    elif not held.checked:
+        return
+
+    held.requests.append(broken)
+    if not held.checked:
         check_upstream(context, held)
 
 
@@ -160,7 +162,8 @@
         process=held.process,
         requests=len(held.requests),
     )
-    record_crashed_requests(context, held, held.requests, now)
+    requests, held.requests = held.requests, []
+    record_crashed_requests(context, held, requests, now)
 
 
 def find_key(held: Break) -> int:
@@ -190,11 +193,11 @@
         )
 
     if changed:
-        apply_quarantine(context, now)
+        apply_quarantine(context)
         send_report(context)
 
 
-def apply_quarantine(context: GatewayContext, now: float) -> None:
+def apply_quarantine(context: GatewayContext) -> None:
     """Cancel the requests that wait at upstreams and are quarantined by now."""
     groups = context.quarantine.groups
     if groups.keys() != context.quarantined:
@@ -246,7 +249,7 @@
 
     context = exchange.context
     if record_survival(context.quarantine, exchange.blocks, now):
-        apply_quarantine(context, now)
+        apply_quarantine(context)
 
 
 def check_progress(exchange: Exchange, now: float) -> None:
@@ -294,7 +297,7 @@
 ) -> None:
     """Apply evidence of other gateways."""
     if evidence and merge_evidence(context.quarantine, evidence, now):
-        apply_quarantine(context, now)
+        apply_quarantine(context)
 
 
 def review_breaks(context: GatewayContext) -> None:
@@ -309,7 +312,9 @@
         elif held.crashed and is_heard_again(context, held):
             del context.breaks[place]
             if retract_crash(context.quarantine, find_key(held)):
-                apply_quarantine(context, now)
+                apply_quarantine(context)
+        elif now - held.at > BREAK_SECONDS:
+            held.requests.clear()
 
     drop_expired(context.quarantine, now)
 
--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -167,7 +167,7 @@
 
 
 def retract_crash(table: QuarantineTable, crash: int) -> bool:
-    """Clear all blocks of a crash, as its upstream responds; return if any was held."""
+    """Clear all blocks of a crash, as its upstream lives; return if any was held."""
     changed = False
     for block, crashes in table.blocks.items():
         held = crashes.get(crash)
@@ -225,7 +225,7 @@
     crashes = table.blocks.setdefault(one.block, {})
     held = crashes.get(one.crash)
     if held is None:
-        if len(crashes) >= MAX_CRASHES:
+        if len(crashes) >= MAX_CRASHES and not drop_cleared(crashes):
             return False
 
         crashes[one.crash] = Suspicion(one.request, one.lag, one.cleared, now - one.age)
@@ -241,6 +241,16 @@
     return merged != held
 
 
+def drop_cleared(crashes: dict[int, Suspicion]) -> bool:
+    """Drop the oldest crash of which a block is cleared; return if there is one."""
+    cleared = [crash for crash, held in crashes.items() if held.cleared]
+    if not cleared:
+        return False
+
+    del crashes[min(cleared, key=lambda crash: crashes[crash].at)]
+    return True
+
+
 def find_longest(lag: float | None, other: float | None) -> float | None:
     """Return the longer one of two lags, of which any may be missing."""
     if lag is None or other is None:
@@ -389,6 +399,11 @@
         for block, crashes in table.blocks.items()
     }
     table.blocks = {block: crashes for block, crashes in kept.items() if crashes}
+    table.unreported = {
+        (block, crash): None
+        for block, crash in table.unreported
+        if crash in table.blocks.get(block, {})
+    }
     update_groups(table)
 
 
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -199,6 +199,24 @@
 
         self.assertEqual(count_suspected(gateway), 3)
 
+    def test_broken_requests_are_released(self) -> None:
+        """Guards against requests and bodies kept after their connection broke."""
+        for name, refused in (("crashed", True), ("lives", False)):
+            with self.subTest(name):
+                gateway = make_sole_gateway("u1")
+                upstream = start_stream(gateway)
+                upstream.reset()
+                check = find_check(gateway, upstream)
+                if refused:
+                    check.refuse()
+                else:
+                    check.accept()
+                    gateway.reactor.advance(BREAK_SECONDS + 1.0)
+
+                review_breaks(gateway.context)
+                held = next(iter(gateway.context.breaks.values()))
+                self.assertEqual(held.requests, [])
+
     def test_a_stream_that_has_run_clears_its_blocks(self) -> None:
         """Guards against blocks suspected although an upstream lived on them."""
         gateway = make_sole_gateway("u1")
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -161,6 +161,27 @@
                 self.assertEqual(bool(table.blocks), kept)
                 self.assertEqual(is_quarantined(table, (POISON,)), kept)
 
+    def test_a_block_that_was_often_cleared_can_be_suspected(self) -> None:
+        """Guards against a version that starts to crash on a block of many requests."""
+        table = QuarantineTable()
+        for number in range(2 * MAX_CRASHES):
+            crash(table, number, FIRST, now=20.0 * number)
+            record_survival(table, (FIRST,), 20.0 * number + 1.0)
+
+        for number in range(MIN_CRASHES):
+            crash(table, 500 + number, FIRST, now=1_000.0 + number)
+
+        self.assertTrue(is_quarantined(table, (FIRST,)))
+
+    def test_changes_that_can_not_be_reported_are_bounded(self) -> None:
+        """Guards against memory that grows while no control is reached."""
+        table = QuarantineTable()
+        for number in range(10 * MAX_BLOCKS):
+            crash(table, number, number)
+
+        drop_expired(table, 0.0)
+        self.assertLessEqual(len(table.unreported), MAX_BLOCKS)
+
     def test_tables_are_bounded(self) -> None:
         """Guards against memory that grows with crashes or traffic."""
         table = make_quarantined(POISON)
