Store the evidence on quarantined prompt blocks at controls

If all gateways and controls ended at once, nothing was known of a quarantine: four more upstreams would crash, of three requests that are allowed after the fifth crash.

Other ways: a command of the replicated log, which waits for a majority and a leader; the log's database, which is erased where a member rejoins.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -72,6 +73,10 @@
     control since heartbeats were shared last."""
     reports: ReportTable = field(default_factory=ReportTable)
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
+    stored_blocks: frozenset[int] = frozenset()
+    """Quarantined prompt blocks of which the evidence was stored last."""
+    store_evidence_at: float = -math.inf
+    """Earliest time of the next attempt to store it, after one that has failed."""
     watches: dict[tuple[str, float], RolloutWatch] = field(default_factory=dict)
     last_runs: dict[str, float] = field(default_factory=dict)
     """Time of the last run of each periodic task, by its name."""
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -23,6 +23,7 @@
 from ..metrics_listener import serve_metrics
 from .context import RegistryBody
 from .context import RegistryContext
+from .evidence import load_evidence
 from .hub import connect_control
 from .hub import handle_call
 from .hub import handle_cast
@@ -101,6 +102,7 @@
         ports.append(serve_metrics(reactor, settings.metrics))
 
     settings.data_folder.mkdir(parents=True, exist_ok=True)
+    load_evidence(context)
     open_member(context, started_at)
     for name in settings.controls:
         connect_control(context, name)
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -47,6 +47,7 @@
 from ..links import open_link
 from ..metrics import CONNECTED_GATEWAYS
 from .context import SentState
+from .evidence import store_evidence
 from .members import is_current
 from .members import read_local_state
 from .members import request_flush
@@ -359,6 +360,7 @@
     """Send the periodic messages that are due."""
     share_routing(context, now)
     resend_announcements(context)
+    store_evidence(context, now)
     if is_due(context, "exchange", EXCHANGE_SECONDS, now):
         exchange_reports(context, now)
 
--- a/tests/adapters/gateway/hubs.py
+++ b/tests/adapters/gateway/hubs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -18,6 +19,7 @@
 
 from waxwingwell.adapters.gateway.steering import handle_cast as handle_gateway_cast
 from waxwingwell.adapters.registry.context import RegistryContext
+from waxwingwell.adapters.registry.evidence import load_evidence
 from waxwingwell.adapters.registry.hub import handle_cast as handle_control_cast
 from waxwingwell.adapters.registry.hub import handle_connection
 from waxwingwell.adapters.registry.hub import run_sharing
@@ -83,6 +85,7 @@
         self.reactor = reactor
         self.gateways = gateways
         self.controls: dict[str, RegistryContext] = {}
+        self.folder = tempfile.TemporaryDirectory()
         self.ends: list[tuple[str, str, LinkEnd]] = []
         for index, gateway in enumerate(gateways):
             settings = replace(gateway.context.settings, node=f"g{index}")
@@ -98,11 +101,13 @@
         """Start a control that knows nothing yet, and connect it."""
         self.stop_control(name)
         context = RegistryContext(
-            settings=make_settings(name),
+            settings=make_settings(name, Path(self.folder.name) / name),
             reactor=self.reactor,
             clock=self.reactor.seconds,
             wall_clock=self.reactor.seconds,
         )
+        context.settings.data_folder.mkdir(exist_ok=True)
+        load_evidence(context)
         accepting: Any = FakeNode()
         context.node = accepting
         for other_name, other in self.controls.items():
@@ -178,14 +183,14 @@
         self.reactor.callLater(SHARING_SECONDS, self._share)
 
 
-def make_settings(name: str) -> RegistrySettings:
-    """Return the settings of a control without a port or a disk."""
+def make_settings(name: str, folder: Path) -> RegistrySettings:
+    """Return the settings of a control without a port."""
     return RegistrySettings(
         address=name,
         data_centre="north",
         admin=(name, 0),
         link_port=0,
         controls=(),
-        data_folder=Path("unused"),
+        data_folder=folder,
         first_start=False,
     )
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -350,6 +350,22 @@
         engines.run(2.0)
         self.check(engines)
 
+    def test_evidence_outlives_all_processes(self) -> None:
+        """Guards against a quarantine that ends as all processes end at once."""
+        engines, hub = self.make()
+        names = list(hub.controls)
+        for name in names:
+            hub.stop_control(name)
+
+        for gateway in engines.gateways:
+            gateway.context.quarantine = QuarantineTable()
+
+        for name in names:
+            hub.start_control(name)
+
+        engines.run(0.1)
+        self.check(engines)
+
     def test_a_gateway_that_was_cut_off_learns_of_an_end(self) -> None:
         """Guards against a quarantine that ends at some gateways only."""
         engines, hub = self.make()
