--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -7,14 +7,18 @@
 from typing import ClassVar
 
 from bench.soak.checks import check_crashes
+from bench.soak.checks import check_crowds
 from bench.soak.checks import check_cuts
 from bench.soak.checks import check_limits
 from bench.soak.checks import check_planned_stops
+from bench.soak.checks import check_poisoned_prompts
 from bench.soak.checks import check_rests
+from bench.soak.checks import check_sound_prompts
 from bench.soak.checks import check_stated_leaves
 from bench.soak.records import Arrival
 from bench.soak.records import CallerRequest
 from bench.soak.records import Crash
+from bench.soak.records import CrowdSpan
 from bench.soak.records import CutSpan
 from bench.soak.records import Fault
 from bench.soak.records import Journal
@@ -235,6 +239,85 @@
                 self.assertEqual(any(check_stated_leaves(journal)), is_violation)
 
 
+class PromptsCheckTest(unittest.TestCase):
+    """Upstreams that crash at 1 to 5 s, and requests of a poisoned prompt after it."""
+
+    def test_few_poisoned_requests_may_follow_the_crashes(self) -> None:
+        for name, crashes, times, is_violation in (
+            ("in time", 5, (7.0, 7.5, 7.9, 8.0), False),
+            ("three late", 5, (8.1, 9.0, 10.0), False),
+            ("four late", 5, (8.1, 9.0, 10.0, 20.0), True),
+            ("too few crashes", 4, (8.1, 9.0, 10.0, 20.0), False),
+        ):
+            with self.subTest(name):
+                journal = self.make_journal(crashes)
+                request = make_request(GATEWAY, 503, 8.0)
+                request.poisoned = True
+                journal.requests.append(request)
+                journal.arrivals += [
+                    Arrival(request_id="one", process=1, upstream=U1, at=at)
+                    for at in times
+                ]
+                self.assertEqual(any(check_poisoned_prompts(journal)), is_violation)
+
+    def test_half_of_the_sound_streams_are_served(self) -> None:
+        for name, served, poisoned, is_violation in (
+            ("half", 10, False, False),
+            ("fewer", 9, False, True),
+            ("poisoned ones are not missed", 0, True, False),
+        ):
+            with self.subTest(name):
+                journal = self.make_journal(5)
+                for number in range(20):
+                    status = 200 if number < served else 503
+                    request = make_request(GATEWAY, status, 20.0)
+                    request.kind = "stream"
+                    request.poisoned = poisoned
+                    journal.requests.append(request)
+
+                self.assertEqual(any(check_sound_prompts(journal)), is_violation)
+
+    def make_journal(self, crashes: int) -> Journal:
+        """Return a journal of crashes, one a second from the first second on."""
+        journal = Journal()
+        for number in range(crashes):
+            crash = Crash(at=1.0 + number, upstream="u1", service="chat")
+            journal.poisoned_crashes.append(crash)
+
+        return journal
+
+
+class CrowdsCheckTest(unittest.TestCase):
+    """A gateway that gets most new connections from 10 s to 20 s."""
+
+    def test_a_crowded_gateway_serves_about_as_before(self) -> None:
+        for name, before, served, gateway, is_violation in (
+            ("as before", 40, 40, GATEWAY, False),
+            ("three quarters", 40, 30, GATEWAY, False),
+            ("fewer", 40, 29, GATEWAY, True),
+            ("fewer were served before", 20, 15, GATEWAY, False),
+            ("another gateway", 40, 0, "127.0.2.2", False),
+            ("unread", 40, 40, "unread", False),
+        ):
+            with self.subTest(name):
+                journal = Journal()
+                span = CrowdSpan(gateway=GATEWAY, began_at=10.0, ended_at=20.0)
+                journal.crowd_spans.append(span)
+                for number in range(40):
+                    status = 200 if number < before else 503
+                    journal.requests.append(make_request("127.0.2.3", status, 7.0))
+
+                target = GATEWAY if gateway == "unread" else gateway
+                for number in range(40):
+                    status = 200 if number < served else 503
+                    journal.requests.append(make_request(target, status, 15.0))
+
+                if gateway == "unread":
+                    journal.requests += [make_request(target, 0, 15.0)] * 40
+
+                self.assertEqual(any(check_crowds(journal)), is_violation)
+
+
 def make_request(gateway: str, status: int, began_at: float) -> CallerRequest:
     """Return a request with a complete response."""
     return CallerRequest(
