Let operators show and release quarantined prompt blocks

GET and DELETE /admin/v1/quarantine at any registry, waxwingwell quarantine show and release: the crashes of the quarantined blocks are marked as cleared and passed on like other evidence, also to a gateway that is cut off meanwhile.

Tests: HubTest.test_an_operator_ends_a_quarantine, registry/test_quarantine, commands/test_quarantine.

--- a/src/waxwingwell/adapters/admin_views.py
+++ b/src/waxwingwell/adapters/admin_views.py
@@ -91,6 +91,20 @@
     """Start of the session in seconds since the epoch."""
 
 
+class QuarantinedBlock(msgspec.Struct, frozen=True):
+    """A prompt block whose requests are refused."""
+
+    block: str
+    """Hash of service and block, in hexadecimal."""
+    crashes: int
+
+
+class QuarantineView(msgspec.Struct, frozen=True):
+    """The quarantined prompt blocks that a registry knows."""
+
+    blocks: tuple[QuarantinedBlock, ...] = ()
+
+
 class MemberView(msgspec.Struct, frozen=True):
     """One process of the system."""
 
--- a/src/waxwingwell/adapters/registry/operators.py
+++ b/src/waxwingwell/adapters/registry/operators.py
@@ -1,4 +1,4 @@
-"""Calls of operators to a registry that no adapter translates: evacuations."""
+"""Calls of operators to a registry that no adapter translates."""
 
 from __future__ import annotations
 
@@ -6,17 +6,18 @@
 from typing import Any
 from urllib.parse import unquote
 
-import msgspec
-
 from ...routing.messages import Accepted
 from ...routing.messages import RoutingNow
 from ..admin_paths import API
 from ..admin_paths import EVACUATIONS
+from ..admin_paths import QUARANTINE
 from ..admin_views import ErrorView
 from ..admin_views import EvacuationsView
 from .api import Refused
 from .api import order_evacuation
 from .api import read_newest
+from .quarantine import handle_quarantine
+from .responses import send_view
 
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
     from .context import RegistryContext
 
 
-JSON = (b"Content-Type", b"application/json")
 ORDER_METHODS = {"POST": True, "DELETE": False}
 """Whether an order with a method evacuates a data centre or withdraws that."""
 
@@ -39,12 +39,16 @@
 
     def serve(request: HttpRequest, responder: Responder) -> None:
         path = request.target.decode("latin-1").partition("?")[0]
+        method = request.method.decode("latin-1")
+        if path == API + QUARANTINE:
+            handle_quarantine(context, method, request.body, responder)
+            return
+
         prefix = API + EVACUATIONS
         if path != prefix and not path.startswith(prefix + "/"):
             handle(request, responder)
             return
 
-        method = request.method.decode("latin-1")
         name = path.removeprefix(prefix)
         handle_evacuations(context, method, name, request.body, responder)
 
@@ -105,10 +109,3 @@
 
     names = sorted(one.data_centre for one in outcome.evacuations if one.active)
     send_view(responder, 200, EvacuationsView(tuple(names)))
-
-
-def send_view(
-    responder: Responder, status: int, view: Any, *headers: tuple[bytes, bytes]
-) -> None:
-    """Send a response with a JSON body."""
-    responder.send(status, [JSON, *headers], msgspec.json.encode(view))
--- a/src/waxwingwell/adapters/registry/responses.py
+++ b/src/waxwingwell/adapters/registry/responses.py
@@ -1,8 +1,11 @@
-"""What a control sends to the gateways that report to it."""
+"""What a control sends to the gateways that report to it, and to operators."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
 
 from ...routing.messages import ShareNews
 from ...routing.messages import ShareRelays
@@ -14,10 +17,14 @@
 if TYPE_CHECKING:
     from ...messages import Message
     from ...routing.messages import GatewayReport
+    from ..http.server import Responder
     from ..links import LinkProtocol
     from .context import RegistryContext
 
 
+JSON = (b"Content-Type", b"application/json")
+
+
 def respond_to_gateway(
     context: RegistryContext, gateway: str, report: GatewayReport
 ) -> None:
@@ -52,6 +59,13 @@
             protocol.cast(ShareRelays(relays=list_relays(context.reports, now)))
 
 
+def send_view(
+    responder: Responder, status: int, view: Any, *headers: tuple[bytes, bytes]
+) -> None:
+    """Send an operator a response with a JSON body."""
+    responder.send(status, [JSON, *headers], msgspec.json.encode(view))
+
+
 def list_attached(context: RegistryContext) -> list[LinkProtocol]:
     """Return the connections of the gateways attached to this control."""
     attached = context.reports.attached
--- a/src/waxwingwell/commands/groups.py
+++ b/src/waxwingwell/commands/groups.py
@@ -5,6 +5,7 @@
 from .answers import ANSWERS
 from .evacuations import EVACUATION
 from .members import MEMBERS
+from .quarantine import QUARANTINE_COMMANDS
 from .rollout import ROLLOUT
 from .rollout import register
 from .views import audit
@@ -21,6 +22,7 @@
     "bills": bills,
     "evacuation": EVACUATION,
     "members": MEMBERS,
+    "quarantine": QUARANTINE_COMMANDS,
     "register": register,
     "rollout": ROLLOUT,
     "sessions": sessions,
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -13,6 +13,8 @@
 from waxwingwell.adapters.gateway.crashes import confirm_replaced
 from waxwingwell.adapters.gateway.crashes import review_breaks
 from waxwingwell.adapters.gateway.endings import QUARANTINE_RETRY_AFTER
+from waxwingwell.adapters.registry.quarantine import release_blocks
+from waxwingwell.adapters.registry.quarantine import show_blocks
 from waxwingwell.routing.fleet import UpstreamState
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.fleet import apply_heartbeats
@@ -366,6 +368,25 @@
         engines.run(0.1)
         self.check(engines)
 
+    def test_an_operator_ends_a_quarantine(self) -> None:
+        """Guards against quarantines that go on at some processes after their end."""
+        engines, hub = self.make()
+        away = engines.gateways[1]
+        hub.disconnect_gateway(away)
+        control = next(iter(hub.controls.values()))
+        self.assertEqual(show_blocks(control).blocks[0].crashes, MIN_CRASHES)
+        release_blocks(control)
+        engines.run(0.5)
+        for name in hub.controls:
+            hub.connect_gateway(away, name)
+
+        engines.run(2.0)
+        for context in hub.controls.values():
+            self.assertEqual(show_blocks(context).blocks, ())
+
+        for gateway in engines.gateways:
+            self.assertFalse(is_quarantined(gateway.context.quarantine, (KEY,)))
+
     def test_a_gateway_that_was_cut_off_learns_of_an_end(self) -> None:
         """Guards against a quarantine that ends at some gateways only."""
         engines, hub = self.make()
