Try a quarantined prompt block once, twice at most, at one gateway

If a storm of other crashes condemned a first block that all requests of a service share, all of them would be refused for as long.

Ruled out: trials by each gateway's own clock (each would try), by the leader of the log (none without a majority; a split group grants two at most).

Tests: test_trials; HubTest.test_a_trial_ends_a_wrong_quarantine and test_a_trial_of_a_poisoned_block_is_the_only_one, four gateways and three controls, the first of which fails without trials.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -28,6 +28,7 @@
 from ...routing.retries import RetryTable
 from ...routing.room import BrittleTable
 from ...routing.sessions import SessionTable
+from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
 from ..links import Link
 from ..links import LinkNode
@@ -151,6 +152,9 @@
     """Time of the last byte received, by upstream."""
     retries: RetryTable = field(default_factory=RetryTable)
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
+    trials: TrialTable = field(default_factory=TrialTable)
+    refused_blocks: dict[int, None] = field(default_factory=dict)
+    """Quarantined blocks for which requests were refused since the last report."""
     quarantined: set[int] = field(default_factory=set)
     """Quarantined prompt blocks that were logged last."""
     breaks: dict[tuple[str, int], Break] = field(default_factory=dict)
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -21,6 +21,10 @@
 from ...routing.quarantine import record_crash
 from ...routing.quarantine import record_survival
 from ...routing.quarantine import retract_crash
+from ...routing.trials import drop_trials
+from ...routing.trials import find_group
+from ...routing.trials import merge_trials
+from ...routing.trials import use_trial
 from ..events import log_event
 from ..http.connection_check import CheckResult
 from ..http.connection_check import ConnectionCheck
@@ -39,6 +43,7 @@
 
     from ...routing.fleet import Announcement
     from ...routing.messages import CrashEvidence
+    from ...routing.messages import TrialState
     from .attempts import Attempt
     from .context import GatewayContext
     from .exchange import Exchange
@@ -50,6 +55,8 @@
 """Seconds for which it is known that a process that is not announced has started."""
 HEARD_AGAIN_SECONDS = 5.0
 """Seconds after a crash in which heartbeats sent before it may still arrive."""
+MAX_REFUSED_BLOCKS = 8
+"""Blocks of refused requests in one report."""
 MAX_REQUEST_CRASHES = 2
 """Upstreams that may crash under one request with suspected blocks."""
 
@@ -224,9 +231,31 @@
 
 def must_refuse(exchange: Exchange) -> bool:
     """Return whether a request must not reach any upstream."""
+    if exchange.is_trial:
+        return False
+
     return is_quarantined(exchange.context.quarantine, exchange.blocks)
 
 
+def try_quarantined(exchange: Exchange, now: float) -> bool:
+    """Return whether a quarantined request may be sent as a trial, once.
+
+    If not, the refusal is reported, so that a control may grant a trial.
+    """
+    context = exchange.context
+    block = find_group(context.quarantine, exchange.blocks)
+    if block is None:
+        return False
+
+    exchange.is_trial = use_trial(context.trials, block, context.settings.node, now)
+    if exchange.is_trial:
+        log_event("gateway: Trial of a quarantined block", block=f"{block:016x}")
+    elif len(context.refused_blocks) < MAX_REFUSED_BLOCKS:
+        context.refused_blocks[block] = None
+
+    return exchange.is_trial
+
+
 def has_crashed_enough(exchange: Exchange, attempt: Attempt, now: float) -> bool:
     """Return whether a request with suspected blocks has met too many crashes.
 
@@ -293,9 +322,13 @@
 
 
 def receive_evidence(
-    context: GatewayContext, evidence: Collection[CrashEvidence], now: float
+    context: GatewayContext,
+    evidence: Collection[CrashEvidence],
+    trials: Collection[TrialState],
+    now: float,
 ) -> None:
-    """Apply evidence of other gateways."""
+    """Apply evidence of other gateways, and trials that a control has granted."""
+    merge_trials(context.trials, trials, now)
     if evidence and merge_evidence(context.quarantine, evidence, now):
         apply_quarantine(context)
 
@@ -317,6 +350,7 @@
             held.requests.clear()
 
     drop_expired(context.quarantine, now)
+    drop_trials(context.trials, context.quarantine.blocks)
 
 
 def is_heard_again(context: GatewayContext, held: Break) -> bool:
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -100,7 +100,10 @@
     if exchange.model == route.models[0]:
         record_confidence(exchange.context.poor_shares, route.name, facts.confidence)
 
-    if must_refuse(exchange) or not may_escalate_now(exchange, now):
+    if exchange.is_trial or must_refuse(exchange):
+        return None
+
+    if not may_escalate_now(exchange, now):
         return None
 
     larger = choose_largest(exchange, now)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -31,6 +31,7 @@
 from .crashes import must_refuse
 from .crashes import record_alive
 from .crashes import record_success
+from .crashes import try_quarantined
 from .endings import expire
 from .endings import finish_now
 from .endings import forward_response
@@ -112,6 +113,8 @@
         self.deadline = now + budget
         self.blocks = list_shared_blocks(self.find_service(), facts.prompt_blocks)
         """Keys of the prompt blocks that other requests may hold."""
+        self.is_trial = False
+        """Whether it is sent although it is quarantined."""
         self.crashes = 0
         """Upstreams that have crashed when this request's response had just started."""
         self.attempt: Attempt | None = None
@@ -175,7 +178,7 @@
         if self.finished:
             return
 
-        if must_refuse(self):
+        if must_refuse(self) and not try_quarantined(self, now):
             refuse_quarantined(self)
             return
 
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -90,6 +90,7 @@
         relay=make_relay_offer(context),
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
+        refused=tuple(context.refused_blocks),
     )
 
 
@@ -108,8 +109,9 @@
 
 
 def record_reported_evidence(context: GatewayContext, report: GatewayReport) -> None:
-    """Record that the evidence of a report was sent."""
+    """Record that the evidence and the refusals of a report were sent."""
     context.quarantine.unreported.clear()
+    context.refused_blocks.clear()
     now = context.clock()
     if now - context.evidence_reported_at >= EVIDENCE_SECONDS:
         context.evidence_reported_at = now
--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -40,6 +40,9 @@
 
 def can_fail_over(exchange: Exchange, now: float) -> bool:
     """Return whether another upstream could take the request over now."""
+    if exchange.is_trial:
+        return False
+
     if exchange.attempt_count >= MAX_ATTEMPTS or not may_run_again(exchange):
         return False
 
@@ -60,6 +63,9 @@
     if not attempts_left or now >= exchange.deadline or exchange.finished:
         return False
 
+    if exchange.is_trial and outcome is not AttemptOutcome.UNREACHED:
+        return False
+
     retryable = is_retryable(exchange.route)
     if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.FAILED):
         if not retryable or exchange.runs >= exchange.route.max_attempts:
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -72,7 +72,7 @@
             apply_announcement(context.fleet, announcement, now)
 
         confirm_replaced(context, body.news, now)
-        receive_evidence(context, body.crashes, now)
+        receive_evidence(context, body.crashes, body.trials, now)
     elif isinstance(body, ShareHeartbeats):
         apply_heartbeats(context.fleet, body.heard, now)
         context.heartbeats_at = now
--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -13,6 +13,7 @@
 from ...routing.quarantine import QuarantineTable
 from ...routing.reports import ReportTable
 from ...routing.rollouts import EvidenceTable
+from ...routing.trials import TrialTable
 from ...state.consensus.messages import ConsensusBody
 from ...state.consensus.records import Membership
 from ...state.group import Group
@@ -73,6 +74,7 @@
     control since heartbeats were shared last."""
     reports: ReportTable = field(default_factory=ReportTable)
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
+    trials: TrialTable = field(default_factory=TrialTable)
     stored_blocks: frozenset[int] = frozenset()
     """Quarantined prompt blocks of which the evidence was stored last."""
     store_evidence_at: float = -math.inf
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -33,6 +33,11 @@
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
 from ...routing.reports import sum_fleet
+from ...routing.trials import drop_trials
+from ...routing.trials import grant_trial
+from ...routing.trials import list_trials
+from ...routing.trials import may_grant
+from ...routing.trials import merge_trials
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
 from ...state.group import allow_name
@@ -63,6 +68,7 @@
     from ...messages import Message
     from ...routing.fleet import Announcement
     from ...routing.messages import CrashEvidence
+    from ...routing.messages import TrialState
     from ..links import LinkProtocol
     from .context import RegistryContext
 
@@ -203,8 +209,12 @@
 
 def list_news(context: RegistryContext) -> ShareNews:
     """Return the message with all announcements and evidence on crashes."""
-    crashes = list_evidence(context.quarantine, context.clock())
-    return ShareNews(news=list_announcements(context), crashes=crashes)
+    now = context.clock()
+    return ShareNews(
+        news=list_announcements(context),
+        crashes=list_evidence(context.quarantine, now),
+        trials=list_trials(context.trials, now),
+    )
 
 
 def share_routing(context: RegistryContext, now: float) -> None:
@@ -282,6 +292,35 @@
         sent.announced = delivered and sent.announced
 
 
+def grant_trials(context: RegistryContext, report: GatewayReport) -> None:
+    """Grant the trials that are due to a gateway that gets such requests.
+
+    Only the first of the connected controls grants any, so that there is one at a time;
+    each half of a split group may grant one.
+    """
+    names = [name for name, link in context.controls.items() if is_link_up(link)]
+    if not report.refused or any(name < context.settings.address for name in names):
+        return
+
+    now = context.clock()
+    due = [
+        block
+        for block in report.refused
+        if may_grant(context.trials, context.quarantine, block, now)
+    ]
+    granted = [grant_trial(context.trials, one, report.gateway, now) for one in due]
+    broadcast_trials(context, granted)
+
+
+def broadcast_trials(context: RegistryContext, trials: Collection[TrialState]) -> None:
+    """Pass trials on to all gateways and controls."""
+    if not trials:
+        return
+
+    log_event("registry: Trials granted", gateways=[one.gateway for one in trials])
+    send_announcements(context, ShareNews(news=(), trials=tuple(trials)))
+
+
 def send_announcements(context: RegistryContext, body: ShareNews) -> None:
     """Send announcements to all gateways and controls; record where that failed."""
     for protocol, sent in context.gateway_links.items():
@@ -343,11 +382,15 @@
             broadcast_announcement(context, announcement)
 
         broadcast_evidence(context, body.crashes)
+        broadcast_trials(
+            context, merge_trials(context.trials, body.trials, context.clock())
+        )
     elif isinstance(body, ShareHeartbeats):
         apply_heartbeats(context.fleet, body.heard, context.clock())
     elif isinstance(body, GatewayReport):
         receive_report(context.reports, body, context.clock())
         broadcast_evidence(context, body.crashes)
+        grant_trials(context, body)
         respond_to_gateway(context, sender, body)
     elif isinstance(body, ControlReport):
         receive_control_report(context.reports, sender, body, context.clock())
@@ -375,6 +418,7 @@
         drop_tombstones(context.fleet, now)
         drop_limits(context.reports.limits, context.fleet.upstreams, now)
         drop_expired_evidence(context.quarantine, now)
+        drop_trials(context.trials, context.quarantine.blocks)
 
     if is_due(context, "members", MEMBER_SECONDS, now):
         follow_members(context)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -147,11 +147,24 @@
     """Seconds since the crash."""
 
 
+class TrialState(msgspec.Struct, frozen=True, array_like=True):
+    """Permission to send one request with a quarantined prompt block."""
+
+    block: int
+    """Hash of service and block; the first one of a group."""
+    number: int
+    """Counts the trials of the block."""
+    gateway: str
+    age: float = 0.0
+    """Seconds since the permission."""
+
+
 class ShareNews(Message, frozen=True, kw_only=True):
     """Announcements of upstreams whose state changed, and evidence on crashes."""
 
     news: tuple[Announcement, ...]
     crashes: tuple[CrashEvidence, ...] = ()
+    trials: tuple[TrialState, ...] = ()
 
 
 class ShareHeartbeats(Message, frozen=True, kw_only=True):
@@ -293,6 +306,8 @@
     lost_path: bool = False
     """Whether the gateway reaches no upstream, and needs relays."""
     crashes: tuple[CrashEvidence, ...] = ()
+    refused: tuple[int, ...] = ()
+    """Quarantined blocks for which requests were refused since the last report."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
--- a/tests/adapters/gateway/hubs.py
+++ b/tests/adapters/gateway/hubs.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+import shutil
 import tempfile
+import weakref
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -85,7 +87,8 @@
         self.reactor = reactor
         self.gateways = gateways
         self.controls: dict[str, RegistryContext] = {}
-        self.folder = tempfile.TemporaryDirectory()
+        self.folder = Path(tempfile.mkdtemp())
+        weakref.finalize(self, shutil.rmtree, self.folder, ignore_errors=True)
         self.ends: list[tuple[str, str, LinkEnd]] = []
         for index, gateway in enumerate(gateways):
             settings = replace(gateway.context.settings, node=f"g{index}")
@@ -101,7 +104,7 @@
         """Start a control that knows nothing yet, and connect it."""
         self.stop_control(name)
         context = RegistryContext(
-            settings=make_settings(name, Path(self.folder.name) / name),
+            settings=make_settings(name, self.folder / name),
             reactor=self.reactor,
             clock=self.reactor.seconds,
             wall_clock=self.reactor.seconds,
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -26,6 +26,7 @@
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import record_crash
 from waxwingwell.routing.quarantine import record_survival
+from waxwingwell.routing.trials import FIRST_TRIAL_SECONDS
 
 from .engines import POISON
 from .engines import Engines
@@ -68,11 +69,11 @@
     return next(one for one in reversed(gateway.upstreams) if one.port == broken.port)
 
 
-def quarantine(gateway: Gateway) -> None:
-    """Let a gateway know of enough crashes to quarantine the block."""
+def quarantine(gateway: Gateway, key: int = KEY) -> None:
+    """Let a gateway know of enough crashes to quarantine a block."""
     table = gateway.context.quarantine
     for number in range(MIN_CRASHES):
-        record_crash(table, number, (KEY,), request=number, lag=0.1, now=0.0)
+        record_crash(table, number, (key,), request=number, lag=0.1, now=0.0)
 
 
 def count_calls(gateway: Gateway) -> int:
@@ -302,12 +303,12 @@
 class HubTest(unittest.TestCase):
     """Evidence on its way between gateways."""
 
-    def make(self) -> tuple[Engines, Hub]:
+    def make(self, key: int = KEY) -> tuple[Engines, Hub]:
         """Return gateways that all know of a quarantine, and their controls."""
         engines = make_engines(gateways=4)
         hub = Hub(engines.gateways, engines.reactor)
         engines.run(1.0)
-        quarantine(engines.gateways[0])
+        quarantine(engines.gateways[0], key)
         gateway = engines.gateways[0].context
         for block, crashes in gateway.quarantine.blocks.items():
             for crash in crashes:
@@ -368,6 +369,33 @@
         engines.run(0.1)
         self.check(engines)
 
+    def ask_often(self, engines: Engines, block: str, seconds: float) -> list[Caller]:
+        """Send requests with a block to all gateways in turn, two a second."""
+        callers = []
+        for number in range(round(2 * seconds)):
+            gateway = engines.gateways[number % len(engines.gateways)]
+            blocks = f"shared,{block},own{number}"
+            callers.append(gateway.ask(X_Id=f"a{number}", X_Blocks=blocks))
+            engines.run(0.5)
+
+        return callers
+
+    def test_a_trial_ends_a_wrong_quarantine(self) -> None:
+        """Guards against sound requests that are refused for good."""
+        engines, _ = self.make(hash_block("chat", "sound"))
+        callers = self.ask_often(engines, "sound", FIRST_TRIAL_SECONDS + 5.0)
+        self.assertEqual(callers[0].status, 503)
+        self.assertEqual([one.status for one in callers[-4:]], [200] * 4)
+        self.assertEqual(engines.crashes, [])
+
+    def test_a_trial_of_a_poisoned_block_is_the_only_one(self) -> None:
+        """Guards against trials at each gateway, and trials that are retried."""
+        engines, _ = self.make()
+        callers = self.ask_often(engines, POISON, 2 * FIRST_TRIAL_SECONDS)
+        self.assertEqual(len(engines.poisoned), 1)
+        self.assertEqual(len(engines.crashes), 1)
+        self.assertEqual(sum(one.status == 200 for one in callers), 1)
+
     def test_an_operator_ends_a_quarantine(self) -> None:
         """Guards against quarantines that go on at some processes after their end."""
         engines, hub = self.make()
