--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,7 +20,6 @@
 from .callers import call_forever
 from .callers import call_once
 from .checks import check_journal
-from .checks import is_served
 from .crowds import run_crowds
 from .cuts import run_cuts
 from .evacuations import prepare_evacuations
@@ -38,6 +37,7 @@
 from .proxies import close_proxy
 from .proxies import open_proxy
 from .records import Journal
+from .records import is_served
 from .records import read_clock
 from .records import watch_stalls
 from .schedule import SoakEnvironment
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -7,11 +7,16 @@
 
 from waxwingwell_standin import wire
 
+from .prompt_checks import check_crowds
+from .prompt_checks import check_poisoned_prompts
+from .prompt_checks import check_sound_prompts
 from .records import BUDGET_SECONDS
 from .records import DRAIN_SECONDS
 from .records import GRACE_SECONDS
 from .records import PLANNED_FAULTS
 from .records import SETTLE_SECONDS
+from .records import TOLD_SECONDS
+from .records import is_served
 from .records import is_undisturbed
 from .records import sum_stalls
 
@@ -42,14 +47,6 @@
 MAX_FAILED_TRIES = 10
 MAX_FAILED_PART = 0.02
 """Requests that may fail there in any case, and the part of all in addition."""
-TOLD_SECONDS = 3.0
-"""Seconds after an upstream's first statement from which on gateways heed it."""
-MIN_SOUND = 20
-"""Sound streams from which on their served share is checked."""
-BEFORE_CROWD_SECONDS = 5.0
-"""Seconds before a crowd with which its service is compared."""
-MIN_CROWDED_PART = 3 / 4
-"""Least share of requests that a crowded gateway serves, relative to before."""
 REGISTRY_FAULTS = frozenset({"disturb_registry"})
 """Faults that leave a majority of registries, and all links of gateways to them."""
 
@@ -276,75 +273,6 @@
             )
 
 
-def check_poisoned_prompts(journal: Journal) -> Iterator[str]:
-    """Check that few requests with a poisoned prompt are sent after some crashes."""
-    crashes = sorted(one.at for one in journal.poisoned_crashes)
-    if len(crashes) < wire.TOLERATED_CRASHES:
-        return
-
-    since = crashes[wire.TOLERATED_CRASHES - 1] + TOLD_SECONDS
-    poisoned = {one.request_id for one in journal.requests if one.poisoned}
-    times = [
-        round(one.at - crashes[0], 2)
-        for one in journal.arrivals
-        if one.request_id in poisoned and one.at > since
-    ]
-    if len(times) > wire.TOLERATED_POISONED_REQUESTS:
-        yield (
-            f"{len(times)} requests that crash upstreams were sent after "
-            f"{len(crashes)} crashes, {times} s after the first"
-        )
-
-
-def check_sound_prompts(journal: Journal) -> Iterator[str]:
-    """Check that sound streams are served although others crash upstreams."""
-    crashes = sorted(one.at for one in journal.poisoned_crashes)
-    if not crashes:
-        return
-
-    last = crashes[min(len(crashes), wire.TOLERATED_CRASHES) - 1]
-    since = last + 2 * TOLD_SECONDS
-    sound = [
-        one
-        for one in journal.requests
-        if one.kind == "stream" and not one.poisoned and one.began_at > since
-    ]
-    served = sum(is_served(one) for one in sound)
-    if len(sound) >= MIN_SOUND and served < len(sound) / 2:
-        yield f"{served} of {len(sound)} sound streams are served beside poisoned ones"
-
-
-def check_crowds(journal: Journal) -> Iterator[str]:
-    """Check that a gateway that gets most new connections serves about as before.
-
-    A request that the gateway has not read does not count.
-    """
-    ran = {run.request_id for run in journal.runs}
-    read = [one for one in journal.requests if one.status or one.request_id in ran]
-    for span in journal.crowd_spans:
-        before = [
-            one
-            for one in read
-            if span.began_at - BEFORE_CROWD_SECONDS <= one.began_at < span.began_at
-        ]
-        crowded = [
-            one
-            for one in read
-            if one.gateway == span.gateway
-            and span.began_at + TOLD_SECONDS <= one.began_at < span.ended_at
-        ]
-        if min(len(before), len(crowded)) < MIN_SOUND:
-            continue
-
-        served = sum(is_served(one) for one in crowded)
-        share = sum(is_served(one) for one in before) / len(before)
-        if served < MIN_CROWDED_PART * share * len(crowded):
-            yield (
-                f"{span.gateway}, which got most new connections, served {served} of "
-                f"{len(crowded)} requests; all gateways {share:.2f} of theirs before"
-            )
-
-
 def check_versions(journal: Journal) -> Iterator[str]:
     """Check that no read returns a document older than a previously accepted one."""
     for read_at, version in journal.read_back:
@@ -449,8 +377,3 @@
         f"s after SIGTERM: sent {sent:.3f}, upstreams done {ends}, "
         f"connection ended {ended:.3f}"
     )
-
-
-def is_served(request: CallerRequest) -> bool:
-    """Return whether a caller got a complete successful response."""
-    return 200 <= request.status < 300 and request.complete
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -34,6 +34,8 @@
 STALL_SECONDS = 0.1
 """Seconds beyond which the soak's event loop counts as stalled: half of the time that
 a request may take to cross the close of its connection."""
+TOLD_SECONDS = 3.0
+"""Seconds after a statement or a crash from which on gateways heed it."""
 SETTLE_SECONDS = 3.0
 """Seconds after the last fault from which on time limits hold again."""
 
@@ -295,3 +297,8 @@
 def make_stream(request_id: str, path: str) -> bytes:
     """Return the complete body of a stream."""
     return b"".join(make_event(request_id, path, one + 1) for one in range(EVENTS))
+
+
+def is_served(request: CallerRequest) -> bool:
+    """Return whether a caller got a complete successful response."""
+    return 200 <= request.status < 300 and request.complete
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 
 from ...routing.fleet import UpstreamState
+from ...routing.hashes import hash_block
+from ...routing.hashes import hash_process
+from ...routing.hashes import hash_request
 from ...routing.limits import is_leaving
 from ...routing.quarantine import SURVIVAL_SECONDS
 from ...routing.quarantine import drop_expired
-from ...routing.quarantine import hash_block
-from ...routing.quarantine import hash_process
-from ...routing.quarantine import hash_request
 from ...routing.quarantine import is_quarantined
 from ...routing.quarantine import is_sound
 from ...routing.quarantine import merge_evidence
--- a/src/waxwingwell/adapters/registry/api.py
+++ b/src/waxwingwell/adapters/registry/api.py
@@ -29,7 +29,7 @@
 from ..events import log_event
 from ..links import call_link
 from ..metrics import ORDERS
-from .hub import broadcast_announcement
+from .announcements import broadcast_announcement
 from .members import is_leading
 from .members import read_local_state
 from .members import submit_locally
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -11,9 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 
-from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
-from ...routing.fleet import describe_upstream
 from ...routing.fleet import drop_tombstones
 from ...routing.limits import drop_limits
 from ...routing.messages import ControlReport
@@ -26,18 +24,12 @@
 from ...routing.messages import ShareRouting
 from ...routing.messages import SubmitRouting
 from ...routing.quarantine import drop_expired as drop_expired_evidence
-from ...routing.quarantine import list_evidence
-from ...routing.quarantine import merge_evidence
 from ...routing.reports import drop_expired
 from ...routing.reports import make_control_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
 from ...routing.reports import sum_fleet
 from ...routing.trials import drop_trials
-from ...routing.trials import grant_trial
-from ...routing.trials import list_trials
-from ...routing.trials import may_grant
-from ...routing.trials import merge_trials
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
 from ...state.group import allow_name
@@ -48,9 +40,13 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import close_link
-from ..links import is_link_up
 from ..links import open_link
 from ..metrics import CONNECTED_GATEWAYS
+from .announcements import broadcast_evidence
+from .announcements import grant_trials
+from .announcements import list_news
+from .announcements import receive_news
+from .announcements import resend_announcements
 from .context import SentState
 from .evidence import store_evidence
 from .members import is_current
@@ -63,12 +59,7 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from ...messages import Message
-    from ...routing.fleet import Announcement
-    from ...routing.messages import CrashEvidence
-    from ...routing.messages import TrialState
     from ..links import LinkProtocol
     from .context import RegistryContext
 
@@ -199,24 +190,6 @@
     )
 
 
-def list_announcements(context: RegistryContext) -> tuple[Announcement, ...]:
-    """Return the latest announcement of every known upstream."""
-    now = context.clock()
-    return tuple(
-        describe_upstream(held, now) for held in context.fleet.upstreams.values()
-    )
-
-
-def list_news(context: RegistryContext) -> ShareNews:
-    """Return the message with all announcements and evidence on crashes."""
-    now = context.clock()
-    return ShareNews(
-        news=list_announcements(context),
-        crashes=list_evidence(context.quarantine, now),
-        trials=list_trials(context.trials, now),
-    )
-
-
 def share_routing(context: RegistryContext, now: float) -> None:
     """Send the applied state to the gateways that have an older one."""
     group = context.group
@@ -250,113 +223,6 @@
             sent.version = version
 
 
-def broadcast_announcement(
-    context: RegistryContext, announcement: Announcement
-) -> None:
-    """Apply an announcement, and broadcast it if it affects routing."""
-    if not apply_announcement(context.fleet, announcement, context.clock()):
-        return
-
-    log_event(
-        "registry: Upstream changed",
-        upstream=announcement.upstream,
-        state=announcement.state.value,
-        incarnation=announcement.incarnation,
-        sequence=announcement.sequence,
-    )
-    send_announcements(context, ShareNews(news=(announcement,)))
-
-
-def broadcast_evidence(
-    context: RegistryContext, evidence: Collection[CrashEvidence]
-) -> None:
-    """Apply evidence on crashes, and broadcast what has changed."""
-    if not evidence:
-        return
-
-    now = context.clock()
-    changed = merge_evidence(context.quarantine, evidence, now)
-    if not changed:
-        return
-
-    for name, link in context.controls.items():
-        if not cast_link(link, ShareNews(news=(), crashes=changed)):
-            context.unannounced.add(name)
-
-    shared = list_evidence(context.quarantine, now, (one.block for one in changed))
-    if not shared:
-        return
-
-    for protocol, sent in context.gateway_links.items():
-        delivered = protocol.cast(ShareNews(news=(), crashes=shared))
-        sent.announced = delivered and sent.announced
-
-
-def grant_trials(context: RegistryContext, report: GatewayReport) -> None:
-    """Grant the trials that are due to a gateway that gets such requests.
-
-    Only the first of the connected controls grants any, so that there is one at a time;
-    each half of a split group may grant one.
-    """
-    names = [name for name, link in context.controls.items() if is_link_up(link)]
-    if not report.refused or any(name < context.settings.address for name in names):
-        return
-
-    now = context.clock()
-    due = [
-        block
-        for block in report.refused
-        if may_grant(context.trials, context.quarantine, block, now)
-    ]
-    granted = [grant_trial(context.trials, one, report.gateway, now) for one in due]
-    broadcast_trials(context, granted)
-
-
-def broadcast_trials(context: RegistryContext, trials: Collection[TrialState]) -> None:
-    """Pass trials on to all gateways and controls."""
-    if not trials:
-        return
-
-    log_event("registry: Trials granted", gateways=[one.gateway for one in trials])
-    send_announcements(context, ShareNews(news=(), trials=tuple(trials)))
-
-
-def send_announcements(context: RegistryContext, body: ShareNews) -> None:
-    """Send announcements to all gateways and controls; record where that failed."""
-    for protocol, sent in context.gateway_links.items():
-        sent.announced = protocol.cast(body) and sent.announced
-
-    for name, link in context.controls.items():
-        if not cast_link(link, body):
-            context.unannounced.add(name)
-
-
-def resend_announcements(context: RegistryContext) -> None:
-    """Send all announcements to the peers that missed one.
-
-    An announcement is dropped if the link to a gateway is full. Without the resend, a
-    gateway that missed an acknowledged deregistration would keep sending requests to
-    that upstream.
-    """
-    gateways = [
-        protocol
-        for protocol, sent in context.gateway_links.items()
-        if not sent.announced
-    ]
-    context.unannounced &= context.controls.keys()
-    controls = [one for one in context.unannounced if is_link_up(context.controls[one])]
-    if not gateways and not controls:
-        return
-
-    body = list_news(context)
-    for protocol in gateways:
-        context.gateway_links[protocol].announced = protocol.cast(body)
-
-    for name in controls:
-        if cast_link(context.controls[name], body):
-            context.unannounced.discard(name)
-
-
 def handle_call(context: RegistryContext, sender: str, body: Any) -> Deferred[Message]:
     """Handle a call from another control and return the reply."""
     if isinstance(body, SubmitRouting):
@@ -378,13 +244,7 @@
             receive_message(context.group, sender, body, context.clock())
             request_flush(context)
     elif isinstance(body, ShareNews):
-        for announcement in body.news:
-            broadcast_announcement(context, announcement)
-
-        broadcast_evidence(context, body.crashes)
-        broadcast_trials(
-            context, merge_trials(context.trials, body.trials, context.clock())
-        )
+        receive_news(context, body)
     elif isinstance(body, ShareHeartbeats):
         apply_heartbeats(context.fleet, body.heard, context.clock())
     elif isinstance(body, GatewayReport):
--- a/src/waxwingwell/adapters/registry/quarantine.py
+++ b/src/waxwingwell/adapters/registry/quarantine.py
@@ -12,7 +12,7 @@
 from ..admin_views import QuarantinedBlock
 from ..admin_views import QuarantineView
 from ..events import log_event
-from .hub import broadcast_evidence
+from .announcements import broadcast_evidence
 from .responses import send_view
 
 
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -18,11 +18,11 @@
 from waxwingwell.routing.fleet import UpstreamState
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.fleet import apply_heartbeats
+from waxwingwell.routing.hashes import hash_block
 from waxwingwell.routing.limits import record_leave
 from waxwingwell.routing.messages import RelayGateway
 from waxwingwell.routing.quarantine import MIN_CRASHES
 from waxwingwell.routing.quarantine import QuarantineTable
-from waxwingwell.routing.quarantine import hash_block
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import record_crash
 from waxwingwell.routing.quarantine import record_survival
--- a/tests/routing/quarantine_plays.py
+++ b/tests/routing/quarantine_plays.py
@@ -9,11 +9,11 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from waxwingwell.routing.hashes import hash_block
+from waxwingwell.routing.hashes import hash_process
+from waxwingwell.routing.hashes import hash_request
 from waxwingwell.routing.quarantine import SURVIVAL_SECONDS
 from waxwingwell.routing.quarantine import QuarantineTable
-from waxwingwell.routing.quarantine import hash_block
-from waxwingwell.routing.quarantine import hash_process
-from waxwingwell.routing.quarantine import hash_request
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import list_evidence
 from waxwingwell.routing.quarantine import list_unreported
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -7,14 +7,14 @@
 from typing import ClassVar
 
 from bench.soak.checks import check_crashes
-from bench.soak.checks import check_crowds
 from bench.soak.checks import check_cuts
 from bench.soak.checks import check_limits
 from bench.soak.checks import check_planned_stops
-from bench.soak.checks import check_poisoned_prompts
 from bench.soak.checks import check_rests
-from bench.soak.checks import check_sound_prompts
 from bench.soak.checks import check_stated_leaves
+from bench.soak.prompt_checks import check_crowds
+from bench.soak.prompt_checks import check_poisoned_prompts
+from bench.soak.prompt_checks import check_sound_prompts
 from bench.soak.records import Arrival
 from bench.soak.records import CallerRequest
 from bench.soak.records import Crash
