--- a/src/waxwingwell/adapters/registry/announcements.py
+++ b/src/waxwingwell/adapters/registry/announcements.py
@@ -7,7 +7,7 @@
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import describe_upstream
 from ...routing.messages import ShareNews
-from ...routing.quarantine import list_evidence
+from ...routing.quarantine import list_repeated
 from ...routing.quarantine import merge_evidence
 from ...routing.trials import grant_trial
 from ...routing.trials import list_trials
@@ -51,7 +51,7 @@
     now = context.clock()
     return ShareNews(
         news=list_announcements(context),
-        crashes=list_evidence(context.quarantine, now),
+        crashes=list_repeated(context.quarantine, now, context.quarantine.blocks),
         trials=list_trials(context.trials, now),
     )
 
@@ -89,7 +89,7 @@
         if not cast_link(link, ShareNews(news=(), crashes=changed)):
             context.unannounced.add(name)
 
-    shared = list_evidence(context.quarantine, now, (one.block for one in changed))
+    shared = list_repeated(context.quarantine, now, (one.block for one in changed))
     if not shared:
         return
 
--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -236,16 +236,25 @@
     return max(lag, other)
 
 
+def list_repeated(
+    table: QuarantineTable, now: float, blocks: Iterable[int]
+) -> tuple[CrashEvidence, ...]:
+    """Return what is known of those of some blocks that were in several crashes.
+
+    Ordinary crashes make many blocks suspect of one, which only controls need to know.
+    """
+    known = (block for block in set(blocks) if len(table.blocks.get(block, ())) > 1)
+    return list_evidence(table, now, known)
+
+
 def list_evidence(
     table: QuarantineTable, now: float, blocks: Iterable[int] | None = None
 ) -> tuple[CrashEvidence, ...]:
-    """Return what is known of all blocks, or some, that were in several crashes.
+    """Return what is known of all blocks, or some.
 
-    Ordinary crashes make many blocks suspect of one, which only controls need to know.
     Of too many, those with the most crashes are listed.
     """
-    known = table.blocks.keys() if blocks is None else table.blocks.keys() & set(blocks)
-    listed = [block for block in known if len(table.blocks[block]) > 1]
+    listed = list(table.blocks if blocks is None else table.blocks.keys() & set(blocks))
     listed.sort(key=lambda block: -len(list_suspected(table.blocks[block])))
     evidence = (
         make_evidence(block, crash, held, now)
--- a/tests/routing/quarantine_plays.py
+++ b/tests/routing/quarantine_plays.py
@@ -16,6 +16,7 @@
 from waxwingwell.routing.quarantine import QuarantineTable
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import list_evidence
+from waxwingwell.routing.quarantine import list_repeated
 from waxwingwell.routing.quarantine import list_unreported
 from waxwingwell.routing.quarantine import merge_evidence
 from waxwingwell.routing.quarantine import record_crash
@@ -33,6 +34,8 @@
 MAX_ATTEMPTS = 3
 CONFIRM_SECONDS = 0.01
 """Time until a gateway finds that an upstream refuses connections."""
+FULL_REPORT_SECONDS = 1.0
+"""Longest time until a gateway reports all that it knows."""
 CRASH_SECONDS = 0.08
 """Time from the start of a response to a poisoned block until the crash."""
 POISON = "poison"
@@ -58,6 +61,10 @@
     herd_interval: float = 0.0
     """Seconds between crashes of half of the upstreams at once; 0 for none."""
     down_seconds: tuple[float, float] = (1.0, 5.0)
+    gateway_restarts: float = 0.0
+    """Seconds between restarts of a gateway; 0 for none."""
+    control_restarts: float = 0.0
+    """Seconds between restarts of all controls; 0 for none."""
     lag_seconds: float = 0.1
     """Mean time of a message from one process to the next."""
     seed: int = 1
@@ -126,6 +133,8 @@
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order = count()
         self.tables = [QuarantineTable() for _ in range(day.gateways)]
+        self.ready_at = [0.0] * day.gateways
+        """Times from which gateways serve: evidence comes before the configuration."""
         self.control = QuarantineTable()
         self.upstreams = [Upstream(f"u{index}") for index in range(day.upstreams)]
 
@@ -137,8 +146,9 @@
         for upstream in self.upstreams:
             self._schedule_ordinary_crash(upstream)
 
-        if day.herd_interval:
-            self._schedule(day.herd_interval, self._crash_herd)
+        self._schedule_repeated(day.herd_interval, self._crash_herd)
+        self._schedule_repeated(day.gateway_restarts, self._restart_gateway)
+        self._schedule_repeated(day.control_restarts, self._restart_controls)
 
         while self.events and self.events[0][0] < day.seconds:
             at, _, action = heapq.heappop(self.events)
@@ -149,6 +159,16 @@
     def _schedule(self, when: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self.events, (when, next(self.order), action))
 
+    def _schedule_repeated(
+        self, interval: float, action: Callable[[float], None]
+    ) -> None:
+        def run(now: float) -> None:
+            self._schedule(now + interval, run)
+            action(now)
+
+        if interval:
+            self._schedule(interval, run)
+
     def _schedule_arrivals(self, rate: float, poisoned: bool) -> None:
         if rate <= 0.0:
             return
@@ -178,6 +198,11 @@
     # --- requests -------------------------------------------------------------
 
     def _place(self, request: Request, now: float) -> None:
+        ready_at = self.ready_at[request.gateway]
+        if now < ready_at:
+            self._schedule(ready_at, lambda at: self._place(request, at))
+            return
+
         if is_quarantined(self.tables[request.gateway], request.blocks):
             self.outcome.refused += not request.poisoned
             return
@@ -249,7 +274,6 @@
         self._schedule(self.random.expovariate(rate), crash)
 
     def _crash_herd(self, now: float) -> None:
-        self._schedule(now + self.day.herd_interval, self._crash_herd)
         for upstream in self.random.sample(self.upstreams, len(self.upstreams) // 2):
             self.outcome.ordinary_crashes += upstream.up
             self._crash(upstream, now)
@@ -305,7 +329,7 @@
 
     def _share(self, evidence: tuple[CrashEvidence, ...], now: float) -> None:
         changed = merge_evidence(self.control, evidence, now)
-        shared = list_evidence(self.control, now, (one.block for one in changed))
+        shared = list_repeated(self.control, now, (one.block for one in changed))
         if not shared:
             return
 
@@ -321,6 +345,26 @@
 
         return receive
 
+    def _restart_gateway(self, now: float) -> None:
+        gateway = self.random.randrange(self.day.gateways)
+        self.tables[gateway] = QuarantineTable()
+        known = list_repeated(self.control, now, self.control.blocks)
+        self.ready_at[gateway] = now + self._lag()
+        self._schedule(self.ready_at[gateway], self._make_receiver(gateway, known))
+
+    def _restart_controls(self, now: float) -> None:
+        self.control = QuarantineTable()
+        for table in self.tables:
+            known = list_evidence(table, now)
+            if known:
+                delay = FULL_REPORT_SECONDS * self.random.random()
+                self._schedule(now + delay, self._make_sharer(known))
+
+    def _make_sharer(
+        self, evidence: tuple[CrashEvidence, ...]
+    ) -> Callable[[float], None]:
+        return lambda now: self._share(evidence, now)
+
     def _lag(self) -> float:
         return self.random.expovariate(1.0 / self.day.lag_seconds)
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -19,6 +19,7 @@
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import list_evidence
 from waxwingwell.routing.quarantine import list_outdated
+from waxwingwell.routing.quarantine import list_repeated
 from waxwingwell.routing.quarantine import list_unreported
 from waxwingwell.routing.quarantine import merge_evidence
 from waxwingwell.routing.quarantine import record_crash
@@ -246,6 +247,16 @@
         record_survival(table, (POISON,), 1.0)
         self.assertTrue(all(one.cleared for one in list_unreported(table, 1.0)))
 
+    def test_a_single_crash_outlives_a_control(self) -> None:
+        """Guards against crashes that are forgotten before a second one."""
+        table = QuarantineTable()
+        crash(table, 1, POISON)
+        table.unreported.clear()
+        self.assertEqual(len(list_evidence(table, 0.0)), 1)
+        self.assertEqual(list_repeated(table, 0.0, (POISON,)), ())
+        crash(table, 2, POISON)
+        self.assertEqual(len(list_repeated(table, 0.0, (POISON,))), 2)
+
     def test_a_sender_learns_that_its_evidence_is_outdated(self) -> None:
         """Guards against a quarantine that goes on at a gateway that was cut off."""
         table = make_quarantined(POISON)
@@ -275,6 +286,7 @@
             ("herds", {"herd_interval": 5.0}, 6),
             ("both", {"herd_interval": 6.0, "crash_rate": 0.1}, 4),
             ("rare blocks", {"crash_rate": 0.25, "subjects": 1_000}, 4),
+            ("restarts", {"crash_rate": 0.1, **RESTARTS}, 4),
             ("78 gateways", SIZES[78] | {"crash_rate": 0.1}, 1),
             ("500 gateways", SIZES[500] | {"herd_interval": 5.0}, 1),
         ):
@@ -294,6 +306,9 @@
             ("beside flapping", {"poison_rate": 1.0, "crash_rate": 0.1}, 6),
             ("beside herds", {"poison_rate": 1.0, "herd_interval": 6.0}, 6),
             ("after long waits", {"poison_rate": 2.0, "wait_seconds": 1.5}, 6),
+            ("gateways restart", {"poison_rate": 2.0, "gateway_restarts": 0.5}, 6),
+            ("controls restart", {"poison_rate": 2.0, "control_restarts": 2.0}, 6),
+            ("both", {"poison_rate": 2.0, **RESTARTS}, 6),
             ("78 gateways", SIZES[78] | {"poison_rate": 3.0}, 2),
             ("500 gateways", SIZES[500] | {"poison_rate": 5.0}, 2),
         ):
@@ -306,6 +321,8 @@
                     self.assertLess(outcome.refused, outcome.sound / 2)
 
 
+RESTARTS = {"gateway_restarts": 1.0, "control_restarts": 8.0}
+"""Seconds; gateways are in contact with controls for most of the time."""
 SIZES: dict[int, dict[str, Any]] = {
     78: {"gateways": 78, "upstreams": 56, "rate": 100.0, "seconds": 30.0},
     500: {"gateways": 500, "upstreams": 120, "rate": 200.0, "seconds": 12.0},
