Weigh the time to a crash against one crash more

No promise was broken.

Cause: three upstreams crashed within 0.07 s of the first requests, before any block was known as sound. The block that many requests share was in one crash more than the cause, as it also waited there, and came first by the number of crashes; what it explained did not count for the cause.

Change: 0.1 s from the start of a response to the crash counts as one crash less. A poisoned response ends at once, others at any time.

test_a_block_of_many_requests_hides_no_cause fails before.

--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -34,6 +34,9 @@
 crashes would otherwise condemn its own blocks."""
 QUEUED_WEIGHT = 0.3
 """Weight of a crash for requests that still waited for their response."""
+LAG_SECONDS = 0.1
+"""Time from the start of a response to the crash that counts against a block as much as
+one crash less."""
 SURVIVAL_SECONDS = 0.3
 """Seconds of a response after which its blocks are cleared."""
 SOUND_SECONDS = 10.0
@@ -339,8 +342,8 @@
 ) -> list[tuple[dict[int, Suspicion], frozenset[int]]]:
     """Return conclusive crashes and the blocks in all of them, the likeliest first.
 
-    More crashes are likelier to be caused by a block, and equally many if they followed
-    the start of its responses sooner.
+    Crashes are likelier to be caused by a block if there are more of them, and if they
+    have followed the start of its responses sooner.
     """
     candidates: dict[tuple[frozenset[int], float], set[int]] = {}
     for block, crashes in table.blocks.items():
@@ -349,7 +352,7 @@
             lag = max(held.lag or 0.0 for held in suspected.values())
             candidates.setdefault((frozenset(suspected), lag), set()).add(block)
 
-    ranked = sorted(candidates, key=lambda key: (-len(key[0]), key[1]))
+    ranked = sorted(candidates, key=lambda key: key[1] / LAG_SECONDS - len(key[0]))
     return [
         (list_suspected(table.blocks[min(blocks)]), frozenset(blocks))
         for key in ranked
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -119,6 +119,17 @@
         self.assertTrue(is_quarantined(table, (POISON, OTHER)))
         self.assertFalse(is_quarantined(table, (FIRST, OTHER)))
 
+    def test_a_block_of_many_requests_hides_no_cause(self) -> None:
+        """Guards against a shared block that is in one crash more than the cause."""
+        table = QuarantineTable()
+        for number in range(MIN_CRASHES):
+            crash(table, number, FIRST, POISON, request=10 + number, lag=0.05)
+            crash(table, number, FIRST, request=20 + number, lag=0.25)
+
+        crash(table, MIN_CRASHES, FIRST, request=30, lag=None)
+        self.assertTrue(is_quarantined(table, (POISON, OTHER)))
+        self.assertFalse(is_quarantined(table, (FIRST, OTHER)))
+
     def test_two_causes_are_quarantined(self) -> None:
         table = make_quarantined(POISON)
         for number in range(MIN_CRASHES):
