--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -42,7 +42,7 @@
 SOUND_SECONDS = 10.0
 """Seconds for which a block that was cleared is not suspected."""
 MAX_SOUND_BLOCKS = 2_000
-"""Cleared blocks that a gateway remembers, 0.4 MB."""
+"""Cleared blocks that a gateway remembers, 0.25 MB."""
 MAX_BLOCKS = 128
 """Suspected blocks that a process remembers."""
 MAX_CRASHES = 16
