Look a quarantined group up in one place, and share the soak's loop of crashes

is_quarantined walked the groups as find_group did, which stood with the trials; prompts and crowds had the same loop over ordinary crashes.

--- a/bench/soak/crowds.py
+++ b/bench/soak/crowds.py
@@ -8,7 +8,7 @@
 from .evacuations import disturb_registries
 from .records import CrowdSpan
 from .records import read_clock
-from .schedule import crash_upstream
+from .schedule import crash_upstreams
 from .schedule import record_fault
 
 
@@ -29,7 +29,7 @@
     until = read_clock() + seconds
     background = [
         asyncio.create_task(disturb_registries(environment, until)),
-        asyncio.create_task(crash_upstreams(environment, until)),
+        asyncio.create_task(crash_upstreams(environment, until, MAX_GAP_SECONDS)),
     ]
     while read_clock() < until:
         await asyncio.sleep(PAUSE_SECONDS)
@@ -51,10 +51,3 @@
         CrowdSpan(gateway=address[0], began_at=began_at, ended_at=read_clock())
     )
     return member.record.name
-
-
-async def crash_upstreams(environment: SoakEnvironment, until: float) -> None:
-    """Crash one upstream after the other."""
-    while read_clock() < until:
-        await record_fault(environment, crash_upstream)
-        await asyncio.sleep(MAX_GAP_SECONDS * environment.random.random())
--- a/bench/soak/prompts.py
+++ b/bench/soak/prompts.py
@@ -12,7 +12,7 @@
 from .evacuations import disturb_registries
 from .limits import kill_gateways
 from .records import read_clock
-from .schedule import crash_upstream
+from .schedule import crash_upstreams
 from .schedule import record_fault
 from .upstreams import start_upstream
 from .upstreams import stop_upstream
@@ -42,7 +42,7 @@
     tasks += [
         asyncio.create_task(disturb_registries(environment, until)),
         asyncio.create_task(kill_gateways(environment, until)),
-        asyncio.create_task(crash_upstreams(environment, until)),
+        asyncio.create_task(crash_upstreams(environment, until, MAX_GAP_SECONDS)),
     ]
     try:
         await asyncio.gather(*tasks)
@@ -69,13 +69,6 @@
         await asyncio.sleep(MAX_PAUSE_SECONDS * rng.random())
 
 
-async def crash_upstreams(environment: SoakEnvironment, until: float) -> None:
-    """Crash upstreams that did not get the block, one after the other."""
-    while read_clock() < until:
-        await record_fault(environment, crash_upstream)
-        await asyncio.sleep(MAX_GAP_SECONDS * environment.random.random())
-
-
 async def restart_poisoned(environment: SoakEnvironment) -> None:
     """Take down upstreams that crashed for the block, and restart them."""
     handled = 0
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -269,6 +269,15 @@
     return upstream.name
 
 
+async def crash_upstreams(
+    environment: SoakEnvironment, until: float, max_gap: float
+) -> None:
+    """Crash one upstream after the other, with up to ``max_gap`` seconds between."""
+    while read_clock() < until:
+        await record_fault(environment, crash_upstream)
+        await asyncio.sleep(max_gap * environment.random.random())
+
+
 async def leave_upstream(environment: SoakEnvironment) -> str | None:
     """Let an upstream leave, and restart it under another id."""
     upstream = pick_upstream(environment)
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -15,6 +15,7 @@
 from ...routing.limits import is_leaving
 from ...routing.quarantine import SURVIVAL_SECONDS
 from ...routing.quarantine import drop_expired
+from ...routing.quarantine import find_group
 from ...routing.quarantine import is_quarantined
 from ...routing.quarantine import is_sound
 from ...routing.quarantine import merge_evidence
@@ -22,7 +23,6 @@
 from ...routing.quarantine import record_survival
 from ...routing.quarantine import retract_crash
 from ...routing.trials import drop_trials
-from ...routing.trials import find_group
 from ...routing.trials import merge_trials
 from ...routing.trials import use_trial
 from ..events import log_event
--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -169,14 +169,20 @@
 
 def is_quarantined(table: QuarantineTable, blocks: Collection[int]) -> bool:
     """Return whether a request with these blocks is quarantined."""
+    return find_group(table, blocks) is not None
+
+
+def find_group(table: QuarantineTable, blocks: Collection[int]) -> int | None:
+    """Return the first block of a quarantined group that a request holds, or None."""
     if not table.groups:
-        return False
+        return None
 
-    return any(
-        group.issubset(blocks)
-        for block in blocks
-        for group in table.groups.get(block, ())
-    )
+    for block in blocks:
+        for group in table.groups.get(block, ()):
+            if group.issubset(blocks):
+                return min(group)
+
+    return None
 
 
 def merge_evidence(
--- a/src/waxwingwell/routing/trials.py
+++ b/src/waxwingwell/routing/trials.py
@@ -50,16 +50,6 @@
     """Numbers of the trials that this gateway has used, by block."""
 
 
-def find_group(table: QuarantineTable, blocks: Collection[int]) -> int | None:
-    """Return the first block of a quarantined group that a request holds, or None."""
-    for block in blocks:
-        for group in table.groups.get(block, ()):
-            if group.issubset(blocks):
-                return min(group)
-
-    return None
-
-
 def may_grant(
     trials: TrialTable, quarantine: QuarantineTable, block: int, now: float
 ) -> bool:
--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -6,6 +6,7 @@
 
 from waxwingwell.routing.quarantine import MIN_CRASHES
 from waxwingwell.routing.quarantine import QuarantineTable
+from waxwingwell.routing.quarantine import find_group
 from waxwingwell.routing.quarantine import record_crash
 from waxwingwell.routing.quarantine import record_survival
 from waxwingwell.routing.trials import FIRST_TRIAL_SECONDS
@@ -14,7 +15,6 @@
 from waxwingwell.routing.trials import VALID_SECONDS
 from waxwingwell.routing.trials import TrialTable
 from waxwingwell.routing.trials import drop_trials
-from waxwingwell.routing.trials import find_group
 from waxwingwell.routing.trials import grant_trial
 from waxwingwell.routing.trials import list_trials
 from waxwingwell.routing.trials import may_grant
