--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -12,8 +12,8 @@
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
 from ...routing.reports import ReportTable
-from ...routing.rollouts import EvidenceTable
 from ...routing.trials import TrialTable
+from ...routing.version_evidence import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
 from ...state.consensus.records import Membership
 from ...state.group import Group
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -8,12 +8,12 @@
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
 from ...routing.reports import list_gateways_without_state
-from ...routing.rollouts import EvidenceTable
-from ...routing.rollouts import add_evidence
 from ...routing.rollouts import awaits_warm_up
-from ...routing.rollouts import record_counters
-from ...routing.rollouts import split_evidence
 from ...routing.rollouts import step_rollout
+from ...routing.version_evidence import EvidenceTable
+from ...routing.version_evidence import add_evidence
+from ...routing.version_evidence import record_counters
+from ...routing.version_evidence import split_evidence
 from ..events import log_event
 from .api import submit
 from .context import RolloutWatch
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -7,14 +7,14 @@
 from waxwingwell.routing.fleet import FleetTable
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.messages import VersionEvidence
-from waxwingwell.routing.rollouts import Evidence
-from waxwingwell.routing.rollouts import EvidenceTable
-from waxwingwell.routing.rollouts import add_evidence
 from waxwingwell.routing.rollouts import awaits_warm_up
-from waxwingwell.routing.rollouts import record_counters
-from waxwingwell.routing.rollouts import split_evidence
 from waxwingwell.routing.rollouts import step_rollout
-from waxwingwell.routing.rollouts import subtract_evidence
+from waxwingwell.routing.version_evidence import Evidence
+from waxwingwell.routing.version_evidence import EvidenceTable
+from waxwingwell.routing.version_evidence import add_evidence
+from waxwingwell.routing.version_evidence import record_counters
+from waxwingwell.routing.version_evidence import split_evidence
+from waxwingwell.routing.version_evidence import subtract_evidence
 from waxwingwell.routing.versions import list_allowed_upstreams
 
 from .factories import make_announcement
