Read the limits of exposure from the settings of a registry

Roll-outs are to keep to the deployment's own limits, so the registry's settings carry them; they come from the bounds, with errors that name the field. Limits that no roll-out could keep, or that limit nothing, are refused at the start.

--- a/src/waxwingwell/adapters/registry/settings.py
+++ b/src/waxwingwell/adapters/registry/settings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path  # dataclass field
 
+from ...routing.exposure import ExposureLimits
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RegistrySettings:
@@ -29,4 +31,6 @@
     """Seconds between the stop signal and the kill of the process."""
     retry_window: float = 10.0
     """Seconds for which a retry counts against the retry budget."""
+    exposure: ExposureLimits = ExposureLimits()
+    """Limits on the requests that a version on trial may get."""
     metrics: tuple[str, int] | None = None
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -4,9 +4,23 @@
 
 import unittest
 
+from waxwingwell.routing.exposure import ExposureLimits
+from waxwingwell_platform.settings import read_exposure
+from waxwingwell_platform.settings import read_registry
 from waxwingwell_platform.settings import read_retries
 
 
+REGISTRY = {
+    "ip": "127.0.0.1",
+    "zone": "north",
+    "listen": {"admin": "127.0.0.1:80"},
+    "internal_ports": [9000, 9001],
+    "seeds": [],
+    "data_dir": "data",
+}
+"""Required fields of a registry's settings, without the bounds."""
+
+
 class RetriesTest(unittest.TestCase):
     """The retry budget."""
 
@@ -26,5 +40,37 @@
         self.assertEqual((limits.ratio, limits.slack, limits.window), (0, 0, 5))
 
 
+class ExposureTest(unittest.TestCase):
+    """The limits on the exposure of callers to a version on trial."""
+
+    def test_invalid_bounds(self) -> None:
+        """Limits that no roll-out can keep, or that limit nothing, must not pass."""
+        for field, value, message in (
+            ("exposure_share", -0.1, "bounds: exposure.share is -0.1"),
+            ("exposure_share", 1.5, "bounds: exposure.share is 1.5"),
+            ("exposure_slack", -1, "bounds: exposure.slack is -1"),
+            ("rollback_ms", 0, "bounds: exposure.rollback is 0"),
+        ):
+            for read in (
+                read_exposure,
+                lambda bounds: read_registry({**REGISTRY, "bounds": bounds}),
+            ):
+                with (
+                    self.subTest(field, value=value),
+                    self.assertRaisesRegex(ValueError, message),
+                ):
+                    read({field: value})
+
+    def test_bounds(self) -> None:
+        given = {"exposure_share": 0.1, "exposure_slack": 8, "rollback_ms": 2_500}
+        for name, bounds, expected in (
+            ("given", given, ExposureLimits(0.1, 8, 2.5)),
+            ("defaults", {}, ExposureLimits()),
+        ):
+            with self.subTest(name):
+                settings = read_registry({**REGISTRY, "bounds": bounds})
+                self.assertEqual(settings.exposure, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
