--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -9,7 +9,7 @@
 from ...routing.messages import GrowRollout
 from ...routing.reports import list_gateways_without_state
 from ...routing.rollouts import awaits_warm_up
-from ...routing.rollouts import step_rollout
+from ...routing.rollouts import step_by_means
 from ...routing.version_evidence import EvidenceTable
 from ...routing.version_evidence import add_evidence
 from ...routing.version_evidence import record_counters
@@ -53,7 +53,7 @@
         return
 
     target, former = split_evidence(watch.evidence, rollout.target)
-    step = step_rollout(rollout, target, former, now - watch.started_at)
+    step = step_by_means(rollout, target, former, now - watch.started_at)
     if not step.ended and step.share <= rollout.share:
         return
 
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -6,18 +6,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from xxhash import xxh32_intdigest
 
+from .outcomes import Outcomes
+from .outcomes import add_outcomes
+from .outcomes import find_upper_bound
+from .version_evidence import Evidence
+
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from .exposure import ExposureLimits
     from .fleet import Upstream
     from .messages import RolloutState
-    from .version_evidence import Evidence
 
 
 MAX_HASH = 0xFFFFFFFF
@@ -52,6 +59,22 @@
 """Mean time to the first byte, in seconds, up to which the target is never too slow."""
 
 
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Outcomes of both versions by kind, ``elapsed`` seconds after the order."""
+
+    elapsed: float
+    target: Mapping[str, Outcomes]
+    former: Mapping[str, Outcomes]
+
+
+@dataclass(slots=True)
+class EvidenceHistory:
+    """Snapshots of the evidence, the latest one last."""
+
+    snapshots: list[Snapshot] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """Next state of a roll-out."""
@@ -108,7 +131,32 @@
     return bool(target) and all(one.cold_until > now for one in target)
 
 
+def record_snapshot(history: EvidenceHistory, snapshot: Snapshot) -> None:
+    """Record the evidence at a time."""
+    history.snapshots[:] = [snapshot]
+
+
 def step_rollout(
+    rollout: RolloutState,
+    history: EvidenceHistory,
+    limits: ExposureLimits,
+    elapsed: float,
+) -> Step:
+    """Return the next step of a roll-out that started ``elapsed`` seconds ago."""
+    latest = history.snapshots[-1]
+    target, former = (sum_kinds(one) for one in (latest.target, latest.former))
+    return step_by_means(rollout, target, former, elapsed)
+
+
+def sum_kinds(outcomes: Mapping[str, Outcomes]) -> Evidence:
+    """Return the evidence on a version over all kinds of requests."""
+    total = add_outcomes(outcomes.values())
+    counts = enumerate(total.first_bytes[:-1])
+    seconds = sum(find_upper_bound(index) * count for index, count in counts)
+    return Evidence(total.answers, total.failures + total.breaks, seconds)
+
+
+def step_by_means(
     rollout: RolloutState, target: Evidence, former: Evidence, elapsed: float
 ) -> Step:
     """Return the next step of a roll-out that started ``elapsed`` seconds ago."""
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -7,7 +7,7 @@
 from waxwingwell.routing.fleet import FleetTable
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.rollouts import awaits_warm_up
-from waxwingwell.routing.rollouts import step_rollout
+from waxwingwell.routing.rollouts import step_by_means
 from waxwingwell.routing.version_evidence import Evidence
 from waxwingwell.routing.versions import list_allowed_upstreams
 
@@ -40,7 +40,7 @@
         ):
             with self.subTest(name):
                 rollout = make_rollout(share=share)
-                step = step_rollout(rollout, target, GOOD, elapsed)
+                step = step_by_means(rollout, target, GOOD, elapsed)
                 self.assertEqual((step.share, step.ended, step.completed), expected)
 
     def test_the_first_share_waits_for_a_warm_upstream(self) -> None:
@@ -72,7 +72,7 @@
 
         A service may fail a seventh of its calls with either version.
         """
-        step = step_rollout(
+        step = step_by_means(
             make_rollout(share=0.08), Evidence(30, 5, 3.0), Evidence(300, 45, 30.0), 5.0
         )
         self.assertFalse(step.ended)
