Count the outcomes of requests by kind while a roll-out is in progress

Change: a gateway counts by service, roll-out, version and route (32 routes a version, the rest together) from the moment at which it learns of the roll-out, so that all versions are counted from the same moment; a request that was sent before is not counted. A request counts as sent once it is written to its upstream's connection, and not at all if it was never connected. The relay counts what it sends for others. The time to the first byte counts as the response starts, the duration as it ends; both from the moment of sending. Running requests without a first byte are reported by their wait so far.

What counts as a failure is as before: upstreams' own responses of 500 or more, their own 504 among them; a response or connection that broke off, now apart as a break; responses that say that nothing has run count in neither, other rejections below 500 as successes. Requests whose caller left or whose deadline passed have no end, as before; a response that was dropped for a larger model has one, and no duration.

Not told apart: a break by a crash of the upstream from one that the version causes. At the break nothing tells; that the process has ended is known by a refused connection or an announcement later, and only requests with shared prompt blocks check for it.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -15,6 +15,11 @@
 from ...routing.prefixes import record_blocks
 from ...routing.records import RouteKind
 from ...routing.sessions import finish_session
+from ...routing.tallies import CountedRequest
+from ...routing.tallies import Ending
+from ...routing.tallies import record_ending
+from ...routing.tallies import record_first_byte as count_first_byte
+from ...routing.tallies import stop_waiting
 from ..http.client import UpstreamCall
 from ..http.connection_check import ConnectionCheck
 from ..http.records import HeaderList
@@ -22,7 +27,6 @@
 from ..metrics import ATTEMPTS
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
-from .context import VersionTally
 from .dialect import ResponseFacts
 
 
@@ -42,6 +46,14 @@
     DONE = "done"
 
 
+ENDINGS = {
+    AttemptOutcome.BROKEN: Ending.BREAK,
+    AttemptOutcome.FAILED: Ending.FAILURE,
+    AttemptOutcome.DONE: Ending.SUCCESS,
+}
+"""Endings for which a version is accountable, by the attempt's outcome."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """One attempt to run a request at one upstream."""
@@ -71,6 +83,9 @@
     survived: bool = False
     """Whether its response has run for long enough to clear its prompt blocks."""
     timer: Any = None
+    counted: CountedRequest | None = None
+    """Its place in the outcomes of a roll-out; None before it is sent, and without a
+    roll-out."""
 
     @property
     def upstream(self) -> str:
@@ -138,6 +153,9 @@
     attempt.first_byte_at = now
     attempt.last_byte_at = now
     context.upstream_active_at[attempt.upstream] = now
+    if attempt.counted is not None:
+        count_first_byte(attempt.counted, now, success=starts_successfully(attempt))
+
     FIRST_BYTE_SECONDS.labels(route.kind.value).observe(now - attempt.started_at)
     if attempt.samples_prefill_speed and attempt.choice.model:
         took_ms = (now - attempt.started_at) * 1000
@@ -152,6 +170,12 @@
     attempt.stop_timer()
 
 
+def starts_successfully(attempt: Attempt) -> bool:
+    """Return whether a response's head is that of a success or of a rejection."""
+    facts = attempt.facts
+    return facts is not None and not facts.not_run and attempt.status < 500
+
+
 def record_cached_blocks(
     context: GatewayContext, facts: RequestFacts, attempt: Attempt, now: float
 ) -> None:
@@ -174,6 +198,9 @@
     """Mark the attempt as finished and release the load and session it holds."""
     attempt.finished = True
     attempt.stop_timer()
+    if attempt.counted is not None:
+        stop_waiting(attempt.counted)
+
     if attempt.relayed:
         return
 
@@ -191,8 +218,13 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
     now: float,
+    *,
+    dropped: bool = False,
 ) -> None:
-    """Record an attempt's outcome in the metrics and the health and version tables."""
+    """Record an attempt's outcome in the metrics and the health and version tables.
+
+    ``dropped`` says that the gateway has cancelled a successful response.
+    """
     ATTEMPTS.labels(route.kind.value, outcome.value).inc()
     if outcome is AttemptOutcome.UNREACHED and attempt.facts is None:
         record_unreachable(context.health, attempt.upstream, now)
@@ -209,13 +241,8 @@
         AttemptOutcome.NOT_RUN,
     )
     record_response(context.health, attempt.upstream, now, failed=failed)
-    if outcome is AttemptOutcome.NOT_RUN:
+    if attempt.counted is None or outcome not in ENDINGS:
         return
 
-    upstream = attempt.choice.placement.upstream
-    key = (attempt.choice.service, upstream.version)
-    tally = context.tallies.setdefault(key, VersionTally())
-    tally.responses += 1
-    tally.failures += failed
-    if not failed and attempt.first_byte_at is not None:
-        tally.seconds += attempt.first_byte_at - attempt.started_at
+    ending = Ending.DROPPED if dropped else ENDINGS[outcome]
+    record_ending(attempt.counted, ending, now)
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -28,6 +28,7 @@
 from ...routing.retries import RetryTable
 from ...routing.room import BrittleTable
 from ...routing.sessions import SessionTable
+from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
 from ..links import Link
@@ -38,16 +39,6 @@
 from .waiting import StartupQueue
 
 
-@dataclass(slots=True)
-class VersionTally:
-    """Outcomes and response times of one version of a service at this gateway."""
-
-    responses: int = 0
-    failures: int = 0
-    seconds: float = 0.0
-    """Sum of the times to the first byte of successful responses."""
-
-
 class RunningRequest(Protocol):
     """Interface of a running request to periodic tasks and the shutdown."""
 
@@ -161,7 +152,8 @@
     """Recent breaks of connections, by the upstream's id and incarnation."""
     evidence_reported_at: float = -math.inf
     """Time of the last report of all evidence on crashes."""
-    tallies: dict[tuple[str, str], VersionTally] = field(default_factory=dict)
+    tallies: dict[str, RolloutTally] = field(default_factory=dict)
+    """Outcomes of requests during the roll-out in progress, by service."""
     exchanges: set[RunningRequest] = field(default_factory=set)
     """Running requests."""
     startup_queue: StartupQueue = field(default_factory=StartupQueue)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -285,7 +285,9 @@
         now = self.context.clock()
         attempt.cancel()
         release_attempt(self.context, attempt)
-        record_outcome(self.context, self.route, attempt, AttemptOutcome.DONE, now)
+        record_outcome(
+            self.context, self.route, attempt, AttemptOutcome.DONE, now, dropped=True
+        )
         self.runs += 1
         self.response_dropped = True
         record_exchange_retry(self, attempt, now)
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -13,7 +13,6 @@
 from ...routing.load import sum_recent_prefill
 from ...routing.messages import GatewayReport
 from ...routing.messages import RelayGateway
-from ...routing.messages import VersionEvidence
 from ...routing.permits import take_requests
 from ...routing.prefixes import list_unreported_blocks
 from ...routing.prefixes import mark_reported
@@ -23,6 +22,7 @@
 from ...routing.retries import list_retries
 from ...routing.room import list_statements
 from ...routing.sessions import list_kept_sessions
+from ...routing.tallies import list_evidence as list_version_evidence
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
@@ -58,23 +58,13 @@
 
 def make_report(context: GatewayContext) -> GatewayReport:
     """Return the report for a control."""
-    evidence = tuple(
-        VersionEvidence(
-            service=service,
-            version=version,
-            answers=tally.responses,
-            failures=tally.failures,
-            seconds=tally.seconds,
-        )
-        for (service, version), tally in context.tallies.items()
-    )
     now = context.clock()
     session_lifetime = context.settings.session_life
     return GatewayReport(
         gateway=context.settings.node,
         run=identify_run(context),
         use=list_own_load(context.load),
-        evidence=evidence,
+        evidence=list_version_evidence(context.tallies, now),
         work=sum_recent_prefill(context.load, now),
         held=context.routing_index,
         kept=list_kept_sessions(
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -10,6 +10,7 @@
 from ...routing.pools import Pool
 from ...routing.records import RouteKind
 from ...routing.sessions import start_session
+from ...routing.tallies import record_sent
 from ..events import log_event
 from ..http.client import CallHandlers
 from ..http.client import UpstreamCall
@@ -84,6 +85,7 @@
             on_head=partial(exchange.handle_head, attempt),
             on_data=partial(exchange.handle_data, attempt),
             on_end=partial(exchange.handle_end, attempt),
+            on_sent=partial(count_sent, exchange, attempt),
         ),
         connect_timeout=min(CONNECT_SECONDS, remaining * CONNECT_SHARE),
     )
@@ -104,6 +106,25 @@
     start_session(context.sessions, choice.service, choice.session, version, now)
 
 
+def count_sent(exchange: Exchange, attempt: Attempt) -> None:
+    """Count a request that has been sent in the outcomes of a roll-out.
+
+    A relay counts the requests that it sends for other gateways.
+    """
+    if attempt.relayed:
+        return
+
+    context = exchange.context
+    choice = attempt.choice
+    attempt.counted = record_sent(
+        context.tallies,
+        choice.service,
+        choice.placement.upstream.version,
+        exchange.route.name,
+        context.clock(),
+    )
+
+
 def write_headers(exchange: Exchange, attempt: Attempt, now: float) -> HeaderList:
     """Return the headers of a request to an upstream."""
     remaining = exchange.deadline - now
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -33,6 +33,7 @@
 from ...routing.room import apply_statements
 from ...routing.sessions import apply_kept_sessions
 from ...routing.sessions import record_rollouts
+from ...routing.tallies import follow_rollouts
 from ...routing.warmup import record_return
 from ..connections import make_tcp_connector
 from ..events import log_event
@@ -150,6 +151,7 @@
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
     record_rollouts(context.sessions, body.rollouts, body.index)
+    follow_rollouts(context.tallies, body.rollouts)
     apply_evacuations(context, body)
     if context.index is not None:
         serve_waiting(context.startup_queue)
--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -45,6 +45,7 @@
 class CallHandlers:
     """Callbacks for a response as it arrives.
 
+    ``on_sent`` is called once the connection stands and the request is written to it.
     ``on_end`` is called once, last. Its arguments tell how the response ended and
     whether any byte of the request had been sent.
     """
@@ -52,6 +53,7 @@
     on_head: Callable[[int, HeaderList], None]
     on_data: Callable[[bytes], None]
     on_end: Callable[[ResponseEnd, bool], None]
+    on_sent: Callable[[], None] = lambda: None
 
 
 class UpstreamCall:
@@ -136,6 +138,7 @@
         chunks.append(self._h11.send(h11.EndOfMessage()))
         self._call.sent = True
         transport.write(b"".join(chunk for chunk in chunks if chunk))
+        self._call.handlers.on_sent()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._h11.receive_data(data)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -9,6 +9,7 @@
 
 from ..messages import Message
 from .fleet import Announcement  # noqa: TC001  # msgspec reads it
+from .outcomes import SparseHistogram  # msgspec reads it
 from .records import Document  # noqa: TC001  # msgspec reads it
 
 
@@ -205,14 +206,27 @@
 
 
 class VersionEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Responses of one version of a service since a gateway started."""
+    """Outcomes of one kind of requests to a version, since a roll-out became known.
+
+    The fields of the same names in ``Outcomes`` say what is counted.
+    """
 
     service: str
     version: str
     answers: int
     failures: int
-    seconds: float
-    """Total of the times to the first byte."""
+    seconds: float = 0.0
+    """Total of the times to the first byte, from older releases only."""
+    ordered_at: float = 0.0
+    """Time of the order, which identifies the roll-out; 0 from older releases, which
+    count since their start."""
+    kind: str = ""
+    """Name of the route; empty for all routes beyond the number counted apart."""
+    sent: int = 0
+    breaks: int = 0
+    first_bytes: SparseHistogram = ()
+    durations: SparseHistogram = ()
+    waiting: SparseHistogram = ()
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
@@ -327,10 +341,12 @@
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
-    """Responses of versions that a gateway has counted since it started."""
+    """Some of the counters that a gateway process has reported."""
 
     gateway: str
     versions: tuple[VersionEvidence, ...]
+    run: int = 0
+    """Distinguishes a process of the gateway from the previous one."""
 
 
 class ControlReport(Message, frozen=True, kw_only=True):
@@ -338,7 +354,8 @@
 
     total: FleetReport
     evidence: tuple[GatewayEvidence, ...] = ()
-    """Evidence of gateways where it changed, and periodically of each gateway."""
+    """Evidence of the attached gateways where it changed, and periodically all of
+    it."""
     untold: tuple[str, ...] = ()
     """Gateways that do not report which state they have."""
     limits: tuple[LimitState, ...] = ()
--- /dev/null
+++ b/src/waxwingwell/routing/tallies.py
@@ -0,0 +1,170 @@
+"""Outcomes of a gateway's requests, counted while a roll-out is in progress.
+
+All versions of a service are counted from the moment at which the gateway learns of the
+roll-out, so that their rates cover the same time. Requests that were sent before it are
+not counted.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .messages import VersionEvidence
+from .outcomes import find_bucket
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .messages import RolloutState
+    from .outcomes import SparseHistogram
+
+
+MAX_KINDS = 32
+"""Kinds of requests of one version that are counted apart."""
+OTHER_KINDS = ""
+"""Kind under which all further kinds are counted."""
+
+
+class Ending(Enum):
+    """How a request ended for which the version is accountable."""
+
+    SUCCESS = "success"
+    DROPPED = "dropped"
+    """The gateway did not wait for the end of a successful response."""
+    FAILURE = "failure"
+    """The upstream responded with a failure of its own."""
+    BREAK = "break"
+    """The connection or the response broke off."""
+
+
+@dataclass(slots=True, eq=False)
+class Tally:
+    """Outcomes of the requests of one kind that were sent to one version."""
+
+    sent: int = 0
+    answers: int = 0
+    failures: int = 0
+    breaks: int = 0
+    first_bytes: Counter[int] = field(default_factory=Counter)
+    """Times to the first byte, by histogram bucket."""
+    durations: Counter[int] = field(default_factory=Counter)
+    """Times to the end of successful responses, by histogram bucket."""
+    waiting: set[CountedRequest] = field(default_factory=set)
+    """Running requests without a first byte."""
+
+
+@dataclass(slots=True, eq=False)
+class CountedRequest:
+    """A request that was sent to an upstream and is counted."""
+
+    tally: Tally
+    sent_at: float
+
+
+@dataclass(slots=True)
+class RolloutTally:
+    """Outcomes of a service's requests since a roll-out became known."""
+
+    ordered_at: float
+    """Time of the order, which identifies the roll-out."""
+    kinds: dict[tuple[str, str], Tally] = field(default_factory=dict)
+    """Outcomes by version and kind of request."""
+
+
+def follow_rollouts(
+    tallies: dict[str, RolloutTally], rollouts: Iterable[RolloutState]
+) -> None:
+    """Start to count for new roll-outs, and drop the counts of those that ended."""
+    active = {
+        one.service: one.ordered_at for one in rollouts if one.state == "in_progress"
+    }
+    for service, held in tuple(tallies.items()):
+        if active.get(service) != held.ordered_at:
+            del tallies[service]
+
+    for service, ordered_at in active.items():
+        tallies.setdefault(service, RolloutTally(ordered_at))
+
+
+def find_tally(held: RolloutTally, version: str, kind: str) -> Tally:
+    """Return the counts of a kind, or of the further kinds if there are too many."""
+    known = held.kinds.get((version, kind))
+    if known is not None:
+        return known
+
+    kinds = sum(of_version == version for of_version, _ in held.kinds)
+    name = kind if kinds < MAX_KINDS else OTHER_KINDS
+    return held.kinds.setdefault((version, name), Tally())
+
+
+def record_sent(
+    tallies: dict[str, RolloutTally], service: str, version: str, kind: str, now: float
+) -> CountedRequest | None:
+    """Count a request that is sent; return None without a roll-out of its service."""
+    held = tallies.get(service)
+    if held is None:
+        return None
+
+    tally = find_tally(held, version, kind)
+    tally.sent += 1
+    request = CountedRequest(tally, now)
+    tally.waiting.add(request)
+    return request
+
+
+def record_first_byte(request: CountedRequest, now: float, *, success: bool) -> None:
+    """Count the time to the first byte if the response is a success so far."""
+    stop_waiting(request)
+    if success:
+        request.tally.first_bytes[find_bucket(now - request.sent_at)] += 1
+
+
+def stop_waiting(request: CountedRequest) -> None:
+    """Count a request no longer as waiting for its first byte."""
+    request.tally.waiting.discard(request)
+
+
+def record_ending(request: CountedRequest, ending: Ending, now: float) -> None:
+    """Count the end of a request."""
+    stop_waiting(request)
+    tally = request.tally
+    tally.answers += 1
+    tally.failures += ending is Ending.FAILURE
+    tally.breaks += ending is Ending.BREAK
+    if ending is Ending.SUCCESS:
+        tally.durations[find_bucket(now - request.sent_at)] += 1
+
+
+def list_evidence(
+    tallies: dict[str, RolloutTally], now: float
+) -> tuple[VersionEvidence, ...]:
+    """Return the counts for a report."""
+    return tuple(
+        VersionEvidence(
+            service=service,
+            version=version,
+            answers=tally.answers,
+            failures=tally.failures,
+            ordered_at=held.ordered_at,
+            kind=kind,
+            sent=tally.sent,
+            breaks=tally.breaks,
+            first_bytes=pack_counts(tally.first_bytes),
+            durations=pack_counts(tally.durations),
+            waiting=pack_counts(
+                Counter(find_bucket(now - one.sent_at) for one in tally.waiting)
+            ),
+        )
+        for service, held in tallies.items()
+        for (version, kind), tally in held.kinds.items()
+    )
+
+
+def pack_counts(counts: Counter[int]) -> SparseHistogram:
+    """Return the counts by bucket, in order."""
+    return tuple(sorted(counts.items()))
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -15,6 +15,7 @@
 from tests.adapters.registry.support import Registry
 from tests.adapters.registry.support import make_registry
 from tests.routing.factories import make_announcement
+from tests.routing.factories import make_rollout
 from waxwingwell.adapters.gateway.arrivals import handle_relayed
 from waxwingwell.adapters.gateway.probing import list_probed
 from waxwingwell.adapters.gateway.probing import probe_path
@@ -36,6 +37,7 @@
 from waxwingwell.routing.reachability import has_lost_path
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.retries import list_retries
+from waxwingwell.routing.tallies import follow_rollouts
 
 from .support import LAST_CHUNK
 from .support import Gateway
@@ -428,6 +430,31 @@
 class PathTest(unittest.TestCase):
     """How a gateway notices that its path is lost, and that it is back."""
 
+    def test_the_relay_counts_the_outcomes_of_a_roll_out(self) -> None:
+        """Guards against requests that two gateways count, or that none does."""
+        for outcome, respond in (
+            ("success", make_response()),
+            ("failure", make_response(b"broken", 500)),
+        ):
+            with self.subTest(outcome):
+                fleet = make_fleet(kind=RouteKind.ONCE)
+                [cut, other] = fleet.gateways
+                for gateway in fleet.gateways:
+                    follow_rollouts(gateway.context.tallies, [make_rollout()])
+
+                cut_off(cut)
+                caller = cut.ask()
+                relayed = open_relayed(cut.upstreams[-1], other)
+                upstream = other.upstreams[-1]
+                upstream.accept()
+                upstream.respond(respond)
+                relayed.pump()
+                self.assertTrue(caller.status)
+                self.assertEqual(make_report(cut.context).evidence, ())
+                [part] = make_report(other.context).evidence
+                self.assertEqual((part.sent, part.answers, part.kind), (1, 1, "r1"))
+                self.assertEqual(part.failures, outcome == "failure")
+
     def test_upstreams_that_fail_while_others_respond(self) -> None:
         """Guards against a detour while only some upstreams are down."""
         for name, steps, lost in (
