Gather the evidence of roll-outs at all registries, by kind and gateway process

What callers saw: a new leader began with its own baseline of the former version, one that had just started knew only what gateways reported to it, and a rate over all routes hid what failed for one (docs/incidents/undetected-regression.md, hypotheses 2 and 3). The log named answers of the target only, so late evidence could not be told from a late step.

Change: each registry adds the counters up while a roll-out is in progress, by version and kind, and keeps the history that the leader judges by; a new leader goes on with it. The counters of a gateway's process only grow, so its highest count, once: reports that come twice, late or through two controls change nothing, and a restart is another process. Waiting requests are a gauge: the latest report of each gateway, for a second. Controls forward what changed to each other, and all of it to a control that connects.

A share does not grow, and a version is not established, while evidence may be missing: for 2.5 s at a process that learnt of the roll-out after its first share, and for as long while fewer gateways report than one of them knew of in the last minute. Roll-backs don't wait, nor does a step in the last half second.

The step's log line names sent, answers, failures and breaks of both versions.

Ruled out: sums by control, which count a gateway twice as it moves and are lost with the control (docs/design/platform.md). Only changed rows are forwarded instead.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -12,6 +12,7 @@
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
 from ...routing.reports import ReportTable
+from ...routing.rollouts import EvidenceHistory
 from ...routing.trials import TrialTable
 from ...routing.version_evidence import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
@@ -41,10 +42,21 @@
 
 @dataclass(slots=True)
 class RolloutWatch:
-    """The leader's view of a roll-out in progress."""
+    """A registry's view of a roll-out in progress.
+
+    All registries gather the evidence, so that a new leader continues with it.
+    """
 
     started_at: float
-    evidence: EvidenceTable
+    complete_at: float
+    """Time from which the evidence of all reachable gateways has been received."""
+    gathered_at: float = -math.inf
+    """Time at which the evidence was last gathered from the reports."""
+    short_since: float | None = None
+    """Time since which fewer gateways report than were known recently; None if none
+    is missing."""
+    evidence: EvidenceTable = field(default_factory=EvidenceTable)
+    history: EvidenceHistory = field(default_factory=EvidenceHistory)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -26,6 +26,7 @@
 from ...routing.quarantine import drop_expired as drop_expired_evidence
 from ...routing.reports import drop_expired
 from ...routing.reports import make_control_report
+from ...routing.reports import make_full_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
 from ...routing.reports import sum_fleet
@@ -97,7 +98,8 @@
 
     A restarted control has lost its table of upstreams. Without a full copy it would
     learn of an upstream only when that one changes, and its gateways would take all
-    others for dead.
+    others for dead. If it came to lead, it would judge a roll-out by the evidence of
+    its own gateways alone.
     """
     if protocol in context.gateway_links or protocol not in accepted_connections(
         context
@@ -107,6 +109,7 @@
     if is_control(protocol.remote):
         connect_control(context, protocol.remote)
         protocol.cast(list_news(context))
+        protocol.cast(make_full_report(context.reports, context.clock()))
         return
 
     context.gateway_links[protocol] = SentState()
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -1,4 +1,4 @@
-"""Roll-out control at the leader: collects evidence and proposes steps."""
+"""Roll-out control: all registries collect evidence, the leader proposes steps."""
 
 from __future__ import annotations
 
@@ -7,11 +7,14 @@
 from ...routing.fleet import UpstreamState
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
+from ...routing.outcomes import add_outcomes
+from ...routing.reports import EVIDENCE_RESEND_SECONDS
+from ...routing.reports import count_reporting
 from ...routing.reports import list_gateways_without_state
+from ...routing.rollouts import Snapshot
 from ...routing.rollouts import awaits_warm_up
-from ...routing.rollouts import step_by_means
-from ...routing.version_evidence import EvidenceTable
-from ...routing.version_evidence import add_evidence
+from ...routing.rollouts import record_snapshot
+from ...routing.rollouts import step_rollout
 from ...routing.version_evidence import record_counters
 from ...routing.version_evidence import split_evidence
 from ..events import log_event
@@ -24,21 +27,43 @@
 if TYPE_CHECKING:
     from ...routing.fleet import Upstream
     from ...routing.messages import RolloutState
+    from ...routing.rollouts import Step
     from .context import RegistryContext
 
 
 STEP_SECONDS = 0.25
 """Seconds between checks of the evidence; gateways report as often."""
+GATHER_SECONDS = EVIDENCE_RESEND_SECONDS + 2 * STEP_SECONDS
+"""Seconds within which the evidence of all reachable gateways is received."""
+DEADLINE_MARGIN_SECONDS = 0.5
+"""Seconds before a roll-out's deadline from which missing evidence delays no step."""
 
 
 def watch_rollouts(context: RegistryContext, now: float) -> None:
-    """Check each roll-out in progress if this process leads."""
-    if not is_leading(context, now) or not is_due(context, "steps", STEP_SECONDS, now):
+    """Gather the evidence on each roll-out in progress, and advance it as the leader.
+
+    The evidence is gathered at all registries, so that a new leader has all of it.
+    """
+    if not is_due(context, "steps", STEP_SECONDS, now):
         return
 
-    for rollout in list(context.state.rollouts.values()):
-        if rollout.state == "in_progress":
+    in_progress = [
+        one for one in context.state.rollouts.values() if one.state == "in_progress"
+    ]
+    drop_watches(context, in_progress)
+    leading = is_leading(context, now)
+    for rollout in in_progress:
+        if leading:
             advance_rollout(context, rollout, now)
+        else:
+            gather_evidence(context, rollout, find_watch(context, rollout, now), now)
+
+
+def drop_watches(context: RegistryContext, in_progress: list[RolloutState]) -> None:
+    """Drop the watches of roll-outs that have ended."""
+    known = {(one.service, one.ordered_at) for one in in_progress}
+    for key in context.watches.keys() - known:
+        del context.watches[key]
 
 
 def advance_rollout(
@@ -46,30 +71,20 @@
 ) -> None:
     """Propose the next step of a roll-out, if one is due."""
     watch = find_watch(context, rollout, now)
-    gather_evidence(context, rollout, watch)
-    if awaits_warm_up(
-        rollout, list_limited_target(context, rollout), now - watch.started_at, now
-    ):
+    snapshot = gather_evidence(context, rollout, watch, now)
+    elapsed = now - watch.started_at
+    if awaits_warm_up(rollout, list_limited_target(context, rollout), elapsed, now):
         return
 
-    target, former = split_evidence(watch.evidence, rollout.target)
-    step = step_by_means(rollout, target, former, now - watch.started_at)
+    step = step_rollout(rollout, watch.history, context.settings.exposure, elapsed)
     if not step.ended and step.share <= rollout.share:
         return
 
-    log_event(
-        "registry: Roll-out step",
-        service=rollout.service,
-        target=rollout.target,
-        share=step.share,
-        ended=step.ended,
-        completed=step.completed,
-        reason=step.reason,
-        elapsed=round(now - watch.started_at, 2),
-        answers=target.answers,
-        failures=target.failures,
-        untold=list_gateways_without_state(context.reports),
-    )
+    is_growth = step.completed or not step.ended
+    if is_growth and lacks_evidence(context, rollout, watch, now):
+        return
+
+    log_step(context, rollout, step, snapshot)
     if step.ended:
         command = EndRollout(
             service=rollout.service,
@@ -89,31 +104,76 @@
     submit(context, grown)
 
 
+def log_step(
+    context: RegistryContext, rollout: RolloutState, step: Step, snapshot: Snapshot
+) -> None:
+    """Log a step and the evidence behind it."""
+    target = add_outcomes(snapshot.target.values())
+    former = add_outcomes(snapshot.former.values())
+    log_event(
+        "registry: Roll-out step",
+        service=rollout.service,
+        target=rollout.target,
+        share=step.share,
+        ended=step.ended,
+        completed=step.completed,
+        reason=step.reason,
+        elapsed=round(snapshot.elapsed, 2),
+        sent=target.sent,
+        answers=target.answers,
+        failures=target.failures,
+        breaks=target.breaks,
+        former_sent=former.sent,
+        former_answers=former.answers,
+        former_failures=former.failures,
+        former_breaks=former.breaks,
+        untold=list_gateways_without_state(context.reports),
+    )
+
+
 def find_watch(
     context: RegistryContext, rollout: RolloutState, now: float
 ) -> RolloutWatch:
-    """Return the watch of a roll-out, or create it on a new leader.
+    """Return the watch of a roll-out, or create it.
 
-    A new leader derives the start from the wall clock. The age is limited to the
-    roll-out's duration, as wall clocks may have jumped.
+    The start is derived from the wall clock. The age is limited to the roll-out's
+    duration, as wall clocks may have jumped. A process that learns of a roll-out after
+    its first share has to wait for the evidence that was reported before.
     """
     key = (rollout.service, rollout.ordered_at)
     watch = context.watches.get(key)
     if watch is None:
         age = context.wall_clock() - rollout.ordered_at
         age = min(max(age, 0.0), rollout.duration)
-        baseline = {
-            (gateway, part.version): add_evidence([part])
-            for gateway, known in context.reports.evidence.items()
-            for part in known.versions
-            if part.service == rollout.service and part.version != rollout.target
-        }
-        watch = RolloutWatch(now - age, EvidenceTable(last_counters=baseline))
-        context.watches[key] = watch
+        wait = GATHER_SECONDS if rollout.share > 0.0 else 0.0
+        watch = context.watches[key] = RolloutWatch(now - age, now + wait)
 
     return watch
 
 
+def lacks_evidence(
+    context: RegistryContext, rollout: RolloutState, watch: RolloutWatch, now: float
+) -> bool:
+    """Return whether a share must not grow yet, as evidence may be missing.
+
+    The first share needs no evidence. Gateways that stay away are waited for once: they
+    may be gone for good.
+    """
+    due_at = watch.started_at + rollout.duration - DEADLINE_MARGIN_SECONDS
+    if rollout.share <= 0.0 or now >= due_at:
+        return False
+
+    known, expected = count_reporting(context.reports)
+    if known >= expected:
+        watch.short_since = None
+        return now < watch.complete_at
+
+    if watch.short_since is None:
+        watch.short_since = now
+
+    return now < max(watch.short_since + GATHER_SECONDS, watch.complete_at)
+
+
 def list_limited_target(
     context: RegistryContext, rollout: RolloutState
 ) -> list[Upstream]:
@@ -134,9 +194,22 @@
 
 
 def gather_evidence(
-    context: RegistryContext, rollout: RolloutState, watch: RolloutWatch
-) -> None:
-    """Count the evidence that gateways have reported since the last check."""
+    context: RegistryContext, rollout: RolloutState, watch: RolloutWatch, now: float
+) -> Snapshot:
+    """Record the evidence that gateways have reported, and return it."""
     for gateway, known in context.reports.evidence.items():
-        parts = [one for one in known.versions if one.service == rollout.service]
-        record_counters(watch.evidence, gateway, parts)
+        if known.received_at < watch.gathered_at:
+            continue
+
+        parts = [
+            one
+            for one in known.versions
+            if (one.service, one.ordered_at) == (rollout.service, rollout.ordered_at)
+        ]
+        record_counters(watch.evidence, gateway, known.run, parts, known.received_at)
+
+    watch.gathered_at = now
+    target, former = split_evidence(watch.evidence, rollout.target, now)
+    snapshot = Snapshot(now - watch.started_at, target, former)
+    record_snapshot(watch.history, snapshot)
+    return snapshot
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -36,6 +36,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 
 USE_TTL_SECONDS = 1.0
@@ -46,6 +47,9 @@
 EVIDENCE_RESEND_SECONDS = 2.0
 """Seconds after which unchanged evidence is sent again, as a link may have been
 down."""
+WAITING_RESEND_SECONDS = 0.5
+"""Seconds after which unchanged evidence on waiting requests is sent again during a
+roll-out; receivers take it as outdated after twice as long."""
 MAX_TOTAL_BLOCKS = 2_000
 """Prompt blocks stored for one message of totals, 10 KB."""
 MAX_RELAYS_PER_CONTROL = 4
@@ -57,15 +61,28 @@
 """Seconds without a report after which a gateway's evidence is dropped."""
 
 
+EvidenceKey = tuple[str, float, str, str]
+"""Service, time of a roll-out's order, version and kind of request."""
+
+
+@dataclass(frozen=True, slots=True)
+class SentEvidence:
+    """Evidence that was sent to the other controls, and when."""
+
+    part: VersionEvidence
+    at: float
+
+
 @dataclass(slots=True)
 class GatewayEntry:
     """Latest report of one gateway, and the evidence sent to the other controls."""
 
     report: GatewayReport
     received_at: float
-    sent_evidence: tuple[VersionEvidence, ...] = ()
+    sent_evidence: dict[EvidenceKey, SentEvidence] = field(default_factory=dict)
     """Evidence that was last sent to the other controls."""
-    sent_at: float = -math.inf
+    offered_at: float = -math.inf
+    """Time of the last report to the other controls."""
 
 
 @dataclass(slots=True)
@@ -89,10 +106,17 @@
 
 @dataclass(slots=True)
 class EvidenceEntry:
-    """Latest evidence of one gateway."""
+    """Latest evidence of one gateway process."""
 
-    versions: tuple[VersionEvidence, ...]
+    run: int
     received_at: float
+    """Time of the latest report."""
+    parts: dict[EvidenceKey, VersionEvidence] = field(default_factory=dict)
+
+    @property
+    def versions(self) -> tuple[VersionEvidence, ...]:
+        """The evidence in the order in which it was first received."""
+        return tuple(self.parts.values())
 
 
 @dataclass(slots=True)
@@ -134,7 +158,8 @@
         held.report = report
         held.received_at = now
 
-    table.evidence[report.gateway] = EvidenceEntry(report.evidence, now)
+    parts = {identify_part(part): part for part in report.evidence}
+    table.evidence[report.gateway] = EvidenceEntry(report.run, now, parts)
     queue_blocks(table.blocks_for_gateways, report.read)
     queue_blocks(table.blocks_for_controls, report.read)
 
@@ -210,13 +235,28 @@
     """Store another control's report on the gateways attached to it."""
     table.controls[control] = ControlEntry(report, now)
     for one in report.evidence:
-        table.evidence[one.gateway] = EvidenceEntry(one.versions, now)
+        merge_evidence(table, one, now)
 
     apply_states(table.limits, report.limits, now)
     apply_statements(table.brittle, report.brittle, now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
+def identify_part(part: VersionEvidence) -> EvidenceKey:
+    """Return what one part of a gateway's evidence is about."""
+    return part.service, part.ordered_at, part.version, part.kind
+
+
+def merge_evidence(table: ReportTable, evidence: GatewayEvidence, now: float) -> None:
+    """Store evidence that another control has forwarded, beside that not included."""
+    held = table.evidence.get(evidence.gateway)
+    if held is None or held.run != evidence.run:
+        held = table.evidence[evidence.gateway] = EvidenceEntry(evidence.run, now)
+
+    held.received_at = now
+    held.parts.update((identify_part(part), part) for part in evidence.versions)
+
+
 def queue_blocks(queue: dict[int, None], blocks: Iterable[int]) -> None:
     """Queue prompt blocks for the next message, up to a limit."""
     for key in blocks:
@@ -261,22 +301,77 @@
     """
     evidence = []
     for name, held in table.attached.items():
-        versions = held.report.evidence
         # Evidence that was sent already may be older than another control's, if the
         # gateway has attached to that one since.
-        if held.received_at <= held.sent_at:
+        if held.received_at <= held.offered_at:
             continue
 
-        due = now - held.sent_at >= EVIDENCE_RESEND_SECONDS
-        if due or (urgent and versions != held.sent_evidence):
-            evidence.append(GatewayEvidence(name, versions))
-            held.sent_evidence = versions
-            held.sent_at = now
+        held.offered_at = now
+        due = tuple(
+            part
+            for part in held.report.evidence
+            if is_part_due(held.sent_evidence, part, now, urgent=urgent)
+        )
+        if due:
+            evidence.append(GatewayEvidence(name, due, held.report.run))
+            record_sent_evidence(held, due, now)
 
     total = msgspec.structs.replace(
         sum_attached(table, now), read=tuple(table.blocks_for_controls)
     )
     table.blocks_for_controls.clear()
+    return describe_attached(table, total, evidence, now)
+
+
+def make_full_report(table: ReportTable, now: float) -> ControlReport:
+    """Return the report to a control that has just connected, with all evidence."""
+    evidence = [
+        GatewayEvidence(name, held.report.evidence, held.report.run)
+        for name, held in table.attached.items()
+        if held.report.evidence
+    ]
+    return describe_attached(table, sum_attached(table, now), evidence, now)
+
+
+def is_part_due(
+    sent: Mapping[EvidenceKey, SentEvidence],
+    part: VersionEvidence,
+    now: float,
+    *,
+    urgent: bool,
+) -> bool:
+    """Return whether a part of a gateway's evidence has to be sent."""
+    last = sent.get(identify_part(part))
+    if last is None:
+        return True
+
+    age = now - last.at
+    if age >= EVIDENCE_RESEND_SECONDS:
+        return True
+
+    repeated = bool(part.waiting) and age >= WAITING_RESEND_SECONDS
+    return urgent and (repeated or part != last.part)
+
+
+def record_sent_evidence(
+    held: GatewayEntry, parts: Iterable[VersionEvidence], now: float
+) -> None:
+    """Record evidence as sent, and forget what the gateway reports no longer."""
+    held.sent_evidence.update(
+        (identify_part(part), SentEvidence(part, now)) for part in parts
+    )
+    reported = {identify_part(part) for part in held.report.evidence}
+    for key in held.sent_evidence.keys() - reported:
+        del held.sent_evidence[key]
+
+
+def describe_attached(
+    table: ReportTable,
+    total: FleetReport,
+    evidence: Iterable[GatewayEvidence],
+    now: float,
+) -> ControlReport:
+    """Return a report on the attached gateways."""
     return ControlReport(
         total=total,
         evidence=tuple(evidence),
@@ -381,6 +476,13 @@
     )
 
 
+def count_reporting(table: ReportTable) -> tuple[int, int]:
+    """Return how many gateways report, and how many some gateway knew recently."""
+    others = sum(one.report.total.gateways for one in table.controls.values())
+    expected = max((one.report.gateways for one in table.attached.values()), default=0)
+    return len(table.attached) + others, expected
+
+
 def list_gateways_without_state(table: ReportTable) -> list[str]:
     """Return the gateways that do not report which state they have.
 
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -16,7 +16,6 @@
 from .outcomes import Outcomes
 from .outcomes import add_outcomes
 from .outcomes import find_upper_bound
-from .version_evidence import Evidence
 
 
 if TYPE_CHECKING:
@@ -59,6 +58,15 @@
 """Mean time to the first byte, in seconds, up to which the target is never too slow."""
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """Responses of one version over all gateways since the start of the roll-out."""
+
+    answers: int = 0
+    failures: int = 0
+    seconds: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Outcomes of both versions by kind, ``elapsed`` seconds after the order."""
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -1,4 +1,8 @@
-"""Evidence on the versions of a service, collected from the counters of gateways."""
+"""Evidence on the versions of a service, collected from the counters of gateways.
+
+Counters of one gateway process only grow. So reports may come twice, late or through
+several controls: the highest counters of each process count, once.
+"""
 
 from __future__ import annotations
 
@@ -6,84 +10,174 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .messages import VersionEvidence
+from .outcomes import BUCKETS
+from .outcomes import Outcomes
+from .outcomes import SparseHistogram
+from .outcomes import add_outcomes
+from .outcomes import unpack_histogram
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
-    from .messages import VersionEvidence
 
+WAITING_TTL_SECONDS = 1.0
+"""Seconds after which what a gateway has told of its waiting requests is outdated."""
+
+KindKey = tuple[str, str]
+"""Version and kind of request."""
 
-@dataclass(frozen=True, slots=True)
-class Evidence:
-    """Responses of one version over all gateways since the start of the roll-out."""
 
+@dataclass(slots=True)
+class Total:
+    """Sum of counters over all gateway processes."""
+
+    sent: int = 0
     answers: int = 0
     failures: int = 0
-    seconds: float = 0.0
+    breaks: int = 0
+    first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Requests that waited for their first byte at one gateway, as it last told."""
+
+    times: SparseHistogram
+    at: float
+    """Time at which the report was received."""
 
 
 @dataclass(slots=True)
 class EvidenceTable:
-    """Evidence on a service's versions since the start of a roll-out.
+    """Evidence on a service's versions since the start of a roll-out."""
+
+    counters: dict[tuple[str, int, KindKey], VersionEvidence] = field(
+        default_factory=dict
+    )
+    """Highest counters by gateway, its process, version and kind.
 
     A gateway's counters start from zero when it restarts. If only the latest counters
     were summed, its former failures would be lost, and a bad version would continue for
     as long as gateways restart.
     """
+    totals: dict[KindKey, Total] = field(default_factory=dict)
+    waiting: dict[tuple[str, KindKey], Waiting] = field(default_factory=dict)
+    """Waiting requests by gateway, version and kind."""
 
-    last_counters: dict[tuple[str, str], Evidence] = field(default_factory=dict)
-    """Latest counters by gateway and version."""
-    totals: dict[str, Evidence] = field(default_factory=dict)
-    """Totals over the gateways and their restarts, by version."""
 
+def record_counters(
+    table: EvidenceTable,
+    gateway: str,
+    run: int,
+    parts: Iterable[VersionEvidence],
+    received_at: float,
+) -> None:
+    """Add what a gateway's process has counted beyond its last counters.
 
-def add_evidence(parts: Iterable[VersionEvidence | Evidence]) -> Evidence:
-    """Return the sum of evidence."""
-    answers = failures = 0
-    seconds = 0.0
+    ``run`` distinguishes the process from others of the gateway.
+    """
     for part in parts:
-        answers += part.answers
-        failures += part.failures
-        seconds += part.seconds
-
-    return Evidence(answers, failures, seconds)
+        kind = (part.version, part.kind)
+        record_waiting(table, (gateway, kind), Waiting(part.waiting, received_at))
+        key = (gateway, run, kind)
+        last = table.counters.get(key)
+        if last == part or (last is not None and is_older(part, last)):
+            continue
 
-
-def subtract_evidence(after: Evidence, before: Evidence) -> Evidence:
-    """Return the difference; counters that restarted from zero count in full."""
-    if after.answers < before.answers:
-        return after
-
-    return Evidence(
-        after.answers - before.answers,
-        max(after.failures - before.failures, 0),
-        max(after.seconds - before.seconds, 0.0),
-    )
+        table.counters[key] = part
+        add_gain(table.totals.setdefault(kind, Total()), part, last)
 
 
-def record_counters(
-    table: EvidenceTable, gateway: str, parts: Sequence[VersionEvidence]
+def record_waiting(
+    table: EvidenceTable, key: tuple[str, KindKey], waiting: Waiting
 ) -> None:
-    """Add the increase of a gateway's counters of a service since its last report.
-
-    Missing counters mean that the process has restarted, and its counters with it.
-    """
-    present = {part.version for part in parts}
-    for key in [key for key in table.last_counters if key[0] == gateway]:
-        if key[1] not in present:
-            del table.last_counters[key]
-
-    for part in parts:
-        key = (gateway, part.version)
-        latest = add_evidence([part])
-        gained = subtract_evidence(latest, table.last_counters.get(key, Evidence()))
-        table.last_counters[key] = latest
-        total = table.totals.get(part.version, Evidence())
-        table.totals[part.version] = add_evidence([total, gained])
-
-
-def split_evidence(table: EvidenceTable, target: str) -> tuple[Evidence, Evidence]:
-    """Return the evidence on the target, and the sum over all other versions."""
-    others = [total for version, total in table.totals.items() if version != target]
-    return table.totals.get(target, Evidence()), add_evidence(others)
+    """Replace what is known of waiting requests, unless a later report told it."""
+    known = table.waiting.get(key)
+    if known is not None and known.at > waiting.at:
+        return
+
+    if waiting.times:
+        table.waiting[key] = waiting
+    elif known is not None:
+        del table.waiting[key]
+
+
+def is_older(part: VersionEvidence, last: VersionEvidence) -> bool:
+    """Return whether counters were reported before others of the same process."""
+    return count_events(part) < count_events(last)
+
+
+def count_events(part: VersionEvidence) -> int:
+    """Return how many events the counters include; it grows with each change."""
+    return part.sent + part.answers + sum(count for _, count in part.first_bytes)
+
+
+def add_gain(total: Total, part: VersionEvidence, last: VersionEvidence | None) -> None:
+    """Add the increase of counters since the last ones to a total."""
+    add_counts(total, part, 1)
+    if last is not None:
+        add_counts(total, last, -1)
+
+
+def add_counts(total: Total, part: VersionEvidence, sign: int) -> None:
+    """Add counters to a total, or subtract them."""
+    total.sent += sign * part.sent
+    total.answers += sign * part.answers
+    total.failures += sign * part.failures
+    total.breaks += sign * part.breaks
+    for held, packed in (
+        (total.first_bytes, part.first_bytes),
+        (total.durations, part.durations),
+    ):
+        for bucket, count in packed:
+            if 0 <= bucket < BUCKETS:
+                held[bucket] += sign * count
+
+
+def split_evidence(
+    table: EvidenceTable, target: str, now: float
+) -> tuple[dict[str, Outcomes], dict[str, Outcomes]]:
+    """Return the evidence on the target, and on all other versions, by kind."""
+    waiting = sum_waiting(table, now)
+    ours: dict[str, Outcomes] = {}
+    others: dict[str, Outcomes] = {}
+    for (version, kind), total in table.totals.items():
+        found = make_outcomes(total, waiting.get((version, kind), {}))
+        if version == target:
+            ours[kind] = found
+        else:
+            others[kind] = add_outcomes([others.get(kind, Outcomes()), found])
+
+    return ours, others
+
+
+def sum_waiting(table: EvidenceTable, now: float) -> dict[KindKey, dict[int, int]]:
+    """Return the waiting requests of all gateways by bucket; drop outdated ones."""
+    table.waiting = {
+        key: one
+        for key, one in table.waiting.items()
+        if now - one.at <= WAITING_TTL_SECONDS
+    }
+    sums: dict[KindKey, dict[int, int]] = {}
+    for (_, kind), one in table.waiting.items():
+        counts = sums.setdefault(kind, {})
+        for bucket, count in one.times:
+            counts[bucket] = counts.get(bucket, 0) + count
+
+    return sums
+
+
+def make_outcomes(total: Total, waiting: dict[int, int]) -> Outcomes:
+    """Return a total as outcomes."""
+    return Outcomes(
+        sent=total.sent,
+        answers=total.answers,
+        failures=total.failures,
+        breaks=total.breaks,
+        first_bytes=tuple(total.first_bytes),
+        durations=tuple(total.durations),
+        waiting=unpack_histogram(waiting),
+    )
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -14,10 +14,13 @@
 from waxwingwell.routing.reports import EVIDENCE_RESEND_SECONDS
 from waxwingwell.routing.reports import REPORT_TTL_SECONDS
 from waxwingwell.routing.reports import USE_TTL_SECONDS
+from waxwingwell.routing.reports import WAITING_RESEND_SECONDS
 from waxwingwell.routing.reports import ReportTable
+from waxwingwell.routing.reports import count_reporting
 from waxwingwell.routing.reports import drop_expired
 from waxwingwell.routing.reports import list_gateways_without_state
 from waxwingwell.routing.reports import make_control_report
+from waxwingwell.routing.reports import make_full_report
 from waxwingwell.routing.reports import make_total
 from waxwingwell.routing.reports import receive_control_report
 from waxwingwell.routing.reports import receive_report
@@ -33,13 +36,10 @@
     return GatewayReport(**{"gateway": gateway, "use": (), "evidence": (), **fields})
 
 
-def make_evidence(answers: int) -> tuple[VersionEvidence, ...]:
+def make_evidence(answers: int, **fields: Any) -> tuple[VersionEvidence, ...]:
     """Return a gateway's evidence on a version."""
-    return (
-        VersionEvidence(
-            service="chat", version="v1", answers=answers, failures=0, seconds=0.5
-        ),
-    )
+    known = {"service": "chat", "version": "v1", "kind": "r1"}
+    return (VersionEvidence(**{**known, **fields}, answers=answers, failures=0),)
 
 
 def make_counts(requests: int, repeats: int) -> tuple[ServiceRepeats, ...]:
@@ -234,6 +234,58 @@
 
                 self.assertIs(bool(exchanged.evidence), expected)
 
+    def test_only_changed_parts_are_sent_in_between(self) -> None:
+        """Guards against traffic that grows with the routes of a service."""
+        controls = Controls()
+        idle = make_evidence(4, kind="r2")
+        for now, answers, parts in ((10.0, 1, 2), (10.25, 2, 1)):
+            evidence = (*make_evidence(answers), *idle)
+            receive_report(controls.second, make_report("b", evidence=evidence), now)
+            [sent] = controls.exchange(now, urgent=True).evidence
+            self.assertEqual(len(sent.versions), parts)
+            self.assertEqual(controls.first.evidence["b"].versions, evidence)
+
+    def test_waiting_requests_are_told_again(self) -> None:
+        """Guards against requests that wait unchanged and seem to have ended."""
+        for name, waiting, urgent, expected in (
+            ("some wait", ((30, 1),), True, True),
+            ("none waits", (), True, False),
+            ("no roll-out", ((30, 1),), False, False),
+        ):
+            with self.subTest(name):
+                controls = Controls()
+                report = make_report("b", evidence=make_evidence(1, waiting=waiting))
+                for now in (10.0, 10.0 + WAITING_RESEND_SECONDS):
+                    receive_report(controls.second, report, now)
+                    exchanged = controls.exchange(now, urgent=urgent)
+
+                self.assertIs(bool(exchanged.evidence), expected)
+
+    def test_the_parts_of_an_ended_process_are_replaced(self) -> None:
+        """Guards against waiting requests of a gateway that has restarted."""
+        controls = Controls()
+        for now, run, evidence in (
+            (10.0, 1, (*make_evidence(3), *make_evidence(4, kind="r2"))),
+            (10.25, 2, make_evidence(1)),
+        ):
+            report = make_report("b", run=run, evidence=evidence)
+            receive_report(controls.second, report, now)
+            controls.exchange(now, urgent=True)
+            known = controls.first.evidence["b"]
+            self.assertEqual((known.run, known.versions), (run, evidence))
+
+    def test_a_control_that_connects_gets_all_evidence(self) -> None:
+        """Guards against a restarted control that leads with its own evidence only."""
+        controls = Controls()
+        evidence = make_evidence(3)
+        receive_report(controls.second, make_report("b", evidence=evidence), 10.0)
+        controls.exchange(10.0, urgent=True)
+        restarted = ReportTable()
+        report = make_full_report(controls.second, 10.1)
+        receive_control_report(restarted, "second", report, 10.1)
+        self.assertEqual(restarted.evidence["b"].versions, evidence)
+        self.assertEqual(count_reporting(restarted)[0], 1)
+
     def test_a_detached_control_does_not_restore_old_evidence(self) -> None:
         """Guards against responses counted twice after a change of control."""
         controls = Controls()
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -6,9 +6,9 @@
 
 from waxwingwell.routing.fleet import FleetTable
 from waxwingwell.routing.fleet import apply_announcement
+from waxwingwell.routing.rollouts import Evidence
 from waxwingwell.routing.rollouts import awaits_warm_up
 from waxwingwell.routing.rollouts import step_by_means
-from waxwingwell.routing.version_evidence import Evidence
 from waxwingwell.routing.versions import list_allowed_upstreams
 
 from .factories import make_announcement
