Keep a target's exposure within its limits, whatever the version does

Callers saw bad versions get more requests than allowed, and get them too late after their fiftieth bad response.

Cause: the share grew by the time and by the number of responses. At the full share the exposure that was left lasted two or three seconds, whatever the evidence said.

Change: a share grows only if the exposure known, in flight and to come up to the deadline stays within the limits at a higher rate of requests than measured. Active sessions with a share below the one of migration are reported as kept, as the share of the first half is now as large as the limits allow.

The evidence of the registry's tests grows at the former version, too, as the target alone would spend its exposure; the adapter stands in until outcomes by kind are reported.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -11,6 +11,7 @@
 from ...routing.fleet import FleetTable
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
+from ...routing.regressions import EvidenceHistory
 from ...routing.reports import ReportTable
 from ...routing.trials import TrialTable
 from ...routing.version_evidence import EvidenceTable
@@ -45,6 +46,7 @@
 
     started_at: float
     evidence: EvidenceTable
+    history: EvidenceHistory = field(default_factory=EvidenceHistory)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -4,9 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.exposure import ExposureLimits
 from ...routing.fleet import UpstreamState
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
+from ...routing.outcomes import Outcomes
+from ...routing.regressions import Snapshot
+from ...routing.regressions import record_snapshot
 from ...routing.reports import list_gateways_without_state
 from ...routing.rollouts import awaits_warm_up
 from ...routing.rollouts import step_rollout
@@ -24,6 +28,7 @@
 if TYPE_CHECKING:
     from ...routing.fleet import Upstream
     from ...routing.messages import RolloutState
+    from ...routing.version_evidence import Evidence
     from .context import RegistryContext
 
 
@@ -53,7 +58,10 @@
         return
 
     target, former = split_evidence(watch.evidence, rollout.target)
-    step = step_rollout(rollout, target, former, now - watch.started_at)
+    elapsed = now - watch.started_at
+    sides = [{"": convert_evidence(one)} for one in (target, former)]
+    record_snapshot(watch.history, Snapshot(elapsed, *sides))
+    step = step_rollout(rollout, watch.history, ExposureLimits(), elapsed)
     if not step.ended and step.share <= rollout.share:
         return
 
@@ -89,6 +97,13 @@
     submit(context, grown)
 
 
+def convert_evidence(evidence: Evidence) -> Outcomes:
+    """Return evidence over all kinds of requests as outcomes of one kind."""
+    return Outcomes(
+        sent=evidence.answers, answers=evidence.answers, failures=evidence.failures
+    )
+
+
 def find_watch(
     context: RegistryContext, rollout: RolloutState, now: float
 ) -> RolloutWatch:
--- a/src/waxwingwell/routing/sessions.py
+++ b/src/waxwingwell/routing/sessions.py
@@ -12,7 +12,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from .rollouts import FIRST_SHARE
 from .rollouts import MIGRATION_SHARE
 from .rollouts import hash_session
 from .rollouts import position_to_share
@@ -117,7 +116,7 @@
         position = hash_session(rollout, session)
         if (
             table.last[key][0] != rollout.target
-            and position_to_share(position) < FIRST_SHARE
+            and position_to_share(position) < MIGRATION_SHARE
         ):
             positions.add(position)
 
