--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -11,8 +11,8 @@
 from ...routing.fleet import FleetTable
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
+from ...routing.regressions import EvidenceHistory
 from ...routing.reports import ReportTable
-from ...routing.rollouts import EvidenceHistory
 from ...routing.trials import TrialTable
 from ...routing.version_evidence import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -8,12 +8,12 @@
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
 from ...routing.outcomes import add_outcomes
+from ...routing.regressions import Snapshot
+from ...routing.regressions import record_snapshot
 from ...routing.reports import EVIDENCE_RESEND_SECONDS
 from ...routing.reports import count_reporting
 from ...routing.reports import list_gateways_without_state
-from ...routing.rollouts import Snapshot
 from ...routing.rollouts import awaits_warm_up
-from ...routing.rollouts import record_snapshot
 from ...routing.rollouts import step_rollout
 from ...routing.version_evidence import record_counters
 from ...routing.version_evidence import split_evidence
--- a/tests/adapters/gateway/test_resuming.py
+++ b/tests/adapters/gateway/test_resuming.py
@@ -287,7 +287,7 @@
                 caller, first = start_stream(gateway, X_Budget="3.0")
 
                 def crowd(*_: Any, gateway: Gateway = gateway) -> None:
-                    for _ in range(2000):
+                    for _number in range(2000):
                         add_running(gateway.context.load, "u2", 0.0)
 
                 if silent:
--- a/tests/adapters/registry/test_rollouts.py
+++ b/tests/adapters/registry/test_rollouts.py
@@ -44,6 +44,18 @@
 )
 
 
+def make_former(turn: int) -> VersionEvidence:
+    """Return the former version's evidence, which grows by eight answers a turn."""
+    return VersionEvidence(
+        service="chat",
+        version="v1",
+        kind="r1",
+        sent=8 * turn,
+        answers=8 * turn,
+        failures=0,
+    )
+
+
 def make_evidence(answers: int, failures: int = 0) -> tuple[VersionEvidence, ...]:
     """Return a gateway's evidence about the target version."""
     return (
@@ -117,17 +129,17 @@
             with self.subTest(name):
                 leader = Leader()
                 leader.report("g1", FORMER, *make_evidence(3, 3))
-                leader.report("g2", FORMER)
+                leader.report("g2", make_former(0))
                 leader.step()
                 self.assertEqual(leader.ended, [])
-                for _ in range(round(REPORT_TTL_SECONDS / REPORT_SECONDS) + 2):
-                    leader.report("g2", FORMER)
+                for turn in range(round(REPORT_TTL_SECONDS / REPORT_SECONDS) + 2):
+                    leader.report("g2", make_former(turn))
                     if returns:
                         leader.report("g1", run=2)
 
                     leader.step()
 
-                leader.report("g2", FORMER, *make_evidence(1, 1))
+                leader.report("g2", make_former(turn + 1), *make_evidence(1, 1))
                 leader.step()
                 self.assertEqual(leader.ended, [False])
 
@@ -139,7 +151,8 @@
         leader = Leader()
         for turn in range(round(DURATION / REPORT_SECONDS) + 1):
             run, answers = divmod(turn, 3)
-            leader.report("g1", FORMER, *make_evidence(answers + 1), run=run)
+            leader.report("g1", *make_evidence(answers + 1), run=run)
+            leader.report("g2", make_former(4 * turn))
             leader.step()
 
         self.assertEqual(leader.ended, [True])
