Send no request to an unordered or rolled-back version in place of one out of reach

Callers could get a version that no order allows yet, or one that was rolled back, whenever the version in use was out of reach.

Cause: list_allowed_upstreams returned all upstreams if the established version had none among those heard lately; and "former" meant any version but the target, so that one that was rolled back served again as the next one was rolled out. Missing heartbeats were looked at before versions were: a heard target hid unheard upstreams of the former version, which then were refused instead of tried.

Ruled out: probes and checks of connections reach the target after a roll-back, but are no requests of callers. A request already sent stays: to break it off costs its caller the response, and it was sent before.

Change: the version in use is the roll-out's former one, else the one established; other versions stand in only once no upstream of it serves, not when it is evacuated or unresponsive. Unresponsive upstreams of the right version are tried before another version is.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -4,9 +4,11 @@
 
 import math
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...routing.fleet import MISSED_HEARTBEATS
+from ...routing.fleet import UpstreamState
 from ...routing.fleet import list_serving
 from ...routing.limits import is_leaving
 from ...routing.models import find_pool
@@ -192,26 +194,45 @@
 
     One that leaves counts as gone: its session's version does not hold a session back.
     Heartbeats arrive through the controls, so missing ones count only up to the last
-    report of a control. If all upstreams seem unresponsive, the controls lack
-    announcements: all are used then, because an attempt at a dead upstream only costs
-    a failed connection, while refusing costs the request.
+    report of a control. If all upstreams of the version seem unresponsive, the controls
+    lack announcements: all are used then, because an attempt at a dead upstream only
+    costs a failed connection, while refusing costs the request, and another version
+    may be bad.
     """
-    serving = list_staying(
-        context, service, context.heartbeats_at - UNRESPONSIVE_SECONDS, now
+    current = find_current_version(context, service, now)
+    list_allowed = partial(
+        list_allowed_now, context, service=service, session=session, now=now
     )
-    if not serving:
-        serving = list_staying(context, service, -math.inf, now)
+    heard_after = context.heartbeats_at - UNRESPONSIVE_SECONDS
+    serving = list_staying(context, service, heard_after, now)
+    allowed = list_allowed(serving, current=current, spent=spent)
+    if allowed:
+        return allowed
 
-    if service not in context.established and serving:
-        oldest = min(serving, key=lambda candidate: candidate.incarnation)
-        context.established[service] = oldest.version
+    serving = list_staying(context, service, -math.inf, now)
+    if not is_version_serving(context, service, current):
+        current = ""
 
+    return list_allowed(serving, current=current, spent=spent)
+
+
+def list_allowed_now(
+    context: GatewayContext,
+    serving: list[Announcement],
+    *,
+    service: str,
+    session: str,
+    now: float,
+    current: str,
+    spent: Collection[str],
+) -> list[Announcement]:
+    """Return those of some upstreams whose version a session may use at present."""
     rollout = context.rollouts.get(service)
     sessions = context.sessions
     return list_allowed_upstreams(
         serving,
         rollout,
-        established=context.established,
+        current=current,
         session=session,
         last=find_last_version(sessions, (service, session), now),
         session_life=context.settings.session_life,
@@ -222,6 +243,38 @@
     )
 
 
+def find_current_version(context: GatewayContext, service: str, now: float) -> str:
+    """Return the version in use apart from a roll-out; empty if it is not known.
+
+    Until a roll-out has named it, it is the version of the upstream that started first.
+    """
+    rollout = context.rollouts.get(service)
+    if rollout is not None and rollout.former:
+        return rollout.former
+
+    if service not in context.established:
+        serving = [
+            one
+            for one in list_staying(context, service, -math.inf, now)
+            if rollout is None or one.version != rollout.target
+        ]
+        if serving:
+            oldest = min(serving, key=lambda candidate: candidate.incarnation)
+            context.established[service] = oldest.version
+
+    return context.established.get(service, "")
+
+
+def is_version_serving(context: GatewayContext, service: str, version: str) -> bool:
+    """Return whether an upstream of a version serves, evacuated ones included."""
+    return any(
+        held.announcement.service == service
+        and held.announcement.version == version
+        and held.announcement.state is UpstreamState.SERVING
+        for held in context.fleet.upstreams.values()
+    )
+
+
 def list_staying(
     context: GatewayContext, service: str, heard_after: float, now: float
 ) -> list[Announcement]:
--- a/src/waxwingwell/routing/versions.py
+++ b/src/waxwingwell/routing/versions.py
@@ -16,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from .fleet import Announcement
@@ -27,7 +26,7 @@
     upstreams: Sequence[Announcement],
     rollout: RolloutState | None,
     *,
-    established: Mapping[str, str],
+    current: str,
     session: str,
     last: tuple[str, float] | None,
     session_life: float,
@@ -38,23 +37,23 @@
 ) -> list[Announcement]:
     """Return the upstreams whose version a session may use.
 
-    Without a roll-out only the established version is used, as upstreams of another
-    version may be announced before the order that names it is known here. During a
-    roll-out, a request that can't use the upstreams in ``spent`` any more gets the
-    former version if the target has no other upstreams. ``kept`` holds the hash
-    positions of sessions that use the former version at any gateway; it is complete
-    only if ``settled``.
+    ``current`` is the version in use apart from a roll-out; empty if it is not known,
+    which admits every version but the target. Without a roll-out no other version is
+    used, as its upstreams may be announced before the order that names it is known
+    here. During a roll-out, a request that can't use the upstreams in ``spent`` any
+    more gets the former version if the target has no other upstreams. ``kept`` holds
+    the hash positions of sessions that use the former version at any gateway; it is
+    complete only if ``settled``.
     """
-    if not upstreams:
-        return []
-
     if rollout is None:
-        version = established.get(upstreams[0].service, "")
-        same = [one for one in upstreams if one.version == version]
-        return same or list(upstreams)
+        return [one for one in upstreams if current in ("", one.version)]
 
     target = [one for one in upstreams if one.version == rollout.target]
-    former = [one for one in upstreams if one.version != rollout.target]
+    former = [
+        one
+        for one in upstreams
+        if one.version != rollout.target and current in ("", one.version)
+    ]
     if rollout.state == "completed":
         return target or former
 
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -141,7 +141,7 @@
                 found = list_allowed_upstreams(
                     both,
                     rollout,
-                    established={"chat": "v1"},
+                    current="v1",
                     session="s",
                     last=last,
                     session_life=5.0,
@@ -162,7 +162,7 @@
                 if list_allowed_upstreams(
                     both,
                     make_rollout(share=share),
-                    established={},
+                    current="v1",
                     session=session,
                     last=None,
                     session_life=5.0,
--- a/tests/routing/test_sessions.py
+++ b/tests/routing/test_sessions.py
@@ -55,7 +55,7 @@
         allowed = list_allowed_upstreams(
             BOTH_VERSIONS,
             rollout,
-            established={"chat": "v1"},
+            current="v1",
             session=session,
             last=find_last_version(self.sessions, ("chat", session), now),
             session_life=SESSION_LIFE,
