Let a share of a roll-out hold for three seconds without news from a control

A gateway that reaches callers and upstreams but no control kept to the last share it knew: a version rolled back meanwhile went on to get its requests for as long as the cut lasted.

Cause: a share had no bound in time; nothing asked when a control was last heard.

Change: a share holds for LEASE_SECONDS after the last message of any control. After that, requests use the former version, sessions on the target included, until the next message. If no upstream of the former version can be reached, as they end once a roll-out is completed, the target is used, except before the first share. States that are final, completed and rolled back, need no lease.

The lease is longer than a link takes to notice a control that stands still (2 s) and the next totals (0.25 s), so that gateways in contact with other controls keep their sessions where they are, and shorter than the 5 s in which a bad version must be left.

Not covered: a control that is cut off from its leader still sends totals, which count as news; only the sender could tell.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -10,6 +10,7 @@
 from ...routing.fleet import MISSED_HEARTBEATS
 from ...routing.fleet import UpstreamState
 from ...routing.fleet import list_serving
+from ...routing.health import is_backing_off
 from ...routing.limits import is_leaving
 from ...routing.models import find_pool
 from ...routing.models import first_model
@@ -24,6 +25,7 @@
 from ...routing.reachability import is_cut_off
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
+from ...routing.versions import holds_lease
 from ...routing.versions import list_allowed_upstreams
 from .restrictions import get_rest_seconds
 from .restrictions import has_restrictions
@@ -229,6 +231,7 @@
     """Return those of some upstreams whose version a session may use at present."""
     rollout = context.rollouts.get(service)
     sessions = context.sessions
+    leased = holds_lease(context.control_seen_at, now)
     return list_allowed_upstreams(
         serving,
         rollout,
@@ -240,9 +243,22 @@
         spent=spent,
         kept=sessions.kept,
         settled=rollout is not None and rollout.ordered_at in sessions.settled,
+        leased=leased,
+        unreachable=() if leased else list_unreachable(context, serving, now),
     )
 
 
+def list_unreachable(
+    context: GatewayContext, upstreams: Collection[Announcement], now: float
+) -> list[str]:
+    """Return the upstreams that could not be reached lately."""
+    return [
+        one.upstream
+        for one in upstreams
+        if is_backing_off(context.health, one.upstream, now)
+    ]
+
+
 def find_current_version(context: GatewayContext, service: str, now: float) -> str:
     """Return the version in use apart from a roll-out; empty if it is not known.
 
--- a/src/waxwingwell/routing/versions.py
+++ b/src/waxwingwell/routing/versions.py
@@ -22,6 +22,21 @@
     from .messages import RolloutState
 
 
+LEASE_SECONDS = 3.0
+"""Seconds without a message of any control for which a share of a roll-out holds. A
+gateway whose control stands still needs two to attach to another one; a version that is
+rolled back must be left sooner than in five."""
+
+
+def holds_lease(seen_at: float, now: float) -> bool:
+    """Return whether a gateway may use the target of a roll-out in progress.
+
+    ``seen_at`` is the time of the last message of any control: without one, the
+    roll-out may have been rolled back in the meantime.
+    """
+    return now - seen_at <= LEASE_SECONDS
+
+
 def list_allowed_upstreams(
     upstreams: Sequence[Announcement],
     rollout: RolloutState | None,
@@ -34,6 +49,8 @@
     spent: Collection[str] = (),
     kept: Collection[int] = (),
     settled: bool = True,
+    leased: bool = True,
+    unreachable: Collection[str] = (),
 ) -> list[Announcement]:
     """Return the upstreams whose version a session may use.
 
@@ -43,7 +60,9 @@
     here. During a roll-out, a request that can't use the upstreams in ``spent`` any
     more gets the former version if the target has no other upstreams. ``kept`` holds
     the hash positions of sessions that use the former version at any gateway; it is
-    complete only if ``settled``.
+    complete only if ``settled``. Unless the share is ``leased``, the former version is
+    used while any of its upstreams is not ``unreachable``: they end once the roll-out
+    is completed.
     """
     if rollout is None:
         return [one for one in upstreams if current in ("", one.version)]
@@ -63,6 +82,10 @@
     if all(one.upstream in spent for one in target):
         return former
 
+    if not leased:
+        is_left = any(one.upstream not in unreachable for one in former)
+        return former if is_left or rollout.share <= 0.0 else target
+
     if is_early(rollout) and not settled:
         return former
 
--- a/tests/adapters/gateway/test_rolled_back.py
+++ b/tests/adapters/gateway/test_rolled_back.py
@@ -17,16 +17,19 @@
 from waxwingwell.routing.fleet import UpstreamState
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.hashes import hash_block
+from waxwingwell.routing.health import record_unreachable
 from waxwingwell.routing.limits import record_statement
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GrantPermits
 from waxwingwell.routing.messages import ShareHeartbeats
+from waxwingwell.routing.messages import ShareMembers
 from waxwingwell.routing.messages import ShareNews
 from waxwingwell.routing.messages import ShareRouting
 from waxwingwell.routing.messages import TrialState
 from waxwingwell.routing.quarantine import MIN_CRASHES
 from waxwingwell.routing.quarantine import record_crash
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.versions import LEASE_SECONDS
 
 from .paths import make_sole_gateway
 from .support import Gateway
@@ -393,5 +396,63 @@
                 self.assertEqual(list_versions(gateway.upstreams), {"v1"})
 
 
+class LeaseTest(unittest.TestCase):
+    """A gateway that reaches callers and upstreams, and hears of no control."""
+
+    def wait(self, gateway: Gateway, seconds: float) -> set[str]:
+        """Return the version of a request after some time without a message."""
+        gateway.reactor.advance(seconds)
+        gateway.reactor.tcpClients.clear()
+        gateway.ask()
+        return list_versions(gateway.upstreams)
+
+    def test_a_share_holds_for_a_while_without_news(self) -> None:
+        """Guards against a version rolled back unknown to a gateway that is cut off."""
+        for name, rollout, seconds, expected in (
+            ("a gap", {"share": 1.0}, LEASE_SECONDS - 0.25, {"v2"}),
+            ("cut off", {"share": 1.0}, LEASE_SECONDS + 0.25, {"v1"}),
+            ("completed", {"state": "completed"}, LEASE_SECONDS + 0.25, {"v2"}),
+            ("rolled back", {"state": "reverted"}, LEASE_SECONDS + 0.25, {"v1"}),
+        ):
+            with self.subTest(name):
+                gateway = make_rolled_out()
+                share_rollout(gateway, SHARE_INDEX + 1, **rollout)
+                self.assertEqual(self.wait(gateway, seconds), expected)
+
+    def test_the_share_goes_on_with_the_next_news(self) -> None:
+        """Guards against a good version that a gateway leaves for good."""
+        for body in (
+            FleetReport(gateways=1, use=()),
+            ShareMembers(controls=()),
+            ShareHeartbeats(heard=()),
+        ):
+            with self.subTest(type(body).__name__):
+                gateway = make_rolled_out()
+                self.assertEqual(self.wait(gateway, LEASE_SECONDS + 1.0), {"v1"})
+                handle_cast(gateway.context, "c2", body)
+                self.assertEqual(self.wait(gateway, 0.25), {"v2"})
+
+    def test_a_completed_version_is_used_though_its_end_is_not_known(self) -> None:
+        """Guards against refusals once the former version's upstreams have ended.
+
+        Before the first share, and while one of them is left, the target is not used.
+        """
+        for name, share, ended, expected in (
+            ("all ended", 1.0, FORMER, {"v2"}),
+            ("all ended, small share", 0.08, FORMER, {"v2"}),
+            ("one is left", 1.0, FORMER[:2], {"v1"}),
+            ("no share yet", 0.0, FORMER, {"v1"}),
+        ):
+            with self.subTest(name):
+                gateway = make_rolled_out()
+                gateway.context.rollouts = {"chat": make_rollout(share=share)}
+                gateway.reactor.advance(LEASE_SECONDS + 1.0)
+                for upstream in ended:
+                    now = gateway.reactor.seconds()
+                    record_unreachable(gateway.context.health, upstream, now)
+
+                self.assertEqual(self.wait(gateway, 0.25), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
