Keep active sessions on their version while the share grows in the first half

A share that grows below MIGRATION_SHARE would have moved active sessions: gateways report only sessions of the first share, and a roll-out was settled once, by its first share.

Change: sessions with positions below MIGRATION_SHARE are reported from the order on, and each share is settled by itself: a gateway uses the largest one that all gateways knew before they reported their sessions.

Ruled out: settling a roll-out only once.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -25,6 +25,7 @@
 from ...routing.reachability import is_cut_off
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
+from ...routing.sessions import find_settled_share
 from ...routing.versions import holds_lease
 from ...routing.versions import list_allowed_upstreams
 from .restrictions import get_rest_seconds
@@ -242,7 +243,7 @@
         now=now,
         spent=spent,
         kept=sessions.kept,
-        settled=rollout is not None and rollout.ordered_at in sessions.settled,
+        settled_share=find_settled_share(sessions, rollout),
         leased=leased,
         unreachable=() if leased else list_unreachable(context, serving, now),
     )
--- a/src/waxwingwell/routing/sessions.py
+++ b/src/waxwingwell/routing/sessions.py
@@ -1,7 +1,7 @@
 """Versions that sessions use, at this gateway and at the others.
 
-A session's requests may reach any gateway. During the first share of a roll-out, the
-active sessions of that share keep their version, so each gateway has to know the
+A session's requests may reach any gateway. During the first half of a roll-out, the
+active sessions of its share keep their version, so each gateway has to know the
 active sessions of the others.
 """
 
@@ -12,7 +12,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from .rollouts import FIRST_SHARE
 from .rollouts import MIGRATION_SHARE
 from .rollouts import hash_session
 from .rollouts import position_to_share
@@ -43,12 +42,12 @@
     """Number of a session's requests in flight."""
     kept: frozenset[int] = frozenset()
     """Hash positions of sessions that any gateway keeps on a former version."""
-    first_share_index: dict[float, int] = field(default_factory=dict)
-    """Index in the controls' log at which this gateway learned of a roll-out's first
-    share, by the time of its order."""
-    settled: set[float] = field(default_factory=set)
-    """Roll-outs, by the time of order, for which ``kept`` is complete: every gateway
-    knew their first share before ``kept`` was reported."""
+    share_index: dict[tuple[float, float], int] = field(default_factory=dict)
+    """Index in the controls' log at which this gateway learned of a roll-out's share,
+    by the time of order and the share; without those that are settled."""
+    settled_shares: dict[float, float] = field(default_factory=dict)
+    """Largest share of each roll-out, by the time of order, for which ``kept`` is
+    complete: every gateway knew the share before ``kept`` was reported."""
 
 
 def start_session(
@@ -102,7 +101,10 @@
     session_life: float,
     now: float,
 ) -> tuple[int, ...]:
-    """Return hash positions of sessions that keep their version in a first share."""
+    """Return hash positions of sessions that keep their version in a first half.
+
+    The share may grow in that time, so positions are reported up to its largest value.
+    """
     early = {one.service: one for one in rollouts if is_early(one)}
     if not early:
         return ()
@@ -117,7 +119,7 @@
         position = hash_session(rollout, session)
         if (
             table.last[key][0] != rollout.target
-            and position_to_share(position) < FIRST_SHARE
+            and position_to_share(position) < MIGRATION_SHARE
         ):
             positions.add(position)
 
@@ -148,27 +150,39 @@
 def record_rollouts(
     table: SessionTable, rollouts: Iterable[RolloutState], index: int
 ) -> None:
-    """Record the index in the controls' log at which first shares became known."""
-    active = {
-        one.ordered_at
+    """Record the index in the controls' log at which shares became known."""
+    shares = {
+        one.ordered_at: one.share
         for one in rollouts
         if one.state == "in_progress" and one.share > 0.0
     }
-    table.first_share_index = {
-        at: table.first_share_index.get(at, index) for at in active
+    for at, share in shares.items():
+        if share > table.settled_shares.get(at, 0.0):
+            table.share_index.setdefault((at, share), index)
+
+    table.share_index = {
+        key: known for key, known in table.share_index.items() if key[0] in shares
+    }
+    table.settled_shares = {
+        at: share for at, share in table.settled_shares.items() if at in shares
     }
-    table.settled &= active
 
 
 def apply_kept_sessions(table: SessionTable, kept: Iterable[int], held: int) -> None:
     """Store the sessions that all gateways together keep on a former version.
 
-    ``held`` is the lowest index in the controls' log among the gateways. A roll-out is
-    settled only once all gateways have its first share: if a gateway moved that share
-    before the others have reported their sessions, one of these could run on the new
-    version in between.
+    ``held`` is the lowest index in the controls' log among the gateways. A share is
+    settled only once all gateways have it: if a gateway moved its sessions before the
+    others have reported theirs, one of these could run on the new version in between.
     """
     table.kept = frozenset(kept)
-    table.settled |= {
-        at for at, index in table.first_share_index.items() if index <= held
-    }
+    settled = [key for key, index in table.share_index.items() if index <= held]
+    for key in settled:
+        at, share = key
+        del table.share_index[key]
+        table.settled_shares[at] = max(table.settled_shares.get(at, 0.0), share)
+
+
+def find_settled_share(table: SessionTable, rollout: RolloutState | None) -> float:
+    """Return the share of a roll-out for which ``kept`` is complete, or 0."""
+    return 0.0 if rollout is None else table.settled_shares.get(rollout.ordered_at, 0.0)
--- a/src/waxwingwell/routing/versions.py
+++ b/src/waxwingwell/routing/versions.py
@@ -8,7 +8,6 @@
 
 from typing import TYPE_CHECKING
 
-from .rollouts import MIGRATION_SHARE
 from .rollouts import hash_session
 from .rollouts import position_to_share
 from .sessions import is_early
@@ -48,7 +47,7 @@
     now: float,
     spent: Collection[str] = (),
     kept: Collection[int] = (),
-    settled: bool = True,
+    settled_share: float = 1.0,
     leased: bool = True,
     unreachable: Collection[str] = (),
 ) -> list[Announcement]:
@@ -60,9 +59,9 @@
     here. During a roll-out, a request that can't use the upstreams in ``spent`` any
     more gets the former version if the target has no other upstreams. ``kept`` holds
     the hash positions of sessions that use the former version at any gateway; it is
-    complete only if ``settled``. Unless the share is ``leased``, the former version is
-    used while any of its upstreams is not ``unreachable``: they end once the roll-out
-    is completed.
+    complete for sessions of ``settled_share``. Unless the share is ``leased``, the
+    former version is used while any of its upstreams is not ``unreachable``: they end
+    once the roll-out is completed.
     """
     if rollout is None:
         return [one for one in upstreams if current in ("", one.version)]
@@ -86,39 +85,27 @@
         is_left = any(one.upstream not in unreachable for one in former)
         return former if is_left or rollout.share <= 0.0 else target
 
-    if is_early(rollout) and not settled:
+    early = is_early(rollout)
+    place = hash_session(rollout, session)
+    share = min(rollout.share, settled_share) if early else rollout.share
+    if position_to_share(place) >= share:
         return former
 
-    if uses_target(rollout, session, last, session_life, now, kept):
-        return target
+    if early and (place in kept or keeps_former(rollout, last, session_life, now)):
+        return former
 
-    return former
+    return target
 
 
-def uses_target(
+def keeps_former(
     rollout: RolloutState,
-    session: str,
     last: tuple[str, float] | None,
     session_life: float,
     now: float,
-    kept: Collection[int],
 ) -> bool:
-    """Return whether a session uses the target of a roll-out in progress.
-
-    While the share is small, an active session keeps the former version.
-    """
-    place = hash_session(rollout, session)
-    if position_to_share(place) >= rollout.share:
-        return False
-
-    if rollout.share >= MIGRATION_SHARE:
-        return True
-
-    if place in kept:
-        return False
-
+    """Return whether a session is active on another version than the target."""
     if last is None:
-        return True
+        return False
 
     version, at = last
-    return version == rollout.target or now - at > session_life
+    return version != rollout.target and now - at <= session_life
--- a/tests/routing/test_sessions.py
+++ b/tests/routing/test_sessions.py
@@ -9,11 +9,13 @@
 
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.rollouts import FIRST_SHARE
+from waxwingwell.routing.rollouts import MIGRATION_SHARE
 from waxwingwell.routing.rollouts import hash_session
 from waxwingwell.routing.rollouts import position_to_share
 from waxwingwell.routing.sessions import SessionTable
 from waxwingwell.routing.sessions import apply_kept_sessions
 from waxwingwell.routing.sessions import find_last_version
+from waxwingwell.routing.sessions import find_settled_share
 from waxwingwell.routing.sessions import finish_session
 from waxwingwell.routing.sessions import list_kept_sessions
 from waxwingwell.routing.sessions import record_rollouts
@@ -29,6 +31,9 @@
 """Index in the controls' log of the order, which has no share yet."""
 SHARE_INDEX = 8
 """Index in the controls' log of the first share."""
+GROWTH_INDEX = 9
+"""Index in the controls' log of a larger share in the first half."""
+GROWN_SHARE = (FIRST_SHARE + MIGRATION_SHARE) / 2
 BOTH_VERSIONS = [
     make_announcement("a", version="v1"),
     make_announcement("b", version="v2"),
@@ -61,7 +66,7 @@
             session_life=SESSION_LIFE,
             now=now,
             kept=self.sessions.kept,
-            settled=rollout is not None and rollout.ordered_at in self.sessions.settled,
+            settled_share=find_settled_share(self.sessions, rollout),
         )
         return allowed[0].version
 
@@ -88,13 +93,15 @@
         apply_kept_sessions(peer.sessions, kept, held)
 
 
-def find_session(rollout: RolloutState) -> str:
-    """Return a session of the first share."""
+def find_session(
+    rollout: RolloutState, low: float = 0.0, high: float = FIRST_SHARE
+) -> str:
+    """Return a session of the first share, or with a position between two shares."""
     names = map(str, range(1_000))
     return next(
         name
         for name in names
-        if position_to_share(hash_session(rollout, name)) < FIRST_SHARE
+        if low <= position_to_share(hash_session(rollout, name)) < high
     )
 
 
@@ -166,17 +173,79 @@
         exchange_totals([*self.peers, restarted], 10.3)
         self.assertEqual(restarted.choose(self.session, 10.4), "v1")
 
+    def test_an_active_session_keeps_its_version_as_the_share_grows(self) -> None:
+        """Guards against sessions that only a larger share of the first half moves."""
+        grown = make_rollout(share=GROWN_SHARE)
+        session = find_session(grown, FIRST_SHARE, GROWN_SHARE)
+        self.announce_first_share()
+        exchange_totals(self.peers, 10.0)
+        self.assertEqual(self.peers[0].run(session, 10.1), "v1")
+        exchange_totals(self.peers, 10.2)
+        *early, late = self.peers
+        for peer in early:
+            peer.apply_state(grown, GROWTH_INDEX)
+
+        exchange_totals(self.peers, 10.3)
+        other = find_session(grown, FIRST_SHARE, GROWN_SHARE)
+        self.assertEqual(early[5].choose(other, 10.4), "v1")
+        self.assertEqual(early[5].choose(self.session, 10.4), "v2")
+        late.apply_state(grown, GROWTH_INDEX)
+        exchange_totals(self.peers, 10.5)
+        self.assertEqual(early[5].choose(session, 10.6), "v1")
+        self.assertEqual(early[5].choose(session, 16.6), "v1")
+        exchange_totals(self.peers, 16.7)
+        self.assertEqual(early[5].choose(session, 16.8), "v2")
+
+    def test_a_growing_share_moves_no_session_before_every_gateway_knows_it(
+        self,
+    ) -> None:
+        """Guards against a session that begins at a gateway that hears of it late."""
+        grown = make_rollout(share=GROWN_SHARE)
+        session = find_session(grown, FIRST_SHARE, GROWN_SHARE)
+        self.announce_first_share()
+        exchange_totals(self.peers, 10.0)
+        *early, late = self.peers
+        for peer in early:
+            peer.apply_state(grown, GROWTH_INDEX)
+
+        exchange_totals(self.peers, 10.3)
+        self.assertEqual(late.run(session, 10.4), "v1")
+        self.assertEqual(early[0].choose(session, 10.5), "v1")
+        late.apply_state(grown, GROWTH_INDEX)
+        exchange_totals(self.peers, 10.6)
+        self.assertEqual(early[0].choose(session, 10.7), "v1")
+
     def test_few_of_many_sessions_change_their_version(self) -> None:
-        """Gateways get the share at different times, and the totals later."""
+        """Gateways get each share at different times, and the totals later."""
+        for name, shares in (
+            ("one share", (FIRST_SHARE,)),
+            ("it grows", (FIRST_SHARE, 0.1, 0.12, 0.15, 0.18)),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                moved, changed = self.play_growth(shares)
+                self.assertGreater(moved, 50)
+                self.assertLessEqual(changed, 3)
+
+    def play_growth(self, shares: tuple[float, ...]) -> tuple[int, int]:
+        """Return the requests at the target, and those that changed the version.
+
+        A share follows another by two seconds.
+        """
         draw = random.Random(5)
-        heard_at = [10.0 + draw.random() * 0.5 for _ in self.peers]
+        heard_at = [
+            [10.0 + 2.0 * place + draw.random() * 0.5 for _ in self.peers]
+            for place in range(len(shares))
+        ]
         last: dict[str, tuple[float, str]] = {}
         changed = moved = 0
         for step in range(1_500):
             now = 9.0 + step / 100
-            for peer, at in zip(self.peers, heard_at, strict=True):
-                if peer.held < SHARE_INDEX and now >= at:
-                    self.announce_first_share(peer)
+            for place, share in enumerate(shares):
+                for peer, at in zip(self.peers, heard_at[place], strict=True):
+                    if peer.held < SHARE_INDEX + place and now >= at:
+                        rollout = make_rollout(share=share)
+                        peer.apply_state(rollout, SHARE_INDEX + place)
 
             if step % 25 == 0:
                 exchange_totals(self.peers, now)
@@ -189,8 +258,7 @@
                 changed += now - at <= SESSION_LIFE and version != former
                 last[session] = (now, version)
 
-        self.assertGreater(moved, 50)
-        self.assertLessEqual(changed, 3)
+        return moved, changed
 
     def test_sessions_are_reported_only_in_the_first_half(self) -> None:
         peer = self.peers[0]
@@ -199,6 +267,7 @@
         for name, rollout, expected in (
             ("ordered", self.ordered, (place,)),
             ("first share", self.begun, (place,)),
+            ("larger share", make_rollout(share=GROWN_SHARE), (place,)),
             ("second half", make_rollout(share=0.3), ()),
             ("completed", make_rollout(state="completed"), ()),
         ):
@@ -206,6 +275,23 @@
                 found = list_kept_sessions(peer.sessions, [rollout], SESSION_LIFE, 11.0)
                 self.assertEqual(found, expected)
 
+    def test_positions_of_all_shares_of_the_first_half_are_reported(self) -> None:
+        """Guards against sessions that are unknown elsewhere as the share grows."""
+        for name, low, high, reported in (
+            ("in the first share", 0.0, FIRST_SHARE, True),
+            ("in a larger share", FIRST_SHARE, MIGRATION_SHARE, True),
+            ("in the second half", MIGRATION_SHARE, 1.0, False),
+        ):
+            with self.subTest(name):
+                peer = Peer()
+                session = find_session(self.begun, low, high)
+                peer.run(session, 10.0)
+                found = list_kept_sessions(
+                    peer.sessions, [self.begun], SESSION_LIFE, 11.0
+                )
+                place = hash_session(self.begun, session)
+                self.assertEqual(found, (place,) if reported else ())
+
 
 if __name__ == "__main__":
     unittest.main()
