Try a version on few upstreams at nearly usual load while its share is small

A version that fails under load only got its whole share without a failure, and then all sessions.

Cause: the share was spread over all of the target's upstreams, so that none saw the load that the version is to bear: with a share of 0.08, each got a twelfth of it.

Change: while a share is below 1, its requests go to a subset of the target's upstreams, share / 0.75 of them, at least two. All gateways rank them alike by a hash of the order's time and the upstream, each data centre in proportion, and a growing share only adds some. A canary that is tried, restricted, evacuated, leaving, warming, out of reach or full is replaced by the next in rank; if none is ready, or those that are would be late, all of the target's usable upstreams are compared. Pools for models are formed within the subset; the use of engines is counted over all. Without a lease nothing is narrowed, as the target may bear all requests then.

Ruled out: a subset of just the share.

Conclusion: at 0.08 of 9 upstreams, two canaries bear a third of the usual load; more needs a larger share. At high usage the target's waits are those of the former version at its whole load, not at the load that the roll-out leaves it; a comparison of response times has to allow for that.

188 tests of the gateway pass, 33 of the registry, test_rollouts.py, test_sessions.py, test_canaries.py, test_placement.py and test_stalls.py.

--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -7,11 +7,14 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.canaries import list_canaries
+from ...routing.canaries import prefer_canaries
 from ...routing.fleet import MISSED_HEARTBEATS
 from ...routing.fleet import UpstreamState
 from ...routing.fleet import list_serving
 from ...routing.health import is_backing_off
 from ...routing.limits import is_leaving
+from ...routing.load import get_total_load
 from ...routing.models import find_pool
 from ...routing.models import first_model
 from ...routing.models import has_model_choice
@@ -38,7 +41,9 @@
 
     from ...routing.fleet import Announcement
     from ...routing.lookup import DocumentIndex
+    from ...routing.messages import RolloutState
     from ...routing.records import Route
+    from ...routing.records import Service
     from .context import GatewayContext
     from .dialect import RequestFacts
 
@@ -125,8 +130,9 @@
     if not model and has_model_choice(route, facts.model):
         model = first_model(route)
 
+    trial = find_trial(context, service, allowed, now)
+    canaries = allowed if trial is None else list_canaries(allowed, trial)
     kind = find_pool(route, facts.model, model)
-    pool = list_pool([candidate.upstream for candidate in allowed], kind)
     demand = Demand(
         service=record,
         model=model or facts.model,
@@ -134,22 +140,67 @@
         prompt_blocks=facts.prompt_blocks,
         token_ms=estimate_token_ms(context.speeds, route.models, model),
         pause_ms=route.pause * 1000,
-        pool=pool,
+        pool=list_pool([one.upstream for one in canaries], kind),
     )
-    placement_context = PlacementContext(
+    placement = None
+    if trial is not None:
+        is_ready = partial(is_ready_for_trial, context, record, now=now)
+        preferred = prefer_canaries(allowed, untried, trial, is_ready)
+        placement = place(context, demand, preferred, now)
+
+    if placement is None or placement.wait / 1000 > limit:
+        placement = place(context, demand, untried, now)
+
+    if placement is None:
+        return None
+
+    pressure = placement.wait / 1000 / max(limit, 0.001)
+    engines = len(list_pool([one.upstream for one in allowed], kind))
+    return Choice(service, key, model, placement, pressure, kind, engines)
+
+
+def find_trial(
+    context: GatewayContext,
+    service: str,
+    allowed: Collection[Announcement],
+    now: float,
+) -> RolloutState | None:
+    """Return the roll-out that sends a part of the requests to some upstreams."""
+    rollout = context.rollouts.get(service)
+    if rollout is None or rollout.state != "in_progress" or rollout.share >= 1.0:
+        return None
+
+    if not holds_lease(context.control_seen_at, now):
+        return None
+
+    return rollout if any(one.version == rollout.target for one in allowed) else None
+
+
+def is_ready_for_trial(
+    context: GatewayContext, service: Service, upstream: Announcement, now: float
+) -> bool:
+    """Return whether an upstream is warm, reachable and has a free slot."""
+    if upstream.warming > 0 or is_backing_off(context.health, upstream.upstream, now):
+        return False
+
+    slots = upstream.slots or service.slots or 1
+    return get_total_load(context.load, upstream.upstream).running < slots
+
+
+def place(
+    context: GatewayContext,
+    demand: Demand,
+    candidates: Collection[Announcement],
+    now: float,
+) -> Placement | None:
+    """Return the best of some upstreams by this gateway's tables."""
+    tables = PlacementContext(
         data_centre=context.settings.data_centre,
         load=context.load,
         health=context.health,
         prefixes=context.prefixes,
     )
-    placement = place_request(
-        demand, untried, placement_context, now, context.random.random
-    )
-    if placement is None:
-        return None
-
-    pressure = placement.wait / 1000 / max(limit, 0.001)
-    return Choice(service, key, model, placement, pressure, kind, len(pool))
+    return place_request(demand, candidates, tables, now, context.random.random)
 
 
 def find_shortest_rest(
