--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -4,11 +4,17 @@
 
 import math
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.canaries import list_canaries
+from ...routing.canaries import prefer_canaries
 from ...routing.fleet import MISSED_HEARTBEATS
+from ...routing.fleet import UpstreamState
 from ...routing.fleet import list_serving
+from ...routing.health import is_backing_off
 from ...routing.limits import is_leaving
+from ...routing.load import get_total_load
 from ...routing.models import find_pool
 from ...routing.models import first_model
 from ...routing.models import has_model_choice
@@ -22,6 +28,8 @@
 from ...routing.reachability import is_cut_off
 from ...routing.rollouts import hash_share
 from ...routing.sessions import find_last_version
+from ...routing.sessions import find_settled_share
+from ...routing.versions import holds_lease
 from ...routing.versions import list_allowed_upstreams
 from .restrictions import get_rest_seconds
 from .restrictions import has_restrictions
@@ -33,7 +41,9 @@
 
     from ...routing.fleet import Announcement
     from ...routing.lookup import DocumentIndex
+    from ...routing.messages import RolloutState
     from ...routing.records import Route
+    from ...routing.records import Service
     from .context import GatewayContext
     from .dialect import RequestFacts
 
@@ -120,8 +130,9 @@
     if not model and has_model_choice(route, facts.model):
         model = first_model(route)
 
+    trial = find_trial(context, service, allowed, now)
+    canaries = allowed if trial is None else list_canaries(allowed, trial)
     kind = find_pool(route, facts.model, model)
-    pool = list_pool([candidate.upstream for candidate in allowed], kind)
     demand = Demand(
         service=record,
         model=model or facts.model,
@@ -129,22 +140,67 @@
         prompt_blocks=facts.prompt_blocks,
         token_ms=estimate_token_ms(context.speeds, route.models, model),
         pause_ms=route.pause * 1000,
-        pool=pool,
+        pool=list_pool([one.upstream for one in canaries], kind),
     )
-    placement_context = PlacementContext(
+    placement = None
+    if trial is not None:
+        is_ready = partial(is_ready_for_trial, context, record, now=now)
+        preferred = prefer_canaries(allowed, untried, trial, is_ready)
+        placement = place(context, demand, preferred, now)
+
+    if placement is None or placement.wait / 1000 > limit:
+        placement = place(context, demand, untried, now)
+
+    if placement is None:
+        return None
+
+    pressure = placement.wait / 1000 / max(limit, 0.001)
+    engines = len(list_pool([one.upstream for one in allowed], kind))
+    return Choice(service, key, model, placement, pressure, kind, engines)
+
+
+def find_trial(
+    context: GatewayContext,
+    service: str,
+    allowed: Collection[Announcement],
+    now: float,
+) -> RolloutState | None:
+    """Return the roll-out that sends a part of the requests to some upstreams."""
+    rollout = context.rollouts.get(service)
+    if rollout is None or rollout.state != "in_progress" or rollout.share >= 1.0:
+        return None
+
+    if not holds_lease(context.control_seen_at, now):
+        return None
+
+    return rollout if any(one.version == rollout.target for one in allowed) else None
+
+
+def is_ready_for_trial(
+    context: GatewayContext, service: Service, upstream: Announcement, now: float
+) -> bool:
+    """Return whether an upstream is warm, reachable and has a free slot."""
+    if upstream.warming > 0 or is_backing_off(context.health, upstream.upstream, now):
+        return False
+
+    slots = upstream.slots or service.slots or 1
+    return get_total_load(context.load, upstream.upstream).running < slots
+
+
+def place(
+    context: GatewayContext,
+    demand: Demand,
+    candidates: Collection[Announcement],
+    now: float,
+) -> Placement | None:
+    """Return the best of some upstreams by this gateway's tables."""
+    tables = PlacementContext(
         data_centre=context.settings.data_centre,
         load=context.load,
         health=context.health,
         prefixes=context.prefixes,
     )
-    placement = place_request(
-        demand, untried, placement_context, now, context.random.random
-    )
-    if placement is None:
-        return None
-
-    pressure = placement.wait / 1000 / max(limit, 0.001)
-    return Choice(service, key, model, placement, pressure, kind, len(pool))
+    return place_request(demand, candidates, tables, now, context.random.random)
 
 
 def find_shortest_rest(
@@ -192,33 +248,98 @@
 
     One that leaves counts as gone: its session's version does not hold a session back.
     Heartbeats arrive through the controls, so missing ones count only up to the last
-    report of a control. If all upstreams seem unresponsive, the controls lack
-    announcements: all are used then, because an attempt at a dead upstream only costs
-    a failed connection, while refusing costs the request.
+    report of a control. If all upstreams of the version seem unresponsive, the controls
+    lack announcements: all are used then, because an attempt at a dead upstream only
+    costs a failed connection, while refusing costs the request, and another version
+    may be bad.
     """
-    serving = list_staying(
-        context, service, context.heartbeats_at - UNRESPONSIVE_SECONDS, now
+    current = find_current_version(context, service, now)
+    list_allowed = partial(
+        list_allowed_now, context, service=service, session=session, now=now
     )
-    if not serving:
-        serving = list_staying(context, service, -math.inf, now)
+    heard_after = context.heartbeats_at - UNRESPONSIVE_SECONDS
+    serving = list_staying(context, service, heard_after, now)
+    allowed = list_allowed(serving, current=current, spent=spent)
+    if allowed:
+        return allowed
+
+    serving = list_staying(context, service, -math.inf, now)
+    if not is_version_serving(context, service, current):
+        current = ""
+
+    return list_allowed(serving, current=current, spent=spent)
 
-    if service not in context.established and serving:
-        oldest = min(serving, key=lambda candidate: candidate.incarnation)
-        context.established[service] = oldest.version
 
+def list_allowed_now(
+    context: GatewayContext,
+    serving: list[Announcement],
+    *,
+    service: str,
+    session: str,
+    now: float,
+    current: str,
+    spent: Collection[str],
+) -> list[Announcement]:
+    """Return those of some upstreams whose version a session may use at present."""
     rollout = context.rollouts.get(service)
     sessions = context.sessions
+    leased = holds_lease(context.control_seen_at, now)
     return list_allowed_upstreams(
         serving,
         rollout,
-        established=context.established,
+        current=current,
         session=session,
         last=find_last_version(sessions, (service, session), now),
         session_life=context.settings.session_life,
         now=now,
         spent=spent,
         kept=sessions.kept,
-        settled=rollout is not None and rollout.ordered_at in sessions.settled,
+        settled_share=find_settled_share(sessions, rollout),
+        leased=leased,
+        unreachable=() if leased else list_unreachable(context, serving, now),
+    )
+
+
+def list_unreachable(
+    context: GatewayContext, upstreams: Collection[Announcement], now: float
+) -> list[str]:
+    """Return the upstreams that could not be reached lately."""
+    return [
+        one.upstream
+        for one in upstreams
+        if is_backing_off(context.health, one.upstream, now)
+    ]
+
+
+def find_current_version(context: GatewayContext, service: str, now: float) -> str:
+    """Return the version in use apart from a roll-out; empty if it is not known.
+
+    Until a roll-out has named it, it is the version of the upstream that started first.
+    """
+    rollout = context.rollouts.get(service)
+    if rollout is not None and rollout.former:
+        return rollout.former
+
+    if service not in context.established:
+        serving = [
+            one
+            for one in list_staying(context, service, -math.inf, now)
+            if rollout is None or one.version != rollout.target
+        ]
+        if serving:
+            oldest = min(serving, key=lambda candidate: candidate.incarnation)
+            context.established[service] = oldest.version
+
+    return context.established.get(service, "")
+
+
+def is_version_serving(context: GatewayContext, service: str, version: str) -> bool:
+    """Return whether an upstream of a version serves, evacuated ones included."""
+    return any(
+        held.announcement.service == service
+        and held.announcement.version == version
+        and held.announcement.state is UpstreamState.SERVING
+        for held in context.fleet.upstreams.values()
     )
 
 
