Tell breaks by the end of an upstream's process from those of its version

A crash breaks many requests at once, at many gateways, whichever version the process runs; counted as the version's own it takes a good one back. At the break nothing tells which it is. So a gateway opens one connection to the upstream after a break, one at a time for each upstream and only for requests that are counted in a roll-out. If it is not accepted, the breaks count as `crashes` too, a part of `breaks`: what a version is blamed for is the decision's.

Not told apart: a process that has started again by the time of the check, and requests given up as no data came.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -28,6 +28,7 @@
 from ...routing.retries import RetryTable
 from ...routing.room import BrittleTable
 from ...routing.sessions import SessionTable
+from ...routing.tallies import CountedRequest
 from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
@@ -150,6 +151,9 @@
     """Quarantined prompt blocks that were logged last."""
     breaks: dict[tuple[str, int], Break] = field(default_factory=dict)
     """Recent breaks of connections, by the upstream's id and incarnation."""
+    broken: dict[tuple[str, int], list[CountedRequest]] = field(default_factory=dict)
+    """Requests that broke off during a roll-out, by the address of the upstream that is
+    being checked."""
     evidence_reported_at: float = -math.inf
     """Time of the last report of all evidence on crashes."""
     tallies: dict[str, RolloutTally] = field(default_factory=dict)
--- /dev/null
+++ b/src/waxwingwell/adapters/gateway/counted_breaks.py
@@ -0,0 +1,52 @@
+"""Breaks during a roll-out: whether the upstream has ended, or responds to others.
+
+A version is accountable for responses that it breaks off. The end of a process breaks
+all of its responses at once, whichever version it runs.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from ...routing.tallies import record_crash
+from ..http.connection_check import CheckResult
+from ..http.connection_check import ConnectionCheck
+from .sending import CONNECT_SECONDS
+
+
+if TYPE_CHECKING:
+    from .attempts import Attempt
+    from .context import GatewayContext
+
+
+def check_counted(context: GatewayContext, attempt: Attempt) -> None:
+    """Check the upstream of a request that broke off, if its outcome is counted."""
+    if attempt.counted is None:
+        return
+
+    upstream = attempt.choice.placement.upstream
+    address = (upstream.host, upstream.port)
+    requests = context.broken.setdefault(address, [])
+    requests.append(attempt.counted)
+    if len(requests) > 1:
+        return
+
+    ConnectionCheck(
+        reactor=context.reactor,
+        address=address,
+        timeout=CONNECT_SECONDS,
+        on_result=partial(record_check, context, address),
+    )
+
+
+def record_check(
+    context: GatewayContext, address: tuple[str, int], result: CheckResult
+) -> None:
+    """Count the requests as broken by a crash unless the upstream lives."""
+    requests = context.broken.pop(address, [])
+    if result is CheckResult.ACCEPTED:
+        return
+
+    for request in requests:
+        record_crash(request)
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -19,6 +19,7 @@
 from ..http.connection_check import ConnectionCheck
 from .attempts import AttemptOutcome
 from .attempts import is_valid_response
+from .counted_breaks import check_counted
 from .crashes import record_break
 from .endings import give_up
 from .probing import record_unanswered
@@ -64,6 +65,7 @@
 
         if sent:
             record_break(exchange, attempt, now)
+            check_counted(exchange.context, attempt)
 
         exchange.finish_attempt(attempt, outcome, "no answer")
     elif is_refused_by_relay(attempt):
@@ -139,6 +141,7 @@
 def break_attempt(exchange: Exchange, attempt: Attempt, reason: str) -> None:
     """Finish an attempt whose response has broken off."""
     record_break(exchange, attempt, exchange.context.clock())
+    check_counted(exchange.context, attempt)
     exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, reason)
 
 
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -123,10 +123,12 @@
         answers=target.answers,
         failures=target.failures,
         breaks=target.breaks,
+        crashes=target.crashes,
         former_sent=former.sent,
         former_answers=former.answers,
         former_failures=former.failures,
         former_breaks=former.breaks,
+        former_crashes=former.crashes,
         untold=list_gateways_without_state(context.reports),
     )
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -227,6 +227,7 @@
     first_bytes: SparseHistogram = ()
     durations: SparseHistogram = ()
     waiting: SparseHistogram = ()
+    crashes: int = 0
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -50,6 +50,9 @@
     """Times to the end of successful responses that were not cancelled."""
     waiting: Histogram = EMPTY
     """Times for which running requests have waited for their first byte so far."""
+    crashes: int = 0
+    """Breaks after which the upstream took no connection, as it had ended or was not
+    reached; a part of ``breaks``."""
 
 
 def find_bucket(seconds: float) -> int:
@@ -82,6 +85,7 @@
             answers=total.answers + part.answers,
             failures=total.failures + part.failures,
             breaks=total.breaks + part.breaks,
+            crashes=total.crashes + part.crashes,
             first_bytes=add_histograms(total.first_bytes, part.first_bytes),
             durations=add_histograms(total.durations, part.durations),
             waiting=add_histograms(total.waiting, part.waiting),
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -50,6 +50,8 @@
     answers: int = 0
     failures: int = 0
     breaks: int = 0
+    crashes: int = 0
+    """Breaks after which the upstream took no connection."""
     first_bytes: Counter[int] = field(default_factory=Counter)
     """Times to the first byte, by histogram bucket."""
     durations: Counter[int] = field(default_factory=Counter)
@@ -140,6 +142,11 @@
         tally.durations[find_bucket(now - request.sent_at)] += 1
 
 
+def record_crash(request: CountedRequest) -> None:
+    """Count the break of a request as that of an upstream that has ended."""
+    request.tally.crashes += 1
+
+
 def list_evidence(
     tallies: dict[str, RolloutTally], now: float
 ) -> tuple[VersionEvidence, ...]:
@@ -154,6 +161,7 @@
             kind=kind,
             sent=tally.sent,
             breaks=tally.breaks,
+            crashes=tally.crashes,
             first_bytes=pack_counts(tally.first_bytes),
             durations=pack_counts(tally.durations),
             waiting=pack_counts(
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -37,6 +37,7 @@
     answers: int = 0
     failures: int = 0
     breaks: int = 0
+    crashes: int = 0
     first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
@@ -112,7 +113,8 @@
 
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
-    return part.sent + part.answers + sum(count for _, count in part.first_bytes)
+    started = sum(count for _, count in part.first_bytes)
+    return part.sent + started + part.answers + part.crashes
 
 
 def add_gain(total: Total, part: VersionEvidence, last: VersionEvidence | None) -> None:
@@ -128,6 +130,7 @@
     total.answers += sign * part.answers
     total.failures += sign * part.failures
     total.breaks += sign * part.breaks
+    total.crashes += sign * part.crashes
     for held, packed in (
         (total.first_bytes, part.first_bytes),
         (total.durations, part.durations),
@@ -177,6 +180,7 @@
         answers=total.answers,
         failures=total.failures,
         breaks=total.breaks,
+        crashes=total.crashes,
         first_bytes=tuple(total.first_bytes),
         durations=tuple(total.durations),
         waiting=unpack_histogram(waiting),
--- a/tests/adapters/gateway/test_outcomes.py
+++ b/tests/adapters/gateway/test_outcomes.py
@@ -6,20 +6,32 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
+
+from tests.adapters.registry.support import make_registry
 from tests.routing.factories import make_announcement
 from tests.routing.factories import make_document
 from tests.routing.factories import make_rollout
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.reporting import make_report
 from waxwingwell.adapters.gateway.steering import apply_routing
+from waxwingwell.adapters.registry import hub
+from waxwingwell.adapters.registry.rollouts import STEP_SECONDS
+from waxwingwell.adapters.registry.rollouts import watch_rollouts
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.lookup import index_document
+from waxwingwell.routing.messages import ControlReport
+from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.messages import ShareRouting
 from waxwingwell.routing.messages import VersionEvidence
+from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import find_bucket
+from waxwingwell.routing.outcomes import unpack_histogram
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.reports import make_control_report
 from waxwingwell.routing.tallies import MAX_KINDS
+from waxwingwell.routing.version_evidence import split_evidence
 
 from .support import LAST_CHUNK
 from .support import Caller
@@ -48,6 +60,11 @@
     return make_report(gateway.context).evidence
 
 
+def succeed(upstream: Upstream) -> None:
+    """Respond with a success."""
+    upstream.respond(make_response())
+
+
 def fail(upstream: Upstream) -> None:
     """Respond with a failure of the upstream's own."""
     upstream.respond(make_response(b"broken", 500))
@@ -59,9 +76,6 @@
     def test_endings(self) -> None:
         """Guards against failures that are missed, and versions blamed for others'."""
 
-        def succeed(upstream: Upstream) -> None:
-            upstream.respond(make_response())
-
         def reject(upstream: Upstream) -> None:
             upstream.respond(make_response(b"no", 409))
 
@@ -96,6 +110,33 @@
         gateway.upstreams[0].refuse()
         self.assertEqual(list_evidence(gateway), ())
 
+    def test_breaks_of_upstreams_that_have_ended(self) -> None:
+        """Guards against versions blamed for crashes of their upstreams' machines."""
+        for name, accepted, crashes in (
+            ("it lives", True, 0),
+            ("it is gone", False, 2),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway("u1", kind=RouteKind.ONCE)
+                share_rollout(gateway)
+                gateway.ask()
+                gateway.ask()
+                requests = gateway.upstreams
+                for upstream in requests:
+                    upstream.accept()
+
+                for upstream in requests:
+                    upstream.reset()
+
+                [check] = gateway.upstreams[len(requests) :]
+                if accepted:
+                    check.accept()
+                else:
+                    check.refuse()
+
+                [part] = list_evidence(gateway)
+                self.assertEqual((part.breaks, part.crashes), (2, crashes))
+
     def test_times(self) -> None:
         """Guards against a slow response that is known only at its end."""
         gateway = make_gateway("u1")
@@ -227,5 +268,50 @@
             self.assertEqual(found, expected)
 
 
+class ReportTest(unittest.TestCase):
+    """The way of the evidence from a gateway to a leader at another control."""
+
+    def test_the_leader_has_what_gateways_counted(self) -> None:
+        """Guards against evidence that a message on the way loses or changes."""
+        gateway = make_gateway("u1", kind=RouteKind.ONCE)
+        rollout = share_rollout(gateway)
+        for end in (succeed, fail, Upstream.reset, None):
+            gateway.reactor.advance(5.0)
+            gateway.ask()
+            upstream = gateway.upstreams[-1]
+            upstream.accept()
+            gateway.reactor.advance(0.3)
+            if end is not None:
+                end(upstream)
+
+        near, leader = make_registry("127.0.0.2"), make_registry()
+        report = decode(GatewayReport, make_report(gateway.context))
+        hub.handle_cast(near.context, "g1", report)
+        shared = make_control_report(near.context.reports, 0.0, urgent=True)
+        hub.handle_cast(leader.context, "127.0.0.2", decode(ControlReport, shared))
+        leader.context.state.rollouts["chat"] = rollout
+        leader.clock.advance(STEP_SECONDS)
+        watch_rollouts(leader.context, leader.clock.seconds())
+        [watch] = leader.context.watches.values()
+        target, former = split_evidence(watch.evidence, rollout.target, 0.0)
+        self.assertEqual(target, {})
+        once = unpack_histogram({find_bucket(0.3): 1})
+        expected = Outcomes(
+            sent=4,
+            answers=3,
+            failures=1,
+            breaks=1,
+            first_bytes=once,
+            durations=once,
+            waiting=once,
+        )
+        self.assertEqual(former, {"r1": expected})
+
+
+def decode(kind: Any, message: Any) -> Any:
+    """Return a message after it was encoded and decoded."""
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=kind)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_version_evidence.py
+++ b/tests/routing/test_version_evidence.py
@@ -83,7 +83,7 @@
             parts = [
                 make_part(5, 4, kind="r1"),
                 make_part(50, 0, kind="r2"),
-                make_part(7, 1, version="v1", breaks=2),
+                make_part(7, 1, version="v1", breaks=2, crashes=1),
                 make_part(8, 1, version="v0", durations=((3, 7), (60, 1))),
             ]
             record_counters(table, gateway, FIRST, parts, 0.0)
@@ -101,6 +101,7 @@
             answers=30,
             failures=4,
             breaks=4,
+            crashes=2,
             durations=unpack_histogram({3: 14}),
         )
         self.assertEqual(former, {"r1": expected})
