Keep the waits of requests that ended without a first byte

A version that hangs is known by its waiting requests only, and they drop out of the evidence as soon as their callers leave or their deadlines pass. Their waits are counted now, in a histogram of their own: a wait is no time to a first byte, and says only that the response would have taken longer.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -198,17 +198,17 @@
     """Mark the attempt as finished and release the load and session it holds."""
     attempt.finished = True
     attempt.stop_timer()
-    if attempt.counted is not None:
-        stop_waiting(attempt.counted)
-
     if attempt.relayed:
         return
 
+    now = context.clock()
+    if attempt.counted is not None:
+        stop_waiting(attempt.counted, now)
+
     finish_prefill(context, attempt)
     remove_running(context.load, attempt.upstream)
     choice = attempt.choice
     version = choice.placement.upstream.version
-    now = context.clock()
     finish_session(context.sessions, choice.service, choice.session, version, now)
 
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -228,6 +228,7 @@
     durations: SparseHistogram = ()
     waiting: SparseHistogram = ()
     crashes: int = 0
+    abandoned: SparseHistogram = ()
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -53,6 +53,9 @@
     crashes: int = 0
     """Breaks after which the upstream took no connection, as it had ended or was not
     reached; a part of ``breaks``."""
+    abandoned: Histogram = EMPTY
+    """Times for which requests waited that ended without a first byte, as their caller
+    left, their time was over, another upstream was asked or the connection broke."""
 
 
 def find_bucket(seconds: float) -> int:
@@ -86,6 +89,7 @@
             failures=total.failures + part.failures,
             breaks=total.breaks + part.breaks,
             crashes=total.crashes + part.crashes,
+            abandoned=add_histograms(total.abandoned, part.abandoned),
             first_bytes=add_histograms(total.first_bytes, part.first_bytes),
             durations=add_histograms(total.durations, part.durations),
             waiting=add_histograms(total.waiting, part.waiting),
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -56,6 +56,8 @@
     """Times to the first byte, by histogram bucket."""
     durations: Counter[int] = field(default_factory=Counter)
     """Times to the end of successful responses, by histogram bucket."""
+    abandoned: Counter[int] = field(default_factory=Counter)
+    """Waits of requests that ended without a first byte, by histogram bucket."""
     waiting: set[CountedRequest] = field(default_factory=set)
     """Running requests without a first byte."""
 
@@ -121,19 +123,25 @@
 
 def record_first_byte(request: CountedRequest, now: float, *, success: bool) -> None:
     """Count the time to the first byte if the response is a success so far."""
-    stop_waiting(request)
+    request.tally.waiting.discard(request)
     if success:
         request.tally.first_bytes[find_bucket(now - request.sent_at)] += 1
 
 
-def stop_waiting(request: CountedRequest) -> None:
-    """Count a request no longer as waiting for its first byte."""
-    request.tally.waiting.discard(request)
+def stop_waiting(request: CountedRequest, now: float) -> None:
+    """Count how long a request that ends has waited, if it has no first byte.
+
+    The slowest responses are those that nobody waits for to the end.
+    """
+    tally = request.tally
+    if request in tally.waiting:
+        tally.waiting.discard(request)
+        tally.abandoned[find_bucket(now - request.sent_at)] += 1
 
 
 def record_ending(request: CountedRequest, ending: Ending, now: float) -> None:
     """Count the end of a request."""
-    stop_waiting(request)
+    stop_waiting(request, now)
     tally = request.tally
     tally.answers += 1
     tally.failures += ending is Ending.FAILURE
@@ -162,6 +170,7 @@
             sent=tally.sent,
             breaks=tally.breaks,
             crashes=tally.crashes,
+            abandoned=pack_counts(tally.abandoned),
             first_bytes=pack_counts(tally.first_bytes),
             durations=pack_counts(tally.durations),
             waiting=pack_counts(
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -40,6 +40,7 @@
     crashes: int = 0
     first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    abandoned: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,8 +114,8 @@
 
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
-    started = sum(count for _, count in part.first_bytes)
-    return part.sent + started + part.answers + part.crashes
+    waited = sum(count for _, count in part.first_bytes + part.abandoned)
+    return part.sent + waited + part.answers + part.crashes
 
 
 def add_gain(total: Total, part: VersionEvidence, last: VersionEvidence | None) -> None:
@@ -134,6 +135,7 @@
     for held, packed in (
         (total.first_bytes, part.first_bytes),
         (total.durations, part.durations),
+        (total.abandoned, part.abandoned),
     ):
         for bucket, count in packed:
             if 0 <= bucket < BUCKETS:
@@ -183,5 +185,6 @@
         crashes=total.crashes,
         first_bytes=tuple(total.first_bytes),
         durations=tuple(total.durations),
+        abandoned=tuple(total.abandoned),
         waiting=unpack_histogram(waiting),
     )
--- a/tests/adapters/gateway/test_outcomes.py
+++ b/tests/adapters/gateway/test_outcomes.py
@@ -187,11 +187,26 @@
                     if started:
                         upstream.respond(make_stream_head())
 
+                    gateway.reactor.advance(0.5)
                     end(gateway, caller)
                     [part] = list_evidence(gateway)
                     self.assertEqual((part.sent, part.answers), (1, 0))
                     self.assertEqual(len(part.first_bytes), started)
                     self.assertEqual((part.durations, part.waiting), ((), ()))
+                    self.assertEqual(len(part.abandoned), not started)
+
+    def test_the_wait_for_a_silent_upstream(self) -> None:
+        """Guards against a version that hangs, and is known by those that wait only."""
+        gateway = make_gateway("u1", "u2", kind=RouteKind.IDEMPOTENT)
+        share_rollout(gateway)
+        gateway.ask()
+        gateway.upstreams[0].accept()
+        gateway.reactor.advance(1.5)
+        gateway.upstreams[1].accept()
+        [part] = list_evidence(gateway)
+        self.assertEqual((part.sent, part.answers, part.breaks), (2, 1, 1))
+        self.assertEqual(part.abandoned, ((find_bucket(1.5), 1),))
+        self.assertEqual(part.waiting, ((find_bucket(0.0), 1),))
 
     def test_a_response_dropped_for_a_larger_model(self) -> None:
         """Guards against an escalation that counts as a short or failed response."""
@@ -304,6 +319,7 @@
             first_bytes=once,
             durations=once,
             waiting=once,
+            abandoned=once,
         )
         self.assertEqual(former, {"r1": expected})
 
--- a/tests/routing/test_version_evidence.py
+++ b/tests/routing/test_version_evidence.py
@@ -84,7 +84,9 @@
                 make_part(5, 4, kind="r1"),
                 make_part(50, 0, kind="r2"),
                 make_part(7, 1, version="v1", breaks=2, crashes=1),
-                make_part(8, 1, version="v0", durations=((3, 7), (60, 1))),
+                make_part(
+                    8, 1, version="v0", durations=((3, 7), (60, 1)), abandoned=((5, 1),)
+                ),
             ]
             record_counters(table, gateway, FIRST, parts, 0.0)
 
@@ -103,6 +105,7 @@
             breaks=4,
             crashes=2,
             durations=unpack_histogram({3: 14}),
+            abandoned=unpack_histogram({5: 2}),
         )
         self.assertEqual(former, {"r1": expected})
 
