--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -37,8 +37,10 @@
     answers: int = 0
     failures: int = 0
     breaks: int = 0
+    crashes: int = 0
     first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    abandoned: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +114,8 @@
 
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
-    return part.sent + part.answers + sum(count for _, count in part.first_bytes)
+    waited = sum(count for _, count in part.first_bytes + part.abandoned)
+    return part.sent + waited + part.answers + part.crashes
 
 
 def add_gain(total: Total, part: VersionEvidence, last: VersionEvidence | None) -> None:
@@ -128,9 +131,11 @@
     total.answers += sign * part.answers
     total.failures += sign * part.failures
     total.breaks += sign * part.breaks
+    total.crashes += sign * part.crashes
     for held, packed in (
         (total.first_bytes, part.first_bytes),
         (total.durations, part.durations),
+        (total.abandoned, part.abandoned),
     ):
         for bucket, count in packed:
             if 0 <= bucket < BUCKETS:
@@ -177,7 +182,9 @@
         answers=total.answers,
         failures=total.failures,
         breaks=total.breaks,
+        crashes=total.crashes,
         first_bytes=tuple(total.first_bytes),
         durations=tuple(total.durations),
+        abandoned=tuple(total.abandoned),
         waiting=unpack_histogram(waiting),
     )
