Test what a roll-back does to requests that connect or wait at the target

Two paths are left on purpose and now have their tests. One that was sent stays, also if it waits in its upstream's queue: the gateway can't tell whether it has begun, a second run costs retry budget, and a request that may run only once would be lost.

--- a/tests/adapters/gateway/test_rolled_back.py
+++ b/tests/adapters/gateway/test_rolled_back.py
@@ -12,6 +12,8 @@
 from tests.routing.factories import make_announcement
 from tests.routing.factories import make_document
 from tests.routing.factories import make_rollout
+from waxwingwell.adapters.gateway.sending import CONNECT_SECONDS
+from waxwingwell.adapters.gateway.sending import CONNECT_SHARE
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.gateway.upstream_waits import POLL_SECONDS
 from waxwingwell.routing.fleet import UpstreamState
@@ -313,6 +315,33 @@
                 self.assertLessEqual(list_versions(until), {"v2"})
                 self.assertEqual(list_versions(since), {"v1"})
 
+    def test_a_request_that_is_connecting_is_sent_soon_or_not(self) -> None:
+        """Guards against a connection that opens long after the roll-back."""
+        for name, budget in (("usual", "10"), ("short", "0.4")):
+            with self.subTest(name):
+                gateway = make_rolled_out()
+                gateway.ask(X_Budget=budget)
+                before = roll_back(gateway)
+                [upstream] = gateway.upstreams[:before]
+                self.assertLessEqual(upstream.timeout, CONNECT_SECONDS)
+                self.assertLessEqual(upstream.timeout, float(budget) * CONNECT_SHARE)
+
+    def test_a_request_that_was_sent_stays(self) -> None:
+        """Guards against responses that a roll-back breaks off.
+
+        Its upstream may have begun to serve the request.
+        """
+        gateway = make_rolled_out(**CALL)
+        caller = gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        roll_back(gateway)
+        gateway.reactor.advance(0.5)
+        self.assertFalse(upstream.transport.aborted)
+        upstream.respond(make_response())
+        self.assertEqual(caller.status, 200)
+        self.assertEqual(len(gateway.upstreams), 1)
+
     def test_a_relay_obeys_its_own_state(self) -> None:
         """Guards against a roll-back that a cut-off gateway undoes at its relay."""
         for name, known_at, expected in (
