Count the pauses of streams, and requests that nobody waits for to the end, as evidence

Now the longest pause of each stream counts, also of running ones and those that ended early, and waits that ended without a first byte.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -11,6 +11,8 @@
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
+from ...routing.tallies import record_data
+from ...routing.tallies import start_stream
 from ..events import log_event
 from .attempts import Attempt
 from .attempts import AttemptOutcome
@@ -287,6 +289,9 @@
 
         if is_forwarded_stream(attempt, self.route, self.facts.request_id):
             attempt.streaming = True
+            if attempt.counted is not None:
+                start_stream(attempt.counted, now)
+
             if not self.responder.started:
                 self.responder.start(status, make_response_headers(self, attempt))
 
@@ -313,6 +318,9 @@
 
             return
 
+        if attempt.counted is not None:
+            record_data(attempt.counted, attempt.last_byte_at)
+
         finish_prefill(self.context, attempt)
         complete_events = self.splitter.feed(data)
         if complete_events:
--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -56,6 +56,10 @@
     abandoned: Histogram = EMPTY
     """Times for which requests waited that ended without a first byte, as their caller
     left, their time was over, another upstream was asked or the connection broke."""
+    pauses: Histogram = EMPTY
+    """Longest times without data in streams that have ended, whole or not."""
+    pausing: Histogram = EMPTY
+    """Longest times without data in running streams so far."""
 
 
 def find_bucket(seconds: float) -> int:
@@ -93,6 +97,8 @@
             first_bytes=add_histograms(total.first_bytes, part.first_bytes),
             durations=add_histograms(total.durations, part.durations),
             waiting=add_histograms(total.waiting, part.waiting),
+            pauses=add_histograms(total.pauses, part.pauses),
+            pausing=add_histograms(total.pausing, part.pausing),
         )
 
     return total
--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -46,9 +46,9 @@
 """Number of equal windows of a roll-out in which the versions are compared."""
 FALSE_ALARM = 0.01
 """Probability that a version as good as the former one is found to be worse."""
-TEST_ALPHA = FALSE_ALARM / 4.0
+TEST_ALPHA = FALSE_ALARM / 5.0
 """Part of that probability for each test: of failures, of times to the first byte, of
-durations and of breaks."""
+durations, of pauses and of breaks."""
 EXCESSES = (0.15, 0.3, 0.5, 0.8)
 """Excesses of the rate of bad responses, as parts of the responses that are good at
 the former version. Smaller ones are tolerated."""
@@ -200,11 +200,13 @@
     latest = windows[-1]
     first_bytes = find_limits(latest.former, lambda one: one.first_bytes)
     durations = find_limits(latest.former, lambda one: one.durations)
+    pauses = find_limits(latest.former, lambda one: one.pauses)
     failures: Counts = dict.fromkeys(latest.target, (count_failures, count_failures))
     tests = (
         ("failed", failures),
         ("started late", pair_counts(count_late_starts, first_bytes)),
         ("took long", pair_counts(count_long_responses, durations)),
+        ("paused long", pair_counts(count_long_pauses, pauses)),
     )
     findings = [_compare_clumps(history)]
     for verb, counts in tests:
@@ -257,11 +259,12 @@
 def count_late_starts(limit: int) -> Count:
     """Return a function that counts responses, and those that started late.
 
-    Requests that are still waiting count as soon as they are late.
+    Requests that are waiting, or that ended as they waited, count if they are late.
     """
 
     def count(outcomes: Outcomes) -> tuple[int, int]:
         late = sum(outcomes.waiting[limit + 1 :])
+        late += sum(outcomes.abandoned[limit + 1 :])
         times = outcomes.first_bytes
         return sum(times) + late, sum(times[limit + 1 :]) + late
 
@@ -278,6 +281,20 @@
     return count
 
 
+def count_long_pauses(limit: int) -> Count:
+    """Return a function that counts streams, and those that paused for long.
+
+    Running streams count as soon as they have paused for long.
+    """
+
+    def count(outcomes: Outcomes) -> tuple[int, int]:
+        long = sum(outcomes.pausing[limit + 1 :])
+        times = outcomes.pauses
+        return sum(times) + long, sum(times[limit + 1 :]) + long
+
+    return count
+
+
 def pair_counts(make: Callable[[int], Count], limits: Mapping[str, int]) -> Counts:
     """Return the counts of slow responses by kind of request.
 
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -32,6 +32,7 @@
 from .room import BrittleTable
 from .room import apply_statements
 from .room import list_statements
+from .version_evidence import count_events
 
 
 if TYPE_CHECKING:
@@ -349,8 +350,9 @@
     if age >= EVIDENCE_RESEND_SECONDS:
         return True
 
-    repeated = bool(part.waiting) and age >= WAITING_RESEND_SECONDS
-    return urgent and (repeated or part != last.part)
+    running = bool(part.waiting or part.pausing)
+    repeated = running and age >= WAITING_RESEND_SECONDS
+    return urgent and (repeated or count_events(part) != count_events(last.part))
 
 
 def record_sent_evidence(
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -19,6 +19,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 
@@ -41,13 +42,17 @@
     first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     abandoned: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    pauses: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """Requests that waited for their first byte at one gateway, as it last told."""
+    """Running requests of one gateway, as it last told."""
 
     times: SparseHistogram
+    """Waits for the first byte."""
+    pausing: SparseHistogram
+    """Longest times without data in streams."""
     at: float
     """Time at which the report was received."""
 
@@ -83,7 +88,9 @@
     """
     for part in parts:
         kind = (part.version, part.kind)
-        record_waiting(table, (gateway, kind), Waiting(part.waiting, received_at))
+        record_waiting(
+            table, (gateway, kind), Waiting(part.waiting, part.pausing, received_at)
+        )
         key = (gateway, run, kind)
         last = table.counters.get(key)
         if last == part or (last is not None and is_older(part, last)):
@@ -101,7 +108,7 @@
     if known is not None and known.at > waiting.at:
         return
 
-    if waiting.times:
+    if waiting.times or waiting.pausing:
         table.waiting[key] = waiting
     elif known is not None:
         del table.waiting[key]
@@ -114,7 +121,7 @@
 
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
-    waited = sum(count for _, count in part.first_bytes + part.abandoned)
+    waited = sum(count for _, count in part.first_bytes + part.abandoned + part.pauses)
     return part.sent + waited + part.answers + part.crashes
 
 
@@ -136,6 +143,7 @@
         (total.first_bytes, part.first_bytes),
         (total.durations, part.durations),
         (total.abandoned, part.abandoned),
+        (total.pauses, part.pauses),
     ):
         for bucket, count in packed:
             if 0 <= bucket < BUCKETS:
@@ -146,11 +154,14 @@
     table: EvidenceTable, target: str, now: float
 ) -> tuple[dict[str, Outcomes], dict[str, Outcomes]]:
     """Return the evidence on the target, and on all other versions, by kind."""
-    waiting = sum_waiting(table, now)
+    drop_outdated(table, now)
+    waiting = sum_running(table, lambda one: one.times)
+    pausing = sum_running(table, lambda one: one.pausing)
     ours: dict[str, Outcomes] = {}
     others: dict[str, Outcomes] = {}
     for (version, kind), total in table.totals.items():
-        found = make_outcomes(total, waiting.get((version, kind), {}))
+        key = (version, kind)
+        found = make_outcomes(total, waiting.get(key, {}), pausing.get(key, {}))
         if version == target:
             ours[kind] = found
         else:
@@ -159,23 +170,31 @@
     return ours, others
 
 
-def sum_waiting(table: EvidenceTable, now: float) -> dict[KindKey, dict[int, int]]:
-    """Return the waiting requests of all gateways by bucket; drop outdated ones."""
+def drop_outdated(table: EvidenceTable, now: float) -> None:
+    """Drop what gateways told of their running requests some time ago."""
     table.waiting = {
         key: one
         for key, one in table.waiting.items()
         if now - one.at <= WAITING_TTL_SECONDS
     }
+
+
+def sum_running(
+    table: EvidenceTable, choose: Callable[[Waiting], SparseHistogram]
+) -> dict[KindKey, dict[int, int]]:
+    """Return the running requests of all gateways by bucket of a chosen time."""
     sums: dict[KindKey, dict[int, int]] = {}
     for (_, kind), one in table.waiting.items():
         counts = sums.setdefault(kind, {})
-        for bucket, count in one.times:
+        for bucket, count in choose(one):
             counts[bucket] = counts.get(bucket, 0) + count
 
     return sums
 
 
-def make_outcomes(total: Total, waiting: dict[int, int]) -> Outcomes:
+def make_outcomes(
+    total: Total, waiting: dict[int, int], pausing: dict[int, int]
+) -> Outcomes:
     """Return a total as outcomes."""
     return Outcomes(
         sent=total.sent,
@@ -187,4 +206,6 @@
         durations=tuple(total.durations),
         abandoned=tuple(total.abandoned),
         waiting=unpack_histogram(waiting),
+        pauses=tuple(total.pauses),
+        pausing=unpack_histogram(pausing),
     )
--- a/tests/adapters/gateway/test_outcomes.py
+++ b/tests/adapters/gateway/test_outcomes.py
@@ -163,6 +163,34 @@
             )
             self.assertEqual(found, expected)
 
+    def test_pauses_of_streams(self) -> None:
+        """Guards against a version whose streams start in time and then stall."""
+        gateway = make_gateway("u1")
+        share_rollout(gateway)
+        caller = gateway.ask()
+        [upstream] = gateway.upstreams
+        upstream.accept()
+        upstream.respond(make_stream_head())
+        for after, send, pausing, pauses in (
+            (0.4, b"", (0.4,), ()),
+            (0.1, make_chunk(b"id: 1\n\n"), (0.5,), ()),
+            (0.3, make_chunk(b"id: 2\n\n"), (0.5,), ()),
+            (1.0, b"", (1.0,), ()),
+            (0.2, None, (), (1.2,)),
+        ):
+            gateway.reactor.advance(after)
+            if send is None:
+                caller.leave()
+            elif send:
+                upstream.respond(send)
+
+            [part] = list_evidence(gateway)
+            expected = tuple(
+                tuple((find_bucket(one), 1) for one in times)
+                for times in (pausing, pauses)
+            )
+            self.assertEqual((part.pausing, part.pauses), expected)
+
     def test_responses_that_the_gateway_does_not_wait_for(self) -> None:
         """Guards against versions blamed for callers that leave."""
 
--- a/tests/routing/test_regressions.py
+++ b/tests/routing/test_regressions.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Any
 
 from waxwingwell.routing.outcomes import BUCKETS
@@ -120,6 +121,24 @@
 class RegressionTest(unittest.TestCase):
     """Regressions that are to be found, and differences that aren't one."""
 
+    def test_requests_that_nobody_waits_for(self) -> None:
+        """Guards against slow versions whose requests end before their responses."""
+        usual = make_outcomes(100)
+        usual = replace(usual, pauses=usual.first_bytes)
+        few = make_outcomes(10)
+        few = replace(few, pauses=few.first_bytes)
+        late = count_times((0.5,), 8)
+        for name, target, expected in (
+            ("none", few, False),
+            ("ended without a first byte", replace(few, abandoned=late), True),
+            ("ended after a pause", replace(few, pauses=late), True),
+            ("pausing", replace(few, pausing=late), True),
+            ("waiting", replace(few, waiting=late), True),
+        ):
+            with self.subTest(name):
+                found = find_regression(compare_totals(target, usual), DURATION)
+                self.assertIs(found.is_regression, expected)
+
     def test_totals(self) -> None:
         """Guards against regressions that a mean over all responses hides."""
         usual = make_outcomes(100, 1)
