Compare the paces of streams by model, not their longest pauses

So streams are compared by their time per event, by route and model, against a limit of a third above the former version's upper quartile; the histograms get finer buckets for it.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -11,7 +11,6 @@
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
-from ...routing.tallies import record_data
 from ...routing.tallies import start_stream
 from ..events import log_event
 from .attempts import Attempt
@@ -318,11 +317,11 @@
 
             return
 
-        if attempt.counted is not None:
-            record_data(attempt.counted, attempt.last_byte_at)
-
         finish_prefill(self.context, attempt)
         complete_events = self.splitter.feed(data)
+        if attempt.counted is not None:
+            attempt.counted.events = self.splitter.events - attempt.events_before
+
         if complete_events:
             self.pauses.record(attempt.last_byte_at)
             self.responder.write(complete_events)
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -120,11 +120,19 @@
         context.tallies,
         choice.service,
         choice.placement.upstream.version,
-        exchange.route.name,
+        name_kind(exchange.route, choice.model),
         context.clock(),
     )
 
 
+def name_kind(route: Route, model: str) -> str:
+    """Return the kind of requests that are compared between versions.
+
+    Models differ in their times, and versions may differ in their choice of models.
+    """
+    return f"{route.name} {model}" if model else route.name
+
+
 def write_headers(exchange: Exchange, attempt: Attempt, now: float) -> HeaderList:
     """Return the headers of a request to an upstream."""
     remaining = exchange.deadline - now
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -229,8 +229,8 @@
     waiting: SparseHistogram = ()
     crashes: int = 0
     abandoned: SparseHistogram = ()
-    pauses: SparseHistogram = ()
-    pausing: SparseHistogram = ()
+    paces: SparseHistogram = ()
+    pacing: SparseHistogram = ()
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -18,9 +18,9 @@
 
 SHORTEST_SECONDS = 0.001
 """Upper bound of the first bucket."""
-BUCKET_RATIO = 1.25
+BUCKET_RATIO = 1.15
 """Ratio of the upper bounds of neighbouring buckets."""
-BUCKETS = 56
+BUCKETS = 89
 """Number of buckets; the last one has no upper bound and starts after some 200 s."""
 
 Histogram = tuple[int, ...]
@@ -56,10 +56,10 @@
     abandoned: Histogram = EMPTY
     """Times for which requests waited that ended without a first byte, as their caller
     left, their time was over, another upstream was asked or the connection broke."""
-    pauses: Histogram = EMPTY
-    """Longest times without data in streams that have ended, whole or not."""
-    pausing: Histogram = EMPTY
-    """Longest times without data in running streams so far."""
+    paces: Histogram = EMPTY
+    """Times per event of streams that have ended, whole or not."""
+    pacing: Histogram = EMPTY
+    """Times per event of running streams so far."""
 
 
 def find_bucket(seconds: float) -> int:
@@ -97,8 +97,8 @@
             first_bytes=add_histograms(total.first_bytes, part.first_bytes),
             durations=add_histograms(total.durations, part.durations),
             waiting=add_histograms(total.waiting, part.waiting),
-            pauses=add_histograms(total.pauses, part.pauses),
-            pausing=add_histograms(total.pausing, part.pausing),
+            paces=add_histograms(total.paces, part.paces),
+            pacing=add_histograms(total.pacing, part.pacing),
         )
 
     return total
--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -48,7 +48,7 @@
 """Probability that a version as good as the former one is found to be worse."""
 TEST_ALPHA = FALSE_ALARM / 5.0
 """Part of that probability for each test: of failures, of times to the first byte, of
-durations, of pauses and of breaks."""
+durations, of paces and of breaks."""
 EXCESSES = (0.15, 0.3, 0.5, 0.8)
 """Excesses of the rate of bad responses, as parts of the responses that are good at
 the former version. Smaller ones are tolerated."""
@@ -72,12 +72,17 @@
 """Number of intervals with breaks from which the target may be worse."""
 SLOW_QUANTILE = 0.75
 """Quantile of the former version's times that a slow response exceeds several times."""
-SLOW_BUCKETS = 4
-"""Number of buckets above that quantile's up to which a response is not slow; about
-two and a half times as long."""
-TOLERATED_BUCKETS = 2
+SLOW_BUCKETS = 6
+"""Number of buckets above that quantile's up to which a response is not slow; more than
+twice as long."""
+TOLERATED_BUCKETS = 3
 """Number of buckets by which the target may be slower, as with cold caches; about half
 as long again."""
+PACE_BUCKETS = 2
+"""The same number above for the pace of streams, which varies less: an upstream that
+takes several times as long for some requests slows all that it runs at once down."""
+PACE_TOLERANCE = 1
+"""The same tolerance for the pace of streams."""
 MIN_TIMES = 8
 """Number of the former version's times needed to tell which responses are slow."""
 SUSPICION = 0.05
@@ -200,13 +205,13 @@
     latest = windows[-1]
     first_bytes = find_limits(latest.former, lambda one: one.first_bytes)
     durations = find_limits(latest.former, lambda one: one.durations)
-    pauses = find_limits(latest.former, lambda one: one.pauses)
+    paces = find_limits(latest.former, lambda one: one.paces, PACE_BUCKETS)
     failures: Counts = dict.fromkeys(latest.target, (count_failures, count_failures))
     tests = (
         ("failed", failures),
         ("started late", pair_counts(count_late_starts, first_bytes)),
         ("took long", pair_counts(count_long_responses, durations)),
-        ("paused long", pair_counts(count_long_pauses, pauses)),
+        ("came slowly", pair_counts(count_slow_streams, paces, PACE_TOLERANCE)),
     )
     findings = [_compare_clumps(history)]
     for verb, counts in tests:
@@ -225,7 +230,9 @@
 
 
 def find_limits(
-    former: Mapping[str, Outcomes], choose: Callable[[Outcomes], Histogram]
+    former: Mapping[str, Outcomes],
+    choose: Callable[[Outcomes], Histogram],
+    above: int = SLOW_BUCKETS,
 ) -> dict[str, int]:
     """Return the last bucket of times that are not slow, by kind of request."""
     limits = {}
@@ -234,7 +241,7 @@
         total = sum(times)
         if total >= MIN_TIMES:
             position = find_quantile(times, SLOW_QUANTILE * total)
-            limits[kind] = round(position + SLOW_BUCKETS)
+            limits[kind] = round(position + above)
 
     return limits
 
@@ -281,28 +288,31 @@
     return count
 
 
-def count_long_pauses(limit: int) -> Count:
-    """Return a function that counts streams, and those that paused for long.
+def count_slow_streams(limit: int) -> Count:
+    """Return a function that counts streams, and those whose events come slowly.
 
-    Running streams count as soon as they have paused for long.
+    Running streams count while they are slow.
     """
 
     def count(outcomes: Outcomes) -> tuple[int, int]:
-        long = sum(outcomes.pausing[limit + 1 :])
-        times = outcomes.pauses
-        return sum(times) + long, sum(times[limit + 1 :]) + long
+        slow = sum(outcomes.pacing[limit + 1 :])
+        times = outcomes.paces
+        return sum(times) + slow, sum(times[limit + 1 :]) + slow
 
     return count
 
 
-def pair_counts(make: Callable[[int], Count], limits: Mapping[str, int]) -> Counts:
+def pair_counts(
+    make: Callable[[int], Count],
+    limits: Mapping[str, int],
+    tolerance: int = TOLERATED_BUCKETS,
+) -> Counts:
     """Return the counts of slow responses by kind of request.
 
     The former version's limit is lower, so that the target may be somewhat slower.
     """
     return {
-        kind: (make(limit), make(limit - TOLERATED_BUCKETS))
-        for kind, limit in limits.items()
+        kind: (make(limit), make(limit - tolerance)) for kind, limit in limits.items()
     }
 
 
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -350,7 +350,7 @@
     if age >= EVIDENCE_RESEND_SECONDS:
         return True
 
-    running = bool(part.waiting or part.pausing)
+    running = bool(part.waiting or part.pacing)
     repeated = running and age >= WAITING_RESEND_SECONDS
     return urgent and (repeated or count_events(part) != count_events(last.part))
 
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -60,8 +60,8 @@
     """Waits of requests that ended without a first byte, by histogram bucket."""
     waiting: set[CountedRequest] = field(default_factory=set)
     """Running requests without a first byte."""
-    pauses: Counter[int] = field(default_factory=Counter)
-    """Longest times without data in streams that ended, by histogram bucket."""
+    paces: Counter[int] = field(default_factory=Counter)
+    """Times per event of streams that ended, by histogram bucket."""
     streaming: set[CountedRequest] = field(default_factory=set)
     """Running streams that have started."""
 
@@ -72,10 +72,10 @@
 
     tally: Tally
     sent_at: float
-    data_at: float = 0.0
-    """Time of a stream's latest data."""
-    longest_pause: float = 0.0
-    """Longest time between data of a stream so far."""
+    streaming_since: float = 0.0
+    """Time of a stream's first byte."""
+    events: int = 0
+    """Events of the stream so far."""
 
 
 @dataclass(slots=True)
@@ -138,30 +138,24 @@
 
 def start_stream(request: CountedRequest, now: float) -> None:
     """Record that a response is a stream."""
-    request.data_at = now
+    request.streaming_since = now
     request.tally.streaming.add(request)
 
 
-def record_data(request: CountedRequest, now: float) -> None:
-    """Record the arrival of a stream's data."""
-    request.longest_pause = find_longest_pause(request, now)
-    request.data_at = now
-
-
-def find_longest_pause(request: CountedRequest, now: float) -> float:
-    """Return the longest time without data in a stream, the present one included."""
-    return max(request.longest_pause, now - request.data_at)
+def find_pace(request: CountedRequest, now: float) -> float:
+    """Return the time per event of a stream so far."""
+    return (now - request.streaming_since) / max(request.events, 1)
 
 
 def stop_waiting(request: CountedRequest, now: float) -> None:
-    """Count how long a request that ends has waited for its first byte or for data.
+    """Count how long a request that ends has waited for its first byte, or its pace.
 
     The slowest responses are those that nobody waits for to the end.
     """
     tally = request.tally
     if request in tally.streaming:
         tally.streaming.discard(request)
-        tally.pauses[find_bucket(find_longest_pause(request, now))] += 1
+        tally.paces[find_bucket(find_pace(request, now))] += 1
 
     if request in tally.waiting:
         tally.waiting.discard(request)
@@ -205,11 +199,9 @@
             waiting=pack_counts(
                 Counter(find_bucket(now - one.sent_at) for one in tally.waiting)
             ),
-            pauses=pack_counts(tally.pauses),
-            pausing=pack_counts(
-                Counter(
-                    find_bucket(find_longest_pause(one, now)) for one in tally.streaming
-                )
+            paces=pack_counts(tally.paces),
+            pacing=pack_counts(
+                Counter(find_bucket(find_pace(one, now)) for one in tally.streaming)
             ),
         )
         for service, held in tallies.items()
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -42,7 +42,7 @@
     first_bytes: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     abandoned: list[int] = field(default_factory=lambda: [0] * BUCKETS)
-    pauses: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    paces: list[int] = field(default_factory=lambda: [0] * BUCKETS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +51,8 @@
 
     times: SparseHistogram
     """Waits for the first byte."""
-    pausing: SparseHistogram
-    """Longest times without data in streams."""
+    pacing: SparseHistogram
+    """Times per event of streams."""
     at: float
     """Time at which the report was received."""
 
@@ -89,7 +89,7 @@
     for part in parts:
         kind = (part.version, part.kind)
         record_waiting(
-            table, (gateway, kind), Waiting(part.waiting, part.pausing, received_at)
+            table, (gateway, kind), Waiting(part.waiting, part.pacing, received_at)
         )
         key = (gateway, run, kind)
         last = table.counters.get(key)
@@ -108,7 +108,7 @@
     if known is not None and known.at > waiting.at:
         return
 
-    if waiting.times or waiting.pausing:
+    if waiting.times or waiting.pacing:
         table.waiting[key] = waiting
     elif known is not None:
         del table.waiting[key]
@@ -121,7 +121,7 @@
 
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
-    waited = sum(count for _, count in part.first_bytes + part.abandoned + part.pauses)
+    waited = sum(count for _, count in part.first_bytes + part.abandoned + part.paces)
     return part.sent + waited + part.answers + part.crashes
 
 
@@ -143,7 +143,7 @@
         (total.first_bytes, part.first_bytes),
         (total.durations, part.durations),
         (total.abandoned, part.abandoned),
-        (total.pauses, part.pauses),
+        (total.paces, part.paces),
     ):
         for bucket, count in packed:
             if 0 <= bucket < BUCKETS:
@@ -156,12 +156,12 @@
     """Return the evidence on the target, and on all other versions, by kind."""
     drop_outdated(table, now)
     waiting = sum_running(table, lambda one: one.times)
-    pausing = sum_running(table, lambda one: one.pausing)
+    pacing = sum_running(table, lambda one: one.pacing)
     ours: dict[str, Outcomes] = {}
     others: dict[str, Outcomes] = {}
     for (version, kind), total in table.totals.items():
         key = (version, kind)
-        found = make_outcomes(total, waiting.get(key, {}), pausing.get(key, {}))
+        found = make_outcomes(total, waiting.get(key, {}), pacing.get(key, {}))
         if version == target:
             ours[kind] = found
         else:
@@ -193,7 +193,7 @@
 
 
 def make_outcomes(
-    total: Total, waiting: dict[int, int], pausing: dict[int, int]
+    total: Total, waiting: dict[int, int], pacing: dict[int, int]
 ) -> Outcomes:
     """Return a total as outcomes."""
     return Outcomes(
@@ -206,6 +206,6 @@
         durations=tuple(total.durations),
         abandoned=tuple(total.abandoned),
         waiting=unpack_histogram(waiting),
-        pauses=tuple(total.pauses),
-        pausing=unpack_histogram(pausing),
+        paces=tuple(total.paces),
+        pacing=unpack_histogram(pacing),
     )
--- a/tests/adapters/gateway/test_outcomes.py
+++ b/tests/adapters/gateway/test_outcomes.py
@@ -163,7 +163,7 @@
             )
             self.assertEqual(found, expected)
 
-    def test_pauses_of_streams(self) -> None:
+    def test_paces_of_streams(self) -> None:
         """Guards against a version whose streams start in time and then stall."""
         gateway = make_gateway("u1")
         share_rollout(gateway)
@@ -171,12 +171,12 @@
         [upstream] = gateway.upstreams
         upstream.accept()
         upstream.respond(make_stream_head())
-        for after, send, pausing, pauses in (
+        for after, send, pacing, paces in (
             (0.4, b"", (0.4,), ()),
             (0.1, make_chunk(b"id: 1\n\n"), (0.5,), ()),
-            (0.3, make_chunk(b"id: 2\n\n"), (0.5,), ()),
-            (1.0, b"", (1.0,), ()),
-            (0.2, None, (), (1.2,)),
+            (0.3, make_chunk(b"id: 2\n\n"), (0.4,), ()),
+            (1.0, b"", (0.9,), ()),
+            (0.2, None, (), (1.0,)),
         ):
             gateway.reactor.advance(after)
             if send is None:
@@ -187,9 +187,9 @@
             [part] = list_evidence(gateway)
             expected = tuple(
                 tuple((find_bucket(one), 1) for one in times)
-                for times in (pausing, pauses)
+                for times in (pacing, paces)
             )
-            self.assertEqual((part.pausing, part.pauses), expected)
+            self.assertEqual((part.pacing, part.paces), expected)
 
     def test_responses_that_the_gateway_does_not_wait_for(self) -> None:
         """Guards against versions blamed for callers that leave."""
@@ -246,9 +246,11 @@
         upstream.respond(make_stream_head("X-Confidence: 0.1"))
         self.assertEqual(len(gateway.upstreams), 2)
         gateway.upstreams[1].accept()
-        [part] = list_evidence(gateway)
-        self.assertEqual((part.sent, part.answers, part.failures), (2, 1, 0))
-        self.assertEqual((len(part.first_bytes), part.durations), (1, ()))
+        small, large = list_evidence(gateway)
+        self.assertEqual((small.kind, large.kind), ("r1 small", "r1 large"))
+        self.assertEqual((small.sent, small.answers, small.failures), (1, 1, 0))
+        self.assertEqual((len(small.first_bytes), small.durations), (1, ()))
+        self.assertEqual((large.sent, large.answers), (1, 0))
 
 
 class ScopeTest(unittest.TestCase):
--- a/tests/routing/test_regressions.py
+++ b/tests/routing/test_regressions.py
@@ -124,15 +124,15 @@
     def test_requests_that_nobody_waits_for(self) -> None:
         """Guards against slow versions whose requests end before their responses."""
         usual = make_outcomes(100)
-        usual = replace(usual, pauses=usual.first_bytes)
+        usual = replace(usual, paces=usual.first_bytes)
         few = make_outcomes(10)
-        few = replace(few, pauses=few.first_bytes)
-        late = count_times((0.5,), 8)
+        few = replace(few, paces=few.first_bytes)
+        late = count_times((0.5,), 12)
         for name, target, expected in (
             ("none", few, False),
             ("ended without a first byte", replace(few, abandoned=late), True),
-            ("ended after a pause", replace(few, pauses=late), True),
-            ("pausing", replace(few, pausing=late), True),
+            ("ended at a slow pace", replace(few, paces=late), True),
+            ("running at a slow pace", replace(few, pacing=late), True),
             ("waiting", replace(few, waiting=late), True),
         ):
             with self.subTest(name):
--- a/tests/routing/test_version_evidence.py
+++ b/tests/routing/test_version_evidence.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from waxwingwell.routing.messages import VersionEvidence
+from waxwingwell.routing.outcomes import BUCKETS
 from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import unpack_histogram
 from waxwingwell.routing.version_evidence import WAITING_TTL_SECONDS
@@ -85,7 +86,11 @@
                 make_part(50, 0, kind="r2"),
                 make_part(7, 1, version="v1", breaks=2, crashes=1),
                 make_part(
-                    8, 1, version="v0", durations=((3, 7), (60, 1)), abandoned=((5, 1),)
+                    8,
+                    1,
+                    version="v0",
+                    durations=((3, 7), (BUCKETS, 1)),
+                    abandoned=((5, 1),),
                 ),
             ]
             record_counters(table, gateway, FIRST, parts, 0.0)
