Compare the versions of long roll-outs in windows of five seconds

Guards callers of a version that turns bad in a long roll-out: with windows of a twelfth of the duration, the good responses of a window hid its regression until the next window began, 50 s for a roll-out of ten minutes.

Change: a window lasts five seconds at most; the weight of a later start falls with the number of windows, so that the probability of a false alarm stays. The sums over the windows run from the latest to the first, one pass for all starts.

Evidence: python -m tests test_regressions.py: 11 passed.

--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -42,8 +42,10 @@
 """Number of snapshots that a history keeps."""
 RECENT_SNAPSHOTS = 16
 """Number of the latest snapshots that are never thinned out."""
-WINDOWS = 12
-"""Number of equal windows of a roll-out in which the versions are compared."""
+MIN_WINDOWS = 12
+"""Least number of equal windows of a roll-out in which the versions are compared."""
+MAX_WINDOW_SECONDS = 5.0
+"""Longest window, so that a regression in a long roll-out is found as soon."""
 FALSE_ALARM = 0.01
 """Probability that a version as good as the former one is found to be worse."""
 TEST_ALPHA = FALSE_ALARM / 4.0
@@ -80,7 +82,7 @@
 as long again."""
 MIN_TIMES = 8
 """Number of the former version's times needed to tell which responses are slow."""
-SUSPICION = 0.05
+SUSPICION = 0.03
 """Part of the evidence needed from which the target is suspected."""
 
 
@@ -196,7 +198,8 @@
     if not history.snapshots:
         return Finding()
 
-    windows = split_windows(history.snapshots, duration)
+    count = count_windows(duration)
+    windows = split_windows(history.snapshots, duration, count)
     latest = windows[-1]
     first_bytes = find_limits(latest.former, lambda one: one.first_bytes)
     durations = find_limits(latest.former, lambda one: one.durations)
@@ -208,17 +211,22 @@
     )
     findings = [_compare_clumps(history)]
     for verb, counts in tests:
-        findings += _compare_strata(build_strata(windows, counts), verb)
+        findings += _compare_strata(build_strata(windows, counts), count, verb)
 
     return max(findings, key=lambda one: one.log_evidence)
 
 
-def split_windows(snapshots: Sequence[Snapshot], duration: float) -> list[Snapshot]:
-    """Return the snapshots at the ends of the windows, the latest one last."""
-    ends: dict[int, Snapshot] = {}
-    for snapshot in snapshots:
-        ends[math.ceil(WINDOWS * snapshot.elapsed / max(duration, 0.001))] = snapshot
+def count_windows(duration: float) -> int:
+    """Return the number of windows of a roll-out."""
+    return max(MIN_WINDOWS, math.ceil(duration / MAX_WINDOW_SECONDS))
+
 
+def split_windows(
+    snapshots: Sequence[Snapshot], duration: float, count: int
+) -> list[Snapshot]:
+    """Return the snapshots at the ends of the windows, the latest one last."""
+    seconds = max(duration, 0.001) / count
+    ends = {math.ceil(one.elapsed / seconds): one for one in snapshots}
     return list(ends.values())
 
 
@@ -317,21 +325,21 @@
     return strata
 
 
-def _compare_strata(strata: Strata, verb: str) -> list[Finding]:
+def _compare_strata(strata: Strata, count: int, verb: str) -> list[Finding]:
     """Return the evidence of a difference in each kind of request, and over all."""
     by_kind = {kind: expect_bad(parts) for kind, parts in strata.items()}
     if not by_kind:
         return []
 
     together = [list(parts) for parts in zip(*by_kind.values(), strict=True)]
-    findings = [_compare(together, TEST_ALPHA / 2.0, f"responses {verb}")]
+    findings = [_compare(together, count, TEST_ALPHA / 2.0, f"responses {verb}")]
     if len(by_kind) == 1:
         return findings
 
     for kind, parts in by_kind.items():
         single = [[part] for part in parts]
         level = TEST_ALPHA / 2.0 / len(by_kind)
-        findings.append(_compare(single, level, f"responses of {kind} {verb}"))
+        findings.append(_compare(single, count, level, f"responses of {kind} {verb}"))
 
     return findings
 
@@ -356,6 +364,7 @@
 
 def _compare(
     windows: Sequence[Sequence[Expectation]],
+    count: int,
     alpha: float,
     what: str,
     excesses: tuple[float, ...] = EXCESSES,
@@ -364,35 +373,36 @@
     """Return the evidence that the target's rate of bad responses is higher.
 
     Half of the weight is on a target that is bad from the start, the other half on
-    those that turn bad at the start of a later window.
+    those that turn bad at the start of one of the later ``count`` windows.
     """
+    trials = bad = 0
+    total = variance = 0.0
     logs = []
-    for start in range(len(windows)):
-        parts = [part for window in windows[start:] for part in window]
-        bad = sum(part.bad for part in parts)
+    for index in reversed(range(len(windows))):
+        for part in windows[index]:
+            trials += part.trials
+            bad += part.bad
+            total += part.trials * part.rate
+            variance += part.trials**2 * part.variance
+
         if bad >= min_bad:
-            weight = 0.5 / (WINDOWS - 1) if start else 0.5
-            logs.append(math.log(weight) + compute_log_ratio(parts, excesses))
+            weight = 0.5 if index == 0 else 0.5 / count
+            rate = (total + math.sqrt(variance)) / trials
+            log_ratio = compute_log_ratio(trials, bad, rate, excesses)
+            logs.append(math.log(weight) + log_ratio)
 
     if not logs:
         return Finding()
 
-    parts = [part for window in windows for part in window]
-    trials = sum(part.trials for part in parts)
-    bad = sum(part.bad for part in parts)
     log_evidence = log_mean_exp(tuple(logs)) + math.log(len(logs))
     return Finding(log_evidence + math.log(alpha), f"{bad} of {trials} {what}")
 
 
 def compute_log_ratio(
-    parts: Sequence[Expectation], excesses: tuple[float, ...]
+    trials: int, bad: int, rate: float, excesses: tuple[float, ...]
 ) -> float:
-    """Return the log of the likelihood ratio, mixed over the excesses."""
-    trials = sum(part.trials for part in parts)
-    bad = sum(part.bad for part in parts)
-    total = sum(part.trials * part.rate for part in parts)
-    variance = sum(part.trials**2 * part.variance for part in parts)
-    rate = min(max((total + math.sqrt(variance)) / trials, MIN_RATE), MAX_RATE)
+    """Return the log of the likelihood ratio to a rate, mixed over the excesses."""
+    rate = min(max(rate, MIN_RATE), MAX_RATE)
     logs = []
     for excess in excesses:
         higher = rate + excess * (1.0 - rate)
@@ -410,6 +420,7 @@
     stratum = Stratum(target.intervals, target.broken, former.intervals, former.broken)
     return _compare(
         [expect_bad([stratum])],
+        1,
         TEST_ALPHA,
         "intervals had responses that broke off",
         CLUMP_EXCESSES,
--- a/tests/routing/test_regressions.py
+++ b/tests/routing/test_regressions.py
@@ -200,6 +200,16 @@
                 found = find_regression(make_history(before, after), DURATION)
                 self.assertTrue(found.is_regression, found)
 
+    def test_a_long_rollout(self) -> None:
+        """Guards against a late regression that is found only after many failures."""
+        former = {"chat": make_outcomes(30)}
+        history = make_history(
+            Phase(400.0, {"chat": make_outcomes(6)}, former),
+            Phase(412.0, {"chat": make_outcomes(4, 2)}, former),
+        )
+        found = find_regression(history, 600.0)
+        self.assertTrue(found.is_regression, found)
+
     def test_trouble_of_both_versions(self) -> None:
         """Guards against blame for trouble that began as the target's share grew."""
         for name, target, former in (
