Find versions that are slow for a smaller part of their requests

Cause: of requests that take four times as long, only those above the upper quartile exceed the limit; 32 of 385 did, 4 % were tolerated, and the smallest excess that the evidence looked for was 15 %.

Change: slow responses have an excess of 7 % among those looked for, as their limit already tolerates versions half as slow again; the lowest rate assumed is 1 %.

--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -54,10 +54,13 @@
 EXCESSES = (0.15, 0.3, 0.5, 0.8)
 """Excesses of the rate of bad responses, as parts of the responses that are good at
 the former version. Smaller ones are tolerated."""
+SLOW_EXCESSES = (0.07, 0.15, 0.3, 0.5, 0.8)
+"""The same for slow responses, of which only the slowest exceed the limit; it already
+tolerates some difference."""
 CLUMP_EXCESSES = (0.4, 0.7)
 """Excesses of the rate of intervals with breaks; larger, as one crash spreads over
 several intervals."""
-MIN_RATE = 0.02
+MIN_RATE = 0.01
 """Lowest rate of bad responses that is assumed of the former version."""
 MAX_RATE = 0.95
 """Highest rate of bad responses that is assumed of the former version."""
@@ -205,13 +208,14 @@
     durations = find_limits(latest.former, lambda one: one.durations)
     failures: Counts = dict.fromkeys(latest.target, (count_failures, count_failures))
     tests = (
-        ("failed", failures),
-        ("started late", pair_counts(count_late_starts, first_bytes)),
-        ("took long", pair_counts(count_long_responses, durations)),
+        ("failed", EXCESSES, failures),
+        ("started late", SLOW_EXCESSES, pair_counts(count_late_starts, first_bytes)),
+        ("took long", SLOW_EXCESSES, pair_counts(count_long_responses, durations)),
     )
     findings = [_compare_clumps(history)]
-    for verb, counts in tests:
-        findings += _compare_strata(build_strata(windows, counts), count, verb)
+    for verb, excesses, counts in tests:
+        strata = build_strata(windows, counts)
+        findings += _compare_strata(strata, count, excesses, verb)
 
     return max(findings, key=lambda one: one.log_evidence)
 
@@ -325,21 +329,27 @@
     return strata
 
 
-def _compare_strata(strata: Strata, count: int, verb: str) -> list[Finding]:
+def _compare_strata(
+    strata: Strata, count: int, excesses: tuple[float, ...], verb: str
+) -> list[Finding]:
     """Return the evidence of a difference in each kind of request, and over all."""
     by_kind = {kind: expect_bad(parts) for kind, parts in strata.items()}
     if not by_kind:
         return []
 
     together = [list(parts) for parts in zip(*by_kind.values(), strict=True)]
-    findings = [_compare(together, count, TEST_ALPHA / 2.0, f"responses {verb}")]
+    findings = [
+        _compare(together, count, excesses, TEST_ALPHA / 2.0, f"responses {verb}")
+    ]
     if len(by_kind) == 1:
         return findings
 
     for kind, parts in by_kind.items():
         single = [[part] for part in parts]
         level = TEST_ALPHA / 2.0 / len(by_kind)
-        findings.append(_compare(single, count, level, f"responses of {kind} {verb}"))
+        findings.append(
+            _compare(single, count, excesses, level, f"responses of {kind} {verb}")
+        )
 
     return findings
 
@@ -365,9 +375,9 @@
 def _compare(
     windows: Sequence[Sequence[Expectation]],
     count: int,
+    excesses: tuple[float, ...],
     alpha: float,
     what: str,
-    excesses: tuple[float, ...] = EXCESSES,
     min_bad: int = MIN_BAD,
 ) -> Finding:
     """Return the evidence that the target's rate of bad responses is higher.
@@ -421,8 +431,8 @@
     return _compare(
         [expect_bad([stratum])],
         1,
+        CLUMP_EXCESSES,
         TEST_ALPHA,
         "intervals had responses that broke off",
-        CLUMP_EXCESSES,
         MIN_BROKEN,
     )
