Reject orders of roll-outs that later ones have overtaken

What operators saw: in drawn plays in memory, a roll-out that was shown as completed or reverted was in progress again, or an older one had taken the place of one that was acknowledged.

Cause: a control that was suspended, or whose link to the leader was held up, submits an order after its operator has sent it elsewhere. The command carries the time at which that control read the order; 6 s after the first copy it no longer counts as a resend, and an order for another version never did.

Ruled out: the consensus. All lost roll-outs were replaced by a committed command.

Change: the order carries the number of the service's roll-outs that its control knows; one that a later roll-out has overtaken is rejected, as for evacuations. It isn't submitted if its operator has disconnected by then. An order of an earlier release carries no number and is not checked: upgrade all registries before the next roll-out.

--- a/src/waxwingwell/adapters/registry/api.py
+++ b/src/waxwingwell/adapters/registry/api.py
@@ -25,6 +25,7 @@
 from ...routing.messages import SubmitRouting
 from ...routing.validation import find_document_problems
 from ...state.group import leader_of
+from ...state.routing import count_rollouts
 from ...state.routing import find_evacuation
 from ..events import log_event
 from ..links import call_link
@@ -80,16 +81,25 @@
 
 
 def start_rollout(
-    context: RegistryContext, service: str, target: str, duration: float
+    context: RegistryContext,
+    service: str,
+    target: str,
+    duration: float,
+    *,
+    is_abandoned: Callable[[], bool],
 ) -> Deferred[Accepted | NotAccepted]:
-    """Start a roll-out that shifts a service's traffic to another version."""
+    """Start a roll-out that shifts a service's traffic to another version.
+
+    ``is_abandoned`` tells whether the operator has disconnected.
+    """
     command = BeginRollout(
         service=service,
         target=target,
         duration=duration,
         ordered_at=context.wall_clock(),
+        revision=count_rollouts(context.state, service),
     )
-    return submit(context, command)
+    return submit_unless_abandoned(context, command, is_abandoned)
 
 
 def order_evacuation(
@@ -101,9 +111,7 @@
 ) -> Deferred[Accepted | NotAccepted | Refused]:
     """Evacuate a data centre, or withdraw its evacuation.
 
-    ``is_abandoned`` tells whether the operator has disconnected. A process that was
-    suspended may read an order long after its operator has sent it elsewhere and
-    ordered the opposite since; the end of that connection is read next.
+    ``is_abandoned`` tells whether the operator has disconnected.
     """
     known = context.settings.data_centres
     if known and data_centre not in known:
@@ -114,18 +122,33 @@
         )
         return succeed(Refused((Finding("data centre", message),)))
 
-    def propose(_: object) -> Deferred[Accepted | NotAccepted | Refused]:
-        if is_abandoned():
-            log_event("registry: Evacuation abandoned", data_centre=data_centre)
-            return succeed(NotAccepted(reason="the operator has disconnected"))
-
-        return submit(context, command)
-
     command = SetEvacuation(
         data_centre=data_centre,
         active=active,
         revision=find_evacuation(context.state, data_centre).revision,
     )
+    return submit_unless_abandoned(context, command, is_abandoned)
+
+
+def submit_unless_abandoned(
+    context: RegistryContext,
+    command: RoutingCommand,
+    is_abandoned: Callable[[], bool],
+) -> Deferred[Any]:
+    """Submit a command if its operator is still connected.
+
+    A process that was suspended may read an order long after its operator has sent it
+    elsewhere, and has ordered the opposite or seen its outcome since; the end of that
+    connection is read next.
+    """
+
+    def propose(_: object) -> Deferred[Any]:
+        if is_abandoned():
+            log_event("registry: Order abandoned", command=type(command).__name__)
+            return succeed(NotAccepted(reason="the operator has disconnected"))
+
+        return submit(context, command)
+
     checked: Deferred[Any] = deferLater(context.reactor, ABANDON_CHECK_SECONDS)
     return checked.addCallback(propose)
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -29,6 +29,10 @@
     """Seconds within which the roll-out must finish."""
     ordered_at: float
     """Wall-clock time at which a member accepted the order; identifies duplicates."""
+    revision: int | None = None
+    """Number of the service's roll-outs known to the member that received the order; an
+    order that a later roll-out has overtaken is rejected. None: not checked, as the
+    order was received by an earlier release."""
 
 
 class EndRollout(Message, frozen=True, kw_only=True):
@@ -74,6 +78,8 @@
     share: float
     state: str
     """``in_progress``, ``completed`` or ``reverted``."""
+    revision: int = 0
+    """Number of roll-outs of this service so far."""
 
 
 class EvacuationState(Message, frozen=True, kw_only=True):
--- a/src/waxwingwell/state/routing.py
+++ b/src/waxwingwell/state/routing.py
@@ -61,7 +61,7 @@
         case Publish():
             publish(state, command)
         case BeginRollout():
-            start_rollout(state, command)
+            return start_rollout(state, command)
         case GrowRollout():
             raise_share(state, command)
         case EndRollout():
@@ -83,13 +83,21 @@
         state.source = command.source
 
 
-def start_rollout(state: RoutingState, command: BeginRollout) -> None:
-    """Start a roll-out, unless this resends the latest order for the service."""
+def start_rollout(state: RoutingState, command: BeginRollout) -> bool:
+    """Start a roll-out, unless this resends the latest order for the service.
+
+    Return whether the order holds. One that was delayed while another roll-out was
+    ordered, or the same one has ended, carries an old revision and must not start it.
+    """
     current = state.rollouts.get(command.service)
     if current is not None and current.target == command.target:
         recent = abs(command.ordered_at - current.ordered_at) < RESEND_WINDOW
         if recent or current.state != "reverted":
-            return
+            return True
+
+    revision = count_rollouts(state, command.service)
+    if command.revision not in (None, revision):
+        return False
 
     former = current.former if current is not None else ""
     if current is not None and current.state == "completed":
@@ -103,7 +111,15 @@
         ordered_at=command.ordered_at,
         share=0.0,
         state="in_progress",
+        revision=revision + 1,
     )
+    return True
+
+
+def count_rollouts(state: RoutingState, service: str) -> int:
+    """Return the number of roll-outs of a service so far."""
+    current = state.rollouts.get(service)
+    return 0 if current is None else current.revision
 
 
 def find_ongoing_rollout(
--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -49,12 +49,15 @@
 
 @dataclass(slots=True)
 class Disk:
-    """Synced state of a member; exactly this survives a crash."""
+    """Files of a member; they survive a crash of its process."""
 
     loaded: Loaded = field(default_factory=Loaded)
+    synced: Loaded = field(default_factory=Loaded)
+    """What is left after a power failure."""
     full: bool = False
     crash: str = ""
-    """Crash the process at the next write: ``before`` it is synced, or ``after``."""
+    """Crash the process at the next write: ``before`` or ``after`` it, or before its
+    sync (``unsynced``)."""
 
 
 def open_fake_store(disk: Disk) -> Store:
@@ -69,6 +72,10 @@
             raise CrashError
 
         disk.loaded = apply_batch(disk.loaded, batch)
+        if crash == "unsynced":
+            raise CrashError
+
+        disk.synced = disk.loaded
         if crash == "after":
             raise CrashError
 
@@ -232,6 +239,13 @@
     cluster.nodes[name].group = None
 
 
+def lose_power(cluster: Cluster, name: str) -> None:
+    """Crash a member's process and drop what its disk has not synced."""
+    crash(cluster, name)
+    disk = cluster.nodes[name].disk
+    disk.loaded = disk.synced
+
+
 def lose_disk(cluster: Cluster, name: str) -> None:
     """Crash a member's process and erase its disk."""
     crash(cluster, name)
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -28,9 +28,18 @@
     return Publish(document=make_document(version=version), source=source)
 
 
-def start(target: str = "v2", at: float = 100.0) -> BeginRollout:
-    """Return an order to start a roll-out."""
-    return BeginRollout(service="chat", target=target, duration=20.0, ordered_at=at)
+def start(
+    target: str = "v2", at: float = 100.0, revision: int | None = None
+) -> BeginRollout:
+    """Return an order to start a roll-out, received at a revision."""
+    return BeginRollout(
+        service="chat", target=target, duration=20.0, ordered_at=at, revision=revision
+    )
+
+
+def end(target: str = "v2", at: float = 100.0, *, completed: bool = True) -> EndRollout:
+    """Return the end of a roll-out."""
+    return EndRollout(service="chat", target=target, ordered_at=at, completed=completed)
 
 
 def evacuate(revision: int) -> SetEvacuation:
@@ -130,6 +139,68 @@
                     (rollout.target, rollout.state, rollout.share), expected
                 )
 
+    def test_late_orders(self) -> None:
+        """Guards against a delayed order that replaces or repeats a later roll-out."""
+        reverted: list[RoutingCommand] = [start(revision=0), end(completed=False)]
+        newer: list[RoutingCommand] = [start(revision=0), end(), start("v3", 110.0, 1)]
+        cases: tuple[tuple[str, list[RoutingCommand], bool, tuple[str, str]], ...] = (
+            ("first", [start(revision=0)], True, ("v2", "in_progress")),
+            (
+                "resent to a member that lags",
+                [start(revision=0), start(at=102.0, revision=0)],
+                True,
+                ("v2", "in_progress"),
+            ),
+            (
+                "after its roll-out was rolled back",
+                [*reverted, start(at=109.0, revision=0)],
+                False,
+                ("v2", "reverted"),
+            ),
+            (
+                "ordered again",
+                [*reverted, start(at=109.0, revision=1)],
+                True,
+                ("v2", "in_progress"),
+            ),
+            (
+                "while a later one is in progress",
+                [*newer, start(at=112.0, revision=0)],
+                False,
+                ("v3", "in_progress"),
+            ),
+            (
+                "after a later one was completed",
+                [*newer, end("v3", 110.0), start(at=112.0, revision=1)],
+                False,
+                ("v3", "completed"),
+            ),
+            (
+                "by an earlier release",
+                [*reverted, start(at=200.0)],
+                True,
+                ("v2", "in_progress"),
+            ),
+        )
+        for name, commands, held, expected in cases:
+            with self.subTest(name):
+                state = RoutingState()
+                found = [apply_routing(state, command) for command in commands]
+                self.assertEqual(found, [True] * (len(commands) - 1) + [held])
+                rollout = state.rollouts["chat"]
+                self.assertEqual((rollout.target, rollout.state), expected)
+
+    def test_data_of_a_release_without_revisions_is_read(self) -> None:
+        state = RoutingState()
+        apply_routing(state, start())
+        fields = msgspec.msgpack.decode(save_routing(state))
+        del fields["rollouts"][0]["revision"]
+        loaded = load_routing(msgspec.msgpack.encode(fields))
+        self.assertEqual(loaded.rollouts["chat"].target, "v2")
+        command = msgspec.msgpack.decode(msgspec.msgpack.encode(start()))
+        del command["revision"]
+        self.assertEqual(decode_command(msgspec.msgpack.encode(command)), start())
+
     def test_previous_version_is_remembered(self) -> None:
         state = RoutingState()
         commands: tuple[RoutingCommand, ...] = (
