Sync what a killed process left unsynced before its store is read

What operators would see: an acknowledged change is gone after a power failure.

Cause: a member killed between a write and its sync leaves the write in its files, where the next process finds it. It loads the entries as durable and acknowledges them to the leader of the same term without another write. If power fails before its next write, which would sync them, they are gone. A disk that hangs makes the time between the two long.

That files hold what was written and not synced is the contract of the platform and of Linux; it was not played with real files and real power.

Change: open_store syncs the file and its write-ahead log before SQLite opens them. The test of the storage opens copies of a store in use, as a killed process leaves them, and failed before.

--- a/src/waxwingwell/state/storage.py
+++ b/src/waxwingwell/state/storage.py
@@ -86,6 +86,7 @@
     path = folder / f"{group_id}.sqlite"
     try:
         folder.mkdir(parents=True, exist_ok=True)
+        sync_files(path)
         database = connect(path)
         sync_folder(folder)
         sync_folder(folder.parent)
@@ -116,13 +117,30 @@
     return database
 
 
+def sync_files(path: Path) -> None:
+    """Make durable what a killed process wrote to a group's file without a sync.
+
+    The member would report the entries that it loads as durable, and a power failure
+    could still lose them. SQLite must not have opened the file yet: closing a file ends
+    all locks of this process on it.
+    """
+    for file in (path, path.with_name(f"{path.name}-wal")):
+        if file.exists():
+            sync_path(file, os.O_RDWR)
+
+
 def sync_folder(folder: Path) -> None:
     """Make new directory entries of a folder durable.
 
     Without it a synced file can be missing after a power loss because its folder was
     not synced, and the member would start without its term, vote and log.
     """
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    sync_path(folder, os.O_RDONLY | os.O_DIRECTORY)
+
+
+def sync_path(path: Path, flags: int) -> None:
+    """Sync a file or folder that is opened with these flags."""
+    descriptor = os.open(path, flags)
     try:
         os.fsync(descriptor)
     finally:
--- a/tests/state/consensus/test_power.py
+++ b/tests/state/consensus/test_power.py
@@ -8,14 +8,19 @@
 
 from waxwingwell.adapters.registry.members import MIN_VOTERS
 from waxwingwell.adapters.registry.members import TIMING
+from waxwingwell.state.group import Committed
 from waxwingwell.state.group import members_of
 
 from .fakes import Cluster
 from .fakes import await_leader
 from .fakes import await_voters
+from .fakes import commands
 from .fakes import crash
+from .fakes import heal
 from .fakes import lose_disk
+from .fakes import lose_power
 from .fakes import make_cluster
+from .fakes import propose_command
 from .fakes import run_for
 from .fakes import start_node
 
@@ -36,6 +41,8 @@
 """Seconds from the return of a member with a lost disk until power fails everywhere:
 before it is added, while it is a learner, between the two membership changes that
 replace its former id, and afterwards."""
+RESTART_PAUSES = (0.06, 0.1, 0.2, 0.3)
+"""Seconds from a write that was cut off to the restart, within the leader's term."""
 
 
 class PowerTest(unittest.TestCase):
@@ -58,6 +65,36 @@
                     voters = members_of(leader).voters
                     self.assertEqual(len(voters), MIN_VOTERS)
 
+    def test_a_write_is_cut_off_before_its_sync(self) -> None:
+        """Guards against an acknowledged entry that one member holds unsynced.
+
+        A member is killed between a write and its sync and restarts within the term;
+        then power fails everywhere, and the leader loses its disk.
+        """
+        for pause in RESTART_PAUSES:
+            with self.subTest(pause=pause):
+                cluster = make_cluster(3, seed=1)
+                await_voters(cluster)
+                leader = await_leader(cluster)
+                killed, unaware = [name for name in cluster.names if name != leader]
+                cluster.cut_links.add((leader, unaware))
+                cluster.nodes[killed].disk.crash = "unsynced"
+                outcomes = propose_command(cluster, leader, b"x")
+                run_for(cluster, pause)
+                start_node(cluster, killed)
+                run_for(cluster, 0.2)
+                self.assertIsInstance(outcomes[0], Committed)
+                heal(cluster)
+                lose_disk(cluster, leader)
+                for name in (killed, unaware):
+                    lose_power(cluster, name)
+
+                for name in cluster.names:
+                    start_node(cluster, name)
+
+                await_voters(cluster)
+                self.assertIn(b"x", commands(cluster, await_leader(cluster)))
+
     def lose_power(self, timing: Timing, delay: float) -> Cluster:
         """Lose a disk twice, then all power ``delay`` seconds after its return."""
         cluster = make_cluster(5, seed=round(delay * 10) + 1, timing=timing)
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -5,6 +5,7 @@
 import os
 import random
 import resource
+import shutil
 import sqlite3
 import stat
 import tempfile
@@ -180,6 +181,25 @@
 
         self.assertEqual(self.reopen(), before)
 
+    def test_what_a_killed_process_left_unsynced_is_synced(self) -> None:
+        """Guards against entries that are loaded, acknowledged and lost with power."""
+        self.write_all()
+        copied = self.folder.parent / "killed"
+        shutil.copytree(self.folder, copied)
+        synced: set[int] = set()
+
+        def record(descriptor: int) -> None:
+            synced.add(os.fstat(descriptor).st_ino)
+
+        with mock.patch("waxwingwell.state.storage.os.fsync", record):
+            store = open_store(copied, "main")
+
+        self.addCleanup(store.close)
+        for name in ("main.sqlite", "main.sqlite-wal"):
+            self.assertIn((copied / name).stat().st_ino, synced)
+
+        self.assertEqual(store.load().entries, ENTRIES)
+
     def test_every_commit_is_synced_and_so_is_the_folder(self) -> None:
         """Power may be lost right after a batch was acknowledged.
 
