Count an evacuation order that finds its effect in place

What operators would see: an evacuation takes effect although its withdrawal was accepted after it.

Cause: an order that finds its effect in place was accepted without a new revision. An earlier opposite one, on which the operator had given up without an answer, still carried the present revision when it arrived late.

Change: such an order counts as well, unless it is a resend with an old revision.

--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -88,7 +88,7 @@
     data_centre: str
     active: bool
     revision: int
-    """Number of changes of this data centre's evacuation so far."""
+    """Number of orders accepted for this data centre so far, without resends."""
 
 
 class SubmitRouting(Message, frozen=True, kw_only=True):
--- a/src/waxwingwell/state/routing.py
+++ b/src/waxwingwell/state/routing.py
@@ -161,14 +161,12 @@
     """Evacuate a data centre or withdraw its evacuation; return whether it holds.
 
     A resent order finds its effect in place. An order that was delayed while the
-    operator's later ones took effect carries an old revision and must not undo them.
+    operator's later ones were accepted carries an old revision and must not undo them;
+    so one that finds its effect in place counts as well, unless it is a resend.
     """
     current = find_evacuation(state, command.data_centre)
-    if current.active == command.active:
-        return True
-
     if current.revision != command.revision:
-        return False
+        return current.active == command.active
 
     state.evacuations[command.data_centre] = EvacuationState(
         data_centre=command.data_centre,
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -246,6 +246,18 @@
                 [True, True, True, False],
                 ("north",),
             ),
+            (
+                "late order after a withdrawal that had nothing to withdraw",
+                [withdraw(0), evacuate(0)],
+                [True, False],
+                (),
+            ),
+            (
+                "late withdrawal after an order that was in place",
+                [evacuate(0), evacuate(1), withdraw(1)],
+                [True, True, False],
+                ("north",),
+            ),
             (
                 "withdrawal received by a member that lags",
                 [evacuate(0), withdraw(0)],
