--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -30,6 +30,10 @@
     """Seconds within which the roll-out must finish."""
     ordered_at: float
     """Wall-clock time at which a member accepted the order; identifies duplicates."""
+    revision: int | None = None
+    """Number of the service's roll-outs known to the member that received the order; an
+    order that a later roll-out has overtaken is rejected. None: not checked, as the
+    order was received by an earlier release."""
 
 
 class EndRollout(Message, frozen=True, kw_only=True):
@@ -75,6 +79,8 @@
     share: float
     state: str
     """``in_progress``, ``completed`` or ``reverted``."""
+    revision: int = 0
+    """Number of roll-outs of this service so far."""
 
 
 class EvacuationState(Message, frozen=True, kw_only=True):
@@ -83,7 +89,7 @@
     data_centre: str
     active: bool
     revision: int
-    """Number of changes of this data centre's evacuation so far."""
+    """Number of orders accepted for this data centre so far, without resends."""
 
 
 class SubmitRouting(Message, frozen=True, kw_only=True):
--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -49,16 +49,22 @@
 
 @dataclass(slots=True)
 class Disk:
-    """Synced state of a member; exactly this survives a crash."""
+    """Files of a member; they survive a crash of its process."""
 
     loaded: Loaded = field(default_factory=Loaded)
+    synced: Loaded = field(default_factory=Loaded)
+    """What is left after a power failure."""
     full: bool = False
     crash: str = ""
-    """Crash the process at the next write: ``before`` it is synced, or ``after``."""
+    """Crash the process at the next write: ``before`` or ``after`` it, or before its
+    sync (``unsynced``)."""
 
 
 def open_fake_store(disk: Disk) -> Store:
-    """Return a store over ``disk`` whose writes are synced or fail atomically."""
+    """Return a store over ``disk`` whose writes are synced or fail atomically.
+
+    As with files, what an earlier process left unsynced is synced as it is opened.
+    """
 
     def write(batch: Batch) -> None:
         if disk.full:
@@ -69,10 +75,18 @@
             raise CrashError
 
         disk.loaded = apply_batch(disk.loaded, batch)
+        if crash == "unsynced":
+            raise CrashError
+
+        disk.synced = disk.loaded
         if crash == "after":
             raise CrashError
 
-    return Store(load=lambda: disk.loaded, write=write, close=lambda: None)
+    def load() -> Loaded:
+        disk.synced = disk.loaded
+        return disk.loaded
+
+    return Store(load=load, write=write, close=lambda: None)
 
 
 def apply_batch(old: Loaded, batch: Batch) -> Loaded:
@@ -232,6 +246,13 @@
     cluster.nodes[name].group = None
 
 
+def lose_power(cluster: Cluster, name: str) -> None:
+    """Crash a member's process and drop what its disk has not synced."""
+    crash(cluster, name)
+    disk = cluster.nodes[name].disk
+    disk.loaded = disk.synced
+
+
 def lose_disk(cluster: Cluster, name: str) -> None:
     """Crash a member's process and erase its disk."""
     crash(cluster, name)
