--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,6 +20,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from tests.state.consensus import soak as consensus
+from tests.state.consensus.acknowledged import run_play
 from tests.state.runs.test_configuration import ConfigurationRun
 from tests.state.runs.test_leases import LeaseRun
 from tests.state.runs.test_ledger import LedgerRun
@@ -65,10 +66,17 @@
     return Soak(machine.__name__, run_round)
 
 
+def run_acknowledged(seed: int) -> None:
+    """Run one play of acknowledged orders; raise if something was lost."""
+    problems = run_play(seed)
+    assert not problems, problems
+
+
 def run_soaks(seconds: float, seed: int) -> int:
     """Run rounds of all soak tests in turn for some time; return their number."""
     soaks = [make_soak(machine) for machine in RUNS]
     soaks.append(Soak("ConsensusRun", consensus.run_round))
+    soaks.append(Soak("Acknowledged", run_acknowledged))
     end = time.monotonic() + seconds
     rounds = 0
     while time.monotonic() < end:
