Plan the shares of a roll-out from the allowed exposure and measured rates

Cause: shares rose by nominal shares of sessions. Sessions differ in their number of requests, and a rate of the last two seconds follows a burst late.

Change: a share grows at most twofold, once the requests of the present one are known, by the target's measured share of requests, and not so late that its evidence would come too late. All sessions use the target once the exposure lasts for twice the measured rate. A roll-out is rolled back when the exposure known and in flight is all that is allowed. The reason tells whether responses, certainty or exposure were missing.

--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -23,52 +23,61 @@
     from .messages import RolloutState
     from .outcomes import Outcomes
     from .regressions import EvidenceHistory
+    from .regressions import Finding
 
 
 MAX_HASH = 0xFFFFFFFF
 FIRST_SHARE = 0.08
 """Share of sessions at the start, before the rate of requests is known."""
 FIRST_LIMIT = 0.6
-"""Part of the exposure limit's share that the first share is limited to."""
+"""Largest first share, as a part of the share that the exposure is limited to."""
 MIGRATION_SHARE = 0.2
 """Share from which active sessions change their version too; separates the first half
 of a roll-out from the second."""
 LARGEST_EARLY_SHARE = 0.19
-"""Largest share at which active sessions still keep their version."""
+"""Largest share in the first half, below the share of migration."""
+LARGEST_SHARE = 0.9
+"""Largest share before all sessions use the target."""
 GROW_AT = 0.5
 """Part of the duration after which sessions may change their version."""
-RAMP_LIMIT = 0.75
-"""Part of the allowed exposure to spend before all sessions use the target, up to the
-end of the ramp."""
-RAMP_PART = 0.35
-"""Part of the duration in which the exposure to spend grows to all that is allowed."""
 FULL_AT = 0.6
 """Part of the duration after which all sessions may use the target."""
 EARLY_PART = 0.2
 """Part of the allowed exposure to spend in the first half."""
 CANARY_PART = 0.4
-"""Part of the allowed exposure to spend before all sessions use the target; the rest
-lets streams on the former version end."""
-GROWTH = 1.25
+"""Part of the allowed exposure to spend from the second half on, at its start."""
+RAMP_LIMIT = 0.65
+"""The same part at the end of the ramp. The rest is spent on all sessions, so that
+streams on the former version end before the roll-out is completed."""
+RAMP_PART = 0.2
+"""Part of the duration from the second half on in which that part grows."""
+MIN_GROWTH = 1.25
 """Least factor by which a share grows, so that steps are few."""
 MAX_GROWTH = 2.0
 """Largest factor by which a share grows at once, as sessions differ in their number of
 requests."""
 SETTLE_SECONDS = 1.25
 """Seconds after which the requests of a grown share are known."""
-RATE_SECONDS = 2.0
-"""Seconds of the recent rate of requests."""
-RATE_MARGIN = 1.6
-"""Factor by which the rate of requests may rise until the deadline."""
+LAST_GROWTH_SECONDS = 2.5
+"""Seconds before the deadline from which only all sessions at once are added, as the
+evidence of another share would come too late."""
+RATE_SECONDS = 1.5
+"""Seconds over which the recent rate of requests is measured."""
+RATE_MARGIN = 2.0
+"""Factor by which the rate of requests may rise while all sessions use the target, as
+in a burst."""
+RAMP_MARGIN = 1.2
+"""The same factor for a smaller share."""
 LAG_SECONDS = 0.8
 """Seconds that evidence takes from a gateway to a decision, and a decision to the
 gateways."""
-RESERVE_PART = 0.04
-"""Part of the allowed exposure that is never planned with."""
+RESERVE_PART = 0.05
+"""Part of the allowed exposure that is never planned with, for counts that are lost
+with their gateway."""
 COMPLETE_SECONDS = 0.5
 """Least seconds before the deadline at which a roll-out is completed."""
 COMPLETE_PART = 0.04
-"""Part of the duration before the deadline at which a roll-out is completed."""
+"""Least part of the duration before the deadline at which it is completed."""
 WARM_UP_PART = 0.25
 """Longest wait for a warm upstream of the target, as a part of the duration."""
 MIN_RESPONSES = 6
@@ -138,53 +147,79 @@
 ) -> Step:
     """Return the next step of a roll-out that was ordered ``elapsed`` seconds ago.
 
-    All sessions use the target only if its exposure would stay within the limits up to
+    All sessions use the target only if its exposure will stay within the limits up to
     the deadline, whatever it does.
     """
-    if rollout.share != history.share:
-        history.share = rollout.share
-        history.share_since = elapsed
-
+    record_share(history, rollout.share, elapsed)
     finding = find_regression(history, rollout.duration)
     if finding.is_regression:
-        return Step(0.0, ended=True, completed=False, reason=finding.reason)
+        return make_reversion(finding.reason)
 
+    exposure = measure_exposure(history)
     left = rollout.duration - elapsed
     if left <= 0.0:
-        reason = "too little evidence or exposure before the deadline"
-        return Step(0.0, ended=True, completed=False, reason=reason)
+        return make_reversion(f"{explain_delay(exposure, finding)} before the deadline")
 
-    exposure = measure_exposure(history)
-    planned = plan_exposure(exposure, limits, elapsed, left)
+    planned = plan_exposure(exposure, limits, left)
     if exposure.target + count_unknown(exposure, rollout.share) > planned:
-        reason = "all of the allowed exposure is spent"
-        return Step(0.0, ended=True, completed=False, reason=reason)
+        return make_reversion("all of the allowed exposure is spent")
 
-    margin = 1.0 if rollout.share >= 1.0 else RATE_MARGIN
-    affordable = is_affordable(exposure, planned, rollout.share, margin * left)
-    has_enough = exposure.answers >= MIN_RESPONSES
+    is_good = exposure.answers >= MIN_RESPONSES and not finding.is_suspicion
+    is_ready = is_good and is_affordable(exposure, planned, rollout.share, left)
     if left <= max(COMPLETE_SECONDS, COMPLETE_PART * rollout.duration):
-        if has_enough and affordable and not finding.is_suspicion:
+        if is_ready:
             return Step(1.0, ended=True, completed=True, reason="target is good")
 
-        return Step(rollout.share, reason="too little evidence or exposure")
+        return Step(rollout.share, reason=explain_delay(exposure, finding))
 
-    progress = elapsed / max(rollout.duration, 0.001)
-    if progress >= FULL_AT and has_enough and affordable and not finding.is_suspicion:
-        reason = f"{exposure.answers} responses without regression"
-        return Step(1.0, reason=reason)
+    if is_ready and elapsed >= FULL_AT * rollout.duration:
+        return Step(1.0, reason=f"{exposure.answers} responses without regression")
 
     share = plan_share(rollout, exposure, planned, limits, elapsed)
-    settled = elapsed - history.share_since >= SETTLE_SECONDS
-    if rollout.share > 0.0:
-        share = min(share, MAX_GROWTH * rollout.share)
-
-    if share < GROWTH * rollout.share or not (settled or rollout.share == 0.0):
+    if not may_grow(history, share, left, elapsed):
         return Step(rollout.share, reason="the share may not grow")
 
     return Step(share, reason=f"{planned:.0f} requests to the target allowed")
 
 
+def explain_delay(exposure: Exposure, finding: Finding) -> str:
+    """Return why a roll-out can't be completed yet."""
+    if exposure.answers < MIN_RESPONSES:
+        return "too few responses"
+
+    if finding.is_suspicion:
+        return f"no certainty about {finding.reason}"
+
+    return "too little exposure left for all sessions"
+
+
+def make_reversion(reason: str) -> Step:
+    """Return the step that ends a roll-out with the former version."""
+    return Step(0.0, ended=True, completed=False, reason=reason)
+
+
+def record_share(history: EvidenceHistory, share: float, elapsed: float) -> None:
+    """Record since when a share is in use."""
+    if share != history.share:
+        history.share = share
+        history.share_since = elapsed
+
+
+def may_grow(
+    history: EvidenceHistory, share: float, left: float, elapsed: float
+) -> bool:
+    """Return whether a share may grow to ``share``.
+
+    The requests of the present share have to be known before.
+    """
+    if history.share <= 0.0:
+        return True
+
+    settled = elapsed - history.share_since >= SETTLE_SECONDS
+    is_useful = share >= MIN_GROWTH * history.share and left > LAST_GROWTH_SECONDS
+    return settled and is_useful
+
+
 def measure_exposure(history: EvidenceHistory) -> Exposure:
     """Return the requests to both versions and their rate."""
     if not history.snapshots:
@@ -218,11 +253,8 @@
     return sum(one.sent for one in outcomes.values())
 
 
-def plan_exposure(
-    exposure: Exposure, limits: ExposureLimits, elapsed: float, left: float
-) -> float:
+def plan_exposure(exposure: Exposure, limits: ExposureLimits, left: float) -> float:
     """Return the number of requests that the target may get up to the deadline."""
-    del elapsed
     total = exposure.total + exposure.low_rate * (left + LAG_SECONDS)
     return (1.0 - RESERVE_PART) * (limits.share * total + limits.slack)
 
@@ -231,9 +263,9 @@
     exposure: Exposure, planned: float, share: float, left: float
 ) -> bool:
     """Return whether the target may get all requests up to the deadline."""
-    unknown = count_unknown(exposure, share)
-    coming = exposure.high_rate * left
-    return exposure.target + unknown + coming <= planned
+    margin = 1.0 if share >= 1.0 else RATE_MARGIN
+    coming = margin * exposure.high_rate * left
+    return exposure.target + count_unknown(exposure, share) + coming <= planned
 
 
 def plan_share(
@@ -245,19 +277,20 @@
 ) -> float:
     """Return the share of sessions that spends a part of the allowed exposure."""
     first = min(FIRST_SHARE, FIRST_LIMIT * limits.share)
-    if elapsed < RATE_SECONDS:
+    if elapsed < RATE_SECONDS or rollout.share <= 0.0:
         return first
 
+    largest = MAX_GROWTH * rollout.share
     half = GROW_AT * rollout.duration
     if elapsed < half:
-        budget = EARLY_PART * planned
-        share = budget / max(RATE_MARGIN * exposure.high_rate * half, 1.0)
-        return min(max(share, first), LARGEST_EARLY_SHARE)
-
-    late = (elapsed - half) / (RAMP_PART * rollout.duration)
-    part = CANARY_PART + (RAMP_LIMIT - CANARY_PART) * min(late, 1.0)
-    left = rollout.duration - elapsed
-    budget = part * planned - exposure.target - count_unknown(exposure, rollout.share)
-    coming = RATE_MARGIN * exposure.high_rate * left
-    share = min(max(budget / max(coming, 1.0), 0.0), 0.9)
-    return share * min(rollout.share / max(exposure.recent_share, 0.001), 1.0)
+        share = EARLY_PART * planned / max(exposure.high_rate * half, 1.0)
+        return min(max(share, first), LARGEST_EARLY_SHARE, largest)
+
+    ramp = min((elapsed - half) / (RAMP_PART * rollout.duration), 1.0)
+    part = CANARY_PART + (RAMP_LIMIT - CANARY_PART) * ramp
+    unknown = count_unknown(exposure, rollout.share)
+    budget = max(part * planned - exposure.target - unknown, 0.0)
+    coming = RAMP_MARGIN * exposure.high_rate * (rollout.duration - elapsed)
+    share = min(budget / max(coming, 1.0), LARGEST_SHARE)
+    excess = max(exposure.recent_share / rollout.share, 1.0)
+    return min(share / excess, largest)
