Report active sessions of the next early share only

Callers' sessions must not change their version while a share grows in the first half of a roll-out, so gateways report the active sessions of the share that may come next.

Change: the limit is the largest share that the next step may grow to, 16 % at the first share. Sessions of a later one are known before it, as a share settles first.

--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -126,6 +126,11 @@
     return place / MAX_HASH
 
 
+def find_next_limit(share: float) -> float:
+    """Return the largest share that the next early step may grow to."""
+    return min(max(FIRST_SHARE, MAX_GROWTH * share), MIGRATION_SHARE)
+
+
 def awaits_warm_up(
     rollout: RolloutState, target: Sequence[Upstream], elapsed: float, now: float
 ) -> bool:
--- a/src/waxwingwell/routing/sessions.py
+++ b/src/waxwingwell/routing/sessions.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from .rollouts import MIGRATION_SHARE
+from .rollouts import find_next_limit
 from .rollouts import hash_session
 from .rollouts import position_to_share
 
@@ -101,7 +102,10 @@
     session_life: float,
     now: float,
 ) -> tuple[int, ...]:
-    """Return hash positions of sessions that keep their version in a first share."""
+    """Return hash positions of sessions that keep their version in an early share.
+
+    Those of the next share are known before it is in use.
+    """
     early = {one.service: one for one in rollouts if is_early(one)}
     if not early:
         return ()
@@ -114,10 +118,9 @@
             continue
 
         position = hash_session(rollout, session)
-        if (
-            table.last[key][0] != rollout.target
-            and position_to_share(position) < MIGRATION_SHARE
-        ):
+        if table.last[key][0] != rollout.target and position_to_share(
+            position
+        ) < find_next_limit(rollout.share):
             positions.add(position)
 
     return tuple(positions)
--- a/tests/routing/test_sessions.py
+++ b/tests/routing/test_sessions.py
@@ -9,6 +9,7 @@
 
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.rollouts import FIRST_SHARE
+from waxwingwell.routing.rollouts import MAX_GROWTH
 from waxwingwell.routing.rollouts import hash_session
 from waxwingwell.routing.rollouts import position_to_share
 from waxwingwell.routing.sessions import SessionTable
@@ -88,13 +89,14 @@
         apply_kept_sessions(peer.sessions, kept, held)
 
 
-def find_session(rollout: RolloutState) -> str:
-    """Return a session of the first share."""
+def find_session(rollout: RolloutState, least: float = 0.0) -> str:
+    """Return a session of the first share, or of one that follows ``least``."""
     names = map(str, range(1_000))
+    most = least + FIRST_SHARE
     return next(
         name
         for name in names
-        if position_to_share(hash_session(rollout, name)) < FIRST_SHARE
+        if least <= position_to_share(hash_session(rollout, name)) < most
     )
 
 
@@ -128,6 +130,21 @@
                 exchange_totals(self.peers, asked_at)
                 self.assertEqual(self.peers[50].run(self.session, asked_at), expected)
 
+    def test_an_active_session_of_a_grown_share_keeps_its_version(self) -> None:
+        """Guards against sessions that change as an early share grows."""
+        session = find_session(self.begun, FIRST_SHARE)
+        self.announce_first_share()
+        exchange_totals(self.peers, 9.0)
+        self.assertEqual(self.peers[0].run(session, 10.0), "v1")
+        exchange_totals(self.peers, 10.2)
+        grown = make_rollout(share=MAX_GROWTH * FIRST_SHARE)
+        for peer in self.peers:
+            peer.apply_state(grown, SHARE_INDEX + 1)
+
+        self.assertEqual(self.peers[50].choose(session, 10.3), "v1")
+        exchange_totals(self.peers, 16.0)
+        self.assertEqual(self.peers[50].choose(session, 16.1), "v2")
+
     def test_no_session_changes_before_every_gateway_has_reported(self) -> None:
         """A gateway that gets the share late starts sessions in the meantime.
 
