--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -83,13 +83,15 @@
 TOLERATED_BUCKETS = 3
 """Number of buckets by which the target may be slower, as with cold caches; about half
 as long again."""
-PACE_EXCESSES = (0.3, 0.5, 0.8)
-"""Excesses of the rate of streams whose events come slowly."""
-PACE_BUCKETS = 2
-"""The same number above for the pace of streams, which varies less: an upstream that
-takes several times as long for some requests slows all that it runs at once down."""
+PACE_QUANTILE = 0.5
+"""The same quantile for the pace of streams. An upstream that takes several times as
+long for some requests slows all that it runs down, by less than that."""
+PACE_BUCKETS = 1
+"""Number of buckets above that quantile's up to which a stream is not slow."""
 PACE_TOLERANCE = 1
 """The same tolerance for the pace of streams."""
+PACE_EXCESSES = (0.5, 0.8)
+"""Excesses of the rate of slow streams; larger, as a version may be somewhat slower."""
 MIN_TIMES = 8
 """Number of the former version's times needed to tell which responses are slow."""
 SUSPICION = 0.03
@@ -213,7 +215,9 @@
     latest = windows[-1]
     first_bytes = find_limits(latest.former, lambda one: one.first_bytes)
     durations = find_limits(latest.former, lambda one: one.durations)
-    paces = find_limits(latest.former, lambda one: one.paces, PACE_BUCKETS)
+    paces = find_limits(
+        latest.former, lambda one: one.paces, PACE_QUANTILE, PACE_BUCKETS
+    )
     failures: Counts = dict.fromkeys(latest.target, (count_failures, count_failures))
     tests = (
         ("failed", EXCESSES, failures),
@@ -250,6 +254,7 @@
 def find_limits(
     former: Mapping[str, Outcomes],
     choose: Callable[[Outcomes], Histogram],
+    quantile: float = SLOW_QUANTILE,
     above: int = SLOW_BUCKETS,
 ) -> dict[str, int]:
     """Return the last bucket of times that are not slow, by kind of request."""
@@ -258,7 +263,7 @@
         times = choose(outcomes)
         total = sum(times)
         if total >= MIN_TIMES:
-            position = find_quantile(times, SLOW_QUANTILE * total)
+            position = find_quantile(times, quantile * total)
             limits[kind] = round(position + above)
 
     return limits
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -26,6 +26,8 @@
 
 MAX_KINDS = 32
 """Kinds of requests of one version that are counted apart."""
+MIN_PACE_EVENTS = 3
+"""Events from which a stream has a pace."""
 OTHER_KINDS = ""
 """Kind under which all further kinds are counted."""
 
@@ -142,9 +144,14 @@
     request.tally.streaming.add(request)
 
 
+def has_pace(request: CountedRequest) -> bool:
+    """Return whether a stream has enough events to tell how fast they come."""
+    return request.events >= MIN_PACE_EVENTS
+
+
 def find_pace(request: CountedRequest, now: float) -> float:
     """Return the time per event of a stream so far."""
-    return (now - request.streaming_since) / max(request.events, 1)
+    return (now - request.streaming_since) / request.events
 
 
 def stop_waiting(request: CountedRequest, now: float) -> None:
@@ -155,7 +162,8 @@
     tally = request.tally
     if request in tally.streaming:
         tally.streaming.discard(request)
-        tally.paces[find_bucket(find_pace(request, now))] += 1
+        if has_pace(request):
+            tally.paces[find_bucket(find_pace(request, now))] += 1
 
     if request in tally.waiting:
         tally.waiting.discard(request)
@@ -201,7 +209,11 @@
             ),
             paces=pack_counts(tally.paces),
             pacing=pack_counts(
-                Counter(find_bucket(find_pace(one, now)) for one in tally.streaming)
+                Counter(
+                    find_bucket(find_pace(one, now))
+                    for one in tally.streaming
+                    if has_pace(one)
+                )
             ),
         )
         for service, held in tallies.items()
