Let the soak's upstreams have versions, each with a flaw or without one

Callers saw bad versions get more requests than allowed (EXPOSURE); the soak, whose upstreams all announced v1, could play none of it.

An upstream announces its version now. A version may fail a share of its requests, be slow for a share of them (first byte and events), fail only while more than some requests run at one upstream, strike one kind of requests, turn bad later, or be good. Trouble strikes upstreams whatever their version, so that it can be told apart from a flaw. Draws of the other modes are as before, as nothing is drawn without a flaw or trouble.

--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -9,6 +9,10 @@
 from dataclasses import field
 from pathlib import Path
 
+from .rollout_records import BadResponse
+from .rollout_records import Disturbance
+from .rollout_records import RolloutRecord
+
 
 POISONED_BLOCK = "dead"
 """Prompt block that crashes each upstream that begins a response to it."""
@@ -218,6 +222,9 @@
     left_at: dict[tuple[int, tuple[str, int]], float] = field(default_factory=dict)
     """Times at which a gateway's process first got a response in which an upstream says
     that it leaves."""
+    rollouts: list[RolloutRecord] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    bad_responses: list[BadResponse] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     """Violations that were detected during the run."""
     stalls: list[Stall] = field(default_factory=list)
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -38,6 +38,13 @@
 from .records import make_body
 from .records import make_event
 from .records import read_clock
+from .rollout_records import BadResponse
+from .versions import NO_EFFECT
+from .versions import NO_TROUBLE
+from .versions import Effect
+from .versions import Trouble
+from .versions import Version
+from .versions import draw_effect
 
 
 if TYPE_CHECKING:
@@ -77,6 +84,10 @@
     """Seconds between two events of a stream."""
     work: float = WORK_SECONDS
     """Seconds of work on a small response."""
+    first_byte: float = 0.0
+    """Seconds from a request to the first byte of its stream."""
+    version: Version = field(default_factory=Version)
+    trouble: Trouble = NO_TROUBLE
     truncated_share: float = 0.0
     """Share of responses that are truncated, possibly to nothing."""
     unframed_share: float = UNFRAMED_SHARE
@@ -174,6 +185,7 @@
         data_centre=upstream.data_centre,
         warming=max(upstream.cold_until - read_clock(), 0.0),
         slots=upstream.slots,
+        version=upstream.version.name,
     )
     path = wire.instance_path(upstream.name)
     for control in upstream.rng.sample(upstream.controls, len(upstream.controls)):
@@ -245,11 +257,23 @@
     upstream.journal.runs.append(run)
     upstream.running += 1
     identity, leaves = upstream.identity, says_leave(upstream)
+    effect = draw_effect(
+        upstream.version,
+        upstream.trouble,
+        path,
+        upstream.running,
+        run.at,
+        upstream.rng,
+    )
     try:
-        served = await process_request(upstream, sent, run, writer)
+        served = await process_request(upstream, sent, run, writer, effect)
         if leaves:
             record_leave(upstream, identity, process)
 
+        if effect.is_flawed:
+            bad = BadResponse(upstream=upstream.name, at=read_clock())
+            upstream.journal.bad_responses.append(bad)
+
         return served
     finally:
         upstream.running -= 1
@@ -329,19 +353,30 @@
 
 
 async def process_request(
-    upstream: Upstream, sent: wire.ReceivedRequest, run: Run, writer: StreamWriter
+    upstream: Upstream,
+    sent: wire.ReceivedRequest,
+    run: Run,
+    writer: StreamWriter,
+    effect: Effect = NO_EFFECT,
 ) -> bool:
     """Process a request and send its response; return False after an abort."""
     signature = wire.write_response(sent.request_id, upstream.name)
     headers = {**signature, **write_statements(upstream)}
+    if effect.fails:
+        await asyncio.sleep(upstream.work)
+        writer.write(write_message("HTTP/1.1 500 Failed", headers, b"failed"))
+        await writer.drain()
+        return True
+
     if run.path.startswith("/stream/"):
-        return await send_stream(upstream, sent, run, headers, writer)
+        await asyncio.sleep(upstream.first_byte * effect.slowdown)
+        return await send_stream(upstream, sent, run, effect, headers, writer)
 
     work = upstream.work
     if is_large(run.path):
         work = MAX_LARGE_WORK_SECONDS * upstream.rng.random()
 
-    await asyncio.sleep(work)
+    await asyncio.sleep(work * effect.slowdown)
     body = make_body(sent.request_id, run.path)
     response = write_message("HTTP/1.1 200 OK", headers, body)
     if upstream.rng.random() < upstream.truncated_share:
@@ -376,6 +411,7 @@
     upstream: Upstream,
     sent: wire.ReceivedRequest,
     run: Run,
+    effect: Effect,
     headers: dict[str, str],
     writer: StreamWriter,
 ) -> bool:
@@ -406,7 +442,7 @@
 
         writer.write(encode(event))
         await writer.drain()
-        await asyncio.sleep(event_interval)
+        await asyncio.sleep(event_interval * effect.slowdown)
 
     if not unframed:
         writer.write(b"0\r\n\r\n")
