Play roll-outs of good and bad versions in the soak, and check their limits

Callers saw bad versions get more requests than EXPOSURE allows, and too long after their 50th bad response. No run of real processes showed it.

Meanwhile gateways are killed, stopped, frozen and cut off from registries, and registries killed, stopped and frozen, overlapping. The plan of a seed depends on the seed alone, not on how long processes take to start; its meeting with the faults still does.

Checked, over requests that gateways in touch sent: the share and slack by the deadline; the 50th bad response; nothing after reverted; no roll-out or end forgotten. Counted and printed: good versions not completed, bad ones completed, streams cut. The run fails if more than 1 in 100 of 100 good versions miss their deadline.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --statements --seeds 10
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --prompts --seeds 10
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --crowds --seeds 10
+	PYTHONPATH=platform $(BIN)/python -m bench.soak --rollouts --seeds 10
 
 bench: setup
 	$(BIN)/python -m bench
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -40,6 +40,14 @@
 from .records import is_served
 from .records import read_clock
 from .records import watch_stalls
+from .rollout_checks import RolloutCounts
+from .rollout_checks import add_counts
+from .rollout_checks import count_ends
+from .rollout_checks import describe_counts
+from .rollout_checks import describe_end
+from .rollout_checks import misses_too_many
+from .rollouts import prepare_rollouts
+from .rollouts import run_rollouts
 from .schedule import SoakEnvironment
 from .schedule import run_faults
 from .seeds import KEPT_SEEDS
@@ -78,6 +86,11 @@
     "statements": run_statements,
     "prompts": run_prompts,
     "crowds": run_crowds,
+    "rollouts": run_rollouts,
+}
+PREPARATIONS: dict[str, Callable[[SoakEnvironment], None]] = {
+    "evacuations": prepare_evacuations,
+    "rollouts": prepare_rollouts,
 }
 SLOW_CALLER_MODES = frozenset({"planned", "starts"})
 
@@ -103,11 +116,13 @@
         gateways=gateways,
         upstreams_per_service=UPSTREAMS_PER_SERVICE,
     )
+    environment.seed = seed
     journal = environment.journal
-    if mode == "evacuations":
-        prepare_evacuations(environment)
+    if mode in PREPARATIONS:
+        PREPARATIONS[mode](environment)
 
-    background = [asyncio.create_task(watch_stalls(journal))]
+    background = environment.background
+    background.append(asyncio.create_task(watch_stalls(journal)))
     # Garbage collection of a run's records pauses callers and upstreams up to 0.7 s.
     gc.disable()
     try:
@@ -282,6 +297,7 @@
     statements: bool = False,
     prompts: bool = False,
     crowds: bool = False,
+    rollouts: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -291,7 +307,8 @@
     data centres are evacuated while registries fail; with ``limits`` upstreams name
     limits or are brittle, with ``cuts`` gateways are cut off from all upstreams, with
     ``statements`` upstreams ask for rest or say that they leave, with ``prompts`` some
-    prompts crash upstreams, with ``crowds`` most new connections go to one gateway.
+    prompts crash upstreams, with ``crowds`` most new connections go to one gateway,
+    with ``rollouts`` versions are rolled out, some of them bad.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds are copied to ``keep``.
     """
@@ -310,6 +327,7 @@
             statements=statements,
             prompts=prompts,
             crowds=crowds,
+            rollouts=rollouts,
         )
         for seed in range(start, start + seeds)
     ]
@@ -317,6 +335,7 @@
         cases = KEPT_SEEDS
 
     failed = 0
+    counts = RolloutCounts()
     for case in cases:
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             journal, findings = asyncio.run(
@@ -324,6 +343,7 @@
             )
             report(case.seed, journal, findings)
             failed += bool(findings)
+            counts = add_counts([counts, count_ends(journal)])
             if findings and keep:
                 with contextlib.suppress(FileExistsError):
                     shutil.copytree(name, Path(keep) / str(case.seed))
@@ -331,7 +351,10 @@
     print(
         f"{len(cases) - failed} seeds kept every promise, {failed} did not", flush=True
     )
-    sys.exit(1 if failed else 0)
+    if counts.good + counts.bad:
+        print(describe_counts(counts), flush=True)
+
+    sys.exit(1 if failed or misses_too_many(counts) else 0)
 
 
 async def run_case(
@@ -357,6 +380,9 @@
         f"{len(journal.accepted)} documents, faults {dict(faults)}",
         flush=True,
     )
+    for record in journal.rollouts:
+        print(f"  {describe_end(journal, record)}", flush=True)
+
     for line in findings:
         print(f"  BROKEN {line}", flush=True)
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -19,6 +19,10 @@
 from .records import is_served
 from .records import is_undisturbed
 from .records import sum_stalls
+from .rollout_checks import check_exposure
+from .rollout_checks import check_kept_states
+from .rollout_checks import check_reverted
+from .rollout_checks import check_rollback
 
 
 if TYPE_CHECKING:
@@ -72,6 +76,10 @@
         check_poisoned_prompts,
         check_sound_prompts,
         check_crowds,
+        check_exposure,
+        check_rollback,
+        check_reverted,
+        check_kept_states,
     ):
         findings += check(journal)
 
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -56,6 +56,10 @@
     controls: tuple[tuple[str, int], ...]
     random: random.Random
     crowd: Crowd = field(default_factory=Crowd)
+    background: list[asyncio.Task[None]] = field(default_factory=list)
+    """Tasks that run until the end of the run."""
+    seed: int = 0
+    """Seed of draws that do not depend on how long the processes take to start."""
 
 
 FaultAction = Callable[[SoakEnvironment], Awaitable[str | None]]
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -21,6 +21,7 @@
     statements: bool = False
     prompts: bool = False
     crowds: bool = False
+    rollouts: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -41,6 +41,10 @@
 CROWDS_SEED = 9100
 CROWDS_SECONDS = 1.0
 """Long enough for one crowd."""
+ROLLOUTS_SEED = 26
+"""Seed with a version that fails under load, and one that is slow at times."""
+ROLLOUTS_SECONDS = 1.0
+"""Long enough for one roll-out of each service."""
 STOPPED_AT_START_SEED = 713002
 """Seed that fails unless gateways defer signals that arrive during their start."""
 
@@ -123,6 +127,13 @@
         journal = self.run_briefly(CROWDS_SEED, CROWDS_SECONDS, crowds=True)
         self.assertTrue(journal.crowd_spans)
 
+    def test_bad_versions(self) -> None:
+        """Guards against bad versions that get more requests than allowed."""
+        journal = self.run_briefly(ROLLOUTS_SEED, ROLLOUTS_SECONDS, rollouts=True)
+        self.assertEqual({one.service for one in journal.rollouts}, {"chat", "desk"})
+        self.assertTrue(journal.bad_responses)
+        self.assertTrue(journal.disturbances)
+
     def test_signals_at_starts_cut_no_response(self) -> None:
         """Guards against processes that exit when they are signalled during a start."""
         from bench.soak.__main__ import run_case
