Disturb registries in turn in the soak of roll-outs, and count only own streams

Change: registries are disturbed in turn, the first one first. A cut stream counts for a roll-out only if it ran at an upstream of that service; one more case in the table.

--- a/bench/soak/rollout_checks.py
+++ b/bench/soak/rollout_checks.py
@@ -98,11 +98,11 @@
     """Return what a version got between the order and the deadline."""
     upstreams = record.former_upstreams | record.target_upstreams
     total = sum(
-        one.upstream[0] in upstreams and record.ordered_at <= one.at <= record.deadline
+        one.upstream[0] in upstreams and is_during(record, one.at)
         for one in journal.arrivals
     )
     sent = sum(
-        record.ordered_at <= one.at <= record.deadline
+        is_during(record, one.at)
         for one, _ in list_arrivals(journal, record.target_upstreams)
     )
     allowed = wire.EXPOSURE_SHARE * total + wire.EXPOSURE_SLACK
@@ -224,9 +224,12 @@
     if record.trouble == "crashes":
         return
 
+    upstreams = record.former_upstreams | record.target_upstreams
+    runs = [one for one in journal.runs if one.upstream in upstreams]
+    sent = {one.request_id for one in runs}
     stopped = {
         one.request_id
-        for one in journal.runs
+        for one in runs
         if one.upstream in record.former_upstreams
         and one.at < record.completed_at <= one.ended_at
     }
@@ -234,12 +237,20 @@
         if request.kind != "stream" or request.complete or request.status != 200:
             continue
 
-        if record.ordered_at <= request.ended_at <= record.deadline and is_in_touch(
+        if request.request_id not in sent or not is_during(record, request.ended_at):
+            continue
+
+        if is_in_touch(
             journal.disturbances, request.gateway, request.sent_at, request.ended_at
         ):
             yield request.request_id in stopped
 
 
+def is_during(record: RolloutRecord, at: float) -> bool:
+    """Return whether a time is between the order and the deadline of a roll-out."""
+    return record.ordered_at <= at <= record.deadline
+
+
 def add_counts(parts: Iterable[RolloutCounts]) -> RolloutCounts:
     """Return the sum of the counts of several runs."""
     listed = list(parts)
--- a/bench/soak/rollout_faults.py
+++ b/bench/soak/rollout_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import signal
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,7 @@
     from collections.abc import Callable
 
     from .processes import Member
+    from .schedule import FaultAction
     from .schedule import SoakEnvironment
     from .upstreams import Upstream
 
@@ -147,35 +149,41 @@
 
 
 async def disturb_registries(environment: SoakEnvironment, over: asyncio.Event) -> None:
-    """Disturb one registry after the other until ``over``."""
-    while not await pause(over, environment.random.uniform(*REGISTRY_GAPS)):
-        await record_fault(environment, disturb_registry)
+    """Disturb the registries in turn until ``over``, so that the leader changes."""
+    for member in itertools.cycle(environment.fleet.registries):
+        if await pause(over, environment.random.uniform(*REGISTRY_GAPS)):
+            return
+
+        await record_fault(environment, make_disturbance(member))
+
+
+def make_disturbance(member: Member) -> FaultAction:
+    """Return the disturbance of a registry, which is the only one at a time."""
+
+    async def disturb_registry(environment: SoakEnvironment) -> str | None:
+        actions = [kill_for_a_while, stop_member, freeze]
+        action = environment.random.choice(actions)
+        return await disturb_member(environment, member, action)
+
+    return disturb_registry
 
 
 async def disturb_gateway(environment: SoakEnvironment) -> str | None:
     """Kill, stop or freeze a gateway, or cut it off from registries."""
     member = reserve_member(environment, environment.fleet.gateways, 1)
-    actions = [kill_for_a_while, stop_member, freeze, cut_off]
-    return await disturb_member(environment, member, environment.random.choice(actions))
-
+    if member is None:
+        return None
 
-async def disturb_registry(environment: SoakEnvironment) -> str | None:
-    """Kill, stop or freeze a registry; a majority stays intact."""
-    registries = environment.fleet.registries
-    member = reserve_member(environment, registries, len(registries) // 2 + 1)
-    actions = [kill_for_a_while, stop_member, freeze]
+    actions = [kill_for_a_while, stop_member, freeze, cut_off]
     return await disturb_member(environment, member, environment.random.choice(actions))
 
 
 async def disturb_member(
     environment: SoakEnvironment,
-    member: Member | None,
+    member: Member,
     action: Callable[[SoakEnvironment, Member], Awaitable[str]],
-) -> str | None:
-    """Disturb a reserved process, and record the time span."""
-    if member is None:
-        return None
-
+) -> str:
+    """Disturb a process, and record the time span."""
     began_at = read_clock()
     await action(environment, member)
     environment.journal.disturbances.append(
--- a/tests/system/test_soak_rollouts.py
+++ b/tests/system/test_soak_rollouts.py
@@ -268,12 +268,13 @@
 
     def test_cut_streams(self) -> None:
         """The former upstreams stop at 109 s."""
-        for name, run_ended_at, changes, trouble, expected in (
-            ("at the completion", 109.1, {}, "calm", (1, 0)),
-            ("otherwise", 108.0, {}, "calm", (0, 1)),
-            ("complete", 109.1, {"complete": True}, "calm", (0, 0)),
-            ("a failure", 109.1, {"status": 500}, "calm", (0, 0)),
-            ("crashes", 109.1, {}, "crashes", (0, 0)),
+        for name, upstream, run_ended_at, changes, trouble, expected in (
+            ("at the completion", "old", 109.1, {}, "calm", (1, 0)),
+            ("otherwise", "old", 108.0, {}, "calm", (0, 1)),
+            ("complete", "old", 109.1, {"complete": True}, "calm", (0, 0)),
+            ("a failure", "old", 109.1, {"status": 500}, "calm", (0, 0)),
+            ("another service", "other", 108.0, {}, "calm", (0, 0)),
+            ("crashes", "old", 109.1, {}, "crashes", (0, 0)),
         ):
             with self.subTest(name):
                 record = make_record(completed_at=109.0, trouble=trouble)
@@ -284,11 +285,11 @@
                     "ended_at": 109.2,
                     **changes,
                 }
-                request = add_request(journal, "old", 107.0, **fields)
+                request = add_request(journal, upstream, 107.0, **fields)
                 journal.runs.append(
                     Run(
                         request_id=request.request_id,
-                        upstream="old",
+                        upstream=upstream,
                         path="/stream/1",
                         workspace="a",
                         saw_key=False,
