Count a good version as missed by what was read after its deadline

Change: a version is missed if it was not completed, or if a control that was asked after the deadline still said in progress.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -310,7 +310,8 @@
     prompts crash upstreams, with ``crowds`` most new connections go to one gateway,
     with ``rollouts`` versions are rolled out, some of them bad.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
-    failed before. The logs of failed seeds are copied to ``keep``.
+    failed before. The logs of failed seeds, and of those with a roll-out that ended
+    wrongly, are copied to ``keep``.
     """
     # Otherwise the product's processes would outlive a terminated soak test.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -343,8 +344,9 @@
             )
             report(case.seed, journal, findings)
             failed += bool(findings)
-            counts = add_counts([counts, count_ends(journal)])
-            if findings and keep:
+            ends = count_ends(journal)
+            counts = add_counts([counts, ends])
+            if keep and (findings or ends.good_missed or ends.bad_completed):
                 with contextlib.suppress(FileExistsError):
                     shutil.copytree(name, Path(keep) / str(case.seed))
 
--- a/bench/soak/rollout_checks.py
+++ b/bench/soak/rollout_checks.py
@@ -28,8 +28,6 @@
 
 
 FOREVER = float("inf")
-READ_SECONDS = 1.25
-"""Seconds after the deadline within which the operator may read a timely end."""
 MAX_MISSED_PART = 0.01
 """Largest part of good versions that may miss their deadline."""
 MIN_GOOD = 100
@@ -203,7 +201,7 @@
     """Return the ends of a run's roll-outs that were acknowledged."""
     records = [one for one in journal.rollouts if one.acknowledged_at < FOREVER]
     good = [one for one in records if not one.flaw]
-    missed = [one for one in good if one.completed_at > one.deadline + READ_SECONDS]
+    missed = [one for one in good if is_missed(one)]
     bad = [one for one in records if one.flaw]
     cuts = [cut for one in journal.rollouts for cut in list_cut_streams(journal, one)]
     return RolloutCounts(
@@ -216,6 +214,18 @@
     )
 
 
+def is_missed(record: RolloutRecord) -> bool:
+    """Return whether a version was not completed by its deadline.
+
+    An end that the operator reads later was in time unless a control that was asked
+    after the deadline still reported the roll-out as in progress.
+    """
+    return record.completed_at == FOREVER or any(
+        one.sent_at > record.deadline and one.state == "in_progress"
+        for one in record.readings
+    )
+
+
 def list_cut_streams(journal: Journal, record: RolloutRecord) -> Iterator[bool]:
     """Return for each stream cut off whether the completion stopped its upstream.
 
--- a/tests/system/test_soak_rollouts.py
+++ b/tests/system/test_soak_rollouts.py
@@ -226,14 +226,18 @@
         ):
             with self.subTest(name):
                 record = make_record(completed_at=109.0)
-                reading = StateReading(
-                    sent_at=sent_at, received_at=109.6, state=state, target=target
-                )
-                record.readings.append(reading)
+                record.readings.append(make_reading(sent_at, state, target))
                 found = any(check_kept_states(Journal(rollouts=[record])))
                 self.assertEqual(found, is_violation)
 
 
+def make_reading(sent_at: float, state: str, target: str = "v2") -> StateReading:
+    """Return a reading of a roll-out's state."""
+    return StateReading(
+        sent_at=sent_at, received_at=sent_at + 0.1, state=state, target=target
+    )
+
+
 class CountsTest(unittest.TestCase):
     """Ends of roll-outs that are counted."""
 
@@ -246,9 +250,22 @@
             ),
             (
                 "good, late",
-                {"flaw": "", "completed_at": 112.0},
+                {
+                    "flaw": "",
+                    "completed_at": 110.5,
+                    "readings": [make_reading(110.1, "in_progress")],
+                },
                 RolloutCounts(good=1, good_missed=1),
             ),
+            (
+                "good, in time, read late",
+                {
+                    "flaw": "",
+                    "completed_at": 110.5,
+                    "readings": [make_reading(109.9, "in_progress")],
+                },
+                RolloutCounts(good=1),
+            ),
             (
                 "good, reverted",
                 {"flaw": "", "reverted_at": 105.0},
