Count the deadline of a good version from the order that was acknowledged

Change: whether a good version is late counts from the sending of the order that was acknowledged. Exposure counts from the first sending as before. One more case in the table.

--- a/bench/soak/rollout_records.py
+++ b/bench/soak/rollout_records.py
@@ -52,6 +52,9 @@
     target_upstreams: frozenset[str]
     ordered_at: float
     duration: float
+    sent_at: float = float("inf")
+    """Time at which the operator sent the order that was acknowledged; earlier ones may
+    not have been read."""
     acknowledged_at: float = float("inf")
     completed_at: float = float("inf")
     """Time at which the operator first read that it is completed."""
--- a/bench/soak/rollouts.py
+++ b/bench/soak/rollouts.py
@@ -265,8 +265,10 @@
     body = wire.write_rollout(record.service, record.target, record.duration)
     while read_clock() < record.ordered_at + RESEND_SECONDS:
         control = environment.random.choice(environment.controls)
+        sent_at = read_clock()
         response = await call_control(control, "POST", wire.rollout_path(), body)
         if response is not None and response.status == 200:
+            record.sent_at = sent_at
             record.acknowledged_at = read_clock()
             return
 
--- a/tests/system/test_soak_rollouts.py
+++ b/tests/system/test_soak_rollouts.py
@@ -42,6 +42,7 @@
         target_upstreams=frozenset({"new"}),
         ordered_at=ORDERED_AT,
         duration=DURATION,
+        sent_at=ORDERED_AT,
         acknowledged_at=100.1,
     )
     return replace(record, **changes)
@@ -257,6 +258,16 @@
                 },
                 RolloutCounts(good=1, good_missed=1),
             ),
+            (
+                "good, in time after the order that arrived",
+                {
+                    "flaw": "",
+                    "sent_at": 100.6,
+                    "completed_at": 110.5,
+                    "readings": [make_reading(110.1, "in_progress")],
+                },
+                RolloutCounts(good=1),
+            ),
             (
                 "good, in time, read late",
                 {
