--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -126,11 +126,6 @@
     return place / MAX_HASH
 
 
-def find_next_limit(share: float) -> float:
-    """Return the largest share that the next early step may grow to."""
-    return min(max(FIRST_SHARE, MAX_GROWTH * share), MIGRATION_SHARE)
-
-
 def awaits_warm_up(
     rollout: RolloutState, target: Sequence[Upstream], elapsed: float, now: float
 ) -> bool:
@@ -161,7 +156,11 @@
         return make_reversion(finding.reason)
 
     exposure = measure_exposure(history)
+    is_good = exposure.answers >= MIN_RESPONSES and not finding.is_suspicion
     left = rollout.duration - elapsed
+    if left <= 0.0 and is_good and rollout.share >= 1.0:
+        return make_completion("target is good, found after the deadline")
+
     if left <= 0.0:
         return make_reversion(f"{explain_delay(exposure, finding)} before the deadline")
 
@@ -169,11 +168,10 @@
     if exposure.target + count_unknown(exposure, rollout.share) > planned:
         return make_reversion("all of the allowed exposure is spent")
 
-    is_good = exposure.answers >= MIN_RESPONSES and not finding.is_suspicion
     is_ready = is_good and is_affordable(exposure, planned, rollout.share, left)
     if left <= max(COMPLETE_SECONDS, COMPLETE_PART * rollout.duration):
         if is_ready:
-            return Step(1.0, ended=True, completed=True, reason="target is good")
+            return make_completion("target is good")
 
         return Step(rollout.share, reason=explain_delay(exposure, finding))
 
@@ -198,6 +196,11 @@
     return "too little exposure left for all sessions"
 
 
+def make_completion(reason: str) -> Step:
+    """Return the step that ends a roll-out with the target."""
+    return Step(1.0, ended=True, completed=True, reason=reason)
+
+
 def make_reversion(reason: str) -> Step:
     """Return the step that ends a roll-out with the former version."""
     return Step(0.0, ended=True, completed=False, reason=reason)
