Take evidence that arrives late for no burst of traffic, and bound the time without a guard

Found by the reviewer, in a model: a new leader that gets a roll-out's evidence in one step believed a rate of 850 requests a second in place of 75, and reverted a good version as exposed too much (17 s of 20, share 0.25). The recent rate counts up to three times the mean now. A roll-out of 300 s was completed 12 s before its deadline, after which it can't be reverted; now 1.5 s at most. Steps say whether they must not wait for evidence (a regression, spent exposure) or may (the deadline).

--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -63,6 +63,9 @@
 evidence of another share would come too late."""
 RATE_SECONDS = 1.5
 """Seconds over which the recent rate of requests is measured."""
+MAX_BURST = 3.0
+"""Largest recent rate, as a multiple of the mean. Evidence that arrives late, all at
+once, is no burst."""
 RATE_MARGIN = 2.0
 """Factor by which the rate of requests may rise while all sessions use the target, as
 in a burst."""
@@ -76,6 +79,9 @@
 with their gateway."""
 COMPLETE_SECONDS = 0.5
 """Least seconds before the deadline at which a roll-out is completed."""
+LONGEST_COMPLETE_SECONDS = 1.5
+"""Most seconds before the deadline at which a roll-out is completed, as it can't be
+reverted after that."""
 COMPLETE_PART = 0.04
 """Least part of the duration before the deadline at which it is completed."""
 WARM_UP_PART = 0.25
@@ -92,6 +98,8 @@
     ended: bool = False
     completed: bool = False
     reason: str = ""
+    urgent: bool = False
+    """Whether it must not wait for evidence that may be missing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,14 +170,15 @@
         return make_completion("target is good, found after the deadline")
 
     if left <= 0.0:
-        return make_reversion(f"{explain_delay(exposure, finding)} before the deadline")
+        reason = f"{explain_delay(exposure, finding)} before the deadline"
+        return make_reversion(reason, urgent=False)
 
     planned = plan_exposure(exposure, limits, left)
     if exposure.target + count_unknown(exposure, rollout.share) > planned:
         return make_reversion("all of the allowed exposure is spent")
 
     is_ready = is_good and is_affordable(exposure, planned, rollout.share, left)
-    if left <= max(COMPLETE_SECONDS, COMPLETE_PART * rollout.duration):
+    if left <= find_completion_seconds(rollout.duration):
         if is_ready:
             return make_completion("target is good")
 
@@ -185,6 +194,12 @@
     return Step(share, reason=f"{planned:.0f} requests to the target allowed")
 
 
+def find_completion_seconds(duration: float) -> float:
+    """Return the seconds before the deadline at which a roll-out is completed."""
+    part = min(COMPLETE_PART * duration, LONGEST_COMPLETE_SECONDS)
+    return max(COMPLETE_SECONDS, part)
+
+
 def explain_delay(exposure: Exposure, finding: Finding) -> str:
     """Return why a roll-out can't be completed yet."""
     if exposure.answers < MIN_RESPONSES:
@@ -201,9 +216,9 @@
     return Step(1.0, ended=True, completed=True, reason=reason)
 
 
-def make_reversion(reason: str) -> Step:
+def make_reversion(reason: str, *, urgent: bool = True) -> Step:
     """Return the step that ends a roll-out with the former version."""
-    return Step(0.0, ended=True, completed=False, reason=reason)
+    return Step(0.0, ended=True, completed=False, reason=reason, urgent=urgent)
 
 
 def record_share(history: EvidenceHistory, share: float, elapsed: float) -> None:
@@ -244,7 +259,7 @@
         past = latest.elapsed - before.elapsed
         if past >= RATE_SECONDS:
             gained = total - count_sent(before.target) - count_sent(before.former)
-            recent = gained / past
+            recent = min(gained / past, MAX_BURST * mean)
             share = (target - count_sent(before.target)) / max(gained, 1)
             break
 
