Leave crashes of upstreams out of the evidence on responses that break off

One crash breaks the requests of an upstream at many gateways; a check after a break tells it from a version that breaks its responses off.

--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -195,11 +195,10 @@
     clumps: Clumps, before: Mapping[str, Outcomes], after: Mapping[str, Outcomes]
 ) -> None:
     """Count an interval between two snapshots, unless no request has ended in it."""
-    answers, breaks = (
-        sum(getattr(one, name) for one in after.values())
-        - sum(getattr(one, name) for one in before.values())
-        for name in ("answers", "breaks")
-    )
+    answers = sum(one.answers for one in after.values())
+    answers -= sum(one.answers for one in before.values())
+    breaks = sum(one.breaks - one.crashes for one in after.values())
+    breaks -= sum(one.breaks - one.crashes for one in before.values())
     if answers > 0:
         clumps.intervals += 1
         clumps.broken += breaks > 0
