Tell the age of a roll-out by gateways' clocks since they learned of it, not by wall clocks

Registries now count from the moment at which they learn of a roll-out, and gateways tell with their evidence how long they have known of it, so that a new process has the age with the evidence. A new process also waits for that before it ends a roll-out at the deadline: a restarted leader reverted a good version there as it knew of no response.

--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -151,7 +151,7 @@
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
     record_rollouts(context.sessions, body.rollouts, body.index)
-    follow_rollouts(context.tallies, body.rollouts)
+    follow_rollouts(context.tallies, body.rollouts, context.clock())
     apply_evacuations(context, body)
     if context.index is not None:
         serve_waiting(context.startup_queue)
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -80,8 +80,7 @@
     if not step.ended and step.share <= rollout.share:
         return
 
-    is_growth = step.completed or not step.ended
-    if is_growth and lacks_evidence(context, rollout, watch, now):
+    if not step.urgent and lacks_evidence(context, rollout, watch, now):
         return
 
     log_step(context, rollout, step, snapshot)
@@ -138,17 +137,15 @@
 ) -> RolloutWatch:
     """Return the watch of a roll-out, or create it.
 
-    The start is derived from the wall clock. The age is limited to the roll-out's
-    duration, as wall clocks may have jumped. A process that learns of a roll-out after
-    its first share has to wait for the evidence that was reported before.
+    A process that learns of a roll-out after its first share has to wait for the
+    evidence that was reported before, and with it for the age of the roll-out. Wall
+    clocks differ between machines, so the time of the order does not tell it.
     """
     key = (rollout.service, rollout.ordered_at)
     watch = context.watches.get(key)
     if watch is None:
-        age = context.wall_clock() - rollout.ordered_at
-        age = min(max(age, 0.0), rollout.duration)
         wait = GATHER_SECONDS if rollout.share > 0.0 else 0.0
-        watch = context.watches[key] = RolloutWatch(now - age, now + wait)
+        watch = context.watches[key] = RolloutWatch(now, now + wait)
 
     return watch
 
@@ -161,19 +158,25 @@
     The first share needs no evidence. Gateways that stay away are waited for once: they
     may be gone for good.
     """
+    if rollout.share <= 0.0:
+        return False
+
+    if now < watch.complete_at:
+        return True
+
     due_at = watch.started_at + rollout.duration - DEADLINE_MARGIN_SECONDS
-    if rollout.share <= 0.0 or now >= due_at:
+    if now >= due_at:
         return False
 
     known, expected = count_reporting(context.reports)
     if known >= expected:
         watch.short_since = None
-        return now < watch.complete_at
+        return False
 
     if watch.short_since is None:
         watch.short_since = now
 
-    return now < max(watch.short_since + GATHER_SECONDS, watch.complete_at)
+    return now < watch.short_since + GATHER_SECONDS
 
 
 def list_limited_target(
@@ -209,6 +212,8 @@
             if (one.service, one.ordered_at) == (rollout.service, rollout.ordered_at)
         ]
         record_counters(watch.evidence, gateway, known.run, parts, known.received_at)
+        began_at = known.received_at - max((one.age for one in parts), default=0.0)
+        watch.started_at = min(watch.started_at, began_at)
 
     watch.gathered_at = now
     target, former = split_evidence(watch.evidence, rollout.target, now)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -237,6 +237,8 @@
     abandoned: SparseHistogram = ()
     paces: SparseHistogram = ()
     pacing: SparseHistogram = ()
+    age: float = 0.0
+    """Seconds since the gateway learned of the roll-out."""
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -86,12 +86,14 @@
 
     ordered_at: float
     """Time of the order, which identifies the roll-out."""
+    began_at: float
+    """Time at which the roll-out became known, by the gateway's clock."""
     kinds: dict[tuple[str, str], Tally] = field(default_factory=dict)
     """Outcomes by version and kind of request."""
 
 
 def follow_rollouts(
-    tallies: dict[str, RolloutTally], rollouts: Iterable[RolloutState]
+    tallies: dict[str, RolloutTally], rollouts: Iterable[RolloutState], now: float
 ) -> None:
     """Start to count for new roll-outs, and drop the counts of those that ended."""
     active = {
@@ -102,7 +104,7 @@
             del tallies[service]
 
     for service, ordered_at in active.items():
-        tallies.setdefault(service, RolloutTally(ordered_at))
+        tallies.setdefault(service, RolloutTally(ordered_at, now))
 
 
 def find_tally(held: RolloutTally, version: str, kind: str) -> Tally:
@@ -197,6 +199,7 @@
             answers=tally.answers,
             failures=tally.failures,
             ordered_at=held.ordered_at,
+            age=now - held.began_at,
             kind=kind,
             sent=tally.sent,
             breaks=tally.breaks,
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -93,7 +93,7 @@
         )
         key = (gateway, run, kind)
         last = table.counters.get(key)
-        if last == part or (last is not None and is_older(part, last)):
+        if last is not None and count_events(part) <= count_events(last):
             continue
 
         table.counters[key] = part
@@ -114,11 +114,6 @@
         del table.waiting[key]
 
 
-def is_older(part: VersionEvidence, last: VersionEvidence) -> bool:
-    """Return whether counters were reported before others of the same process."""
-    return count_events(part) < count_events(last)
-
-
 def count_events(part: VersionEvidence) -> int:
     """Return how many events the counters include; it grows with each change."""
     waited = sum(count for _, count in part.first_bytes + part.abandoned + part.paces)
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -440,7 +440,7 @@
                 fleet = make_fleet(kind=RouteKind.ONCE)
                 [cut, other] = fleet.gateways
                 for gateway in fleet.gateways:
-                    follow_rollouts(gateway.context.tallies, [make_rollout()])
+                    follow_rollouts(gateway.context.tallies, [make_rollout()], 0.0)
 
                 cut_off(cut)
                 caller = cut.ask()
--- a/tests/adapters/registry/test_rollouts.py
+++ b/tests/adapters/registry/test_rollouts.py
@@ -171,10 +171,15 @@
     def test_the_log_names_gateways_that_delay_a_roll_out(self) -> None:
         """A roll-out that is rolled back during an upgrade must be explained."""
         leader = Leader()
-        leader.registry.clock.advance(DURATION)
-        leader.report("g1", FORMER)
-        leader.report("old", FORMER, held=-1)
-        found = capture_log(leader.step)
+
+        def step_until_complete() -> None:
+            for turn in range(round(rollouts.GATHER_SECONDS / REPORT_SECONDS) + 1):
+                age = DURATION + turn * REPORT_SECONDS
+                leader.report("g1", msgspec.structs.replace(FORMER, age=age))
+                leader.report("old", FORMER, held=-1)
+                leader.step()
+
+        found = capture_log(step_until_complete)
         [line] = [one for one in found if one["message"] == "registry: Roll-out step"]
         self.assertEqual(line["extra"]["untold"], ["old"])
         self.assertEqual(leader.ended, [False])
@@ -206,6 +211,33 @@
 class EvidenceTest(unittest.TestCase):
     """Evidence that a leader has when it decides on a step."""
 
+    def test_the_age_of_a_roll_out(self) -> None:
+        """Guards against deadlines that depend on the wall clocks of several machines.
+
+        The clock of the registry that took the order is ahead or behind by seconds.
+        """
+        for name, ordered_at, ages, expected in (
+            ("clocks agree", 0.0, (0.0,), 0.0),
+            ("ahead", 7.0, (0.0,), 0.0),
+            ("behind", -7.0, (0.0,), 0.0),
+            ("known for some time", -7.0, (3.0, 5.0, 1.0), 5.0),
+        ):
+            with self.subTest(name):
+                leader = Leader()
+                leader.rollout = make_rollout(
+                    share=0.0, duration=DURATION, ordered_at=ordered_at
+                )
+                for number, age in enumerate(ages):
+                    part = msgspec.structs.replace(
+                        FORMER, ordered_at=ordered_at, age=age
+                    )
+                    leader.report(f"g{number}", part)
+
+                now = leader.context.clock()
+                leader.step()
+                [watch] = leader.context.watches.values()
+                self.assertAlmostEqual(now - watch.started_at, expected)
+
     def test_a_new_leader_continues_with_the_evidence(self) -> None:
         """Guards against failures that are forgotten as another registry leads.
 
@@ -284,7 +316,8 @@
         """
         grow = Step(1.0, reason="good")
         complete = Step(1.0, ended=True, completed=True, reason="good")
-        revert = Step(0.0, ended=True, reason="bad")
+        revert = Step(0.0, ended=True, reason="bad", urgent=True)
+        expire = Step(0.0, ended=True, reason="too late")
         long = rollouts.GATHER_SECONDS + REPORT_SECONDS
         for name, share, known, begun, step, seconds, expected in (
             ("none missing", FIRST_SHARE, 1, True, grow, 0.0, True),
@@ -296,6 +329,8 @@
             ("gateway gone", FIRST_SHARE, 2, True, grow, long, True),
             ("regression", FIRST_SHARE, 2, False, revert, 0.0, True),
             ("deadline", 1.0, 2, True, complete, DURATION, True),
+            ("deadline, new process", 1.0, 1, False, expire, 0.0, False),
+            ("deadline, new process, later", 1.0, 1, False, expire, long, True),
         ):
             with self.subTest(name):
                 leader = Leader()
