--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -8,10 +8,10 @@
 from dataclasses import field
 from typing import Any
 
+from ...routing.evidence_history import EvidenceHistory
 from ...routing.fleet import FleetTable
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
-from ...routing.regressions import EvidenceHistory
 from ...routing.reports import ReportTable
 from ...routing.trials import TrialTable
 from ...routing.version_evidence import EvidenceTable
--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.evidence_history import Snapshot
+from ...routing.evidence_history import record_snapshot
 from ...routing.fleet import UpstreamState
 from ...routing.messages import EndRollout
 from ...routing.messages import GrowRollout
 from ...routing.outcomes import add_outcomes
-from ...routing.regressions import Snapshot
-from ...routing.regressions import record_snapshot
 from ...routing.reports import EVIDENCE_RESEND_SECONDS
 from ...routing.reports import count_reporting
 from ...routing.reports import list_gateways_without_state
--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -17,35 +17,32 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ..decisions.bets import log_mean_exp
+from .bad_responses import PACE_BUCKETS
+from .bad_responses import PACE_QUANTILE
+from .bad_responses import PACE_TOLERANCE
+from .bad_responses import count_failures
+from .bad_responses import count_late_starts
+from .bad_responses import count_long_responses
+from .bad_responses import count_slow_streams
+from .bad_responses import find_limits
+from .bad_responses import pair_counts
+from .evidence_history import Snapshot
+from .evidence_history import count_windows
+from .evidence_history import split_windows
 from .outcomes import Outcomes
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Sequence
 
-    from .outcomes import Histogram
+    from .bad_responses import Counts
+    from .evidence_history import EvidenceHistory
 
-    Count = Callable[[Outcomes], tuple[int, int]]
-    """Returns the number of responses, and of bad ones."""
-    Counts = dict[str, tuple[Count, Count]]
-    """Counts of the target and of the former version, by kind of request."""
 
-
-MAX_SNAPSHOTS = 120
-"""Number of snapshots that a history keeps."""
-RECENT_SNAPSHOTS = 16
-"""Number of the latest snapshots that are never thinned out."""
-MIN_WINDOWS = 12
-"""Least number of equal windows of a roll-out in which the versions are compared."""
-MAX_WINDOW_SECONDS = 5.0
-"""Longest window, so that a regression in a long roll-out is found as soon."""
 FALSE_ALARM = 0.01
 """Probability that a version as good as the former one is found to be worse."""
 TEST_ALPHA = FALSE_ALARM / 5.0
@@ -75,64 +72,12 @@
 """Number of bad responses from which the target may be worse."""
 MIN_BROKEN = 6
 """Number of intervals with breaks from which the target may be worse."""
-SLOW_QUANTILE = 0.75
-"""Quantile of the former version's times that a slow response exceeds several times."""
-SLOW_BUCKETS = 6
-"""Number of buckets above that quantile's up to which a response is not slow; more than
-twice as long."""
-TOLERATED_BUCKETS = 3
-"""Number of buckets by which the target may be slower, as with cold caches; about half
-as long again."""
-PACE_QUANTILE = 0.5
-"""The same quantile for the pace of streams. An upstream that takes several times as
-long for some requests slows all that it runs down, by less than that."""
-PACE_BUCKETS = 1
-"""Number of buckets above that quantile's up to which a stream is not slow."""
-PACE_TOLERANCE = 1
-"""The same tolerance for the pace of streams."""
 PACE_EXCESSES = (0.5, 0.8)
 """Excesses of the rate of slow streams; larger, as a version may be somewhat slower."""
-MIN_TIMES = 8
-"""Number of the former version's times needed to tell which responses are slow."""
 SUSPICION = 0.03
 """Part of the evidence needed from which the target is suspected."""
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """Outcomes by kind of request, as known at some time.
-
-    ``elapsed`` and all counts start with the order of the roll-out.
-    """
-
-    elapsed: float
-    target: Mapping[str, Outcomes]
-    former: Mapping[str, Outcomes]
-
-
-@dataclass(slots=True)
-class Clumps:
-    """Intervals between snapshots in which a version's requests ended."""
-
-    intervals: int = 0
-    broken: int = 0
-    """Intervals in which some of these requests broke off. One crash breaks many
-    requests at once, in few intervals."""
-
-
-@dataclass(slots=True)
-class EvidenceHistory:
-    """Snapshots of a roll-out in the order of their times; older ones are sparse."""
-
-    snapshots: list[Snapshot] = field(default_factory=list)
-    target_clumps: Clumps = field(default_factory=Clumps)
-    former_clumps: Clumps = field(default_factory=Clumps)
-    share: float = 0.0
-    """Latest share of the roll-out."""
-    share_since: float = 0.0
-    """Time since the order at which that share was first seen."""
-
-
 @dataclass(frozen=True, slots=True)
 class Finding:
     """Result of a comparison of the target with the former version."""
@@ -177,33 +122,6 @@
 """Strata by kind of request, one for each window."""
 
 
-def record_snapshot(history: EvidenceHistory, snapshot: Snapshot) -> None:
-    """Add the latest snapshot, and thin out old ones."""
-    before = history.snapshots[-1] if history.snapshots else Snapshot(0.0, {}, {})
-    if snapshot.elapsed < before.elapsed:
-        return
-
-    _record_clump(history.target_clumps, before.target, snapshot.target)
-    _record_clump(history.former_clumps, before.former, snapshot.former)
-    history.snapshots.append(snapshot)
-    if len(history.snapshots) > MAX_SNAPSHOTS:
-        old = history.snapshots[:-RECENT_SNAPSHOTS]
-        history.snapshots[:-RECENT_SNAPSHOTS] = old[::2]
-
-
-def _record_clump(
-    clumps: Clumps, before: Mapping[str, Outcomes], after: Mapping[str, Outcomes]
-) -> None:
-    """Count an interval between two snapshots, unless no request has ended in it."""
-    answers = sum(one.answers for one in after.values())
-    answers -= sum(one.answers for one in before.values())
-    breaks = sum(one.breaks - one.crashes for one in after.values())
-    breaks -= sum(one.breaks - one.crashes for one in before.values())
-    if answers > 0:
-        clumps.intervals += 1
-        clumps.broken += breaks > 0
-
-
 def find_regression(history: EvidenceHistory, duration: float) -> Finding:
     """Return the strongest evidence that the target is worse."""
     if not history.snapshots:
@@ -236,108 +154,6 @@
     return max(findings, key=lambda one: one.log_evidence)
 
 
-def count_windows(duration: float) -> int:
-    """Return the number of windows of a roll-out."""
-    return max(MIN_WINDOWS, math.ceil(duration / MAX_WINDOW_SECONDS))
-
-
-def split_windows(
-    snapshots: Sequence[Snapshot], duration: float, count: int
-) -> list[Snapshot]:
-    """Return the snapshots at the ends of the windows, the latest one last."""
-    seconds = max(duration, 0.001) / count
-    ends = {math.ceil(one.elapsed / seconds): one for one in snapshots}
-    return list(ends.values())
-
-
-def find_limits(
-    former: Mapping[str, Outcomes],
-    choose: Callable[[Outcomes], Histogram],
-    quantile: float = SLOW_QUANTILE,
-    above: int = SLOW_BUCKETS,
-) -> dict[str, int]:
-    """Return the last bucket of times that are not slow, by kind of request."""
-    limits = {}
-    for kind, outcomes in former.items():
-        times = choose(outcomes)
-        total = sum(times)
-        if total >= MIN_TIMES:
-            position = find_quantile(times, quantile * total)
-            limits[kind] = round(position + above)
-
-    return limits
-
-
-def find_quantile(times: Histogram, rank: float) -> float:
-    """Return the position of the time of a rank, in buckets."""
-    seen = 0
-    for bucket, count in enumerate(times):
-        if count and seen + count >= rank:
-            return bucket - 1 + (rank - seen) / count
-
-        seen += count
-
-    return len(times) - 1.0
-
-
-def count_failures(outcomes: Outcomes) -> tuple[int, int]:
-    """Return the number of complete responses, and of failed ones."""
-    return outcomes.answers - outcomes.breaks, outcomes.failures
-
-
-def count_late_starts(limit: int) -> Count:
-    """Return a function that counts responses, and those that started late.
-
-    Requests that are waiting, or that ended as they waited, count if they are late.
-    """
-
-    def count(outcomes: Outcomes) -> tuple[int, int]:
-        late = sum(outcomes.waiting[limit + 1 :])
-        late += sum(outcomes.abandoned[limit + 1 :])
-        times = outcomes.first_bytes
-        return sum(times) + late, sum(times[limit + 1 :]) + late
-
-    return count
-
-
-def count_long_responses(limit: int) -> Count:
-    """Return a function that counts responses, and those that took long."""
-
-    def count(outcomes: Outcomes) -> tuple[int, int]:
-        times = outcomes.durations
-        return sum(times), sum(times[limit + 1 :])
-
-    return count
-
-
-def count_slow_streams(limit: int) -> Count:
-    """Return a function that counts streams, and those whose events come slowly.
-
-    Running streams count while they are slow.
-    """
-
-    def count(outcomes: Outcomes) -> tuple[int, int]:
-        slow = sum(outcomes.pacing[limit + 1 :])
-        times = outcomes.paces
-        return sum(times) + slow, sum(times[limit + 1 :]) + slow
-
-    return count
-
-
-def pair_counts(
-    make: Callable[[int], Count],
-    limits: Mapping[str, int],
-    tolerance: int = TOLERATED_BUCKETS,
-) -> Counts:
-    """Return the counts of slow responses by kind of request.
-
-    The former version's limit is lower, so that the target may be somewhat slower.
-    """
-    return {
-        kind: (make(limit), make(limit - tolerance)) for kind, limit in limits.items()
-    }
-
-
 def build_strata(windows: Sequence[Snapshot], counts: Counts) -> Strata:
     """Return the responses of each window, by kind of request."""
     nothing = Outcomes()
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -18,11 +18,11 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from .evidence_history import EvidenceHistory
     from .exposure import ExposureLimits
     from .fleet import Upstream
     from .messages import RolloutState
     from .outcomes import Outcomes
-    from .regressions import EvidenceHistory
     from .regressions import Finding
 
 
--- a/tests/routing/rollout_plays.py
+++ b/tests/routing/rollout_plays.py
@@ -18,14 +18,14 @@
 
 import fire
 
+from waxwingwell.routing.evidence_history import EvidenceHistory
+from waxwingwell.routing.evidence_history import Snapshot
+from waxwingwell.routing.evidence_history import record_snapshot
 from waxwingwell.routing.exposure import ExposureLimits
 from waxwingwell.routing.outcomes import BUCKETS
 from waxwingwell.routing.outcomes import EMPTY
 from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import find_bucket
-from waxwingwell.routing.regressions import EvidenceHistory
-from waxwingwell.routing.regressions import Snapshot
-from waxwingwell.routing.regressions import record_snapshot
 from waxwingwell.routing.rollouts import MIGRATION_SHARE
 from waxwingwell.routing.rollouts import Step
 from waxwingwell.routing.rollouts import step_rollout
--- a/tests/routing/test_regressions.py
+++ b/tests/routing/test_regressions.py
@@ -10,6 +10,10 @@
 from dataclasses import replace
 from typing import Any
 
+from waxwingwell.routing.evidence_history import MAX_SNAPSHOTS
+from waxwingwell.routing.evidence_history import EvidenceHistory
+from waxwingwell.routing.evidence_history import Snapshot
+from waxwingwell.routing.evidence_history import record_snapshot
 from waxwingwell.routing.outcomes import BUCKETS
 from waxwingwell.routing.outcomes import EMPTY
 from waxwingwell.routing.outcomes import Histogram
@@ -17,11 +21,7 @@
 from waxwingwell.routing.outcomes import add_histograms
 from waxwingwell.routing.outcomes import add_outcomes
 from waxwingwell.routing.outcomes import find_bucket
-from waxwingwell.routing.regressions import MAX_SNAPSHOTS
-from waxwingwell.routing.regressions import EvidenceHistory
-from waxwingwell.routing.regressions import Snapshot
 from waxwingwell.routing.regressions import find_regression
-from waxwingwell.routing.regressions import record_snapshot
 
 
 DURATION = 20.0
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -4,15 +4,15 @@
 
 import unittest
 
+from waxwingwell.routing.evidence_history import EvidenceHistory
+from waxwingwell.routing.evidence_history import Snapshot
+from waxwingwell.routing.evidence_history import record_snapshot
 from waxwingwell.routing.exposure import ExposureLimits
 from waxwingwell.routing.fleet import FleetTable
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.outcomes import BUCKETS
 from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import find_bucket
-from waxwingwell.routing.regressions import EvidenceHistory
-from waxwingwell.routing.regressions import Snapshot
-from waxwingwell.routing.regressions import record_snapshot
 from waxwingwell.routing.rollouts import MIGRATION_SHARE
 from waxwingwell.routing.rollouts import awaits_warm_up
 from waxwingwell.routing.rollouts import step_rollout
