--- a/src/waxwingwell/adapters/gateway/counted_breaks.py
+++ b/src/waxwingwell/adapters/gateway/counted_breaks.py
@@ -21,8 +21,11 @@
 
 
 def check_counted(context: GatewayContext, attempt: Attempt) -> None:
-    """Check the upstream of a request that broke off, if its outcome is counted."""
-    if attempt.counted is None:
+    """Check the upstream of a request that broke off, if its outcome is counted.
+
+    The outcome of a roll-out that has ended is not.
+    """
+    if attempt.counted is None or attempt.choice.service not in context.tallies:
         return
 
     upstream = attempt.choice.placement.upstream
