--- a/src/waxwingwell/adapters/registry/rollouts.py
+++ b/src/waxwingwell/adapters/registry/rollouts.py
@@ -212,8 +212,9 @@
             if (one.service, one.ordered_at) == (rollout.service, rollout.ordered_at)
         ]
         record_counters(watch.evidence, gateway, known.run, parts, known.received_at)
-        began_at = known.received_at - max((one.age for one in parts), default=0.0)
-        watch.started_at = min(watch.started_at, began_at)
+        for part in parts:
+            began_at = known.received_at - part.age
+            watch.started_at = min(watch.started_at, began_at)
 
     watch.gathered_at = now
     target, former = split_evidence(watch.evidence, rollout.target, now)
--- a/tests/adapters/registry/test_rollouts.py
+++ b/tests/adapters/registry/test_rollouts.py
@@ -227,6 +227,10 @@
                 leader.rollout = make_rollout(
                     share=0.0, duration=DURATION, ordered_at=ordered_at
                 )
+                leader.report("gone", msgspec.structs.replace(FORMER, ordered_at=-90.0))
+                for _ in range(4):
+                    leader.registry.clock.advance(REPORT_SECONDS)
+
                 for number, age in enumerate(ages):
                     part = msgspec.structs.replace(
                         FORMER, ordered_at=ordered_at, age=age
