--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -30,7 +30,9 @@
 RESET_UNREAD = "a stopping gateway reset a caller 0.26 s after its request was sent"
 STOPPED_AT_START = "a gateway that was stopped during its start reset its callers"
 UNANNOUNCED_PROCESS = "crashes of processes that were not announced counted as one"
+AGE_OF_A_GONE_GATEWAY = "a gateway that was gone made a roll-out seem older than it was"
 KEPT_SEEDS = (
+    SoakCase(710, AGE_OF_A_GONE_GATEWAY, seconds=10.0, rollouts=True),
     SoakCase(9000, UNANNOUNCED_PROCESS, seconds=10.0, prompts=True),
     SoakCase(9001, UNANNOUNCED_PROCESS, seconds=10.0, prompts=True),
     SoakCase(202, RELOADED_AT_START, seconds=6.0),
