--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -71,13 +71,6 @@
     return min(math.ceil(steps), BUCKETS - 1)
 
 
-def find_upper_bound(bucket: int) -> float:
-    """Return the longest time that a bucket counts, in seconds."""
-    return (
-        math.inf if bucket >= BUCKETS - 1 else SHORTEST_SECONDS * BUCKET_RATIO**bucket
-    )
-
-
 def add_histograms(first: Histogram, second: Histogram) -> Histogram:
     """Return the sum of two histograms."""
     return tuple(map(sum, zip(first, second, strict=True)))
@@ -104,11 +97,6 @@
     return total
 
 
-def pack_histogram(histogram: Histogram) -> SparseHistogram:
-    """Return the buckets that are not empty."""
-    return tuple((index, count) for index, count in enumerate(histogram) if count)
-
-
 def unpack_histogram(packed: Mapping[int, int] | SparseHistogram) -> Histogram:
     """Return a histogram from its non-empty buckets; unknown buckets are ignored."""
     counts = dict(packed)
