--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -72,8 +72,7 @@
 
 def find_bound_model(exchange: Exchange) -> str:
     """Return the model that must go on with a response, or an empty string."""
-    bound = exchange.responder.started or exchange.response_dropped
-    return exchange.model if bound else ""
+    return exchange.model if exchange.is_bound else ""
 
 
 def describe_as_upstream(relay: RelayGateway) -> Announcement:
