--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -21,6 +21,7 @@
 from .exchange import Exchange
 from .relaying import read_crashes
 from .relaying import read_runs
+from .scheduling import schedule_exchange
 from .waiting import QueuedRequest
 from .waiting import compute_wait_limit
 from .waiting import enqueue_request
@@ -138,7 +139,7 @@
         service = choose_service(route, find_session_key(facts))
         record_request(context.retries, service, now, context.settings.retries)
 
-    Exchange(
+    exchange = Exchange(
         context,
         request,
         facts,
@@ -149,7 +150,8 @@
         relayed=relayed,
         runs=runs,
         crashes=crashes,
-    ).start()
+    )
+    schedule_exchange(context, exchange)
 
 
 def must_fail_closed(context: GatewayContext, now: float) -> bool:
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -83,6 +83,8 @@
     """Time at which the last byte was received."""
     work: float = 0.0
     """Milliseconds of prefill counted as this gateway's load on the upstream."""
+    tokens: int = 0
+    """Tokens of engine memory counted as this gateway's load on the upstream."""
     samples_prefill_speed: bool = False
     """Whether the time to the first byte is a sample of the model's prefill speed."""
     streaming: bool = False
@@ -227,7 +229,7 @@
         stop_waiting(attempt.counted, now)
 
     finish_prefill(context, attempt)
-    remove_running(context.load, attempt.upstream)
+    remove_running(context.load, attempt.upstream, attempt.tokens)
     choice = attempt.choice
     version = choice.placement.upstream.version
     finish_session(context.sessions, choice.service, choice.session, version, now)
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -201,6 +201,7 @@
         load=context.load,
         health=context.health,
         prefixes=context.prefixes,
+        engine_speeds=context.engine_speeds,
     )
     return place_request(demand, candidates, tables, now, context.random.random)
 
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -12,6 +12,7 @@
 
 from ...routing.acceptance import AcceptTable
 from ...routing.delays import DelayTable
+from ...routing.engine_speeds import EngineSpeedTable
 from ...routing.fleet import Announcement
 from ...routing.fleet import FleetTable
 from ...routing.health import HealthTable
@@ -150,6 +151,8 @@
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
+    """Prefill speeds by model."""
+    engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
     sizes: dict[str, float] = field(default_factory=dict)
     """Typical request size by route."""
     poor_shares: dict[str, float] = field(default_factory=dict)
--- a/src/waxwingwell/adapters/gateway/dialect.py
+++ b/src/waxwingwell/adapters/gateway/dialect.py
@@ -24,6 +24,8 @@
     """Model that the caller names; ``*`` lets the gateway select one."""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_output: int = 0
+    """Output tokens that the caller expects; 0 if it does not say."""
     prompt_blocks: tuple[tuple[str, int], ...] = ()
     """Prompt blocks in order, id and tokens; the last one is the request's own."""
     session: str = ""
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -9,6 +9,7 @@
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
 from ...routing.load import add_running
+from ...routing.load import estimate_output_tokens
 from ...routing.load import record_prefill
 from ...routing.pools import Pool
 from ...routing.records import RouteKind
@@ -121,7 +122,12 @@
     context = exchange.context
     attempt.work = placement.work
     record_send(context, attempt.upstream, now)
-    add_running(context.load, attempt.upstream, attempt.work)
+    facts = exchange.facts
+    if facts.prompt_tokens:
+        output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
+        attempt.tokens = facts.prompt_tokens + output
+
+    add_running(context.load, attempt.upstream, attempt.work, attempt.tokens)
     choice = attempt.choice
     if choice.pool is not Pool.SMALL:
         record_prefill(context.load, attempt.work, now)
--- a/src/waxwingwell/adapters/gateway/settings.py
+++ b/src/waxwingwell/adapters/gateway/settings.py
@@ -33,3 +33,7 @@
     metrics: tuple[str, int] | None = None
     relay: tuple[str, int] | None = None
     """Host and port at which other gateways' requests are accepted."""
+    memory_bytes: int = 0
+    """Memory that the process may use; 0 if unknown."""
+    link_bytes_per_second: float = 0.0
+    """Bandwidth of the VM's link; 0 if unknown."""
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -29,6 +29,8 @@
 partitions between controls last."""
 USAGE_WINDOW_SECONDS = 3.0
 """Window over which the usage of engines is measured; bursts last a few seconds."""
+TYPICAL_OUTPUT_PART = 0.3
+"""Part of the allowed output tokens that a response usually has."""
 
 
 @dataclass(slots=True)
@@ -38,6 +40,8 @@
     running: int = 0
     backlog: float = 0.0
     """Milliseconds of prefill for requests that have no first event yet."""
+    tokens: int = 0
+    """Tokens of engine memory that the requests need: prompts and expected output."""
 
 
 @dataclass(slots=True)
@@ -113,11 +117,21 @@
     return sum(amount for at, amount in table.recent_prefills if at >= since)
 
 
-def add_running(table: LoadTable, upstream: str, work: float) -> None:
+def estimate_output_tokens(expected: int, most: int) -> int:
+    """Return the output tokens that a request probably gets.
+
+    ``expected`` is its caller's estimate, 0 if there is none; ``most`` is the limit.
+    """
+    tokens = expected or round(TYPICAL_OUTPUT_PART * most)
+    return min(tokens, most) if most > 0 else tokens
+
+
+def add_running(table: LoadTable, upstream: str, work: float, tokens: int = 0) -> None:
     """Count a request that is sent to an upstream."""
     use = table.own.setdefault(upstream, UpstreamLoad())
     use.running += 1
     use.backlog += work
+    use.tokens += tokens
 
 
 def remove_backlog(table: LoadTable, upstream: str, work: float) -> None:
@@ -127,13 +141,14 @@
         use.backlog = max(use.backlog - work, 0.0)
 
 
-def remove_running(table: LoadTable, upstream: str) -> None:
-    """Stop counting a request that has ended."""
+def remove_running(table: LoadTable, upstream: str, tokens: int = 0) -> None:
+    """Stop counting a request that has ended; ``tokens`` as given when it was sent."""
     use = table.own.get(upstream)
     if use is None:
         return
 
     use.running -= 1
+    use.tokens = max(use.tokens - tokens, 0)
     if use.running <= 0:
         del table.own[upstream]
 
@@ -141,7 +156,12 @@
 def list_own_load(table: LoadTable) -> tuple[UpstreamUse, ...]:
     """Return this gateway's own load, to be reported to the others."""
     return tuple(
-        UpstreamUse(upstream=name, running=use.running, backlog=round(use.backlog))
+        UpstreamUse(
+            upstream=name,
+            running=use.running,
+            backlog=round(use.backlog),
+            tokens=use.tokens,
+        )
         for name, use in table.own.items()
     )
 
@@ -163,7 +183,10 @@
         running = use.running - (reported_use.running if reported_use else 0)
         backlog = use.backlog - (reported_use.backlog if reported_use else 0.0)
         if running > 0:
-            table.others[use.upstream] = UpstreamLoad(running, max(backlog, 0.0))
+            tokens = use.tokens - (reported_use.tokens if reported_use else 0)
+            table.others[use.upstream] = UpstreamLoad(
+                running, max(backlog, 0.0), max(tokens, 0)
+            )
 
     table.others_prefill_ms = max(work, 0.0)
     table.others_at = now
@@ -180,4 +203,5 @@
     return UpstreamLoad(
         (own.running if own else 0) + (other.running if other else 0),
         (own.backlog if own else 0.0) + (other.backlog if other else 0.0),
+        (own.tokens if own else 0) + (other.tokens if other else 0),
     )
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -198,6 +198,8 @@
     running: int
     backlog: int
     """Milliseconds of prefill for requests that have no first event yet."""
+    tokens: int = 0
+    """Tokens of engine memory that the requests need."""
 
 
 class ServiceRepeats(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/models.py
+++ b/src/waxwingwell/routing/models.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .load import TYPICAL_OUTPUT_PART
 from .pools import Pool
 
 
@@ -37,8 +38,6 @@
 MIN_PRICE = 0.03
 """Least price of an escalation, as a part of the response's value, as the request is
 sent once more."""
-TYPICAL_OUTPUT_PART = 0.3
-"""Part of the allowed output tokens that a response usually has."""
 PREFILL_PRICE_PART = 0.25
 """Price of a prompt token, as a part of that of a generated token."""
 MIN_WEIGHT = 0.3
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .engine_speeds import EngineSpeedTable
 from .fleet import Announcement
 from .health import HealthTable
 from .health import failure_rate
@@ -90,6 +92,7 @@
     load: LoadTable
     health: HealthTable
     prefixes: PrefixTable
+    engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -467,14 +467,18 @@
 
 def sum_use(parts: Iterable[UpstreamUse]) -> tuple[UpstreamUse, ...]:
     """Return the sum of the load at each upstream."""
-    running: dict[str, tuple[int, int]] = {}
+    running: dict[str, tuple[int, int, int]] = {}
     for part in parts:
-        count, backlog = running.get(part.upstream, (0, 0))
-        running[part.upstream] = (count + part.running, backlog + part.backlog)
+        count, backlog, tokens = running.get(part.upstream, (0, 0, 0))
+        running[part.upstream] = (
+            count + part.running,
+            backlog + part.backlog,
+            tokens + part.tokens,
+        )
 
     return tuple(
-        UpstreamUse(upstream=name, running=count, backlog=backlog)
-        for name, (count, backlog) in running.items()
+        UpstreamUse(upstream=name, running=count, backlog=backlog, tokens=tokens)
+        for name, (count, backlog, tokens) in running.items()
     )
 
 
