--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -25,6 +25,7 @@
 from ...routing.messages import SubmitRouting
 from ...routing.quarantine import drop_expired as drop_expired_evidence
 from ...routing.reports import drop_expired
+from ...routing.reports import has_invalid_demand
 from ...routing.reports import make_control_report
 from ...routing.reports import make_full_report
 from ...routing.reports import receive_control_report
@@ -251,6 +252,9 @@
     elif isinstance(body, ShareHeartbeats):
         apply_heartbeats(context.fleet, body.heard, context.clock())
     elif isinstance(body, GatewayReport):
+        if has_invalid_demand(body):
+            log_event("registry: Invalid demand dropped", gateway=sender)
+
         receive_report(context.reports, body, context.clock())
         broadcast_evidence(context, body.crashes)
         grant_trials(context, body)
--- a/src/waxwingwell/decisions/queue.py
+++ b/src/waxwingwell/decisions/queue.py
@@ -20,6 +20,7 @@
 from .upstreams import UpstreamChoice
 from .upstreams import choose_upstream
 from .waits import PRIORITY_RANK
+from .waits import SHED_MARGIN
 from .waits import count_ahead
 from .waits import estimate_finish_rate
 
@@ -31,10 +32,6 @@
     from .tables import Work
 
 
-SHED_MARGIN = 2.0
-"""Factor on the recent completion rate, so that work is not shed too early."""
-
-
 @dataclass(frozen=True, slots=True)
 class Dequeued:
     """A request that has left the waiting queue, and its outcome."""
--- a/src/waxwingwell/decisions/waits.py
+++ b/src/waxwingwell/decisions/waits.py
@@ -18,6 +18,8 @@
 """Seconds over which the completion rate is smoothed."""
 MIN_FINISH_RATE = 0.2
 """Completions per second assumed if there were no recent ones."""
+SHED_MARGIN = 2.0
+"""Factor on the recent rate, so that work is not shed too early."""
 PRIORITY_RANK = {priority: rank for rank, priority in enumerate(PRIORITY_ORDER)}
 """Rank of each priority in the order of service, starting at 0."""
 
--- /dev/null
+++ b/src/waxwingwell/routing/engine_room.py
@@ -0,0 +1,279 @@
+"""Room of a service, and the part of it that one gateway may use.
+
+Gateways know what the others run from totals that are a fraction of a second old. While
+a service is short of room, a gateway starts only its part of the room that was free at
+the last totals, and what its own requests free.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .load import MAX_TOTAL_AGE_SECONDS
+from .load import count_gateways
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from .load import LoadTable
+    from .messages import ServiceDemand
+    from .messages import WorkspaceUse
+
+
+SHORT_PART = 0.8
+"""Part of the slots or of the memory from which a service is short of room."""
+LEAST_BOUND = 0.85
+"""Part of the slots and of the memory that the least urgent rank may fill. The rest is
+reserved, so that urgent requests find room at once."""
+MOST_URGENT = 0
+LEAST_URGENT = 9
+"""Greatest rank of urgency."""
+MAX_COUNT = 1_000_000
+"""Largest number of requests that is accepted from a report."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoomPool:
+    """Upstreams that some requests may use, and what the other gateways run there."""
+
+    names: frozenset[str]
+    slots: int
+    """Slots of them all; 0 if one of them does not state any."""
+    memory: int
+    """Tokens of engine memory of them all; 0 if they are no engines."""
+    others_running: int
+    others_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRoom:
+    """Slots and memory of some upstreams against what runs there."""
+
+    slots: int
+    memory: int
+    running: int
+    """Requests of all gateways."""
+    tokens: int
+    """Tokens of memory that they need."""
+    own_running: int
+    own_tokens: int
+    new_running: int = 0
+    """Requests that this gateway runs more than at the last totals; negative if it
+    runs fewer."""
+    new_tokens: int = 0
+
+
+@dataclass(slots=True)
+class DemandTable:
+    """What gateways run and want of services that are short, as of the last totals."""
+
+    own: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """Requests and tokens of this gateway at the totals, by upstream."""
+    others: dict[str, dict[int, int]] = field(default_factory=dict)
+    """Requests of the other gateways that wait or have just arrived, by service and
+    rank."""
+    workspaces: dict[str, dict[str, int]] = field(default_factory=dict)
+    """Running requests of the other gateways, by service and workspace."""
+    draw: float = 0.0
+    """Random number from 0 to 1 that rounds parts until the next totals."""
+
+
+def make_pool(
+    upstreams: Iterable[tuple[str, int]], memory_tokens: int, load: LoadTable
+) -> RoomPool:
+    """Return the pool of some upstreams, given by id and slots.
+
+    ``memory_tokens`` is the memory of one upstream. Without known slots nobody can tell
+    whether a service is short, so it never counts as short.
+    """
+    slots = dict(upstreams)
+    others = [load.others[name] for name in slots if name in load.others]
+    return RoomPool(
+        names=frozenset(slots),
+        slots=sum(slots.values()) if all(one > 0 for one in slots.values()) else 0,
+        memory=memory_tokens * len(slots),
+        others_running=sum(one.running for one in others),
+        others_tokens=sum(one.tokens for one in others),
+    )
+
+
+def measure_room(pool: RoomPool, load: LoadTable, demand: DemandTable) -> EngineRoom:
+    """Return the room of a pool by the totals and this gateway's own requests."""
+    own = [use for name, use in load.own.items() if name in pool.names]
+    before = [use for name, use in demand.own.items() if name in pool.names]
+    running = sum(use.running for use in own)
+    tokens = sum(use.tokens for use in own)
+    return EngineRoom(
+        slots=pool.slots,
+        memory=pool.memory,
+        running=pool.others_running + running,
+        tokens=pool.others_tokens + tokens,
+        own_running=running,
+        own_tokens=tokens,
+        new_running=running - sum(count for count, _ in before),
+        new_tokens=tokens - sum(amount for _, amount in before),
+    )
+
+
+def is_short(room: EngineRoom) -> bool:
+    """Return whether so little room is left that requests have to be ordered."""
+    if room.slots <= 0:
+        return False
+
+    if room.running > SHORT_PART * room.slots:
+        return True
+
+    return room.memory > 0 and room.tokens > SHORT_PART * room.memory
+
+
+def find_bound(rank: int, least: int) -> float:
+    """Return the part of slots and memory that a rank may fill.
+
+    ``least`` is the least urgent rank in use.
+    """
+    if least <= MOST_URGENT:
+        return 1.0
+
+    return 1.0 - (1.0 - LEAST_BOUND) * min(rank, least) / least
+
+
+def count_left(
+    room: EngineRoom,
+    own: Mapping[int, int],
+    others: Mapping[int, int],
+    *,
+    rank: int,
+    least: int,
+) -> tuple[float, float]:
+    """Return the slots and tokens that this gateway may still take for a rank.
+
+    ``own`` and ``others`` are the demand by rank of this gateway and of the others.
+    Room that more urgent requests of any gateway want is left to them.
+    """
+    bound = find_bound(rank, least)
+    left = -float(room.new_running)
+    wanted = 0
+    for urgent in range(rank):
+        total = own.get(urgent, 0) + others.get(urgent, 0)
+        if total <= 0:
+            continue
+
+        free = find_free_slots(room, find_bound(urgent, least)) - wanted
+        left += min(max(free, 0.0), total) * own.get(urgent, 0) / total
+        wanted += total
+
+    free = find_free_slots(room, bound) - wanted
+    left += free * find_share(own.get(rank, 0), others.get(rank, 0))
+    return left, count_left_tokens(room, own, others, rank=rank, bound=bound)
+
+
+def count_left_tokens(
+    room: EngineRoom,
+    own: Mapping[int, int],
+    others: Mapping[int, int],
+    *,
+    rank: int,
+    bound: float,
+) -> float:
+    """Return the tokens of memory that this gateway may still take for a rank."""
+    if room.memory <= 0:
+        return math.inf
+
+    share = find_share(
+        sum(count for one, count in own.items() if one <= rank),
+        sum(count for one, count in others.items() if one <= rank),
+    )
+    free = bound * room.memory - (room.tokens - room.new_tokens)
+    return free * share - room.new_tokens
+
+
+def find_free_slots(room: EngineRoom, bound: float) -> float:
+    """Return the slots that were free up to a bound at the last totals."""
+    return bound * room.slots - (room.running - room.new_running)
+
+
+def find_share(own: int, others: int) -> float:
+    """Return this gateway's share of the demand."""
+    return 1.0 if others <= 0 else own / (own + others)
+
+
+def count_equal_part(
+    room: EngineRoom, load: LoadTable, *, rank: int, least: int
+) -> tuple[float, float]:
+    """Return the slots and tokens left for a rank without recent totals.
+
+    All gateways that were known recently get an equal part.
+    """
+    bound = find_bound(rank, least) / count_gateways(load)
+    if room.memory <= 0:
+        return bound * room.slots - room.own_running, math.inf
+
+    return (
+        bound * room.slots - room.own_running,
+        bound * room.memory - room.own_tokens,
+    )
+
+
+def has_old_totals(load: LoadTable, now: float) -> bool:
+    """Return whether this gateway had totals, and the last ones are too old to use."""
+    return load.others_at > -math.inf and now - load.others_at > MAX_TOTAL_AGE_SECONDS
+
+
+def fits(left: tuple[float, float], tokens: int, draw: float) -> bool:
+    """Return whether one more request fits into what is left; ``draw`` rounds it.
+
+    Without the draw, gateways whose part is below one request would never start any.
+    """
+    slots, memory = left
+    if slots + draw < 1.0:
+        return False
+
+    return tokens <= 0 or memory / tokens + draw >= 1.0
+
+
+def apply_demand(
+    table: DemandTable,
+    load: LoadTable,
+    total: Iterable[ServiceDemand],
+    reported: Iterable[ServiceDemand],
+    draw: float,
+) -> None:
+    """Store the demand over all gateways, less what this gateway reported itself."""
+    table.own = {name: (use.running, use.tokens) for name, use in load.own.items()}
+    table.draw = draw
+    table.others = {}
+    known = {(one.service, one.rank): one.requests for one in reported}
+    for one in total:
+        count = one.requests - known.get((one.service, one.rank), 0)
+        if is_valid_demand(one) and count > 0:
+            table.others.setdefault(one.service, {})[one.rank] = count
+
+
+def apply_workspaces(
+    table: DemandTable,
+    total: Iterable[WorkspaceUse],
+    reported: Iterable[WorkspaceUse],
+) -> None:
+    """Store running requests by workspace, less what this gateway reported itself."""
+    known = {(one.service, one.workspace): one.running for one in reported}
+    table.workspaces = {}
+    for one in total:
+        if is_valid_use(one):
+            count = one.running - known.get((one.service, one.workspace), 0)
+            uses = table.workspaces.setdefault(one.service, {})
+            uses[one.workspace] = max(count, 0)
+
+
+def is_valid_demand(one: ServiceDemand) -> bool:
+    """Return whether a reported demand is within bounds."""
+    return 0 <= one.requests <= MAX_COUNT and MOST_URGENT <= one.rank <= LEAST_URGENT
+
+
+def is_valid_use(one: WorkspaceUse) -> bool:
+    """Return whether a reported use by a workspace is within bounds."""
+    return 0 <= one.running <= MAX_COUNT
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -307,6 +307,24 @@
     relays: tuple[RelayGateway, ...]
 
 
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Requests for a service that is short of room."""
+
+    service: str
+    rank: int
+    """Rank of urgency; 0 is the most urgent."""
+    requests: int
+    """Requests that wait or have just arrived."""
+
+
+class WorkspaceUse(msgspec.Struct, frozen=True, array_like=True):
+    """What a workspace runs of a service that is short of room."""
+
+    service: str
+    workspace: str
+    running: int
+
+
 class GatewayReport(Message, frozen=True, kw_only=True):
     """Report of one gateway to the others, through a control."""
 
@@ -339,6 +357,10 @@
     crashes: tuple[CrashEvidence, ...] = ()
     refused: tuple[int, ...] = ()
     """Quarantined blocks for which requests were refused since the last report."""
+    demand: tuple[ServiceDemand, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Requests for services that are short of room; not sent if there are none."""
+    workspaces: tuple[WorkspaceUse, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Running requests by workspace, of the same services."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -355,6 +377,10 @@
     """Hashes of prompt blocks that engines have processed since the last totals."""
     grants: bool = False
     """Whether the control grants permits for limited upstreams."""
+    demand: tuple[ServiceDemand, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Requests for services that are short of room; not sent if there are none."""
+    workspaces: tuple[WorkspaceUse, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Running requests by workspace, of the same services."""
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from .engine_room import is_valid_demand
+from .engine_room import is_valid_use
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
@@ -22,9 +25,11 @@
 from .messages import GatewayReport
 from .messages import GrantPermits
 from .messages import RelayGateway
+from .messages import ServiceDemand
 from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
+from .messages import WorkspaceUse
 from .permits import GrantTable
 from .permits import drop_buckets
 from .permits import grant_permits
@@ -420,6 +425,8 @@
         held=report.held,
         kept=report.kept,
         repeats=report.repeats,
+        demand=report.demand,
+        workspaces=report.workspaces,
     )
     return drop_stale_use(total, fresh=fresh)
 
@@ -462,6 +469,44 @@
         held=min((one.held for one in counted if one.gateways), default=-1),
         kept=tuple({place for one in counted for place in one.kept}),
         repeats=sum_retries(part for one in counted for part in one.repeats),
+        demand=sum_demand(part for one in counted for part in one.demand or ()),
+        workspaces=sum_workspaces(
+            part for one in counted for part in one.workspaces or ()
+        ),
+    )
+
+
+def sum_demand(
+    parts: Iterable[ServiceDemand],
+) -> tuple[ServiceDemand, ...] | msgspec.UnsetType:
+    """Return the sum of the demand by service and rank; invalid parts are dropped."""
+    total: Counter[tuple[str, int]] = Counter()
+    for one in parts:
+        if is_valid_demand(one):
+            total[one.service, one.rank] += one.requests
+
+    summed = tuple(ServiceDemand(*key, count) for key, count in total.items())
+    return summed or msgspec.UNSET
+
+
+def sum_workspaces(
+    parts: Iterable[WorkspaceUse],
+) -> tuple[WorkspaceUse, ...] | msgspec.UnsetType:
+    """Return the sum of the use by workspace; invalid parts are dropped."""
+    total: Counter[tuple[str, str]] = Counter()
+    for one in parts:
+        if is_valid_use(one):
+            total[one.service, one.workspace] += one.running
+
+    summed = tuple(WorkspaceUse(*key, count) for key, count in total.items())
+    return summed or msgspec.UNSET
+
+
+def has_invalid_demand(report: GatewayReport) -> bool:
+    """Return whether a report holds demand or uses out of bounds."""
+    return not (
+        all(map(is_valid_demand, report.demand or ()))
+        and all(map(is_valid_use, report.workspaces or ()))
     )
 
 
