Queue requests in front of their exchanges while a service is short

schedule_exchange started each request as it arrived.

Requests now wait at the gateway for its part of the room, and are served with each totals and when one of its attempts ends. They leave with their caller, at a third of their time, at a stop that comes before their end, and with a document that withdraws their route, key or service. Relayed and resumed requests are not queued.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -9,7 +9,6 @@
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
 from ...routing.reachability import has_lost_path
-from ...routing.records import RouteKind
 from ...routing.retries import record_request
 from ..events import log_event
 from ..http.records import find_header
@@ -17,6 +16,8 @@
 from .choice import choose_service
 from .choice import find_session_key
 from .endings import RETRY_AFTER
+from .endings import STOPPING_RETRY_AFTER
+from .endings import can_finish
 from .endings import retry_after
 from .exchange import Exchange
 from .relaying import read_crashes
@@ -40,11 +41,6 @@
 
 
 NO_CONFIGURATION = "no configuration in force"
-STREAM_SECONDS = 4.5
-"""Seconds that a stopping gateway must have left to accept a stream: 95 % of streams
-end sooner."""
-STOPPING_RETRY_AFTER = 0.05
-"""Seconds after which a caller may retry; other gateways can serve it at once."""
 
 
 def handle_request(
@@ -183,24 +179,6 @@
     return host.partition(":")[0]
 
 
-def can_finish(
-    context: GatewayContext, route: Route, facts: RequestFacts, now: float
-) -> bool:
-    """Return whether the gateway will still be running when the response ends.
-
-    In a data centre where most gateways are stopping, the balancer sends callers here
-    to the end; responses that outlast the process would be cut.
-    """
-    if not context.stopping:
-        return True
-
-    needed = STREAM_SECONDS
-    if route.kind is not RouteKind.STREAM:
-        needed = min(route.timeout, facts.budget or route.timeout)
-
-    return now + needed <= context.exit_at
-
-
 def refuse(
     facts: RequestFacts,
     responder: Responder,
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -31,6 +31,7 @@
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
 from .dialect import ResponseFacts
+from .scheduling import wake_queue
 
 
 if TYPE_CHECKING:
@@ -233,6 +234,7 @@
     choice = attempt.choice
     version = choice.placement.upstream.version
     finish_session(context.sessions, choice.service, choice.session, version, now)
+    wake_queue(context, choice.service)
 
 
 def record_outcome(
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
 
@@ -21,8 +22,10 @@
 from ...routing.lookup import DocumentIndex
 from ...routing.messages import RelayGateway
 from ...routing.messages import RolloutState
+from ...routing.messages import ServiceDemand
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
+from ...routing.messages import WorkspaceUse
 from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
@@ -39,10 +42,15 @@
 from ..links import LinkNode
 from .dialect import Dialect
 from .dialect import RequestFacts
+from .request_queue import RequestQueues
 from .settings import GatewaySettings
 from .waiting import StartupQueue
 
 
+if TYPE_CHECKING:
+    from ...routing.records import Workspace
+
+
 class RunningRequest(Protocol):
     """Interface of a running request to periodic tasks and the shutdown."""
 
@@ -51,6 +59,7 @@
     """Keys of the prompt blocks that other requests may hold."""
     crashes: int
     """Upstreams that have crashed when the response had just started."""
+    workspace: Workspace | None
     ended: set[int]
     """Keys of the crashes that may have ended its attempts."""
 
@@ -58,6 +67,13 @@
     def content(self) -> int:
         """Key of what all attempts of the request share."""
 
+    @property
+    def holds_slot(self) -> bool:
+        """Whether an upstream runs it for this gateway."""
+
+    def find_service(self) -> str:
+        """Return the service that the request is sent to."""
+
     def check_responsiveness(self, now: float) -> None:
         """Fail over from an upstream that has sent no data for too long."""
 
@@ -179,6 +195,10 @@
     """Running requests."""
     startup_queue: StartupQueue = field(default_factory=StartupQueue)
     """Requests queued until the first configuration."""
+    queues: RequestQueues = field(default_factory=RequestQueues)
+    """Requests that wait for room at upstreams."""
+    reported_demand: tuple[ServiceDemand, ...] = ()
+    reported_workspaces: tuple[WorkspaceUse, ...] = ()
     control_seen_at: float = 0.0
     """Time of the last message from any control."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -4,14 +4,19 @@
 
 from typing import TYPE_CHECKING
 
+from ...routing.records import RouteKind
 from ..events import log_event
 from ..metrics import REQUEST_SECONDS
 from ..metrics import REQUESTS
 from .relaying import make_response_headers
+from .request_queue import remove_waiting
 
 
 if TYPE_CHECKING:
+    from ...routing.records import Route
     from .attempts import Attempt
+    from .context import GatewayContext
+    from .dialect import RequestFacts
     from .exchange import Exchange
 
 
@@ -22,10 +27,33 @@
 QUARANTINE_RETRY_AFTER = 60.0
 """Seconds after which a caller may retry a request with a quarantined prompt block: no
 other gateway would serve it sooner."""
+STREAM_SECONDS = 4.5
+"""Seconds that a stopping gateway must have left to accept a stream: 95 % of streams
+end sooner."""
+STOPPING_RETRY_AFTER = 0.05
+"""Seconds after which a caller may retry; other gateways can serve it at once."""
 STREAM_GRACE_SECONDS = 0.3
 """Seconds past the caller's own deadline before its stream is cut."""
 
 
+def can_finish(
+    context: GatewayContext, route: Route, facts: RequestFacts, now: float
+) -> bool:
+    """Return whether the gateway will still be running when the response ends.
+
+    In a data centre where most gateways are stopping, the balancer sends callers here
+    to the end; responses that outlast the process would be cut.
+    """
+    if not context.stopping:
+        return True
+
+    needed = STREAM_SECONDS
+    if route.kind is not RouteKind.STREAM:
+        needed = min(route.timeout, facts.budget or route.timeout)
+
+    return now + needed <= context.exit_at
+
+
 def forward_response(exchange: Exchange, attempt: Attempt, now: float) -> None:
     """Send a complete response, or the end of a streamed one, to the caller."""
     if attempt.streaming:
@@ -117,6 +145,7 @@
 
     exchange.finished = True
     exchange.context.exchanges.discard(exchange)
+    remove_waiting(exchange.context.queues, exchange, outcome, now)
     if exchange.deadline_timer is not None and exchange.deadline_timer.active():
         exchange.deadline_timer.cancel()
 
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -17,6 +17,7 @@
 from ..events import log_event
 from .choice import choose_upstream
 from .crashes import must_refuse
+from .request_queue import estimate_queue_wait
 from .retrying import has_retry_budget
 from .retrying import may_run_again
 
@@ -146,6 +147,8 @@
         request.prompt_tokens,
         request.output_tokens,
     )
+    wait = estimate_queue_wait(exchange.context.queues, larger.service, now)
+    limit = max(exchange.first_event_limit(now), 0.001)
     return EscalationInputs(
         weight=weight,
         output_tokens=request.output_tokens,
@@ -155,6 +158,6 @@
             (candidate.cost for candidate in models if candidate.name == larger.model),
             0.0,
         ),
-        pressure=larger.pressure,
+        pressure=larger.pressure + wait / limit,
         usage=estimate_usage(exchange.context.load, larger.engines, now),
     )
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -153,12 +153,20 @@
 
     def start(self) -> None:
         """Start the request; the final response goes through the responder."""
+        self.open()
+        self.send()
+
+    def open(self) -> None:
+        """Handle the end of the caller and of its time from now on."""
         self.context.exchanges.add(self)
         self.responder.on_lost = self._handle_caller_gone
         delay = max(self.deadline - self.context.clock(), 0.0)
         self.deadline_timer = self.context.reactor.callLater(
             delay, self._handle_deadline
         )
+
+    def send(self) -> None:
+        """Send the request to its first upstream."""
         self._send_next()
 
     def choose_upstream(self, now: float) -> Choice | None:
@@ -429,6 +437,12 @@
         self.stop_attempt()
         record_end(self, "caller_left", 0, self.context.clock())
 
+    @property
+    def holds_slot(self) -> bool:
+        """Whether an upstream runs it for this gateway."""
+        attempt = self.running_attempt
+        return attempt is not None and not attempt.relayed
+
     @property
     def running_attempt(self) -> Attempt | None:
         """The current attempt, or None if none is running."""
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -27,6 +27,8 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
+from .request_queue import list_demand
+from .request_queue import list_workspaces
 
 
 if TYPE_CHECKING:
@@ -54,6 +56,8 @@
         context.reported_use = report.use
         context.reported_work = report.work
         context.reported_retries = report.repeats
+        context.reported_demand = report.demand or ()
+        context.reported_workspaces = report.workspaces or ()
         mark_reported(context.prefixes, report.read)
 
 
@@ -95,6 +99,9 @@
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
+        demand=list_demand(context.queues, now) or msgspec.UNSET,
+        workspaces=list_workspaces(context.queues, context.exchanges, now)
+        or msgspec.UNSET,
     )
 
 
@@ -172,6 +179,13 @@
     cast_link(
         link,
         msgspec.structs.replace(
-            report, use=(), work=0.0, repeats=(), read=(), permits=()
+            report,
+            use=(),
+            work=0.0,
+            repeats=(),
+            read=(),
+            permits=(),
+            demand=msgspec.UNSET,
+            workspaces=msgspec.UNSET,
         ),
     )
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -8,6 +8,7 @@
 from ...routing.delays import is_strained
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
+from ...routing.engine_room import LEAST_URGENT
 from ...routing.load import add_running
 from ...routing.load import estimate_output_tokens
 from ...routing.load import record_prefill
@@ -44,7 +45,7 @@
 CONNECT_SHARE = 0.25
 """Share of the remaining time that bounds the connect timeout, to leave time for
 another upstream."""
-LOWEST_URGENCY = 9
+LOWEST_URGENCY = LEAST_URGENT
 """Greatest rank that an upstream accepts; 0 is the most urgent."""
 
 
@@ -197,6 +198,11 @@
     if route.kind is not RouteKind.STREAM:
         return None
 
+    return find_rank(route, workspace)
+
+
+def find_rank(route: Route, workspace: Workspace | None) -> int:
+    """Return the rank of urgency of a request; 0 is the most urgent."""
     rank = route.priority
     if workspace is not None and workspace.priority is not None:
         rank = 3 * workspace.priority + route.priority
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -10,6 +10,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 
+from ...routing.engine_room import apply_demand
+from ...routing.engine_room import apply_workspaces
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
@@ -43,7 +45,9 @@
 from .crashes import confirm_replaced
 from .crashes import receive_evidence
 from .reporting import attach_to_control
+from .scheduling import serve_queues
 from .waiting import serve_waiting
+from .withdrawals import refuse_withdrawn
 
 
 if TYPE_CHECKING:
@@ -91,12 +95,14 @@
             gateways=body.gateways,
             now=now,
         )
+        apply_service_demand(context, body)
         apply_retry_totals(context.retries, body.repeats, context.reported_retries, now)
         if body.grants:
             context.granting_at = now
 
         apply_reported_blocks(context.prefixes, body.read, now)
         apply_kept_sessions(context.sessions, body.kept, body.held)
+        serve_queues(context)
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
@@ -105,6 +111,14 @@
         replace_relays(context, body.relays, now)
 
 
+def apply_service_demand(context: GatewayContext, body: FleetReport) -> None:
+    """Apply the demand of all gateways for services that are short of room."""
+    table = context.queues.demand
+    draw = context.random.random() if context.queues.is_short else 0.0
+    apply_demand(table, context.load, body.demand or (), context.reported_demand, draw)
+    apply_workspaces(table, body.workspaces or (), context.reported_workspaces)
+
+
 def replace_relays(
     context: GatewayContext, listed: tuple[RelayGateway, ...], now: float
 ) -> None:
@@ -148,6 +162,7 @@
     if held_version < body.version:
         return
 
+    refuse_withdrawn(context)
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
     record_rollouts(context.sessions, body.rollouts, body.index)
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -78,6 +78,25 @@
     "Prompt blocks whose requests are refused because they crash upstreams.",
     registry=REGISTRY,
 )
+WAITING_REQUESTS = Gauge(
+    "waxwingwell_waiting_requests",
+    "Requests that wait for room at upstreams, by rank of urgency.",
+    ["rank"],
+    registry=REGISTRY,
+)
+QUEUE_SECONDS = Histogram(
+    "waxwingwell_queue_seconds",
+    "Time for which requests waited for room until they were sent, by rank.",
+    ["rank"],
+    buckets=LATENCY_BUCKETS,
+    registry=REGISTRY,
+)
+QUEUE_REFUSALS = Counter(
+    "waxwingwell_queue_refusals",
+    "Requests that were refused as they waited for room, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 CONNECTED_GATEWAYS = Gauge(
     "waxwingwell_gateways_connected",
     "Gateways that hold a connection to this control.",
