--- a/src/waxwingwell/adapters/gateway/scheduling.py
+++ b/src/waxwingwell/adapters/gateway/scheduling.py
@@ -21,8 +21,8 @@
 from ...routing.room import INTERVAL_SECONDS
 from ...routing.scheduling import FLOOR_PART
 from ...routing.scheduling import Waiting
+from ...routing.scheduling import choose_start
 from ...routing.scheduling import estimate_wait
-from ...routing.scheduling import find_floor
 from ...routing.scheduling import find_latest
 from ...routing.scheduling import find_over_share
 from ...routing.scheduling import list_hopeless
@@ -213,11 +213,7 @@
 
 
 def serve_queue(context: GatewayContext, service: str) -> None:
-    """Start the requests of a queue that have room, and refuse those without a chance.
-
-    A request that does not fit blocks the later ones that may use the same upstreams;
-    otherwise small requests would take the room that a large one waits for.
-    """
+    """Start a queue's requests that have room, and refuse those without a chance."""
     queue = context.queues.services[service]
     refuse_at_stop(context, queue)
     while queue.waiting:
@@ -236,42 +232,38 @@
 
 def sort_queue(
     context: GatewayContext, service: str, queue: ServiceQueue
-) -> list[tuple[Exchange, Waiting]]:
+) -> dict[Waiting, Exchange]:
     """Return a queue in the order of service, by the shares over all gateways."""
     own = count_running(context.exchanges, (service,))[service]
     others = context.queues.demand.workspaces.get(service, {})
     running = add_running(own, others, queue.waiting.values())
     exchanges = {waiting: exchange for exchange, waiting in queue.waiting.items()}
     order = sort_waiting(exchanges, find_over_share(running), context.clock())
-    return [(exchanges[waiting], waiting) for waiting in order]
+    return {waiting: exchanges[waiting] for waiting in order}
 
 
 def choose_next(
     context: GatewayContext,
     queue: ServiceQueue,
-    order: list[tuple[Exchange, Waiting]],
+    order: dict[Waiting, Exchange],
 ) -> Exchange | None:
     """Return the next request that has room, or None."""
     now = context.clock()
-    if queue.floor_credit >= 1.0:
-        found = find_floor([waiting for _, waiting in order])
-        for exchange, waiting in order:
-            if waiting is found and has_room(context, queue, exchange, 0, now):
-                queue.floor_credit -= 1.0
-                return exchange
 
-    blocked: set[RoomPool] = set()
-    for exchange, waiting in order:
-        pool = find_pool(context, exchange, now)
-        if pool in blocked:
-            continue
+    def find_upstreams(waiting: Waiting) -> RoomPool:
+        return find_pool(context, order[waiting], now)
 
-        if has_room(context, queue, exchange, waiting.rank, now):
-            return exchange
+    def may_start(waiting: Waiting, rank: int) -> bool:
+        return has_room(context, queue, order[waiting], rank, now)
 
-        blocked.add(pool)
+    chosen, by_floor = choose_start(
+        list(order), find_upstreams, may_start, floor_due=queue.floor_credit >= 1.0
+    )
+    if chosen is None:
+        return None
 
-    return None
+    queue.floor_credit -= by_floor
+    return order[chosen]
 
 
 def has_room(
@@ -381,8 +373,7 @@
         return
 
     now = context.clock()
-    order = sort_queue(context, service, queue)
-    exchanges = {waiting: exchange for exchange, waiting in order}
+    exchanges = sort_queue(context, service, queue)
     rate = find_start_rate(queue, now)
     for waiting, wait in list_hopeless(exchanges, rate, now):
         exchange = exchanges[waiting]
--- a/src/waxwingwell/routing/scheduling.py
+++ b/src/waxwingwell/routing/scheduling.py
@@ -9,10 +9,13 @@
 from ..decisions.waits import SHED_MARGIN
 from .admission import MAX_RETRY_AFTER_PART
 from .admission import MIN_RETRY_AFTER_SECONDS
+from .engine_room import MOST_URGENT
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Hashable
     from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -88,6 +91,37 @@
     return min(others, key=lambda one: (one.arrived_at, one.number), default=None)
 
 
+def choose_start(
+    order: Sequence[Waiting],
+    find_pool: Callable[[Waiting], Hashable],
+    has_room: Callable[[Waiting, int], bool],
+    *,
+    floor_due: bool,
+) -> tuple[Waiting | None, bool]:
+    """Return the request that starts next, or None, and whether it is by the floor.
+
+    ``find_pool`` tells which upstreams a request may use, ``has_room`` whether it may
+    start now as one of a given rank. A request that does not fit blocks the later ones
+    of its pool; otherwise small requests would take the room a large one waits for.
+    """
+    floor = find_floor(order) if floor_due and order else None
+    if floor is not None and has_room(floor, MOST_URGENT):
+        return floor, True
+
+    blocked = set()
+    for one in order:
+        pool = find_pool(one)
+        if pool in blocked:
+            continue
+
+        if has_room(one, one.rank):
+            return one, False
+
+        blocked.add(pool)
+
+    return None, False
+
+
 def estimate_wait(place: int, rate: float) -> float:
     """Return the expected seconds until a request starts.
 
