Divide the free room by what gateways free, and by rank

Gateways handed out only the room that was free at the last totals, so that up to a third of the slots stayed free with many gateways, and urgent requests waited behind the parts of others.

Reports tell the slots that were freed and not used again; parts are counted for each rank against the demand at the totals and the arrivals since; above its bound a rank stops to use freed slots. Before the others report demand, it is taken from the rate of requests. explain tells what a request waited for.

--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -99,9 +99,8 @@
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
-        demand=list_demand(context.queues, now) or msgspec.UNSET,
-        workspaces=list_workspaces(context.queues, context.exchanges, now)
-        or msgspec.UNSET,
+        demand=list_demand(context.queues, context.load, now) or msgspec.UNSET,
+        workspaces=list_workspaces(context.queues, context.exchanges) or msgspec.UNSET,
     )
 
 
--- a/src/waxwingwell/adapters/gateway/request_queue.py
+++ b/src/waxwingwell/adapters/gateway/request_queue.py
@@ -11,6 +11,7 @@
 
 from ...decisions.rates import count_event
 from ...decisions.rates import decay_rate
+from ...routing.engine_room import LEAST_URGENT
 from ...routing.engine_room import DemandTable
 from ...routing.engine_room import RoomPool
 from ...routing.lookup import DocumentIndex
@@ -27,6 +28,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from ...routing.load import LoadTable
     from ...routing.scheduling import Waiting
     from .context import RunningRequest
     from .exchange import Exchange
@@ -44,6 +46,14 @@
         self.waiting: dict[Exchange, Waiting] = {}
         self.arrivals: deque[tuple[float, int]] = deque()
         """Times and ranks of the requests that arrived while the service was short."""
+        self.before: Counter[int] = Counter()
+        """Requests that waited at the last totals, by rank."""
+        self.since: Counter[int] = Counter()
+        """Requests that have arrived since, by rank."""
+        self.running = 0
+        """This gateway's running requests, as of its last report."""
+        self.names: frozenset[str] = frozenset()
+        """Upstreams of the service at the last totals."""
         self.short_since: float | None = None
         """Time since which the service is short; None if it is not."""
         self.start_rate = 0.0
@@ -152,18 +162,43 @@
     return demand
 
 
-def list_demand(queues: RequestQueues, now: float) -> tuple[ServiceDemand, ...]:
+def list_demand(
+    queues: RequestQueues, load: LoadTable, now: float
+) -> tuple[ServiceDemand, ...]:
     """Return this gateway's demand for services that are short of room."""
     return tuple(
-        ServiceDemand(service, rank, count)
+        one
         for service, queue in queues.services.items()
-        if queue.short_since is not None
-        for rank, count in sorted(count_demand(queue, now).items())
+        for one in list_service_demand(service, queue, load, now)
     )
 
 
+def list_service_demand(
+    service: str, queue: ServiceQueue, load: LoadTable, now: float
+) -> list[ServiceDemand]:
+    """Return this gateway's demand for a service, and the slots that it has freed.
+
+    The next report counts from here.
+    """
+    own = load.own.items()
+    running = sum(use.running for name, use in own if name in queue.names)
+    freed, queue.running = max(queue.running - running, 0), running
+    if queue.short_since is None:
+        return []
+
+    waiting = Counter(one.rank for one in queue.waiting.values())
+    demand = [
+        ServiceDemand(service, rank, count, waiting[rank])
+        for rank, count in sorted(count_demand(queue, now).items())
+    ]
+    if freed:
+        demand.append(ServiceDemand(service, LEAST_URGENT, 0, 0, freed))
+
+    return demand
+
+
 def list_workspaces(
-    queues: RequestQueues, requests: Iterable[RunningRequest], now: float
+    queues: RequestQueues, requests: Iterable[RunningRequest]
 ) -> tuple[WorkspaceUse, ...]:
     """Return this gateway's running requests by workspace, of services that are short.
 
--- a/src/waxwingwell/adapters/gateway/scheduling.py
+++ b/src/waxwingwell/adapters/gateway/scheduling.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.engine_room import RankedDemand
+from ...routing.engine_room import RoomPool
 from ...routing.engine_room import count_equal_part
 from ...routing.engine_room import count_left
 from ...routing.engine_room import fits
@@ -18,6 +21,7 @@
 from ...routing.engine_room import measure_room
 from ...routing.load import estimate_output_tokens
 from ...routing.reachability import has_lost_path
+from ...routing.retries import count_requests
 from ...routing.room import INTERVAL_SECONDS
 from ...routing.scheduling import FLOOR_PART
 from ...routing.scheduling import Waiting
@@ -42,7 +46,6 @@
 from .request_queue import KnownPool
 from .request_queue import ServiceQueue
 from .request_queue import add_running
-from .request_queue import count_demand
 from .request_queue import count_running
 from .request_queue import find_start_rate
 from .request_queue import name_workspace
@@ -56,13 +59,14 @@
     from collections.abc import Iterable
 
     from ...routing.engine_room import EngineRoom
-    from ...routing.engine_room import RoomPool
+    from ...routing.records import Service
     from .context import GatewayContext
     from .exchange import Exchange
 
 
 POLL_SECONDS = INTERVAL_SECONDS
 """Seconds between checks of queues, also without totals."""
+NO_POOL = RoomPool(frozenset(), 0, 0, 0, 0)
 
 
 def schedule_exchange(context: GatewayContext, exchange: Exchange) -> None:
@@ -75,15 +79,13 @@
 
     room = find_room(context, exchange, now)
     queue = context.queues.services.setdefault(service, ServiceQueue())
-    if room.slots <= 0 or not (is_short(room) or queue.waiting):
-        queue.short_since = None
+    short = room.slots > 0 and (is_short(room) or bool(queue.waiting))
+    mark_short(queue, now, short=short)
+    if not short:
         record_start(queue, now)
         exchange.start()
         return
 
-    if queue.short_since is None:
-        queue.short_since = now
-
     waiting = enqueue(context, queue, exchange, now)
     serve_queue(context, service)
     if exchange in queue.waiting:
@@ -126,6 +128,7 @@
     )
     queue.waiting[exchange] = waiting
     queue.arrivals.append((now, waiting.rank))
+    queue.since[waiting.rank] += 1
     WAITING_REQUESTS.labels(str(waiting.rank)).inc()
     exchange.open()
     return waiting
@@ -185,14 +188,28 @@
                 partial(serve_queue, context, service),
                 "gateway: Could not serve a queue",
             )
-        else:
-            review_shortage(context, queue)
 
 
-def review_shortage(context: GatewayContext, queue: ServiceQueue) -> None:
-    """Forget that a service was short once no request has had to be ordered."""
-    if queue.short_since is not None and not count_demand(queue, context.clock()):
+def renew_parts(context: GatewayContext) -> None:
+    """Begin to count this gateway's parts anew, as of new totals."""
+    now = context.clock()
+    services = context.index.services if context.index is not None else {}
+    for name, queue in context.queues.services.items():
+        queue.before = Counter(one.rank for one in queue.waiting.values())
+        queue.since.clear()
+        if name in services:
+            pool = collect_pool(context, services[name], "", now)
+            queue.names = pool.names
+            room = measure_room(pool, context.load, context.queues.demand)
+            mark_short(queue, now, short=is_short(room) or bool(queue.waiting))
+
+
+def mark_short(queue: ServiceQueue, now: float, *, short: bool) -> None:
+    """Record whether a service is short of room."""
+    if not short:
         queue.short_since = None
+    elif queue.short_since is None:
+        queue.short_since = now
 
 
 def keep_polling(context: GatewayContext) -> None:
@@ -283,13 +300,44 @@
     if has_old_totals(context.load, now):
         left = count_equal_part(room, context.load, rank=rank, least=least)
     else:
-        others = demand.others.get(exchange.find_service(), {})
-        own = count_demand(queue, now)
-        left = count_left(room, own, others, rank=rank, least=least)
+        ranked = rank_demand(context, exchange.find_service(), queue, rank, now)
+        left = count_left(room, ranked, rank=rank, least=least, draw=demand.draw)
 
     return fits(left, queue.waiting[exchange].tokens, demand.draw)
 
 
+def rank_demand(
+    context: GatewayContext, service: str, queue: ServiceQueue, rank: int, now: float
+) -> RankedDemand:
+    """Return the demand for a service by rank."""
+    demand = context.queues.demand
+    others = demand.others.get(service)
+    if others is None:
+        others = assume_demand(context, service, rank, now)
+
+    return RankedDemand(
+        own=queue.before + queue.since,
+        others=others,
+        own_waiting=Counter(one.rank for one in queue.waiting.values()),
+        others_waiting=demand.waiting.get(service, {}),
+        freed=demand.freed.get(service, 0.0),
+    )
+
+
+def assume_demand(
+    context: GatewayContext, service: str, rank: int, now: float
+) -> dict[int, int]:
+    """Return the others' demand before they have reported any.
+
+    As a service becomes short, each gateway would otherwise take all that is left.
+    """
+    gateways = context.load.gateways
+    limits = context.settings.retries
+    requests = count_requests(context.retries, service, limits, gateways, now)
+    others = requests * INTERVAL_SECONDS / limits.window * (1.0 - 1.0 / gateways)
+    return {rank: round(others)} if others >= 1.0 else {}
+
+
 def find_room(context: GatewayContext, exchange: Exchange, now: float) -> EngineRoom:
     """Return the room of the upstreams that a request may use."""
     pool = find_pool(context, exchange, now)
@@ -314,7 +362,11 @@
     if known is None:
         drop_pools(context, now)
 
-    pool = collect_pool(context, exchange, session, now)
+    record = exchange.index.services[service] if exchange.index is not None else None
+    if record is None:
+        return NO_POOL
+
+    pool = collect_pool(context, record, session, now)
     pools[key] = KnownPool(pool, now, context.load.others_at)
     return pool
 
@@ -336,18 +388,15 @@
 
 
 def collect_pool(
-    context: GatewayContext, exchange: Exchange, session: str, now: float
+    context: GatewayContext, service: Service, session: str, now: float
 ) -> RoomPool:
-    """Return the upstreams that a request may use and that do not rest."""
-    service = exchange.find_service()
-    record = exchange.index.services[service] if exchange.index is not None else None
+    """Return the upstreams that a session may use and that do not rest."""
     upstreams = [
-        (one.upstream, one.slots or (record.slots if record is not None else 0))
-        for one in list_candidates(context, service, session, now)
+        (one.upstream, one.slots or service.slots)
+        for one in list_candidates(context, service.name, session, now)
         if not is_resting(context, one, now)
     ]
-    memory = record.memory_tokens if record is not None else 0
-    return make_pool(upstreams, memory, context.load)
+    return make_pool(upstreams, service.memory_tokens, context.load)
 
 
 def find_least_rank(context: GatewayContext) -> int:
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -45,6 +45,7 @@
 from .crashes import confirm_replaced
 from .crashes import receive_evidence
 from .reporting import attach_to_control
+from .scheduling import renew_parts
 from .scheduling import serve_queues
 from .waiting import serve_waiting
 from .withdrawals import refuse_withdrawn
@@ -117,6 +118,7 @@
     draw = context.random.random() if context.queues.is_short else 0.0
     apply_demand(table, context.load, body.demand or (), context.reported_demand, draw)
     apply_workspaces(table, body.workspaces or (), context.reported_workspaces)
+    renew_parts(context)
 
 
 def replace_relays(
--- a/src/waxwingwell/commands/explain.py
+++ b/src/waxwingwell/commands/explain.py
@@ -23,6 +23,8 @@
 """Standard fields of a structured line, left out of ``Line.fields``."""
 MAX_STATE_CHANGES = 3
 """Preceding state changes shown for each process that handled the request."""
+QUEUED = "gateway: Queued"
+DEQUEUED = "gateway: Dequeued"
 OUTCOME_TEXTS = {
     "answered": "It was answered.",
     "passed_on_failure": "The upstream itself failed it; its response was passed on.",
@@ -135,6 +137,7 @@
     text += [render_line(line) for line in explanation.state_changes]
     text.append("The request:")
     text += [render_line(line) for line in explanation.lines]
+    text += describe_waits(explanation)
     text.append(describe_outcome(explanation))
     return text
 
@@ -149,6 +152,33 @@
     return f"  {line.at:.3f} {line.node} {line.event} {fields}".rstrip()
 
 
+def describe_waits(explanation: Explanation) -> list[str]:
+    """Return what a request waited for at gateways, and how its waits ended."""
+    return [
+        *(describe_wait(one) for one in explanation.lines if one.event == QUEUED),
+        *(
+            f"It left the queue of {one.node} after {one.fields.get('waited_ms')} ms: "
+            f"{one.fields.get('result')}."
+            for one in explanation.lines
+            if one.event == DEQUEUED
+        ),
+    ]
+
+
+def describe_wait(line: Line) -> str:
+    """Return what was short as a request was queued."""
+    found = line.fields
+    text = (
+        f"It waited at {line.node} for room at upstreams of {found.get('service')}: "
+        f"{found.get('running')} requests ran in {found.get('slots')} slots"
+    )
+    if found.get("memory"):
+        text += f" and needed {found.get('tokens')} of {found['memory']} tokens"
+
+    place, rank = found.get("place"), found.get("rank")
+    return f"{text}; {place} requests were before it, its rank was {rank}."
+
+
 def describe_outcome(explanation: Explanation) -> str:
     """Return the outcome that the last line of the request reports.
 
--- a/src/waxwingwell/routing/engine_room.py
+++ b/src/waxwingwell/routing/engine_room.py
@@ -8,17 +8,20 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
 from .load import MAX_TOTAL_AGE_SECONDS
 from .load import count_gateways
+from .room import INTERVAL_SECONDS
+from .room import LAG_SECONDS
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Mapping
 
     from .load import LoadTable
     from .messages import ServiceDemand
@@ -30,6 +33,11 @@
 LEAST_BOUND = 0.85
 """Part of the slots and of the memory that the least urgent rank may fill. The rest is
 reserved, so that urgent requests find room at once."""
+FILL_PART = INTERVAL_SECONDS / LAG_SECONDS
+"""Part of the free room that is used until the next totals, as what is started now is
+included in all gateways' totals only with the third ones."""
+FREED_SMOOTHING = 0.3
+"""Weight of new totals in the moving average of the slots that are freed."""
 MOST_URGENT = 0
 LEAST_URGENT = 9
 """Greatest rank of urgency."""
@@ -68,6 +76,38 @@
     new_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RankedDemand:
+    """Demand for a service by rank, of one gateway and of the others."""
+
+    own: Mapping[int, int]
+    """Requests that waited at the last totals or have arrived since."""
+    others: Mapping[int, int] = field(default_factory=dict)
+    own_waiting: Mapping[int, int] = field(default_factory=dict)
+    """Those of them that wait."""
+    others_waiting: Mapping[int, int] = field(default_factory=dict)
+    freed: float = 0.0
+    """Slots that all gateways are expected to free until the next totals and not to
+    use themselves."""
+
+    def count(self, rank: int) -> int:
+        """Return the requests of a rank at all gateways."""
+        return self.own.get(rank, 0) + self.others.get(rank, 0)
+
+    def count_more_urgent(self, rank: int) -> int:
+        """Return the requests more urgent than a rank that wait at any gateway."""
+        return sum(
+            self.own_waiting.get(one, 0) + self.others_waiting.get(one, 0)
+            for one in range(rank)
+        )
+
+    def find_share(self, rank: int) -> float:
+        """Return this gateway's share of the requests that are as urgent as a rank."""
+        own = sum(count for one, count in self.own.items() if one <= rank)
+        others = sum(count for one, count in self.others.items() if one <= rank)
+        return 1.0 if others <= 0 else own / (own + others)
+
+
 @dataclass(slots=True)
 class DemandTable:
     """What gateways run and want of services that are short, as of the last totals."""
@@ -77,8 +117,12 @@
     others: dict[str, dict[int, int]] = field(default_factory=dict)
     """Requests of the other gateways that wait or have just arrived, by service and
     rank."""
+    waiting: dict[str, dict[int, int]] = field(default_factory=dict)
+    """Those of them that wait."""
     workspaces: dict[str, dict[str, int]] = field(default_factory=dict)
     """Running requests of the other gateways, by service and workspace."""
+    freed: dict[str, float] = field(default_factory=dict)
+    """Slots by service that are freed between two totals and not used at once."""
     draw: float = 0.0
     """Random number from 0 to 1 that rounds parts until the next totals."""
 
@@ -143,53 +187,78 @@
 
 
 def count_left(
-    room: EngineRoom,
-    own: Mapping[int, int],
-    others: Mapping[int, int],
-    *,
-    rank: int,
-    least: int,
+    room: EngineRoom, demand: RankedDemand, *, rank: int, least: int, draw: float
 ) -> tuple[float, float]:
     """Return the slots and tokens that this gateway may still take for a rank.
 
-    ``own`` and ``others`` are the demand by rank of this gateway and of the others.
-    Room that more urgent requests of any gateway want is left to them.
+    What its own requests have freed counts, with a probability that falls to 0 as more
+    runs than the rank may fill; ``draw`` is the same until the next totals.
     """
-    bound = find_bound(rank, least)
-    left = -float(room.new_running)
-    wanted = 0
-    for urgent in range(rank):
-        total = own.get(urgent, 0) + others.get(urgent, 0)
-        if total <= 0:
-            continue
+    kept = draw <= find_reuse(room, rank, least)
+    # Urgent requests may also take what less urgent ones of this gateway may.
+    entitled = sum(
+        count_part(room, demand, one, least)
+        for one in demand.own
+        if one <= rank or rank == MOST_URGENT
+    )
+    slots = entitled - (room.new_running if kept else max(room.new_running, 0))
+    if room.memory <= 0:
+        return slots, math.inf
 
-        free = find_free_slots(room, find_bound(urgent, least)) - wanted
-        left += min(max(free, 0.0), total) * own.get(urgent, 0) / total
-        wanted += total
+    bound = find_bound(rank, least) * room.memory
+    unused = bound - (room.tokens - room.new_tokens)
+    tokens = find_fill_part(demand, rank) * max(unused, 0.0)
+    if unused > 0.0:
+        tokens += demand.freed * room.tokens / max(room.running, 1)
 
-    free = find_free_slots(room, bound) - wanted
-    left += free * find_share(own.get(rank, 0), others.get(rank, 0))
-    return left, count_left_tokens(room, own, others, rank=rank, bound=bound)
+    used = room.new_tokens if kept else max(room.new_tokens, 0)
+    return slots, tokens * demand.find_share(rank) - used
 
 
-def count_left_tokens(
-    room: EngineRoom,
-    own: Mapping[int, int],
-    others: Mapping[int, int],
-    *,
-    rank: int,
-    bound: float,
-) -> float:
-    """Return the tokens of memory that this gateway may still take for a rank."""
-    if room.memory <= 0:
-        return math.inf
+def count_part(room: EngineRoom, demand: RankedDemand, rank: int, least: int) -> float:
+    """Return the slots that this gateway may take for one rank until the next totals.
 
-    share = find_share(
-        sum(count for one, count in own.items() if one <= rank),
-        sum(count for one, count in others.items() if one <= rank),
+    What more urgent requests of all gateways take is left to them.
+    """
+    own = demand.own.get(rank, 0)
+    if own <= 0:
+        return 0.0
+
+    taken = 0.0
+    for urgent in range(rank):
+        left = count_fleet_part(room, demand, urgent, least) - taken
+        taken += min(max(left, 0.0), demand.count(urgent))
+
+    left = count_fleet_part(room, demand, rank, least) - taken
+    return max(left, 0.0) * own / demand.count(rank)
+
+
+def count_fleet_part(
+    room: EngineRoom, demand: RankedDemand, rank: int, least: int
+) -> float:
+    """Return the slots that all gateways may take for a rank and more urgent ones."""
+    free = max(find_free_slots(room, find_bound(rank, least)), 0.0)
+    return find_fill_part(demand, rank) * free + demand.freed * find_reuse(
+        room, rank, least
     )
-    free = bound * room.memory - (room.tokens - room.new_tokens)
-    return free * share - room.new_tokens
+
+
+def find_reuse(room: EngineRoom, rank: int, least: int) -> float:
+    """Return the part of the freed slots that a rank may use again.
+
+    It falls from 1 at the bound of the rank. A step would make all gateways stop at
+    once, and start again at once.
+    """
+    free = find_free_slots(room, find_bound(rank, least))
+    return min(max(1.0 + free / ((1.0 - LEAST_BOUND) * room.slots), 0.0), 1.0)
+
+
+def find_fill_part(demand: RankedDemand, rank: int) -> float:
+    """Return the part of the free room that is used until the next totals.
+
+    The room reserved for the most urgent rank is there to be used at once.
+    """
+    return FILL_PART if demand.others and rank > MOST_URGENT else 1.0
 
 
 def find_free_slots(room: EngineRoom, bound: float) -> float:
@@ -197,11 +266,6 @@
     return bound * room.slots - (room.running - room.new_running)
 
 
-def find_share(own: int, others: int) -> float:
-    """Return this gateway's share of the demand."""
-    return 1.0 if others <= 0 else own / (own + others)
-
-
 def count_equal_part(
     room: EngineRoom, load: LoadTable, *, rank: int, least: int
 ) -> tuple[float, float]:
@@ -247,11 +311,32 @@
     table.own = {name: (use.running, use.tokens) for name, use in load.own.items()}
     table.draw = draw
     table.others = {}
-    known = {(one.service, one.rank): one.requests for one in reported}
+    table.waiting = {}
+    known = {(one.service, one.rank): (one.requests, one.waiting) for one in reported}
+    freed: Counter[str] = Counter()
     for one in total:
-        count = one.requests - known.get((one.service, one.rank), 0)
-        if is_valid_demand(one) and count > 0:
-            table.others.setdefault(one.service, {})[one.rank] = count
+        if not is_valid_demand(one):
+            continue
+
+        freed[one.service] += one.freed
+        requests, waiting = known.get((one.service, one.rank), (0, 0))
+        if one.requests > requests:
+            others = table.others.setdefault(one.service, {})
+            others[one.rank] = one.requests - requests
+
+        if one.waiting > waiting:
+            others = table.waiting.setdefault(one.service, {})
+            others[one.rank] = one.waiting - waiting
+
+    table.freed = {
+        service: smooth_freed(table.freed.get(service, 0.0), count)
+        for service, count in freed.items()
+    }
+
+
+def smooth_freed(mean: float, count: int) -> float:
+    """Return the moving average of the slots that are freed between two totals."""
+    return mean + FREED_SMOOTHING * (count - mean)
 
 
 def apply_workspaces(
@@ -271,7 +356,10 @@
 
 def is_valid_demand(one: ServiceDemand) -> bool:
     """Return whether a reported demand is within bounds."""
-    return 0 <= one.requests <= MAX_COUNT and MOST_URGENT <= one.rank <= LEAST_URGENT
+    counts = (one.requests, one.waiting, one.freed)
+    return MOST_URGENT <= one.rank <= LEAST_URGENT and all(
+        0 <= count <= MAX_COUNT for count in counts
+    )
 
 
 def is_valid_use(one: WorkspaceUse) -> bool:
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -315,6 +315,11 @@
     """Rank of urgency; 0 is the most urgent."""
     requests: int
     """Requests that wait or have just arrived."""
+    waiting: int = 0
+    """Those of them that wait."""
+    freed: int = 0
+    """Slots that requests have freed since the last report and that were not used at
+    once; with the least urgent rank only."""
 
 
 class WorkspaceUse(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -480,12 +480,21 @@
     parts: Iterable[ServiceDemand],
 ) -> tuple[ServiceDemand, ...] | msgspec.UnsetType:
     """Return the sum of the demand by service and rank; invalid parts are dropped."""
-    total: Counter[tuple[str, int]] = Counter()
+    total: dict[tuple[str, int], ServiceDemand] = {}
     for one in parts:
-        if is_valid_demand(one):
-            total[one.service, one.rank] += one.requests
+        if not is_valid_demand(one):
+            continue
+
+        key = (one.service, one.rank)
+        held = total.get(key, ServiceDemand(*key, 0))
+        total[key] = ServiceDemand(
+            *key,
+            held.requests + one.requests,
+            held.waiting + one.waiting,
+            held.freed + one.freed,
+        )
 
-    summed = tuple(ServiceDemand(*key, count) for key, count in total.items())
+    summed = tuple(total.values())
     return summed or msgspec.UNSET
 
 
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -28,6 +28,35 @@
 class ExplainTest(unittest.TestCase):
     """The explanation of a request, found by its id."""
 
+    def test_a_wait_for_room_is_explained(self) -> None:
+        """Guards against waits and refusals whose reason nobody finds."""
+        line = {"node": "e1", "request": "q1"}
+        queued = {"rank": 2, "place": 7, "running": 90, "slots": 100}
+        short = {**queued, "service": "chat", "tokens": 9_000, "memory": 10_000}
+        with tempfile.TemporaryDirectory() as folder:
+            path = write_log(
+                folder,
+                "e1.log",
+                {**line, "at": 1.0, "event": "gateway: Queued", **short},
+                {
+                    **line,
+                    "at": 3.0,
+                    "event": "gateway: Dequeued",
+                    "waited_ms": 2_000,
+                    "result": "refused",
+                },
+                end(outcome="refused", reason="waited in vain for room"),
+            )
+            text = explain("q1", path)
+
+        for expected in (
+            "90 requests ran in 100 slots and needed 9000 of 10000 tokens",
+            "7 requests were before it, its rank was 2",
+            "after 2000 ms: refused",
+            "waited in vain for room",
+        ):
+            self.assertIn(expected, text)
+
     def test_outcome_and_reason_are_shown(self) -> None:
         for outcome, reason, expected in (
             ("refused", "no upstream left", "did not run anywhere"),
