--- a/src/waxwingwell/routing/engine_room.py
+++ b/src/waxwingwell/routing/engine_room.py
@@ -87,8 +87,8 @@
     """Those of them that wait."""
     others_waiting: Mapping[int, int] = field(default_factory=dict)
     freed: float = 0.0
-    """Slots that all gateways are expected to free until the next totals and not to
-    use themselves."""
+    """Slots that the others are expected to free until the next totals and not to use
+    themselves."""
 
     def count(self, rank: int) -> int:
         """Return the requests of a rank at all gateways."""
@@ -122,7 +122,8 @@
     workspaces: dict[str, dict[str, int]] = field(default_factory=dict)
     """Running requests of the other gateways, by service and workspace."""
     freed: dict[str, float] = field(default_factory=dict)
-    """Slots by service that are freed between two totals and not used at once."""
+    """Slots by service that the others free between two totals and do not use at
+    once."""
     draw: float = 0.0
     """Random number from 0 to 1 that rounds parts until the next totals."""
 
@@ -312,14 +313,17 @@
     table.draw = draw
     table.others = {}
     table.waiting = {}
-    known = {(one.service, one.rank): (one.requests, one.waiting) for one in reported}
+    known = {
+        (one.service, one.rank): (one.requests, one.waiting, one.freed)
+        for one in reported
+    }
     freed: Counter[str] = Counter()
     for one in total:
         if not is_valid_demand(one):
             continue
 
-        freed[one.service] += one.freed
-        requests, waiting = known.get((one.service, one.rank), (0, 0))
+        requests, waiting, own_freed = known.get((one.service, one.rank), (0, 0, 0))
+        freed[one.service] += max(one.freed - own_freed, 0)
         if one.requests > requests:
             others = table.others.setdefault(one.service, {})
             others[one.rank] = one.requests - requests
