Measure a service's pool once for each totals, and refuse only at arrivals and polls

Requests without a chance are looked for at arrivals, totals and polls, not at each end of a request. A gateway that has lost its path relays what waits. Four tests of limits get more slots, as the demand assumed for the other eight gateways made the eighth request on eight slots wait.

--- a/src/waxwingwell/adapters/gateway/request_queue.py
+++ b/src/waxwingwell/adapters/gateway/request_queue.py
@@ -71,8 +71,6 @@
 
     pool: RoomPool
     found_at: float
-    others_at: float
-    """Time of the totals that it includes."""
 
 
 @dataclass(slots=True)
@@ -82,7 +80,7 @@
     services: dict[str, ServiceQueue] = field(default_factory=dict)
     demand: DemandTable = field(default_factory=DemandTable)
     pools: dict[tuple[str, str], KnownPool] = field(default_factory=dict)
-    """By service, and by session while versions differ."""
+    """By service, and by session while versions differ; dropped with new totals."""
     queued: int = 0
     """Requests queued so far."""
     timer: Any = None
--- a/src/waxwingwell/adapters/gateway/scheduling.py
+++ b/src/waxwingwell/adapters/gateway/scheduling.py
@@ -66,6 +66,8 @@
 
 POLL_SECONDS = INTERVAL_SECONDS
 """Seconds between checks of queues, also without totals."""
+MAX_POOLS = 1_000
+"""Pools kept; without totals, nothing else drops those of former sessions."""
 NO_POOL = RoomPool(frozenset(), 0, 0, 0, 0)
 
 
@@ -174,7 +176,7 @@
 
     def serve() -> None:
         queue.woken = False
-        serve_queue(context, service)
+        start_waiting(context, service, queue)
 
     queue.woken = True
     context.reactor.callLater(0.0, serve)
@@ -193,6 +195,7 @@
 def renew_parts(context: GatewayContext) -> None:
     """Begin to count this gateway's parts anew, as of new totals."""
     now = context.clock()
+    context.queues.pools.clear()
     services = context.index.services if context.index is not None else {}
     for name, queue in context.queues.services.items():
         queue.before = Counter(one.rank for one in queue.waiting.values())
@@ -233,6 +236,12 @@
     """Start a queue's requests that have room, and refuse those without a chance."""
     queue = context.queues.services[service]
     refuse_at_stop(context, queue)
+    start_waiting(context, service, queue)
+    refuse_hopeless(context, service, queue)
+
+
+def start_waiting(context: GatewayContext, service: str, queue: ServiceQueue) -> None:
+    """Start a queue's requests that have room."""
     while queue.waiting:
         order = sort_queue(context, service, queue)
         exchange = choose_next(context, queue, order)
@@ -244,8 +253,6 @@
         record_start(queue, now)
         exchange.send()
 
-    refuse_hopeless(context, service, queue)
-
 
 def sort_queue(
     context: GatewayContext, service: str, queue: ServiceQueue
@@ -290,9 +297,12 @@
     rank: int,
     now: float,
 ) -> bool:
-    """Return whether this gateway's part of the room lets a request start as a rank."""
+    """Return whether this gateway's part of the room lets a request start as a rank.
+
+    Without a path to upstreams, its exchange relays it.
+    """
     room = find_room(context, exchange, now)
-    if room.slots <= 0:
+    if room.slots <= 0 or has_lost_path(context.path):
         return True
 
     least = find_least_rank(context)
@@ -356,35 +366,19 @@
     key = (service, session if differ else "")
     pools = context.queues.pools
     known = pools.get(key)
-    if known is not None and is_current(context, known, now):
+    if known is not None and now - known.found_at < INTERVAL_SECONDS:
         return known.pool
 
-    if known is None:
-        drop_pools(context, now)
-
     record = exchange.index.services[service] if exchange.index is not None else None
     if record is None:
         return NO_POOL
 
     pool = collect_pool(context, record, session, now)
-    pools[key] = KnownPool(pool, now, context.load.others_at)
-    return pool
-
-
-def is_current(context: GatewayContext, known: KnownPool, now: float) -> bool:
-    """Return whether a pool is as of the last totals and not old."""
-    return (
-        known.others_at == context.load.others_at
-        and now - known.found_at < INTERVAL_SECONDS
-    )
+    if len(pools) >= MAX_POOLS:
+        pools.clear()
 
-
-def drop_pools(context: GatewayContext, now: float) -> None:
-    """Drop the pools that are not current; sessions are many in a roll-out."""
-    pools = context.queues.pools
-    context.queues.pools = {
-        key: known for key, known in pools.items() if is_current(context, known, now)
-    }
+    pools[key] = KnownPool(pool, now)
+    return pool
 
 
 def collect_pool(
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -164,6 +164,7 @@
     if held_version < body.version:
         return
 
+    context.queues.pools.clear()
     refuse_withdrawn(context)
     context.routing_index = body.index
     context.rollouts = {rollout.service: rollout for rollout in body.rollouts}
--- a/tests/adapters/gateway/test_limits.py
+++ b/tests/adapters/gateway/test_limits.py
@@ -101,12 +101,20 @@
         record_statement(gateway.context.limits, name, 1, RATE, sent_at=now, now=now)
 
 
+def add_slots(gateway: Gateway, *names: str) -> None:
+    """Let upstreams announce so many slots that no request waits for room."""
+    for name in names:
+        roomy = make_announcement(name, slots=40, sequence=2)
+        apply_announcement(gateway.context.fleet, roomy, gateway.reactor.seconds())
+
+
 class PermitTest(unittest.TestCase):
     """Requests to upstreams at their limits, while a control grants permits."""
 
     def make_gateway(self, *names: str, **route: Any) -> Gateway:
         """Return one of nine gateways, with limits at all of its upstreams."""
         gateway = make_gateway(*names, **route)
+        add_slots(gateway, *names)
         totals = FleetReport(gateways=9, use=(), grants=True)
         handle_cast(gateway.context, "c1", totals)
         apply_limit(gateway, *names)
@@ -189,6 +197,7 @@
             one for one in make_report(gateway.context).limits if one.upstream == "u1"
         ]
         other = make_gateway("u1", "u2", kind=RouteKind.IDEMPOTENT)
+        add_slots(other, "u1", "u2")
         handle_cast(other.context, "c1", FleetReport(gateways=9, use=(), grants=True))
         handle_cast(other.context, "c1", GrantPermits(reported_at=0.0, limits=(state,)))
         for _ in range(8):
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -5,12 +5,17 @@
 import unittest
 from typing import Any
 
+import msgspec
+from msgspec import UNSET
+
 from waxwingwell.routing.messages import ControlReport
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GatewayReport
+from waxwingwell.routing.messages import ServiceDemand
 from waxwingwell.routing.messages import ServiceRepeats
 from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.routing.messages import VersionEvidence
+from waxwingwell.routing.messages import WorkspaceUse
 from waxwingwell.routing.reports import EVIDENCE_RESEND_SECONDS
 from waxwingwell.routing.reports import REPORT_TTL_SECONDS
 from waxwingwell.routing.reports import USE_TTL_SECONDS
@@ -18,6 +23,7 @@
 from waxwingwell.routing.reports import ReportTable
 from waxwingwell.routing.reports import count_reporting
 from waxwingwell.routing.reports import drop_expired
+from waxwingwell.routing.reports import has_invalid_demand
 from waxwingwell.routing.reports import list_gateways_without_state
 from waxwingwell.routing.reports import make_control_report
 from waxwingwell.routing.reports import make_full_report
@@ -47,6 +53,69 @@
     return (ServiceRepeats("chat", requests, repeats),)
 
 
+class DemandTest(unittest.TestCase):
+    """Demand for services that are short of room."""
+
+    def test_sums(self) -> None:
+        """Guards against demand that is lost or counted twice on its way."""
+        table = ReportTable()
+        for name in ("a", "b"):
+            report = make_report(
+                name,
+                demand=(
+                    ServiceDemand("chat", 0, 3, 2),
+                    ServiceDemand("chat", 9, 0, 0, 4),
+                ),
+                workspaces=(WorkspaceUse("chat", "team", 5),),
+            )
+            receive_report(table, report, 0.0)
+
+        other = make_control_report(table, 0.0, urgent=False)
+        receive_control_report(table, "c2", other, 0.0)
+        total = sum_fleet(table, 0.0)
+        self.assertEqual(
+            total.demand,
+            (ServiceDemand("chat", 0, 12, 8), ServiceDemand("chat", 9, 0, 0, 16)),
+        )
+        self.assertEqual(total.workspaces, (WorkspaceUse("chat", "team", 20),))
+        late = sum_fleet(table, USE_TTL_SECONDS + 0.1)
+        self.assertEqual((late.demand, late.workspaces), (UNSET, UNSET))
+
+    def test_invalid_values_are_dropped(self) -> None:
+        """Guards against one gateway's values that stop or flood the others."""
+        valid = ServiceDemand("chat", 0, 1)
+        for bad in (
+            {"demand": (valid, ServiceDemand("chat", 0, -9))},
+            {"demand": (valid, ServiceDemand("chat", 77, 1))},
+            {
+                "demand": (valid,),
+                "workspaces": (WorkspaceUse("chat", "team", 10**9),),
+            },
+        ):
+            with self.subTest(bad):
+                report = make_report("a", **bad)
+                self.assertTrue(has_invalid_demand(report))
+                total = sum_totals([make_total(report)])
+                self.assertEqual(total.demand, (valid,))
+                self.assertEqual(total.workspaces, UNSET)
+
+        self.assertFalse(has_invalid_demand(make_report("a", demand=(valid,))))
+
+    def test_messages_are_the_same_bytes_with_room_to_spare(self) -> None:
+        """Guards against bytes that are sent without need, also by a control."""
+        report = make_report("a", use=USE)
+        table = ReportTable()
+        receive_report(table, report, 0.0)
+        for message in (
+            report,
+            sum_fleet(table, 0.0),
+            make_control_report(table, 0.0, urgent=False),
+        ):
+            encoded = msgspec.msgpack.encode(message)
+            self.assertNotIn(b"demand", encoded)
+            self.assertNotIn(b"workspaces", encoded)
+
+
 class TotalTest(unittest.TestCase):
     """Totals of several gateways' reports."""
 
