Count a gateway's bytes by kind and data centre

Nobody can tell which bytes cross data centres. The metrics of the room and of requests that are handed on are declared here as well.

--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -21,6 +21,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 
+from ..traffic import Traffic
 from .records import HeaderList
 
 
@@ -69,7 +70,10 @@
         request: tuple[bytes, bytes, HeaderList, bytes],
         handlers: CallHandlers,
         connect_timeout: float,
+        traffic: Traffic | None = None,
     ) -> None:
+        self.traffic = traffic or Traffic()
+        """Counts the bytes of the call."""
         self.request = request
         self.handlers = handlers
         self.sent = False
@@ -141,10 +145,13 @@
 
         chunks.append(self._h11.send(h11.EndOfMessage()))
         self._call.sent = True
-        transport.write(b"".join(chunk for chunk in chunks if chunk))
+        data = b"".join(chunk for chunk in chunks if chunk)
+        self._call.traffic.sent += len(data)
+        transport.write(data)
         self._call.handlers.on_sent()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._call.traffic.received += len(data)
         self._h11.receive_data(data)
         self._process_events()
 
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -16,6 +16,7 @@
 
 from ..events import log_event
 from ..metrics import TRUNCATED_RESPONSES
+from ..traffic import Traffic
 from .output import SendBuffer
 from .records import HeaderList
 from .records import HttpLimits
@@ -59,6 +60,8 @@
     limits: Callable[[], HttpLimits]
     stopping: bool = False
     connections: set[HttpConnection] = field(default_factory=set)
+    traffic: Traffic = field(default_factory=Traffic)
+    """Counts the bytes of all connections."""
 
 
 class Responder:
@@ -142,6 +145,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes and handle a complete request."""
+        self.service.traffic.received += len(data)
         if self._closing:
             return
 
@@ -264,6 +268,7 @@
 
         data = self._h11.send(event)
         if data:
+            self.service.traffic.sent += len(data)
             self._send_buffer.write(data)
 
     def _parse(self) -> None:
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -112,6 +112,8 @@
     """Names in the certificate of a transport's peer; None for links in plain text."""
     on_greeted: Callable[[LinkProtocol], None] = lambda _: None
     """Called for each connection, in either direction, once the peer has greeted."""
+    count_bytes: Callable[[str, int, int], None] = lambda *_: None
+    """Called with a peer and the bytes that were sent to it and received from it."""
 
 
 @implementer(IPushProducer)
@@ -148,6 +150,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle all complete frames; a malformed one ends the connection."""
         self._last_received_at = self._seconds()
+        self.node.count_bytes(self.remote, 0, len(data))
         try:
             self._unpacker.feed(data)
             for item in self._unpacker:
@@ -190,7 +193,9 @@
             return
 
         self._last_sent_at = self._seconds()
-        self.transport.write(msgspec.msgpack.encode(frame))
+        data = msgspec.msgpack.encode(frame)
+        self.node.count_bytes(self.remote, len(data), 0)
+        self.transport.write(data)
 
     def call(self, body: Message, *, timeout: float) -> Deferred[Any]:
         """Send a call; the result is the reply's body.
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -78,6 +78,24 @@
     "Prompt blocks whose requests are refused because they crash upstreams.",
     registry=REGISTRY,
 )
+BYTES = Counter(
+    "waxwingwell_bytes",
+    "Bytes of a gateway's connections, by kind of the other end, whether that is in "
+    "another data centre (true, false, unknown), and direction.",
+    ["kind", "other_data_centre", "direction"],
+    registry=REGISTRY,
+)
+HANDED_ON = Counter(
+    "waxwingwell_requests_handed_on",
+    "Requests that a gateway sent through another one, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+GATEWAY_ROOM = Gauge(
+    "waxwingwell_gateway_room",
+    "Part of a gateway's capacity that is free, 0 to 1.",
+    registry=REGISTRY,
+)
 CONNECTED_GATEWAYS = Gauge(
     "waxwingwell_gateways_connected",
     "Gateways that hold a connection to this control.",
