Measure a gateway's room, and offer relays with theirs

Gateways differ in processor, link and memory, and nothing records which of them is full. GatewayReport.room tells a gateway's free part; controls list relays with it, and send a gateway with little room those of its data centre that have ample room, at most once a second.

--- a/src/waxwingwell/adapters/registry/responses.py
+++ b/src/waxwingwell/adapters/registry/responses.py
@@ -11,7 +11,10 @@
 from ...routing.messages import ShareRelays
 from ...routing.quarantine import list_outdated
 from ...routing.reports import list_relays
+from ...routing.reports import must_log_room
 from ...routing.reports import respond_to_report
+from ...routing.reports import take_ample_relays
+from ..events import log_event
 
 
 if TYPE_CHECKING:
@@ -33,6 +36,12 @@
     responses: list[Message | None] = [respond_to_report(context.reports, report, now)]
     if report.lost_path:
         responses.append(ShareRelays(relays=list_relays(context.reports, now)))
+    else:
+        if must_log_room(context.reports, report, now):
+            log_event("registry: Invalid room dropped", gateway=gateway)
+
+        ample = take_ample_relays(context.reports, report, now)
+        responses.append(ShareRelays(relays=ample, ample=True) if ample else None)
 
     outdated = list_outdated(context.quarantine, report.crashes, now)
     if outdated:
--- a/src/waxwingwell/routing/delays.py
+++ b/src/waxwingwell/routing/delays.py
@@ -114,13 +114,17 @@
     while table.history and table.history[0][0] < now - RETENTION_SECONDS:
         table.history.popleft()
 
-    lasting = min(table.turns) if len(table.turns) == MIN_TURNS else 0.0
     link = measure_link_delay(table, now) or measure_pending_delay(table, now)
-    table.delay = max(lasting, link)
+    table.delay = max(measure_loop_delay(table), link)
     if is_late(table):
         table.late_at = now
 
 
+def measure_loop_delay(table: DelayTable) -> float:
+    """Return the delay of the event loop that has lasted for several turns."""
+    return min(table.turns) if len(table.turns) == MIN_TURNS else 0.0
+
+
 def measure_link_delay(table: DelayTable, now: float) -> float:
     """Return the least delay of recent connections; 0 if there are too few."""
     found = list_recent(table, now)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -299,12 +299,17 @@
     address: str
     port: int
     data_centre: str
+    room: float = 1.0
+    """Room that the gateway reports; 1 from controls of older releases."""
 
 
 class ShareRelays(Message, frozen=True, kw_only=True):
-    """Gateways through which a gateway without a path may reach upstreams."""
+    """Gateways through which a gateway may reach upstreams."""
 
     relays: tuple[RelayGateway, ...]
+    ample: bool = False
+    """Whether only those in the receiver's data centre that have ample room are listed,
+    for a gateway that has little."""
 
 
 class GatewayReport(Message, frozen=True, kw_only=True):
@@ -336,6 +341,8 @@
     """How to reach this gateway as a relay; None if it can't be one at present."""
     lost_path: bool = False
     """Whether the gateway reaches no upstream, and needs relays."""
+    room: float = 1.0
+    """Part of the gateway's capacity that is free, 0 to 1; 1 from older releases."""
     crashes: tuple[CrashEvidence, ...] = ()
     refused: tuple[int, ...] = ()
     """Quarantined blocks for which requests were refused since the last report."""
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -13,6 +13,10 @@
 
 import msgspec
 
+from .gateway_room import LITTLE_ROOM
+from .gateway_room import RELAYS_INTERVAL_SECONDS
+from .gateway_room import is_ample
+from .gateway_room import read_room
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
@@ -58,6 +62,8 @@
 so that some of every control's are needed."""
 UNUSED_BUCKET_SECONDS = 10.0
 """Seconds after which the permits of an upstream that nobody asks for are dropped."""
+INVALID_LOG_SECONDS = 10.0
+"""Seconds between two log lines on invalid rooms of the same gateway."""
 EVIDENCE_TTL_SECONDS = 10.0
 """Seconds without a report after which a gateway's evidence is dropped."""
 
@@ -84,6 +90,10 @@
     """Evidence that was last sent to the other controls."""
     offered_at: float = -math.inf
     """Time of the last report to the other controls."""
+    relays_at: float = -math.inf
+    """Time at which the gateway was last sent relays with ample room."""
+    invalid_at: float = -math.inf
+    """Time at which an invalid room of the gateway was last logged."""
 
 
 @dataclass(slots=True)
@@ -199,7 +209,7 @@
 def list_attached_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
     """Return the attached gateways that reach upstreams, in the next rotation."""
     relays = [
-        held.report.relay
+        describe_relay(held.report.relay, held.report.room)
         for held in table.attached.values()
         if held.report.relay is not None and now - held.received_at <= USE_TTL_SECONDS
     ]
@@ -208,15 +218,70 @@
     return tuple(relays[start:] + relays[:start])
 
 
+def describe_relay(relay: RelayGateway, room: float) -> RelayGateway:
+    """Return a relay with the room that it reports; none if that is invalid."""
+    valid = read_room(room) or 0.0
+    return relay if relay.room == valid else msgspec.structs.replace(relay, room=valid)
+
+
+def must_log_room(table: ReportTable, report: GatewayReport, now: float) -> bool:
+    """Return whether a report's room is invalid and has to be logged; if so, record it.
+
+    It is logged once in a while, as a gateway reports four times a second.
+    """
+    held = table.attached.get(report.gateway)
+    if held is None or read_room(report.room) is not None:
+        return False
+
+    if now - held.invalid_at < INVALID_LOG_SECONDS:
+        return False
+
+    held.invalid_at = now
+    return True
+
+
+def take_ample_relays(
+    table: ReportTable, report: GatewayReport, now: float
+) -> tuple[RelayGateway, ...]:
+    """Return relays with ample room for a gateway that has little, once in a while.
+
+    They are in its own data centre, as traffic between data centres is expensive.
+    """
+    held = table.attached.get(report.gateway)
+    room = read_room(report.room)
+    if held is None or report.relay is None or room is None or room >= LITTLE_ROOM:
+        return ()
+
+    if now - held.relays_at < RELAYS_INTERVAL_SECONDS:
+        return ()
+
+    ample = [
+        one
+        for one in (*list_attached_relays(table, now), *list_others_relays(table, now))
+        if one.name != report.gateway
+        and one.data_centre == report.relay.data_centre
+        and is_ample(one.room)
+    ]
+    if ample:
+        held.relays_at = now
+
+    return tuple(ample[:MAX_RELAYS_PER_CONTROL])
+
+
 def list_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
     """Return some gateways that reach upstreams, attached ones and other controls'."""
-    others = [
+    attached = list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL]
+    return (*attached, *list_others_relays(table, now))
+
+
+def list_others_relays(table: ReportTable, now: float) -> list[RelayGateway]:
+    """Return some gateways that reach upstreams and are attached to other controls."""
+    return [
         relay
         for one in table.controls.values()
         if now - one.received_at <= USE_TTL_SECONDS
         for relay in one.report.relays[:MAX_RELAYS_PER_CONTROL]
     ]
-    return (*list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL], *others)
 
 
 def record_departed(table: ReportTable, held: GatewayEntry) -> None:
