Hand requests on from a gateway whose processor is short

A gateway that is short of processor time sends a share of new requests through relays with ample room in its data centre. The share follows its delay. A full relay refuses these requests (503, not run), and they are served at the first gateway. A request that can't begin in time is refused at once, so that its caller's retry reaches another gateway.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.gateway_room import can_begin
+from ...routing.gateway_room import has_little_room
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
 from ...routing.reachability import has_lost_path
@@ -19,7 +21,9 @@
 from .endings import RETRY_AFTER
 from .endings import retry_after
 from .exchange import Exchange
+from .relaying import needs_room
 from .relaying import read_crashes
+from .relaying import read_reason
 from .relaying import read_runs
 from .scheduling import schedule_exchange
 from .waiting import QueuedRequest
@@ -43,6 +47,9 @@
 STREAM_SECONDS = 4.5
 """Seconds that a stopping gateway must have left to accept a stream: 95 % of streams
 end sooner."""
+NO_ROOM = "gateway is full"
+ELSEWHERE_RETRY_AFTER = 0.1
+"""Seconds after which a caller may retry if another gateway probably has room."""
 STOPPING_RETRY_AFTER = 0.05
 """Seconds after which a caller may retry; other gateways can serve it at once."""
 
@@ -77,6 +84,7 @@
     """Serve a request of another gateway, unless this one can't reach upstreams."""
     headers, crashes = read_crashes(request.headers)
     headers, runs = read_runs(headers)
+    headers, reason = read_reason(headers)
     own = replace(request, headers=headers)
     facts = context.dialect.read_request(headers)
     responder.request_id = facts.request_id
@@ -84,6 +92,10 @@
         refuse(facts, responder, 503, "no path to any upstream")
         return
 
+    if needs_room(reason) and has_little_room(context.room):
+        refuse(facts, responder, 503, NO_ROOM, ELSEWHERE_RETRY_AFTER)
+        return
+
     now = context.clock()
     serve_request(
         context, own, facts, responder, now, relayed=True, runs=runs, crashes=crashes
@@ -128,6 +140,10 @@
         refuse(facts, responder, 503, "gateway is stopping", STOPPING_RETRY_AFTER)
         return
 
+    if not relayed and not can_begin_here(context, route, facts, now):
+        refuse(facts, responder, 503, NO_ROOM, ELSEWHERE_RETRY_AFTER)
+        return
+
     workspace = identify_workspace(index, route, facts)
     if workspace is None and index.document.workspaces and not route.anonymous:
         refuse(
@@ -201,6 +217,21 @@
     return now + needed <= context.exit_at
 
 
+def can_begin_here(
+    context: GatewayContext, route: Route, facts: RequestFacts, now: float
+) -> bool:
+    """Return whether a response can begin in time in spite of this gateway's delay.
+
+    A gateway that has lost its path sends its requests through others, and its own
+    delay is not known.
+    """
+    if has_lost_path(context.path):
+        return True
+
+    remaining = min(route.timeout, facts.budget or route.timeout)
+    return can_begin(context.delays, remaining, now)
+
+
 def refuse(
     facts: RequestFacts,
     responder: Responder,
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -71,6 +71,8 @@
     """Number of upstreams in the pool of its model."""
     relayed: bool = False
     """Whether ``placement`` names another gateway instead of an upstream."""
+    relay_reason: str = ""
+    """Why another gateway is asked; empty if none is."""
 
 
 def choose_service(route: Route, key: str) -> str:
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -15,6 +15,7 @@
 from ...routing.engine_speeds import EngineSpeedTable
 from ...routing.fleet import Announcement
 from ...routing.fleet import FleetTable
+from ...routing.gateway_room import RoomTable
 from ...routing.health import HealthTable
 from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
@@ -37,6 +38,7 @@
 from ...routing.warmup import WarmUpTable
 from ..links import Link
 from ..links import LinkNode
+from ..traffic import TrafficTable
 from .dialect import Dialect
 from .dialect import RequestFacts
 from .settings import GatewaySettings
@@ -143,6 +145,12 @@
     """Other gateways that reach upstreams."""
     relays_at: float = -math.inf
     """Time of the last list of relays that named one."""
+    room: RoomTable = field(default_factory=RoomTable)
+    """This gateway's own room, and other gateways that have room."""
+    traffic: TrafficTable = field(default_factory=TrafficTable)
+    """Bytes of this gateway's connections."""
+    count_held_bytes: Callable[[], int] = lambda: 0
+    """Counts the bytes of responses that callers have not read yet."""
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -33,12 +33,18 @@
 from ..metrics import REFUSED_CONNECTIONS
 from ..metrics_listener import serve_metrics
 from ..ports import open_port
+from ..traffic import Place
+from ..traffic import TrafficKind
+from ..traffic import find_traffic
 from .arrivals import handle_relayed
 from .arrivals import handle_request
 from .context import GatewayContext
 from .crashes import review_breaks
 from .probing import probe_path
 from .reporting import send_report
+from .room_checks import check_room
+from .room_checks import count_link_bytes
+from .room_checks import make_held_counter
 from .steering import connect_control
 from .steering import handle_call
 from .steering import handle_cast
@@ -106,11 +112,13 @@
             body_type=RoutingBody,
         ),
         timing=ROUTING_TIMING,
+        count_bytes=partial(count_link_bytes, context),
     )
     service = HttpService(
         reactor=reactor,
         handle=partial(handle_request, context),
         limits=partial(read_limits, context),
+        traffic=find_traffic(context.traffic, TrafficKind.CALLERS, Place.UNKNOWN),
     )
     health = HttpService(
         reactor=reactor,
@@ -121,7 +129,9 @@
         reactor=reactor,
         handle=partial(handle_relayed, context),
         limits=partial(read_relay_limits, context),
+        traffic=find_traffic(context.traffic, TrafficKind.RELAYS, Place.UNKNOWN),
     )
+    context.count_held_bytes = make_held_counter(service, relays)
     port = CallerPort(reactor, callers or open_port(settings.callers))
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
     ports = [
@@ -206,6 +216,7 @@
         *checks,
         partial(review_breaks, context),
         partial(probe_path, context),
+        partial(check_room, context),
         partial(send_report, context),
     )
     for task in tasks:
--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -19,6 +19,7 @@
 from ..http.client import UpstreamCall
 from .reporting import send_report
 from .restrictions import is_resting
+from .sending import find_call_traffic
 from .statements import record_pauses
 
 
@@ -163,4 +164,5 @@
             on_head=handle_head, on_data=lambda _: None, on_end=handle_end
         ),
         connect_timeout=PROBE_CONNECT_SECONDS,
+        traffic=find_call_traffic(context, upstream, relayed=False),
     )
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -1,7 +1,8 @@
 """Requests that reach upstreams through another gateway.
 
 A gateway that has lost its own path to the upstreams sends its requests to a gateway
-that reaches them. That one handles them as its own callers' requests, and never relays
+that reaches them. One whose processor is short hands on a share of its new requests to
+gateways with room. They handle them as their own callers' requests, and never relay
 them further.
 """
 
@@ -11,6 +12,10 @@
 
 from ...routing.fleet import Announcement
 from ...routing.fleet import UpstreamState
+from ...routing.gateway_room import HandOnReason
+from ...routing.gateway_room import draw_relay
+from ...routing.gateway_room import is_handing_on
+from ...routing.gateway_room import list_usable_relays
 from ...routing.health import is_backing_off
 from ...routing.placement import Placement
 from ...routing.pools import Pool
@@ -35,6 +40,9 @@
 counts."""
 UPSTREAM_HEADER = b"x-waxwingwell-upstream"
 """Id of the upstream whose response says that it leaves; the last value counts."""
+REASON_HEADER = b"x-waxwingwell-relay-reason"
+"""Why a request is relayed; the last value counts. Relays of older releases pass it on
+to the upstream."""
 RELAY_WAIT_MS = 10.0
 """Expected wait that a relay adds: two round trips between data centres."""
 REFUSAL_STATUSES = frozenset({401, 404, 408, 413, 421, 429, 431, 503})
@@ -43,11 +51,44 @@
 
 
 def choose_relay(exchange: Exchange, now: float) -> Choice | None:
-    """Return the choice of another gateway if this one has lost its path, or None."""
+    """Return the choice of another gateway if one has to be asked, or None."""
+    if exchange.relayed:
+        return None
+
+    if has_lost_path(exchange.context.path):
+        return choose_way_round(exchange, now)
+
+    return choose_roomy(exchange, now)
+
+
+def choose_roomy(exchange: Exchange, now: float) -> Choice | None:
+    """Return the choice of a gateway with room if the request is handed on, or None.
+
+    Only a first attempt is: after a refusal or failure of the relay, the request is
+    served here.
+    """
     context = exchange.context
-    if exchange.relayed or not has_lost_path(context.path):
+    if exchange.attempt_count or exchange.is_trial or not is_handing_on(context.room):
+        return None
+
+    if context.random.random() >= context.room.share:
         return None
 
+    relays = [
+        one
+        for one in list_usable_relays(context.room, now)
+        if not is_backing_off(context.health, one.name, now)
+    ]
+    relay = draw_relay(relays, context.random.random())
+    if relay is None:
+        return None
+
+    return make_choice(exchange, relay, HandOnReason.PROCESSOR)
+
+
+def choose_way_round(exchange: Exchange, now: float) -> Choice | None:
+    """Return the choice of a gateway that reaches upstreams, or None."""
+    context = exchange.context
     relays = [
         relay for relay in context.relays if relay.name not in exchange.tried_upstreams
     ]
@@ -61,6 +102,13 @@
     data_centre = context.settings.data_centre
     local = [one for one in usable if one.data_centre == data_centre]
     relay = context.random.choice(local or usable)
+    return make_choice(exchange, relay, HandOnReason.PATH)
+
+
+def make_choice(
+    exchange: Exchange, relay: RelayGateway, reason: HandOnReason
+) -> Choice:
+    """Return the choice of a relay."""
     return Choice(
         service=exchange.find_service(),
         session=find_session_key(exchange.facts),
@@ -70,6 +118,7 @@
         pool=Pool.ANY,
         engines=0,
         relayed=True,
+        relay_reason=reason.value,
     )
 
 
@@ -94,7 +143,9 @@
     )
 
 
-def write_relayed_headers(exchange: Exchange, now: float) -> HeaderList:
+def write_relayed_headers(
+    exchange: Exchange, attempt: Attempt, now: float
+) -> HeaderList:
     """Return the headers of a request to a relay."""
     remaining = exchange.deadline - now
     relayed = RelayedRequest(
@@ -110,9 +161,24 @@
         *headers,
         (RUNS_HEADER, str(exchange.runs).encode()),
         (CRASHES_HEADER, crashes),
+        (REASON_HEADER, attempt.choice.relay_reason.encode()),
     ]
 
 
+def read_reason(headers: HeaderList) -> tuple[HeaderList, str]:
+    """Return a relayed request's headers without the last reason, and that reason.
+
+    It is empty from gateways of older releases, which relay for a lost path only.
+    """
+    rest, value = take_last(headers, REASON_HEADER)
+    return rest, value.decode("latin-1")
+
+
+def needs_room(reason: str) -> bool:
+    """Return whether a relayed request may be served by the gateway that sent it."""
+    return reason not in ("", HandOnReason.PATH)
+
+
 def read_runs(headers: HeaderList) -> tuple[HeaderList, int]:
     """Return a relayed request's headers without the last count, and that count."""
     rest, value = take_last(headers, RUNS_HEADER)
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -20,15 +20,21 @@
 from ..http.client import UpstreamCall
 from ..http.records import strip_hop_headers
 from ..metrics import CONNECT_DURATION
+from ..metrics import HANDED_ON
+from ..traffic import TrafficKind
+from ..traffic import compare_places
+from ..traffic import find_traffic
 from .dialect import Dispatch
 from .relaying import write_relayed_headers
 from .restrictions import record_send
 
 
 if TYPE_CHECKING:
+    from ...routing.fleet import Announcement
     from ...routing.records import Route
     from ...routing.records import Workspace
     from ..http.records import HeaderList
+    from ..traffic import Traffic
     from .attempts import Attempt
     from .context import GatewayContext
     from .exchange import Exchange
@@ -61,6 +67,7 @@
         model=attempt.choice.model,
         attempt=exchange.attempt_count,
         relayed=attempt.relayed or None,
+        relay_reason=attempt.choice.relay_reason or None,
         running=placement.running,
         uncached=placement.uncached,
         wait_ms=round(placement.wait),
@@ -72,7 +79,8 @@
 def open_call(exchange: Exchange, attempt: Attempt, now: float) -> UpstreamCall:
     """Start a call to the upstream or relay."""
     if attempt.relayed:
-        headers = write_relayed_headers(exchange, now)
+        headers = write_relayed_headers(exchange, attempt, now)
+        HANDED_ON.labels(attempt.choice.relay_reason).inc()
     else:
         count_attempt(exchange, attempt, now)
         headers = write_headers(exchange, attempt, now)
@@ -102,9 +110,19 @@
             on_sent=partial(handle_sent, exchange, attempt),
         ),
         connect_timeout=choose_connect_timeout(exchange.context, remaining),
+        traffic=find_call_traffic(exchange.context, upstream, relayed=attempt.relayed),
     )
 
 
+def find_call_traffic(
+    context: GatewayContext, upstream: Announcement, *, relayed: bool
+) -> Traffic:
+    """Return the count of the bytes of a call to an upstream or relay."""
+    kind = TrafficKind.RELAYS if relayed else TrafficKind.UPSTREAMS
+    place = compare_places(context.settings.data_centre, upstream.data_centre)
+    return find_traffic(context.traffic, kind, place)
+
+
 def choose_connect_timeout(context: GatewayContext, remaining: float) -> float:
     """Return the seconds in which a connection has to be set up.
 
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -13,6 +13,8 @@
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
+from ...routing.gateway_room import apply_relays
+from ...routing.gateway_room import read_room
 from ...routing.limits import apply_states
 from ...routing.limits import drop_limits
 from ...routing.load import apply_totals
@@ -102,8 +104,26 @@
         apply_states(context.limits, body.limits, now)
         apply_statements(context.brittle, body.brittle, now)
     elif isinstance(body, ShareRelays):
+        receive_relays(context, body, now)
+
+
+def receive_relays(context: GatewayContext, body: ShareRelays, now: float) -> None:
+    """Keep the gateways that a control lists as relays.
+
+    A list of those with ample room lacks the others, which a gateway needs once it has
+    lost its path.
+    """
+    own = context.settings.node
+    if not body.ample:
         replace_relays(context, body.relays, now)
 
+    invalid = [one.name for one in body.relays if read_room(one.room) is None]
+    if invalid:
+        log_event("gateway: Invalid room dropped", gateways=invalid)
+
+    others = [one for one in body.relays if one.name != own]
+    apply_relays(context.room, others, context.settings.data_centre, now)
+
 
 def replace_relays(
     context: GatewayContext, listed: tuple[RelayGateway, ...], now: float
