Let relays take less as their room falls, and none while they hand on

A relay takes a part that falls from full to ample room, a gateway that hands on offers none, and a refusal lowers the share.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ...routing.gateway_room import can_begin
-from ...routing.gateway_room import has_little_room
+from ...routing.gateway_room import takes_request
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
 from ...routing.reachability import has_lost_path
@@ -92,7 +92,7 @@
         refuse(facts, responder, 503, "no path to any upstream")
         return
 
-    if needs_room(reason) and has_little_room(context.room):
+    if needs_room(reason) and not takes_request(context.room, context.random.random()):
         refuse(facts, responder, 503, NO_ROOM, ELSEWHERE_RETRY_AFTER)
         return
 
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -14,6 +14,7 @@
 from ...routing.fleet import UpstreamState
 from ...routing.gateway_room import HandOnReason
 from ...routing.gateway_room import draw_relay
+from ...routing.gateway_room import drop_relay
 from ...routing.gateway_room import is_handing_on
 from ...routing.gateway_room import list_usable_relays
 from ...routing.health import is_backing_off
@@ -230,3 +231,9 @@
         return False
 
     return attempt.status in REFUSAL_STATUSES
+
+
+def record_relay_refusal(exchange: Exchange, attempt: Attempt) -> None:
+    """Ask a relay that has refused for lack of room no more until it has room."""
+    if needs_room(attempt.choice.relay_reason):
+        drop_relay(exchange.context.room, attempt.upstream)
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ...routing.gateway_room import measure_room
+from ...routing.gateway_room import report_room
 from ...routing.limits import list_states
 from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
@@ -96,7 +96,7 @@
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
-        room=round(measure_room(context.room), 2),
+        room=round(report_room(context.room), 2),
     )
 
 
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -26,6 +26,7 @@
 from .endings import give_up
 from .probing import record_unanswered
 from .relaying import is_refused_by_relay
+from .relaying import record_relay_refusal
 from .sending import CONNECT_SECONDS
 
 
@@ -73,6 +74,7 @@
 
         exchange.finish_attempt(attempt, outcome, "no answer")
     elif is_refused_by_relay(attempt):
+        record_relay_refusal(exchange, attempt)
         reason = f"relay refused {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
     elif attempt.facts.not_run:
--- a/src/waxwingwell/routing/gateway_room.py
+++ b/src/waxwingwell/routing/gateway_room.py
@@ -42,15 +42,17 @@
 SMOOTHING = 0.5
 """Weight of the newest delay in the mean: half of a change counts at once."""
 LITTLE_ROOM = 0.4
-"""Room below which a gateway hands requests on, and takes none of others. A loop that
-is 30 ms late is short; from 50 ms on, connections are refused."""
+"""Room below which a gateway hands requests on. A loop that is 30 ms late is short;
+from 50 ms on, connections are refused."""
 AMPLE_ROOM = 0.7
-"""Room from which a gateway serves all its requests again, and others' as well."""
+"""Room from which a gateway returns to serving all its requests, and takes others'."""
 SHARE_STEP = 0.25
 """Increase of the share that is handed on at a check without any room left."""
-SHARE_RETURN = 0.02
-"""Decrease of the share at a check with ample room: a full share returns in 12 s, so
+SHARE_RETURN = 0.01
+"""Decrease of the share at a check with ample room: a full share returns in 25 s, so
 that it does not swing between both ends."""
+REFUSAL_DECREASE = 0.9
+"""Factor of the share after a relay has refused a request."""
 RELAYS_TTL_SECONDS = 5.0
 """Seconds for which relays with room are known after the last list."""
 RELAYS_INTERVAL_SECONDS = 1.0
@@ -110,9 +112,20 @@
     return min(table.parts, key=lambda one: table.parts[one])
 
 
-def has_little_room(table: RoomTable) -> bool:
-    """Return whether the gateway takes no requests that others hand on."""
-    return measure_room(table) < LITTLE_ROOM
+def report_room(table: RoomTable) -> float:
+    """Return the room to report: a gateway that hands requests on offers none."""
+    room = measure_room(table)
+    return min(room, LITTLE_ROOM) if is_handing_on(table) else room
+
+
+def takes_request(table: RoomTable, draw: float) -> bool:
+    """Return whether a request that another gateway hands on is taken.
+
+    The part that is taken falls evenly to nothing as the room falls to what is ample.
+    A relay that took requests down to little room made all gateways short together:
+    each request that is handed on takes 1.7 times the work.
+    """
+    return draw < (report_room(table) - AMPLE_ROOM) / (1.0 - AMPLE_ROOM)
 
 
 def read_room(room: float) -> float | None:
@@ -212,6 +225,15 @@
     return table.relays if now - table.relays_at <= RELAYS_TTL_SECONDS else ()
 
 
+def drop_relay(table: RoomTable, name: str) -> None:
+    """Forget a relay that has refused a request, until a list names it again.
+
+    Less is handed on, as a refused request takes more time here than any other.
+    """
+    table.relays = tuple(one for one in table.relays if one.name != name)
+    table.share *= REFUSAL_DECREASE
+
+
 def draw_relay(relays: Collection[RelayGateway], draw: float) -> RelayGateway | None:
     """Return a relay by room, for a draw from 0 to 1; None if there is none."""
     point = draw * sum(one.room for one in relays)
