Test that a relay which hands on relays no request again

Without the check for relayed requests no test failed: a relay that hands on refuses most of them before it. Those of a lost path reach it.

--- a/tests/adapters/gateway/test_hand_on.py
+++ b/tests/adapters/gateway/test_hand_on.py
@@ -132,19 +132,28 @@
         self.assertTrue(40 <= handed_on <= 80, handed_on)
 
     def test_a_relayed_request_is_never_relayed_again(self) -> None:
-        """Guards against requests that pass from one short gateway to the next."""
-        fleet = make_fleet(3)
-        first = fleet.gateways[0]
-        fill(first)
-        first.ask()
-        near = first.calls[-1]
-        far = fleet.gateways[ADDRESSES.index(near.host)]
-        open_relayed(near, far)
-        self.assertTrue(far.context.room.relays)
-        far.context.room.share = 1.0
-        far.calls[0].refuse()
-        self.assertEqual(len(far.calls), 2)
-        self.assertFalse(set(list_hosts(far)) & set(ADDRESSES))
+        """Guards against requests that pass from one short gateway to the next.
+
+        A relay that hands on refuses requests but for those of a lost path.
+        """
+        for name, prepare, share in (
+            ("lost path", cut_off, 1.0),
+            ("handed on", fill, 0.0),
+        ):
+            with self.subTest(name):
+                fleet = make_fleet(3)
+                first = fleet.gateways[0]
+                prepare(first)
+                first.ask()
+                near = first.calls[-1]
+                far = fleet.gateways[ADDRESSES.index(near.host)]
+                self.assertTrue(far.context.room.relays)
+                far.context.room.share = share
+                open_relayed(near, far)
+                far.context.room.share = 1.0
+                far.calls[0].refuse()
+                self.assertEqual(len(far.calls), 2)
+                self.assertFalse(set(list_hosts(far)) & set(ADDRESSES))
 
     def test_a_retry_is_served_here(self) -> None:
         """Guards against retries that are handed on although a request has begun."""
