--- a/tests/routing/test_gateway_room.py
+++ b/tests/routing/test_gateway_room.py
@@ -338,6 +338,13 @@
                 others = average_waits(play.nodes[1:], START_SECONDS)
                 self.assertLessEqual(own, 1.2 * others)
 
+    def test_callers_wait_no_longer_at_one_and_a_half_times_the_room(self) -> None:
+        """Guards against a gateway that can't hand on as much as exceeds its room."""
+        play = play_sizes((Size(1.0, 1.5), *OTHERS), 1)
+        own = average_waits(play.nodes[:1], START_SECONDS)
+        others = average_waits(play.nodes[1:], START_SECONDS)
+        self.assertLessEqual(own, 1.2 * others)
+
     def test_handing_on_shortens_waits(self) -> None:
         """Guards against relays that cost more than they save."""
         for offered in (1.1, 1.3, 1.5):
