Omit ample rooms from messages, and refuse only on a lasting delay

Reports omit the room while it is ample, and lists of relays name those without ample room, so that messages have the same bytes as before while all have room. Gateways receive no rooms, so their log line on invalid ones is gone.

A request was refused at once when three connections had been set up late, as after one stall of the process, or while three upstreams took no connection. Now the delay has to be measured at four checks in a row and at present, and connections that are not set up do not count.

A gateway that hands on reports a room of 0.4, for which its control listed no relays; it is now listed some.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -229,7 +229,7 @@
         return True
 
     remaining = min(route.timeout, facts.budget or route.timeout)
-    return can_begin(context.delays, remaining, now)
+    return can_begin(context.room, context.delays, remaining, now)
 
 
 def refuse(
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -13,7 +13,6 @@
 from ...routing.fleet import Announcement
 from ...routing.fleet import UpstreamState
 from ...routing.gateway_room import HandOnReason
-from ...routing.gateway_room import draw_relay
 from ...routing.gateway_room import drop_relay
 from ...routing.gateway_room import is_handing_on
 from ...routing.gateway_room import list_usable_relays
@@ -80,10 +79,10 @@
         for one in list_usable_relays(context.room, now)
         if not is_backing_off(context.health, one.name, now)
     ]
-    relay = draw_relay(relays, context.random.random())
-    if relay is None:
+    if not relays:
         return None
 
+    relay = context.random.choice(relays)
     return make_choice(exchange, relay, HandOnReason.PROCESSOR)
 
 
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ...routing.gateway_room import is_ample
 from ...routing.gateway_room import report_room
 from ...routing.limits import list_states
 from ...routing.load import count_known_gateways
@@ -96,10 +97,16 @@
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
-        room=round(report_room(context.room), 2),
+        room=make_room_field(context),
     )
 
 
+def make_room_field(context: GatewayContext) -> float | msgspec.UnsetType:
+    """Return the room for a report; unset while it is ample, to save its bytes."""
+    room = report_room(context.room)
+    return msgspec.UNSET if is_ample(room) else round(room, 2)
+
+
 def list_reported_evidence(
     context: GatewayContext, now: float
 ) -> tuple[CrashEvidence, ...]:
--- a/src/waxwingwell/adapters/gateway/room_checks.py
+++ b/src/waxwingwell/adapters/gateway/room_checks.py
@@ -12,6 +12,7 @@
 from ...routing.gateway_room import list_usable_relays
 from ...routing.gateway_room import measure_byte_rate
 from ...routing.gateway_room import measure_room
+from ...routing.gateway_room import record_delay
 from ...routing.gateway_room import update_room
 from ..events import log_event
 from ..metrics import GATEWAY_ROOM
@@ -43,6 +44,7 @@
         held_bytes=context.count_held_bytes(),
         memory_bytes=context.settings.memory_bytes,
     )
+    record_delay(context.room, context.delays, now)
     was_handing_on = is_handing_on(context.room)
     update_room(context.room, load)
     GATEWAY_ROOM.set(measure_room(context.room))
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -14,7 +14,6 @@
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
 from ...routing.gateway_room import apply_relays
-from ...routing.gateway_room import read_room
 from ...routing.limits import apply_states
 from ...routing.limits import drop_limits
 from ...routing.load import apply_totals
@@ -117,11 +116,10 @@
     if not body.ample:
         replace_relays(context, body.relays, now)
 
-    invalid = [one.name for one in body.relays if read_room(one.room) is None]
-    if invalid:
-        log_event("gateway: Invalid room dropped", gateways=invalid)
-
-    others = [one for one in body.relays if one.name != own]
+    without_room = body.without_room or ()
+    others = [
+        one for one in body.relays if one.name != own and one.name not in without_room
+    ]
     apply_relays(context.room, others, context.settings.data_centre, now)
 
 
--- a/src/waxwingwell/adapters/registry/responses.py
+++ b/src/waxwingwell/adapters/registry/responses.py
@@ -12,6 +12,7 @@
 from ...routing.quarantine import list_outdated
 from ...routing.reports import list_relays
 from ...routing.reports import must_log_room
+from ...routing.reports import name_without_room
 from ...routing.reports import respond_to_report
 from ...routing.reports import take_ample_relays
 from ..events import log_event
@@ -35,7 +36,7 @@
     now = context.clock()
     responses: list[Message | None] = [respond_to_report(context.reports, report, now)]
     if report.lost_path:
-        responses.append(ShareRelays(relays=list_relays(context.reports, now)))
+        responses.append(make_relay_list(context, now))
     else:
         if must_log_room(context.reports, report, now):
             log_event("registry: Invalid room dropped", gateway=gateway)
@@ -57,6 +58,13 @@
                 protocol.cast(response)
 
 
+def make_relay_list(context: RegistryContext, now: float) -> ShareRelays:
+    """Return a list of relays for a gateway."""
+    relays = list_relays(context.reports, now)
+    without_room = name_without_room(context.reports, relays, now)
+    return ShareRelays(relays=relays, without_room=without_room)
+
+
 def share_relays(context: RegistryContext, now: float) -> None:
     """Send the attached gateways others through which they may reach upstreams.
 
@@ -65,7 +73,7 @@
     attached = context.reports.attached
     for protocol in list_attached(context):
         if attached[protocol.remote].report.reported_at is not None:
-            protocol.cast(ShareRelays(relays=list_relays(context.reports, now)))
+            protocol.cast(make_relay_list(context, now))
 
 
 def send_view(
--- a/src/waxwingwell/routing/gateway_room.py
+++ b/src/waxwingwell/routing/gateway_room.py
@@ -20,6 +20,8 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .delays import LATE_SECONDS
 from .delays import is_link_alive
 from .delays import measure_link_delay
@@ -29,7 +31,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
     from collections.abc import Iterable
 
     from .delays import DelayTable
@@ -57,9 +58,12 @@
 """Seconds for which relays with room are known after the last list."""
 RELAYS_INTERVAL_SECONDS = 1.0
 """Least seconds between two lists of relays with room to the same gateway."""
-BEGIN_DELAYS = 3.0
+BEGIN_DELAYS = 2.0
 """Multiple of the own delay in which a response can begin: the connection to the
-upstream, the request and the response each wait once."""
+upstream waits once, the request and its response once more."""
+LASTING_CHECKS = 4
+"""Checks in a row, a second in all, at which a gateway has to be late before it refuses
+requests. A process that has stood still is late at one or two."""
 
 
 class HandOnReason(StrEnum):
@@ -100,6 +104,8 @@
     relays_at: float = -math.inf
     totals: deque[tuple[float, int]] = field(default_factory=deque)
     """Times and counts of all bytes, of the last second."""
+    delays: deque[float] = field(default_factory=lambda: deque(maxlen=LASTING_CHECKS))
+    """Delays of new requests at the latest checks."""
 
 
 def measure_room(table: RoomTable) -> float:
@@ -128,8 +134,14 @@
     return draw < (report_room(table) - AMPLE_ROOM) / (1.0 - AMPLE_ROOM)
 
 
-def read_room(room: float) -> float | None:
-    """Return a room that another process reports, or None if it is invalid."""
+def read_room(room: float | msgspec.UnsetType) -> float | None:
+    """Return a room that another process reports, or None if it is invalid.
+
+    It is 1 if it is unset.
+    """
+    if isinstance(room, msgspec.UnsetType):
+        return 1.0
+
     return room if math.isfinite(room) and 0.0 <= room <= 1.0 else None
 
 
@@ -203,19 +215,17 @@
 def apply_relays(
     table: RoomTable, relays: Iterable[RelayGateway], data_centre: str, now: float
 ) -> None:
-    """Replace the known relays with ample room if a list names any.
+    """Replace the known relays with those in this data centre if a list names any.
 
     A list without one may be of a control that has just started.
     """
-    found = tuple(
-        one for one in relays if one.data_centre == data_centre and is_ample(one.room)
-    )
+    found = tuple(one for one in relays if one.data_centre == data_centre)
     if found:
         table.relays = found
         table.relays_at = now
 
 
-def is_ample(room: float) -> bool:
+def is_ample(room: float | msgspec.UnsetType) -> bool:
     """Return whether a reported room is valid and ample."""
     return (read_room(room) or 0.0) >= AMPLE_ROOM
 
@@ -234,23 +244,29 @@
     table.share *= REFUSAL_DECREASE
 
 
-def draw_relay(relays: Collection[RelayGateway], draw: float) -> RelayGateway | None:
-    """Return a relay by room, for a draw from 0 to 1; None if there is none."""
-    point = draw * sum(one.room for one in relays)
-    last = None
-    for one in relays:
-        last = one
-        point -= one.room
-        if point < 0.0:
-            break
+def measure_request_delay(delays: DelayTable, now: float) -> float:
+    """Return the delay of a new request at the event loop and on the link.
+
+    Connections that are not set up yet don't count: their upstreams may be down.
+    """
+    return max(measure_loop_delay(delays), measure_link_delay(delays, now))
 
-    return last
 
+def record_delay(table: RoomTable, delays: DelayTable, now: float) -> None:
+    """Record the delay of new requests at a check."""
+    table.delays.append(measure_request_delay(delays, now))
 
-def can_begin(delays: DelayTable, remaining: float, now: float) -> bool:
+
+def can_begin(
+    table: RoomTable, delays: DelayTable, remaining: float, now: float
+) -> bool:
     """Return whether a response can begin here within the remaining time.
 
-    If not, the caller's retry at another gateway serves it better.
+    If not, the caller's retry at another gateway serves it better. Only a delay that
+    has lasted for some checks and is still measured counts.
     """
-    loop, link = describe_delays(delays, now)
-    return BEGIN_DELAYS * (loop + link) < remaining
+    if len(table.delays) < LASTING_CHECKS:
+        return True
+
+    delay = min(*table.delays, measure_request_delay(delays, now))
+    return BEGIN_DELAYS * delay < remaining
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -299,17 +299,17 @@
     address: str
     port: int
     data_centre: str
-    room: float = 1.0
-    """Room that the gateway reports; 1 from controls of older releases."""
 
 
 class ShareRelays(Message, frozen=True, kw_only=True):
     """Gateways through which a gateway may reach upstreams."""
 
     relays: tuple[RelayGateway, ...]
-    ample: bool = False
+    without_room: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Those of them without ample room; unset, and not sent, if all have it."""
+    ample: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether only those in the receiver's data centre that have ample room are listed,
-    for a gateway that has little."""
+    for a gateway that has little; unset, and not sent, in other lists."""
 
 
 class GatewayReport(Message, frozen=True, kw_only=True):
@@ -341,8 +341,9 @@
     """How to reach this gateway as a relay; None if it can't be one at present."""
     lost_path: bool = False
     """Whether the gateway reaches no upstream, and needs relays."""
-    room: float = 1.0
-    """Part of the gateway's capacity that is free, 0 to 1; 1 from older releases."""
+    room: float | msgspec.UnsetType = msgspec.UNSET
+    """Part of the gateway's capacity that is free, 0 to 1; unset, and not sent, while
+    it is ample. Unset counts as 1."""
     crashes: tuple[CrashEvidence, ...] = ()
     refused: tuple[int, ...] = ()
     """Quarantined blocks for which requests were refused since the last report."""
@@ -386,6 +387,8 @@
     brittle: tuple[BrittleState, ...] = ()
     relays: tuple[RelayGateway, ...] = ()
     """Some of the attached gateways that reach upstreams."""
+    without_room: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Those of the relays without ample room; unset, and not sent, if all have it."""
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -40,6 +40,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -209,7 +210,7 @@
 def list_attached_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
     """Return the attached gateways that reach upstreams, in the next rotation."""
     relays = [
-        describe_relay(held.report.relay, held.report.room)
+        held.report.relay
         for held in table.attached.values()
         if held.report.relay is not None and now - held.received_at <= USE_TTL_SECONDS
     ]
@@ -218,10 +219,29 @@
     return tuple(relays[start:] + relays[:start])
 
 
-def describe_relay(relay: RelayGateway, room: float) -> RelayGateway:
-    """Return a relay with the room that it reports; none if that is invalid."""
-    valid = read_room(room) or 0.0
-    return relay if relay.room == valid else msgspec.structs.replace(relay, room=valid)
+def name_without_room(
+    table: ReportTable, relays: Iterable[RelayGateway], now: float
+) -> tuple[str, ...] | msgspec.UnsetType:
+    """Return the relays without ample room for a message; unset if all have it."""
+    named = {
+        name
+        for one in table.controls.values()
+        if now - one.received_at <= USE_TTL_SECONDS
+        for name in one.report.without_room or ()
+    }
+    found = tuple(one.name for one in relays if not has_ample_room(table, one, named))
+    return found or msgspec.UNSET
+
+
+def has_ample_room(
+    table: ReportTable, relay: RelayGateway, named: Collection[str]
+) -> bool:
+    """Return whether a relay reports ample room, here or to another control.
+
+    An invalid room counts as none.
+    """
+    held = table.attached.get(relay.name)
+    return relay.name not in named if held is None else is_ample(held.report.room)
 
 
 def must_log_room(table: ReportTable, report: GatewayReport, now: float) -> bool:
@@ -245,22 +265,25 @@
 ) -> tuple[RelayGateway, ...]:
     """Return relays with ample room for a gateway that has little, once in a while.
 
-    They are in its own data centre, as traffic between data centres is expensive.
+    They are in its own data centre, as traffic between data centres is expensive. A
+    gateway that hands requests on reports at most ``LITTLE_ROOM``.
     """
     held = table.attached.get(report.gateway)
     room = read_room(report.room)
-    if held is None or report.relay is None or room is None or room >= LITTLE_ROOM:
+    if held is None or report.relay is None or room is None or room > LITTLE_ROOM:
         return ()
 
     if now - held.relays_at < RELAYS_INTERVAL_SECONDS:
         return ()
 
+    known = (*list_attached_relays(table, now), *list_others_relays(table, now))
+    without_room = name_without_room(table, known, now) or ()
     ample = [
         one
-        for one in (*list_attached_relays(table, now), *list_others_relays(table, now))
+        for one in known
         if one.name != report.gateway
         and one.data_centre == report.relay.data_centre
-        and is_ample(one.room)
+        and one.name not in without_room
     ]
     if ample:
         held.relays_at = now
@@ -439,6 +462,7 @@
     now: float,
 ) -> ControlReport:
     """Return a report on the attached gateways."""
+    relays = list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL]
     return ControlReport(
         total=total,
         evidence=tuple(evidence),
@@ -447,7 +471,8 @@
         ),
         limits=list_states(table.limits, now),
         brittle=list_statements(table.brittle, now),
-        relays=list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL],
+        relays=relays,
+        without_room=name_without_room(table, relays, now),
     )
 
 
