--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -202,6 +202,27 @@
     """Tokens of engine memory that the requests need."""
 
 
+class EnginePace(msgspec.Struct, frozen=True, array_like=True):
+    """Time that an engine takes for an event of a model, or for a whole call."""
+
+    upstream: str
+    incarnation: int
+    model: str
+    """The route for a service without models."""
+    count: int
+    """Samples behind the time."""
+    ms: float
+    """Median of the samples at a gateway, mean over gateways at a control."""
+
+
+class EngineSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """How many times as long as the median engine of its service an engine takes."""
+
+    upstream: str
+    incarnation: int
+    factor: float
+
+
 class ServiceRepeats(msgspec.Struct, frozen=True, array_like=True):
     """Requests and retries of a service within the window of the retry budget."""
 
@@ -339,6 +360,8 @@
     crashes: tuple[CrashEvidence, ...] = ()
     refused: tuple[int, ...] = ()
     """Quarantined blocks for which requests were refused since the last report."""
+    paces: tuple[EnginePace, ...] = ()
+    """Paces of engines since the last report of them, once a second."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -355,6 +378,9 @@
     """Hashes of prompt blocks that engines have processed since the last totals."""
     grants: bool = False
     """Whether the control grants permits for limited upstreams."""
+    speeds: tuple[EngineSpeed, ...] = ()
+    """Engines that are slower or faster than the median one, once a second; one that
+    has returned is listed with the factor 1 for some seconds."""
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -379,6 +405,9 @@
     brittle: tuple[BrittleState, ...] = ()
     relays: tuple[RelayGateway, ...] = ()
     """Some of the attached gateways that reach upstreams."""
+    paces: tuple[EnginePace, ...] = ()
+    """Means over the attached gateways that have new samples; each replaces the former
+    one of this control."""
 
 
 RoutingBody = (
