Apply the duration factors that controls send

A factor counts in full for 1.5 s after a control has listed it, and then returns to 1 with a time constant of 10 s: a control that has just started, or that gets no samples of an engine that gateways avoid, must not end it at once. Values out of bounds are dropped, with a log line every 10 s at most.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -12,6 +12,7 @@
 
 from ...routing.acceptance import AcceptTable
 from ...routing.delays import DelayTable
+from ...routing.engine_paces import PaceSampleTable
 from ...routing.engine_speeds import EngineSpeedTable
 from ...routing.fleet import Announcement
 from ...routing.fleet import FleetTable
@@ -153,6 +154,10 @@
     speeds: SpeedTable = field(default_factory=SpeedTable)
     """Prefill speeds by model."""
     engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
+    invalid_speeds_at: float = -math.inf
+    """Time of the last log line on invalid duration factors."""
+    paces: PaceSampleTable = field(default_factory=PaceSampleTable)
+    """Samples of the engines' paces since the last report."""
     sizes: dict[str, float] = field(default_factory=dict)
     """Typical request size by route."""
     poor_shares: dict[str, float] = field(default_factory=dict)
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 
+from ...routing.engine_speeds import apply_speeds
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
@@ -48,9 +49,12 @@
 
 if TYPE_CHECKING:
     from ...messages import Message
+    from ...routing.messages import EngineSpeed
     from .context import GatewayContext
 
 
+INVALID_LOG_SECONDS = 10.0
+"""Shortest time between two lines on factors that were dropped."""
 RELAY_RETENTION_SECONDS = 5.0
 """Seconds for which relays are known after the last list that named one. A gateway
 leaves a control that stands still after two seconds or so."""
@@ -97,6 +101,7 @@
 
         apply_reported_blocks(context.prefixes, body.read, now)
         apply_kept_sessions(context.sessions, body.kept, body.held)
+        receive_speeds(context, sender, body.speeds, now)
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
@@ -105,6 +110,17 @@
         replace_relays(context, body.relays, now)
 
 
+def receive_speeds(
+    context: GatewayContext, sender: str, speeds: tuple[EngineSpeed, ...], now: float
+) -> None:
+    """Apply the engines' duration factors, and log invalid ones once in a while."""
+    invalid = apply_speeds(context.engine_speeds, speeds, now)
+    last = context.invalid_speeds_at
+    if invalid and now - last >= INVALID_LOG_SECONDS:
+        context.invalid_speeds_at = now
+        log_event("gateway: Invalid speeds dropped", control=sender, count=invalid)
+
+
 def replace_relays(
     context: GatewayContext, listed: tuple[RelayGateway, ...], now: float
 ) -> None:
--- a/src/waxwingwell/routing/engine_speeds.py
+++ b/src/waxwingwell/routing/engine_speeds.py
@@ -2,8 +2,26 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .messages import EngineSpeed
+
+
+MAX_FACTOR = 8.0
+"""Largest duration factor; the smallest one is its inverse."""
+FRESH_SECONDS = 1.5
+"""Age up to which a factor counts in full; controls send it once a second."""
+AGEING_SECONDS = 10.0
+"""Time constant with which an older factor returns to 1."""
+RETENTION_SECONDS = 60.0
+"""Age at which a factor is dropped; by then it differs from 1 by less than 1 %."""
 
 
 @dataclass(slots=True)
@@ -11,10 +29,59 @@
     """Duration factors of engines, by upstream and incarnation."""
 
     factors: dict[tuple[str, int], float] = field(default_factory=dict)
+    heard_at: dict[tuple[str, int], float] = field(default_factory=dict)
+    """Time at which a control has last sent each factor."""
 
 
 def find_duration_factor(
     table: EngineSpeedTable, upstream: str, incarnation: int, now: float
 ) -> float:
     """Return how many times as long as the median engine one takes; 1.0 if unknown."""
-    return table.factors.get((upstream, incarnation), 1.0)
+    engine = (upstream, incarnation)
+    factor = table.factors.get(engine)
+    if factor is None:
+        return 1.0
+
+    age = now - table.heard_at.get(engine, now) - FRESH_SECONDS
+    if age <= 0:
+        return factor
+
+    return math.pow(factor, math.exp(-age / AGEING_SECONDS))
+
+
+def apply_speeds(
+    table: EngineSpeedTable, speeds: Iterable[EngineSpeed], now: float
+) -> int:
+    """Store the factors that a control sent; return the number of invalid ones.
+
+    An engine that is not listed keeps its factor, which ages: the control may have too
+    few samples of it, or may have started a moment ago.
+    """
+    invalid = 0
+    for one in speeds:
+        if not is_valid_factor(one.factor):
+            invalid += 1
+            continue
+
+        engine = (one.upstream, one.incarnation)
+        table.factors[engine] = one.factor
+        table.heard_at[engine] = now
+
+    outdated = [
+        engine for engine, at in table.heard_at.items() if now - at > RETENTION_SECONDS
+    ]
+    for engine in outdated:
+        del table.heard_at[engine]
+        table.factors.pop(engine, None)
+
+    return invalid
+
+
+def is_valid_factor(factor: float) -> bool:
+    """Return whether a factor is a number within the bounds."""
+    return 1 / MAX_FACTOR <= factor <= MAX_FACTOR
+
+
+def bound_factor(factor: float) -> float:
+    """Return a factor within the bounds."""
+    return min(max(factor, 1 / MAX_FACTOR), MAX_FACTOR)
