Report the paces of engines to the attached control

Streams give samples from their second event on, unless they are relayed or run outside the pool of their model. For a service without models the time of a call counts, by route and less one round trip, so that an upstream in another data centre does not seem slow. A late gateway drops its samples: they show its own delay. Samples go to one control only, and stay if the report can't be sent.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -10,6 +10,7 @@
 from ...routing.delays import Connect
 from ...routing.delays import drop_connect
 from ...routing.delays import explains_timeout
+from ...routing.engine_paces import StreamPace
 from ...routing.health import record_response
 from ...routing.health import record_unreachable
 from ...routing.load import remove_backlog
@@ -88,6 +89,8 @@
     samples_prefill_speed: bool = False
     """Whether the time to the first byte is a sample of the model's prefill speed."""
     streaming: bool = False
+    pace: StreamPace | None = None
+    """Arrival of its events; None if it gives no samples of the engine's pace."""
     finished: bool = False
     survived: bool = False
     """Whether its response has run for long enough to clear its prompt blocks."""
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -71,6 +71,8 @@
     """Number of upstreams in the pool of its model."""
     relayed: bool = False
     """Whether ``placement`` names another gateway instead of an upstream."""
+    in_pool: bool = True
+    """Whether the upstream is in the pool of its model."""
 
 
 def choose_service(route: Route, key: str) -> str:
@@ -157,8 +159,18 @@
         return None
 
     pressure = placement.wait / 1000 / max(limit, 0.001)
-    engines = len(list_pool([one.upstream for one in allowed], kind))
-    return Choice(service, key, model, placement, pressure, kind, engines)
+    members = list_pool([one.upstream for one in allowed], kind)
+    chosen = placement.upstream.upstream
+    return Choice(
+        service=service,
+        session=key,
+        model=model,
+        placement=placement,
+        pressure=pressure,
+        pool=kind,
+        engines=len(members),
+        in_pool=chosen in members or chosen in demand.pool,
+    )
 
 
 def find_trial(
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_retry_after
+from ...routing.engine_paces import record_events
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
@@ -47,6 +48,8 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .pacing import record_call
+from .pacing import start_pace
 from .probing import record_reached
 from .relaying import choose_relay
 from .relaying import make_response_headers
@@ -301,6 +304,7 @@
 
         if is_forwarded_stream(attempt, self.route, self.facts.request_id):
             attempt.streaming = True
+            start_pace(self, attempt)
             if attempt.counted is not None:
                 start_stream(attempt.counted, now)
 
@@ -332,11 +336,18 @@
             return
 
         finish_prefill(self.context, attempt)
+        events_before = self.splitter.events
         complete_events = self.splitter.feed(data)
         if attempt.counted is not None:
             attempt.counted.events = self.splitter.events - attempt.events_before
 
         if complete_events:
+            if attempt.pace is not None:
+                events = self.splitter.events - events_before
+                record_events(
+                    self.context.paces, attempt.pace, events, attempt.last_byte_at
+                )
+
             self.pauses.record(attempt.last_byte_at)
             self.responder.write(complete_events)
 
@@ -362,6 +373,7 @@
 
         if outcome is AttemptOutcome.DONE:
             record_success(self, now)
+            record_call(self, attempt, now)
             forward_response(self, attempt, now)
             return
 
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ...routing.engine_paces import forget_reported
 from ...routing.limits import list_states
 from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
@@ -27,6 +28,7 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
+from .pacing import list_reported_paces
 
 
 if TYPE_CHECKING:
@@ -51,6 +53,7 @@
     report = make_report(context)
     if cast_link(link, report):
         record_reported_evidence(context, report)
+        forget_reported(context.paces, report.paces, context.clock())
         context.reported_use = report.use
         context.reported_work = report.work
         context.reported_retries = report.repeats
@@ -95,6 +98,7 @@
         lost_path=has_lost_path(context.path),
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
+        paces=list_reported_paces(context, now),
     )
 
 
@@ -172,6 +176,6 @@
     cast_link(
         link,
         msgspec.structs.replace(
-            report, use=(), work=0.0, repeats=(), read=(), permits=()
+            report, use=(), work=0.0, repeats=(), read=(), permits=(), paces=()
         ),
     )
