Compare the engines of a service at the controls

Controls keep decaying means of the logarithms of the paces and exchange them. A mean replaces the former one of its control, so that a message that is lost or repeated does not count twice.

--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -13,10 +13,12 @@
 
 import msgspec
 
+from .engine_comparison import DeviationTable
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
 from .messages import ControlReport
+from .messages import EnginePace
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
@@ -25,6 +27,12 @@
 from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
+from .pace_means import PaceTable
+from .pace_means import drop_decayed
+from .pace_means import list_shared_paces
+from .pace_means import receive_paces
+from .pace_means import receive_shared_paces
+from .pace_means import take_shared_paces
 from .permits import GrantTable
 from .permits import drop_buckets
 from .permits import grant_permits
@@ -143,6 +151,8 @@
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
+    paces: PaceTable = field(default_factory=PaceTable)
+    deviations: DeviationTable = field(default_factory=DeviationTable)
     relay_position: int = 0
     """Advances with each list of relays, so that all gateways serve as relays."""
 
@@ -163,6 +173,7 @@
     table.evidence[report.gateway] = EvidenceEntry(report.run, now, parts)
     queue_blocks(table.blocks_for_gateways, report.read)
     queue_blocks(table.blocks_for_controls, report.read)
+    receive_paces(table.paces, report.paces, now)
 
 
 def respond_to_report(
@@ -240,6 +251,7 @@
 
     apply_states(table.limits, report.limits, now)
     apply_statements(table.brittle, report.brittle, now)
+    receive_shared_paces(table.paces, control, report.paces, now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
@@ -290,6 +302,7 @@
         for name, one in table.evidence.items()
         if now - one.received_at <= EVIDENCE_TTL_SECONDS
     }
+    drop_decayed(table.paces, table.controls.keys(), now)
 
 
 def make_control_report(
@@ -321,7 +334,8 @@
         sum_attached(table, now), read=tuple(table.blocks_for_controls)
     )
     table.blocks_for_controls.clear()
-    return describe_attached(table, total, evidence, now)
+    paces = take_shared_paces(table.paces, now)
+    return describe_attached(table, total, evidence, paces, now)
 
 
 def make_full_report(table: ReportTable, now: float) -> ControlReport:
@@ -331,7 +345,8 @@
         for name, held in table.attached.items()
         if held.report.evidence
     ]
-    return describe_attached(table, sum_attached(table, now), evidence, now)
+    paces = list_shared_paces(table.paces, now)
+    return describe_attached(table, sum_attached(table, now), evidence, paces, now)
 
 
 def is_part_due(
@@ -371,6 +386,7 @@
     table: ReportTable,
     total: FleetReport,
     evidence: Iterable[GatewayEvidence],
+    paces: tuple[EnginePace, ...],
     now: float,
 ) -> ControlReport:
     """Return a report on the attached gateways."""
@@ -383,6 +399,7 @@
         limits=list_states(table.limits, now),
         brittle=list_statements(table.brittle, now),
         relays=list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL],
+        paces=paces,
     )
 
 
