--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -78,6 +78,11 @@
     "Prompt blocks whose requests are refused because they crash upstreams.",
     registry=REGISTRY,
 )
+SLOW_ENGINES = Gauge(
+    "waxwingwell_slow_engines",
+    "Engines that take over 1.25 times as long as the median one, as a control sees.",
+    registry=REGISTRY,
+)
 CONNECTED_GATEWAYS = Gauge(
     "waxwingwell_gateways_connected",
     "Gateways that hold a connection to this control.",
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -57,6 +57,7 @@
 from .responses import list_attached
 from .responses import respond_to_gateway
 from .responses import share_relays
+from .speeds import list_speeds
 
 
 if TYPE_CHECKING:
@@ -339,6 +340,7 @@
 def share_reports(context: RegistryContext, now: float) -> None:
     """Send the attached gateways the aggregate over all gateways."""
     drop_expired(context.reports, now)
-    body = sum_fleet(context.reports, now)
+    speeds = list_speeds(context, now)
+    body = msgspec.structs.replace(sum_fleet(context.reports, now), speeds=speeds)
     for protocol in list_attached(context):
         protocol.cast(body)
