Show engines by speed, and who uses them, in the review

An operator who reads that an engine is slow has to know which routes and gateways it affects. The review lists the engines by their last duration factor, with attempts, gateways and routes. Without a line on speeds its output is unchanged.

--- a/src/waxwingwell/commands/review.py
+++ b/src/waxwingwell/commands/review.py
@@ -15,6 +15,10 @@
 from .exits import ExitCode
 from .exits import exit_with
 from .output import print_table
+from .review_engines import EngineUse
+from .review_engines import count_placement
+from .review_engines import record_speed
+from .review_engines import show_engines
 
 
 if TYPE_CHECKING:
@@ -55,6 +59,11 @@
     events: int = 0
     first_ms: int | None = None
     pause_ms: int = 0
+    node: str = ""
+    upstream: str | None = None
+    relayed: bool | None = None
+    factor: float | None = None
+    """How many times as long as the median engine an upstream takes."""
 
 
 @dataclass(slots=True)
@@ -84,6 +93,8 @@
     """Number of failed attempts by outcome and reason."""
     cut_streams: Counter[str] = field(default_factory=Counter)
     """Number of cut streams by route and number of events received."""
+    engines: dict[str, EngineUse] = field(default_factory=dict)
+    """Speed and use of engines, by upstream."""
     larger_model: int = 0
     """Responses that were discarded in favour of a larger model's."""
     lines: int = 0
@@ -94,7 +105,7 @@
 
 
 def review(*files: str, window: float = WINDOW_SECONDS, plot: str = "") -> None:
-    """Show the outcomes of requests by route and by time, and the reasons of failures.
+    """Show outcomes by route and by time, reasons of failures, and engines by speed.
 
     Args:
         files: logs of any processes; ``-`` or none for standard input.
@@ -160,6 +171,10 @@
         result.attempts[f"{line.fate} {mask_numbers(line.reason)}"] += 1
     elif line.event == "gateway: Larger model":
         result.larger_model += 1
+    elif line.event == "gateway: Placed" and line.upstream and not line.relayed:
+        count_placement(result.engines, line.upstream, line.route, line.node)
+    elif line.event == "registry: Engine speed changed" and line.upstream:
+        record_speed(result.engines, line.upstream, line.factor, line.at)
 
 
 def count_request(result: Review, line: LogLine) -> None:
@@ -204,6 +219,7 @@
     show_counts("Not answered", result.reasons)
     show_counts("Sends that failed", result.attempts)
     show_counts("Streams cut", result.cut_streams)
+    show_engines(result.engines)
     print(f"\nAnswers dropped for a larger model's: {result.larger_model}")
     if result.unreadable_count:
         places = ", ".join(result.unreadable_places)
--- a/tests/commands/test_review.py
+++ b/tests/commands/test_review.py
@@ -74,6 +74,54 @@
             with self.subTest(part):
                 self.assertIn(part, text)
 
+    def test_engines_by_speed(self) -> None:
+        """Guards against slow engines whose users are not known.
+
+        Each control logs a change; their logs are read one after the other.
+        """
+        placed = [
+            {"at": 1.0, "node": node, "event": "gateway: Placed", **fields}
+            for node, fields in (
+                ("g1", {"upstream": "u1", "route": "chat"}),
+                ("g2", {"upstream": "u1", "route": "chat"}),
+                ("g2", {"upstream": "u1", "route": "tags"}),
+                ("g1", {"upstream": "u2", "route": "chat"}),
+                ("g1", {"upstream": "u3", "route": "chat"}),
+                ("g1", {"upstream": "g2", "route": "chat", "relayed": True}),
+            )
+        ]
+        speeds = [
+            {"at": at, "event": "registry: Engine speed changed", **fields}
+            for at, fields in (
+                (2.0, {"upstream": "u1", "factor": 2.5}),
+                (3.0, {"upstream": "u2", "factor": 4.0}),
+                (9.0, {"upstream": "u2", "factor": 1.0}),
+                (3.1, {"upstream": "u2", "factor": 3.0}),
+                (4.0, {"upstream": "u4", "factor": 1.5}),
+                (8.0, {"upstream": "u4", "factor": None}),
+                (8.0, {"upstream": "u5", "factor": 0.5}),
+            )
+        ]
+        path = self.write("a.log", *(json.dumps(line) for line in placed + speeds))
+        text = self.run_review(path)
+        rows = [line.split() for line in text.split("Engines by speed")[1].splitlines()]
+        self.assertEqual(
+            rows[3:8],
+            [
+                ["u1", "2.50", "2.50", "3", "2", "chat", "2,", "tags", "1"],
+                ["u2", "1.00", "4.00", "1", "1", "chat", "1"],
+                ["u4", "1.00", "1.50", "0", "0"],
+                ["u3", "1.00", "1.00", "1", "1", "chat", "1"],
+                ["u5", "0.50", "1.00", "0", "0"],
+            ],
+        )
+        self.assertNotIn("could not be read", text)
+
+    def test_equal_engines_are_not_listed(self) -> None:
+        line = {"at": 1.0, "event": "gateway: Placed", "upstream": "u1"}
+        path = self.write("a.log", json.dumps(line))
+        self.assertNotIn("Engines", self.run_review(path))
+
     def test_unreadable_lines_are_counted_and_named(self) -> None:
         path = self.write(
             "a.log",
