--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ...routing.engine_paces import forget_reported
 from ...routing.gateway_room import is_ample
 from ...routing.gateway_room import report_room
 from ...routing.limits import list_states
@@ -29,6 +30,7 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
+from .pacing import list_reported_paces
 
 
 if TYPE_CHECKING:
@@ -53,6 +55,7 @@
     report = make_report(context)
     if cast_link(link, report):
         record_reported_evidence(context, report)
+        forget_reported(context.paces, report.paces or (), context.clock())
         context.reported_use = report.use
         context.reported_work = report.work
         context.reported_retries = report.repeats
@@ -98,6 +101,7 @@
         crashes=list_reported_evidence(context, now),
         refused=tuple(context.refused_blocks),
         room=make_room_field(context),
+        paces=list_reported_paces(context, now) or msgspec.UNSET,
     )
 
 
@@ -181,6 +185,12 @@
     cast_link(
         link,
         msgspec.structs.replace(
-            report, use=(), work=0.0, repeats=(), read=(), permits=()
+            report,
+            use=(),
+            work=0.0,
+            repeats=(),
+            read=(),
+            permits=(),
+            paces=msgspec.UNSET,
         ),
     )
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -96,6 +96,11 @@
     "Part of a gateway's capacity that is free, 0 to 1.",
     registry=REGISTRY,
 )
+SLOW_ENGINES = Gauge(
+    "waxwingwell_slow_engines",
+    "Engines that take over 1.25 times as long as the median one, as a control sees.",
+    registry=REGISTRY,
+)
 CONNECTED_GATEWAYS = Gauge(
     "waxwingwell_gateways_connected",
     "Gateways that hold a connection to this control.",
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from .engine_comparison import DeviationTable
 from .gateway_room import LITTLE_ROOM
 from .gateway_room import RELAYS_INTERVAL_SECONDS
 from .gateway_room import is_ample
@@ -21,6 +22,7 @@
 from .limits import apply_states
 from .limits import list_states
 from .messages import ControlReport
+from .messages import EnginePace
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
@@ -29,6 +31,12 @@
 from .messages import ServiceRepeats
 from .messages import UpstreamUse
 from .messages import VersionEvidence
+from .pace_means import PaceTable
+from .pace_means import drop_decayed
+from .pace_means import list_shared_paces
+from .pace_means import receive_paces
+from .pace_means import receive_shared_paces
+from .pace_means import take_shared_paces
 from .permits import GrantTable
 from .permits import drop_buckets
 from .permits import grant_permits
@@ -154,6 +162,8 @@
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
+    paces: PaceTable = field(default_factory=PaceTable)
+    deviations: DeviationTable = field(default_factory=DeviationTable)
     relay_position: int = 0
     """Advances with each list of relays, so that all gateways serve as relays."""
 
@@ -174,6 +184,7 @@
     table.evidence[report.gateway] = EvidenceEntry(report.run, now, parts)
     queue_blocks(table.blocks_for_gateways, report.read)
     queue_blocks(table.blocks_for_controls, report.read)
+    receive_paces(table.paces, report.paces or (), now)
 
 
 def respond_to_report(
@@ -328,6 +339,7 @@
 
     apply_states(table.limits, report.limits, now)
     apply_statements(table.brittle, report.brittle, now)
+    receive_shared_paces(table.paces, control, report.paces or (), now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
@@ -378,6 +390,7 @@
         for name, one in table.evidence.items()
         if now - one.received_at <= EVIDENCE_TTL_SECONDS
     }
+    drop_decayed(table.paces, table.controls.keys(), now)
 
 
 def make_control_report(
@@ -409,7 +422,8 @@
         sum_attached(table, now), read=tuple(table.blocks_for_controls)
     )
     table.blocks_for_controls.clear()
-    return describe_attached(table, total, evidence, now)
+    paces = take_shared_paces(table.paces, now)
+    return describe_attached(table, total, evidence, paces, now)
 
 
 def make_full_report(table: ReportTable, now: float) -> ControlReport:
@@ -419,7 +433,8 @@
         for name, held in table.attached.items()
         if held.report.evidence
     ]
-    return describe_attached(table, sum_attached(table, now), evidence, now)
+    paces = list_shared_paces(table.paces, now)
+    return describe_attached(table, sum_attached(table, now), evidence, paces, now)
 
 
 def is_part_due(
@@ -459,6 +474,7 @@
     table: ReportTable,
     total: FleetReport,
     evidence: Iterable[GatewayEvidence],
+    paces: tuple[EnginePace, ...],
     now: float,
 ) -> ControlReport:
     """Return a report on the attached gateways."""
@@ -473,6 +489,7 @@
         brittle=list_statements(table.brittle, now),
         relays=relays,
         without_room=name_without_room(table, relays, now),
+        paces=paces or msgspec.UNSET,
     )
 
 
