Measure pools, usage and homes of prompts by capacity

Pools, the usage of engines and the homes of prompts counted engines, so that slow ones were held equal to fast ones. The capacity of an engine is the reciprocal of its duration factor; pools and homes use it in steps of the square root of two, so that they seldom move. Without factors the results are those of the counts.

--- /dev/null
+++ b/src/waxwingwell/routing/capacity.py
@@ -0,0 +1,117 @@
+"""Capacity of engines, by which requests are shared out where speeds differ.
+
+The capacity of an engine is the reciprocal of its duration factor: 1 is that of the
+median engine of its service.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .engine_speeds import find_duration_factor
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from .engine_speeds import EngineSpeedTable
+    from .fleet import Announcement
+
+
+EVEN_TOLERANCE = 0.05
+"""Largest difference of a factor from 1 that counts as none. Factors that are no longer
+reported approach 1 without reaching it."""
+STEPS_PER_DOUBLING = 2
+"""Steps of capacity in a factor of two, by which homes of prompts and pools are
+assigned. Finer steps would move them with each change of a measured speed, and each
+move costs a prefill."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFactors:
+    """Duration factors that differ from 1, by upstream; none if all are alike."""
+
+    factors: Mapping[str, float] = field(default_factory=dict)
+    fastest: float = 1.0
+    """Least factor of the engines that were compared."""
+
+    def find(self, upstream: str) -> float:
+        """Return the duration factor of an engine."""
+        return self.factors.get(upstream, 1.0)
+
+    def find_capacity(self, upstream: str) -> float:
+        """Return the capacity of an engine."""
+        return 1.0 / self.find(upstream)
+
+    def find_coarse_capacity(self, upstream: str) -> float:
+        """Return the capacity of an engine, rounded to coarse steps."""
+        return round_capacity(self.find_capacity(upstream))
+
+
+EVEN = EngineFactors()
+"""Factors of engines that are all alike."""
+
+
+def list_factors(
+    table: EngineSpeedTable, upstreams: Iterable[Announcement], now: float
+) -> EngineFactors:
+    """Return the duration factors of some engines."""
+    found = {
+        one.upstream: find_duration_factor(table, one.upstream, one.incarnation, now)
+        for one in upstreams
+    }
+    uneven = {
+        name: factor
+        for name, factor in found.items()
+        if abs(factor - 1.0) > EVEN_TOLERANCE
+    }
+    if not uneven:
+        return EVEN
+
+    return EngineFactors(uneven, min(uneven.get(name, 1.0) for name in found))
+
+
+def round_capacity(capacity: float) -> float:
+    """Return a capacity rounded to coarse steps."""
+    step = round(math.log2(capacity) * STEPS_PER_DOUBLING)
+    return float(2.0 ** (step / STEPS_PER_DOUBLING))
+
+
+def sum_capacity(factors: EngineFactors, upstreams: Collection[str]) -> float:
+    """Return the capacity of some engines, in median engines."""
+    if not factors.factors:
+        return float(len(upstreams))
+
+    return sum(factors.find_capacity(name) for name in upstreams)
+
+
+def limit_slots(slots: int, factor: float) -> float:
+    """Return the number of requests that an engine runs at the median's pace.
+
+    A fast engine has no more slots than it announces.
+    """
+    return slots / max(factor, 1.0)
+
+
+def draw_by_capacity(
+    group: Sequence[Announcement], factors: EngineFactors, draw: Callable[[], float]
+) -> Announcement:
+    """Return a random engine, each with a probability in proportion to its capacity."""
+    point = draw()
+    if not any(one.upstream in factors.factors for one in group):
+        return group[min(int(point * len(group)), len(group) - 1)]
+
+    point *= sum(factors.find_capacity(one.upstream) for one in group)
+    for one in group:
+        point -= factors.find_capacity(one.upstream)
+        if point < 0:
+            return one
+
+    return group[-1]
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -97,9 +97,10 @@
     return 0 if table.others_at == -math.inf else count_gateways(table)
 
 
-def estimate_usage(table: LoadTable, engines: int, now: float) -> float:
+def estimate_usage(table: LoadTable, capacity: float, now: float) -> float:
     """Return the share of the engines' time that prefill takes.
 
+    ``capacity`` is that of the engines together, in median engines.
     Without recent totals, each other gateway is assumed to send as much as this one.
     """
     work = sum_recent_prefill(table, now)
@@ -108,7 +109,7 @@
     else:
         work *= table.gateways
 
-    return work / (1000.0 * USAGE_WINDOW_SECONDS * max(engines, 1))
+    return work / (1000.0 * USAGE_WINDOW_SECONDS * (capacity or 1.0))
 
 
 def sum_recent_prefill(table: LoadTable, now: float) -> float:
--- a/src/waxwingwell/routing/pools.py
+++ b/src/waxwingwell/routing/pools.py
@@ -10,18 +10,24 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 from xxhash import xxh32_intdigest
 
+from .capacity import EVEN
+
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from .capacity import EngineFactors
+
 
 SMALL_SHARE = 0.3
-"""Share of engines reserved for the smallest model. It processes every prompt once,
-which is a tenth of the work of the larger models, which get half of the prompts."""
+"""Share of the engines' capacity reserved for the smallest model. It processes every
+prompt once, which is a tenth of the work of the larger models, which get half of the
+prompts."""
 
 
 class Pool(StrEnum):
@@ -32,15 +38,38 @@
     LARGE = "large"
 
 
-def list_pool(upstreams: Collection[str], pool: Pool) -> frozenset[str]:
+def list_pool(
+    upstreams: Collection[str], pool: Pool, factors: EngineFactors = EVEN
+) -> frozenset[str]:
     """Return the engines of a pool.
 
     Gateways agree without communication, as each ranks the same engines by hash. An
-    engine that leaves moves at most one other engine to the other pool.
+    engine that leaves moves at most one other engine to the other pool, if all have the
+    same speed.
     """
     if pool is Pool.ANY or len(upstreams) < 2:
         return frozenset(upstreams)
 
     ranked = sorted(upstreams, key=lambda name: xxh32_intdigest(name.encode()))
-    count = max(round(len(ranked) * SMALL_SHARE), 1)
+    count = count_small_pool(ranked, factors)
     return frozenset(ranked[:count] if pool is Pool.SMALL else ranked[count:])
+
+
+def count_small_pool(ranked: list[str], factors: EngineFactors) -> int:
+    """Return how many of the ranked engines have the capacity of the small pool.
+
+    Capacities are coarse, so that the pools seldom change. Each pool has an engine.
+    """
+    if not any(name in factors.factors for name in ranked):
+        return max(round(len(ranked) * SMALL_SHARE), 1)
+
+    capacities = [factors.find_coarse_capacity(name) for name in ranked]
+    wanted = SMALL_SHARE * sum(capacities)
+    # An engine belongs to the pool if that brings its capacity nearer to the share.
+    count = sum(
+        before + capacity / 2 < wanted
+        for before, capacity in zip(
+            accumulate(capacities, initial=0.0), capacities, strict=False
+        )
+    )
+    return min(max(count, 1), len(ranked) - 1)
--- a/src/waxwingwell/routing/prefixes.py
+++ b/src/waxwingwell/routing/prefixes.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 
 MAX_BLOCKS = 10_000
@@ -40,6 +41,9 @@
 """Time for which reports must have come without a gap before a block's absence from
 them is taken into account."""
 
+HASH_RANGE = 2**32
+"""Number of different hashes."""
+
 PromptBlock = tuple[str, int]
 """Id of a prompt block, and its number of tokens."""
 
@@ -168,10 +172,24 @@
     return last_at is not None and now - last_at <= BLOCK_TTL_SECONDS
 
 
-def prefer_upstream(upstreams: Iterable[str], key: str) -> str:
-    """Return the upstream that all gateways prefer for a key (rendezvous hashing)."""
-    return max(
-        upstreams,
-        key=lambda name: xxh32_intdigest(f"{name}/{key}".encode()),
-        default="",
-    )
+def prefer_upstream(
+    upstreams: Iterable[str], key: str, weights: Mapping[str, float] | None = None
+) -> str:
+    """Return the upstream that all gateways prefer for a key (rendezvous hashing).
+
+    An upstream is preferred for a share of the keys in proportion to its weight, which
+    is 1 if none is given.
+    """
+    if not weights:
+        return max(upstreams, key=lambda name: hash_preference(name, key), default="")
+
+    def weigh(name: str) -> float:
+        position = (hash_preference(name, key) + 0.5) / HASH_RANGE
+        return -weights.get(name, 1.0) / math.log(position)
+
+    return max(upstreams, key=weigh, default="")
+
+
+def hash_preference(upstream: str, key: str) -> int:
+    """Return the hash by which upstreams are compared for a key."""
+    return xxh32_intdigest(f"{upstream}/{key}".encode())
