Place requests by the duration factors of engines

Placement held all engines equal. The expected wait, backlog, queue and stall are multiplied by the factor of the engine, and the sample is drawn by capacity. The expected end, the rank of urgency and running requests beyond the share of an engine's speed are costs. An engine without memory for the request costs as much as a full queue.

test_placement.py, test_stalls.py and test_gateways.py pass.

--- a/src/waxwingwell/adapters/gateway/restrictions.py
+++ b/src/waxwingwell/adapters/gateway/restrictions.py
@@ -19,7 +19,7 @@
 from ...routing.permits import has_permit
 from ...routing.permits import use_permit
 from ...routing.permits import want_permit
-from ...routing.placement import CALL_MS
+from ...routing.placement_cost import CALL_MS
 from ...routing.retries import count_requests
 from ...routing.room import INTERVAL_SECONDS
 from ...routing.room import LAG_SECONDS
--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -9,6 +9,10 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .capacity import EVEN
+from .capacity import EngineFactors
+from .capacity import draw_by_capacity
+from .capacity import list_factors
 from .engine_speeds import EngineSpeedTable
 from .fleet import Announcement
 from .health import HealthTable
@@ -16,6 +20,11 @@
 from .health import is_backing_off
 from .load import LoadTable
 from .load import get_total_load
+from .placement_cost import CALL_MS
+from .placement_cost import QUEUED_BATCH_MS
+from .placement_cost import estimate_memory_cost
+from .placement_cost import estimate_share_cost
+from .placement_cost import estimate_speed_cost
 from .prefixes import PrefixTable
 from .prefixes import PromptBlock
 from .prefixes import estimate_cached_tokens
@@ -30,12 +39,6 @@
 
 RUNNING_REQUEST_MS = 3.0
 """Wait that each running request of an engine adds before a first event."""
-QUEUED_BATCH_MS = 2_000.0
-"""Wait per full batch of requests beyond the slots, which queue for a slot."""
-CALL_MS = 25.0
-"""Approximate duration of a call of a service that is no model engine. In the
-comparison of upstreams each call beyond the slots counts in full, as a service at
-capacity soon refuses calls, which costs another attempt."""
 REMOTE_MS = 12.0
 """Cost of a new connection and a request to another data centre: two round trips."""
 REMOTE_STREAM_MS = 60.0
@@ -82,6 +85,14 @@
     """Longest pause between two events that callers accept; 0 if it is unknown."""
     pool: frozenset[str] = frozenset()
     """Engines reserved for the model; any engine if empty."""
+    output_tokens: int = 0
+    """Output tokens that the request probably gets."""
+    output_token_ms: float = 0.0
+    """Milliseconds per output token of the model on the median engine; 0 if unknown."""
+    time_left_ms: float = 0.0
+    """Milliseconds until the caller's deadline; 0 if it is unknown."""
+    urgency: int | None = None
+    """Rank from 0, the most urgent; None if the request has none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,10 +116,12 @@
     wait: float
     """Expected milliseconds until the first event."""
     work: float
-    """Milliseconds of prefill that the request adds."""
+    """Milliseconds of prefill that the request adds, on the median engine."""
     uncached: int
     """Prompt tokens that probably need prefill."""
     running: int
+    factor: float = 1.0
+    """Duration factor of the upstream."""
 
 
 def place_request(
@@ -134,14 +147,15 @@
     if not usable:
         return None
 
-    preferred = choose_preferred(demand, usable, context.data_centre)
+    factors = list_factors(context.engine_speeds, usable, now)
+    preferred = choose_preferred(demand, usable, context.data_centre, factors)
     compared = usable
     if len(usable) > MAX_COMPARED_UPSTREAMS:
-        compared = draw_sample(demand, usable, context.data_centre, draw)
+        compared = draw_sample(demand, usable, context.data_centre, draw, factors)
         compared += find_best_cached(demand, usable, context, now, preferred=preferred)
 
     placements = [
-        estimate_cost(demand, one, context, now, preferred=preferred)
+        estimate_cost(demand, one, context, now, preferred=preferred, factors=factors)
         for one in compared
     ]
     return min(placements, key=lambda placement: placement.cost * draw_jitter(draw))
@@ -152,12 +166,13 @@
     usable: list[Announcement],
     data_centre: str,
     draw: Callable[[], float],
+    factors: EngineFactors = EVEN,
 ) -> list[Announcement]:
     """Return a random local upstream, one of the whole pool, and one of the other pool.
 
-    For a long prompt more of the pool are added. Choosing the best of a few random
-    upstreams spreads requests evenly, regardless of the number of gateways and the age
-    of the totals.
+    They are drawn by capacity. For a long prompt more of the pool are added. Choosing
+    the best of a few random upstreams spreads requests evenly, regardless of the number
+    of gateways and the age of the totals.
     """
     members = list_pool_members(demand, usable)
     local = [one for one in members if one.data_centre == data_centre]
@@ -168,7 +183,7 @@
     if demand.prompt_tokens * demand.token_ms >= LONG_PREFILL_MS:
         groups += [members] * LONG_PREFILL_SAMPLE
 
-    return [group[min(int(draw() * len(group)), len(group) - 1)] for group in groups]
+    return [draw_by_capacity(group, factors, draw) for group in groups]
 
 
 def find_best_cached(
@@ -224,11 +239,15 @@
 
 
 def choose_preferred(
-    demand: Demand, usable: list[Announcement], data_centre: str
+    demand: Demand,
+    usable: list[Announcement],
+    data_centre: str,
+    factors: EngineFactors = EVEN,
 ) -> str:
     """Return the upstream that should cache the longest shared prefix of the prompt.
 
-    Each data centre that has an upstream in the model's pool has one of its own.
+    Each data centre that has an upstream in the model's pool has one of its own. Slow
+    engines are preferred for fewer prompts.
     """
     shared = demand.prompt_blocks[:-1]
     if not shared:
@@ -238,7 +257,12 @@
     members = list_pool_members(demand, usable)
     local = [one.upstream for one in members if one.data_centre == data_centre]
     names = local or [one.upstream for one in members]
-    return prefer_upstream(names, f"{demand.model}/{block}")
+    capacities = {
+        name: factors.find_coarse_capacity(name)
+        for name in names
+        if name in factors.factors
+    }
+    return prefer_upstream(names, f"{demand.model}/{block}", capacities)
 
 
 def estimate_stall_cost(running: int, prefill_ms: float, pause_ms: float) -> float:
@@ -257,9 +281,11 @@
     now: float,
     *,
     preferred: str,
+    factors: EngineFactors = EVEN,
 ) -> Placement:
     """Return an upstream with its expected wait and cost for a request."""
     use = get_total_load(context.load, upstream.upstream)
+    factor = factors.find(upstream.upstream)
     wait = 1.0
     if upstream.data_centre != context.data_centre:
         wait += REMOTE_STREAM_MS if demand.service.memory_tokens else REMOTE_MS
@@ -274,16 +300,22 @@
     if demand.service.memory_tokens:
         cached = estimate_cached(demand, upstream, context, now, preferred=preferred)
         uncached = max(int(demand.prompt_tokens - cached), 0)
-        wait += use.backlog + uncached * demand.token_ms
-        wait += RUNNING_REQUEST_MS * use.running + QUEUED_BATCH_MS * excess / slots
+        wait += (use.backlog + uncached * demand.token_ms) * factor
+        queue = RUNNING_REQUEST_MS * use.running + QUEUED_BATCH_MS * excess / slots
+        wait += queue * factor
+        contention = estimate_memory_cost(demand, use.tokens, factor)
+        contention += estimate_share_cost(use.running, slots, factor)
     else:
-        wait += CALL_MS * (use.running + excess) / slots
-        contention = CALL_MS * excess
+        wait += CALL_MS * factor * (use.running + excess) / slots
+        contention = CALL_MS * excess * factor
 
     if demand.pause_ms > 0:
-        prefill = use.backlog + uncached * demand.token_ms
+        prefill = (use.backlog + uncached * demand.token_ms) * factor
         contention += estimate_stall_cost(use.running, prefill, demand.pause_ms)
 
+    if factors.factors:
+        contention += estimate_speed_cost(demand, wait, factor, factors.fastest)
+
     other_pool_cost = (
         OTHER_POOL_MS if demand.pool and upstream.upstream not in demand.pool else 0.0
     )
@@ -296,4 +328,5 @@
         work=uncached * demand.token_ms,
         uncached=uncached,
         running=use.running,
+        factor=factor,
     )
