Give placement the expected output, pace, deadline and rank

The gateway learns the time of an output token by model from streams that ended, divided by the output expected of them and by the factor of the engine. Canaries have room for a share of their slots in proportion to their speed, and pools and usage take capacity. Samples of the prefill speed are divided by the factor, so that slow engines don't slow the estimate of a model.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -14,6 +14,7 @@
 from ...routing.health import record_unreachable
 from ...routing.load import remove_backlog
 from ...routing.load import remove_running
+from ...routing.output_pace import record_output_time
 from ...routing.prefill_speed import record_prefill_time
 from ...routing.prefixes import record_blocks
 from ...routing.records import RouteKind
@@ -85,6 +86,8 @@
     """Milliseconds of prefill counted as this gateway's load on the upstream."""
     tokens: int = 0
     """Tokens of engine memory counted as this gateway's load on the upstream."""
+    output_tokens: int = 0
+    """Output tokens that were expected of it."""
     samples_prefill_speed: bool = False
     """Whether the time to the first byte is a sample of the model's prefill speed."""
     streaming: bool = False
@@ -178,12 +181,13 @@
 
     FIRST_BYTE_SECONDS.labels(route.kind.value).observe(now - attempt.started_at)
     if attempt.samples_prefill_speed and attempt.choice.model:
-        took_ms = (now - attempt.started_at) * 1000
+        placement = attempt.choice.placement
+        took_ms = (now - attempt.started_at) * 1000 / placement.factor
         record_prefill_time(
             context.speeds,
             route.models,
             attempt.choice.model,
-            attempt.choice.placement.uncached,
+            placement.uncached,
             took_ms,
         )
 
@@ -214,6 +218,24 @@
         attempt.work = 0.0
 
 
+def record_pace(context: GatewayContext, facts: RequestFacts, attempt: Attempt) -> None:
+    """Update the pace of the model with a whole stream that has ended."""
+    if not attempt.streaming or attempt.relayed or attempt.first_byte_at is None:
+        return
+
+    if attempt.events_before or facts.resume_after:
+        return
+
+    choice = attempt.choice
+    record_output_time(
+        context.paces,
+        choice.model or facts.model,
+        attempt.output_tokens,
+        (attempt.last_byte_at - attempt.first_byte_at) * 1000,
+        choice.placement.factor,
+    )
+
+
 def release_attempt(context: GatewayContext, attempt: Attempt) -> None:
     """Mark the attempt as finished and release the load and session it holds."""
     attempt.finished = True
--- a/src/waxwingwell/adapters/gateway/choice.py
+++ b/src/waxwingwell/adapters/gateway/choice.py
@@ -10,15 +10,21 @@
 from ...routing.canaries import list_canaries
 from ...routing.canaries import prefer_canaries
 from ...routing.canaries import rank_upstreams
+from ...routing.capacity import limit_slots
+from ...routing.capacity import list_factors
+from ...routing.capacity import sum_capacity
+from ...routing.engine_speeds import find_duration_factor
 from ...routing.fleet import MISSED_HEARTBEATS
 from ...routing.fleet import UpstreamState
 from ...routing.fleet import list_serving
 from ...routing.health import is_backing_off
 from ...routing.limits import is_leaving
+from ...routing.load import estimate_output_tokens
 from ...routing.load import get_total_load
 from ...routing.models import find_pool
 from ...routing.models import first_model
 from ...routing.models import has_model_choice
+from ...routing.output_pace import estimate_output_token_ms
 from ...routing.placement import Demand
 from ...routing.placement import Placement
 from ...routing.placement import PlacementContext
@@ -67,8 +73,8 @@
     pressure: float
     """Expected wait divided by the time left until the first event is due."""
     pool: Pool
-    engines: int
-    """Number of upstreams in the pool of its model."""
+    engines: float
+    """Capacity of the pool of its model, in median engines."""
     relayed: bool = False
     """Whether ``placement`` names another gateway instead of an upstream."""
 
@@ -103,13 +109,15 @@
     response_started: bool,
     limit: float,
     now: float,
+    remaining: float = 0.0,
+    urgency: int | None = None,
 ) -> Choice | None:
     """Return the choice for the next attempt, or None if no upstream may run it.
 
     ``model`` is the one that an earlier attempt used, if any; ``limit`` is the number
-    of seconds within which the first event is due. Upstreams in ``excluded`` are not
-    chosen. ``response_started`` says that the caller has received a part of the
-    response.
+    of seconds within which the first event is due, ``remaining`` that until the
+    caller's deadline, 0 if it is unknown. Upstreams in ``excluded`` are not chosen.
+    ``response_started`` says that the caller has received a part of the response.
 
     If the only upstream of a version that is being rolled out fails, its streams would
     be cut although upstreams of the former version are free. So a request whose
@@ -135,14 +143,22 @@
     ranked = allowed if trial is None else rank_upstreams(allowed, trial.ordered_at)
     canaries = allowed if trial is None else list_canaries(ranked, trial.share)
     kind = find_pool(route, facts.model, model)
+    factors = list_factors(context.engine_speeds, allowed, now)
+    wanted = model or facts.model
     demand = Demand(
         service=record,
-        model=model or facts.model,
+        model=wanted,
         prompt_tokens=facts.prompt_tokens,
         prompt_blocks=facts.prompt_blocks,
         token_ms=estimate_token_ms(context.speeds, route.models, model),
         pause_ms=route.pause * 1000,
-        pool=list_pool([one.upstream for one in canaries], kind),
+        pool=list_pool([one.upstream for one in canaries], kind, factors),
+        output_tokens=estimate_output_tokens(
+            facts.expected_output, facts.output_tokens
+        ),
+        output_token_ms=estimate_output_token_ms(context.paces, wanted),
+        time_left_ms=max(remaining, 0.0) * 1000,
+        urgency=urgency,
     )
     placement = None
     if trial is not None:
@@ -157,8 +173,9 @@
         return None
 
     pressure = placement.wait / 1000 / max(limit, 0.001)
-    engines = len(list_pool([one.upstream for one in allowed], kind))
-    return Choice(service, key, model, placement, pressure, kind, engines)
+    pool = list_pool([one.upstream for one in allowed], kind, factors)
+    capacity = sum_capacity(factors, pool)
+    return Choice(service, key, model, placement, pressure, kind, capacity)
 
 
 def find_trial(
@@ -181,12 +198,20 @@
 def is_ready_for_trial(
     context: GatewayContext, service: Service, upstream: Announcement, now: float
 ) -> bool:
-    """Return whether an upstream is warm, reachable and has a free slot."""
+    """Return whether an upstream is warm, reachable and has room.
+
+    A slow one has room for a share of its slots in proportion to its speed, at least
+    for one request.
+    """
     if upstream.warming > 0 or is_backing_off(context.health, upstream.upstream, now):
         return False
 
     slots = upstream.slots or service.slots or 1
-    return get_total_load(context.load, upstream.upstream).running < slots
+    factor = find_duration_factor(
+        context.engine_speeds, upstream.upstream, upstream.incarnation, now
+    )
+    room = max(limit_slots(slots, factor), 1.0)
+    return get_total_load(context.load, upstream.upstream).running < room
 
 
 def place(
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -23,6 +23,7 @@
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
+from ...routing.output_pace import PaceTable
 from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
@@ -152,6 +153,8 @@
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
     """Prefill speeds by model."""
+    paces: PaceTable = field(default_factory=PaceTable)
+    """Output paces by model."""
     engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
     sizes: dict[str, float] = field(default_factory=dict)
     """Typical request size by route."""
--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -19,6 +19,7 @@
 from .crashes import must_refuse
 from .retrying import has_retry_budget
 from .retrying import may_run_again
+from .sending import find_urgency
 
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
         response_started=False,
         limit=exchange.first_event_limit(now),
         now=now,
+        remaining=exchange.deadline - now,
+        urgency=find_urgency(exchange.route, exchange.workspace),
     )
 
 
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -21,6 +21,7 @@
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
 from .attempts import record_outcome
+from .attempts import record_pace
 from .attempts import release_attempt
 from .choice import Choice
 from .choice import choose_service
@@ -56,6 +57,7 @@
 from .retrying import UNSENT_OUTCOMES
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
+from .sending import find_urgency
 from .sending import log_placement
 from .sending import open_call
 from .statements import record_statements
@@ -180,6 +182,8 @@
             response_started=self.responder.started,
             limit=self.first_event_limit(now),
             now=now,
+            remaining=self.deadline - now,
+            urgency=find_urgency(self.route, self.workspace),
         )
 
     def is_in_time(self, choice: Choice, now: float) -> bool:
@@ -253,7 +257,8 @@
         attempt = Attempt(choice, now, self.splitter.events)
         self.attempt = attempt
         self.tried_upstreams.add(attempt.upstream)
-        idle = choice.placement.wait - choice.placement.work < IDLE_WAIT_MS
+        placement = choice.placement
+        idle = placement.wait - placement.work * placement.factor < IDLE_WAIT_MS
         attempt.samples_prefill_speed = idle and self.route.kind is RouteKind.STREAM
         log_placement(self, attempt, now)
         attempt.call = open_call(self, attempt, now)
@@ -362,6 +367,7 @@
 
         if outcome is AttemptOutcome.DONE:
             record_success(self, now)
+            record_pace(self.context, self.facts, attempt)
             forward_response(self, attempt, now)
             return
 
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -123,8 +123,9 @@
     attempt.work = placement.work
     record_send(context, attempt.upstream, now)
     facts = exchange.facts
+    output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
+    attempt.output_tokens = output
     if facts.prompt_tokens:
-        output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
         attempt.tokens = facts.prompt_tokens + output
 
     add_running(context.load, attempt.upstream, attempt.work, attempt.tokens)
