Let simulated engines differ in speed

The simulation of placement held all engines equal. Engines have duration factors that may change under way and are known after a delay, totals have an age, and streams a rank. It records the time of events and what engines run.

--- a/src/waxwingwell/experiments/placement_simulation.py
+++ b/src/waxwingwell/experiments/placement_simulation.py
@@ -2,7 +2,8 @@
 
 Gateways use the product's own tables and placement. They exchange their load in totals
 that arrive late, as through the controls; engines prefill prompts one after the other
-and cache their prompt blocks. There is no network.
+and cache their prompt blocks. Engines may differ in speed, and change it under way.
+There is no network.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ..routing.capacity import list_factors
+from ..routing.engine_speeds import EngineSpeedTable
 from ..routing.fleet import Announcement
 from ..routing.fleet import UpstreamState
 from ..routing.health import HealthTable
@@ -61,6 +64,16 @@
     subjects: int
     """Number of different subjects."""
     output_tokens: int
+    urgency: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedChange:
+    """A change of the duration factor of an engine."""
+
+    at: float
+    engine: int
+    factor: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +91,13 @@
     kinds: tuple[StreamKind, ...]
     escalation_share: float = 0.5
     """Share of the small model's requests that escalate to the large model."""
+    factors: tuple[float, ...] = ()
+    """Duration factors of the first engines; those of the others are 1."""
+    changes: tuple[SpeedChange, ...] = ()
+    speed_delay: float = 0.0
+    """Seconds after which gateways know a changed factor."""
+    totals_seconds: float = TOTALS_INTERVAL_SECONDS
+    """Seconds between two totals, and the delay of each."""
 
 
 @dataclass(slots=True)
@@ -92,6 +112,7 @@
     prefilled_tokens: int = 0
     cached: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    factor: float = 1.0
 
 
 @dataclass(slots=True)
@@ -118,6 +139,18 @@
     """Shared prompt tokens that the engine had cached."""
     far: bool
     """Whether the engine is in another data centre than the gateway."""
+    engine: str
+    urgency: int | None
+    output_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSample:
+    """The requests that an engine runs at one time."""
+
+    at: float
+    engine: str
+    running: int
 
 
 PlacementPolicy = Callable[
@@ -140,6 +173,12 @@
     )
     counter: int = 0
     placed: list[PlacedStream] = field(default_factory=list)
+    event_ms: list[tuple[float, float]] = field(default_factory=list)
+    """Times of first events, and the milliseconds that each further one takes."""
+    samples: list[EngineSample] = field(default_factory=list)
+    """Running requests, taken with each report of the gateways."""
+    speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
+    """Duration factors as all gateways know them."""
 
 
 def simulate_placement(
@@ -154,6 +193,15 @@
     if gateways < 1 or seconds <= 0:
         raise ValueError("gateways and seconds must be above 0")
 
+    run = make_run(deployment, policy, gateways=gateways, seed=seed)
+    run_events(run, seconds)
+    return run
+
+
+def make_run(
+    deployment: Deployment, policy: PlacementPolicy, *, gateways: int, seed: int
+) -> PlacementRun:
+    """Return a run with its engines, gateways and first events."""
     run = PlacementRun(deployment, policy, random.Random(seed))
     for number in range(deployment.engines):
         engine = make_engine(deployment, number)
@@ -166,11 +214,37 @@
     for kind in deployment.kinds:
         schedule_arrival(run, kind, 0.0)
 
-    schedule(run, TOTALS_INTERVAL_SECONDS, lambda now: exchange_totals(run, now))
-    run_events(run, seconds)
+    for number, factor in enumerate(deployment.factors):
+        change_speed(run, SpeedChange(0.0, number, factor))
+
+    for change in deployment.changes:
+        schedule_change(run, change)
+
+    schedule(run, deployment.totals_seconds, lambda now: exchange_totals(run, now))
     return run
 
 
+def schedule_change(run: PlacementRun, change: SpeedChange) -> None:
+    """Schedule a change of speed, and the time at which gateways know it."""
+    engine = run.engines[f"engine-{change.engine}"]
+
+    def slow_down(_: float) -> None:
+        engine.factor = change.factor
+
+    schedule(run, change.at, slow_down)
+    known_at = change.at + run.deployment.speed_delay
+    schedule(run, known_at, lambda _: change_speed(run, change))
+
+
+def change_speed(run: PlacementRun, change: SpeedChange) -> None:
+    """Set the speed of an engine, and let the gateways know it."""
+    engine = run.engines[f"engine-{change.engine}"]
+    engine.factor = change.factor
+    announcement = engine.announcement
+    key = (announcement.upstream, announcement.incarnation)
+    run.speeds.factors[key] = change.factor
+
+
 def make_engine(deployment: Deployment, number: int) -> Engine:
     """Return an engine; engines are distributed over the data centres in rotation."""
     return Engine(
@@ -235,7 +309,10 @@
     """Place a request, and schedule its first event and its end."""
     deployment = run.deployment
     model_index = MODELS.index(model)
-    pool = list_pool(list(run.engines), Pool.LARGE if model_index else Pool.SMALL)
+    candidates = [one.announcement for one in run.engines.values()]
+    factors = list_factors(run.speeds, candidates, now)
+    kind_of_pool = Pool.LARGE if model_index else Pool.SMALL
+    pool = list_pool(list(run.engines), kind_of_pool, factors)
     demand = Demand(
         service=Service(
             name="chat",
@@ -247,14 +324,17 @@
         prompt_blocks=blocks,
         token_ms=deployment.prefill_ms[model_index],
         pool=pool,
+        output_tokens=kind.output_tokens,
+        output_token_ms=deployment.decode_ms[model_index],
+        urgency=kind.urgency,
     )
     context = PlacementContext(
         data_centre=gateway.data_centre,
         load=gateway.load,
         health=gateway.health,
         prefixes=gateway.prefixes,
+        engine_speeds=run.speeds,
     )
-    candidates = [one.announcement for one in run.engines.values()]
     placement = run.policy(demand, candidates, context, now, run.random.random)
     if placement is None:
         return
@@ -262,12 +342,12 @@
     engine = run.engines[placement.upstream.upstream]
     found = prefill_prompt(engine, deployment, model, blocks)
     uncached = demand.prompt_tokens - found
-    add_running(gateway.load, engine.announcement.upstream, placement.work)
-    engine.prefill_done_at = (
-        max(engine.prefill_done_at, now) + uncached * demand.token_ms / 1000
-    )
+    tokens = demand.prompt_tokens + demand.output_tokens
+    add_running(gateway.load, engine.announcement.upstream, placement.work, tokens)
+    prefill_ms = uncached * demand.token_ms * engine.factor
+    engine.prefill_done_at = max(engine.prefill_done_at, now) + prefill_ms / 1000
     first_at = engine.prefill_done_at + FIRST_EVENT_SECONDS
-    record_placement(run, gateway, engine, blocks, first_at - now, found, now)
+    record_placement(run, gateway, engine, kind, blocks, first_at - now, found, now)
     escalates = model_index == 0 and run.random.random() < deployment.escalation_share
 
     def on_first_event(at: float) -> None:
@@ -278,14 +358,17 @@
             send(run, gateway, kind, blocks, MODELS[1], at)
             return
 
-        token_interval_ms = deployment.decode_ms[model_index] * (
-            1 + engine.running / deployment.slots
+        token_interval_ms = (
+            deployment.decode_ms[model_index]
+            * engine.factor
+            * (1 + engine.running / deployment.slots)
         )
+        run.event_ms.append((at, token_interval_ms))
         schedule(run, at + kind.output_tokens * token_interval_ms / 1000, on_end)
 
     def on_end(at: float) -> None:
         engine.running -= 1
-        remove_running(gateway.load, engine.announcement.upstream)
+        remove_running(gateway.load, engine.announcement.upstream, tokens)
 
     schedule(run, first_at, on_first_event)
 
@@ -294,6 +377,7 @@
     run: PlacementRun,
     gateway: Gateway,
     engine: Engine,
+    kind: StreamKind,
     blocks: tuple[PromptBlock, ...],
     wait: float,
     found: int,
@@ -309,6 +393,9 @@
             shared=sum(tokens for _, tokens in blocks[:-1]),
             found=found,
             far=engine.announcement.data_centre != gateway.data_centre,
+            engine=engine.announcement.upstream,
+            urgency=kind.urgency,
+            output_tokens=kind.output_tokens,
         )
     )
 
@@ -341,6 +428,9 @@
 
 def exchange_totals(run: PlacementRun, now: float) -> None:
     """Collect the reports of all gateways, and send each the totals after a delay."""
+    run.samples += [
+        EngineSample(now, name, engine.running) for name, engine in run.engines.items()
+    ]
     reported_blocks: list[int] = []
     for gateway in run.gateways:
         gateway.reported = list_own_load(gateway.load)
@@ -357,5 +447,6 @@
             apply_totals(gateway.load, total, own_use, work=0.0, gateways=count, now=at)
             apply_reported_blocks(gateway.prefixes, reported_blocks, at)
 
-    schedule(run, now + TOTALS_INTERVAL_SECONDS, deliver)
-    schedule(run, now + TOTALS_INTERVAL_SECONDS, lambda at: exchange_totals(run, at))
+    next_at = now + run.deployment.totals_seconds
+    schedule(run, next_at, deliver)
+    schedule(run, next_at, lambda at: exchange_totals(run, at))
