Hold slow engines to the share of their speed while totals are late

With late totals and 500 gateways a slow engine ran up to 1.39 times the share of its speed, as its room was its slots over its factor. The room is now slots over factor^1.75, and each slow engine in a sample is joined by another of the pool.

--- a/src/waxwingwell/routing/placement.py
+++ b/src/waxwingwell/routing/placement.py
@@ -170,9 +170,10 @@
 ) -> list[Announcement]:
     """Return a random local upstream, one of the whole pool, and one of the other pool.
 
-    They are drawn by capacity. For a long prompt more of the pool are added. Choosing
-    the best of a few random upstreams spreads requests evenly, regardless of the number
-    of gateways and the age of the totals.
+    They are drawn by capacity. For a long prompt more of the pool are added, and for
+    each slow engine another one, as all local ones may be slow. Choosing the best of a
+    few random upstreams spreads requests evenly, regardless of the number of gateways
+    and the age of the totals.
     """
     members = list_pool_members(demand, usable)
     local = [one for one in members if one.data_centre == data_centre]
@@ -183,7 +184,10 @@
     if demand.prompt_tokens * demand.token_ms >= LONG_PREFILL_MS:
         groups += [members] * LONG_PREFILL_SAMPLE
 
-    return [draw_by_capacity(group, factors, draw) for group in groups]
+    sample = [draw_by_capacity(group, factors, draw) for group in groups]
+    slow = [one for one in sample if factors.find(one.upstream) > 1.0]
+    sample += [draw_by_capacity(members, factors, draw) for _ in slow]
+    return sample
 
 
 def find_best_cached(
--- a/src/waxwingwell/routing/placement_cost.py
+++ b/src/waxwingwell/routing/placement_cost.py
@@ -20,9 +20,17 @@
 """Approximate duration of a call of a service that is no model engine. In the
 comparison of upstreams each call beyond the slots counts in full, as a service at
 capacity soon refuses calls, which costs another attempt."""
-STAY_WEIGHT = 0.02
+STAY_WEIGHT = 0.1
 """Weight of the time that a stream takes longer on a slow engine, against the wait for
-its first event."""
+its first event. With 0.02 one event in twenty took twice as long at a third of the
+capacity."""
+MAX_STAY_MS = 1_000.0
+"""Largest cost of that time, so that slow engines are used before streams queue for
+long at the others."""
+SHARE_EXPONENT = 1.75
+"""Power of a slow engine's factor by which its room is less than that of the median
+engine. As totals are late, with 1.25 one ran up to 1.39 times the share of its speed at
+500 gateways and nearly full engines, with 1.75 up to 1.01."""
 LATE_MS = 1_500.0
 """Cost of a response whose end is expected beyond its deadline, as of a failure."""
 LATE_SPREAD = 0.25
@@ -45,7 +53,7 @@
     stay = demand.output_tokens * demand.output_token_ms
     cost = estimate_late_cost(wait + stay * factor, demand.time_left_ms)
     if demand.urgency is None:
-        return cost + STAY_WEIGHT * stay * (factor - fastest)
+        return cost + min(STAY_WEIGHT * stay * (factor - fastest), MAX_STAY_MS)
 
     return cost + estimate_rank_cost(
         demand.urgency, demand.output_tokens, factor / fastest
@@ -79,7 +87,7 @@
 
     They have a slot, so that they are not part of the expected wait.
     """
-    share = limit_slots(slots, factor)
+    share = limit_slots(slots, factor**SHARE_EXPONENT)
     excess = max(running + 1 - share, 0.0) / share
     queued = max(running + 1 - slots, 0) / slots
     return QUEUED_BATCH_MS * factor * (excess - queued)
