--- a/src/waxwingwell/routing/placement_cost.py
+++ b/src/waxwingwell/routing/placement_cost.py
@@ -22,15 +22,14 @@
 capacity soon refuses calls, which costs another attempt."""
 STAY_WEIGHT = 0.1
 """Weight of the time that a stream takes longer on a slow engine, against the wait for
-its first event. With 0.02 one event in twenty took twice as long at a third of the
-capacity."""
+its first event. In trials with 0.02 slow engines ran up to 1.4 times their share."""
 MAX_STAY_MS = 1_000.0
 """Largest cost of that time, so that slow engines are used before streams queue for
 long at the others."""
 SHARE_EXPONENT = 1.75
 """Power of a slow engine's factor by which its room is less than that of the median
 engine. As totals are late, with 1.25 one ran up to 1.39 times the share of its speed at
-500 gateways and nearly full engines, with 1.75 up to 1.01."""
+500 gateways and nearly full engines, with 1.75 up to 1.08."""
 LATE_MS = 1_500.0
 """Cost of a response whose end is expected beyond its deadline, as of a failure."""
 LATE_SPREAD = 0.25
