Divide the times of a roll-out by the slowness of the engine

A slow canary looked like a slow version. The times of a request are divided by the factor of its engine over the median of the serving engines of the same version, so that a version which slows all of its engines stays slow.

--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -5,9 +5,12 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.capacity import find_slowness
+from ...routing.capacity import list_factors
 from ...routing.delays import is_strained
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
+from ...routing.fleet import UpstreamState
 from ...routing.load import add_running
 from ...routing.load import estimate_output_tokens
 from ...routing.load import record_prefill
@@ -30,6 +33,7 @@
     from ...routing.records import Workspace
     from ..http.records import HeaderList
     from .attempts import Attempt
+    from .choice import Choice
     from .context import GatewayContext
     from .exchange import Exchange
 
@@ -164,9 +168,28 @@
         choice.placement.upstream.version,
         name_kind(exchange.route, choice.model),
         now,
+        slowness=find_version_slowness(context, choice, now),
     )
 
 
+def find_version_slowness(context: GatewayContext, choice: Choice, now: float) -> float:
+    """Return an engine's duration factor over the median of those of its version."""
+    chosen = choice.placement.upstream
+    if choice.service not in context.tallies:
+        return 1.0
+
+    held = [one.announcement for one in context.fleet.upstreams.values()]
+    peers = [
+        one
+        for one in held
+        if one.service == choice.service
+        and one.version == chosen.version
+        and one.state is UpstreamState.SERVING
+    ]
+    factors = list_factors(context.engine_speeds, [chosen, *peers], now)
+    return find_slowness(factors, chosen.upstream, [one.upstream for one in peers])
+
+
 def name_kind(route: Route, model: str) -> str:
     """Return the kind of requests that are compared between versions.
 
--- a/src/waxwingwell/routing/capacity.py
+++ b/src/waxwingwell/routing/capacity.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from statistics import median
 from typing import TYPE_CHECKING
 
 from .engine_speeds import find_duration_factor
@@ -78,6 +79,17 @@
     return EngineFactors(uneven, min(uneven.get(name, 1.0) for name in found))
 
 
+def find_slowness(factors: EngineFactors, upstream: str, peers: Sequence[str]) -> float:
+    """Return an engine's duration factor over the median of its peers, itself included.
+
+    Peers that are all slow, as of a version that makes them so, have a slowness of 1.
+    """
+    if not factors.factors or not peers:
+        return 1.0
+
+    return factors.find(upstream) / median(factors.find(name) for name in peers)
+
+
 def round_capacity(capacity: float) -> float:
     """Return a capacity rounded to coarse steps."""
     step = round(math.log2(capacity) * STEPS_PER_DOUBLING)
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -3,6 +3,9 @@
 All versions of a service are counted from the moment at which the gateway learns of the
 roll-out, so that their rates cover the same time. Requests that were sent before it are
 not counted.
+
+Times are divided by the slowness of the engine, so that a slow engine does not look
+like a slow version.
 """
 
 from __future__ import annotations
@@ -78,6 +81,8 @@
     """Time of a stream's first byte."""
     events: int = 0
     """Events of the stream so far."""
+    slowness: float = 1.0
+    """Duration factor of its engine, over the median of the engines of the version."""
 
 
 @dataclass(slots=True)
@@ -119,7 +124,13 @@
 
 
 def record_sent(
-    tallies: dict[str, RolloutTally], service: str, version: str, kind: str, now: float
+    tallies: dict[str, RolloutTally],
+    service: str,
+    version: str,
+    kind: str,
+    now: float,
+    *,
+    slowness: float = 1.0,
 ) -> CountedRequest | None:
     """Count a request that is sent; return None without a roll-out of its service."""
     held = tallies.get(service)
@@ -128,7 +139,7 @@
 
     tally = find_tally(held, version, kind)
     tally.sent += 1
-    request = CountedRequest(tally, now)
+    request = CountedRequest(tally, now, slowness=slowness)
     tally.waiting.add(request)
     return request
 
@@ -137,7 +148,7 @@
     """Count the time to the first byte if the response is a success so far."""
     request.tally.waiting.discard(request)
     if success:
-        request.tally.first_bytes[find_bucket(now - request.sent_at)] += 1
+        request.tally.first_bytes[find_bucket(find_age(request, now))] += 1
 
 
 def start_stream(request: CountedRequest, now: float) -> None:
@@ -153,7 +164,12 @@
 
 def find_pace(request: CountedRequest, now: float) -> float:
     """Return the time per event of a stream so far."""
-    return (now - request.streaming_since) / request.events
+    return (now - request.streaming_since) / request.events / request.slowness
+
+
+def find_age(request: CountedRequest, now: float) -> float:
+    """Return the time since a request was sent."""
+    return (now - request.sent_at) / request.slowness
 
 
 def stop_waiting(request: CountedRequest, now: float) -> None:
@@ -169,7 +185,7 @@
 
     if request in tally.waiting:
         tally.waiting.discard(request)
-        tally.abandoned[find_bucket(now - request.sent_at)] += 1
+        tally.abandoned[find_bucket(find_age(request, now))] += 1
 
 
 def record_ending(request: CountedRequest, ending: Ending, now: float) -> None:
@@ -180,7 +196,7 @@
     tally.failures += ending is Ending.FAILURE
     tally.breaks += ending is Ending.BREAK
     if ending is Ending.SUCCESS:
-        tally.durations[find_bucket(now - request.sent_at)] += 1
+        tally.durations[find_bucket(find_age(request, now))] += 1
 
 
 def record_crash(request: CountedRequest) -> None:
@@ -208,7 +224,7 @@
             first_bytes=pack_counts(tally.first_bytes),
             durations=pack_counts(tally.durations),
             waiting=pack_counts(
-                Counter(find_bucket(now - one.sent_at) for one in tally.waiting)
+                Counter(find_bucket(find_age(one, now)) for one in tally.waiting)
             ),
             paces=pack_counts(tally.paces),
             pacing=pack_counts(
--- a/tests/adapters/gateway/test_placement_inputs.py
+++ b/tests/adapters/gateway/test_placement_inputs.py
@@ -8,8 +8,10 @@
 from tests.routing.factories import make_announcement
 from waxwingwell.adapters.gateway import choice
 from waxwingwell.adapters.gateway.choice import is_ready_for_trial
+from waxwingwell.routing.health import record_unreachable
 from waxwingwell.routing.load import add_running
 from waxwingwell.routing.records import Service
+from waxwingwell.routing.tallies import RolloutTally
 
 from .support import LAST_CHUNK
 from .support import Gateway
@@ -79,6 +81,30 @@
 
         self.assertEqual([one.engines for one in found], [2.0, 1.25])
 
+    def test_times_of_a_slow_engine_are_compared_by_its_version(self) -> None:
+        """Guards against a slow engine that looks like a slow version."""
+        for name, factors, expected in (
+            ("one slow engine", {"u1": 3.0}, 3.0),
+            ("slow version", {"u1": 3.0, "u2": 3.0, "u3": 3.0}, 1.0),
+            ("restarted", {}, 1.0),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway("u1", "u2", "u3")
+                for upstream, factor in factors.items():
+                    set_factor(gateway, upstream, factor)
+
+                for upstream in ("u2", "u3"):
+                    add_running(gateway.context.load, upstream, 9_000.0)
+                    record_unreachable(gateway.context.health, upstream, 0.0)
+
+                gateway.context.tallies["chat"] = RolloutTally(1.0, 0.0)
+                gateway.ask()
+                gateway.upstreams[-1].accept()
+                exchange = next(iter(gateway.context.exchanges))
+                attempt = exchange.running_attempt
+                self.assertEqual(attempt.upstream, "u1")
+                self.assertEqual(attempt.counted.slowness, expected)
+
     def test_a_slow_canary_is_ready_while_it_has_room(self) -> None:
         """Guards against a trial that fills a slow canary to its slots."""
         service = Service(name="chat", slots=4)
--- a/tests/routing/test_uneven_placement.py
+++ b/tests/routing/test_uneven_placement.py
@@ -14,6 +14,7 @@
 from waxwingwell.routing.capacity import EVEN
 from waxwingwell.routing.capacity import EngineFactors
 from waxwingwell.routing.capacity import draw_by_capacity
+from waxwingwell.routing.capacity import find_slowness
 from waxwingwell.routing.capacity import limit_slots
 from waxwingwell.routing.capacity import list_factors
 from waxwingwell.routing.capacity import sum_capacity
@@ -43,6 +44,13 @@
 from waxwingwell.routing.prefixes import prefer_upstream
 from waxwingwell.routing.prefixes import record_blocks
 from waxwingwell.routing.records import Service
+from waxwingwell.routing.tallies import Ending
+from waxwingwell.routing.tallies import RolloutTally
+from waxwingwell.routing.tallies import list_evidence
+from waxwingwell.routing.tallies import record_ending
+from waxwingwell.routing.tallies import record_first_byte
+from waxwingwell.routing.tallies import record_sent
+from waxwingwell.routing.tallies import start_stream
 
 from .factories import make_announcement
 from .placement_plays import ENGINES
@@ -422,6 +430,55 @@
                 self.assertEqual(limit_slots(32, factor), expected)
 
 
+class VersionTest(unittest.TestCase):
+    """Times of versions that a roll-out compares."""
+
+    def test_slowness_is_relative_to_the_engines_of_the_version(self) -> None:
+        """Guards against a slow canary that counts as a slow version.
+
+        A version that makes all of its engines slow is not excused.
+        """
+        for name, slow, peers, expected in (
+            ("equal", {}, ["one", "two", "three"], 1.0),
+            ("slow canary", {"one": 3.0}, ["one", "two", "three"], 3.0),
+            ("slow version", dict.fromkeys(("one", "two"), 3.0), ["one", "two"], 1.0),
+            ("beside a slow one", {"two": 3.0}, ["one", "two", "three"], 1.0),
+            ("only engine", {"one": 3.0}, ["one"], 1.0),
+            ("left", {"one": 3.0}, [], 1.0),
+        ):
+            with self.subTest(name):
+                factors = EngineFactors(slow, 1.0)
+                self.assertAlmostEqual(find_slowness(factors, "one", peers), expected)
+
+    def test_times_on_a_slow_engine_are_those_of_the_median(self) -> None:
+        times = []
+        for slowness in (1.0, 3.0):
+            held = RolloutTally(100.0, 0.0)
+            for ending, first in ((Ending.SUCCESS, True), (Ending.DROPPED, False)):
+                request = record_sent(
+                    {"chat": held}, "chat", "v2", "kind", 0.0, slowness=slowness
+                )
+                assert request is not None
+                if first:
+                    record_first_byte(request, 0.2 * slowness, success=True)
+                    start_stream(request, 0.2 * slowness)
+                    request.events = 10
+
+                record_ending(request, ending, 1.0 * slowness)
+
+            waiting = record_sent(
+                {"chat": held}, "chat", "v2", "kind", 0.0, slowness=slowness
+            )
+            assert waiting is not None
+            (one,) = list_evidence({"chat": held}, 2.0 * slowness)
+            times.append(
+                (one.first_bytes, one.durations, one.abandoned, one.waiting, one.paces)
+            )
+
+        self.assertEqual(times[0], times[1])
+        self.assertTrue(all(times[0]))
+
+
 class PaceTest(unittest.TestCase):
     """Time of an output token by model."""
 
