--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -25,6 +25,7 @@
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
+from ...routing.output_pace import OutputPaceTable
 from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
@@ -161,6 +162,8 @@
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
     """Prefill speeds by model."""
+    output_paces: OutputPaceTable = field(default_factory=OutputPaceTable)
+    """Output paces by model."""
     engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
     invalid_speeds_at: float = -math.inf
     """Time of the last log line on invalid duration factors."""
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -5,9 +5,12 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.capacity import find_slowness
+from ...routing.capacity import list_factors
 from ...routing.delays import is_strained
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
+from ...routing.fleet import UpstreamState
 from ...routing.load import add_running
 from ...routing.load import estimate_output_tokens
 from ...routing.load import record_prefill
@@ -36,6 +39,7 @@
     from ..http.records import HeaderList
     from ..traffic import Traffic
     from .attempts import Attempt
+    from .choice import Choice
     from .context import GatewayContext
     from .exchange import Exchange
 
@@ -141,8 +145,9 @@
     attempt.work = placement.work
     record_send(context, attempt.upstream, now)
     facts = exchange.facts
+    output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
+    attempt.output_tokens = output
     if facts.prompt_tokens:
-        output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
         attempt.tokens = facts.prompt_tokens + output
 
     add_running(context.load, attempt.upstream, attempt.work, attempt.tokens)
@@ -181,9 +186,28 @@
         choice.placement.upstream.version,
         name_kind(exchange.route, choice.model),
         now,
+        slowness=find_version_slowness(context, choice, now),
     )
 
 
+def find_version_slowness(context: GatewayContext, choice: Choice, now: float) -> float:
+    """Return an engine's duration factor over the median of those of its version."""
+    chosen = choice.placement.upstream
+    if choice.service not in context.tallies:
+        return 1.0
+
+    held = [one.announcement for one in context.fleet.upstreams.values()]
+    peers = [
+        one
+        for one in held
+        if one.service == choice.service
+        and one.version == chosen.version
+        and one.state is UpstreamState.SERVING
+    ]
+    factors = list_factors(context.engine_speeds, [chosen, *peers], now)
+    return find_slowness(factors, chosen.upstream, [one.upstream for one in peers])
+
+
 def name_kind(route: Route, model: str) -> str:
     """Return the kind of requests that are compared between versions.
 
