Search and copy each byte of a partial event once

A partial event was joined anew with each piece, and searched from its start, so that the work grew with the square of its length. Now the pieces are appended to one buffer and only the new bytes are searched.

--- a/src/waxwingwell/adapters/gateway/events.py
+++ b/src/waxwingwell/adapters/gateway/events.py
@@ -17,32 +17,53 @@
     __slots__ = ("_partial_event", "events", "last_id")
 
     def __init__(self, last_id: str = "") -> None:
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self.last_id = last_id
         self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes, and return the events that are complete now."""
-        buffered = self._partial_event + data
-        end = buffered.rfind(EVENT_END)
-        if end < 0:
-            self._partial_event = buffered
+        complete_events = self._take_complete(data)
+        if not complete_events:
             return b""
 
-        end += len(EVENT_END)
-        complete_events, self._partial_event = buffered[:end], buffered[end:]
         self.events += complete_events.count(EVENT_END)
         self._record_last_id(complete_events)
         return complete_events
 
+    def _take_complete(self, data: bytes) -> bytes:
+        """Add received bytes, and remove and return the complete events.
+
+        Bytes that were searched before are not searched or copied again, so that the
+        work is linear in the length of an event that arrives in many pieces.
+        """
+        if not self._partial_event and data.endswith(EVENT_END):
+            return data
+
+        searched = max(len(self._partial_event) - len(EVENT_END) + 1, 0)
+        self._partial_event += data
+        end = self._partial_event.rfind(EVENT_END, searched)
+        if end < 0:
+            return b""
+
+        end += len(EVENT_END)
+        complete_events = bytes(self._partial_event[:end])
+        del self._partial_event[:end]
+        return complete_events
+
     def discard_partial_event(self) -> None:
         """Discard a partial event that will not be completed."""
-        self._partial_event = b""
+        self._partial_event.clear()
 
     @property
     def partial_event(self) -> bytes:
         """Buffered bytes of an incomplete event."""
-        return self._partial_event
+        return bytes(self._partial_event)
+
+    @property
+    def partial_bytes(self) -> int:
+        """Number of buffered bytes of an incomplete event."""
+        return len(self._partial_event)
 
     def _record_last_id(self, complete_events: bytes) -> None:
         """Record the last id among these events."""
