Tell when a caller has too much left to read, and bound informational responses

A connection had no bound on unsent bytes, on pipelined bytes, or on informational responses: a caller that did not read made a gateway hold all that its upstream sent, and informational responses without end took 83 s.

A connection now calls its responder at 256 KiB of unsent bytes and again at 64 KiB, and ends after the idle time-out if its caller reads nothing meanwhile. A complete pipelined request waits until its caller has read, and no more than 64 KiB are received behind a request in progress. A call can be paused, and ends at its 17th informational response. What is unsent, and the bodies of requests, are counted.

--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -25,11 +25,16 @@
 
 
 if TYPE_CHECKING:
+    from twisted.internet.interfaces import IPushProducer
     from twisted.internet.interfaces import ITCPTransport
     from twisted.python.failure import Failure
 
 
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL = 16
+"""Informational responses to one request; an upstream has cause for one or two."""
+TOO_LONG = 431
+"""Status by which h11 reports that a head, a trailer or a chunk size is too long."""
 
 
 class ResponseEnd(Enum):
@@ -43,6 +48,16 @@
     """It ended early, or there was none."""
 
 
+@dataclass(frozen=True, slots=True)
+class PassedBound:
+    """A bound that the bytes of a response have passed."""
+
+    kind: str
+    limit: int
+    count: int
+    """What was received when the connection was closed."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallHandlers:
     """Callbacks for a response as it arrives.
@@ -75,6 +90,8 @@
         self.sent = False
         self.timed_out = False
         """Whether the connection was not set up in time, rather than refused."""
+        self.passed: PassedBound | None = None
+        """The bound that ended the call, if one did."""
         self._ended = False
         self._protocol: _CallProtocol | None = None
         self._connector = reactor.connectTCP(
@@ -92,6 +109,16 @@
         else:
             self._connector.disconnect()
 
+    def pause(self) -> None:
+        """Stop reading the response until ``resume``."""
+        if not self._ended and self._protocol is not None:
+            self._protocol.pause()
+
+    def resume(self) -> None:
+        """Continue reading the response."""
+        if not self._ended and self._protocol is not None:
+            self._protocol.resume()
+
     def set_protocol(self, protocol: _CallProtocol) -> None:
         """Set the protocol of the established connection."""
         self._protocol = protocol
@@ -124,6 +151,7 @@
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._closed = False
         """Whether the upstream has closed the connection cleanly."""
+        self._informational = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         self._call.set_protocol(self)
@@ -160,11 +188,21 @@
         if self.transport is not None:
             cast("ITCPTransport", self.transport).abortConnection()
 
+    def pause(self) -> None:
+        cast("IPushProducer", self.transport).pauseProducing()
+
+    def resume(self) -> None:
+        cast("IPushProducer", self.transport).resumeProducing()
+
     def _process_events(self) -> None:
         try:
             while not self._call.ended and self._handle_event(self._h11.next_event()):
                 pass
-        except h11.RemoteProtocolError:
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == TOO_LONG:
+                count = len(self._h11.trailing_data[0])
+                self._call.passed = PassedBound("head", MAX_HEAD_BYTES, count)
+
             self._call.finish(ResponseEnd.CUT)
             self.abort()
 
@@ -182,9 +220,24 @@
             )
             self.abort()
             return False
+        elif isinstance(event, h11.InformationalResponse):
+            return self._count_informational()
 
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _count_informational(self) -> bool:
+        """Return whether one more informational response is accepted."""
+        self._informational += 1
+        if self._informational <= MAX_INFORMATIONAL:
+            return True
+
+        self._call.passed = PassedBound(
+            "informational", MAX_INFORMATIONAL, self._informational
+        )
+        self._call.finish(ResponseEnd.CUT)
+        self.abort()
+        return False
+
 
 class _CallFactory(ClientFactory):
     noisy = False
--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,6 +16,19 @@
 
 CHUNK_BYTES = 65_536
 """Most bytes given to the transport at a time; it requests more once they are sent."""
+HIGH_WATER_BYTES = 262_144
+"""Unsent bytes of a connection above which no more are produced for it: 4 s of a stream
+of 60 KB/s."""
+LOW_WATER_BYTES = 65_536
+"""Unsent bytes down to which they are sent before more are produced: one chunk, so that
+the connection does not run dry meanwhile."""
+
+
+@dataclass(slots=True)
+class HeldBytes:
+    """Number of bytes that a process holds for its callers and upstreams."""
+
+    total: int = 0
 
 
 @implementer(IPullProducer)
@@ -23,12 +37,20 @@
 
     A transport does not report how much it buffers, and drops its buffer when the
     reactor stops or the connection is aborted. So it gets one chunk at a time and
-    requests the next when its buffer is empty. ``on_progress`` is called then.
+    requests the next when its buffer is empty. ``on_progress`` is called then. The
+    unsent bytes are counted in ``held``.
     """
 
-    def __init__(self, transport: Any, on_progress: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        transport: Any,
+        on_progress: Callable[[], None],
+        held: HeldBytes | None = None,
+    ) -> None:
         self._transport = transport
         self._on_progress = on_progress
+        self._held = held or HeldBytes()
+        self._is_counted = True
         self._pending = bytearray()
         self._in_transport = 0
         self._finishing = False
@@ -41,10 +63,19 @@
 
     def write(self, data: bytes) -> None:
         """Append bytes to the buffer and send as many as possible."""
+        if self._is_counted:
+            self._held.total += len(data)
+
         self._pending += data
         if self._in_transport < CHUNK_BYTES:
             self._send_chunk()
 
+    def release(self) -> None:
+        """Stop to count the unsent bytes, as the connection is lost."""
+        if self._is_counted:
+            self._is_counted = False
+            self._held.total -= self.unsent
+
     def finish(self) -> None:
         """Close the write side once everything was sent; the peer closes its own.
 
@@ -66,6 +97,9 @@
         if not self._in_transport:
             return
 
+        if self._is_counted:
+            self._held.total -= self._in_transport
+
         self._in_transport = 0
         self._on_progress()
         if self._pending:
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -15,7 +15,12 @@
 from twisted.internet.protocol import connectionDone
 
 from ..events import log_event
+from ..metrics import BOUNDS_PASSED
+from ..metrics import PAUSED_CONNECTIONS
 from ..metrics import TRUNCATED_RESPONSES
+from .output import HIGH_WATER_BYTES
+from .output import LOW_WATER_BYTES
+from .output import HeldBytes
 from .output import SendBuffer
 from .records import HeaderList
 from .records import HttpLimits
@@ -23,6 +28,7 @@
 
 
 if TYPE_CHECKING:
+    from twisted.internet.interfaces import IPushProducer
     from twisted.internet.interfaces import ITCPTransport
     from twisted.python.failure import Failure
 
@@ -44,6 +50,11 @@
 FIRST_BYTES_SECONDS = 0.3
 """Seconds for which a planned stop keeps a new connection without bytes open: a few
 network delays, or one lost packet."""
+MAX_UNPARSED_BYTES = 65_536
+"""Bytes after a request in progress that are received before the caller's connection is
+no longer read. Until it is read again, the loss of the connection goes unnoticed."""
+NO_ROOM_RETRY_AFTER = b"0.5"
+"""Seconds after which a caller may retry whose body there was no memory for."""
 
 
 @dataclass(slots=True)
@@ -51,20 +62,32 @@
     """State shared by all connections of a listener.
 
     ``handle`` is called with each complete request. ``limits`` is called for each
-    request, as a newer configuration may have changed the limits.
+    request, as a newer configuration may have changed the limits. ``has_room`` tells
+    whether the process has memory for the body of another request.
     """
 
     reactor: Any
     handle: Callable[[HttpRequest, Responder], None]
     limits: Callable[[], HttpLimits]
     stopping: bool = False
+    held: HeldBytes = field(default_factory=HeldBytes)
+    has_room: Callable[[], bool] = lambda: True
     connections: set[HttpConnection] = field(default_factory=set)
 
 
 class Responder:
     """Sends the response to one request."""
 
-    __slots__ = ("_connection", "ended", "on_lost", "request_id", "started")
+    __slots__ = (
+        "_connection",
+        "ended",
+        "lost_reason",
+        "on_lost",
+        "on_pause",
+        "on_resume",
+        "request_id",
+        "started",
+    )
 
     def __init__(self, connection: HttpConnection) -> None:
         self._connection = connection
@@ -72,7 +95,13 @@
         """Identifies the request in the log."""
         self.started = False
         self.ended = False
+        self.lost_reason = ""
+        """Why this end has closed the connection, if it has."""
         self.on_lost: Callable[[], None] = lambda: None
+        self.on_pause: Callable[[], None] = lambda: None
+        """Called when the caller has too many bytes left to read."""
+        self.on_resume: Callable[[], None] = lambda: None
+        """Called when the caller has read most of them."""
 
     def send(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
@@ -126,6 +155,13 @@
         self._last_request_id = ""
         """Id of the request whose response was written last."""
         self._connected_at = service.reactor.seconds()
+        self._paused = False
+        """Whether the unsent bytes have passed the high-water mark, and not yet fallen
+        to the low-water mark."""
+        self._is_waiting = False
+        """Whether a complete request waits until its caller has read more."""
+        self._unparsed = 0
+        """Bytes that arrived after a request that is still in progress."""
         self._awaiting_first_bytes = True
         """Whether no bytes have been received yet."""
 
@@ -137,7 +173,9 @@
         """Register the connection and wait for the first request."""
         self.service.connections.add(self)
         cast("ITCPTransport", self.transport).setTcpNoDelay(True)
-        self._send_buffer = SendBuffer(self.transport, self._restart_timeout)
+        self._send_buffer = SendBuffer(
+            self.transport, self._handle_progress, self.service.held
+        )
         self._start_timer(self.service.limits().header_timeout)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -147,13 +185,19 @@
 
         self._awaiting_first_bytes = False
         self._h11.receive_data(data)
-        if self._responder is None:
+        if self._responder is None and not self._is_waiting:
             self._parse()
+            return
+
+        self._unparsed += len(data)
+        if self._unparsed > MAX_UNPARSED_BYTES:
+            cast("IPushProducer", self.transport).pauseProducing()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Notify the handler of a request in progress that its caller is gone."""
         self.service.connections.discard(self)
         self._stop_timer()
+        self._release_memory()
         responder, self._responder = self._responder, None
         if responder is None or not responder.started:
             self._log_undelivered(reason)
@@ -167,6 +211,45 @@
         """Upper bound on the bytes of responses that have not been sent."""
         return self._send_buffer.unsent if self._send_buffer is not None else 0
 
+    def _release_memory(self) -> None:
+        """Stop to count what is held for a connection that is lost."""
+        self._release_body()
+        if self._send_buffer is not None:
+            self._send_buffer.release()
+
+        if self._paused:
+            self._paused = False
+            PAUSED_CONNECTIONS.dec()
+
+    def _release_body(self) -> None:
+        self._body = []
+        self.service.held.total -= self._size
+        self._size = 0
+
+    def _handle_progress(self) -> None:
+        """Handle that the caller has read a chunk."""
+        self._restart_timeout()
+        if self._paused and self.unsent <= LOW_WATER_BYTES:
+            self._resume()
+
+    def _pause(self) -> None:
+        """Stop producing until the caller has read most of the unsent bytes."""
+        self._paused = True
+        PAUSED_CONNECTIONS.inc()
+        if self._responder is not None:
+            self._start_timer(self.service.limits().idle_timeout)
+            self._responder.on_pause()
+
+    def _resume(self) -> None:
+        self._paused = False
+        PAUSED_CONNECTIONS.dec()
+        if self._responder is not None:
+            self._stop_timer()
+            self._responder.on_resume()
+        elif self._is_waiting:
+            self._is_waiting = False
+            self._dispatch()
+
     def _restart_timeout(self) -> None:
         """Restart the timeout of a caller that is reading.
 
@@ -174,7 +257,9 @@
         two requests, and the connection would be reset in the middle of the response.
         Only a caller that reads nothing for that long is taken for gone.
         """
-        if self._closing or (self._responder is None and self._request is None):
+        is_idle = self._responder is None and self._request is None
+        is_held = self._paused and (self._responder is not None or self._is_waiting)
+        if self._closing or is_idle or is_held:
             self._start_timer(self.service.limits().idle_timeout)
 
     def _log_undelivered(self, reason: Failure) -> None:
@@ -245,8 +330,7 @@
 
         self._responder = None
         self._request = None
-        self._body = []
-        self._size = 0
+        self._release_body()
         reusable = self._h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if self._close_after_response or not reusable:
             self._close_gracefully()
@@ -263,19 +347,31 @@
             return
 
         data = self._h11.send(event)
-        if data:
-            self._send_buffer.write(data)
+        if not data:
+            return
+
+        self._send_buffer.write(data)
+        if not self._paused and self.unsent > HIGH_WATER_BYTES:
+            self._pause()
 
     def _parse(self) -> None:
         self._has_unparsed_bytes = False
         if self._responder is not None or not self._is_open():
             return
 
+        self._read_again()
         try:
             self._parse_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
+    def _read_again(self) -> None:
+        """Read the connection again if too many bytes had arrived."""
+        if self._unparsed > MAX_UNPARSED_BYTES:
+            cast("IPushProducer", self.transport).resumeProducing()
+
+        self._unparsed = 0
+
     def _is_open(self) -> bool:
         return not self._closing and self in self.service.connections
 
@@ -302,11 +398,17 @@
                 if not self._receive_body(bytes(event.data)):
                     return
             elif isinstance(event, h11.EndOfMessage):
-                self._dispatch()
+                self._dispatch_when_read()
                 return
 
     def _receive_body(self, data: bytes) -> bool:
         self._size += len(data)
+        self.service.held.total += len(data)
+        if not self.service.has_room():
+            BOUNDS_PASSED.labels("memory").inc()
+            self._reject(503)
+            return False
+
         if self._size > self.service.limits().body_bytes:
             self._reject(413)
             return False
@@ -314,10 +416,19 @@
         self._body.append(data)
         return True
 
+    def _dispatch_when_read(self) -> None:
+        """Handle a request once its caller has read most of the former responses."""
+        if not self._paused:
+            self._dispatch()
+            return
+
+        self._is_waiting = True
+        self._start_timer(self.service.limits().idle_timeout)
+
     def _dispatch(self) -> None:
         self._stop_timer()
         request = cast("h11.Request", self._request)
-        body, self._body = b"".join(self._body), []
+        body, self._body = b"".join(self._body), []  # counted until the response ends
         self._responder = Responder(self)
         headers = list(request.headers.raw_items())
         self.service.handle(
@@ -329,8 +440,13 @@
         """Send an error response to an invalid request, and close."""
         self._close_after_response = True
         self._last_request_id = ""
+        self._release_body()
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.send_head(status, [(b"Content-Length", b"0")])
+            headers = [(b"Content-Length", b"0")]
+            if status == 503:
+                headers.append((b"Retry-After", NO_ROOM_RETRY_AFTER))
+
+            self.send_head(status, headers)
             self._write(h11.EndOfMessage())
 
         self._close_gracefully()
@@ -347,7 +463,13 @@
 
     def _handle_timeout(self) -> None:
         """Close a connection after a timeout of the next request or of the reader."""
-        if self._request is not None and not self._closing:
+        if self._responder is not None:
+            limit = self.service.limits().idle_timeout
+            self._responder.lost_reason = f"caller read nothing for {limit:g} s"
+            self.abort()
+        elif self._is_waiting:
+            self.abort()
+        elif self._request is not None and not self._closing:
             self._reject(408)
         elif self.unsent:
             self.abort()
@@ -377,6 +499,7 @@
             return
 
         self._closing = True
+        self._read_again()
         self._start_timer(self.service.limits().idle_timeout)
         self._send_buffer.finish()
 
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -83,3 +83,19 @@
     "Gateways that hold a connection to this control.",
     registry=REGISTRY,
 )
+HELD_BYTES = Gauge(
+    "waxwingwell_held_bytes",
+    "Bytes held for callers and upstreams: unsent, partial, collected, and requests.",
+    registry=REGISTRY,
+)
+PAUSED_CONNECTIONS = Gauge(
+    "waxwingwell_paused_connections",
+    "Connections of callers that have too much left to read.",
+    registry=REGISTRY,
+)
+BOUNDS_PASSED = Counter(
+    "waxwingwell_bounds_passed",
+    "Bounds on bytes and counts that were passed, by kind.",
+    ["kind"],
+    registry=REGISTRY,
+)
