Bound the bytes that a gateway holds for a request, and read upstreams as callers read

One event without end made a gateway hold 48 MiB and work for 7.8 s; a caller that did not read 27 MiB; a body without end 24 MiB.

An upstream is no longer read while its caller has too much left to read. Its silence and a cut-off then are no evidence, and its stream is resumed elsewhere once the caller reads again. An event, a collected body and a body without a stated length are bounded; past a bound the attempt counts as one that broke off. A long success is forwarded as it arrives from the bound on collected bodies. Only whole events, and bodies within their length, are signs of life. Above half of the stated memory, new requests are refused.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -13,7 +13,9 @@
 from ...routing.retries import record_request
 from ..events import log_event
 from ..http.records import find_header
+from ..metrics import BOUNDS_PASSED
 from ..metrics import REQUESTS
+from .bounds import has_room
 from .choice import choose_service
 from .choice import find_session_key
 from .endings import RETRY_AFTER
@@ -112,6 +114,11 @@
         refuse(facts, responder, 503, NO_CONFIGURATION, pause)
         return
 
+    if not has_room(context):
+        BOUNDS_PASSED.labels("memory").inc()
+        refuse(facts, responder, 503, "no memory for another request")
+        return
+
     host = read_host(request)
     target = request.target.decode("latin-1")
     route = find_route(index, host, target)
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
@@ -30,6 +31,7 @@
 from ..metrics import ATTEMPTS
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
+from .collected import CollectedBody
 from .dialect import ResponseFacts
 
 
@@ -48,6 +50,8 @@
     NOT_RUN = "not_run"
     BROKEN = "broken"
     FAILED = "failed"
+    UNREAD = "unread"
+    """It ended while its caller did not read, which may be why."""
     DONE = "done"
 
 
@@ -75,12 +79,22 @@
     status: int = 0
     headers: HeaderList | None = None
     facts: ResponseFacts | None = None
-    body: list[bytes] | None = None
+    body: CollectedBody = field(default_factory=CollectedBody)
+    """What has arrived of a response that is sent as a whole."""
+    body_bytes: int = 0
+    """Bytes of the body received so far."""
+    has_length: bool = False
+    """Whether the response states its length."""
+    forwarding: bool = False
+    """Whether a response that was too long to collect is sent on as it arrives."""
+    was_paused: bool = False
+    """Whether its upstream was not read for a time, as its caller did not read."""
     relayed_upstream: str = ""
     """Id of the upstream behind a relay, if the relay names it."""
     first_byte_at: float | None = None
     last_byte_at: float = 0.0
-    """Time at which the last byte was received."""
+    """Time of the last sign of life: the head, a whole event, or bytes of a body within
+    its stated length."""
     work: float = 0.0
     """Milliseconds of prefill counted as this gateway's load on the upstream."""
     tokens: int = 0
@@ -252,6 +266,12 @@
     if outcome is AttemptOutcome.DELAYED:
         return
 
+    if outcome is AttemptOutcome.UNREAD:
+        if attempt.counted is not None:
+            record_ending(attempt.counted, Ending.DROPPED, now)
+
+        return
+
     if outcome is AttemptOutcome.UNREACHED and attempt.facts is None:
         record_unreachable(context.health, attempt.upstream, now)
         return
@@ -270,5 +290,6 @@
     if attempt.counted is None or outcome not in ENDINGS:
         return
 
-    ending = Ending.DROPPED if dropped else ENDINGS[outcome]
+    is_timed = outcome is not AttemptOutcome.DONE or not attempt.was_paused
+    ending = ENDINGS[outcome] if is_timed and not dropped else Ending.DROPPED
     record_ending(attempt.counted, ending, now)
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -35,6 +35,7 @@
 from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
+from ..http.output import HeldBytes
 from ..links import Link
 from ..links import LinkNode
 from .dialect import Dialect
@@ -181,6 +182,8 @@
     """Requests queued until the first configuration."""
     control_seen_at: float = 0.0
     """Time of the last message from any control."""
+    held: HeldBytes = field(default_factory=HeldBytes)
+    """Bytes held for callers and upstreams."""
     stopping: bool = False
     exit_at: float = math.inf
     """Latest time at which a stopping process exits."""
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -125,11 +125,12 @@
 def check_silence(exchange: Exchange, now: float) -> None:
     """Record an attempt whose upstream has sent nothing for long as it is given up."""
     attempt = exchange.running_attempt
-    if attempt is None or attempt.connected_at is None:
+    if attempt is None or attempt.connected_at is None or exchange.flow.paused:
         return
 
     active_at = exchange.context.upstream_active_at.get(attempt.upstream, 0.0)
-    idle = now - max(attempt.started_at, attempt.last_byte_at, active_at)
+    read_at = exchange.flow.resumed_at
+    idle = now - max(attempt.started_at, attempt.last_byte_at, active_at, read_at)
     if idle < CONNECT_SECONDS or explains_timeout(exchange.context.delays, idle, now):
         return
 
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -30,11 +30,13 @@
 from ..links import ROUTING_TIMING
 from ..links import LinkHandlers
 from ..links import LinkNode
+from ..metrics import HELD_BYTES
 from ..metrics import REFUSED_CONNECTIONS
 from ..metrics_listener import serve_metrics
 from ..ports import open_port
 from .arrivals import handle_relayed
 from .arrivals import handle_request
+from .bounds import has_room
 from .context import GatewayContext
 from .crashes import review_breaks
 from .probing import probe_path
@@ -111,6 +113,8 @@
         reactor=reactor,
         handle=partial(handle_request, context),
         limits=partial(read_limits, context),
+        held=context.held,
+        has_room=partial(has_room, context),
     )
     health = HttpService(
         reactor=reactor,
@@ -121,6 +125,8 @@
         reactor=reactor,
         handle=partial(handle_relayed, context),
         limits=partial(read_relay_limits, context),
+        held=context.held,
+        has_room=partial(has_room, context),
     )
     port = CallerPort(reactor, callers or open_port(settings.callers))
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
@@ -197,6 +203,7 @@
 def run_tick(context: GatewayContext) -> None:
     """Run the periodic tasks; a task that fails is logged and the others continue."""
     now = context.clock()
+    HELD_BYTES.set(context.held.total)
     checks = [
         partial(check, now)
         for request in context.exchanges
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -7,6 +7,7 @@
 from ..events import log_event
 from ..metrics import REQUEST_SECONDS
 from ..metrics import REQUESTS
+from .bounds import count_held
 from .relaying import make_response_headers
 
 
@@ -31,9 +32,11 @@
     if attempt.streaming:
         exchange.responder.write(exchange.splitter.partial_event)
         exchange.responder.finish()
+    elif attempt.forwarding:
+        exchange.responder.finish()
     else:
         headers = make_response_headers(exchange, attempt)
-        exchange.responder.send(attempt.status, headers, b"".join(attempt.body or []))
+        exchange.responder.send(attempt.status, headers, attempt.body.join())
 
     record_end(exchange, "answered", attempt.status, now)
 
@@ -117,6 +120,7 @@
 
     exchange.finished = True
     exchange.context.exchanges.discard(exchange)
+    release_held(exchange)
     if exchange.deadline_timer is not None and exchange.deadline_timer.active():
         exchange.deadline_timer.cancel()
 
@@ -141,9 +145,31 @@
         first_ms=to_ms(exchange.pauses.first_event_at, exchange.started_at),
         pause_ms=round(exchange.pauses.longest * 1000),
         ms=round((now - exchange.started_at) * 1000),
+        unread=exchange.flow.pauses or None,
+        unread_ms=measure_unread(exchange, now),
     )
 
 
+def release_held(exchange: Exchange) -> None:
+    """Drop what a request holds of its upstreams' bytes."""
+    exchange.last_response = None
+    exchange.splitter.discard_partial_event()
+    if exchange.attempt is not None:
+        exchange.attempt.body.clear()
+
+    count_held(exchange)
+
+
+def measure_unread(exchange: Exchange, now: float) -> int | None:
+    """Return the milliseconds in which the caller did not read, or None without any."""
+    flow = exchange.flow
+    if not flow.pauses:
+        return None
+
+    running = 0.0 if flow.paused_at is None else now - flow.paused_at
+    return round((flow.seconds + running) * 1000)
+
+
 def to_ms(at: float | None, started_at: float) -> int | None:
     """Return the milliseconds from ``started_at`` to ``at``, or None without ``at``."""
     return None if at is None else round((at - started_at) * 1000)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ...routing.records import RouteKind
 from ...routing.tallies import start_stream
 from ..events import log_event
+from ..http.client import ResponseEnd
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
@@ -22,6 +23,9 @@
 from .attempts import record_first_byte
 from .attempts import record_outcome
 from .attempts import release_attempt
+from .bounds import collect_body
+from .bounds import count_held
+from .bounds import find_passed_bound
 from .choice import Choice
 from .choice import choose_service
 from .choice import choose_upstream
@@ -47,6 +51,9 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .flow import Flow
+from .flow import pause_exchange
+from .flow import resume_exchange
 from .probing import record_reached
 from .relaying import choose_relay
 from .relaying import make_response_headers
@@ -71,7 +78,6 @@
 
     from ...routing.records import Route
     from ...routing.records import Workspace
-    from ..http.client import ResponseEnd
     from ..http.records import HeaderList
     from ..http.records import HttpRequest
     from ..http.server import Responder
@@ -140,6 +146,9 @@
         """Upstreams that live, and sent no event when they resumed the stream."""
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = EventPauses()
+        self.flow = Flow()
+        self.held = 0
+        """Bytes of upstreams that are held, as counted in the context."""
         self.response_dropped = False
         """Whether a low-confidence response was dropped for a larger model's."""
         self.last_response: tuple[int, HeaderList, bytes] | None = None
@@ -155,11 +164,13 @@
         """Start the request; the final response goes through the responder."""
         self.context.exchanges.add(self)
         self.responder.on_lost = self._handle_caller_gone
+        self.responder.on_pause = partial(pause_exchange, self)
+        self.responder.on_resume = partial(resume_exchange, self)
         delay = max(self.deadline - self.context.clock(), 0.0)
         self.deadline_timer = self.context.reactor.callLater(
             delay, self._handle_deadline
         )
-        self._send_next()
+        self.send_next()
 
     def choose_upstream(self, now: float) -> Choice | None:
         """Return the best upstream that has not been tried, or a relay to one."""
@@ -195,7 +206,7 @@
         """
         return self.responder.started or self.response_dropped
 
-    def _send_next(self) -> None:
+    def send_next(self) -> None:
         """Send the request to the best upstream that has not been tried."""
         now = self.context.clock()
         if self.finished:
@@ -211,7 +222,7 @@
         choice = self.choose_upstream(now)
         if choice is None:
             if is_cut_off(self.context.path) or not wait_for_upstream(
-                self, self._send_next, now
+                self, self.send_next, now
             ):
                 self._retry_tried_upstreams()
 
@@ -241,7 +252,7 @@
             return
 
         self.tried_upstreams.clear()
-        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self._send_next)
+        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self.send_next)
 
     def first_event_limit(self, now: float) -> float:
         """Return the seconds left to meet the objective for the first event."""
@@ -285,7 +296,7 @@
         attempt.status = status
         attempt.headers = headers
         attempt.facts = self.context.dialect.read_response(status, headers)
-        attempt.body = []
+        attempt.has_length = attempt.framing == "length"
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
         record_statements(self.context, attempt, now)
@@ -322,22 +333,38 @@
 
     def handle_data(self, attempt: Attempt, data: bytes) -> None:
         """Handle a chunk of a response's body."""
-        attempt.last_byte_at = self.context.clock()
-        self.context.upstream_active_at[attempt.upstream] = attempt.last_byte_at
-        self.context.delays.received_at = attempt.last_byte_at
-        if not attempt.streaming:
-            if attempt.body is not None:
-                attempt.body.append(data)
-
-            return
-
+        now = self.context.clock()
+        self.context.delays.received_at = now
+        attempt.body_bytes += len(data)
+        if attempt.streaming:
+            self._forward_events(attempt, data, now)
+        else:
+            collect_body(self, attempt, data)
+            if attempt.has_length:
+                self._record_life(attempt, now)
+
+        count_held(self)
+        passed = find_passed_bound(self, attempt)
+        if passed is not None and attempt.call is not None:
+            attempt.call.passed = passed
+            attempt.cancel()
+            self.handle_end(attempt, ResponseEnd.CUT, True)
+
+    def _record_life(self, attempt: Attempt, now: float) -> None:
+        """Record that an upstream has sent a part of an answer."""
+        attempt.last_byte_at = now
+        self.context.upstream_active_at[attempt.upstream] = now
+
+    def _forward_events(self, attempt: Attempt, data: bytes, now: float) -> None:
+        """Forward the events that are complete with a piece of a stream."""
         finish_prefill(self.context, attempt)
         complete_events = self.splitter.feed(data)
         if attempt.counted is not None:
             attempt.counted.events = self.splitter.events - attempt.events_before
 
         if complete_events:
-            self.pauses.record(attempt.last_byte_at)
+            self._record_life(attempt, now)
+            self.pauses.record(now)
             self.responder.write(complete_events)
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
@@ -391,13 +418,19 @@
             self.tried_upstreams.discard(attempt.upstream)
 
         self.splitter.discard_partial_event()
+        attempt.body.clear()
+        count_held(self)
         # A relay has retried the request itself before it passes a failure on.
         final = attempt.relayed and outcome is AttemptOutcome.FAILED
         if not final and may_retry_after(self, outcome, now):
             if outcome not in UNSENT_OUTCOMES:
                 record_exchange_retry(self, attempt, now)
 
-            self._send_next()
+            if self.flow.paused:
+                self.flow.awaits_reader = True
+            else:
+                self.send_next()
+
             return
 
         give_up(self, reason)
@@ -416,7 +449,7 @@
     def _keep_response(self, attempt: Attempt) -> None:
         """Keep an upstream's own error response, sent if no attempt succeeds."""
         headers = make_response_headers(self, attempt)
-        self.last_response = (attempt.status, headers, b"".join(attempt.body or []))
+        self.last_response = (attempt.status, headers, attempt.body.join())
 
     def _handle_deadline(self) -> None:
         """End the request at its deadline, or soon after."""
@@ -427,7 +460,8 @@
         """Cancel the request after its caller has disconnected."""
         check_silence(self, self.context.clock())
         self.stop_attempt()
-        record_end(self, "caller_left", 0, self.context.clock())
+        reason = self.responder.lost_reason
+        record_end(self, "caller_left", 0, self.context.clock(), reason)
 
     @property
     def running_attempt(self) -> Attempt | None:
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -21,11 +21,16 @@
 from .attempts import AttemptOutcome
 from .attempts import is_delayed_here
 from .attempts import is_valid_response
+from .bounds import explain_break
+from .bounds import find_passed
+from .bounds import record_passed_bound
 from .counted_breaks import check_counted
 from .crashes import record_break
 from .endings import give_up
+from .flow import is_unread
 from .probing import record_unanswered
 from .relaying import is_refused_by_relay
+from .retrying import is_resumed
 from .sending import CONNECT_SECONDS
 
 
@@ -60,6 +65,7 @@
         return
 
     now = exchange.context.clock()
+    record_passed_bound(exchange, attempt)
     if attempt.facts is None and is_delayed_here(exchange.context, attempt, now):
         exchange.finish_attempt(attempt, AttemptOutcome.DELAYED, "own delay")
     elif attempt.facts is None:
@@ -71,7 +77,8 @@
             record_break(exchange, attempt, now)
             check_counted(exchange.context, attempt)
 
-        exchange.finish_attempt(attempt, outcome, "no answer")
+        reason = explain_break(attempt, "no answer")
+        exchange.finish_attempt(attempt, outcome, reason)
     elif is_refused_by_relay(attempt):
         reason = f"relay refused {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
@@ -91,6 +98,8 @@
         classify_empty(exchange, attempt)
     elif is_cut_in_event(exchange, attempt, end):
         break_attempt(exchange, attempt, "ended inside an event")
+    elif end is ResponseEnd.UNSTATED and may_be_cut(exchange, attempt):
+        break_attempt(exchange, attempt, "ended unread")
     elif end is ResponseEnd.UNSTATED:
         classify = partial(classify_checked, exchange, attempt)
         attempt.check = check_upstream(exchange, attempt, classify)
@@ -142,10 +151,26 @@
         break_attempt(exchange, attempt, "ended before an event")
 
 
+def may_be_cut(exchange: Exchange, attempt: Attempt) -> bool:
+    """Return whether a stream may have been closed early as its caller did not read.
+
+    Another upstream tells whether anything is left of it.
+    """
+    now = exchange.context.clock()
+    return is_resumed(exchange, attempt) and is_unread(exchange, attempt, now)
+
+
 def break_attempt(exchange: Exchange, attempt: Attempt, reason: str) -> None:
     """Finish an attempt whose response has broken off."""
-    record_break(exchange, attempt, exchange.context.clock())
+    now = exchange.context.clock()
+    if find_passed(attempt) is None and is_unread(exchange, attempt, now):
+        reason = f"{reason}, its caller did not read"
+        exchange.finish_attempt(attempt, AttemptOutcome.UNREAD, reason)
+        return
+
+    record_break(exchange, attempt, now)
     check_counted(exchange.context, attempt)
+    reason = explain_break(attempt, reason)
     exchange.finish_attempt(attempt, AttemptOutcome.BROKEN, reason)
 
 
@@ -155,7 +180,8 @@
     If an upstream refuses to resume a stream, its refusal can't follow the events that
     the caller has received, and another upstream may resume the stream.
     """
-    can_forward = attempt.streaming or not exchange.responder.started
+    is_forwarded = attempt.streaming or attempt.forwarding
+    can_forward = is_forwarded or not exchange.responder.started
     if attempt.status >= 500 or not can_forward:
         reason = f"status {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.FAILED, reason)
--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -34,12 +34,25 @@
     return route.kind is RouteKind.STREAM and route.resumable
 
 
+def is_resumed(exchange: Exchange, attempt: Attempt) -> bool:
+    """Return whether the response of an attempt is a stream that may be resumed."""
+    return attempt.streaming and is_retryable(exchange.route)
+
+
 def may_run_again(exchange: Exchange) -> bool:
     """Return whether the request may run again if the current attempt has run."""
+    if is_forwarding(exchange):
+        return False
+
     route = exchange.route
     return is_retryable(route) and exchange.runs + 1 < route.max_attempts
 
 
+def is_forwarding(exchange: Exchange) -> bool:
+    """Return whether the caller has a part of a response that can't be resumed."""
+    return exchange.attempt is not None and exchange.attempt.forwarding
+
+
 def can_fail_over(exchange: Exchange, now: float) -> bool:
     """Return whether another upstream could take the request over now."""
     if exchange.is_trial:
@@ -68,7 +81,10 @@
     if exchange.is_trial and outcome not in UNSENT_OUTCOMES:
         return False
 
-    retryable = is_retryable(exchange.route)
+    retryable = is_retryable(exchange.route) and not is_forwarding(exchange)
+    if outcome is AttemptOutcome.UNREAD and not retryable:
+        return False
+
     if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.FAILED):
         if not retryable or exchange.runs >= exchange.route.max_attempts:
             return False
@@ -86,7 +102,10 @@
     if outcome in UNSENT_OUTCOMES:
         return True
 
-    part = OPTIONAL_PART if is_asked_for_rest(exchange.attempt) else FAILURE_PART
+    # Slow callers must leave retries for requests that fail.
+    is_optional = outcome is AttemptOutcome.UNREAD
+    is_optional = is_optional or is_asked_for_rest(exchange.attempt)
+    part = OPTIONAL_PART if is_optional else FAILURE_PART
     return has_retry_budget(exchange, now, part)
 
 
--- a/src/waxwingwell/adapters/gateway/settings.py
+++ b/src/waxwingwell/adapters/gateway/settings.py
@@ -33,6 +33,12 @@
     metrics: tuple[str, int] | None = None
     relay: tuple[str, int] | None = None
     """Host and port at which other gateways' requests are accepted."""
+    event_bytes: int = 262_144
+    """Longest event of a stream."""
+    collected_bytes: int = 524_288
+    """Longest response that is collected, so that it can be requested again."""
+    unstated_body_bytes: int = 8_388_608
+    """Longest body whose length is not stated."""
     memory_bytes: int = 0
     """Memory that the process may use; 0 if unknown."""
     link_bytes_per_second: float = 0.0
--- a/src/waxwingwell/adapters/gateway/watch.py
+++ b/src/waxwingwell/adapters/gateway/watch.py
@@ -88,11 +88,13 @@
         attempt is None
         or attempt.finished
         or exchange.route.kind is not RouteKind.STREAM
+        or exchange.flow.paused
     ):
         return
 
     active_at = exchange.context.upstream_active_at.get(attempt.upstream, 0.0)
-    idle = now - max(attempt.started_at, attempt.last_byte_at, active_at)
+    read_at = exchange.flow.resumed_at
+    idle = now - max(attempt.started_at, attempt.last_byte_at, active_at, read_at)
     if idle <= find_limit(exchange, attempt):
         return
 
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -183,6 +183,11 @@
         tally.durations[find_bucket(now - request.sent_at)] += 1
 
 
+def drop_pace(request: CountedRequest) -> None:
+    """Take a stream out of those whose pace is counted, as its caller sets it."""
+    request.tally.streaming.discard(request)
+
+
 def record_crash(request: CountedRequest) -> None:
     """Count the break of a request as that of an upstream that has ended."""
     request.tally.crashes += 1
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -21,6 +21,7 @@
 from tests.routing.factories import make_document
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.arrivals import handle_request
+from waxwingwell.adapters.gateway.bounds import has_room
 from waxwingwell.adapters.gateway.context import GatewayContext
 from waxwingwell.adapters.gateway.dialect import Dialect
 from waxwingwell.adapters.gateway.dialect import Dispatch
@@ -328,6 +329,8 @@
             gateway.context, request, responder
         ),
         limits=HttpLimits,
+        held=gateway.context.held,
+        has_room=lambda: has_room(gateway.context),
     )
     return gateway
 
