--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -5,6 +5,7 @@
 import unittest
 
 from waxwingwell.routing.exposure import ExposureLimits
+from waxwingwell_platform.settings import read_byte_limits
 from waxwingwell_platform.settings import read_exposure
 from waxwingwell_platform.settings import read_registry
 from waxwingwell_platform.settings import read_retries
@@ -72,5 +73,26 @@
                 self.assertEqual(settings.exposure, expected)
 
 
+class ByteLimitsTest(unittest.TestCase):
+    """The limits on the bytes of responses."""
+
+    def test_invalid_limits(self) -> None:
+        """Guards against limits that refuse all responses, or none."""
+        for value in (0, -1, 1.5, "1", True):
+            with (
+                self.subTest(value=value),
+                self.assertRaisesRegex(ValueError, "limits: event_bytes must be"),
+            ):
+                read_byte_limits({"limits": {"event_bytes": value}})
+
+    def test_limits(self) -> None:
+        """Guards against limits of the file that are not those of the gateway."""
+        fields = {"event_bytes": 1, "collected_bytes": 2, "unstated_body_bytes": 3}
+        limits = {**fields, "memory_mb": 160}
+        for given, expected in ((limits, fields), ({}, {})):
+            with self.subTest(given=given):
+                self.assertEqual(read_byte_limits({"limits": given}), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
