--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -217,6 +217,28 @@
                 self.assertEqual(len(gateway.calls), 1)
                 self.assertEqual(gateway.context.exchanges, set())
 
+    def test_a_silent_upstream_keeps_a_forwarded_answer(self) -> None:
+        """Guards against answers that are given up though no other can continue them.
+
+        The route is one of streams, whose silent upstreams are left for others.
+        """
+        gateway = make_gateway(kind=STREAM)
+        gateway.context.load.others_at = 0.0
+        caller = gateway.ask()
+        upstream = gateway.calls[-1]
+        upstream.accept()
+        body = b"x" * MIB
+        response = make_response(body, 404)
+        upstream.respond(response[:-PIECE_BYTES])
+        [running] = gateway.context.exchanges
+        for _ in range(20):
+            gateway.reactor.advance(0.25)
+            running.check_responsiveness(gateway.reactor.seconds())
+
+        self.assertEqual(len(gateway.calls), 1)
+        upstream.respond(response[-PIECE_BYTES:])
+        self.assertTrue(caller.received.endswith(body))
+
     def test_an_answer_that_breaks_off_short_is_requested_again(self) -> None:
         """Guards against a part of an answer that is sent on too soon."""
         gateway = make_gateway(kind=CALL)
