--- a/src/waxwingwell/adapters/gateway/bounds.py
+++ b/src/waxwingwell/adapters/gateway/bounds.py
@@ -78,7 +78,7 @@
         return PassedBound("collected", settings.collected_bytes, collected)
 
     received = attempt.body_bytes
-    if not attempt.has_length and received > settings.unstated_body_bytes:
+    if received > settings.unstated_body_bytes and not attempt.has_length:
         return PassedBound("body", settings.unstated_body_bytes, received)
 
     return None
--- a/src/waxwingwell/adapters/gateway/events.py
+++ b/src/waxwingwell/adapters/gateway/events.py
@@ -23,9 +23,12 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes, and return the events that are complete now."""
-        complete_events = self._take_complete(data)
-        if not complete_events:
-            return b""
+        if not self._partial_event and data.endswith(EVENT_END):
+            complete_events = data
+        else:
+            complete_events = self._take_complete(data)
+            if not complete_events:
+                return b""
 
         self.events += complete_events.count(EVENT_END)
         self._record_last_id(complete_events)
@@ -37,9 +40,6 @@
         Bytes that were searched before are not searched or copied again, so that the
         work is linear in the length of an event that arrives in many pieces.
         """
-        if not self._partial_event and data.endswith(EVENT_END):
-            return data
-
         searched = max(len(self._partial_event) - len(EVENT_END) + 1, 0)
         self._partial_event += data
         end = self._partial_event.rfind(EVENT_END, searched)
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -343,7 +343,9 @@
             if attempt.has_length:
                 self._record_life(attempt, now)
 
-        count_held(self)
+        if self.splitter.partial_bytes or attempt.body.size or self.held:
+            count_held(self)
+
         passed = find_passed_bound(self, attempt)
         if passed is not None and attempt.call is not None:
             attempt.call.passed = passed
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -228,7 +228,9 @@
 
     def _handle_progress(self) -> None:
         """Handle that the caller has read a chunk."""
-        self._restart_timeout()
+        if self._closing or self._paused or self._responder is None:
+            self._restart_timeout()
+
         if self._paused and self.unsent <= LOW_WATER_BYTES:
             self._resume()
 
@@ -351,7 +353,7 @@
             return
 
         self._send_buffer.write(data)
-        if not self._paused and self.unsent > HIGH_WATER_BYTES:
+        if not self._paused and self._send_buffer.unsent > HIGH_WATER_BYTES:
             self._pause()
 
     def _parse(self) -> None:
