--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -38,6 +38,7 @@
 from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
+from ..http.output import HeldBytes
 from ..links import Link
 from ..links import LinkNode
 from ..traffic import TrafficTable
@@ -151,8 +152,6 @@
     """This gateway's own room, and other gateways that have room."""
     traffic: TrafficTable = field(default_factory=TrafficTable)
     """Bytes of this gateway's connections."""
-    count_held_bytes: Callable[[], int] = lambda: 0
-    """Counts the bytes of responses that callers have not read yet."""
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
@@ -197,6 +196,8 @@
     """Requests queued until the first configuration."""
     control_seen_at: float = 0.0
     """Time of the last message from any control."""
+    held: HeldBytes = field(default_factory=HeldBytes)
+    """Bytes held for callers and upstreams."""
     stopping: bool = False
     exit_at: float = math.inf
     """Latest time at which a stopping process exits."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -30,6 +30,7 @@
 from ..links import ROUTING_TIMING
 from ..links import LinkHandlers
 from ..links import LinkNode
+from ..metrics import HELD_BYTES
 from ..metrics import REFUSED_CONNECTIONS
 from ..metrics_listener import serve_metrics
 from ..ports import open_port
@@ -38,13 +39,13 @@
 from ..traffic import find_traffic
 from .arrivals import handle_relayed
 from .arrivals import handle_request
+from .bounds import has_room
 from .context import GatewayContext
 from .crashes import review_breaks
 from .probing import probe_path
 from .reporting import send_report
 from .room_checks import check_room
 from .room_checks import count_link_bytes
-from .room_checks import make_held_counter
 from .steering import connect_control
 from .steering import handle_call
 from .steering import handle_cast
@@ -119,6 +120,8 @@
         handle=partial(handle_request, context),
         limits=partial(read_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.CALLERS, Place.UNKNOWN),
+        held=context.held,
+        has_room=partial(has_room, context),
     )
     health = HttpService(
         reactor=reactor,
@@ -130,8 +133,9 @@
         handle=partial(handle_relayed, context),
         limits=partial(read_relay_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.RELAYS, Place.UNKNOWN),
+        held=context.held,
+        has_room=partial(has_room, context),
     )
-    context.count_held_bytes = make_held_counter(service, relays)
     port = CallerPort(reactor, callers or open_port(settings.callers))
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
     ports = [
@@ -207,6 +211,7 @@
 def run_tick(context: GatewayContext) -> None:
     """Run the periodic tasks; a task that fails is logged and the others continue."""
     now = context.clock()
+    HELD_BYTES.set(context.held.total)
     checks = [
         partial(check, now)
         for request in context.exchanges
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -15,6 +15,7 @@
 from ...routing.records import RouteKind
 from ...routing.tallies import start_stream
 from ..events import log_event
+from ..http.client import ResponseEnd
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
@@ -24,6 +25,9 @@
 from .attempts import record_outcome
 from .attempts import record_pace
 from .attempts import release_attempt
+from .bounds import collect_body
+from .bounds import count_held
+from .bounds import find_passed_bound
 from .choice import Choice
 from .choice import choose_service
 from .choice import choose_upstream
@@ -49,6 +53,9 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .flow import Flow
+from .flow import pause_exchange
+from .flow import resume_exchange
 from .pacing import record_call
 from .pacing import start_pace
 from .probing import record_reached
@@ -76,7 +83,6 @@
 
     from ...routing.records import Route
     from ...routing.records import Workspace
-    from ..http.client import ResponseEnd
     from ..http.records import HeaderList
     from ..http.records import HttpRequest
     from ..http.server import Responder
@@ -145,6 +151,9 @@
         """Upstreams that live, and sent no event when they resumed the stream."""
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = EventPauses()
+        self.flow = Flow()
+        self.held = 0
+        """Bytes of upstreams that are held, as counted in the context."""
         self.response_dropped = False
         """Whether a low-confidence response was dropped for a larger model's."""
         self.last_response: tuple[int, HeaderList, bytes] | None = None
@@ -160,11 +169,13 @@
         """Start the request; the final response goes through the responder."""
         self.context.exchanges.add(self)
         self.responder.on_lost = self._handle_caller_gone
+        self.responder.on_pause = partial(pause_exchange, self)
+        self.responder.on_resume = partial(resume_exchange, self)
         delay = max(self.deadline - self.context.clock(), 0.0)
         self.deadline_timer = self.context.reactor.callLater(
             delay, self._handle_deadline
         )
-        self._send_next()
+        self.send_next()
 
     def choose_upstream(self, now: float) -> Choice | None:
         """Return the best upstream that has not been tried, or a relay to one."""
@@ -202,7 +213,7 @@
         """
         return self.responder.started or self.response_dropped
 
-    def _send_next(self) -> None:
+    def send_next(self) -> None:
         """Send the request to the best upstream that has not been tried."""
         now = self.context.clock()
         if self.finished:
@@ -218,7 +229,7 @@
         choice = self.choose_upstream(now)
         if choice is None:
             if is_cut_off(self.context.path) or not wait_for_upstream(
-                self, self._send_next, now
+                self, self.send_next, now
             ):
                 self._retry_tried_upstreams()
 
@@ -248,7 +259,7 @@
             return
 
         self.tried_upstreams.clear()
-        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self._send_next)
+        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self.send_next)
 
     def first_event_limit(self, now: float) -> float:
         """Return the seconds left to meet the objective for the first event."""
@@ -293,7 +304,7 @@
         attempt.status = status
         attempt.headers = headers
         attempt.facts = self.context.dialect.read_response(status, headers)
-        attempt.body = []
+        attempt.has_length = attempt.framing == "length"
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
         record_statements(self.context, attempt, now)
@@ -331,15 +342,32 @@
 
     def handle_data(self, attempt: Attempt, data: bytes) -> None:
         """Handle a chunk of a response's body."""
-        attempt.last_byte_at = self.context.clock()
-        self.context.upstream_active_at[attempt.upstream] = attempt.last_byte_at
-        self.context.delays.received_at = attempt.last_byte_at
-        if not attempt.streaming:
-            if attempt.body is not None:
-                attempt.body.append(data)
-
-            return
-
+        now = self.context.clock()
+        self.context.delays.received_at = now
+        attempt.body_bytes += len(data)
+        if attempt.streaming:
+            self._forward_events(attempt, data, now)
+        else:
+            collect_body(self, attempt, data)
+            if attempt.has_length:
+                self._record_life(attempt, now)
+
+        if self.splitter.partial_bytes or attempt.body.size or self.held:
+            count_held(self)
+
+        passed = find_passed_bound(self, attempt)
+        if passed is not None and attempt.call is not None:
+            attempt.call.passed = passed
+            attempt.cancel()
+            self.handle_end(attempt, ResponseEnd.CUT, True)
+
+    def _record_life(self, attempt: Attempt, now: float) -> None:
+        """Record that an upstream has sent a part of an answer."""
+        attempt.last_byte_at = now
+        self.context.upstream_active_at[attempt.upstream] = now
+
+    def _forward_events(self, attempt: Attempt, data: bytes, now: float) -> None:
+        """Forward the events that are complete with a piece of a stream."""
         finish_prefill(self.context, attempt)
         events_before = self.splitter.events
         complete_events = self.splitter.feed(data)
@@ -347,13 +375,12 @@
             attempt.counted.events = self.splitter.events - attempt.events_before
 
         if complete_events:
+            self._record_life(attempt, now)
             if attempt.pace is not None:
                 events = self.splitter.events - events_before
-                record_events(
-                    self.context.paces, attempt.pace, events, attempt.last_byte_at
-                )
+                record_events(self.context.paces, attempt.pace, events, now)
 
-            self.pauses.record(attempt.last_byte_at)
+            self.pauses.record(now)
             self.responder.write(complete_events)
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
@@ -409,13 +436,19 @@
             self.tried_upstreams.discard(attempt.upstream)
 
         self.splitter.discard_partial_event()
+        attempt.body.clear()
+        count_held(self)
         # A relay has retried the request itself before it passes a failure on.
         final = attempt.relayed and outcome is AttemptOutcome.FAILED
         if not final and may_retry_after(self, outcome, now):
             if outcome not in UNSENT_OUTCOMES:
                 record_exchange_retry(self, attempt, now)
 
-            self._send_next()
+            if self.flow.paused:
+                self.flow.awaits_reader = True
+            else:
+                self.send_next()
+
             return
 
         give_up(self, reason)
@@ -434,7 +467,7 @@
     def _keep_response(self, attempt: Attempt) -> None:
         """Keep an upstream's own error response, sent if no attempt succeeds."""
         headers = make_response_headers(self, attempt)
-        self.last_response = (attempt.status, headers, b"".join(attempt.body or []))
+        self.last_response = (attempt.status, headers, attempt.body.join())
 
     def _handle_deadline(self) -> None:
         """End the request at its deadline, or soon after."""
@@ -445,7 +478,8 @@
         """Cancel the request after its caller has disconnected."""
         check_silence(self, self.context.clock())
         self.stop_attempt()
-        record_end(self, "caller_left", 0, self.context.clock())
+        reason = self.responder.lost_reason
+        record_end(self, "caller_left", 0, self.context.clock(), reason)
 
     @property
     def running_attempt(self) -> Attempt | None:
--- a/src/waxwingwell/adapters/gateway/room_checks.py
+++ b/src/waxwingwell/adapters/gateway/room_checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 from ...routing.gateway_room import GatewayLoad
@@ -24,9 +23,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ..http.server import HttpService
     from .context import GatewayContext
 
 
@@ -41,7 +37,7 @@
         link_delay=link_delay,
         bytes_per_second=measure_byte_rate(context.room, total, now),
         link_bytes_per_second=context.settings.link_bytes_per_second,
-        held_bytes=context.count_held_bytes(),
+        held_bytes=context.held.total,
         memory_bytes=context.settings.memory_bytes,
     )
     record_delay(context.room, context.delays, now)
@@ -62,16 +58,6 @@
         )
 
 
-def count_held(*services: HttpService) -> int:
-    """Return the bytes of responses that are held for slow readers."""
-    return sum(one.unsent for service in services for one in service.connections)
-
-
-def make_held_counter(*services: HttpService) -> Callable[[], int]:
-    """Return a function that counts the bytes which some listeners hold."""
-    return partial(count_held, *services)
-
-
 def count_link_bytes(
     context: GatewayContext, control: str, sent: int, received: int
 ) -> None:
--- a/src/waxwingwell/routing/gateway_room.py
+++ b/src/waxwingwell/routing/gateway_room.py
@@ -39,7 +39,8 @@
 RATE_SECONDS = 1.0
 """Seconds over which the bytes of the link are summed."""
 MEMORY_PART = 0.5
-"""Part of the memory that may be held before new requests are refused."""
+"""Part of the memory that may be held before new requests are refused. Python objects,
+buffers of h11 and copies in progress take the rest."""
 SMOOTHING = 0.5
 """Weight of the newest delay in the mean: half of a change counts at once."""
 LITTLE_ROOM = 0.4
--- a/tests/adapters/gateway/test_hand_on.py
+++ b/tests/adapters/gateway/test_hand_on.py
@@ -4,7 +4,6 @@
 
 import unittest
 from dataclasses import replace
-from functools import partial
 from typing import Any
 from unittest.mock import Mock
 
@@ -15,7 +14,6 @@
 from waxwingwell.adapters.gateway.daemon import respond_readiness
 from waxwingwell.adapters.gateway.reporting import make_report
 from waxwingwell.adapters.gateway.room_checks import check_room
-from waxwingwell.adapters.gateway.room_checks import count_held
 from waxwingwell.adapters.gateway.room_checks import count_link_bytes
 from waxwingwell.adapters.gateway.steering import handle_cast
 from waxwingwell.adapters.metrics import REGISTRY
@@ -479,7 +477,6 @@
         [gateway, _] = make_fleet(kind=RouteKind.ONCE).gateways
         context = gateway.context
         context.settings = replace(context.settings, memory_bytes=100_000)
-        context.count_held_bytes = partial(count_held, gateway.service)
         caller = gateway.ask()
         caller.transport.held = True
         upstream = gateway.calls[0]
