--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -6,13 +6,17 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.gateway_room import can_begin
+from ...routing.gateway_room import takes_request
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
 from ...routing.reachability import has_lost_path
 from ...routing.retries import record_request
 from ..events import log_event
 from ..http.records import find_header
+from ..metrics import BOUNDS_PASSED
 from ..metrics import REQUESTS
+from .bounds import has_room
 from .choice import choose_service
 from .choice import find_session_key
 from .endings import RETRY_AFTER
@@ -20,7 +24,9 @@
 from .endings import can_finish
 from .endings import retry_after
 from .exchange import Exchange
+from .relaying import needs_room
 from .relaying import read_crashes
+from .relaying import read_reason
 from .relaying import read_runs
 from .scheduling import schedule_exchange
 from .waiting import QueuedRequest
@@ -41,6 +47,9 @@
 
 
 NO_CONFIGURATION = "no configuration in force"
+NO_ROOM = "gateway is full"
+ELSEWHERE_RETRY_AFTER = 0.1
+"""Seconds after which a caller may retry if another gateway probably has room."""
 
 
 def handle_request(
@@ -73,6 +82,7 @@
     """Serve a request of another gateway, unless this one can't reach upstreams."""
     headers, crashes = read_crashes(request.headers)
     headers, runs = read_runs(headers)
+    headers, reason = read_reason(headers)
     own = replace(request, headers=headers)
     facts = context.dialect.read_request(headers)
     responder.request_id = facts.request_id
@@ -80,6 +90,10 @@
         refuse(facts, responder, 503, "no path to any upstream")
         return
 
+    if needs_room(reason) and not takes_request(context.room, context.random.random()):
+        refuse(facts, responder, 503, NO_ROOM, ELSEWHERE_RETRY_AFTER)
+        return
+
     now = context.clock()
     serve_request(
         context, own, facts, responder, now, relayed=True, runs=runs, crashes=crashes
@@ -108,6 +122,11 @@
         refuse(facts, responder, 503, NO_CONFIGURATION, pause)
         return
 
+    if not has_room(context):
+        BOUNDS_PASSED.labels("memory").inc()
+        refuse(facts, responder, 503, "no memory for another request")
+        return
+
     host = read_host(request)
     target = request.target.decode("latin-1")
     route = find_route(index, host, target)
@@ -124,6 +143,10 @@
         refuse(facts, responder, 503, "gateway is stopping", STOPPING_RETRY_AFTER)
         return
 
+    if not relayed and not can_begin_here(context, route, facts, now):
+        refuse(facts, responder, 503, NO_ROOM, ELSEWHERE_RETRY_AFTER)
+        return
+
     workspace = identify_workspace(index, route, facts)
     if workspace is None and index.document.workspaces and not route.anonymous:
         refuse(
@@ -179,6 +202,21 @@
     return host.partition(":")[0]
 
 
+def can_begin_here(
+    context: GatewayContext, route: Route, facts: RequestFacts, now: float
+) -> bool:
+    """Return whether a response can begin in time in spite of this gateway's delay.
+
+    A gateway that has lost its path sends its requests through others, and its own
+    delay is not known.
+    """
+    if has_lost_path(context.path):
+        return True
+
+    remaining = min(route.timeout, facts.budget or route.timeout)
+    return can_begin(context.room, context.delays, remaining, now)
+
+
 def refuse(
     facts: RequestFacts,
     responder: Responder,
--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
@@ -10,10 +11,12 @@
 from ...routing.delays import Connect
 from ...routing.delays import drop_connect
 from ...routing.delays import explains_timeout
+from ...routing.engine_paces import StreamPace
 from ...routing.health import record_response
 from ...routing.health import record_unreachable
 from ...routing.load import remove_backlog
 from ...routing.load import remove_running
+from ...routing.output_pace import record_output_time
 from ...routing.prefill_speed import record_prefill_time
 from ...routing.prefixes import record_blocks
 from ...routing.records import RouteKind
@@ -30,6 +33,7 @@
 from ..metrics import ATTEMPTS
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
+from .collected import CollectedBody
 from .dialect import ResponseFacts
 from .scheduling import wake_queue
 
@@ -49,6 +53,8 @@
     NOT_RUN = "not_run"
     BROKEN = "broken"
     FAILED = "failed"
+    UNREAD = "unread"
+    """It ended while its caller did not read, which may be why."""
     DONE = "done"
 
 
@@ -76,19 +82,33 @@
     status: int = 0
     headers: HeaderList | None = None
     facts: ResponseFacts | None = None
-    body: list[bytes] | None = None
+    body: CollectedBody = field(default_factory=CollectedBody)
+    """What has arrived of a response that is sent as a whole."""
+    body_bytes: int = 0
+    """Bytes of the body received so far."""
+    has_length: bool = False
+    """Whether the response states its length."""
+    forwarding: bool = False
+    """Whether a response that was too long to collect is sent on as it arrives."""
+    was_paused: bool = False
+    """Whether its upstream was not read for a time, as its caller did not read."""
     relayed_upstream: str = ""
     """Id of the upstream behind a relay, if the relay names it."""
     first_byte_at: float | None = None
     last_byte_at: float = 0.0
-    """Time at which the last byte was received."""
+    """Time of the last sign of life: the head, a whole event, or bytes of a body within
+    its stated length."""
     work: float = 0.0
     """Milliseconds of prefill counted as this gateway's load on the upstream."""
     tokens: int = 0
     """Tokens of engine memory counted as this gateway's load on the upstream."""
+    output_tokens: int = 0
+    """Output tokens that were expected of it."""
     samples_prefill_speed: bool = False
     """Whether the time to the first byte is a sample of the model's prefill speed."""
     streaming: bool = False
+    pace: StreamPace | None = None
+    """Arrival of its events; None if it gives no samples of the engine's pace."""
     finished: bool = False
     survived: bool = False
     """Whether its response has run for long enough to clear its prompt blocks."""
@@ -179,12 +199,13 @@
 
     FIRST_BYTE_SECONDS.labels(route.kind.value).observe(now - attempt.started_at)
     if attempt.samples_prefill_speed and attempt.choice.model:
-        took_ms = (now - attempt.started_at) * 1000
+        placement = attempt.choice.placement
+        took_ms = (now - attempt.started_at) * 1000 / placement.factor
         record_prefill_time(
             context.speeds,
             route.models,
             attempt.choice.model,
-            attempt.choice.placement.uncached,
+            placement.uncached,
             took_ms,
         )
 
@@ -215,6 +236,24 @@
         attempt.work = 0.0
 
 
+def record_pace(context: GatewayContext, facts: RequestFacts, attempt: Attempt) -> None:
+    """Update the pace of the model with a whole stream that has ended."""
+    if not attempt.streaming or attempt.relayed or attempt.first_byte_at is None:
+        return
+
+    if attempt.events_before or facts.resume_after:
+        return
+
+    choice = attempt.choice
+    record_output_time(
+        context.output_paces,
+        choice.model or facts.model,
+        attempt.output_tokens,
+        (attempt.last_byte_at - attempt.first_byte_at) * 1000,
+        choice.placement.factor,
+    )
+
+
 def release_attempt(context: GatewayContext, attempt: Attempt) -> None:
     """Mark the attempt as finished and release the load and session it holds."""
     attempt.finished = True
@@ -254,6 +293,12 @@
     if outcome is AttemptOutcome.DELAYED:
         return
 
+    if outcome is AttemptOutcome.UNREAD:
+        if attempt.counted is not None:
+            record_ending(attempt.counted, Ending.DROPPED, now)
+
+        return
+
     if outcome is AttemptOutcome.UNREACHED and attempt.facts is None:
         record_unreachable(context.health, attempt.upstream, now)
         return
@@ -272,5 +317,6 @@
     if attempt.counted is None or outcome not in ENDINGS:
         return
 
-    ending = Ending.DROPPED if dropped else ENDINGS[outcome]
+    is_timed = outcome is not AttemptOutcome.DONE or not attempt.was_paused
+    ending = ENDINGS[outcome] if is_timed and not dropped else Ending.DROPPED
     record_ending(attempt.counted, ending, now)
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -13,9 +13,11 @@
 
 from ...routing.acceptance import AcceptTable
 from ...routing.delays import DelayTable
+from ...routing.engine_paces import PaceSampleTable
 from ...routing.engine_speeds import EngineSpeedTable
 from ...routing.fleet import Announcement
 from ...routing.fleet import FleetTable
+from ...routing.gateway_room import RoomTable
 from ...routing.health import HealthTable
 from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
@@ -26,6 +28,7 @@
 from ...routing.messages import ServiceRepeats
 from ...routing.messages import UpstreamUse
 from ...routing.messages import WorkspaceUse
+from ...routing.output_pace import OutputPaceTable
 from ...routing.permits import PermitTable
 from ...routing.prefill_speed import SpeedTable
 from ...routing.prefixes import PrefixTable
@@ -38,8 +41,10 @@
 from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
+from ..http.output import HeldBytes
 from ..links import Link
 from ..links import LinkNode
+from ..traffic import TrafficTable
 from .dialect import Dialect
 from .dialect import RequestFacts
 from .request_queue import RequestQueues
@@ -159,6 +164,10 @@
     """Other gateways that reach upstreams."""
     relays_at: float = -math.inf
     """Time of the last list of relays that named one."""
+    room: RoomTable = field(default_factory=RoomTable)
+    """This gateway's own room, and other gateways that have room."""
+    traffic: TrafficTable = field(default_factory=TrafficTable)
+    """Bytes of this gateway's connections."""
     permits: PermitTable = field(default_factory=PermitTable)
     granting_at: float = -math.inf
     """Time of the last totals from a control that grants permits."""
@@ -168,7 +177,13 @@
     sessions: SessionTable = field(default_factory=SessionTable)
     speeds: SpeedTable = field(default_factory=SpeedTable)
     """Prefill speeds by model."""
+    output_paces: OutputPaceTable = field(default_factory=OutputPaceTable)
+    """Output paces by model."""
     engine_speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
+    invalid_speeds_at: float = -math.inf
+    """Time of the last log line on invalid duration factors."""
+    paces: PaceSampleTable = field(default_factory=PaceSampleTable)
+    """Samples of the engines' paces since the last report."""
     sizes: dict[str, float] = field(default_factory=dict)
     """Typical request size by route."""
     poor_shares: dict[str, float] = field(default_factory=dict)
@@ -201,6 +216,8 @@
     reported_workspaces: tuple[WorkspaceUse, ...] = ()
     control_seen_at: float = 0.0
     """Time of the last message from any control."""
+    held: HeldBytes = field(default_factory=HeldBytes)
+    """Bytes held for callers and upstreams."""
     stopping: bool = False
     exit_at: float = math.inf
     """Latest time at which a stopping process exits."""
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -9,11 +9,13 @@
 
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_retry_after
+from ...routing.engine_paces import record_events
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
 from ...routing.tallies import start_stream
 from ..events import log_event
+from ..http.client import ResponseEnd
 from .attempts import Attempt
 from .attempts import AttemptOutcome
 from .attempts import finish_prefill
@@ -21,7 +23,11 @@
 from .attempts import record_cached_blocks
 from .attempts import record_first_byte
 from .attempts import record_outcome
+from .attempts import record_pace
 from .attempts import release_attempt
+from .bounds import collect_body
+from .bounds import count_held
+from .bounds import find_passed_bound
 from .choice import Choice
 from .choice import choose_service
 from .choice import choose_upstream
@@ -47,6 +53,11 @@
 from .escalation import find_larger
 from .events import EventPauses
 from .events import EventSplitter
+from .flow import Flow
+from .flow import pause_exchange
+from .flow import resume_exchange
+from .pacing import record_call
+from .pacing import start_pace
 from .probing import record_reached
 from .relaying import choose_relay
 from .relaying import make_response_headers
@@ -56,6 +67,7 @@
 from .retrying import UNSENT_OUTCOMES
 from .retrying import may_retry_after
 from .retrying import record_exchange_retry
+from .sending import find_urgency
 from .sending import log_placement
 from .sending import open_call
 from .statements import record_statements
@@ -71,7 +83,6 @@
 
     from ...routing.records import Route
     from ...routing.records import Workspace
-    from ..http.client import ResponseEnd
     from ..http.records import HeaderList
     from ..http.records import HttpRequest
     from ..http.server import Responder
@@ -140,6 +151,9 @@
         """Upstreams that live, and sent no event when they resumed the stream."""
         self.splitter = EventSplitter(facts.resume_after)
         self.pauses = EventPauses()
+        self.flow = Flow()
+        self.held = 0
+        """Bytes of upstreams that are held, as counted in the context."""
         self.response_dropped = False
         """Whether a low-confidence response was dropped for a larger model's."""
         self.last_response: tuple[int, HeaderList, bytes] | None = None
@@ -160,6 +174,8 @@
         """Handle the end of the caller and of its time from now on."""
         self.context.exchanges.add(self)
         self.responder.on_lost = self._handle_caller_gone
+        self.responder.on_pause = partial(pause_exchange, self)
+        self.responder.on_resume = partial(resume_exchange, self)
         delay = max(self.deadline - self.context.clock(), 0.0)
         self.deadline_timer = self.context.reactor.callLater(
             delay, self._handle_deadline
@@ -167,7 +183,7 @@
 
     def send(self) -> None:
         """Send the request to its first upstream."""
-        self._send_next()
+        self.send_next()
 
     def choose_upstream(self, now: float) -> Choice | None:
         """Return the best upstream that has not been tried, or a relay to one."""
@@ -188,6 +204,8 @@
             response_started=self.responder.started,
             limit=self.first_event_limit(now),
             now=now,
+            remaining=self.deadline - now,
+            urgency=find_urgency(self.route, self.workspace),
         )
 
     def is_in_time(self, choice: Choice, now: float) -> bool:
@@ -203,7 +221,7 @@
         """
         return self.responder.started or self.response_dropped
 
-    def _send_next(self) -> None:
+    def send_next(self) -> None:
         """Send the request to the best upstream that has not been tried."""
         now = self.context.clock()
         if self.finished:
@@ -219,7 +237,7 @@
         choice = self.choose_upstream(now)
         if choice is None:
             if is_cut_off(self.context.path) or not wait_for_upstream(
-                self, self._send_next, now
+                self, self.send_next, now
             ):
                 self._retry_tried_upstreams()
 
@@ -249,7 +267,7 @@
             return
 
         self.tried_upstreams.clear()
-        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self._send_next)
+        self.context.reactor.callLater(RETRY_DELAY_SECONDS, self.send_next)
 
     def first_event_limit(self, now: float) -> float:
         """Return the seconds left to meet the objective for the first event."""
@@ -261,7 +279,8 @@
         attempt = Attempt(choice, now, self.splitter.events)
         self.attempt = attempt
         self.tried_upstreams.add(attempt.upstream)
-        idle = choice.placement.wait - choice.placement.work < IDLE_WAIT_MS
+        placement = choice.placement
+        idle = placement.wait - placement.work * placement.factor < IDLE_WAIT_MS
         attempt.samples_prefill_speed = idle and self.route.kind is RouteKind.STREAM
         log_placement(self, attempt, now)
         attempt.call = open_call(self, attempt, now)
@@ -293,7 +312,7 @@
         attempt.status = status
         attempt.headers = headers
         attempt.facts = self.context.dialect.read_response(status, headers)
-        attempt.body = []
+        attempt.has_length = attempt.framing == "length"
         now = self.context.clock()
         record_first_byte(self.context, self.route, attempt, now)
         record_statements(self.context, attempt, now)
@@ -309,6 +328,7 @@
 
         if is_forwarded_stream(attempt, self.route, self.facts.request_id):
             attempt.streaming = True
+            start_pace(self, attempt)
             if attempt.counted is not None:
                 start_stream(attempt.counted, now)
 
@@ -330,22 +350,45 @@
 
     def handle_data(self, attempt: Attempt, data: bytes) -> None:
         """Handle a chunk of a response's body."""
-        attempt.last_byte_at = self.context.clock()
-        self.context.upstream_active_at[attempt.upstream] = attempt.last_byte_at
-        self.context.delays.received_at = attempt.last_byte_at
-        if not attempt.streaming:
-            if attempt.body is not None:
-                attempt.body.append(data)
-
-            return
-
+        now = self.context.clock()
+        self.context.delays.received_at = now
+        attempt.body_bytes += len(data)
+        if attempt.streaming:
+            self._forward_events(attempt, data, now)
+        else:
+            collect_body(self, attempt, data)
+            if attempt.has_length:
+                self._record_life(attempt, now)
+
+        if self.splitter.partial_bytes or attempt.body.size or self.held:
+            count_held(self)
+
+        passed = find_passed_bound(self, attempt)
+        if passed is not None and attempt.call is not None:
+            attempt.call.passed = passed
+            attempt.cancel()
+            self.handle_end(attempt, ResponseEnd.CUT, True)
+
+    def _record_life(self, attempt: Attempt, now: float) -> None:
+        """Record that an upstream has sent a part of an answer."""
+        attempt.last_byte_at = now
+        self.context.upstream_active_at[attempt.upstream] = now
+
+    def _forward_events(self, attempt: Attempt, data: bytes, now: float) -> None:
+        """Forward the events that are complete with a piece of a stream."""
         finish_prefill(self.context, attempt)
+        events_before = self.splitter.events
         complete_events = self.splitter.feed(data)
         if attempt.counted is not None:
             attempt.counted.events = self.splitter.events - attempt.events_before
 
         if complete_events:
-            self.pauses.record(attempt.last_byte_at)
+            self._record_life(attempt, now)
+            if attempt.pace is not None:
+                events = self.splitter.events - events_before
+                record_events(self.context.paces, attempt.pace, events, now)
+
+            self.pauses.record(now)
             self.responder.write(complete_events)
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
@@ -370,6 +413,8 @@
 
         if outcome is AttemptOutcome.DONE:
             record_success(self, now)
+            record_call(self, attempt, now)
+            record_pace(self.context, self.facts, attempt)
             forward_response(self, attempt, now)
             return
 
@@ -399,13 +444,19 @@
             self.tried_upstreams.discard(attempt.upstream)
 
         self.splitter.discard_partial_event()
+        attempt.body.clear()
+        count_held(self)
         # A relay has retried the request itself before it passes a failure on.
         final = attempt.relayed and outcome is AttemptOutcome.FAILED
         if not final and may_retry_after(self, outcome, now):
             if outcome not in UNSENT_OUTCOMES:
                 record_exchange_retry(self, attempt, now)
 
-            self._send_next()
+            if self.flow.paused:
+                self.flow.awaits_reader = True
+            else:
+                self.send_next()
+
             return
 
         give_up(self, reason)
@@ -424,7 +475,7 @@
     def _keep_response(self, attempt: Attempt) -> None:
         """Keep an upstream's own error response, sent if no attempt succeeds."""
         headers = make_response_headers(self, attempt)
-        self.last_response = (attempt.status, headers, b"".join(attempt.body or []))
+        self.last_response = (attempt.status, headers, attempt.body.join())
 
     def _handle_deadline(self) -> None:
         """End the request at its deadline, or soon after."""
@@ -435,7 +486,8 @@
         """Cancel the request after its caller has disconnected."""
         check_silence(self, self.context.clock())
         self.stop_attempt()
-        record_end(self, "caller_left", 0, self.context.clock())
+        reason = self.responder.lost_reason
+        record_end(self, "caller_left", 0, self.context.clock(), reason)
 
     @property
     def holds_slot(self) -> bool:
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from ...routing.engine_paces import forget_reported
+from ...routing.gateway_room import is_ample
+from ...routing.gateway_room import report_room
 from ...routing.limits import list_states
 from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
@@ -27,6 +30,7 @@
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
+from .pacing import list_reported_paces
 from .request_queue import list_demand
 from .request_queue import list_workspaces
 
@@ -53,6 +57,7 @@
     report = make_report(context)
     if cast_link(link, report):
         record_reported_evidence(context, report)
+        forget_reported(context.paces, report.paces or (), context.clock())
         context.reported_use = report.use
         context.reported_work = report.work
         context.reported_retries = report.repeats
@@ -101,9 +106,17 @@
         refused=tuple(context.refused_blocks),
         demand=list_demand(context.queues, context.load, now) or msgspec.UNSET,
         workspaces=list_workspaces(context.queues, context.exchanges) or msgspec.UNSET,
+        room=make_room_field(context),
+        paces=list_reported_paces(context, now) or msgspec.UNSET,
     )
 
 
+def make_room_field(context: GatewayContext) -> float | msgspec.UnsetType:
+    """Return the room for a report; unset while it is ample, to save its bytes."""
+    room = report_room(context.room)
+    return msgspec.UNSET if is_ample(room) else round(room, 2)
+
+
 def list_reported_evidence(
     context: GatewayContext, now: float
 ) -> tuple[CrashEvidence, ...]:
@@ -186,5 +199,6 @@
             permits=(),
             demand=msgspec.UNSET,
             workspaces=msgspec.UNSET,
+            paces=msgspec.UNSET,
         ),
     )
--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -5,10 +5,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...routing.capacity import find_slowness
+from ...routing.capacity import list_factors
 from ...routing.delays import is_strained
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
 from ...routing.engine_room import LEAST_URGENT
+from ...routing.fleet import UpstreamState
 from ...routing.load import add_running
 from ...routing.load import estimate_output_tokens
 from ...routing.load import record_prefill
@@ -21,16 +24,23 @@
 from ..http.client import UpstreamCall
 from ..http.records import strip_hop_headers
 from ..metrics import CONNECT_DURATION
+from ..metrics import HANDED_ON
+from ..traffic import TrafficKind
+from ..traffic import compare_places
+from ..traffic import find_traffic
 from .dialect import Dispatch
 from .relaying import write_relayed_headers
 from .restrictions import record_send
 
 
 if TYPE_CHECKING:
+    from ...routing.fleet import Announcement
     from ...routing.records import Route
     from ...routing.records import Workspace
     from ..http.records import HeaderList
+    from ..traffic import Traffic
     from .attempts import Attempt
+    from .choice import Choice
     from .context import GatewayContext
     from .exchange import Exchange
 
@@ -62,6 +72,7 @@
         model=attempt.choice.model,
         attempt=exchange.attempt_count,
         relayed=attempt.relayed or None,
+        relay_reason=attempt.choice.relay_reason or None,
         running=placement.running,
         uncached=placement.uncached,
         wait_ms=round(placement.wait),
@@ -73,7 +84,8 @@
 def open_call(exchange: Exchange, attempt: Attempt, now: float) -> UpstreamCall:
     """Start a call to the upstream or relay."""
     if attempt.relayed:
-        headers = write_relayed_headers(exchange, now)
+        headers = write_relayed_headers(exchange, attempt, now)
+        HANDED_ON.labels(attempt.choice.relay_reason).inc()
     else:
         count_attempt(exchange, attempt, now)
         headers = write_headers(exchange, attempt, now)
@@ -103,9 +115,19 @@
             on_sent=partial(handle_sent, exchange, attempt),
         ),
         connect_timeout=choose_connect_timeout(exchange.context, remaining),
+        traffic=find_call_traffic(exchange.context, upstream, relayed=attempt.relayed),
     )
 
 
+def find_call_traffic(
+    context: GatewayContext, upstream: Announcement, *, relayed: bool
+) -> Traffic:
+    """Return the count of the bytes of a call to an upstream or relay."""
+    kind = TrafficKind.RELAYS if relayed else TrafficKind.UPSTREAMS
+    place = compare_places(context.settings.data_centre, upstream.data_centre)
+    return find_traffic(context.traffic, kind, place)
+
+
 def choose_connect_timeout(context: GatewayContext, remaining: float) -> float:
     """Return the seconds in which a connection has to be set up.
 
@@ -124,8 +146,9 @@
     attempt.work = placement.work
     record_send(context, attempt.upstream, now)
     facts = exchange.facts
+    output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
+    attempt.output_tokens = output
     if facts.prompt_tokens:
-        output = estimate_output_tokens(facts.expected_output, facts.output_tokens)
         attempt.tokens = facts.prompt_tokens + output
 
     add_running(context.load, attempt.upstream, attempt.work, attempt.tokens)
@@ -164,9 +187,28 @@
         choice.placement.upstream.version,
         name_kind(exchange.route, choice.model),
         now,
+        slowness=find_version_slowness(context, choice, now),
     )
 
 
+def find_version_slowness(context: GatewayContext, choice: Choice, now: float) -> float:
+    """Return an engine's duration factor over the median of those of its version."""
+    chosen = choice.placement.upstream
+    if choice.service not in context.tallies:
+        return 1.0
+
+    held = [one.announcement for one in context.fleet.upstreams.values()]
+    peers = [
+        one
+        for one in held
+        if one.service == choice.service
+        and one.version == chosen.version
+        and one.state is UpstreamState.SERVING
+    ]
+    factors = list_factors(context.engine_speeds, [chosen, *peers], now)
+    return find_slowness(factors, chosen.upstream, [one.upstream for one in peers])
+
+
 def name_kind(route: Route, model: str) -> str:
     """Return the kind of requests that are compared between versions.
 
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -12,9 +12,11 @@
 
 from ...routing.engine_room import apply_demand
 from ...routing.engine_room import apply_workspaces
+from ...routing.engine_speeds import apply_speeds
 from ...routing.fleet import apply_announcement
 from ...routing.fleet import apply_heartbeats
 from ...routing.fleet import drop_tombstones
+from ...routing.gateway_room import apply_relays
 from ...routing.limits import apply_states
 from ...routing.limits import drop_limits
 from ...routing.load import apply_totals
@@ -53,9 +55,12 @@
 
 if TYPE_CHECKING:
     from ...messages import Message
+    from ...routing.messages import EngineSpeed
     from .context import GatewayContext
 
 
+INVALID_LOG_SECONDS = 10.0
+"""Shortest time between two lines on factors that were dropped."""
 RELAY_RETENTION_SECONDS = 5.0
 """Seconds for which relays are known after the last list that named one. A gateway
 leaves a control that stands still after two seconds or so."""
@@ -104,13 +109,42 @@
         apply_reported_blocks(context.prefixes, body.read, now)
         apply_kept_sessions(context.sessions, body.kept, body.held)
         serve_queues(context)
+        receive_speeds(context, sender, body.speeds or (), now)
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
         apply_statements(context.brittle, body.brittle, now)
     elif isinstance(body, ShareRelays):
+        receive_relays(context, body, now)
+
+
+def receive_relays(context: GatewayContext, body: ShareRelays, now: float) -> None:
+    """Keep the gateways that a control lists as relays.
+
+    A list of those with ample room lacks the others, which a gateway needs once it has
+    lost its path.
+    """
+    own = context.settings.node
+    if not body.ample:
         replace_relays(context, body.relays, now)
 
+    without_room = body.without_room or ()
+    others = [
+        one for one in body.relays if one.name != own and one.name not in without_room
+    ]
+    apply_relays(context.room, others, context.settings.data_centre, now)
+
+
+def receive_speeds(
+    context: GatewayContext, sender: str, speeds: tuple[EngineSpeed, ...], now: float
+) -> None:
+    """Apply the engines' duration factors, and log invalid ones once in a while."""
+    invalid = apply_speeds(context.engine_speeds, speeds, now)
+    last = context.invalid_speeds_at
+    if invalid and now - last >= INVALID_LOG_SECONDS:
+        context.invalid_speeds_at = now
+        log_event("gateway: Invalid speeds dropped", control=sender, count=invalid)
+
 
 def apply_service_demand(context: GatewayContext, body: FleetReport) -> None:
     """Apply the demand of all gateways for services that are short of room."""
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -97,8 +97,47 @@
     ["reason"],
     registry=REGISTRY,
 )
+BYTES = Counter(
+    "waxwingwell_bytes",
+    "Bytes of a gateway's connections, by kind of the other end, whether that is in "
+    "another data centre (true, false, unknown), and direction.",
+    ["kind", "other_data_centre", "direction"],
+    registry=REGISTRY,
+)
+HANDED_ON = Counter(
+    "waxwingwell_requests_handed_on",
+    "Requests that a gateway sent through another one, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+GATEWAY_ROOM = Gauge(
+    "waxwingwell_gateway_room",
+    "Part of a gateway's capacity that is free, 0 to 1.",
+    registry=REGISTRY,
+)
+SLOW_ENGINES = Gauge(
+    "waxwingwell_slow_engines",
+    "Engines that take over 1.25 times as long as the median one, as a control sees.",
+    registry=REGISTRY,
+)
 CONNECTED_GATEWAYS = Gauge(
     "waxwingwell_gateways_connected",
     "Gateways that hold a connection to this control.",
     registry=REGISTRY,
 )
+HELD_BYTES = Gauge(
+    "waxwingwell_held_bytes",
+    "Bytes held for callers and upstreams: unsent, partial, collected, and requests.",
+    registry=REGISTRY,
+)
+PAUSED_CONNECTIONS = Gauge(
+    "waxwingwell_paused_connections",
+    "Connections of callers that have too much left to read.",
+    registry=REGISTRY,
+)
+BOUNDS_PASSED = Counter(
+    "waxwingwell_bounds_passed",
+    "Bounds on bytes and counts that were passed, by kind.",
+    ["kind"],
+    registry=REGISTRY,
+)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -202,6 +202,27 @@
     """Tokens of engine memory that the requests need."""
 
 
+class EnginePace(msgspec.Struct, frozen=True, array_like=True):
+    """Time that an engine takes for an event of a model, or for a whole call."""
+
+    upstream: str
+    incarnation: int
+    model: str
+    """The route for a service without models."""
+    count: int
+    """Samples behind the time."""
+    ms: float
+    """Median of the samples at a gateway, mean over gateways at a control."""
+
+
+class EngineSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """How many times as long as the median engine of its service an engine takes."""
+
+    upstream: str
+    incarnation: int
+    factor: float
+
+
 class ServiceRepeats(msgspec.Struct, frozen=True, array_like=True):
     """Requests and retries of a service within the window of the retry budget."""
 
@@ -302,9 +323,14 @@
 
 
 class ShareRelays(Message, frozen=True, kw_only=True):
-    """Gateways through which a gateway without a path may reach upstreams."""
+    """Gateways through which a gateway may reach upstreams."""
 
     relays: tuple[RelayGateway, ...]
+    without_room: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Those of them without ample room; unset, and not sent, if all have it."""
+    ample: bool | msgspec.UnsetType = msgspec.UNSET
+    """Whether only those in the receiver's data centre that have ample room are listed,
+    for a gateway that has little; unset, and not sent, in other lists."""
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -359,6 +385,9 @@
     """How to reach this gateway as a relay; None if it can't be one at present."""
     lost_path: bool = False
     """Whether the gateway reaches no upstream, and needs relays."""
+    room: float | msgspec.UnsetType = msgspec.UNSET
+    """Part of the gateway's capacity that is free, 0 to 1; unset, and not sent, while
+    it is ample. Unset counts as 1."""
     crashes: tuple[CrashEvidence, ...] = ()
     refused: tuple[int, ...] = ()
     """Quarantined blocks for which requests were refused since the last report."""
@@ -366,6 +395,8 @@
     """Requests for services that are short of room; not sent if there are none."""
     workspaces: tuple[WorkspaceUse, ...] | msgspec.UnsetType = msgspec.UNSET
     """Running requests by workspace, of the same services."""
+    paces: tuple[EnginePace, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Paces of engines since the last report of them, once a second."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -386,6 +417,9 @@
     """Requests for services that are short of room; not sent if there are none."""
     workspaces: tuple[WorkspaceUse, ...] | msgspec.UnsetType = msgspec.UNSET
     """Running requests by workspace, of the same services."""
+    speeds: tuple[EngineSpeed, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Engines that are slower or faster than the median one, once a second; one that
+    has returned is listed with the factor 1 for some seconds."""
 
 
 class GatewayEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -410,6 +444,11 @@
     brittle: tuple[BrittleState, ...] = ()
     relays: tuple[RelayGateway, ...] = ()
     """Some of the attached gateways that reach upstreams."""
+    without_room: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Those of the relays without ample room; unset, and not sent, if all have it."""
+    paces: tuple[EnginePace, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Means over the attached gateways that have new samples; each replaces the former
+    one of this control."""
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -14,12 +14,18 @@
 
 import msgspec
 
+from .engine_comparison import DeviationTable
 from .engine_room import is_valid_demand
 from .engine_room import is_valid_use
+from .gateway_room import LITTLE_ROOM
+from .gateway_room import RELAYS_INTERVAL_SECONDS
+from .gateway_room import is_ample
+from .gateway_room import read_room
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
 from .messages import ControlReport
+from .messages import EnginePace
 from .messages import FleetReport
 from .messages import GatewayEvidence
 from .messages import GatewayReport
@@ -30,6 +36,12 @@
 from .messages import UpstreamUse
 from .messages import VersionEvidence
 from .messages import WorkspaceUse
+from .pace_means import PaceTable
+from .pace_means import drop_decayed
+from .pace_means import list_shared_paces
+from .pace_means import receive_paces
+from .pace_means import receive_shared_paces
+from .pace_means import take_shared_paces
 from .permits import GrantTable
 from .permits import drop_buckets
 from .permits import grant_permits
@@ -41,6 +53,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -63,6 +76,8 @@
 so that some of every control's are needed."""
 UNUSED_BUCKET_SECONDS = 10.0
 """Seconds after which the permits of an upstream that nobody asks for are dropped."""
+INVALID_LOG_SECONDS = 10.0
+"""Seconds between two log lines on invalid rooms of the same gateway."""
 EVIDENCE_TTL_SECONDS = 10.0
 """Seconds without a report after which a gateway's evidence is dropped."""
 
@@ -89,6 +104,10 @@
     """Evidence that was last sent to the other controls."""
     offered_at: float = -math.inf
     """Time of the last report to the other controls."""
+    relays_at: float = -math.inf
+    """Time at which the gateway was last sent relays with ample room."""
+    invalid_at: float = -math.inf
+    """Time at which an invalid room of the gateway was last logged."""
 
 
 @dataclass(slots=True)
@@ -148,6 +167,8 @@
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
+    paces: PaceTable = field(default_factory=PaceTable)
+    deviations: DeviationTable = field(default_factory=DeviationTable)
     relay_position: int = 0
     """Advances with each list of relays, so that all gateways serve as relays."""
 
@@ -168,6 +189,7 @@
     table.evidence[report.gateway] = EvidenceEntry(report.run, now, parts)
     queue_blocks(table.blocks_for_gateways, report.read)
     queue_blocks(table.blocks_for_controls, report.read)
+    receive_paces(table.paces, report.paces or (), now)
 
 
 def respond_to_report(
@@ -213,15 +235,92 @@
     return tuple(relays[start:] + relays[:start])
 
 
+def name_without_room(
+    table: ReportTable, relays: Iterable[RelayGateway], now: float
+) -> tuple[str, ...] | msgspec.UnsetType:
+    """Return the relays without ample room for a message; unset if all have it."""
+    named = {
+        name
+        for one in table.controls.values()
+        if now - one.received_at <= USE_TTL_SECONDS
+        for name in one.report.without_room or ()
+    }
+    found = tuple(one.name for one in relays if not has_ample_room(table, one, named))
+    return found or msgspec.UNSET
+
+
+def has_ample_room(
+    table: ReportTable, relay: RelayGateway, named: Collection[str]
+) -> bool:
+    """Return whether a relay reports ample room, here or to another control.
+
+    An invalid room counts as none.
+    """
+    held = table.attached.get(relay.name)
+    return relay.name not in named if held is None else is_ample(held.report.room)
+
+
+def must_log_room(table: ReportTable, report: GatewayReport, now: float) -> bool:
+    """Return whether a report's room is invalid and has to be logged; if so, record it.
+
+    It is logged once in a while, as a gateway reports four times a second.
+    """
+    held = table.attached.get(report.gateway)
+    if held is None or read_room(report.room) is not None:
+        return False
+
+    if now - held.invalid_at < INVALID_LOG_SECONDS:
+        return False
+
+    held.invalid_at = now
+    return True
+
+
+def take_ample_relays(
+    table: ReportTable, report: GatewayReport, now: float
+) -> tuple[RelayGateway, ...]:
+    """Return relays with ample room for a gateway that has little, once in a while.
+
+    They are in its own data centre, as traffic between data centres is expensive. A
+    gateway that hands requests on reports at most ``LITTLE_ROOM``.
+    """
+    held = table.attached.get(report.gateway)
+    room = read_room(report.room)
+    if held is None or report.relay is None or room is None or room > LITTLE_ROOM:
+        return ()
+
+    if now - held.relays_at < RELAYS_INTERVAL_SECONDS:
+        return ()
+
+    known = (*list_attached_relays(table, now), *list_others_relays(table, now))
+    without_room = name_without_room(table, known, now) or ()
+    ample = [
+        one
+        for one in known
+        if one.name != report.gateway
+        and one.data_centre == report.relay.data_centre
+        and one.name not in without_room
+    ]
+    if ample:
+        held.relays_at = now
+
+    return tuple(ample[:MAX_RELAYS_PER_CONTROL])
+
+
 def list_relays(table: ReportTable, now: float) -> tuple[RelayGateway, ...]:
     """Return some gateways that reach upstreams, attached ones and other controls'."""
-    others = [
+    attached = list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL]
+    return (*attached, *list_others_relays(table, now))
+
+
+def list_others_relays(table: ReportTable, now: float) -> list[RelayGateway]:
+    """Return some gateways that reach upstreams and are attached to other controls."""
+    return [
         relay
         for one in table.controls.values()
         if now - one.received_at <= USE_TTL_SECONDS
         for relay in one.report.relays[:MAX_RELAYS_PER_CONTROL]
     ]
-    return (*list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL], *others)
 
 
 def record_departed(table: ReportTable, held: GatewayEntry) -> None:
@@ -245,6 +344,7 @@
 
     apply_states(table.limits, report.limits, now)
     apply_statements(table.brittle, report.brittle, now)
+    receive_shared_paces(table.paces, control, report.paces or (), now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
@@ -295,6 +395,7 @@
         for name, one in table.evidence.items()
         if now - one.received_at <= EVIDENCE_TTL_SECONDS
     }
+    drop_decayed(table.paces, table.controls.keys(), now)
 
 
 def make_control_report(
@@ -326,7 +427,8 @@
         sum_attached(table, now), read=tuple(table.blocks_for_controls)
     )
     table.blocks_for_controls.clear()
-    return describe_attached(table, total, evidence, now)
+    paces = take_shared_paces(table.paces, now)
+    return describe_attached(table, total, evidence, paces, now)
 
 
 def make_full_report(table: ReportTable, now: float) -> ControlReport:
@@ -336,7 +438,8 @@
         for name, held in table.attached.items()
         if held.report.evidence
     ]
-    return describe_attached(table, sum_attached(table, now), evidence, now)
+    paces = list_shared_paces(table.paces, now)
+    return describe_attached(table, sum_attached(table, now), evidence, paces, now)
 
 
 def is_part_due(
@@ -376,9 +479,11 @@
     table: ReportTable,
     total: FleetReport,
     evidence: Iterable[GatewayEvidence],
+    paces: tuple[EnginePace, ...],
     now: float,
 ) -> ControlReport:
     """Return a report on the attached gateways."""
+    relays = list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL]
     return ControlReport(
         total=total,
         evidence=tuple(evidence),
@@ -387,7 +492,9 @@
         ),
         limits=list_states(table.limits, now),
         brittle=list_statements(table.brittle, now),
-        relays=list_attached_relays(table, now)[:MAX_RELAYS_PER_CONTROL],
+        relays=relays,
+        without_room=name_without_room(table, relays, now),
+        paces=paces or msgspec.UNSET,
     )
 
 
