--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -16,7 +16,6 @@
 from ..http.records import find_header
 from ..metrics import BOUNDS_PASSED
 from ..metrics import REQUESTS
-from .bounds import has_room
 from .choice import choose_service
 from .choice import find_session_key
 from .endings import RETRY_AFTER
@@ -24,6 +23,7 @@
 from .endings import can_finish
 from .endings import retry_after
 from .exchange import Exchange
+from .held import has_room
 from .relaying import needs_room
 from .relaying import read_crashes
 from .relaying import read_reason
--- a/src/waxwingwell/adapters/gateway/bounds.py
+++ b/src/waxwingwell/adapters/gateway/bounds.py
@@ -1,10 +1,9 @@
-"""Bounds on the bytes of a response, and on what a gateway holds in all."""
+"""Bounds on the bytes of a response."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from ...routing.gateway_room import MEMORY_PART
 from ..events import log_event
 from ..http.client import PassedBound
 from ..http.records import find_header
@@ -16,7 +15,6 @@
 
 if TYPE_CHECKING:
     from .attempts import Attempt
-    from .context import GatewayContext
     from .exchange import Exchange
 
 
@@ -110,22 +108,3 @@
         return reason
 
     return f"{passed.kind} of {passed.count} passes the bound of {passed.limit}"
-
-
-def count_held(exchange: Exchange) -> None:
-    """Count what a request holds of its upstream's bytes."""
-    held = exchange.splitter.partial_bytes
-    if exchange.attempt is not None:
-        held += exchange.attempt.body.size
-
-    if exchange.last_response is not None:
-        held += len(exchange.last_response[2])
-
-    exchange.context.held.total += held - exchange.held
-    exchange.held = held
-
-
-def has_room(context: GatewayContext) -> bool:
-    """Return whether the gateway has memory for another request."""
-    memory = context.settings.memory_bytes
-    return not memory or context.held.total <= memory * MEMORY_PART
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -39,9 +39,9 @@
 from ..traffic import find_traffic
 from .arrivals import handle_relayed
 from .arrivals import handle_request
-from .bounds import has_room
 from .context import GatewayContext
 from .crashes import review_breaks
+from .held import has_room
 from .probing import probe_path
 from .reporting import send_report
 from .room_checks import check_room
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -8,7 +8,7 @@
 from ..events import log_event
 from ..metrics import REQUEST_SECONDS
 from ..metrics import REQUESTS
-from .bounds import count_held
+from .held import count_held
 from .relaying import make_response_headers
 from .request_queue import remove_waiting
 
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -26,7 +26,6 @@
 from .attempts import record_pace
 from .attempts import release_attempt
 from .bounds import collect_body
-from .bounds import count_held
 from .bounds import find_passed_bound
 from .choice import Choice
 from .choice import choose_service
@@ -56,6 +55,7 @@
 from .flow import Flow
 from .flow import pause_exchange
 from .flow import resume_exchange
+from .held import count_held
 from .pacing import record_call
 from .pacing import start_pace
 from .probing import record_reached
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -21,13 +21,13 @@
 from tests.routing.factories import make_document
 from tests.routing.factories import make_route
 from waxwingwell.adapters.gateway.arrivals import handle_request
-from waxwingwell.adapters.gateway.bounds import has_room
 from waxwingwell.adapters.gateway.context import GatewayContext
 from waxwingwell.adapters.gateway.dialect import Dialect
 from waxwingwell.adapters.gateway.dialect import Dispatch
 from waxwingwell.adapters.gateway.dialect import RelayedRequest
 from waxwingwell.adapters.gateway.dialect import RequestFacts
 from waxwingwell.adapters.gateway.dialect import ResponseFacts
+from waxwingwell.adapters.gateway.held import has_room
 from waxwingwell.adapters.gateway.settings import GatewaySettings
 from waxwingwell.adapters.http.records import HeaderList
 from waxwingwell.adapters.http.records import HttpLimits
