Check bytes held and bounds only for an event that is not whole

Each piece of a stream called the property for its partial event and the check of all bounds. Most pieces are whole events, which hold nothing, so one test of the partial event and of the collected body now comes first; the bound on a body without length stays one comparison.

--- a/src/waxwingwell/adapters/gateway/bounds.py
+++ b/src/waxwingwell/adapters/gateway/bounds.py
@@ -65,7 +65,7 @@
 def find_passed_bound(exchange: Exchange, attempt: Attempt) -> PassedBound | None:
     """Return the bound that the bytes of a response have passed, or None."""
     settings = exchange.context.settings
-    partial = exchange.splitter.partial_bytes
+    partial = len(exchange.splitter.partial_event)
     if partial > settings.event_bytes:
         return PassedBound("event", settings.event_bytes, partial)
 
@@ -114,7 +114,7 @@
 
 def count_held(exchange: Exchange) -> None:
     """Count what a request holds of its upstream's bytes."""
-    held = exchange.splitter.partial_bytes
+    held = len(exchange.splitter.partial_event)
     if exchange.attempt is not None:
         held += exchange.attempt.body.size
 
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -30,7 +30,7 @@
 def forward_response(exchange: Exchange, attempt: Attempt, now: float) -> None:
     """Send a complete response, or the end of a streamed one, to the caller."""
     if attempt.streaming:
-        exchange.responder.write(exchange.splitter.partial_event)
+        exchange.responder.write(bytes(exchange.splitter.partial_event))
         exchange.responder.finish()
     elif attempt.forwarding:
         exchange.responder.finish()
--- a/src/waxwingwell/adapters/gateway/events.py
+++ b/src/waxwingwell/adapters/gateway/events.py
@@ -14,16 +14,17 @@
 class EventSplitter:
     """Buffers an incomplete event, and tracks the id of the last complete one."""
 
-    __slots__ = ("_partial_event", "events", "last_id")
+    __slots__ = ("events", "last_id", "partial_event")
 
     def __init__(self, last_id: str = "") -> None:
-        self._partial_event = bytearray()
+        self.partial_event = bytearray()
+        """Buffered bytes of an incomplete event."""
         self.last_id = last_id
         self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes, and return the events that are complete now."""
-        if not self._partial_event and data.endswith(EVENT_END):
+        if not self.partial_event and data.endswith(EVENT_END):
             complete_events = data
         else:
             complete_events = self._take_complete(data)
@@ -40,30 +41,20 @@
         Bytes that were searched before are not searched or copied again, so that the
         work is linear in the length of an event that arrives in many pieces.
         """
-        searched = max(len(self._partial_event) - len(EVENT_END) + 1, 0)
-        self._partial_event += data
-        end = self._partial_event.rfind(EVENT_END, searched)
+        searched = max(len(self.partial_event) - len(EVENT_END) + 1, 0)
+        self.partial_event += data
+        end = self.partial_event.rfind(EVENT_END, searched)
         if end < 0:
             return b""
 
         end += len(EVENT_END)
-        complete_events = bytes(self._partial_event[:end])
-        del self._partial_event[:end]
+        complete_events = bytes(self.partial_event[:end])
+        del self.partial_event[:end]
         return complete_events
 
     def discard_partial_event(self) -> None:
         """Discard a partial event that will not be completed."""
-        self._partial_event.clear()
-
-    @property
-    def partial_event(self) -> bytes:
-        """Buffered bytes of an incomplete event."""
-        return bytes(self._partial_event)
-
-    @property
-    def partial_bytes(self) -> int:
-        """Number of buffered bytes of an incomplete event."""
-        return len(self._partial_event)
+        self.partial_event.clear()
 
     def _record_last_id(self, complete_events: bytes) -> None:
         """Record the last id among these events."""
@@ -90,7 +81,7 @@
         """Record that events are forwarded now."""
         if self.first_event_at is None:
             self.first_event_at = now
-        else:
-            self.longest = max(self.longest, now - self.last_event_at)
+        elif now - self.last_event_at > self.longest:
+            self.longest = now - self.last_event_at
 
         self.last_event_at = now
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -352,9 +352,15 @@
             if attempt.has_length:
                 self._record_life(attempt, now)
 
-        if self.splitter.partial_bytes or attempt.body.size or self.held:
+        is_held = self.splitter.partial_event or attempt.body.size
+        if is_held or self.held:
             count_held(self)
 
+        if is_held or attempt.body_bytes > self.context.settings.unstated_body_bytes:
+            self._check_bounds(attempt)
+
+    def _check_bounds(self, attempt: Attempt) -> None:
+        """End a call whose response has passed a bound."""
         passed = find_passed_bound(self, attempt)
         if passed is not None and attempt.call is not None:
             attempt.call.passed = passed
@@ -368,7 +374,9 @@
 
     def _forward_events(self, attempt: Attempt, data: bytes, now: float) -> None:
         """Forward the events that are complete with a piece of a stream."""
-        finish_prefill(self.context, attempt)
+        if attempt.work:
+            finish_prefill(self.context, attempt)
+
         events_before = self.splitter.events
         complete_events = self.splitter.feed(data)
         if attempt.counted is not None:
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -134,12 +134,12 @@
 
         splitter = EventSplitter()
         buffer = Buffer()
-        splitter._partial_event = buffer
+        splitter.partial_event = buffer
         count = 4_096
         for _ in range(count):
             self.assertEqual(splitter.feed(b"x" * 64), b"")
 
-        self.assertIs(splitter._partial_event, buffer)
+        self.assertIs(splitter.partial_event, buffer)
         self.assertLess(searched, 2 * 64 * count)
 
     def test_events_are_found_wherever_pieces_end(self) -> None:
