Give a piece to the transport without a copy if nothing waits

Each piece was appended to the send buffer and sliced off again, and the number of unsent bytes was computed by a property after it. The number is now kept, and a piece for which the transport has room is passed on as it is.

--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -53,18 +53,22 @@
         self._is_counted = True
         self._pending = bytearray()
         self._in_transport = 0
+        self.unsent = 0
+        """Upper bound on the bytes that have not been sent."""
         self._finishing = False
         transport.registerProducer(self, False)
 
-    @property
-    def unsent(self) -> int:
-        """Upper bound on the bytes that have not been sent."""
-        return self._in_transport + len(self._pending)
-
     def write(self, data: bytes) -> None:
         """Append bytes to the buffer and send as many as possible."""
+        size = len(data)
+        self.unsent += size
         if self._is_counted:
-            self._held.total += len(data)
+            self._held.total += size
+
+        if not self._pending and self._in_transport + size <= CHUNK_BYTES:
+            self._in_transport += size
+            self._transport.write(data)
+            return
 
         self._pending += data
         if self._in_transport < CHUNK_BYTES:
@@ -100,6 +104,7 @@
         if self._is_counted:
             self._held.total -= self._in_transport
 
+        self.unsent -= self._in_transport
         self._in_transport = 0
         self._on_progress()
         if self._pending:
