Close a connection only after a response written on progress is sent

The send buffer closed its write side when its queue was empty after reporting progress. A request that had waited for its caller may be answered during that report, and its bytes were then still in the transport, whose end was never reported: they stayed unsent and held until the connection was lost, a planned stop waited for it, and a whole response was logged as undelivered.

The write side is now closed when no byte is unsent. The new test fails before.

--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -109,7 +109,7 @@
         self._on_progress()
         if self._pending:
             self._send_chunk()
-        elif self._finishing:
+        elif self._finishing and not self.unsent:
             self._half_close()
 
     def stopProducing(self) -> None:  # noqa: N802
--- a/tests/adapters/http/test_output.py
+++ b/tests/adapters/http/test_output.py
@@ -57,6 +57,31 @@
         self.assertEqual(self.buffer.unsent, 0)
         self.assertTrue(self.transport.value().endswith(b"ab"))
 
+    def test_a_response_written_on_progress_is_sent_before_the_close(self) -> None:
+        """Guards against bytes counted as unsent for good, which delay a stop.
+
+        A request that waited for its caller is answered as soon as it has read, and
+        the answer may be the last one of the connection.
+        """
+
+        def respond() -> None:
+            if self.progress == 0:
+                self.buffer.write(b"b")
+                self.buffer.finish()
+
+            self.progress += 1
+
+        self.transport.unregisterProducer()
+        self.buffer = SendBuffer(self.transport, respond)
+        self.transport.held = True
+        self.buffer.write(b"a")
+        self.transport.flush()
+        self.assertFalse(self.transport.half_closed)
+        self.transport.flush()
+        self.assertTrue(self.transport.half_closed)
+        self.assertEqual(self.buffer.unsent, 0)
+        self.assertEqual(self.transport.value(), b"ab")
+
     def test_a_connection_closes_after_its_last_byte(self) -> None:
         for held in (True, False):
             with self.subTest(held=held):
