Sample the whole time of a call whose length is not stated

The sample ended at the last sign of life, and parts of a chunked body are none. So the time to the head stood for the whole call, and an engine that sends its head at once looked faster than one that sends it with the body.

The sample now ends with the call itself. The new test fails before: 100 ms instead of 300 ms.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -97,6 +97,8 @@
     last_byte_at: float = 0.0
     """Time of the last sign of life: the head, a whole event, or bytes of a body within
     its stated length."""
+    ended_at: float = 0.0
+    """Time at which its call ended."""
     work: float = 0.0
     """Milliseconds of prefill counted as this gateway's load on the upstream."""
     tokens: int = 0
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -393,6 +393,7 @@
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
         """Handle the end of a call."""
+        attempt.ended_at = self.context.clock()
         end_attempt(self, sent, partial(classify_end, self, attempt, end, sent))
 
     # --- end of an attempt ----------------------------------------------------
--- a/src/waxwingwell/adapters/gateway/pacing.py
+++ b/src/waxwingwell/adapters/gateway/pacing.py
@@ -48,7 +48,7 @@
         return
 
     round_trip = attempt.connected_at - attempt.started_at
-    seconds = attempt.last_byte_at - attempt.connected_at - round_trip
+    seconds = attempt.ended_at - attempt.connected_at - round_trip
     key = identify_engine(attempt, exchange.route.name)
     record_time(context.paces, key, seconds, now)
 
--- a/tests/adapters/gateway/test_pacing.py
+++ b/tests/adapters/gateway/test_pacing.py
@@ -199,6 +199,25 @@
         paces = self.run_calls(Service(name="chat", slots=4))
         self.assertEqual(paces, (EnginePace("u1", 1, "r1", 4, 80.0),))
 
+    def test_a_call_whose_length_is_not_stated(self) -> None:
+        """Guards against the time to the head as the time of the whole call."""
+        gateway = make_gateway("u1", kind=RouteKind.IDEMPOTENT)
+        document = make_document(
+            routes=(make_route(kind=RouteKind.IDEMPOTENT),),
+            services=(Service(name="chat", slots=4),),
+        )
+        gateway.context.index = index_document(document)
+        for _ in range(4):
+            gateway.ask()
+            call = gateway.calls[-1]
+            call.accept()
+            for piece in (make_stream_head(), make_chunk(b"x"), b"0\r\n\r\n"):
+                gateway.reactor.advance(0.1)
+                call.respond(piece)
+
+        expected = (EnginePace("u1", 1, "r1", 4, 300.0),)
+        self.assertEqual(list_reported(gateway), expected)
+
     def test_other_calls(self) -> None:
         """Guards against calls whose time says nothing about the engine."""
         for name, service, status in (
