Count slow answers as signs of life for a bounded time

Only whole events counted, or a body with a length if it was no stream. A long event in several pieces, and a document of a stated length in answer to a request for a stream, therefore failed over after 1.5 s, and their upstream was recorded as unreachable. Both were served before.

A body within its stated length now counts for each kind of answer, and other bytes count for 2 s after the last whole event, so that a byte from time to time still keeps no stream for long. The new test fails before for both answers.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -65,6 +65,12 @@
 """Endings for which a version is accountable, by the attempt's outcome."""
 
 
+PART_SECONDS = 2.0
+"""Seconds after the last whole event in which parts of the next one are signs of life.
+A slow upstream may send a long event in pieces; without a bound, a byte from time to
+time would keep a stream at an upstream that makes no progress."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """One attempt to run a request at one upstream."""
@@ -95,8 +101,10 @@
     """Id of the upstream behind a relay, if the relay names it."""
     first_byte_at: float | None = None
     last_byte_at: float = 0.0
-    """Time of the last sign of life: the head, a whole event, or bytes of a body within
-    its stated length."""
+    """Time of the last sign of life: the head, a whole event, bytes of a body within
+    its stated length, or for ``PART_SECONDS`` after one of these any other bytes."""
+    progress_at: float = 0.0
+    """Time of the last sign of life other than a part of unknown length."""
     ended_at: float = 0.0
     """Time at which its call ended."""
     work: float = 0.0
@@ -184,6 +192,19 @@
     )
 
 
+def record_progress(context: GatewayContext, attempt: Attempt, now: float) -> None:
+    """Record that an upstream has sent a whole event, or bytes that it has stated."""
+    attempt.progress_at = attempt.last_byte_at = now
+    context.upstream_active_at[attempt.upstream] = now
+
+
+def record_part(context: GatewayContext, attempt: Attempt, now: float) -> None:
+    """Record that an upstream has sent a part of an event or of a chunked body."""
+    if now - attempt.progress_at <= PART_SECONDS:
+        attempt.last_byte_at = now
+        context.upstream_active_at[attempt.upstream] = now
+
+
 def record_first_byte(
     context: GatewayContext, route: Route, attempt: Attempt, now: float
 ) -> None:
@@ -192,8 +213,7 @@
         return
 
     attempt.first_byte_at = now
-    attempt.last_byte_at = now
-    context.upstream_active_at[attempt.upstream] = now
+    record_progress(context, attempt, now)
     context.delays.received_at = now
     if attempt.counted is not None:
         count_first_byte(attempt.counted, now, success=starts_successfully(attempt))
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -24,6 +24,8 @@
 from .attempts import record_first_byte
 from .attempts import record_outcome
 from .attempts import record_pace
+from .attempts import record_part
+from .attempts import record_progress
 from .attempts import release_attempt
 from .bounds import collect_body
 from .bounds import count_held
@@ -345,12 +347,14 @@
         now = self.context.clock()
         self.context.delays.received_at = now
         attempt.body_bytes += len(data)
+        if attempt.has_length:
+            record_progress(self.context, attempt, now)
+
         if attempt.streaming:
             self._forward_events(attempt, data, now)
         else:
             collect_body(self, attempt, data)
-            if attempt.has_length:
-                self._record_life(attempt, now)
+            record_part(self.context, attempt, now)
 
         is_held = self.splitter.partial_event or attempt.body.size
         if is_held or self.held:
@@ -367,11 +371,6 @@
             attempt.cancel()
             self.handle_end(attempt, ResponseEnd.CUT, True)
 
-    def _record_life(self, attempt: Attempt, now: float) -> None:
-        """Record that an upstream has sent a part of an answer."""
-        attempt.last_byte_at = now
-        self.context.upstream_active_at[attempt.upstream] = now
-
     def _forward_events(self, attempt: Attempt, data: bytes, now: float) -> None:
         """Forward the events that are complete with a piece of a stream."""
         if attempt.work:
@@ -382,14 +381,17 @@
         if attempt.counted is not None:
             attempt.counted.events = self.splitter.events - attempt.events_before
 
-        if complete_events:
-            self._record_life(attempt, now)
-            if attempt.pace is not None:
-                events = self.splitter.events - events_before
-                record_events(self.context.paces, attempt.pace, events, now)
+        if not complete_events:
+            record_part(self.context, attempt, now)
+            return
+
+        record_progress(self.context, attempt, now)
+        if attempt.pace is not None:
+            events = self.splitter.events - events_before
+            record_events(self.context.paces, attempt.pace, events, now)
 
-            self.pauses.record(now)
-            self.responder.write(complete_events)
+        self.pauses.record(now)
+        self.responder.write(complete_events)
 
     def handle_end(self, attempt: Attempt, end: ResponseEnd, sent: bool) -> None:
         """Handle the end of a call."""
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -273,6 +273,46 @@
 
                 self.assertIs(upstream.transport.aborted, not kept)
 
+    def test_slow_answers_are_signs_of_life(self) -> None:
+        """Guards against answers served before that fail over in their middle.
+
+        An event may arrive in several pieces, and the answer to a request for a stream
+        may be a document of a stated length.
+        """
+        event = b"data: " + b"x" * 20
+        document = b'{"a": 1}'
+        for name, head, pieces in (
+            (
+                "event",
+                make_stream_head(),
+                [make_chunk(event)] * 2 + [make_chunk(b"\n\n") + b"0\r\n\r\n"],
+            ),
+            (
+                "document",
+                make_response(document)[: -len(document)],
+                [bytes([byte]) for byte in document],
+            ),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway(kind=STREAM)
+                gateway.context.load.others_at = 0.0
+                caller = gateway.ask(X_Budget="100")
+                upstream = gateway.calls[-1]
+                upstream.accept()
+                upstream.respond(head)
+                for piece in pieces:
+                    for _ in range(8):
+                        gateway.reactor.advance(0.1)
+                        for running in tuple(gateway.context.exchanges):
+                            running.check_responsiveness(gateway.reactor.seconds())
+
+                    upstream.respond(piece)
+
+                self.assertEqual(len(gateway.calls), 1)
+                self.assertEqual(caller.status, 200)
+                self.assertFalse(gateway.context.exchanges)
+                self.assertFalse(caller.transport.aborted)
+
     def test_new_requests_are_refused_without_memory(self) -> None:
         """Guards against requests under way that are cut before new ones are refused.
 
