--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -354,7 +354,8 @@
             self._forward_events(attempt, data, now)
         else:
             collect_body(self, attempt, data)
-            record_part(self.context, attempt, now)
+            if not attempt.has_length:
+                record_part(self.context, attempt, now)
 
         is_held = self.splitter.partial_event or attempt.body.size
         if is_held or self.held:
