--- a/src/waxwingwell/experiments/placement_simulation.py
+++ b/src/waxwingwell/experiments/placement_simulation.py
@@ -124,6 +124,8 @@
     prefixes: PrefixTable = field(default_factory=PrefixTable)
     health: HealthTable = field(default_factory=HealthTable)
     reported: tuple[UpstreamUse, ...] = ()
+    speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
+    """Duration factors as this gateway knows them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,12 +155,26 @@
     running: int
 
 
+@dataclass(frozen=True, slots=True)
+class RunningStream:
+    """A stream from its first event to its last."""
+
+    gateway: Gateway
+    engine: Engine
+    model: str
+    ends_at: float
+
+
 PlacementPolicy = Callable[
     [Demand, list[Announcement], PlacementContext, float, Callable[[], float]],
     Placement | None,
 ]
 
 
+def ignore_stream(stream: RunningStream, at: float) -> None:
+    """Do nothing with a stream."""
+
+
 @dataclass(slots=True)
 class PlacementRun:
     """The state of one run, with a heap of events by the time at which they are due."""
@@ -178,7 +194,9 @@
     samples: list[EngineSample] = field(default_factory=list)
     """Running requests, taken with each report of the gateways."""
     speeds: EngineSpeedTable = field(default_factory=EngineSpeedTable)
-    """Duration factors as all gateways know them."""
+    """Duration factors that all gateways share unless they are given their own."""
+    watch_stream: Callable[[RunningStream, float], None] = ignore_stream
+    """Called with each stream at its first event."""
 
 
 def simulate_placement(
@@ -209,7 +227,7 @@
 
     for number in range(gateways):
         name = f"dc{number % deployment.data_centres}"
-        run.gateways.append(Gateway(name))
+        run.gateways.append(Gateway(name, speeds=run.speeds))
 
     for kind in deployment.kinds:
         schedule_arrival(run, kind, 0.0)
@@ -310,7 +328,7 @@
     deployment = run.deployment
     model_index = MODELS.index(model)
     candidates = [one.announcement for one in run.engines.values()]
-    factors = list_factors(run.speeds, candidates, now)
+    factors = list_factors(gateway.speeds, candidates, now)
     kind_of_pool = Pool.LARGE if model_index else Pool.SMALL
     pool = list_pool(list(run.engines), kind_of_pool, factors)
     demand = Demand(
@@ -333,7 +351,7 @@
         load=gateway.load,
         health=gateway.health,
         prefixes=gateway.prefixes,
-        engine_speeds=run.speeds,
+        engine_speeds=gateway.speeds,
     )
     placement = run.policy(demand, candidates, context, now, run.random.random)
     if placement is None:
@@ -358,13 +376,11 @@
             send(run, gateway, kind, blocks, MODELS[1], at)
             return
 
-        token_interval_ms = (
-            deployment.decode_ms[model_index]
-            * engine.factor
-            * (1 + engine.running / deployment.slots)
-        )
+        token_interval_ms = find_token_interval(deployment, engine, model)
         run.event_ms.append((at, token_interval_ms))
-        schedule(run, at + kind.output_tokens * token_interval_ms / 1000, on_end)
+        ends_at = at + kind.output_tokens * token_interval_ms / 1000
+        schedule(run, ends_at, on_end)
+        run.watch_stream(RunningStream(gateway, engine, model, ends_at), at)
 
     def on_end(at: float) -> None:
         engine.running -= 1
@@ -373,6 +389,15 @@
     schedule(run, first_at, on_first_event)
 
 
+def find_token_interval(deployment: Deployment, engine: Engine, model: str) -> float:
+    """Return the milliseconds between two tokens of a stream."""
+    return (
+        deployment.decode_ms[MODELS.index(model)]
+        * engine.factor
+        * (1 + engine.running / deployment.slots)
+    )
+
+
 def record_placement(
     run: PlacementRun,
     gateway: Gateway,
