Hold the coarse steps of capacity while a factor varies

Homes and pools were assigned by the rounded factor of the moment. Measured factors vary around the limits between steps, and age without samples, so that homes and pools moved every few seconds, each time to a cold cache.

A gateway holds the step of an engine until a reported factor is a whole step away. Factors that age do not move it.

--- a/src/waxwingwell/routing/capacity.py
+++ b/src/waxwingwell/routing/capacity.py
@@ -13,13 +13,13 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from .engine_speeds import STEPS_PER_DOUBLING
 from .engine_speeds import find_duration_factor
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from .engine_speeds import EngineSpeedTable
@@ -29,10 +29,6 @@
 EVEN_TOLERANCE = 0.05
 """Largest difference of a factor from 1 that counts as none. Factors that are no longer
 reported approach 1 without reaching it."""
-STEPS_PER_DOUBLING = 2
-"""Steps of capacity in a factor of two, by which homes of prompts and pools are
-assigned. Finer steps would move them with each change of a measured speed, and each
-move costs a prefill."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +38,8 @@
     factors: Mapping[str, float] = field(default_factory=dict)
     fastest: float = 1.0
     """Least factor of the engines that were compared."""
+    steps: Mapping[str, int] = field(default_factory=dict)
+    """Coarse steps of capacity of those engines whose step was held, by upstream."""
 
     def find(self, upstream: str) -> float:
         """Return the duration factor of an engine."""
@@ -52,8 +50,12 @@
         return 1.0 / self.find(upstream)
 
     def find_coarse_capacity(self, upstream: str) -> float:
-        """Return the capacity of an engine, rounded to coarse steps."""
-        return round_capacity(self.find_capacity(upstream))
+        """Return the capacity of an engine in coarse steps."""
+        step = self.steps.get(upstream)
+        if step is None:
+            step = round(math.log2(self.find_capacity(upstream)) * STEPS_PER_DOUBLING)
+
+        return float(2.0 ** (step / STEPS_PER_DOUBLING))
 
 
 EVEN = EngineFactors()
@@ -61,7 +63,7 @@
 
 
 def list_factors(
-    table: EngineSpeedTable, upstreams: Iterable[Announcement], now: float
+    table: EngineSpeedTable, upstreams: Collection[Announcement], now: float
 ) -> EngineFactors:
     """Return the duration factors of some engines."""
     found = {
@@ -76,7 +78,12 @@
     if not uneven:
         return EVEN
 
-    return EngineFactors(uneven, min(uneven.get(name, 1.0) for name in found))
+    steps = {
+        one.upstream: table.steps[one.upstream, one.incarnation]
+        for one in upstreams
+        if one.upstream in uneven and (one.upstream, one.incarnation) in table.steps
+    }
+    return EngineFactors(uneven, min(uneven.get(name, 1.0) for name in found), steps)
 
 
 def find_slowness(factors: EngineFactors, upstream: str, peers: Sequence[str]) -> float:
@@ -90,12 +97,6 @@
     return factors.find(upstream) / median(factors.find(name) for name in peers)
 
 
-def round_capacity(capacity: float) -> float:
-    """Return a capacity rounded to coarse steps."""
-    step = round(math.log2(capacity) * STEPS_PER_DOUBLING)
-    return float(2.0 ** (step / STEPS_PER_DOUBLING))
-
-
 def sum_capacity(factors: EngineFactors, upstreams: Collection[str]) -> float:
     """Return the capacity of some engines, in median engines."""
     if not factors.factors:
--- a/src/waxwingwell/routing/engine_speeds.py
+++ b/src/waxwingwell/routing/engine_speeds.py
@@ -22,6 +22,9 @@
 """Time constant with which an older factor returns to 1."""
 RETENTION_SECONDS = 60.0
 """Age at which a factor is dropped; by then it differs from 1 by less than 1 %."""
+STEPS_PER_DOUBLING = 2
+"""Coarse steps of capacity in a factor of two, by which homes of prompts and pools are
+assigned. Each move of these costs a prefill."""
 
 
 @dataclass(slots=True)
@@ -31,6 +34,8 @@
     factors: dict[tuple[str, int], float] = field(default_factory=dict)
     heard_at: dict[tuple[str, int], float] = field(default_factory=dict)
     """Time at which a control has last sent each factor."""
+    steps: dict[tuple[str, int], int] = field(default_factory=dict)
+    """Coarse steps of capacity. They don't age with the factors."""
 
 
 def find_duration_factor(
@@ -66,6 +71,7 @@
         engine = (one.upstream, one.incarnation)
         table.factors[engine] = one.factor
         table.heard_at[engine] = now
+        table.steps[engine] = move_step(table.steps.get(engine, 0), one.factor)
 
     outdated = [
         engine for engine, at in table.heard_at.items() if now - at > RETENTION_SECONDS
@@ -73,10 +79,21 @@
     for engine in outdated:
         del table.heard_at[engine]
         table.factors.pop(engine, None)
+        table.steps.pop(engine, None)
 
     return invalid
 
 
+def move_step(held: int, factor: float) -> int:
+    """Return the step of capacity of an engine that had one before.
+
+    It moves if the factor is a whole step away, as a factor that varies around the
+    limit between two steps would else move homes and pools each time.
+    """
+    position = -math.log2(factor) * STEPS_PER_DOUBLING
+    return round(position) if abs(position - held) >= 1 else held
+
+
 def is_valid_factor(factor: float) -> bool:
     """Return whether a factor is a number within the bounds."""
     return 1 / MAX_FACTOR <= factor <= MAX_FACTOR
--- a/tests/routing/test_uneven_placement.py
+++ b/tests/routing/test_uneven_placement.py
@@ -19,11 +19,13 @@
 from waxwingwell.routing.capacity import list_factors
 from waxwingwell.routing.capacity import sum_capacity
 from waxwingwell.routing.engine_speeds import EngineSpeedTable
+from waxwingwell.routing.engine_speeds import apply_speeds
 from waxwingwell.routing.health import HealthTable
 from waxwingwell.routing.load import LoadTable
 from waxwingwell.routing.load import add_running
 from waxwingwell.routing.load import estimate_usage
 from waxwingwell.routing.load import record_prefill
+from waxwingwell.routing.messages import EngineSpeed
 from waxwingwell.routing.output_pace import OutputPaceTable
 from waxwingwell.routing.output_pace import estimate_output_token_ms
 from waxwingwell.routing.output_pace import record_output_time
@@ -418,6 +420,26 @@
         factors = [EngineFactors({"one": 3.0 + step / 10}, 1.0) for step in range(3)]
         self.assertEqual(len({one.find_coarse_capacity("one") for one in factors}), 1)
 
+    def test_steps_stay_while_a_factor_varies_or_ages(self) -> None:
+        """Guards against homes that move as a factor varies around a limit."""
+        table = EngineSpeedTable()
+        upstreams = [make_announcement("one")]
+        for name, factor, expected in (
+            ("near the limit of listing", 1.35, 1.0),
+            ("slow", 1.9, 0.5),
+            ("varies", 1.5, 0.5),
+            ("varies more", 2.7, 0.5),
+            ("slower", 2.9, 2**-1.5),
+            ("back", 1.06, 1.0),
+        ):
+            with self.subTest(name):
+                apply_speeds(table, [EngineSpeed("one", 1, factor)], 10.0)
+                for now in (10.0, 13.0):
+                    factors = list_factors(table, upstreams, now)
+                    self.assertAlmostEqual(
+                        factors.find_coarse_capacity("one"), expected
+                    )
+
     def test_usage_counts_capacity(self) -> None:
         table = LoadTable()
         record_prefill(table, 600.0, 9.0)
