Use a slow upstream before others exceed their slots

The cost of a slow upstream of a plain service rose with its factor without limit, beyond the cost of calls without a slot. Where an upstream was four or eight times slower, the others got more calls than they have slots while it was idle.

The cost is at most that of one call beyond the slots.

--- a/src/waxwingwell/routing/placement_cost.py
+++ b/src/waxwingwell/routing/placement_cost.py
@@ -46,7 +46,8 @@
 ) -> float:
     """Return the cost of the time that a request takes longer on a slow engine."""
     if not demand.service.memory_tokens:
-        return CALL_MS * (factor - fastest)
+        # A slow upstream with a free slot is used before others exceed their slots.
+        return CALL_MS * min(factor - fastest, 1.0)
 
     stay = demand.output_tokens * demand.output_token_ms
     cost = estimate_late_cost(wait + stay * factor, demand.time_left_ms)
--- a/tests/routing/test_uneven_placement.py
+++ b/tests/routing/test_uneven_placement.py
@@ -334,6 +334,27 @@
             with self.subTest(name):
                 self.assertEqual(estimate_share_cost(running, 32, factor) > 0, costs)
 
+    def test_a_slow_upstream_is_used_before_others_exceed_their_slots(self) -> None:
+        """Guards against calls that are refused while a slow upstream is idle."""
+        names = ("slow", "two", "three")
+        upstreams = [make_announcement(name, slots=4) for name in names]
+        for factor in (2.4, 4.0, 8.0):
+            for seed in range(20):
+                with self.subTest(factor=factor, seed=seed):
+                    load = LoadTable()
+                    context = make_context({"slow": factor}, load=load)
+                    draw = random.Random(seed).random
+                    running: Counter[str] = Counter()
+                    while not running["slow"]:
+                        found = place_request(
+                            Demand(DESK), upstreams, context, 10.0, draw
+                        )
+                        assert found is not None
+                        running[found.upstream.upstream] += 1
+                        add_running(load, found.upstream.upstream, 0.0)
+
+                    self.assertLessEqual(max(running["two"], running["three"]), 4)
+
     def test_an_engine_without_memory_costs_a_full_queue(self) -> None:
         """Guards against prompts that make an engine preempt running requests."""
         for name, service, tokens, expected in (
