--- a/tests/routing/test_uneven_placement.py
+++ b/tests/routing/test_uneven_placement.py
@@ -19,11 +19,13 @@
 from waxwingwell.routing.capacity import list_factors
 from waxwingwell.routing.capacity import sum_capacity
 from waxwingwell.routing.engine_speeds import EngineSpeedTable
+from waxwingwell.routing.engine_speeds import apply_speeds
 from waxwingwell.routing.health import HealthTable
 from waxwingwell.routing.load import LoadTable
 from waxwingwell.routing.load import add_running
 from waxwingwell.routing.load import estimate_usage
 from waxwingwell.routing.load import record_prefill
+from waxwingwell.routing.messages import EngineSpeed
 from waxwingwell.routing.output_pace import OutputPaceTable
 from waxwingwell.routing.output_pace import estimate_output_token_ms
 from waxwingwell.routing.output_pace import record_output_time
@@ -332,6 +334,27 @@
             with self.subTest(name):
                 self.assertEqual(estimate_share_cost(running, 32, factor) > 0, costs)
 
+    def test_a_slow_upstream_is_used_before_others_exceed_their_slots(self) -> None:
+        """Guards against calls that are refused while a slow upstream is idle."""
+        names = ("slow", "two", "three")
+        upstreams = [make_announcement(name, slots=4) for name in names]
+        for factor in (2.4, 4.0, 8.0):
+            for seed in range(20):
+                with self.subTest(factor=factor, seed=seed):
+                    load = LoadTable()
+                    context = make_context({"slow": factor}, load=load)
+                    draw = random.Random(seed).random
+                    running: Counter[str] = Counter()
+                    while not running["slow"]:
+                        found = place_request(
+                            Demand(DESK), upstreams, context, 10.0, draw
+                        )
+                        assert found is not None
+                        running[found.upstream.upstream] += 1
+                        add_running(load, found.upstream.upstream, 0.0)
+
+                    self.assertLessEqual(max(running["two"], running["three"]), 4)
+
     def test_an_engine_without_memory_costs_a_full_queue(self) -> None:
         """Guards against prompts that make an engine preempt running requests."""
         for name, service, tokens, expected in (
@@ -389,6 +412,16 @@
                 part = sum_capacity(factors, small) / sum_capacity(factors, names)
                 self.assertAlmostEqual(part, SMALL_SHARE, delta=0.025)
 
+    def test_pools_stay_while_no_capacity_is_a_step_away(self) -> None:
+        """Guards against pools that change as the first factor becomes known."""
+        for count in range(2, 50):
+            with self.subTest(engines=count):
+                names = [f"engine-{number}" for number in range(count)]
+                factors = EngineFactors({"engine-0": 1.1}, 1.0)
+                self.assertEqual(
+                    list_pool(names, Pool.SMALL, factors), list_pool(names, Pool.SMALL)
+                )
+
     def test_pools_of_few_engines_have_one_each(self) -> None:
         for name, slow in (("first slow", "engine-0"), ("second slow", "engine-1")):
             with self.subTest(name):
@@ -418,6 +451,26 @@
         factors = [EngineFactors({"one": 3.0 + step / 10}, 1.0) for step in range(3)]
         self.assertEqual(len({one.find_coarse_capacity("one") for one in factors}), 1)
 
+    def test_steps_stay_while_a_factor_varies_or_ages(self) -> None:
+        """Guards against homes that move as a factor varies around a limit."""
+        table = EngineSpeedTable()
+        upstreams = [make_announcement("one")]
+        for name, factor, expected in (
+            ("near the limit of listing", 1.35, 1.0),
+            ("slow", 1.9, 0.5),
+            ("varies", 1.5, 0.5),
+            ("varies more", 2.7, 0.5),
+            ("slower", 2.9, 2**-1.5),
+            ("back", 1.06, 1.0),
+        ):
+            with self.subTest(name):
+                apply_speeds(table, [EngineSpeed("one", 1, factor)], 10.0)
+                for now in (10.0, 13.0):
+                    factors = list_factors(table, upstreams, now)
+                    self.assertAlmostEqual(
+                        factors.find_coarse_capacity("one"), expected
+                    )
+
     def test_usage_counts_capacity(self) -> None:
         table = LoadTable()
         record_prefill(table, 600.0, 9.0)
