--- a/src/waxwingwell/adapters/gateway/bounds.py
+++ b/src/waxwingwell/adapters/gateway/bounds.py
@@ -63,7 +63,7 @@
 def find_passed_bound(exchange: Exchange, attempt: Attempt) -> PassedBound | None:
     """Return the bound that the bytes of a response have passed, or None."""
     settings = exchange.context.settings
-    partial = exchange.splitter.partial_bytes
+    partial = len(exchange.splitter.partial_event)
     if partial > settings.event_bytes:
         return PassedBound("event", settings.event_bytes, partial)
 
--- a/src/waxwingwell/adapters/gateway/held.py
+++ b/src/waxwingwell/adapters/gateway/held.py
@@ -14,7 +14,7 @@
 
 def count_held(exchange: Exchange) -> None:
     """Count what a request holds of its upstream's bytes."""
-    held = exchange.splitter.partial_bytes
+    held = len(exchange.splitter.partial_event)
     if exchange.attempt is not None:
         held += exchange.attempt.body.size
 
