--- a/src/waxwingwell/adapters/gateway/scheduling.py
+++ b/src/waxwingwell/adapters/gateway/scheduling.py
@@ -75,7 +75,7 @@
     """Start a request, or queue it while its service is short of room."""
     now = context.clock()
     service = exchange.find_service()
-    if is_exempt(exchange):
+    if not context.settings.request_queue or is_exempt(exchange):
         exchange.start()
         return
 
--- a/src/waxwingwell/adapters/gateway/settings.py
+++ b/src/waxwingwell/adapters/gateway/settings.py
@@ -39,6 +39,8 @@
     """Longest response that is collected, so that it can be requested again."""
     unstated_body_bytes: int = 8_388_608
     """Longest body whose length is not stated."""
+    request_queue: bool = False
+    """Queue requests at the gateway while a service is short of room."""
     memory_bytes: int = 0
     """Memory that the process may use; 0 if unknown."""
     link_bytes_per_second: float = 0.0
