--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -6,6 +6,7 @@
 
 from waxwingwell.routing.exposure import ExposureLimits
 from waxwingwell_platform.settings import read_byte_limits
+from waxwingwell_platform.settings import read_request_queue
 from waxwingwell_platform.settings import read_exposure
 from waxwingwell_platform.settings import read_registry
 from waxwingwell_platform.settings import read_retries
@@ -93,6 +94,15 @@
             with self.subTest(given=given):
                 self.assertEqual(read_byte_limits({"limits": given}), expected)
 
+    def test_request_queue(self) -> None:
+        """Guards against a queue that a deployment has not asked for."""
+        for given, expected in (({}, False), ({"request_queue": True}, True)):
+            with self.subTest(given=given):
+                self.assertIs(read_request_queue({"limits": given}), expected)
+
+        with self.assertRaisesRegex(ValueError, "limits: request_queue must be"):
+            read_request_queue({"limits": {"request_queue": 1}})
+
 
 if __name__ == "__main__":
     unittest.main()
