--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -6,9 +6,9 @@
 
 from waxwingwell.routing.exposure import ExposureLimits
 from waxwingwell_platform.settings import read_byte_limits
-from waxwingwell_platform.settings import read_request_queue
 from waxwingwell_platform.settings import read_exposure
 from waxwingwell_platform.settings import read_registry
+from waxwingwell_platform.settings import read_request_queue
 from waxwingwell_platform.settings import read_retries
 
 
