--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -483,14 +483,21 @@
         self.version = "v1"
         self.runs: list[str] = []
         """Ids of the requests that it has run."""
-        self.busy = 0
+        self.receive_bytes = 0
+        """Size of the kernel's buffer for what it has not read; 0 for the default."""
         self._server: asyncio.Server | None = None
         self._beating: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen and begin to register."""
+        endpoint = socket.socket()
+        endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_bytes:
+            endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+
+        endpoint.bind((self.address, self.port))
         self._server = await asyncio.start_server(
-            self._serve, self.address, self.port, limit=1 << 16
+            self._serve, sock=endpoint, limit=1 << 16
         )
         self._beating = asyncio.create_task(self._beat())
 
@@ -543,7 +550,7 @@
                 await self.handle(first, headers, reader, writer)
 
             await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
