--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -485,6 +485,8 @@
         """Ids of the requests that it has run."""
         self.receive_bytes = 0
         """Size of the kernel's buffer for what it has not read; 0 for the default."""
+        self.segment_bytes = 0
+        """Largest segment of its connections; 0 for the default."""
         self._server: asyncio.Server | None = None
         self._beating: asyncio.Task[None] | None = None
 
@@ -495,6 +497,11 @@
         if self.receive_bytes:
             endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
 
+        if self.segment_bytes:
+            endpoint.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.segment_bytes
+            )
+
         endpoint.bind((self.address, self.port))
         self._server = await asyncio.start_server(
             self._serve, sock=endpoint, limit=1 << 16
