Log controls without a leader and voters that are gone

A control that waits to join the group, and a leader whose lost voter nobody replaces, wrote no line.

`registry: No leader` gives the controls that are asked to join and those with a link that is up, `registry: Voters absent` the voters that are gone and the learners left; gauges tell the same. No behaviour changes.

--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -125,6 +125,16 @@
     "Gateways that hold a connection to this control.",
     registry=REGISTRY,
 )
+LEADERLESS_SECONDS = Gauge(
+    "waxwingwell_leaderless_seconds",
+    "Seconds for which this control has heard from no leader; 0 while it hears one.",
+    registry=REGISTRY,
+)
+ABSENT_VOTERS = Gauge(
+    "waxwingwell_absent_voters",
+    "Voters without contact to this control while it leads; 0 if it doesn't lead.",
+    registry=REGISTRY,
+)
 HELD_BYTES = Gauge(
     "waxwingwell_held_bytes",
     "Bytes held for callers and upstreams: unsent, partial, collected, and requests.",
--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -98,4 +98,10 @@
     """Members written to the event log last."""
     logged_leader: str = ""
     """Leader written to the event log last."""
+    logged_absent: tuple[str, ...] = ()
+    """Voters without contact written to the event log last."""
+    leaderless_since: float | None = None
+    """Time since which this control has no leader; None while it has one."""
+    log_leaderless_at: float = -math.inf
+    """Earliest time of the next log line on the missing leader."""
     stopping: bool = False
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -19,7 +19,6 @@
 from ...state.group import Machine
 from ...state.group import NotLeading
 from ...state.group import flush_group
-from ...state.group import leader_of
 from ...state.group import leads
 from ...state.group import open_group
 from ...state.group import propose
@@ -34,6 +33,7 @@
 from ...state.storage import open_store
 from ..events import log_event
 from ..links import cast_link
+from .member_log import report_membership
 
 
 if TYPE_CHECKING:
@@ -167,16 +167,13 @@
     if group is None:
         if now >= context.reopen_at:
             open_member(context)
-
-        return
-
-    if group.halted or group.replica.expelled:
+    elif group.halted or group.replica.expelled:
         close_member(context)
-        return
+    else:
+        tick_group(group, now)
+        flush_group(group, now)
 
-    tick_group(group, now)
-    flush_group(group, now)
-    log_group_changes(context)
+    report_membership(context, now)
 
 
 def close_member(context: RegistryContext) -> None:
@@ -207,30 +204,6 @@
         path.unlink(missing_ok=True)
 
 
-def log_group_changes(context: RegistryContext) -> None:
-    """Log changes of the leader and of the members."""
-    group = context.group
-    if group is None:
-        return
-
-    membership = group.replica.membership
-    if membership != context.logged_members:
-        context.logged_members = membership
-        log_event(
-            "registry: Members changed",
-            voters=membership.voters,
-            learners=membership.learners,
-            index=group.replica.membership_index,
-        )
-
-    leader = leader_of(group)
-    if leader == context.logged_leader:
-        return
-
-    context.logged_leader = leader
-    log_event("registry: Leader changed", leader=leader, term=group.replica.term)
-
-
 def request_flush(context: RegistryContext) -> None:
     """Schedule one flush after all input of this turn of the reactor was handled."""
     if not context.flush_due:
--- a/src/waxwingwell/state/consensus/bootstrap.py
+++ b/src/waxwingwell/state/consensus/bootstrap.py
@@ -18,6 +18,7 @@
 from .messages import Probe
 from .messages import ProbeAnswer
 from .records import Membership
+from .records import Role
 from .records import name_of
 from .replica import is_voter
 from .replica import set_membership
@@ -62,6 +63,14 @@
     request_join(replica)
 
 
+def follows_leader(replica: Replica, now: float) -> bool:
+    """Return whether this member leads, or has heard from a leader recently."""
+    if replica.role is Role.LEADER:
+        return True
+
+    return replica.leader != "" and now < replica.heard_at + replica.timing.election_max
+
+
 def may_bootstrap(replica: Replica) -> bool:
     """Return whether this member may bootstrap, by the responses so far."""
     if not replica.bootstrap or replica.name != min(replica.names):
@@ -97,9 +106,14 @@
     start_election(replica, now)
 
 
+def list_join_targets(replica: Replica) -> list[str]:
+    """Return the names of the members to which join requests are sent."""
+    return other_names(replica)
+
+
 def request_join(replica: Replica) -> None:
     """Send a join request to all configured members; only the leader acts on it."""
-    for name in other_names(replica):
+    for name in list_join_targets(replica):
         request = JoinRequest(
             group=replica.group,
             sender=replica.member,
--- a/src/waxwingwell/state/consensus/membership.py
+++ b/src/waxwingwell/state/consensus/membership.py
@@ -134,6 +134,13 @@
     if not is_at_capacity(replica):
         return ""
 
+    unresponsive = list_unresponsive_voters(replica, now)
+    return unresponsive[0] if unresponsive else ""
+
+
+def list_unresponsive_voters(replica: Replica, now: float) -> list[str]:
+    """Return the voters without contact to this leader for ``absence_timeout``."""
+    unresponsive = []
     for voter in replica.membership.voters:
         progress = replica.progress.get(voter)
         if progress is None:
@@ -141,9 +148,9 @@
 
         heard_at = max(progress.acknowledged_at, replica.elected_at)
         if now > heard_at + replica.timing.absence_timeout:
-            return voter
+            unresponsive.append(voter)
 
-    return ""
+    return unresponsive
 
 
 def find_caught_up_learner(replica: Replica, now: float) -> str:
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
@@ -14,6 +15,8 @@
 from waxwingwell.adapters.links import LinkNode
 from waxwingwell.adapters.registry.context import RegistryContext
 from waxwingwell.adapters.registry.settings import RegistrySettings
+from waxwingwell.state.consensus.records import Timing
+from waxwingwell.state.consensus.replica import Replica
 
 
 @dataclass(eq=False, slots=True)
@@ -79,6 +82,18 @@
     return Registry(context, clock)
 
 
+def make_replica(names: tuple[str, ...] = ("127.0.0.1",)) -> Replica:
+    """Return an empty replica of the first of the names, which is not started."""
+    return Replica(
+        group="routing",
+        member=f"{names[0]}~1",
+        name=names[0],
+        names=names,
+        timing=Timing(),
+        random=random.Random(1),
+    )
+
+
 @dataclass(slots=True)
 class Peer:
     """A fake link to another control."""
