Ask all linked controls to join, also after a group is opened anew

What callers saw: a control that is removed while it is frozen or cut off never joins again, and no line tells. The group keeps a dead voter, as no spare waits; two lost disks later (`machine_count`) nobody can lead: reads of the configuration get 503 (CONFIG), restarted gateways serve nothing (RECOVER).

Cause: join requests went to `Replica.names`, a copy of the settings to which `connect_control` added each control as its link was opened. A group that is opened anew in a running process, after a removal or a failed disk, begins with the settings again while all links are open already; a process of the first start never added any, as the names also decide who founds the group.

Change: the founders stay the names of the settings; who is asked is read when a request is sent: settings, the member's log, and all links. Nothing is copied that could fall out of step. A group that is closed logs its members and leader again when it is back; they were taken for unchanged.

--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -34,7 +34,6 @@
 from ...routing.trials import drop_trials
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
-from ...state.group import allow_name
 from ...state.group import receive_message
 from ...state.routing import list_evacuated
 from ...state.routing import version_of
@@ -145,18 +144,6 @@
 
     connect = make_tcp_connector(context.reactor, name, context.settings.link_port)
     context.controls[name] = open_link(context.node, name, connect)
-    allow_member(context, name)
-
-
-def allow_member(context: RegistryContext, name: str) -> None:
-    """Allow the group to be joined through a control that the settings don't name.
-
-    Without this, a control whose seeds are all gone could not join. It is not done
-    while the system is bootstrapped: the first of the names founds the group, and a
-    control that is not a seed would be chosen but never found it.
-    """
-    if context.group is not None and not context.settings.first_start:
-        allow_name(context.group, name)
 
 
 def follow_members(context: RegistryContext) -> None:
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -12,6 +12,7 @@
 from ...routing.messages import NotAccepted
 from ...routing.messages import RoutingNow
 from ...routing.messages import SetEvacuation
+from ...state.consensus.records import Membership
 from ...state.consensus.records import Timing
 from ...state.exceptions import CorruptStorageError
 from ...state.exceptions import StorageError
@@ -96,6 +97,7 @@
             now=context.clock(),
             heard_at=heard_at,
             bootstrap=settings.first_start and settings.address in settings.controls,
+            list_contacts=context.controls.keys,
         )
     except CorruptStorageError as error:
         log_event(
@@ -192,6 +194,8 @@
         expelled=group.replica.expelled,
     )
     context.group = None
+    context.logged_members = Membership()
+    context.logged_leader = ""
     context.reopen_at = context.clock() + REOPEN_SECONDS
     group.store.close()
     if group.replica.expelled:
--- a/src/waxwingwell/state/consensus/bootstrap.py
+++ b/src/waxwingwell/state/consensus/bootstrap.py
@@ -44,7 +44,7 @@
         bootstrap_group(replica, now)
         return
 
-    request_join(replica)
+    request_join(replica, list_join_targets(replica))
 
 
 def retry_join(replica: Replica, now: float) -> None:
@@ -60,7 +60,7 @@
         return
 
     replica.probe_at = now + replica.timing.probe_interval
-    request_join(replica)
+    request_join(replica, list_join_targets(replica))
 
 
 def follows_leader(replica: Replica, now: float) -> bool:
@@ -106,14 +106,21 @@
     start_election(replica, now)
 
 
+def list_logged_names(replica: Replica) -> list[str]:
+    """Return the names of the members in this member's log."""
+    membership = replica.membership
+    return [name_of(one) for one in membership.voters + membership.learners]
+
+
 def list_join_targets(replica: Replica) -> list[str]:
-    """Return the names of the members to which join requests are sent."""
-    return other_names(replica)
+    """Return the names of all members that may lead or know the leader."""
+    known = {*replica.names, *list_logged_names(replica), *replica.list_contacts()}
+    return sorted(known - {replica.name})
 
 
-def request_join(replica: Replica) -> None:
-    """Send a join request to all configured members; only the leader acts on it."""
-    for name in list_join_targets(replica):
+def request_join(replica: Replica, names: list[str]) -> None:
+    """Send join requests to members by name; only the leader acts on one."""
+    for name in names:
         request = JoinRequest(
             group=replica.group,
             sender=replica.member,
--- a/src/waxwingwell/state/consensus/replica.py
+++ b/src/waxwingwell/state/consensus/replica.py
@@ -4,6 +4,8 @@
 
 import math
 import random
+from collections.abc import Callable
+from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -58,6 +60,9 @@
     timing: Timing
     random: random.Random
     bootstrap: bool = False
+    list_contacts: Callable[[], Collection[str]] = tuple
+    """Returns the names of the members that can be reached now, in the settings or
+    not."""
 
     term: int = 0
     voted_for: str = ""
--- a/src/waxwingwell/state/group_opening.py
+++ b/src/waxwingwell/state/group_opening.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from collections.abc import Collection
 
     from .consensus.messages import ConsensusMessage
     from .consensus.records import Timing
@@ -48,6 +49,7 @@
     now: float,
     heard_at: float | None = None,
     bootstrap: bool = False,
+    list_contacts: Callable[[], Collection[str]] = tuple,
 ) -> Group:
     """Load a member and start it.
 
@@ -56,8 +58,9 @@
     generated from it. ``heard_at`` is the latest time at which an earlier run of this
     member may have responded to a leader; it defaults to ``now``. ``bootstrap`` allows
     the member to found a group (see ``consensus/bootstrap.py``); without it a member
-    with an empty store joins one. Raises ``InvalidMemberError`` or
-    ``CorruptStorageError``.
+    with an empty store joins one. ``list_contacts`` returns the names of the members
+    that can be reached now; a member that waits to join asks these, too. Raises
+    ``InvalidMemberError`` or ``CorruptStorageError``.
     """
     check_members(member, members)
     replica = load_replica(
@@ -68,6 +71,7 @@
         timing=timing,
         random=random,
         bootstrap=bootstrap,
+        list_contacts=list_contacts,
     )
     group = Group(replica=replica, store=store, machine=machine, send=send)
     if replica.snapshot is not None:
@@ -108,6 +112,7 @@
     timing: Timing,
     random: random.Random,
     bootstrap: bool,
+    list_contacts: Callable[[], Collection[str]],
 ) -> Replica:
     """Build the replica from its store; initialise an empty store with a new id."""
     loaded = store.load()
@@ -129,6 +134,7 @@
         timing=timing,
         random=random,
         bootstrap=bootstrap,
+        list_contacts=list_contacts,
         term=loaded.hard_state.term,
         voted_for=loaded.hard_state.voted_for,
         log=Log(loaded.base_index, loaded.base_term, list(loaded.entries)),
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -52,7 +52,13 @@
         return connection
 
 
-def make_registry(address: str = "127.0.0.1", *, first_start: bool = False) -> Registry:
+def make_registry(
+    address: str = "127.0.0.1",
+    *,
+    seeds: tuple[str, ...] = (),
+    data_folder: Path | None = None,
+    first_start: bool = False,
+) -> Registry:
     """Return a registry without a group, linked to one fake control."""
     clock = Clock()
     settings = RegistrySettings(
@@ -60,8 +66,8 @@
         data_centre="north",
         admin=(address, 0),
         link_port=0,
-        controls=(),
-        data_folder=Path(),
+        controls=seeds,
+        data_folder=data_folder or Path(),
         first_start=first_start,
     )
     context = RegistryContext(
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -162,20 +162,3 @@
 
         expected = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
         self.assertEqual(sorted(connected), expected)
-
-    def test_only_seeds_may_found_the_group(self) -> None:
-        """The system starts for the first time, and a control that is no seed connects.
-
-        If its name sorted before those of the seeds, it would be the one to found the
-        group, which it may not do. The group would then never be founded.
-        """
-        for first_start, expected in (
-            (True, ("127.0.0.1",)),
-            (False, ("127.0.0.1", "x")),
-        ):
-            with self.subTest(first_start=first_start):
-                registry = make_registry(first_start=first_start)
-                replica = SimpleNamespace(names=("127.0.0.1",))
-                registry.context.group = cast("Any", SimpleNamespace(replica=replica))
-                hub.allow_member(registry.context, "x")
-                self.assertEqual(replica.names, expected)
--- a/tests/adapters/registry/test_members.py
+++ b/tests/adapters/registry/test_members.py
@@ -2,9 +2,35 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+from unittest import mock
 
+from waxwingwell.adapters.registry import hub
+from waxwingwell.adapters.registry.hub import connect_control
+from waxwingwell.adapters.registry.members import REOPEN_SECONDS
 from waxwingwell.adapters.registry.members import count_voters
+from waxwingwell.adapters.registry.members import open_member
+from waxwingwell.adapters.registry.members import tick_member
+from waxwingwell.state.consensus.messages import JoinRequest
+
+from .support import Connection
+from .support import Peer
+from .support import Registry
+from .support import make_registry
+
+
+if TYPE_CHECKING:
+    from waxwingwell.state.consensus.replica import Replica
+
+
+LINKED = "127.0.0.2"
+"""The control to which registries in these tests are linked; no seed."""
+LOST_SEED = "127.0.0.9"
 
 
 class VoterTest(unittest.TestCase):
@@ -14,3 +40,115 @@
         for losses, voters in ((0, 5), (1, 5), (2, 5), (3, 7), (4, 9)):
             with self.subTest(losses=losses):
                 self.assertEqual(count_voters(losses), voters)
+
+
+class OpeningTest(unittest.TestCase):
+    """A group that is opened, or opened anew in a running process."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def open_registry(self, *seeds: str, first_start: bool, folder: str) -> Registry:
+        """Return a registry that has opened its group."""
+        data_folder = self.folder / folder
+        data_folder.mkdir()
+        registry = make_registry(
+            seeds=seeds, data_folder=data_folder, first_start=first_start
+        )
+        open_member(registry.context)
+        self.addCleanup(close_store, registry)
+        return registry
+
+    def test_a_control_asks_all_linked_controls_to_join(self) -> None:
+        """A control that is removed while it stands still must join again.
+
+        It asked only the seeds of its settings. If none of them led, it never joined:
+        the group had one spare member less, until two lost disks ended service.
+        """
+        for way in ("linked", "removed", "disk failed"):
+            for first_start in (False, True):
+                name = f"{way}, {first_start}"
+                with self.subTest(name):
+                    registry = self.open_registry(
+                        LOST_SEED, first_start=first_start, folder=name
+                    )
+                    link(registry, LINKED)
+                    if way != "linked":
+                        reopen(registry, removed=way == "removed")
+
+                    self.assertIn(LINKED, list_asked(registry))
+
+    def test_only_seeds_found_the_group(self) -> None:
+        """The system starts for the first time, and a control that is no seed connects.
+
+        If its name sorted before those of the seeds, it would be the one to found the
+        group, which it may not do. The group would then never be founded.
+        """
+        for first_start in (True, False):
+            with self.subTest(first_start=first_start):
+                registry = self.open_registry(
+                    "127.0.0.1", first_start=first_start, folder=str(first_start)
+                )
+                link(registry, "127.0.0.0")
+                tick(registry)
+                replica = replica_of(registry)
+                self.assertEqual(replica.names, ("127.0.0.1",))
+                founded = bool(replica.membership.voters)
+                self.assertEqual(founded, first_start)
+
+
+def replica_of(registry: Registry) -> Replica:
+    """Return the replica of an open registry."""
+    group = registry.context.group
+    assert group is not None
+    return group.replica
+
+
+def close_store(registry: Registry) -> None:
+    """Close the data folder of a registry."""
+    if registry.context.group is not None:
+        registry.context.group.store.close()
+
+
+def link(registry: Registry, name: str) -> None:
+    """Give a registry a link to another control, and to no other."""
+    registry.context.controls.clear()
+    peer = cast("Any", Peer(Connection(name)))
+    with mock.patch.object(hub, "open_link", return_value=peer):
+        connect_control(registry.context, name)
+
+
+def tick(registry: Registry) -> None:
+    """Run the group's timers after every timeout has passed."""
+    registry.clock.advance(REOPEN_SECONDS)
+    tick_member(registry.context, registry.clock.seconds())
+
+
+def reopen(registry: Registry, *, removed: bool) -> None:
+    """Remove the member from its group, or fail its disk, and open it anew."""
+    group = registry.context.group
+    assert group is not None
+    if removed:
+        group.replica.expelled = True
+    else:
+        group.halted = "disk full"
+
+    tick(registry)
+    assert registry.context.group is None
+    tick(registry)
+
+
+def list_asked(registry: Registry) -> list[str]:
+    """Return the linked controls that are asked to join at the next tick."""
+    linked = cast("dict[str, Peer]", registry.context.controls)
+    for peer in linked.values():
+        peer.protocol.sent.clear()
+
+    tick(registry)
+    return [
+        name
+        for name, peer in linked.items()
+        if any(isinstance(body, JoinRequest) for body in peer.protocol.sent)
+    ]
--- a/tests/state/consensus/fakes.py
+++ b/tests/state/consensus/fakes.py
@@ -143,6 +143,8 @@
     random: random.Random
     timing: Timing = FAST_TIMING
     bootstrap: bool = True
+    contacts: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """By member: the members outside its settings that it is linked to."""
     now: float = 1000.0
     nodes: dict[str, Node] = field(default_factory=dict)
     packets: list[Packet] = field(default_factory=list)
@@ -198,6 +200,7 @@
         now=clock(cluster, node),
         heard_at=heard_at,
         bootstrap=cluster.bootstrap,
+        list_contacts=lambda: cluster.contacts.get(name, ()),
     )
 
 
