Keep the links of removed controls that are connected

Cause: `follow_members` closes links to removed names every 2 s, right before `share_members` goes over the links. So a control that was removed and runs on is never sent the members; it asks those it knew. If the voters change meanwhile and a new one leads, it can't hear of it, and the leader doesn't know it either.

Change: a removed control that holds a connection keeps its link and hears the members like the others; a control that connects is sent them at once, as gateways are. Links of controls that are gone are closed as before.

Tests: both new ones of test_hub failed before.

--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -109,6 +109,7 @@
 
     if is_control(protocol.remote):
         connect_control(context, protocol.remote)
+        protocol.cast(list_members(context))
         protocol.cast(list_news(context))
         protocol.cast(make_full_report(context.reports, context.clock()))
         return
@@ -151,6 +152,9 @@
 
     If all controls restart with settings whose seeds are gone, each knows the members
     only from its disk. Without this none would connect to another.
+
+    A removed control that is connected waits to join again. It learns of new members
+    only through its links.
     """
     group = context.group
     if group is None:
@@ -162,7 +166,8 @@
     for name in present:
         connect_control(context, name)
 
-    for name in removed & context.controls.keys():
+    connected = {protocol.remote for protocol in accepted_connections(context)}
+    for name in (removed & context.controls.keys()) - connected:
         close_link(context.controls.pop(name))
 
 
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -19,6 +19,7 @@
 from waxwingwell.routing.fleet import UpstreamState
 from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import ShareHeartbeats
+from waxwingwell.routing.messages import ShareMembers
 from waxwingwell.routing.messages import ShareNews
 from waxwingwell.state.consensus.records import Membership
 
@@ -162,3 +163,37 @@
 
         expected = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
         self.assertEqual(sorted(connected), expected)
+
+    def test_a_removed_control_that_is_connected_keeps_its_link(self) -> None:
+        """A removed control waits to join again, and learns of the members by its link.
+
+        Without the link it would never hear of a member that joined meanwhile, and
+        could not join if that one leads.
+        """
+        for connected in (True, False):
+            with self.subTest(connected=connected):
+                registry = make_registry()
+                membership = Membership(
+                    voters=("127.0.0.1~1",), removed=("127.0.0.2~1",)
+                )
+                replica = SimpleNamespace(membership=membership)
+                registry.context.group = cast("Any", SimpleNamespace(replica=replica))
+                if connected:
+                    registry.accept("127.0.0.2")
+
+                with mock.patch.object(hub, "close_link") as close_link:
+                    hub.follow_members(registry.context)
+
+                self.assertIs("127.0.0.2" in registry.context.controls, connected)
+                self.assertIs(close_link.called, not connected)
+
+    def test_a_control_that_connects_learns_of_the_members(self) -> None:
+        """A control that knows only one other one could never reach the leader."""
+        registry = make_registry()
+        membership = Membership(voters=("127.0.0.1~1", "127.0.0.2~1", "127.0.0.3~1"))
+        replica = SimpleNamespace(membership=membership)
+        registry.context.group = cast("Any", SimpleNamespace(replica=replica))
+        connection = registry.accept("127.0.0.2")
+        handle_connection(registry.context, connection)
+        [shared] = [one for one in connection.sent if type(one) is ShareMembers]
+        self.assertEqual(shared.controls, ("127.0.0.1", "127.0.0.2", "127.0.0.3"))
