Let an erased control found no second group

Cause: `bootstrap` was taken from the settings each time the group was opened. A seed that is removed and erased in the process of the first start was a founder again. As the first of the names it probes the other seeds and, while one has not answered, asks nobody to join: it waits for ever if one of them is gone for good. If all seeds had been removed and erased, they would have founded a second group beside the one that goes on without them.

Change: a process that has erased a group's data founds none. A seed that may found one asks the controls that are no seeds to join, while it waits for seeds that do not answer.

Not covered: a seed whose disk is emptied from outside and whose settings still say `bootstrap`; the platform says so at the first start only.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -71,6 +71,8 @@
     group: Group | None = None
     reopen_at: float = 0.0
     """When to reopen the data folder after the group was closed."""
+    has_erased: bool = False
+    """Whether this process has erased the data of a group."""
     flush_due: bool = False
     """Whether a flush is scheduled in this turn of the reactor."""
     node: LinkNode | None = None
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -96,7 +96,7 @@
             random=random.SystemRandom(),
             now=context.clock(),
             heard_at=heard_at,
-            bootstrap=settings.first_start and settings.address in settings.controls,
+            bootstrap=may_found_group(context),
             list_contacts=context.controls.keys,
         )
     except CorruptStorageError as error:
@@ -111,6 +111,19 @@
         context.reopen_at = context.clock() + REOPEN_SECONDS
 
 
+def may_found_group(context: RegistryContext) -> bool:
+    """Return whether this control may found the group rather than join one.
+
+    A process that has erased its data belonged to a group. If it founded another with
+    other erased controls, the two groups would accept orders independently.
+    """
+    settings = context.settings
+    if context.has_erased or not settings.first_start:
+        return False
+
+    return settings.address in settings.controls
+
+
 def count_voters(losses: int) -> int:
     """Return the number of voters that keeps a majority after that many lost disks."""
     return max(2 * losses + 1, MIN_VOTERS)
@@ -204,6 +217,7 @@
 
 def erase_data(context: RegistryContext) -> None:
     """Delete the group's files, so that the next open creates a new member id."""
+    context.has_erased = True
     for path in context.settings.data_folder.glob(f"{GROUP_ID}.sqlite*"):
         path.unlink(missing_ok=True)
 
--- a/src/waxwingwell/state/consensus/bootstrap.py
+++ b/src/waxwingwell/state/consensus/bootstrap.py
@@ -25,6 +25,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .replica import Replica
 
 
@@ -39,12 +41,15 @@
         return
 
     replica.probe_at = now + replica.timing.probe_interval
-    if may_bootstrap(replica):
-        probe_others(replica)
-        bootstrap_group(replica, now)
+    if not may_bootstrap(replica):
+        request_join(replica, list_join_targets(replica))
         return
 
-    request_join(replica, list_join_targets(replica))
+    probe_others(replica)
+    bootstrap_group(replica, now)
+    if is_empty(replica):
+        # The configured members may be gone, and others may form a group.
+        request_join(replica, list_outsiders(replica, other_names(replica)))
 
 
 def retry_join(replica: Replica, now: float) -> None:
@@ -112,6 +117,12 @@
     return [name_of(one) for one in membership.voters + membership.learners]
 
 
+def list_outsiders(replica: Replica, names: Collection[str]) -> list[str]:
+    """Return the names of reachable members that are not among ``names``."""
+    known = {*names, replica.name}
+    return sorted(set(replica.list_contacts()) - known)
+
+
 def list_join_targets(replica: Replica) -> list[str]:
     """Return the names of all members that may lead or know the leader."""
     known = {*replica.names, *list_logged_names(replica), *replica.list_contacts()}
--- a/tests/adapters/registry/test_members.py
+++ b/tests/adapters/registry/test_members.py
@@ -16,6 +16,7 @@
 from waxwingwell.adapters.registry.members import count_voters
 from waxwingwell.adapters.registry.members import open_member
 from waxwingwell.adapters.registry.members import tick_member
+from waxwingwell.state.consensus.bootstrap import may_bootstrap
 from waxwingwell.state.consensus.messages import JoinRequest
 
 from .support import Connection
@@ -98,6 +99,33 @@
                 founded = bool(replica.membership.voters)
                 self.assertEqual(founded, first_start)
 
+    def test_an_erased_control_founds_no_second_group(self) -> None:
+        """All seeds are removed and erased while the group goes on without them.
+
+        Each is empty then. If they founded a group again, as at the first start, two
+        groups would accept orders, and one of them would be lost.
+        """
+        for removed, founds in ((True, False), (False, True)):
+            with self.subTest(removed=removed):
+                registry = self.open_registry(
+                    "127.0.0.1", LOST_SEED, first_start=True, folder=str(removed)
+                )
+                self.assertTrue(may_bootstrap(replica_of(registry)))
+                reopen(registry, removed=removed)
+                self.assertIs(may_bootstrap(replica_of(registry)), founds)
+
+    def test_a_seed_asks_others_while_it_waits_to_found_the_group(self) -> None:
+        """A seed loses its disk, and the other seeds are gone.
+
+        It waits for their answers before it founds a group. Meanwhile a group of
+        others may exist, which it must join.
+        """
+        registry = self.open_registry(
+            "127.0.0.1", LOST_SEED, first_start=True, folder="seed"
+        )
+        self.assertTrue(may_bootstrap(replica_of(registry)))
+        self.assertIn(LINKED, list_asked(registry))
+
 
 def replica_of(registry: Registry) -> Replica:
     """Return the replica of an open registry."""
