Tell a stale voter of its removal through members that it doesn't know

Cause: a member that is a voter by its own log only requests votes, from the voters in that log. If all of them were replaced while its VM was down, nobody answers; new seeds in its settings or links to the present members do not help, as nothing is sent to them. It stays a voter of a group that is gone.

Change: a voter without a leader sends join requests to linked controls that its log does not name. Each member, not only the leader, notifies one whose removal is committed; a voter of the group gets no answer, as before.

--- a/src/waxwingwell/state/consensus/bootstrap.py
+++ b/src/waxwingwell/state/consensus/bootstrap.py
@@ -53,18 +53,22 @@
 
 
 def retry_join(replica: Replica, now: float) -> None:
-    """Request to join again if a non-voter has not heard from a leader.
+    """Request to join again if this member has not heard from a leader.
 
     A leader that added the member may fail before that entry is committed; its
     successor then doesn't know the member.
+
+    A voter asks only those that its log doesn't name. If all members that it knows
+    were replaced meanwhile, nobody else can notify it of its own removal.
     """
-    if is_voter(replica) or now < replica.probe_at:
+    if now < replica.probe_at or now < replica.heard_at + replica.timing.election_max:
         return
 
-    if now < replica.heard_at + replica.timing.election_max:
+    replica.probe_at = now + replica.timing.probe_interval
+    if is_voter(replica):
+        request_join(replica, list_outsiders(replica, list_logged_names(replica)))
         return
 
-    replica.probe_at = now + replica.timing.probe_interval
     request_join(replica, list_join_targets(replica))
 
 
--- a/src/waxwingwell/state/consensus/membership.py
+++ b/src/waxwingwell/state/consensus/membership.py
@@ -72,10 +72,13 @@
 
 
 def receive_join_request(replica: Replica, request: JoinRequest) -> None:
-    """Add an empty member as a learner, if its name is allowed to join."""
+    """Add a member as a learner, if its name is allowed to join.
+
+    Every member notifies one that was removed, so that it can join with a new id.
+    """
     member = request.sender
     membership = replica.membership
-    if replica.role is not Role.LEADER or notify_if_expelled(replica, member):
+    if notify_if_expelled(replica, member) or replica.role is not Role.LEADER:
         return
 
     if member in membership.voters or member in membership.learners:
--- a/tests/state/consensus/test_rejoin.py
+++ b/tests/state/consensus/test_rejoin.py
@@ -4,12 +4,15 @@
 
 import unittest
 
+from waxwingwell.state.group import members_of
+
 from .fakes import Cluster
 from .fakes import await_leader
 from .fakes import crash
 from .fakes import group_of
 from .fakes import lose_disk
 from .fakes import make_cluster
+from .fakes import run_for
 from .fakes import run_until
 from .fakes import start_node
 from .test_exchange import OPEN_TIMING
@@ -61,3 +64,45 @@
                     return member in find_membership(cluster).learners
 
                 run_until(cluster, waits)
+
+    def test_a_stale_voter_hears_of_its_removal_from_members_it_does_not_know(
+        self,
+    ) -> None:
+        """A VM is down while all members that its disk names are replaced.
+
+        It requests only their votes. Unless it asks others, nobody notifies it of its
+        removal, and it never joins again.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = make_cluster(5, seed=seed, timing=OPEN_TIMING)
+                await_leader(cluster)
+                stale, *others = cluster.names
+                replace_voter(cluster, stale, "control-6")
+                for number, former in enumerate(others, start=7):
+                    replace_voter(cluster, former, f"control-{number}")
+
+                cluster.contacts[stale] = ("control-7",)
+                start_with_settings(cluster, stale, tuple(others))
+
+                def is_expelled(cluster: Cluster = cluster, name: str = stale) -> bool:
+                    return group_of(cluster, name).replica.expelled
+
+                run_until(cluster, is_expelled)
+
+    def test_a_voter_that_is_still_one_is_not_disturbed(self) -> None:
+        """A voter that hears no leader for a while asks others, and stays a voter."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = make_cluster(5, seed=seed, timing=OPEN_TIMING)
+                leader = await_leader(cluster)
+                add_spare(cluster, "control-6")
+                run_for(cluster, 1.0)
+                before = members_of(group_of(cluster, leader))
+                cluster.contacts = {one: tuple(cluster.nodes) for one in cluster.nodes}
+                lonely = next(one for one in cluster.names if one != leader)
+                cluster.nodes[lonely].frozen = True
+                run_for(cluster, 1.2)
+                cluster.nodes[lonely].frozen = False
+                run_for(cluster, 2.0)
+                self.assertEqual(find_membership(cluster), before)
