Compare engines on trial only with engines that are measured

Cause: the times of a roll-out are divided by the slowness of the engine, its factor over the median one of its version. A trial uses two or three engines of six. The others run nothing, are not listed by the controls, and counted with the factor 1: so the median was 1, and a version that slows its engines by two was divided by two. Engines that nobody uses and engines as fast as others were one state.

Change: while a part of a version is on trial, controls list its measured engines too, with the factor 1 if they are as fast as others; gateways compare an engine of the target with those that are listed, and divide nothing on one that is not.

Tests: test_engines_that_nobody_uses_do_not_excuse_a_slow_version (2 of 4 cases) and test_engines_on_trial_are_listed failed before.

--- a/src/waxwingwell/adapters/gateway/sending.py
+++ b/src/waxwingwell/adapters/gateway/sending.py
@@ -11,6 +11,7 @@
 from ...routing.delays import record_connect
 from ...routing.delays import record_connected
 from ...routing.engine_room import LEAST_URGENT
+from ...routing.engine_speeds import is_measured
 from ...routing.fleet import UpstreamState
 from ...routing.load import add_running
 from ...routing.load import estimate_output_tokens
@@ -197,16 +198,39 @@
     if choice.service not in context.tallies:
         return 1.0
 
-    held = [one.announcement for one in context.fleet.upstreams.values()]
-    peers = [
+    peers = list_compared(context, choice.service, chosen.version)
+    names = [one.upstream for one in peers]
+    if chosen.upstream not in names:
+        return 1.0
+
+    factors = list_factors(context.engine_speeds, peers, now)
+    return find_slowness(factors, chosen.upstream, names)
+
+
+def list_compared(
+    context: GatewayContext, service: str, version: str
+) -> list[Announcement]:
+    """Return the serving engines of a version that have a known duration factor.
+
+    Only a few engines of a version on trial get requests. If the others counted as
+    equally fast, a slow version would look like a few slow engines.
+    """
+    announced = (held.announcement for held in context.fleet.upstreams.values())
+    serving = [
         one
-        for one in held
-        if one.service == choice.service
-        and one.version == chosen.version
+        for one in announced
+        if one.service == service
+        and one.version == version
         and one.state is UpstreamState.SERVING
     ]
-    factors = list_factors(context.engine_speeds, [chosen, *peers], now)
-    return find_slowness(factors, chosen.upstream, [one.upstream for one in peers])
+    rollout = context.rollouts.get(service)
+    if rollout is None or version != rollout.target:
+        return serving
+
+    speeds = context.engine_speeds
+    return [
+        one for one in serving if is_measured(speeds, one.upstream, one.incarnation)
+    ]
 
 
 def name_kind(route: Route, model: str) -> str:
--- a/src/waxwingwell/adapters/registry/speeds.py
+++ b/src/waxwingwell/adapters/registry/speeds.py
@@ -14,6 +14,7 @@
 
 
 if TYPE_CHECKING:
+    from ...routing.engine_comparison import Engine
     from ...routing.messages import EngineSpeed
     from .context import RegistryContext
 
@@ -45,7 +46,25 @@
 
     SLOW_ENGINES.set(count_slow(table))
     log_invalid(context, now)
-    return take_speeds(table, now)
+    return take_speeds(table, now, list_tried(context))
+
+
+def list_tried(context: RegistryContext) -> frozenset[Engine]:
+    """Return the engines of versions of which only a part is in use on trial.
+
+    Gateways must tell engines that are as fast as others from those that nobody uses.
+    """
+    targets = {
+        (one.service, one.target)
+        for one in context.state.rollouts.values()
+        if one.state == "in_progress" and one.share < 1.0
+    }
+    announced = (held.announcement for held in context.fleet.upstreams.values())
+    return frozenset(
+        (one.upstream, one.incarnation)
+        for one in announced
+        if (one.service, one.version) in targets
+    )
 
 
 def log_invalid(context: RegistryContext, now: float) -> None:
--- a/src/waxwingwell/routing/engine_comparison.py
+++ b/src/waxwingwell/routing/engine_comparison.py
@@ -76,6 +76,8 @@
     """Time of the last comparison."""
     listed_at: float = -math.inf
     """Time of the last list of factors to gateways."""
+    measured: frozenset[Engine] = frozenset()
+    """Engines with enough samples at the last comparison."""
 
 
 def compare_engines(
@@ -122,6 +124,7 @@
     """Compare the engines; return those that have passed a limit or come back."""
     table.compared_at = now
     compared = compare_engines(paces, services, now)
+    table.measured = frozenset(compared)
     changes = [
         change
         for engine, (log_factor, weight) in compared.items()
@@ -170,10 +173,13 @@
     return SpeedChange(engine, round(bound_factor(math.exp(log_factor)), 2))
 
 
-def take_speeds(table: DeviationTable, now: float) -> tuple[EngineSpeed, ...]:
+def take_speeds(
+    table: DeviationTable, now: float, tried: frozenset[Engine] = frozenset()
+) -> tuple[EngineSpeed, ...]:
     """Return the factors for the attached gateways if they are due.
 
-    An engine without enough samples at present is not listed: its factor ages.
+    An engine without enough samples at present is not listed: its factor ages. Those of
+    ``tried`` that are as fast as others are listed too, with the factor 1.
     """
     listed = {
         engine: held
@@ -190,9 +196,13 @@
     for held in listed.values():
         held.sent = held.log_factor
 
-    return tuple(
-        EngineSpeed(*engine, round(bound_factor(math.exp(held.log_factor)), 3))
-        for engine, held in listed.items()
+    even = (tried & table.measured) - table.deviations.keys()
+    return (
+        *(
+            EngineSpeed(*engine, round(bound_factor(math.exp(held.log_factor)), 3))
+            for engine, held in listed.items()
+        ),
+        *(EngineSpeed(*engine, 1.0) for engine in sorted(even)),
     )
 
 
--- a/src/waxwingwell/routing/engine_speeds.py
+++ b/src/waxwingwell/routing/engine_speeds.py
@@ -54,6 +54,11 @@
     return math.pow(factor, math.exp(-age / AGEING_SECONDS))
 
 
+def is_measured(table: EngineSpeedTable, upstream: str, incarnation: int) -> bool:
+    """Return whether a control has told the duration factor of an engine."""
+    return (upstream, incarnation) in table.factors
+
+
 def apply_speeds(
     table: EngineSpeedTable, speeds: Iterable[EngineSpeed], now: float
 ) -> int:
--- a/tests/adapters/gateway/test_placement_inputs.py
+++ b/tests/adapters/gateway/test_placement_inputs.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
+from typing import Any
 from unittest.mock import patch
 
 from tests.routing.factories import make_announcement
+from tests.routing.factories import make_rollout
 from waxwingwell.adapters.gateway import choice
 from waxwingwell.adapters.gateway.choice import is_ready_for_trial
+from waxwingwell.adapters.gateway.sending import find_version_slowness
 from waxwingwell.routing.health import record_unreachable
 from waxwingwell.routing.load import add_running
 from waxwingwell.routing.records import Service
@@ -105,6 +109,34 @@
                 self.assertEqual(attempt.upstream, "u1")
                 self.assertEqual(attempt.counted.slowness, expected)
 
+    def test_engines_that_nobody_uses_do_not_excuse_a_slow_version(self) -> None:
+        """Guards against a slow version that looks like a few slow engines.
+
+        Only canaries of a version on trial get requests. The others count as equally
+        fast while nothing is known of them, but were the larger part of its engines.
+        """
+        for name, factors, expected in (
+            ("all canaries are slow", {"u1": 2.0, "u2": 2.0}, 1.0),
+            ("the only canary is slow", {"u1": 2.0}, 1.0),
+            ("one of three canaries is slow", {"u1": 2.0, "u2": 1.0, "u3": 1.0}, 2.0),
+            ("not measured", {"u2": 2.0}, 1.0),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway("u1", "u2", "u3", "u4", "u5")
+                for upstream, factor in factors.items():
+                    set_factor(gateway, upstream, factor)
+
+                rollout = make_rollout(target="v1", former="v0")
+                gateway.context.rollouts["chat"] = rollout
+                gateway.context.tallies["chat"] = RolloutTally(1.0, 0.0)
+                chosen = gateway.context.fleet.upstreams["u1"].announcement
+                self.assertEqual(chosen.version, rollout.target)
+                selected: Any = SimpleNamespace(
+                    service="chat", placement=SimpleNamespace(upstream=chosen)
+                )
+                found = find_version_slowness(gateway.context, selected, 0.0)
+                self.assertEqual(found, expected)
+
     def test_a_slow_canary_is_ready_while_it_has_room(self) -> None:
         """Guards against a trial that fills a slow canary to its slots."""
         service = Service(name="chat", slots=4)
--- a/tests/adapters/registry/test_speeds.py
+++ b/tests/adapters/registry/test_speeds.py
@@ -10,6 +10,7 @@
 
 from tests.adapters.gateway.support import capture_log
 from tests.routing.factories import make_announcement
+from tests.routing.factories import make_rollout
 from waxwingwell.adapters.metrics import REGISTRY
 from waxwingwell.adapters.registry.api import announce
 from waxwingwell.adapters.registry.hub import handle_cast
@@ -82,6 +83,24 @@
         self.assertEqual([one.upstream for one in lists[-1]], ["u2"])
         self.assertAlmostEqual(lists[-1][0].factor, 3.0, delta=0.05)
 
+    def test_engines_on_trial_are_listed(self) -> None:
+        """Guards against engines on trial that look unused, as they are not slow."""
+        for share, target, expected in (
+            (0.1, "v1", set(NAMES)),
+            (0.1, "v2", {"u2"}),
+            (1.0, "v1", {"u2"}),
+        ):
+            with self.subTest(share=share, target=target):
+                registry, connection = start_control()
+                rollout = make_rollout(target=target, share=share)
+                registry.context.state.rollouts["chat"] = rollout
+                report(registry, 8.0, u2=120.0)
+                lists = [one.speeds for one in list_totals(connection) if one.speeds]
+                factors = {one.upstream: one.factor for one in lists[-1]}
+                self.assertEqual(factors.keys(), expected)
+                self.assertAlmostEqual(factors.pop("u2"), 3.0, delta=0.05)
+                self.assertLessEqual(set(factors.values()), {1.0})
+
     def test_log_and_gauge(self) -> None:
         """Guards against slow engines that nobody sees, or that fill the log."""
         registry, _ = start_control()
