Compare the paces of streams at the load of their engines

Cause: an engine takes longer for each event the more requests it runs. A share of some percent loads the engines on trial with 1 to 4 requests, those of the former version run 6 to 12. Streams of the slow version on calm engines come as fast as those of the former one on busy engines; a good one comes faster by a half there.

Change: gateways report streams by the requests that their engine ran, too. Controls convert all paces to the usual load of the former version, by the dependence in its own streams, and the weakest one that these allow, as times are extrapolated. Streams of gateways of an older release, whose load is not known, stay as they are.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -10,9 +10,11 @@
 from ...routing.admission import can_be_served
 from ...routing.admission import choose_retry_after
 from ...routing.engine_paces import record_events
+from ...routing.load import count_running
 from ...routing.reachability import has_lost_path
 from ...routing.reachability import is_cut_off
 from ...routing.records import RouteKind
+from ...routing.tallies import record_piece
 from ...routing.tallies import start_stream
 from ..events import log_event
 from ..http.client import ResponseEnd
@@ -388,7 +390,11 @@
         events_before = self.splitter.events
         complete_events = self.splitter.feed(data)
         if attempt.counted is not None:
-            attempt.counted.events = self.splitter.events - attempt.events_before
+            record_piece(
+                attempt.counted,
+                self.splitter.events - attempt.events_before,
+                count_running(self.context.load, attempt.upstream),
+            )
 
         if not complete_events:
             record_part(self.context, attempt, now)
--- a/src/waxwingwell/routing/load.py
+++ b/src/waxwingwell/routing/load.py
@@ -197,12 +197,19 @@
         table.peak_at = now
 
 
+def count_running(table: LoadTable, upstream: str) -> int:
+    """Return the requests of all gateways that an upstream runs."""
+    own = table.own.get(upstream)
+    other = table.others.get(upstream)
+    return (own.running if own else 0) + (other.running if other else 0)
+
+
 def get_total_load(table: LoadTable, upstream: str) -> UpstreamLoad:
     """Return the load that all gateways together have at an upstream."""
     own = table.own.get(upstream)
     other = table.others.get(upstream)
     return UpstreamLoad(
-        (own.running if own else 0) + (other.running if other else 0),
+        count_running(table, upstream),
         (own.backlog if own else 0.0) + (other.backlog if other else 0.0),
         (own.tokens if own else 0) + (other.tokens if other else 0),
     )
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -265,6 +265,8 @@
     pacing: SparseHistogram = ()
     age: float = 0.0
     """Seconds since the gateway learned of the roll-out."""
+    loaded_paces: SparseHistogram = ()
+    loaded_pacing: SparseHistogram = ()
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/outcomes.py
+++ b/src/waxwingwell/routing/outcomes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -60,6 +61,10 @@
     """Times per event of streams that have ended, whole or not."""
     pacing: Histogram = EMPTY
     """Times per event of running streams so far."""
+    loaded_paces: SparseHistogram = ()
+    """Streams of ``paces`` by the load of their engine, too; see ``pace_loads``."""
+    loaded_pacing: SparseHistogram = ()
+    """Streams of ``pacing`` by the load of their engine, too."""
 
 
 def find_bucket(seconds: float) -> int:
@@ -76,6 +81,13 @@
     return tuple(map(sum, zip(first, second, strict=True)))
 
 
+def add_sparse(first: SparseHistogram, second: SparseHistogram) -> SparseHistogram:
+    """Return the sum of two sparse histograms."""
+    counts = Counter(dict(first))
+    counts.update(dict(second))
+    return tuple(sorted(counts.items()))
+
+
 def add_outcomes(parts: Iterable[Outcomes]) -> Outcomes:
     """Return the sum of outcomes."""
     total = Outcomes()
@@ -92,6 +104,8 @@
             waiting=add_histograms(total.waiting, part.waiting),
             paces=add_histograms(total.paces, part.paces),
             pacing=add_histograms(total.pacing, part.pacing),
+            loaded_paces=add_sparse(total.loaded_paces, part.loaded_paces),
+            loaded_pacing=add_sparse(total.loaded_pacing, part.loaded_pacing),
         )
 
     return total
--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -37,6 +37,7 @@
 from .evidence_history import count_windows
 from .evidence_history import split_windows
 from .outcomes import Outcomes
+from .pace_loads import adjust_snapshots
 from .rank_tests import compare_paces
 
 
@@ -134,7 +135,7 @@
         return Finding()
 
     count = count_windows(duration)
-    windows = split_windows(history.snapshots, duration, count)
+    windows = adjust_snapshots(split_windows(history.snapshots, duration, count))
     latest = windows[-1]
     first_bytes = find_limits(latest.former, lambda one: one.first_bytes)
     durations = find_limits(latest.former, lambda one: one.durations)
--- a/src/waxwingwell/routing/tallies.py
+++ b/src/waxwingwell/routing/tallies.py
@@ -18,6 +18,7 @@
 
 from .messages import VersionEvidence
 from .outcomes import find_bucket
+from .pace_loads import find_cell
 
 
 if TYPE_CHECKING:
@@ -67,6 +68,8 @@
     """Running requests without a first byte."""
     paces: Counter[int] = field(default_factory=Counter)
     """Times per event of streams that ended, by histogram bucket."""
+    loaded_paces: Counter[int] = field(default_factory=Counter)
+    """The same by the load of the engine, too; see ``pace_loads``."""
     streaming: set[CountedRequest] = field(default_factory=set)
     """Running streams that have started."""
 
@@ -81,6 +84,10 @@
     """Time of a stream's first byte."""
     events: int = 0
     """Events of the stream so far."""
+    pieces: int = 0
+    """Pieces in which the events have arrived."""
+    running: int = 0
+    """Sum over the pieces of the requests that the engine was running."""
     slowness: float = 1.0
     """Duration factor of its engine, over the median of the engines of the version."""
 
@@ -157,6 +164,18 @@
     request.tally.streaming.add(request)
 
 
+def record_piece(request: CountedRequest, events: int, running: int) -> None:
+    """Record the events of a stream so far, and the requests that its engine runs."""
+    request.events = events
+    request.pieces += 1
+    request.running += running
+
+
+def find_load(request: CountedRequest) -> float:
+    """Return the mean number of requests that the engine of a stream ran."""
+    return request.running / max(request.pieces, 1)
+
+
 def has_pace(request: CountedRequest) -> bool:
     """Return whether a stream has enough events to tell how fast they come."""
     return request.events >= MIN_PACE_EVENTS
@@ -181,7 +200,9 @@
     if request in tally.streaming:
         tally.streaming.discard(request)
         if has_pace(request):
-            tally.paces[find_bucket(find_pace(request, now))] += 1
+            pace = find_pace(request, now)
+            tally.paces[find_bucket(pace)] += 1
+            tally.loaded_paces[find_cell(find_load(request), pace)] += 1
 
     if request in tally.waiting:
         tally.waiting.discard(request)
@@ -239,6 +260,14 @@
                     if has_pace(one)
                 )
             ),
+            loaded_paces=pack_counts(tally.loaded_paces),
+            loaded_pacing=pack_counts(
+                Counter(
+                    find_cell(find_load(one), find_pace(one, now))
+                    for one in tally.streaming
+                    if has_pace(one)
+                )
+            ),
         )
         for service, held in tallies.items()
         for (version, kind), tally in held.kinds.items()
--- a/src/waxwingwell/routing/version_evidence.py
+++ b/src/waxwingwell/routing/version_evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 from .outcomes import SparseHistogram
 from .outcomes import add_outcomes
 from .outcomes import unpack_histogram
+from .pace_loads import CELLS
 
 
 if TYPE_CHECKING:
@@ -43,6 +45,7 @@
     durations: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     abandoned: list[int] = field(default_factory=lambda: [0] * BUCKETS)
     paces: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    loaded_paces: Counter[int] = field(default_factory=Counter)
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,8 @@
     """Waits for the first byte."""
     pacing: SparseHistogram
     """Times per event of streams."""
+    loaded_pacing: SparseHistogram
+    """The same by the load of the engine, too."""
     at: float
     """Time at which the report was received."""
 
@@ -88,9 +93,8 @@
     """
     for part in parts:
         kind = (part.version, part.kind)
-        record_waiting(
-            table, (gateway, kind), Waiting(part.waiting, part.pacing, received_at)
-        )
+        waiting = Waiting(part.waiting, part.pacing, part.loaded_pacing, received_at)
+        record_waiting(table, (gateway, kind), waiting)
         key = (gateway, run, kind)
         last = table.counters.get(key)
         if last is not None and count_events(part) <= count_events(last):
@@ -144,6 +148,10 @@
             if 0 <= bucket < BUCKETS:
                 held[bucket] += sign * count
 
+    for cell, count in part.loaded_paces:
+        if 0 <= cell < CELLS:
+            total.loaded_paces[cell] += sign * count
+
 
 def split_evidence(
     table: EvidenceTable, target: str, now: float
@@ -152,11 +160,14 @@
     drop_outdated(table, now)
     waiting = sum_running(table, lambda one: one.times)
     pacing = sum_running(table, lambda one: one.pacing)
+    loaded = sum_running(table, lambda one: one.loaded_pacing)
     ours: dict[str, Outcomes] = {}
     others: dict[str, Outcomes] = {}
     for (version, kind), total in table.totals.items():
         key = (version, kind)
-        found = make_outcomes(total, waiting.get(key, {}), pacing.get(key, {}))
+        found = make_outcomes(
+            total, waiting.get(key, {}), pacing.get(key, {}), loaded.get(key, {})
+        )
         if version == target:
             ours[kind] = found
         else:
@@ -188,7 +199,10 @@
 
 
 def make_outcomes(
-    total: Total, waiting: dict[int, int], pacing: dict[int, int]
+    total: Total,
+    waiting: dict[int, int],
+    pacing: dict[int, int],
+    loaded_pacing: dict[int, int],
 ) -> Outcomes:
     """Return a total as outcomes."""
     return Outcomes(
@@ -203,4 +217,12 @@
         waiting=unpack_histogram(waiting),
         paces=tuple(total.paces),
         pacing=unpack_histogram(pacing),
+        loaded_paces=tuple(sorted(total.loaded_paces.items())),
+        loaded_pacing=tuple(
+            sorted(
+                (cell, count)
+                for cell, count in loaded_pacing.items()
+                if 0 <= cell < CELLS
+            )
+        ),
     )
--- a/tests/adapters/gateway/test_outcomes.py
+++ b/tests/adapters/gateway/test_outcomes.py
@@ -28,6 +28,7 @@
 from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import find_bucket
 from waxwingwell.routing.outcomes import unpack_histogram
+from waxwingwell.routing.pace_loads import find_cell
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.reports import make_control_report
 from waxwingwell.routing.tallies import MAX_KINDS
@@ -211,6 +212,11 @@
                 for times in (pacing, paces)
             )
             self.assertEqual((part.pacing, part.paces), expected)
+            loaded = tuple(
+                tuple((find_cell(1, one), 1) for one in times)
+                for times in (pacing, paces)
+            )
+            self.assertEqual((part.loaded_pacing, part.loaded_paces), loaded)
 
     def test_responses_that_the_gateway_does_not_wait_for(self) -> None:
         """Guards against versions blamed for callers that leave."""
--- a/tests/routing/test_version_evidence.py
+++ b/tests/routing/test_version_evidence.py
@@ -9,6 +9,7 @@
 from waxwingwell.routing.outcomes import BUCKETS
 from waxwingwell.routing.outcomes import Outcomes
 from waxwingwell.routing.outcomes import unpack_histogram
+from waxwingwell.routing.pace_loads import CELLS
 from waxwingwell.routing.version_evidence import WAITING_TTL_SECONDS
 from waxwingwell.routing.version_evidence import EvidenceTable
 from waxwingwell.routing.version_evidence import record_counters
@@ -114,6 +115,31 @@
         )
         self.assertEqual(former, {"r1": expected})
 
+    def test_streams_by_load_add_up_over_gateways(self) -> None:
+        """Guards against a slow version whose load is lost on the way to a decision."""
+        paces = ((20, 2),)
+        loaded = ((4 * BUCKETS + 20, 2), (-1, 1), (CELLS, 1))
+        fields: dict[str, Any] = {
+            "paces": paces,
+            "pacing": paces,
+            "loaded_paces": loaded,
+            "loaded_pacing": loaded,
+        }
+        for name, version in (("target", "v2"), ("former", "v1"), ("older", "v0")):
+            with self.subTest(name):
+                table = EvidenceTable()
+                for gateway in ("g1", "g2"):
+                    part = make_part(2, version=version, **fields)
+                    for _ in range(2):
+                        record_counters(table, gateway, FIRST, [part], 0.0)
+
+                target, former = split_evidence(table, "v2", 0.0)
+                [found] = [*target.values(), *former.values()]
+                expected = ((4 * BUCKETS + 20, 4),)
+                self.assertEqual(found.loaded_paces, expected)
+                self.assertEqual(found.loaded_pacing, expected)
+                self.assertEqual((sum(found.paces), sum(found.pacing)), (4, 4))
+
 
 class WaitingTest(unittest.TestCase):
     """Requests that wait for their first byte."""
