Complete a roll-out only if streams show that they are not slower

Cause: a roll-out was completed if nothing spoke against it. "No difference found" and "no difference" were one state; with some 45 answers a test that allows one false alarm in a hundred often finds nothing.

Change: from 16 streams on, the likelihood ratio of slower streams (Lehmann's power of three, from the start) to equal ones must be 0.05 or less before all sessions use the target, and before it is completed. Until then the share grows as planned; at the deadline the roll-out is reverted and its reason says that the streams don't show it.

Fewer streams can't show it, and a version with fewer is completed as before.

Test: test_streams_have_to_show_that_they_are_not_slower failed before ('doubtful').

--- a/src/waxwingwell/routing/rank_tests.py
+++ b/src/waxwingwell/routing/rank_tests.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..decisions.bets import log_mean_exp
@@ -32,8 +33,19 @@
 """Weight of the times of all windows in those of one, in times."""
 
 
-def compare_paces(windows: Sequence[Snapshot], count: int) -> tuple[float, int]:
-    """Return the log of the evidence that streams are slower, and their number.
+@dataclass(frozen=True, slots=True)
+class RankEvidence:
+    """Evidence on the paces of the target's streams, as logarithms."""
+
+    streams: int = 0
+    slower: float = -math.inf
+    """Evidence that they are slower, from the start or from some later time."""
+    ratio: float = 0.0
+    """Likelihood ratio of streams that are slower from the start to equal ones."""
+
+
+def compare_paces(windows: Sequence[Snapshot], count: int) -> RankEvidence:
+    """Return the evidence that streams are slower.
 
     Half of the weight is on a target that is slow from the start, the other half on
     those that turn slow at the start of one of the later ``count`` windows.
@@ -52,9 +64,10 @@
         logs.append(math.log(weight) + log_mean_exp(tuple(sums.values())))
 
     if not streams:
-        return -math.inf, 0
+        return RankEvidence()
 
-    return log_mean_exp(tuple(logs)) + math.log(len(logs)), streams
+    slower = log_mean_exp(tuple(logs)) + math.log(len(logs))
+    return RankEvidence(streams, slower, sums[POWERS[0]])
 
 
 def list_ranks(windows: Sequence[Snapshot], index: int) -> list[tuple[float, int]]:
--- a/src/waxwingwell/routing/regressions.py
+++ b/src/waxwingwell/routing/regressions.py
@@ -18,6 +18,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..decisions.bets import log_mean_exp
@@ -46,6 +47,7 @@
 
     from .bad_responses import Counts
     from .evidence_history import EvidenceHistory
+    from .rank_tests import RankEvidence
 
 
 FALSE_ALARM = 0.01
@@ -84,6 +86,11 @@
 SUSPICION = 0.03
 """Part of the evidence needed from which the target is suspected."""
 
+MIN_STREAMS = 16
+"""Number of streams from which they have to show that the target is not slower."""
+MAX_DOUBT = 0.05
+"""Likelihood ratio of slower streams to equal ones up to which that is shown."""
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -92,6 +99,10 @@
     log_evidence: float = -math.inf
     """Log of the evidence as a part of that needed to find a regression."""
     reason: str = ""
+    streams: int = 0
+    """Streams of the target whose pace was compared."""
+    log_ratio: float = 0.0
+    """Log of the likelihood ratio of slower streams to equal ones."""
 
     @property
     def is_regression(self) -> bool:
@@ -103,6 +114,14 @@
         """Return whether the target may well be worse."""
         return self.log_evidence >= math.log(SUSPICION)
 
+    @property
+    def is_unproven(self) -> bool:
+        """Return whether nothing shows yet that the target's streams are not slower.
+
+        Few streams can't show it, and are no large part of the responses.
+        """
+        return self.streams >= MIN_STREAMS and self.log_ratio > math.log(MAX_DOUBT)
+
 
 @dataclass(frozen=True, slots=True)
 class Stratum:
@@ -153,12 +172,14 @@
         ("came slowly", PACE_EXCESSES, slow_streams, PACE_ALPHA),
         ("came very slowly", PACE_EXCESSES, slowest_streams, PACE_ALPHA),
     )
-    findings = [_compare_clumps(history), _compare_ranks(windows, count)]
+    ranks = compare_paces(windows, count)
+    findings = [_compare_clumps(history), _describe_ranks(ranks)]
     for verb, excesses, counts, alpha in tests:
         strata = build_strata(windows, counts)
         findings += _compare_strata(strata, count, excesses, verb, alpha)
 
-    return max(findings, key=lambda one: one.log_evidence)
+    strongest = max(findings, key=lambda one: one.log_evidence)
+    return replace(strongest, streams=ranks.streams, log_ratio=ranks.ratio)
 
 
 def build_strata(windows: Sequence[Snapshot], counts: Counts) -> Strata:
@@ -281,11 +302,10 @@
     return log_mean_exp(tuple(logs))
 
 
-def _compare_ranks(windows: Sequence[Snapshot], count: int) -> Finding:
+def _describe_ranks(ranks: RankEvidence) -> Finding:
     """Return the evidence that the target's streams rank high by their pace."""
-    log_evidence, streams = compare_paces(windows, count)
-    reason = f"{streams} streams came more slowly than most"
-    return Finding(log_evidence + math.log(PACE_ALPHA), reason)
+    reason = f"{ranks.streams} streams came more slowly than most"
+    return Finding(ranks.slower + math.log(PACE_ALPHA), reason)
 
 
 def _compare_clumps(history: EvidenceHistory) -> Finding:
--- a/src/waxwingwell/routing/rollouts.py
+++ b/src/waxwingwell/routing/rollouts.py
@@ -164,7 +164,8 @@
         return make_reversion(finding.reason)
 
     exposure = measure_exposure(history)
-    is_good = exposure.answers >= MIN_RESPONSES and not finding.is_suspicion
+    is_proven = not finding.is_suspicion and not finding.is_unproven
+    is_good = exposure.answers >= MIN_RESPONSES and is_proven
     left = rollout.duration - elapsed
     if left <= 0.0 and is_good and rollout.share >= 1.0:
         return make_completion("target is good, found after the deadline")
@@ -211,6 +212,9 @@
     if finding.is_suspicion:
         return f"no certainty about {finding.reason}"
 
+    if finding.is_unproven:
+        return f"{finding.streams} streams don't show that they are not slower"
+
     return "too little exposure left for all sessions"
 
 
--- a/tests/routing/test_pace_loads.py
+++ b/tests/routing/test_pace_loads.py
@@ -89,7 +89,7 @@
         ):
             with self.subTest(name):
                 found = [compare(seed, loads, factor) for seed in range(SEEDS)]
-                held = sum(one.is_suspicion for one in found)
+                held = sum(one.is_suspicion or one.is_unproven for one in found)
                 self.assertGreaterEqual(held, least)
                 self.assertLessEqual(held, most)
 
--- a/tests/routing/test_rank_tests.py
+++ b/tests/routing/test_rank_tests.py
@@ -34,8 +34,7 @@
     usual = {"chat": draw_paces(draw, 80, former)}
     target = {"chat": draw_paces(draw, streams, factor)}
     windows = [Snapshot(1.0, {}, {}), Snapshot(2.0, target, usual)]
-    log_evidence, _ = compare_paces(windows, 12)
-    return log_evidence
+    return compare_paces(windows, 12).slower
 
 
 class RankTest(unittest.TestCase):
@@ -64,10 +63,8 @@
         some = {"chat": draw_paces(draw, 20, 5.0)}
         for target, former in (({}, some), (some, {})):
             with self.subTest(target=bool(target)):
-                log_evidence, streams = compare_paces(
-                    [Snapshot(1.0, target, former)], 12
-                )
-                self.assertEqual((log_evidence, streams), (-math.inf, 0))
+                found = compare_paces([Snapshot(1.0, target, former)], 12)
+                self.assertEqual((found.slower, found.streams), (-math.inf, 0))
 
 
 if __name__ == "__main__":
--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from waxwingwell.routing.evidence_history import EvidenceHistory
 from waxwingwell.routing.evidence_history import Snapshot
@@ -28,6 +30,10 @@
 from .rollout_plays import summarise
 
 
+if TYPE_CHECKING:
+    from waxwingwell.routing.outcomes import Histogram
+
+
 RATE = 20.0
 """Requests per second to both versions."""
 LIMITS = ExposureLimits()
@@ -270,6 +276,46 @@
                 self.assertFalse(found.ended, found)
                 self.assertEqual(found.share > 0.08, grows, found)
 
+    def test_streams_have_to_show_that_they_are_not_slower(self) -> None:
+        """Guards against a version that is completed as too little speaks against it.
+
+        Its streams are like the slower half of the former version's: too little to
+        find it worse, and nothing that shows it to be as fast.
+        """
+        deadline = 20.0
+        for name, paces, streams, left, completed in (
+            ("as fast", (0.02, 0.04, 0.06), 24, 0.4, True),
+            ("doubtful", (0.04, 0.06), 24, 0.4, False),
+            ("doubtful at the deadline", (0.04, 0.06), 24, 0.0, False),
+            ("few streams", (0.04, 0.06), 8, 0.4, True),
+        ):
+            with self.subTest(name):
+                history = make_history(deadline - left, share=0.05)
+                latest = history.snapshots[-1]
+                usual = spread_paces((0.02, 0.04, 0.06), 240)
+                target = replace(
+                    latest.target["chat"], paces=spread_paces(paces, streams)
+                )
+                former = replace(latest.former["chat"], paces=usual)
+                history.snapshots[-1] = Snapshot(
+                    latest.elapsed, {"chat": target}, {"chat": former}
+                )
+                rollout = make_rollout(share=0.05)
+                found = step_rollout(rollout, history, LIMITS, deadline - left)
+                self.assertEqual(found.completed, completed, found)
+                self.assertEqual(found.ended, completed or left <= 0.0, found)
+                if not completed:
+                    self.assertIn("don't show", found.reason)
+
+
+def spread_paces(seconds: tuple[float, ...], streams: int) -> Histogram:
+    """Return streams whose times per event are spread evenly over some times."""
+    paces = [0] * BUCKETS
+    for one in seconds:
+        paces[find_bucket(one)] += streams // len(seconds)
+
+    return tuple(paces)
+
 
 class VersionTest(unittest.TestCase):
     """Versions of the upstreams that a session may use."""
