Correct the test of streams that have to show that they are not slower

The streams are now too little to be suspected, the checks are the same, and the test stands with the other steps.

--- a/tests/routing/test_rollouts.py
+++ b/tests/routing/test_rollouts.py
@@ -91,6 +91,15 @@
     )
 
 
+def spread_paces(seconds: tuple[float, ...], streams: int) -> Histogram:
+    """Return streams whose times per event are spread evenly over some times."""
+    paces = [0] * BUCKETS
+    for one in seconds:
+        paces[find_bucket(one)] += streams // len(seconds)
+
+    return tuple(paces)
+
+
 class StepTest(unittest.TestCase):
     """Next step of a roll-out with a duration of 20 seconds."""
 
@@ -224,6 +233,39 @@
         step = step_rollout(make_rollout(share=0.08), history, LIMITS, 5.0)
         self.assertFalse(step.ended)
 
+    def test_streams_have_to_show_that_they_are_not_slower(self) -> None:
+        """Guards against a version that is completed as too little speaks against it.
+
+        Its streams are like the slower half of the former version's: too little to
+        find it worse, and nothing that shows it to be as fast.
+        """
+        deadline = 20.0
+        equal = (0.02, 0.04, 0.06)
+        doubtful = (0.02, *(0.04,) * 5, *(0.06,) * 6)
+        for name, paces, streams, left, completed in (
+            ("as fast", equal, 24, 0.4, True),
+            ("doubtful", doubtful, 24, 0.4, False),
+            ("doubtful at the deadline", doubtful, 24, 0.0, False),
+            ("few streams", doubtful, 12, 0.4, True),
+        ):
+            with self.subTest(name):
+                history = make_history(deadline - left, share=0.05)
+                latest = history.snapshots[-1]
+                usual = spread_paces(equal, 240)
+                target = replace(
+                    latest.target["chat"], paces=spread_paces(paces, streams)
+                )
+                former = replace(latest.former["chat"], paces=usual)
+                history.snapshots[-1] = Snapshot(
+                    latest.elapsed, {"chat": target}, {"chat": former}
+                )
+                rollout = make_rollout(share=0.05)
+                found = step_rollout(rollout, history, LIMITS, deadline - left)
+                self.assertEqual(found.completed, completed, found)
+                self.assertEqual(found.ended, completed or left <= 0.0, found)
+                if not completed:
+                    self.assertIn("don't show", found.reason)
+
 
 class PlaysTest(unittest.TestCase):
     """Drawn roll-outs; ``rollout_plays`` plays many more of them."""
@@ -276,46 +318,6 @@
                 self.assertFalse(found.ended, found)
                 self.assertEqual(found.share > 0.08, grows, found)
 
-    def test_streams_have_to_show_that_they_are_not_slower(self) -> None:
-        """Guards against a version that is completed as too little speaks against it.
-
-        Its streams are like the slower half of the former version's: too little to
-        find it worse, and nothing that shows it to be as fast.
-        """
-        deadline = 20.0
-        for name, paces, streams, left, completed in (
-            ("as fast", (0.02, 0.04, 0.06), 24, 0.4, True),
-            ("doubtful", (0.04, 0.06), 24, 0.4, False),
-            ("doubtful at the deadline", (0.04, 0.06), 24, 0.0, False),
-            ("few streams", (0.04, 0.06), 8, 0.4, True),
-        ):
-            with self.subTest(name):
-                history = make_history(deadline - left, share=0.05)
-                latest = history.snapshots[-1]
-                usual = spread_paces((0.02, 0.04, 0.06), 240)
-                target = replace(
-                    latest.target["chat"], paces=spread_paces(paces, streams)
-                )
-                former = replace(latest.former["chat"], paces=usual)
-                history.snapshots[-1] = Snapshot(
-                    latest.elapsed, {"chat": target}, {"chat": former}
-                )
-                rollout = make_rollout(share=0.05)
-                found = step_rollout(rollout, history, LIMITS, deadline - left)
-                self.assertEqual(found.completed, completed, found)
-                self.assertEqual(found.ended, completed or left <= 0.0, found)
-                if not completed:
-                    self.assertIn("don't show", found.reason)
-
-
-def spread_paces(seconds: tuple[float, ...], streams: int) -> Histogram:
-    """Return streams whose times per event are spread evenly over some times."""
-    paces = [0] * BUCKETS
-    for one in seconds:
-        paces[find_bucket(one)] += streams // len(seconds)
-
-    return tuple(paces)
-
 
 class VersionTest(unittest.TestCase):
     """Versions of the upstreams that a session may use."""
