--- a/src/waxwingwell/routing/pace_loads.py
+++ b/src/waxwingwell/routing/pace_loads.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -31,6 +30,9 @@
     from .outcomes import SparseHistogram
 
 
+Shifts = tuple[int, ...]
+"""Buckets by which times are converted to the usual load, by level."""
+
 LEVEL_LOAD = 4.0
 """Requests by which the load differs between the first doublings of the levels."""
 LEVELS_PER_DOUBLING = 4.0
@@ -91,11 +93,12 @@
 def adjust_snapshots(snapshots: Sequence[Snapshot]) -> list[Snapshot]:
     """Return snapshots with all times per event converted to the usual load."""
     found = find_dependence(snapshots[-1].former)
+    shifts = {kind: list_shifts(one) for kind, one in found.items()}
     return [
         Snapshot(
             one.elapsed,
-            adjust_kinds(one.target, found),
-            adjust_kinds(one.former, found),
+            adjust_kinds(one.target, shifts),
+            adjust_kinds(one.former, shifts),
         )
         for one in snapshots
     ]
@@ -165,11 +168,16 @@
 def sum_errors(samples: Sequence[Sample], base: float) -> float:
     """Return the sum of the squared errors of times that depend on the load."""
     usual = LoadDependence(base, find_mean_load(samples))
-    total = sum(one.count for one in samples)
-    times = [one.bucket + find_shift(usual, one.running) for one in samples]
-    pairs = list(zip(samples, times, strict=True))
-    mean = sum(one.count * time for one, time in pairs) / total
-    return sum(one.count * (time - mean) ** 2 for one, time in pairs)
+    loads = {one.running for one in samples}
+    shifts = {running: find_shift(usual, running) for running in loads}
+    total = weighted = squares = 0.0
+    for one in samples:
+        time = one.bucket + shifts[one.running]
+        total += one.count
+        weighted += one.count * time
+        squares += one.count * time * time
+
+    return squares - weighted * weighted / total
 
 
 def find_shift(dependence: LoadDependence, running: float) -> float:
@@ -181,24 +189,32 @@
     return math.log(usual / (running + dependence.base)) / math.log(BUCKET_RATIO)
 
 
+def list_shifts(dependence: LoadDependence) -> Shifts:
+    """Return the buckets by which times at each level are converted."""
+    return tuple(
+        round(find_shift(dependence, find_running(level)))
+        for level in range(MAX_LEVEL + 1)
+    )
+
+
 def adjust_kinds(
-    kinds: Mapping[str, Outcomes], found: Mapping[str, LoadDependence]
+    kinds: Mapping[str, Outcomes], shifts: Mapping[str, Shifts]
 ) -> dict[str, Outcomes]:
     """Return outcomes with their times per event converted to the usual load."""
     return {
         kind: replace(
             one,
-            paces=adjust_times(one.paces, one.loaded_paces, found[kind]),
-            pacing=adjust_times(one.pacing, one.loaded_pacing, found[kind]),
+            paces=adjust_times(one.paces, one.loaded_paces, shifts[kind]),
+            pacing=adjust_times(one.pacing, one.loaded_pacing, shifts[kind]),
         )
-        if kind in found
+        if kind in shifts
         else one
         for kind, one in kinds.items()
     }
 
 
 def adjust_times(
-    times: Histogram, loaded: SparseHistogram, dependence: LoadDependence
+    times: Histogram, loaded: SparseHistogram, shifts: Shifts
 ) -> Histogram:
     """Return times at the usual load; those of an unknown load stay as they are.
 
@@ -207,11 +223,10 @@
     if not loaded:
         return times
 
-    adjusted = Counter(dict(enumerate(times)))
+    adjusted = list(times)
     for cell, count in loaded:
         level, bucket = divmod(cell, BUCKETS)
-        shift = round(find_shift(dependence, find_running(level)))
         adjusted[bucket] -= count
-        adjusted[min(max(bucket + shift, 0), BUCKETS - 1)] += count
+        adjusted[min(max(bucket + shifts[level], 0), BUCKETS - 1)] += count
 
-    return tuple(max(adjusted[bucket], 0) for bucket in range(BUCKETS))
+    return tuple(max(count, 0) for count in adjusted)
--- a/tests/routing/test_pace_loads.py
+++ b/tests/routing/test_pace_loads.py
@@ -19,6 +19,7 @@
 from waxwingwell.routing.pace_loads import find_cell
 from waxwingwell.routing.pace_loads import find_dependence
 from waxwingwell.routing.pace_loads import find_level
+from waxwingwell.routing.pace_loads import list_shifts
 from waxwingwell.routing.regressions import Finding
 from waxwingwell.routing.regressions import find_regression
 
@@ -140,7 +141,7 @@
             ("idle engines", ((20, 3),), {30: 3}),
         ):
             with self.subTest(name):
-                found = adjust_times(times, loaded, dependence)
+                found = adjust_times(times, loaded, list_shifts(dependence))
                 counts = {bucket: n for bucket, n in enumerate(found) if n}
                 self.assertEqual(counts, expected)
 
