Keep sums of squared errors from falling below zero

Found on reading the change: the sum is a difference, which rounding could make negative if all streams fit exactly. No base would then be within the limit, and the check of the roll-out would fail.

--- a/src/waxwingwell/routing/pace_loads.py
+++ b/src/waxwingwell/routing/pace_loads.py
@@ -177,7 +177,7 @@
         weighted += one.count * time
         squares += one.count * time * time
 
-    return squares - weighted * weighted / total
+    return max(squares - weighted * weighted / total, 0.0)
 
 
 def find_shift(dependence: LoadDependence, running: float) -> float:
