Kill processes together in the soak while all services fail

Cause: the soak's retries kill one or two processes at a time, so that the counts of retries always survive somewhere. None of its modes had rejections of whole services, links cut, settings reloaded, slow upstreams, gateways added or a burst that ends while the budget is used up.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,6 +28,7 @@
 from .operators import publish
 from .operators import read_documents_forever
 from .operators import read_newest
+from .outages import run_outages
 from .processes import Fleet
 from .processes import make_fleet
 from .processes import start_member
@@ -77,7 +78,7 @@
 CALLERS_PER_GATEWAY = 6
 SERVICES = ("chat", "desk")
 UPSTREAMS_PER_SERVICE = 3
-UPSTREAMS_OF_MODES = {"retries": 6}
+UPSTREAMS_OF_MODES = {"retries": 6, "outages": 6}
 """Upstreams of each service in modes that need more of them."""
 START_SECONDS = 60.0
 """Timeout of the first start, which is slow on a loaded machine."""
@@ -95,11 +96,13 @@
     "crowds": run_crowds,
     "rollouts": run_rollouts,
     "retries": run_retries,
+    "outages": run_outages,
 }
 PREPARATIONS: dict[str, Callable[[SoakEnvironment], None]] = {
     "evacuations": prepare_evacuations,
     "rollouts": prepare_rollouts,
     "retries": prepare_retries,
+    "outages": prepare_retries,
 }
 SLOW_CALLER_MODES = frozenset({"planned", "starts"})
 
@@ -309,6 +312,7 @@
     crowds: bool = False,
     rollouts: bool = False,
     retries: bool = False,
+    outages: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
@@ -321,7 +325,8 @@
     prompts crash upstreams by a block that they share, with ``requests`` each by its
     own content, with ``crowds`` most new connections go to one gateway, with
     ``rollouts`` versions are rolled out, some of them bad, with ``retries`` services
-    fail as a whole, callers stand still, and messages and processes are late.
+    fail as a whole, callers stand still, and messages and processes are late, with
+    ``outages`` both services fail at once, and processes are killed meanwhile.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds, and of those with a roll-out that ended
     wrongly, are copied to ``keep``.
@@ -344,6 +349,7 @@
             crowds=crowds,
             rollouts=rollouts,
             retries=retries,
+            outages=outages,
         )
         for seed in range(start, start + seeds)
     ]
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -24,6 +24,7 @@
     crowds: bool = False
     rollouts: bool = False
     retries: bool = False
+    outages: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
