Send no retries in a window of which no process knows the start

Callers saw a failing service fail for longer: after gateways and registries were killed together, the restarted gateways sent a second budget of retries within the same window.

Cause: retries are known to the process that sends them and to the control that gets its reports. Killed together, they leave retries in the window that nobody counts, and the count begins at nothing.

Change: controls tell for how long they have counted without a loss, of their own past or of another control that is gone. Until that is a whole window, a gateway that started within it sends no retries, and the others take what was counted before the loss as still in the window. The counter waxwingwell_refused_retries tells such refusals from those of the budget.

Why it works: what is not known is taken for used; a process that has lived for a window knows all it has sent in it.

Costs: no retries for up to ten seconds after such a loss at gateways that have just started, also after the first start of a system.

--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -8,9 +8,11 @@
 from ...routing.records import RouteKind
 from ...routing.retries import FAILURE_PART
 from ...routing.retries import OPTIONAL_PART
+from ...routing.retries import knows_window
 from ...routing.retries import may_retry
 from ...routing.retries import record_reserved_retry
 from ...routing.retries import reserve_retry
+from ..metrics import REFUSED_RETRIES
 from ..metrics import RETRY_SECONDS
 from .attempts import AttemptOutcome
 from .crashes import has_crashed_enough
@@ -134,14 +136,23 @@
 def has_retry_budget(exchange: Exchange, now: float, part: float) -> bool:
     """Return whether the retry budget of all gateways allows one more retry."""
     context = exchange.context
-    return may_retry(
+    limits = context.settings.retries
+    if not knows_window(context.retries, limits, now):
+        REFUSED_RETRIES.labels("counts_lost").inc()
+        return False
+
+    allowed = may_retry(
         context.retries,
         exchange.find_service(),
-        context.settings.retries,
+        limits,
         part=part,
         gateways=count_gateways(context.load),
         now=now,
     )
+    if not allowed:
+        REFUSED_RETRIES.labels("budget").inc()
+
+    return allowed
 
 
 def reserve_attempt(exchange: Exchange, attempt: Attempt, now: float) -> bool:
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -132,7 +132,14 @@
         now=now,
         late=late,
     )
-    apply_retry_totals(context.retries, body.repeats, retries, now, late=late)
+    apply_retry_totals(
+        context.retries,
+        body.repeats,
+        retries,
+        now,
+        late=late,
+        is_partial=body.counted is not msgspec.UNSET,
+    )
 
 
 def receive_relays(context: GatewayContext, body: ShareRelays, now: float) -> None:
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -50,6 +50,12 @@
     "Time by which a part of the last totals over gateways may have been late.",
     registry=REGISTRY,
 )
+REFUSED_RETRIES = Counter(
+    "waxwingwell_refused_retries",
+    "Decisions against a retry, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 WITHHELD_ATTEMPTS = Counter(
     "waxwingwell_withheld_attempts",
     "Attempts that were not written once their connection stood, by reason.",
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -75,6 +75,7 @@
     )
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
+    context.reports.counted_since = context.clock()
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -428,6 +428,9 @@
     """Time of the receiver's own report in the totals, by the receiver's clock."""
     held_seconds: float | msgspec.UnsetType = msgspec.UNSET
     """Seconds for which the sender has held that report."""
+    counted: float | msgspec.UnsetType = msgspec.UNSET
+    """Seconds for which the retries of all gateways have been counted; unset if that is
+    the whole window of the budget."""
     speeds: tuple[EngineSpeed, ...] | msgspec.UnsetType = msgspec.UNSET
     """Engines that are slower or faster than the median one, once a second; one that
     has returned is listed with the factor 1 for some seconds."""
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -167,6 +167,9 @@
     """Name of this control, by which others return the times of its reports."""
     retry_window: float = 10.0
     """Seconds for which a retry counts in the budget."""
+    counted_since: float = -math.inf
+    """Time from which on no retries are missing here: the start of this process, or the
+    last report of another control that is gone with what it has counted."""
     blocks_for_gateways: dict[int, None] = field(default_factory=dict)
     """Hashes of prompt blocks for the next totals to the attached gateways."""
     blocks_for_controls: dict[int, None] = field(default_factory=dict)
@@ -472,6 +475,10 @@
         for name, one in table.attached.items()
         if now - one.received_at <= REPORT_TTL_SECONDS
     }
+    for held_control in table.controls.values():
+        if now - held_control.received_at > REPORT_TTL_SECONDS:
+            table.counted_since = max(table.counted_since, held_control.received_at)
+
     table.controls = {
         name: one
         for name, one in table.controls.items()
@@ -594,7 +601,28 @@
     departed = (part for one in table.departed for part in one.repeats)
     repeats = sum_retries([*total.repeats, *departed])
     late = find_attached_lateness(table, now)
-    return msgspec.structs.replace(total, repeats=repeats, late=late or msgspec.UNSET)
+    counted = describe_counted(table, now - table.counted_since)
+    return msgspec.structs.replace(
+        total, repeats=repeats, late=late or msgspec.UNSET, counted=counted
+    )
+
+
+def find_counted(table: ReportTable, now: float) -> float:
+    """Return the seconds for which the retries of all gateways have been counted.
+
+    Gateways may have ended together with the control that knew what they had sent.
+    """
+    others = (
+        one.report.total.counted + now - one.received_at
+        for one in table.controls.values()
+        if isinstance(one.report.total.counted, float)
+    )
+    return min([now - table.counted_since, *others])
+
+
+def describe_counted(table: ReportTable, counted: float) -> float | msgspec.UnsetType:
+    """Return counted seconds for a message; unset if they are the whole window."""
+    return counted if counted < table.retry_window else msgspec.UNSET
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
@@ -611,6 +639,7 @@
         read=tuple(table.blocks_for_gateways),
         grants=True,
         late=late or msgspec.UNSET,
+        counted=describe_counted(table, find_counted(table, now)),
     )
     table.blocks_for_gateways.clear()
     return total
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -8,6 +8,12 @@
 otherwise all gateways together could overdraw it before the next totals. Without recent
 totals a gateway is limited to its own allowance: the retries that its own requests and
 its share of the slack allow.
+
+Retries are counted by the process that sends them and by the controls that get its
+reports. If these end together, the retries are still within the window, and nobody
+knows of them. Controls tell for how long they have counted without a loss. Until that
+is a whole window, a gateway that has started within the window sends no retries, and
+the others assume that nothing of what was counted before the loss has left the window.
 """
 
 from __future__ import annotations
@@ -100,6 +106,12 @@
     """Totals of the other gateways, by service."""
     others_at: float = -math.inf
     """Time at which the totals were received."""
+    is_partial: bool = False
+    """Whether the totals miss retries of processes that have ended."""
+    earlier: dict[str, ServiceRepeats] = field(default_factory=dict)
+    """The last totals of the others that missed none."""
+    earlier_at: float = -math.inf
+    """Time at which these were received."""
     late: float = 0.0
     """Seconds by which a part of the totals may have been late."""
     gateways: int = 1
@@ -254,10 +266,12 @@
     now: float,
     *,
     late: float = 0.0,
+    is_partial: bool = False,
 ) -> None:
     """Store the totals over all gateways, less what they include of this gateway.
 
-    ``late`` is the number of seconds by which a part of the totals may be late.
+    ``late`` is the number of seconds by which a part of the totals may be late, and
+    ``is_partial`` says that they miss a part of the window.
     """
     own_counts = {one.service: one for one in reported}
     table.others = {}
@@ -273,6 +287,43 @@
 
     table.others_at = now
     table.late = late
+    table.is_partial = is_partial
+    if not is_partial:
+        table.earlier, table.earlier_at = table.others, now
+
+
+def find_others(
+    table: RetryTable, service: str, limits: RetryLimits, now: float
+) -> ServiceRepeats:
+    """Return the other gateways' counts of a service.
+
+    Where the totals miss a part of the window, what was known before the loss counts
+    until it has left the window.
+    """
+    one = table.others.get(service, ServiceRepeats(service, 0, 0))
+    if not table.is_partial or now - table.earlier_at > limits.window:
+        return one
+
+    before = table.earlier.get(service, one)
+    return ServiceRepeats(
+        service,
+        one.requests,
+        max(one.repeats, before.repeats),
+        max(one.drawn, before.drawn),
+        one.shares,
+    )
+
+
+def knows_window(table: RetryTable, limits: RetryLimits, now: float) -> bool:
+    """Return whether all retries that this gateway has sent in the window are known.
+
+    Its earlier process may have sent some, of which only controls know.
+    """
+    if now - table.began_at >= limits.window:
+        return True
+
+    is_recent = now - table.others_at <= MAX_TOTAL_AGE_SECONDS
+    return is_recent and not table.is_partial
 
 
 def may_retry(
@@ -286,13 +337,16 @@
 ) -> bool:
     """Return whether the given part of the budget, 0 to 1, allows one more retry."""
     table.gateways = max(gateways, 1)
+    if not knows_window(table, limits, now):
+        return False
+
     account = find_account(table, service, now - limits.window)
     allowance = count_allowance(table, account, limits, now)
     retries = account.used + 1
     if now - table.others_at > MAX_TOTAL_AGE_SECONDS:
         return retries <= part * allowance
 
-    others = table.others.get(service, ServiceRepeats(service, 0, 0))
+    others = find_others(table, service, limits, now)
     requests = len(account.requests) + others.requests
     allowed = limits.ratio * requests + limits.slack
     if retries + others.repeats > part * allowed:
--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -16,6 +16,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
+
 from waxwingwell.adapters.registry.hub import EXCHANGE_SECONDS
 from waxwingwell.adapters.registry.hub import REPORT_SECONDS
 from waxwingwell.routing.lateness import LatenessTable
@@ -97,6 +99,9 @@
     """Time at which a third of the gateways are killed; they restart after 1 to 2 s."""
     all_restarted: float | None = None
     """Time at which all gateways are killed."""
+    herd: tuple[float, float] | None = None
+    """Time at which a share of the gateways and controls is killed at once, and that
+    share."""
     unlinked: tuple[float, float] | None = None
     """Interval in which a third of the gateways reach no control."""
     uncontrolled: bool = False
@@ -267,6 +272,9 @@
                 gateway, START_SECONDS + (scenario.all_restarted or 0.0)
             )
 
+        if scenario.herd is not None:
+            self._schedule_herd(*scenario.herd)
+
         for gateway in third if scenario.unlinked is not None else ():
             self._schedule_unlink(gateway, scenario.unlinked or (0.0, 0.0))
 
@@ -282,13 +290,22 @@
             self.controls[index].up = False
             self.controls[index].run += 1
 
-        def start(_: float) -> None:
-            self.controls[index].reports = ReportTable(name=f"control-{index}")
+        def start(now: float) -> None:
+            self.controls[index].reports = ReportTable(
+                name=f"control-{index}", counted_since=now
+            )
             self.controls[index].up = True
 
         self._schedule_at(when, kill)
         self._schedule_at(when + 1.0, start)
 
+    def _schedule_herd(self, when: float, share: float) -> None:
+        for index in range(round(share * CONTROLS)):
+            self._schedule_control_kill(index, START_SECONDS + when)
+
+        for gateway in self.gateways[: round(share * len(self.gateways))]:
+            self._schedule_restart(gateway, START_SECONDS + when)
+
     def _schedule_restart(self, gateway: Gateway, when: float) -> None:
         def kill(_: float) -> None:
             gateway.up = False
@@ -459,7 +476,14 @@
             included = find_included(gateway.lateness, body)
             reported = gateway.reported if included is None else included.repeats
             apply_totals(gateway.load, (), (), work=0.0, gateways=body.gateways, now=at)
-            apply_retry_totals(gateway.retries, body.repeats, reported, at, late=late)
+            apply_retry_totals(
+                gateway.retries,
+                body.repeats,
+                reported,
+                at,
+                late=late,
+                is_partial=body.counted is not msgspec.UNSET,
+            )
 
         return arrive
 
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -268,6 +268,30 @@
         self.assertEqual(list_gateways_without_state(controls.first), ["a", "b"])
 
 
+class CountedTest(unittest.TestCase):
+    """For how long the retries of all gateways have been counted."""
+
+    def test_controls_that_have_lost_counts(self) -> None:
+        """Guards against totals that look whole although a part of them is gone."""
+        now = 100.0
+        for name, since, other_counted, heard, expected in (
+            ("both are old", 0.0, None, now, None),
+            ("this one is new", 97.0, None, now, 3.0),
+            ("the other one is new", 0.0, 2.0, now - 0.5, 2.5),
+            ("the other one is gone", 0.0, None, now - 4.0, 4.0),
+        ):
+            with self.subTest(name):
+                table = ReportTable(counted_since=since)
+                counted = msgspec.UNSET if other_counted is None else other_counted
+                total = FleetReport(gateways=1, use=(), counted=counted)
+                receive_control_report(
+                    table, "other", ControlReport(total=total), heard
+                )
+                drop_expired(table, now)
+                found = sum_fleet(table, now).counted
+                self.assertEqual(found or None, expected)
+
+
 class BlockReportTest(unittest.TestCase):
     """Reports of prompt blocks that engines have processed."""
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -12,6 +12,7 @@
 from waxwingwell.routing.retries import RetryTable
 from waxwingwell.routing.retries import apply_retry_totals
 from waxwingwell.routing.retries import count_own
+from waxwingwell.routing.retries import find_others
 from waxwingwell.routing.retries import list_retries
 from waxwingwell.routing.retries import may_retry
 from waxwingwell.routing.retries import record_request
@@ -101,6 +102,48 @@
                 apply_retry_totals(table, total, report, now)
 
 
+class PartialTotalsTest(unittest.TestCase):
+    """Totals that miss retries of processes that have ended."""
+
+    def test_a_gateway_whose_earlier_retries_are_not_known(self) -> None:
+        """Guards against a restart that opens the budget anew within its window."""
+        for name, age, heard, is_partial, expected in (
+            ("an old process", 10.0, 0.1, True, True),
+            ("a new one, all counted", 1.0, 0.1, False, True),
+            ("a new one, counts were lost", 1.0, 0.1, True, False),
+            ("a new one without totals", 1.0, None, False, False),
+            ("a new one with old totals", 5.0, 4.0, False, False),
+        ):
+            with self.subTest(name):
+                now = 100.0
+                table = make_table(100, now)
+                table.began_at = now - age
+                if heard is not None:
+                    at = now - heard
+                    apply_retry_totals(table, (), (), at, is_partial=is_partial)
+
+                allowed = may_retry(
+                    table, "chat", LIMITS, part=FAILURE_PART, gateways=1, now=now
+                )
+                self.assertEqual(allowed, expected)
+
+    def test_retries_known_before_a_loss(self) -> None:
+        """Guards against retries that are forgotten with the control that knew them."""
+        before = ServiceRepeats("chat", 100, 80, 40.0, 1)
+        after = ServiceRepeats("chat", 100, 10, 5.0, 1)
+        for name, is_partial, now, expected in (
+            ("before a loss", False, 1.0, 10),
+            ("after a loss", True, 1.0, 80),
+            ("after the window", True, 10.5, 10),
+        ):
+            with self.subTest(name):
+                table = RetryTable()
+                apply_retry_totals(table, (before,), (), 0.0)
+                apply_retry_totals(table, (after,), (), now, is_partial=is_partial)
+                found = find_others(table, "chat", LIMITS, now)
+                self.assertEqual(found.repeats, expected)
+
+
 class BudgetTest(unittest.TestCase):
     """Number of allowed retries."""
 
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -146,6 +146,22 @@
                 used, allowed = run_scenario(scenario).peak_use(scenario)
                 self.assertLessEqual(used, allowed, scenario)
 
+    def test_all_that_count_retries_are_killed_at_once(self) -> None:
+        """Guards against a budget that opens anew where no process knows the last."""
+        deployments: tuple[dict[str, Any], ...] = (
+            {"gateways": 8, "rate": 48, "ratio": 0.9, "slack": 56.0},
+            {"gateways": 9, "rate": 35, "ratio": 0.1, "slack": 10.0},
+            {"gateways": 78, "rate": 390, "ratio": 0.2, "slack": 58.0},
+        )
+        for fields in deployments:
+            for share in (0.6, 1.0):
+                for after in (2.0, 4.0):
+                    herd = (14.0 + after, share)
+                    scenario = Scenario(**fields, herd=herd, seconds=32.0)
+                    with self.subTest(scenario):
+                        used, allowed = run_scenario(scenario).peak_use(scenario)
+                        self.assertLessEqual(used, allowed)
+
     def test_gateways_are_killed_with_the_controls_that_count_them(self) -> None:
         """Guards against counts that are lost with the last process that had them."""
         killed = (14.262853873237459, 15.9159159066602, 15.607264500164058)
