Take no response of the administration API that was broken off

Operators saw an order reported as done though the control had ended in the middle of its response's head.

Cause: the standard library takes the end of the connection for the end of the headers, and a body without a length for a complete one. An order has no body to decode, so that "200 OK" alone was a success.

Evidence: test_responses_that_are_broken_off, a response cut at each byte, failed from the status line on, with an AdminResponse(200, b"").

Change: a response counts if it states its length and has it; anything else is unreachable, and the request goes to the next address. Errors of the library's HTTP parser no longer end the command with a traceback.

Ruled out: twisted's agent, which entries use, and h11, which gateways use, at each byte, by a close and a reset (test_cut_heads for gateways and their relays; the agent was tried by hand).

--- a/src/waxwingwell/adapters/admin_transport.py
+++ b/src/waxwingwell/adapters/admin_transport.py
@@ -6,16 +6,18 @@
 import urllib.error
 import urllib.request
 from dataclasses import dataclass
+from http.client import HTTPException
 from typing import TYPE_CHECKING
 from typing import Any
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from email.message import Message
 
 
 MAX_RESPONSE_BYTES = 64_000_000
-"""Bytes read of a response; a larger one is truncated and then fails to decode."""
+"""Bytes of a response's body; a larger one is not read to its end."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,17 +82,48 @@
         )
         try:
             with opener.open(http_request, timeout=request.timeout) as response:
-                return AdminResponse(response.status, response.read(MAX_RESPONSE_BYTES))
+                body = response.read(MAX_RESPONSE_BYTES)
+                check_complete(response.headers, body)
+                return AdminResponse(response.status, body)
         except urllib.error.HTTPError as error:
-            with error:
-                wait = parse_retry_after(error.headers.get("Retry-After", ""))
-                return AdminResponse(error.code, error.read(MAX_RESPONSE_BYTES), wait)
-        except (OSError, ValueError) as error:
+            return read_failure(request, error)
+        except (OSError, ValueError, HTTPException) as error:
             return Unreachable(f"{request.url}: {error}")
 
     return send
 
 
+def read_failure(
+    request: AdminRequest, error: urllib.error.HTTPError
+) -> AdminResponse | Unreachable:
+    """Return a response with an error status, if it is complete."""
+    with error:
+        try:
+            body = error.read(MAX_RESPONSE_BYTES)
+            check_complete(error.headers, body)
+        except (OSError, HTTPException) as broken:
+            return Unreachable(f"{request.url}: {broken}")
+
+        wait = parse_retry_after(error.headers.get("Retry-After", ""))
+        return AdminResponse(error.code, body, wait)
+
+
+def check_complete(headers: Message, body: bytes) -> None:
+    """Check that a response was not broken off; raises ``ConnectionError``.
+
+    The standard library takes the end of the connection for the end of the headers, and
+    a body without a length for a complete one. The API states all lengths.
+    """
+    if headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return
+
+    length = headers.get("Content-Length", "")
+    if length != str(len(body)):
+        raise ConnectionError(
+            f"the response was broken off after {len(body)} of {length or '?'} bytes"
+        )
+
+
 def parse_retry_after(text: str) -> float | None:
     """Return the seconds of a ``Retry-After`` header, or None if it holds no number."""
     return float(text) if text.isdigit() else None
--- a/tests/adapters/test_admin_transport.py
+++ b/tests/adapters/test_admin_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import unittest
 from http.server import BaseHTTPRequestHandler
@@ -65,6 +66,47 @@
 
         self.assertEqual(Handler.keys, ["Bearer secret"] * 3)
 
+    def test_responses_that_are_broken_off(self) -> None:
+        """Guards against a head that was cut off and taken for an empty success."""
+        send = make_transport()
+        for whole in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: 1\r\n\r\n{"
+            + b" " * 10
+            + b"}",
+            b"HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+            b"0\r\n\r\n",
+        ):
+            for length in range(len(whole)):
+                with self.subTest(whole=whole, length=length):
+                    url = self.serve_once(whole[:length])
+                    reply = send(AdminRequest("GET", url, "secret", timeout=5.0))
+                    is_whole = isinstance(reply, AdminResponse) and whole.endswith(
+                        b"0\r\n\r\n"
+                    )
+                    if is_whole:
+                        # Only the end of the last chunk's line is missing.
+                        self.assertGreater(length, whole.index(b"0\r\n\r\n"))
+                        continue
+
+                    self.assertIsInstance(reply, Unreachable)
+
+    def serve_once(self, data: bytes) -> str:
+        """Return the URL of a server that sends this to one request, and closes."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(data)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        self.addCleanup(thread.join)
+        return f"http://127.0.0.1:{listener.getsockname()[1]}/"
+
     def test_nothing_listens(self) -> None:
         free = HTTPServer(("127.0.0.1", 0), Handler)
         port = free.server_port
