Break off heads by a close, and announce odd entries, in the soak

Cause: the soak's truncated responses ended by a reset, within the body of a stream or anywhere in others; no head of a stream was cut, and no other writer sent heartbeats.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -10,8 +10,12 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from http import HTTPStatus
+
+from waxwingwell_standin import wire
 
 from .callers import Crowd
+from .operators import call_control
 from .operators import publish
 from .processes import STOP_TIMEOUT_SECONDS
 from .processes import Fleet
@@ -30,6 +34,7 @@
 from .records import read_clock
 from .upstreams import Upstream
 from .upstreams import leave
+from .upstreams import make_heartbeat
 from .upstreams import start_upstream
 from .upstreams import stop_upstream
 
@@ -40,6 +45,8 @@
 """Maximum seconds of a fault: longer than link heartbeats and elections take."""
 TRUNCATED_SHARE = 0.3
 POLL_SECONDS = 0.05
+ODD_NAME = "odd"
+"""Id of an upstream that does not exist."""
 INTERPRETER_START_SECONDS = 0.5
 """Seconds: longer than an interpreter takes to start on a busy machine."""
 
@@ -310,6 +317,25 @@
     return service
 
 
+async def announce_odd_entries(environment: SoakEnvironment) -> str | None:
+    """Send odd entries of an upstream, and of an unknown one, to a control."""
+    upstream = environment.random.choice(environment.upstreams)
+    if not upstream.up:
+        return None
+
+    control = environment.random.choice(environment.controls)
+    for body in wire.write_odd_heartbeats(make_heartbeat(upstream)):
+        for name in (upstream.name, ODD_NAME):
+            path = wire.instance_path(name)
+            response = await call_control(control, "PUT", path, body)
+            if response is not None and response.status != HTTPStatus.BAD_REQUEST:
+                environment.journal.violations.append(
+                    f"an odd entry got {response.status}: {body[-60:]!r}"
+                )
+
+    return ODD_NAME
+
+
 async def change(environment: SoakEnvironment) -> str | None:
     """Publish the next document, possibly concurrently with other changes."""
     version = max(environment.journal.documents) + environment.random.randint(1, 3)
@@ -333,6 +359,7 @@
     crash_upstream,
     leave_upstream,
     spoil_answers,
+    announce_odd_entries,
     change,
     change,
 )
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -64,6 +64,10 @@
 MAX_LARGE_WORK_SECONDS = 2.0
 """Maximum seconds of work on a large response."""
 UNFRAMED_SHARE = 0.25
+RESET_SHARE = 0.5
+"""Share of truncated responses that end by a reset, and not by a close."""
+CUT_HEAD_SHARE = 0.1
+"""Share of truncated streams that end within their head."""
 MAX_CRASH_SECONDS = 0.08
 """Longest time from the start of a response to a poisoned prompt until the crash."""
 SMALL_BUFFER_BYTES = 16_384
@@ -195,9 +199,21 @@
 
     Returns whether there was one.
     """
-    assert upstream.proxy is not None
     upstream.sequence += 1
-    body = wire.write_heartbeat(
+    body = make_heartbeat(upstream)
+    path = wire.instance_path(upstream.name)
+    for control in upstream.rng.sample(upstream.controls, len(upstream.controls)):
+        response = await call_control(control, "PUT", path, body)
+        if response is not None and response.status == 200:
+            return True
+
+    return False
+
+
+def make_heartbeat(upstream: Upstream) -> bytes:
+    """Return the body of an upstream's heartbeat."""
+    assert upstream.proxy is not None
+    return wire.write_heartbeat(
         service=upstream.service,
         address=f"{upstream.host}:{upstream.proxy.port}",
         born=upstream.born,
@@ -208,13 +224,6 @@
         slots=upstream.slots,
         version=upstream.version.name,
     )
-    path = wire.instance_path(upstream.name)
-    for control in upstream.rng.sample(upstream.controls, len(upstream.controls)):
-        response = await call_control(control, "PUT", path, body)
-        if response is not None and response.status == 200:
-            return True
-
-    return False
 
 
 async def leave(upstream: Upstream) -> None:
@@ -408,7 +417,9 @@
     response = write_message("HTTP/1.1 200 OK", headers, body)
     if upstream.rng.random() < upstream.truncated_share:
         writer.write(response[: upstream.rng.randrange(len(response))])
-        reset_connection(writer)
+        if upstream.rng.random() < RESET_SHARE:
+            reset_connection(writer)
+
         return False
 
     unframed = upstream.rng.random() < upstream.unframed_share
@@ -448,7 +459,13 @@
     head = {**headers, "Content-Type": "text/event-stream"}
     unframed = upstream.rng.random() < upstream.unframed_share
     framing = {} if unframed else {"Transfer-Encoding": "chunked"}
-    writer.write(write_head({**head, **framing}))
+    stream_head = write_head({**head, **framing})
+    truncated = upstream.rng.random() < upstream.truncated_share
+    if truncated and upstream.rng.random() < CUT_HEAD_SHARE:
+        writer.write(stream_head[: upstream.rng.randrange(len(stream_head))])
+        return False
+
+    writer.write(stream_head)
     encode = bytes if unframed else write_chunk
     is_poisoned = POISONED_BLOCK in sent.prompt_blocks[:-1]
     if is_poisoned or run.path.endswith(CRASHING_SUFFIX):
@@ -459,7 +476,6 @@
     event_interval = (
         LARGE_STREAM_SECONDS / events if is_large(run.path) else upstream.event_interval
     )
-    truncated = upstream.rng.random() < upstream.truncated_share
     for number in range(sent.resume_after + 1, events + 1):
         event = make_event(sent.request_id, run.path, number)
         if truncated and upstream.rng.random() < 0.3:
