Refuse what can't be passed on, stored or connected to where it comes in

Operators saw registries that sent no list of servers any more, and gateways that served nothing after a restart, once another writer had left one odd heartbeat; configurations with a number too large got no answer at all.

Cause: the decoders of bodies accept more than the encoders of links and of the log: integers of any size. Nesting and long digits raise errors other than those of decoding, which nobody caught. Ports, hosts and names were not checked before they reached sockets and headers.

The encoder of the links fails with "can't serialize ints".

Change: decode_json decodes every body from outside, and names the place of a number out of range or of nesting. find_announcement_problem checks announcements at the API and where a peer passes them on; there an invalid one is dropped and logged, and the others hold. Documents name workspaces and models that suit a header, and limits above 0. Counts of tokens in headers, and runs told by relays, are bounded; answers of the entry have a largest number of tokens.

Why it works: what has come in can be encoded and connected to, so that no list holds a member that takes it along.

Open: a sequence that fits but is far ahead of its upstream's still makes the later heartbeats look old.

--- a/src/waxwingwell/adapters/admin_client.py
+++ b/src/waxwingwell/adapters/admin_client.py
@@ -27,6 +27,7 @@
 from .admin_transport import AdminResponse
 from .admin_transport import Unreachable
 from .admin_views import ErrorView
+from .decoding import decode_json
 
 
 if TYPE_CHECKING:
@@ -191,7 +192,7 @@
 def decode_body(response: AdminResponse, kind: type[ViewT]) -> Result[ViewT, Problem]:
     """Decode the body of a response; a malformed body is a problem."""
     try:
-        return Success(msgspec.json.decode(response.body, type=kind))
+        return Success(decode_json(response.body, kind))
     except msgspec.DecodeError as error:
         message = f"the response of the administration API cannot be decoded: {error}"
         return Failure(Problem(ProblemKind.UNAVAILABLE, message))
@@ -200,7 +201,7 @@
 def decode_error(response: AdminResponse) -> Problem:
     """Return the problem that an error response describes."""
     try:
-        view = msgspec.json.decode(response.body, type=ErrorView)
+        view = decode_json(response.body, ErrorView)
     except msgspec.DecodeError:
         view = ErrorView()
 
--- a/src/waxwingwell/adapters/control/changes.py
+++ b/src/waxwingwell/adapters/control/changes.py
@@ -24,6 +24,7 @@
 from ...messages import Submit
 from ...records import Finding
 from ...state.group import leader_of
+from ..decoding import decode_json
 from ..exceptions import LinkError
 from ..links import call_link
 from .admin import require_operator
@@ -57,7 +58,7 @@
     async def run_command(request: Request, operator: OperatorKey) -> bytes:
         body = request.content.read(MAX_BODY + 1)
         try:
-            command = msgspec.json.decode(body, type=Command)
+            command = decode_json(body, Command)
         except msgspec.DecodeError as error:
             findings = (Finding(place="body", message=str(error)),)
             return write_json(request, Rejected(findings=findings), status=422)
--- a/src/waxwingwell/adapters/control/members.py
+++ b/src/waxwingwell/adapters/control/members.py
@@ -15,6 +15,7 @@
 from ..admin_views import MembersChange
 from ..admin_views import MembersReply
 from ..admin_views import MemberView
+from ..decoding import decode_json
 from .admin import require_operator
 from .admin import write_error
 from .admin import write_json
@@ -51,7 +52,7 @@
 
         try:
             body = request.content.read(MAX_BODY)
-            change = msgspec.json.decode(body, type=MembersChange)
+            change = decode_json(body, MembersChange)
         except msgspec.DecodeError as error:
             return write_error(request, 422, f"body: {error}")
 
--- a/src/waxwingwell/adapters/entry/announcements.py
+++ b/src/waxwingwell/adapters/entry/announcements.py
@@ -12,6 +12,7 @@
 from ...records import Finding
 from ...state.membership import apply_announcement
 from ...state.membership import get_lease_seconds
+from ..decoding import decode_json
 from .replies import JSON
 from .replies import Problem
 from .replies import write_problem
@@ -66,7 +67,7 @@
         )
 
     try:
-        announcement = msgspec.json.decode(body, type=Announcement)
+        announcement = decode_json(body, Announcement)
     except msgspec.DecodeError as error:
         raise Problem(
             status=400, code="invalid_announcement", message=str(error), param="body"
--- a/src/waxwingwell/adapters/entry/chats.py
+++ b/src/waxwingwell/adapters/entry/chats.py
@@ -24,6 +24,7 @@
     from ...records import WorkspaceConfig
 
 
+MAX_ANSWER_TOKENS = 1_000_000_000
 BYTES_PER_TOKEN = 4
 """Estimated size of a token, used until the engine reports token counts."""
 DEFAULT_ANSWER_TOKENS = 256
@@ -64,8 +65,8 @@
     messages: list[ChatMessage] = Field(min_length=1)
     stream: bool = False
     stream_options: StreamOptions | None = None
-    max_tokens: int | None = Field(default=None, ge=1)
-    max_completion_tokens: int | None = Field(default=None, ge=1)
+    max_tokens: int | None = Field(default=None, ge=1, le=MAX_ANSWER_TOKENS)
+    max_completion_tokens: int | None = Field(default=None, ge=1, le=MAX_ANSWER_TOKENS)
     session: str = Field(default="", max_length=MAX_KEY)
     kind: str = Field(default="", max_length=MAX_KEY)
 
--- a/src/waxwingwell/adapters/entry/non_streaming.py
+++ b/src/waxwingwell/adapters/entry/non_streaming.py
@@ -18,6 +18,7 @@
 from ...records import UpstreamId
 from ...records import Usage
 from ...records import VersionId
+from ..decoding import decode_json
 from .attempts import finish_attempt
 from .attempts import read_response_body
 from .attempts import run_attempt
@@ -286,7 +287,7 @@
     context: EntryContext, data: bytes, version: VersionId, upstream: UpstreamId
 ) -> CompleteResponse:
     try:
-        completion = msgspec.json.decode(data, type=_Completion)
+        completion = decode_json(data, _Completion)
         text = completion.choices[0].message.content or ""
     except (msgspec.DecodeError, IndexError) as error:
         raise Problem(
--- a/src/waxwingwell/adapters/entry/ratings.py
+++ b/src/waxwingwell/adapters/entry/ratings.py
@@ -15,6 +15,7 @@
 from ...decisions.evidence import record_unrated
 from ...decisions.tables import Work
 from ...records import VersionId
+from ..decoding import decode_json
 from .upstream_client import BytesProducer
 
 
@@ -118,4 +119,4 @@
     if response.code != 200:
         raise LookupError(f"the rating service responded with status {response.code}")
 
-    return msgspec.json.decode(data, type=RatingGiven).rating
+    return decode_json(data, RatingGiven).rating
--- a/src/waxwingwell/adapters/entry/streams.py
+++ b/src/waxwingwell/adapters/entry/streams.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ...records import Usage
+from ..decoding import decode_json
 
 
 EVENT_END = b"\n\n"
@@ -160,7 +161,7 @@
         return None
 
     try:
-        return msgspec.json.decode(block[start + len(DATA_MARK) :], type=_Chunk)
+        return decode_json(block[start + len(DATA_MARK) :], _Chunk)
     except msgspec.DecodeError:
         return None
 
--- a/src/waxwingwell/adapters/gateway/relaying.py
+++ b/src/waxwingwell/adapters/gateway/relaying.py
@@ -49,6 +49,7 @@
 REASON_HEADER = b"x-waxwingwell-relay-reason"
 """Why a request is relayed; the last value counts. Relays of older releases pass it on
 to the upstream."""
+MAX_COUNT_DIGITS = 9
 RELAY_WAIT_MS = 10.0
 """Expected wait that a relay adds: two round trips between data centres."""
 REFUSAL_STATUSES = frozenset({401, 404, 408, 413, 421, 429, 431, 503})
@@ -224,7 +225,8 @@
 def read_count(headers: HeaderList, name: bytes) -> tuple[HeaderList, int | None]:
     """Return the headers without the last count of a name, and that, None without."""
     rest, value = take_last(headers, name)
-    return rest, int(value) if value.isdigit() else None
+    is_count = value.isdigit() and len(value) <= MAX_COUNT_DIGITS
+    return rest, int(value) if is_count else None
 
 
 def read_crashes(headers: HeaderList) -> tuple[HeaderList, frozenset[int]]:
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -41,7 +41,9 @@
 from ...routing.sessions import record_rollouts
 from ...routing.tallies import follow_rollouts
 from ...routing.warmup import record_return
+from ..announcement_checks import take_valid
 from ..connections import make_tcp_connector
+from ..decoding import decode_msgpack
 from ..events import log_event
 from ..links import close_link
 from ..links import is_link_up
@@ -82,10 +84,11 @@
     if isinstance(body, ShareRouting):
         apply_routing(context, body)
     elif isinstance(body, ShareNews):
-        for announcement in body.news:
+        news = take_valid(body.news)
+        for announcement in news:
             apply_announcement(context.fleet, announcement, now)
 
-        confirm_replaced(context, body.news, now)
+        confirm_replaced(context, news, now)
         receive_evidence(context, body.crashes, body.trials, now)
     elif isinstance(body, ShareHeartbeats):
         apply_heartbeats(context.fleet, body.heard, now)
@@ -209,7 +212,7 @@
     held_version = -1 if context.index is None else context.index.document.version
     if body.document and body.version > held_version:
         data = zlib.decompress(body.document)
-        document = msgspec.msgpack.decode(data, type=Document)
+        document = decode_msgpack(data, Document)
         context.index = index_document(document)
         log_event(
             "gateway: Document in force",
--- a/src/waxwingwell/adapters/registry/announcements.py
+++ b/src/waxwingwell/adapters/registry/announcements.py
@@ -13,6 +13,7 @@
 from ...routing.trials import list_trials
 from ...routing.trials import may_grant
 from ...routing.trials import merge_trials
+from ..announcement_checks import take_valid
 from ..events import log_event
 from ..links import cast_link
 from ..links import is_link_up
@@ -33,7 +34,7 @@
 
     A gateway sends its evidence to all controls itself.
     """
-    for announcement in body.news:
+    for announcement in take_valid(body.news):
         broadcast_announcement(context, announcement)
 
     now = context.clock()
--- a/src/waxwingwell/adapters/registry/evidence.py
+++ b/src/waxwingwell/adapters/registry/evidence.py
@@ -15,6 +15,7 @@
 from ...routing.quarantine import list_evidence
 from ...routing.quarantine import merge_evidence
 from ...state.storage import sync_folder
+from ..decoding import decode_msgpack
 from ..events import log_event
 
 
@@ -34,7 +35,7 @@
     path = context.settings.data_folder / FILE_NAME
     try:
         data = path.read_bytes()
-        evidence = msgspec.msgpack.decode(data, type=tuple[CrashEvidence, ...])
+        evidence = decode_msgpack(data, tuple[CrashEvidence, ...])
     except FileNotFoundError:
         return
     except (OSError, msgspec.MsgspecError) as error:
--- a/src/waxwingwell/routing/validation.py
+++ b/src/waxwingwell/routing/validation.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..records import Finding
+from .names import is_header_value
 
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
         *check_routes(document),
         *find_duplicate_routes(document),
         *find_duplicate_keys(document),
+        *check_header_names(document),
+        *check_limits(document),
     )
 
 
@@ -50,6 +53,33 @@
         yield Finding(location, "the weights must add up to more than 0")
 
 
+def check_header_names(document: Document) -> Iterator[Finding]:
+    """Yield findings on names that upstreams get in headers."""
+    for index, workspace in enumerate(document.workspaces):
+        if not is_header_value(workspace.name):
+            place = f"workspaces[{index}] ({workspace.name!r})"
+            yield Finding(place, "the name must suit a header")
+
+    for index, route in enumerate(document.routes):
+        for model in route.models:
+            if not is_header_value(model):
+                place = f"routes[{index}] ({route.name})"
+                yield Finding(place, f"model {model!r} must suit a header")
+
+
+def check_limits(document: Document) -> Iterator[Finding]:
+    """Yield findings on limits with which no request could be served."""
+    limits = document.limits
+    for name, value in (
+        ("header_bytes", limits.header_bytes),
+        ("body_bytes", limits.body_bytes),
+        ("header_timeout", limits.header_timeout),
+        ("idle_timeout", limits.idle_timeout),
+    ):
+        if value <= 0:
+            yield Finding(f"limits.{name}", f"{value} must be above 0")
+
+
 def find_duplicate_routes(document: Document) -> Iterator[Finding]:
     """Yield a finding for each host and prefix that several routes use."""
     places = Counter((route.host, route.prefix) for route in document.routes)
--- a/tests/platform_adapter/test_bodies.py
+++ b/tests/platform_adapter/test_bodies.py
@@ -44,6 +44,8 @@
     "born": 1700000000000,
 }
 
+WALL_TIME = 1700000100.0
+
 
 class DocumentTest(unittest.TestCase):
     """Configurations."""
@@ -94,7 +96,7 @@
         ):
             with self.subTest(state=state):
                 body = msgspec.json.encode({**HEARTBEAT, "state": state, "other": [1]})
-                announcement = read_heartbeat("i-1", body)
+                announcement = read_heartbeat("i-1", body, WALL_TIME)
                 self.assertEqual(announcement.state, expected)
                 self.assertEqual(
                     (announcement.host, announcement.port), ("10.0.0.9", 8080)
@@ -113,12 +115,14 @@
             ("a list for a name", {"backend": ["desk"]}),
         ):
             with self.subTest(name), self.assertRaises(msgspec.DecodeError):
-                read_heartbeat("i-1", msgspec.json.encode({**HEARTBEAT, **change}))
+                read_heartbeat(
+                    "i-1", msgspec.json.encode({**HEARTBEAT, **change}), WALL_TIME
+                )
 
     def test_deregistrations(self) -> None:
         for body, expected in ((b"", None), (b"{}", None), (b'{"born":7}', 7)):
             with self.subTest(body=body):
-                self.assertEqual(read_leave(body), expected)
+                self.assertEqual(read_leave(body, WALL_TIME), expected)
 
 
 class SettingsTest(unittest.TestCase):
