Keep what others have drawn of the retry budget once totals stop

Callers saw more retries at a failing service than its budget allows, when failures moved from some gateways to the others as no control was left.

The allowance was right only as long as nobody had drawn more than its own share.

Change: without totals a gateway takes its share of what the last totals left of the shared half, until these have left the window.

Not shown on real processes: there all gateways failed alike.

--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -343,16 +343,17 @@
     account = find_account(table, service, now - limits.window)
     allowance = count_allowance(table, account, limits, now)
     retries = account.used + 1
+    own_part = part * (1.0 - SHARED_PART) * allowance
+    others = find_others(table, service, limits, now)
     if now - table.others_at > MAX_TOTAL_AGE_SECONDS:
-        return retries <= part * allowance
+        left = estimate_left(table, others, allowance, limits, part, now)
+        return retries <= own_part + left
 
-    others = find_others(table, service, limits, now)
     requests = len(account.requests) + others.requests
     allowed = limits.ratio * requests + limits.slack
     if retries + others.repeats > part * allowed:
         return False
 
-    own_part = part * (1.0 - SHARED_PART) * allowance
     if retries <= own_part:
         return True
 
@@ -360,6 +361,34 @@
     return account.credit >= 1.0
 
 
+def estimate_left(
+    table: RetryTable,
+    others: ServiceRepeats,
+    allowance: float,
+    limits: RetryLimits,
+    part: float,
+    now: float,
+) -> float:
+    """Return this gateway's share of the shared part, without recent totals.
+
+    What the others had drawn by the last ones is in the window for as long as that.
+    """
+    if now - table.others_at > limits.window:
+        return part * SHARED_PART * allowance
+
+    total = sum_allowances(table, others, allowance, limits)
+    left = max(part * SHARED_PART * total - others.drawn, 0.0)
+    return left * allowance / total if total > 0.0 else 0.0
+
+
+def sum_allowances(
+    table: RetryTable, others: ServiceRepeats, allowance: float, limits: RetryLimits
+) -> float:
+    """Return the allowances of all gateways, of which one is given."""
+    slack = limits.slack * min(others.shares / table.gateways, 1.0)
+    return allowance + limits.ratio * others.requests + slack
+
+
 def accrue_credit(
     table: RetryTable,
     account: ServiceAccount,
@@ -374,8 +403,7 @@
     many times that.
     """
     allowance = count_allowance(table, account, limits, now)
-    slack = limits.slack * min(others.shares / table.gateways, 1.0)
-    total_allowance = allowance + limits.ratio * others.requests + slack
+    total_allowance = sum_allowances(table, others, allowance, limits)
     if total_allowance <= 0.0:
         return
 
--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -106,6 +106,11 @@
     """Interval in which a third of the gateways reach no control."""
     uncontrolled: bool = False
     """Whether all controls stop for good before the first request."""
+    stopped: float | None = None
+    """Time at which all controls stop for good."""
+    shifted: float | None = None
+    """Time until which only requests to a third of the gateways fail, and after which
+    only those to the others do."""
 
 
 @dataclass(slots=True)
@@ -251,6 +256,11 @@
         if scenario.uncontrolled:
             self._schedule_at(START_SECONDS, lambda _: self._stop_controls())
 
+        if scenario.stopped is not None:
+            self._schedule_at(
+                START_SECONDS + scenario.stopped, lambda _: self._stop_controls()
+            )
+
         if scenario.paused is not None:
             since, until = scenario.paused
             self._schedule_at(START_SECONDS + since, lambda _: self._pause(0, True))
@@ -388,10 +398,20 @@
         gateway = up[0] if hot else self.random.choice(up)
         record_request(gateway.retries, SERVICE, now, self.limits)
         self.outcome.requests.append(now)
-        if self.random.random() < self._failure_rate(now):
+        if self._may_fail(gateway, now) and (
+            self.random.random() < self._failure_rate(now)
+        ):
             for _ in range(self.scenario.retries_per_failure):
                 self._request_retry(gateway, now)
 
+    def _may_fail(self, gateway: Gateway, now: float) -> bool:
+        """Return whether the failures affect a gateway."""
+        if self.scenario.shifted is None:
+            return True
+
+        is_first = self.gateways.index(gateway) < max(len(self.gateways) // 3, 1)
+        return is_first == (now - START_SECONDS < self.scenario.shifted)
+
     def _failure_rate(self, now: float) -> float:
         since = now - START_SECONDS - self.scenario.fail_at
         if since < 0.0:
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -103,7 +103,7 @@
     """Controls and gateways that fail while the budget is used up."""
 
     def test_the_budget_is_kept(self) -> None:
-        """Guards against counts that are lost, partial, or added twice."""
+        """Guards against counts that are lost, partial, added twice, or forgotten."""
         tight = {"gateways": 78, "rate": 390, "ratio": 0.2, "slack": 58.0}
         usual = {"gateways": 78, "rate": 390, "ratio": 0.9, "slack": 180.0}
         small = {"gateways": 9, "rate": 35, "ratio": 0.9, "slack": 58.0}
@@ -123,6 +123,14 @@
             ("all gateways killed", {**tight, "all_restarted": 15.0}),
             ("all gateways killed, small", {**small, "all_restarted": 16.0}),
             ("gateways that reach no control", {**tight, "unlinked": (13.0, 20.0)}),
+            (
+                "failures that shift as all controls stop",
+                {**tight, "shifted": 20.0, "stopped": 18.0},
+            ),
+            (
+                "failures that shift as all controls stop, small",
+                {**small, "ratio": 0.1, "shifted": 18.0, "stopped": 18.0},
+            ),
         ):
             for seed in (1, 2):
                 with self.subTest(name, seed=seed):
