Keep what a control had counted when it ends, and tell new controls

Callers at gateways that had just started got no second attempt for ten seconds after any registry had ended, though nothing was wrong with their service; and what gateways that had ended with it had sent was forgotten.

Cause: the others dropped a control's totals three seconds after its last report, or replaced them by those of its next process, so that any loss made the counts of all gateways uncertain.

Change: a control that ends or restarts leaves its last totals with the others for a window. They pass them on to controls that start, which are as sure of the window as the one that tells them. A gateway that lost its link reports what it had told that control, which is subtracted, as it reports the same retries elsewhere. Only if all controls end is the window not known.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -23,6 +23,7 @@
 from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
 from ...routing.lookup import DocumentIndex
+from ...routing.messages import FormerCounts
 from ...routing.messages import RelayGateway
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceDemand
@@ -157,6 +158,14 @@
     reported_use: tuple[UpstreamUse, ...] = ()
     reported_work: float = 0.0
     reported_retries: tuple[ServiceRepeats, ...] = ()
+    reported_to: str = ""
+    """Control that has got the last report."""
+    reported_over: Any = None
+    """Connection over which reports go."""
+    former: FormerCounts | None = None
+    """What had been reported over the connection before, if it was lost."""
+    former_at: float = -math.inf
+    """Time at which that was found."""
     health: HealthTable = field(default_factory=HealthTable)
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -15,6 +15,7 @@
 from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
 from ...routing.load import sum_recent_prefill
+from ...routing.messages import FormerCounts
 from ...routing.messages import GatewayReport
 from ...routing.messages import RelayGateway
 from ...routing.messages import ShareNews
@@ -37,6 +38,8 @@
 
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from ...routing.messages import CrashEvidence
     from .context import GatewayContext
 
@@ -55,6 +58,7 @@
     if link is None:
         return
 
+    record_control_change(context, link.protocol)
     report = make_report(context)
     if cast_link(link, report):
         record_reported_evidence(context, report)
@@ -63,11 +67,28 @@
         context.reported_use = report.use
         context.reported_work = report.work
         context.reported_retries = report.repeats
+        context.reported_to = context.attached_control
         context.reported_demand = report.demand or ()
         context.reported_workspaces = report.workspaces or ()
         mark_reported(context.prefixes, report.read)
 
 
+def record_control_change(context: GatewayContext, protocol: Any) -> None:
+    """Record what was reported over the connection before, if that was lost.
+
+    Its control may have ended, and the others then count what it had.
+    """
+    before = context.reported_over
+    if protocol is before:
+        return
+
+    context.reported_over = protocol
+    context.former = None
+    if before is not None and before.closed.called:
+        context.former = FormerCounts(context.reported_to, context.reported_retries)
+        context.former_at = context.clock()
+
+
 def report_crashes(context: GatewayContext) -> None:
     """Send all controls the evidence on crashes that was not reported yet.
 
@@ -111,9 +132,21 @@
         workspaces=list_workspaces(context.queues, context.exchanges) or msgspec.UNSET,
         room=make_room_field(context),
         paces=list_reported_paces(context, now) or msgspec.UNSET,
+        former=make_former_field(context, now),
     )
 
 
+def make_former_field(
+    context: GatewayContext, now: float
+) -> FormerCounts | msgspec.UnsetType:
+    """Return the counts reported to the control before, within the window."""
+    if context.former is None:
+        return msgspec.UNSET
+
+    age = now - context.former_at
+    return context.former if age <= context.settings.retries.window else msgspec.UNSET
+
+
 def make_room_field(context: GatewayContext) -> float | msgspec.UnsetType:
     """Return the room for a report; unset while it is ample, to save its bytes."""
     room = report_room(context.room)
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -75,7 +75,9 @@
     )
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
-    context.reports.counted_since = context.clock()
+    now = context.clock()
+    context.reports.run = round(now * 1000)
+    context.reports.began_at = context.reports.counted_since = now
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
--- /dev/null
+++ b/src/waxwingwell/routing/lost_counts.py
@@ -0,0 +1,115 @@
+"""Retries that a control had counted before it ended.
+
+The others keep its last totals until the window of the budget is over, and tell
+controls that have just started. Gateways that were attached to it and still run report
+the same retries to another control; what they had reported before is subtracted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .messages import FormerCounts
+from .messages import LostCounts
+from .messages import ServiceRepeats
+from .retries import sum_retries
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+
+@dataclass(frozen=True, slots=True)
+class LostEntry:
+    """Last totals of a control that has ended."""
+
+    repeats: tuple[ServiceRepeats, ...]
+    at: float
+    """Time at which they were received."""
+
+
+@dataclass(slots=True)
+class LostTable:
+    """Controls that have ended, by name and process."""
+
+    entries: dict[tuple[str, int], LostEntry] = field(default_factory=dict)
+
+
+def record_lost(
+    table: LostTable,
+    control: str,
+    run: int,
+    repeats: tuple[ServiceRepeats, ...],
+    at: float,
+) -> None:
+    """Record the last totals of a control that has ended."""
+    if repeats:
+        table.entries[control, run] = LostEntry(repeats, at)
+
+
+def receive_lost(
+    table: LostTable,
+    told: Iterable[LostCounts],
+    now: float,
+    *,
+    is_running: Callable[[str, int], bool],
+) -> None:
+    """Store what another control tells of controls that have ended."""
+    for one in told:
+        key = one.control, one.run
+        if key not in table.entries and not is_running(*key):
+            table.entries[key] = LostEntry(one.repeats, now - one.age)
+
+
+def drop_lost(table: LostTable, before: float) -> None:
+    """Drop what was received before a time."""
+    table.entries = {
+        key: entry for key, entry in table.entries.items() if entry.at >= before
+    }
+
+
+def list_lost(table: LostTable, now: float) -> tuple[LostCounts, ...]:
+    """Return the entries for a message."""
+    return tuple(
+        LostCounts(control, run, now - entry.at, entry.repeats)
+        for (control, run), entry in table.entries.items()
+    )
+
+
+def sum_former(counts: Iterable[FormerCounts]) -> tuple[FormerCounts, ...]:
+    """Return the sums, by control, of what gateways had reported to former controls."""
+    by_control: dict[str, list[ServiceRepeats]] = {}
+    for one in counts:
+        by_control.setdefault(one.control, []).extend(one.repeats)
+
+    return tuple(
+        FormerCounts(control, sum_retries(parts))
+        for control, parts in by_control.items()
+    )
+
+
+def list_missing(
+    table: LostTable, former: Iterable[FormerCounts]
+) -> Iterator[ServiceRepeats]:
+    """Yield the counts of ended controls that no running gateway reports any more."""
+    returned = {
+        (one.control, part.service): part
+        for one in sum_former(former)
+        for part in one.repeats
+    }
+    for (control, _), entry in table.entries.items():
+        for part in entry.repeats:
+            key = control, part.service
+            back = returned.get(key, ServiceRepeats(part.service, 0, 0))
+            repeats = min(part.repeats, back.repeats)
+            drawn = min(part.drawn, back.drawn)
+            returned[key] = ServiceRepeats(
+                part.service, 0, back.repeats - repeats, back.drawn - drawn
+            )
+            yield ServiceRepeats(
+                part.service, 0, part.repeats - repeats, part.drawn - drawn
+            )
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -358,6 +358,24 @@
     running: int
 
 
+class FormerCounts(msgspec.Struct, frozen=True, array_like=True):
+    """What gateways had reported to a control when they lost their links to it."""
+
+    control: str
+    repeats: tuple[ServiceRepeats, ...]
+
+
+class LostCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Last totals of a control that has ended."""
+
+    control: str
+    run: int
+    """Distinguishes a process of the control from the previous one."""
+    age: float
+    """Seconds since its last report."""
+    repeats: tuple[ServiceRepeats, ...]
+
+
 class GatewayReport(Message, frozen=True, kw_only=True):
     """Report of one gateway to the others, through a control."""
 
@@ -401,6 +419,9 @@
     """Running requests by workspace, of the same services."""
     paces: tuple[EnginePace, ...] | msgspec.UnsetType = msgspec.UNSET
     """Paces of engines since the last report of them, once a second."""
+    former: FormerCounts | msgspec.UnsetType = msgspec.UNSET
+    """Retries within the window as reported to the control before, if it may have
+    ended."""
 
 
 class FleetReport(Message, frozen=True, kw_only=True):
@@ -429,7 +450,7 @@
     held_seconds: float | msgspec.UnsetType = msgspec.UNSET
     """Seconds for which the sender has held that report."""
     counted: float | msgspec.UnsetType = msgspec.UNSET
-    """Seconds for which the retries of all gateways have been counted; unset if that is
+    """Seconds for which the sender knows the retries of all gateways; unset if that is
     the whole window of the budget."""
     speeds: tuple[EngineSpeed, ...] | msgspec.UnsetType = msgspec.UNSET
     """Engines that are slower or faster than the median one, once a second; one that
@@ -477,6 +498,13 @@
     paces: tuple[EnginePace, ...] | msgspec.UnsetType = msgspec.UNSET
     """Means over the attached gateways that have new samples; each replaces the former
     one of this control."""
+    run: int = 0
+    """Distinguishes a process of the control from the previous one; 0 from older
+    releases."""
+    lost: tuple[LostCounts, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Controls that have ended within the window; not sent if there are none."""
+    former: tuple[FormerCounts, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Sums of what the attached gateways had reported to former controls."""
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -25,9 +25,17 @@
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
+from .lost_counts import LostTable
+from .lost_counts import drop_lost
+from .lost_counts import list_lost
+from .lost_counts import list_missing
+from .lost_counts import receive_lost
+from .lost_counts import record_lost
+from .lost_counts import sum_former
 from .messages import ControlReport
 from .messages import EnginePace
 from .messages import FleetReport
+from .messages import FormerCounts
 from .messages import GatewayEvidence
 from .messages import GatewayReport
 from .messages import GrantPermits
@@ -65,6 +73,8 @@
 another control is counted at both for as long."""
 REPORT_INTERVAL_SECONDS = 0.3
 """Seconds within which the next report of a gateway or control should arrive."""
+SETTLE_SECONDS = 1.0
+"""Seconds after its start within which a control hears of all running ones."""
 REPORT_TTL_SECONDS = 3.0
 """Seconds without a report after which a gateway is dropped."""
 EVIDENCE_RESEND_SECONDS = 2.0
@@ -167,9 +177,15 @@
     """Name of this control, by which others return the times of its reports."""
     retry_window: float = 10.0
     """Seconds for which a retry counts in the budget."""
+    run: int = 0
+    """Distinguishes this process of the control from the previous one."""
+    began_at: float = -math.inf
+    """Start time of this process."""
     counted_since: float = -math.inf
-    """Time from which on no retries are missing here: the start of this process, or the
-    last report of another control that is gone with what it has counted."""
+    """Time from which on the retries of all gateways are known: the start of this
+    process, or of the oldest one that has told what it knows."""
+    lost: LostTable = field(default_factory=LostTable)
+    """What controls that have ended had counted."""
     blocks_for_gateways: dict[int, None] = field(default_factory=dict)
     """Hashes of prompt blocks for the next totals to the attached gateways."""
     blocks_for_controls: dict[int, None] = field(default_factory=dict)
@@ -350,7 +366,12 @@
 ) -> None:
     """Store another control's report on the gateways attached to it."""
     late = measure_report_lateness(table, report, now)
+    held = table.controls.get(control)
+    if held is not None and held.report.run != report.run:
+        record_lost_control(table, control, held)
+
     table.controls[control] = ControlEntry(report, now, late)
+    receive_known(table, control, report, now)
     for one in report.evidence:
         merge_evidence(table, one, now)
 
@@ -360,6 +381,37 @@
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
+def record_lost_control(table: ReportTable, control: str, held: ControlEntry) -> None:
+    """Record what a control that has ended or stopped reporting had counted."""
+    repeats = drop_requests(held.report.total.repeats)
+    record_lost(table.lost, control, held.report.run, repeats, held.received_at)
+
+
+def receive_known(
+    table: ReportTable, control: str, report: ControlReport, now: float
+) -> None:
+    """Store what another control knows of controls that have ended.
+
+    Just after the start of this process some of the running controls may not have
+    reported yet.
+    """
+    table.lost.entries.pop((control, report.run), None)
+    running = {(name, one.report.run) for name, one in table.controls.items()}
+    running.add((table.name, table.run))
+    receive_lost(
+        table.lost,
+        report.lost or (),
+        now,
+        is_running=lambda name, run: (name, run) in running,
+    )
+    if now - table.began_at < SETTLE_SECONDS:
+        return
+
+    counted = report.total.counted
+    known = counted if isinstance(counted, float) else table.retry_window
+    table.counted_since = min(table.counted_since, now - known)
+
+
 def measure_report_lateness(
     table: ReportTable, report: ControlReport, now: float
 ) -> float:
@@ -475,10 +527,11 @@
         for name, one in table.attached.items()
         if now - one.received_at <= REPORT_TTL_SECONDS
     }
-    for held_control in table.controls.values():
-        if now - held_control.received_at > REPORT_TTL_SECONDS:
-            table.counted_since = max(table.counted_since, held_control.received_at)
+    for name, one in table.controls.items():
+        if now - one.received_at > REPORT_TTL_SECONDS:
+            record_lost_control(table, name, one)
 
+    drop_lost(table.lost, now - table.retry_window)
     table.controls = {
         name: one
         for name, one in table.controls.items()
@@ -589,6 +642,9 @@
         relays=relays,
         without_room=name_without_room(table, relays, now),
         paces=paces or msgspec.UNSET,
+        run=table.run,
+        lost=list_lost(table.lost, now) or msgspec.UNSET,
+        former=list_former(table) or msgspec.UNSET,
     )
 
 
@@ -601,28 +657,33 @@
     departed = (part for one in table.departed for part in one.repeats)
     repeats = sum_retries([*total.repeats, *departed])
     late = find_attached_lateness(table, now)
-    counted = describe_counted(table, now - table.counted_since)
+    counted = describe_counted(table, now)
     return msgspec.structs.replace(
         total, repeats=repeats, late=late or msgspec.UNSET, counted=counted
     )
 
 
-def find_counted(table: ReportTable, now: float) -> float:
-    """Return the seconds for which the retries of all gateways have been counted.
+def describe_counted(table: ReportTable, now: float) -> float | msgspec.UnsetType:
+    """Return the seconds for which the retries of all gateways are known to a control.
 
-    Gateways may have ended together with the control that knew what they had sent.
+    Unset if that is the whole window.
     """
-    others = (
-        one.report.total.counted + now - one.received_at
-        for one in table.controls.values()
-        if isinstance(one.report.total.counted, float)
+    counted = now - table.counted_since
+    return counted if counted < table.retry_window else msgspec.UNSET
+
+
+def list_former(table: ReportTable) -> tuple[FormerCounts, ...]:
+    """Return what the attached gateways had reported to former controls."""
+    reports = (held.report for held in table.attached.values())
+    return sum_former(
+        one.former for one in reports if isinstance(one.former, FormerCounts)
     )
-    return min([now - table.counted_since, *others])
 
 
-def describe_counted(table: ReportTable, counted: float) -> float | msgspec.UnsetType:
-    """Return counted seconds for a message; unset if they are the whole window."""
-    return counted if counted < table.retry_window else msgspec.UNSET
+def list_missing_counts(table: ReportTable) -> Iterable[ServiceRepeats]:
+    """Return the counts of ended controls that no running gateway reports any more."""
+    told = (part for one in table.controls.values() for part in one.report.former or ())
+    return list_missing(table.lost, (*list_former(table), *told))
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
@@ -639,7 +700,8 @@
         read=tuple(table.blocks_for_gateways),
         grants=True,
         late=late or msgspec.UNSET,
-        counted=describe_counted(table, find_counted(table, now)),
+        repeats=sum_retries([*total.repeats, *list_missing_counts(table)]),
+        counted=describe_counted(table, now),
     )
     table.blocks_for_gateways.clear()
     return total
--- a/tests/adapters/gateway/test_steering.py
+++ b/tests/adapters/gateway/test_steering.py
@@ -20,6 +20,7 @@
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.lookup import index_document
 from waxwingwell.routing.messages import FleetReport
+from waxwingwell.routing.messages import FormerCounts
 from waxwingwell.routing.messages import RolloutState
 from waxwingwell.routing.messages import ShareHeartbeats
 from waxwingwell.routing.messages import ShareMembers
@@ -239,6 +240,43 @@
         self.assertEqual(last.held, first.held)
         self.assertEqual(last.evidence, first.evidence)
 
+    def test_what_a_lost_control_had_been_told(self) -> None:
+        """Guards against retries that count once more after their control has ended."""
+        for name, is_lost, seconds, is_told in (
+            ("the connection was lost", True, 0.0, True),
+            ("after the window", True, 10.5, False),
+            ("the gateway has left it", False, 0.0, False),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway()
+                context = gateway.context
+                gateway.ask()
+                reports: list[Any] = []
+                before, after = make_connection(reports), make_connection(reports)
+                link = SimpleNamespace(stopped=False, protocol=before)
+                context.controls = {"a": link}
+                context.attached_control = "a"
+                send_report(context)
+                before.closed.called = is_lost
+                link.protocol = after
+                send_report(context)
+                gateway.reactor.advance(seconds)
+                send_report(context)
+                told = FormerCounts("a", reports[0].repeats)
+                self.assertIs(reports[0].former, msgspec.UNSET)
+                expected = told if is_told else msgspec.UNSET
+                self.assertEqual(reports[-1].former, expected)
+
+
+def make_connection(sent: list[Any]) -> Any:
+    """Return a connection that records its messages."""
+
+    def cast(body: Any) -> bool:
+        sent.append(body)
+        return True
+
+    return SimpleNamespace(cast=cast, closed=SimpleNamespace(called=False))
+
 
 def make_link() -> Any:
     """Return a link that is up and discards all messages."""
