Let gateways ask larger models again while the counts of retries are lost

Callers got poor answers of the smallest model for ten seconds after all gateways and controls had ended together.

Change: only what has failed is not retried then. A larger model follows a good response; a service that has used up its budget by failing gives none.

Open: a service that fails as a whole, and recovers at the moment at which all processes end, may get more than its budget.

--- a/src/waxwingwell/adapters/gateway/escalation.py
+++ b/src/waxwingwell/adapters/gateway/escalation.py
@@ -62,7 +62,9 @@
 
 def may_escalate_now(exchange: Exchange, now: float) -> bool:
     """Return whether attempts and retry budget allow one more, optional run."""
-    return may_run_again(exchange) and has_retry_budget(exchange, now, OPTIONAL_PART)
+    return may_run_again(exchange) and has_retry_budget(
+        exchange, now, OPTIONAL_PART, is_choice=True
+    )
 
 
 def choose_largest(exchange: Exchange, now: float) -> Choice | None:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -285,9 +285,9 @@
         """Return the seconds left to meet the objective for the first event."""
         return min(self.started_at + self.route.objective, self.deadline) - now
 
-    def _send_to(self, choice: Choice, now: float) -> None:
+    def _send_to(self, choice: Choice, now: float, *, is_choice: bool = False) -> None:
         attempt = Attempt(choice, now, self.splitter.events)
-        if not reserve_attempt(self, attempt, now):
+        if not reserve_attempt(self, attempt, now, is_choice=is_choice):
             give_up(self, "retry budget is used up")
             return
 
@@ -362,7 +362,7 @@
         self.runs += 1
         self.response_dropped = True
         self.retried_at = now
-        self._send_to(larger, now)
+        self._send_to(larger, now, is_choice=True)
 
     def handle_data(self, attempt: Attempt, data: bytes) -> None:
         """Handle a chunk of a response's body."""
--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -133,11 +133,16 @@
     )
 
 
-def has_retry_budget(exchange: Exchange, now: float, part: float) -> bool:
-    """Return whether the retry budget of all gateways allows one more retry."""
+def has_retry_budget(
+    exchange: Exchange, now: float, part: float, *, is_choice: bool = False
+) -> bool:
+    """Return whether the retry budget of all gateways allows one more retry.
+
+    ``is_choice`` says that the last response was good, and a better one is wanted.
+    """
     context = exchange.context
     limits = context.settings.retries
-    if not knows_window(context.retries, limits, now):
+    if not (is_choice or knows_window(context.retries, limits, now)):
         REFUSED_RETRIES.labels("counts_lost").inc()
         return False
 
@@ -148,6 +153,7 @@
         part=part,
         gateways=count_gateways(context.load),
         now=now,
+        is_choice=is_choice,
     )
     if not allowed:
         REFUSED_RETRIES.labels("budget").inc()
@@ -155,7 +161,9 @@
     return allowed
 
 
-def reserve_attempt(exchange: Exchange, attempt: Attempt, now: float) -> bool:
+def reserve_attempt(
+    exchange: Exchange, attempt: Attempt, now: float, *, is_choice: bool = False
+) -> bool:
     """Reserve a retry for an attempt that needs one; return False if none is left.
 
     The first attempt that reaches an upstream is no retry. A relay reserves the retries
@@ -164,7 +172,8 @@
     if attempt.relayed or not exchange.arrivals:
         return True
 
-    if not has_retry_budget(exchange, now, exchange.retry_part):
+    part = exchange.retry_part
+    if not has_retry_budget(exchange, now, part, is_choice=is_choice):
         return False
 
     context = exchange.context
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -10,10 +10,10 @@
 its share of the slack allow.
 
 Retries are counted by the process that sends them and by the controls that get its
-reports. If these end together, the retries are still within the window, and nobody
-knows of them. Controls tell for how long they have counted without a loss. Until that
-is a whole window, a gateway that has started within the window sends no retries, and
-the others assume that nothing of what was counted before the loss has left the window.
+reports. If all of these end together, the retries are still within the window, and
+nobody knows of them. Until some control has counted for a whole window, a gateway that
+has started within it retries nothing that has failed, and the others assume that
+nothing of what was counted before the loss has left the window.
 """
 
 from __future__ import annotations
@@ -334,10 +334,15 @@
     part: float,
     gateways: int,
     now: float,
+    is_choice: bool = False,
 ) -> bool:
-    """Return whether the given part of the budget, 0 to 1, allows one more retry."""
+    """Return whether the given part of the budget, 0 to 1, allows one more retry.
+
+    ``is_choice`` says that the retry follows a good response: a service that fails, and
+    may have used up the budget, gives none.
+    """
     table.gateways = max(gateways, 1)
-    if not knows_window(table, limits, now):
+    if not (is_choice or knows_window(table, limits, now)):
         return False
 
     account = find_account(table, service, now - limits.window)
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -312,6 +312,27 @@
                 first.respond(make_stream_head("X-Confidence: 0.2"))
                 self.assertEqual(len(gateway.calls), upstreams)
 
+    def test_what_a_new_gateway_asks_again_while_counts_are_lost(self) -> None:
+        """Guards against poor responses that are kept after a restart of all."""
+        for name, response, is_reset, upstreams in (
+            ("a poor response", make_stream_head("X-Confidence: 0.2"), False, 2),
+            ("a broken one", make_stream_head("X-Confidence: 0.9"), True, 1),
+            ("none", b"", True, 1),
+        ):
+            with self.subTest(name):
+                gateway = make_gateway(models=("small", "large"))
+                limits = RetryLimits(ratio=4.0)
+                gateway.context.settings = make_settings(retries=limits)
+                gateway.context.retries.began_at = gateway.reactor.seconds()
+                gateway.ask(X_Model="*")
+                [first] = gateway.calls
+                first.accept()
+                first.respond(response)
+                if is_reset:
+                    first.reset()
+
+                self.assertEqual(len(gateway.calls), upstreams)
+
     def test_the_largest_model_is_first_while_retries_run_short(self) -> None:
         """Guards against poor responses that are kept as no escalation is allowed."""
         spent = RetryLimits(ratio=0.0, slack=0.0)
