Send short calls, and suspend gateways, in the soak's outages

Cause: the soak's calls have five seconds, those of the smallest deployment 0.6; the rule on the time that is handed on tolerates half a second. No gateway stood still while services failed. Change: every third caller waits 0.6 s; the disturbance suspend_gateways.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --crowds --seeds 10
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --rollouts --seeds 10
 	PYTHONPATH=platform $(BIN)/python -m bench.soak --retries --seeds 10
-	PYTHONPATH=platform $(BIN)/python -m bench.soak --outages --seeds 11
+	PYTHONPATH=platform $(BIN)/python -m bench.soak --outages --seeds 12
 
 bench: setup
 	$(BIN)/python -m bench
--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -6,7 +6,9 @@
 import signal
 from typing import TYPE_CHECKING
 
+from .callers import MAX_PAUSE_SECONDS
 from .callers import call_forever
+from .callers import call_once
 from .callers import drop_connection
 from .processes import kill_member
 from .processes import restart_member
@@ -32,26 +34,35 @@
 EXTRA_CALLERS_PER_GATEWAY = 12
 USUAL_SECONDS = 12.0
 """Seconds of usual service before the outage: longer than the window of the budget."""
-LEAD_SECONDS = (2.0, 5.0)
-"""Seconds from the start of the outage to the disturbance."""
+LEAD_SECONDS = (3.5, 5.5)
+"""Seconds from the start of the outage to the disturbance, in which the retry budget is
+used up."""
 RESTART_SECONDS = 0.5
 CUT_SECONDS = 3.0
 SLOWDOWN = 4.0
 SLOW_SECONDS = 3.0
 QUIET_SECONDS = 1.0
+SHORT_BUDGET_SECONDS = 0.6
+"""Seconds that every third caller waits for its calls."""
+CALL_KINDS = ("order", "read")
+PAUSE_SECONDS = 1.0
 
 
 async def run_outages(environment: SoakEnvironment, seconds: float) -> None:
     """Let both services fail for ``seconds``, and disturb the processes meanwhile.
 
-    The seed selects the kind of failure and the disturbance.
+    The seed selects the kind of failure and the disturbance: responses are cut off for
+    as many seeds as there are disturbances, and then requests are rejected.
     """
     gateways = len(environment.fleet.gateways)
     callers = [
         make_caller(environment, f"extra{number}")
         for number in range(EXTRA_CALLERS_PER_GATEWAY * gateways)
     ]
-    calls = [asyncio.create_task(call_forever(caller)) for caller in callers]
+    calls = [
+        asyncio.create_task((call_forever if number % 3 else call_briefly)(caller))
+        for number, caller in enumerate(callers)
+    ]
     await asyncio.sleep(USUAL_SECONDS)
     disturb = DISTURBANCES[environment.seed % len(DISTURBANCES)]
 
@@ -65,6 +76,14 @@
         await end_calls(calls, callers)
 
 
+async def call_briefly(caller: Caller) -> None:
+    """Send one call after the other, each with little time."""
+    while True:
+        kind = caller.rng.choice(CALL_KINDS)
+        await call_once(caller, kind, budget=SHORT_BUDGET_SECONDS)
+        await asyncio.sleep(MAX_PAUSE_SECONDS * caller.rng.random())
+
+
 async def run_outage(
     environment: SoakEnvironment,
     seconds: float,
@@ -74,7 +93,7 @@
 ) -> None:
     """Let the services fail, with one disturbance in between."""
     until = read_clock() + seconds
-    is_rejected = environment.random.random() < 0.5
+    is_rejected = environment.seed // len(DISTURBANCES) % 2 == 1
     for upstream in environment.upstreams:
         set_failing(upstream, rejects=is_rejected, fails=True)
 
@@ -152,6 +171,18 @@
         restart_member(member)
 
 
+async def suspend_gateways(environment: SoakEnvironment) -> None:
+    """Suspend every second gateway for a moment, and then the others."""
+    gateways = environment.fleet.gateways
+    for members in (gateways[::2], gateways[1::2]):
+        for member in members:
+            signal_member(member, signal.SIGSTOP)
+
+        await asyncio.sleep(PAUSE_SECONDS)
+        for member in members:
+            signal_member(member, signal.SIGCONT)
+
+
 async def stop_in_turn(environment: SoakEnvironment) -> None:
     """Stop and restart the gateways one after the other, as a release does."""
     for member in environment.fleet.gateways:
@@ -212,5 +243,6 @@
     slow_upstreams,
     add_gateway,
     end_burst,
+    suspend_gateways,
 )
 """Disturbances by the remainder of the seed."""
