Send no more bytes than before while no control has ended

A fake of a connection in test_pacing lacked what the product asks of it. Change: the receiver's own report in the totals is one field, not two; the process is sent by controls that know it.

--- a/src/waxwingwell/routing/lateness.py
+++ b/src/waxwingwell/routing/lateness.py
@@ -54,11 +54,12 @@
 
 def find_included(table: LatenessTable, body: FleetReport) -> GatewayReport | None:
     """Return this gateway's report that totals include, or None if it is not known."""
-    if not body.included_at:
+    if not body.included:
         return None
 
     return next(
-        (one for one in table.sent if one.reported_at == body.included_at), None
+        (one for one in table.sent if one.reported_at == body.included.reported_at),
+        None,
     )
 
 
@@ -68,9 +69,9 @@
     This is the lateness of the latest part in them, and that of their own way.
     """
     table.received_at = now
-    if body.included_at:
+    if body.included:
         table.round_trip = measure_lateness(
-            body.included_at, body.held_seconds or 0.0, now
+            body.included.reported_at, body.included.held, now
         )
 
     return (body.late or 0.0) + table.round_trip
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -424,6 +424,15 @@
     ended."""
 
 
+class IncludedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway's report that totals include."""
+
+    reported_at: float
+    """Time of the report by the gateway's clock."""
+    held: float
+    """Seconds for which the control has held it."""
+
+
 class FleetReport(Message, frozen=True, kw_only=True):
     """Totals over all gateways; a receiver subtracts what it reported itself."""
 
@@ -445,10 +454,8 @@
     late: float | msgspec.UnsetType = msgspec.UNSET
     """Seconds by which a part of the totals may be late, not counting the way to the
     receiver; unset if none is."""
-    included_at: float | msgspec.UnsetType = msgspec.UNSET
-    """Time of the receiver's own report in the totals, by the receiver's clock."""
-    held_seconds: float | msgspec.UnsetType = msgspec.UNSET
-    """Seconds for which the sender has held that report."""
+    included: IncludedReport | msgspec.UnsetType = msgspec.UNSET
+    """The receiver's own report in the totals."""
     counted: float | msgspec.UnsetType = msgspec.UNSET
     """Seconds for which the sender knows the retries of all gateways; unset if that is
     the whole window of the budget."""
@@ -498,8 +505,8 @@
     paces: tuple[EnginePace, ...] | msgspec.UnsetType = msgspec.UNSET
     """Means over the attached gateways that have new samples; each replaces the former
     one of this control."""
-    run: int = 0
-    """Distinguishes a process of the control from the previous one; 0 from older
+    run: int | msgspec.UnsetType = msgspec.UNSET
+    """Distinguishes a process of the control from the previous one; unset from older
     releases."""
     lost: tuple[LostCounts, ...] | msgspec.UnsetType = msgspec.UNSET
     """Controls that have ended within the window; not sent if there are none."""
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -39,6 +39,7 @@
 from .messages import GatewayEvidence
 from .messages import GatewayReport
 from .messages import GrantPermits
+from .messages import IncludedReport
 from .messages import ReceivedReport
 from .messages import RelayGateway
 from .messages import ServiceDemand
@@ -384,7 +385,8 @@
 def record_lost_control(table: ReportTable, control: str, held: ControlEntry) -> None:
     """Record what a control that has ended or stopped reporting had counted."""
     repeats = drop_requests(held.report.total.repeats)
-    record_lost(table.lost, control, held.report.run, repeats, held.received_at)
+    run = held.report.run or 0
+    record_lost(table.lost, control, run, repeats, held.received_at)
 
 
 def receive_known(
@@ -395,8 +397,8 @@
     Just after the start of this process some of the running controls may not have
     reported yet.
     """
-    table.lost.entries.pop((control, report.run), None)
-    running = {(name, one.report.run) for name, one in table.controls.items()}
+    table.lost.entries.pop((control, report.run or 0), None)
+    running = {(name, one.report.run or 0) for name, one in table.controls.items()}
     running.add((table.name, table.run))
     receive_lost(
         table.lost,
@@ -445,9 +447,8 @@
     if held is None or held.report.reported_at is None:
         return total
 
-    return msgspec.structs.replace(
-        total, included_at=held.report.reported_at, held_seconds=now - held.received_at
-    )
+    included = IncludedReport(held.report.reported_at, now - held.received_at)
+    return msgspec.structs.replace(total, included=included)
 
 
 def is_gateway_fresh(held: GatewayEntry, now: float) -> bool:
@@ -642,7 +643,7 @@
         relays=relays,
         without_room=name_without_room(table, relays, now),
         paces=paces or msgspec.UNSET,
-        run=table.run,
+        run=table.run or msgspec.UNSET,
         lost=list_lost(table.lost, now) or msgspec.UNSET,
         former=list_former(table) or msgspec.UNSET,
     )
--- a/tests/adapters/gateway/test_pacing.py
+++ b/tests/adapters/gateway/test_pacing.py
@@ -52,7 +52,9 @@
 
         return up
 
-    link: Any = SimpleNamespace(protocol=SimpleNamespace(cast=cast), stopped=False)
+    closed = SimpleNamespace(called=False)
+    protocol = SimpleNamespace(cast=cast, closed=closed)
+    link: Any = SimpleNamespace(protocol=protocol, stopped=False)
     gateway.context.controls["control"] = link
     gateway.context.attached_control = "control"
     return sent
--- a/tests/routing/test_lateness.py
+++ b/tests/routing/test_lateness.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from msgspec import UNSET
+
 from waxwingwell.routing.lateness import LatenessTable
 from waxwingwell.routing.lateness import estimate_lateness
 from waxwingwell.routing.lateness import find_included
@@ -12,6 +14,7 @@
 from waxwingwell.routing.load import apply_totals
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import GatewayReport
+from waxwingwell.routing.messages import IncludedReport
 from waxwingwell.routing.reports import ReportTable
 from waxwingwell.routing.reports import address_totals
 from waxwingwell.routing.reports import make_control_report
@@ -108,7 +111,8 @@
         table.sent.extend(reports)
         for included_at, expected in ((2.0, reports[1]), (9.0, None), (0.0, None)):
             with self.subTest(included_at=included_at):
-                body = FleetReport(gateways=1, use=(), included_at=included_at)
+                included = IncludedReport(included_at, 0.0) if included_at else UNSET
+                body = FleetReport(gateways=1, use=(), included=included)
                 self.assertIs(find_included(table, body), expected)
 
     def test_late_load_counts_as_old(self) -> None:
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -64,7 +64,7 @@
         repeats=repeats,
         counted=UNSET if counted is None else counted,
     )
-    return ControlReport(total=total, run=run)
+    return ControlReport(total=total, run=run or UNSET)
 
 
 class DemandTest(unittest.TestCase):
