Retry from the first start of a system, and once whole totals were received

Cause: a control that starts first, with no system before it, knew as little as one that starts after a loss, and its gateways retried nothing that had failed. A gateway that moved to a control which had started less than a second before forgot what it had been told.

Change: controls of a first start know that nothing was sent before. A gateway that was once told by whole totals what its earlier process has sent keeps to that until the window is over.

--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.task import LoopingCall
 
+from ...routing.reports import start_counting
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
@@ -75,9 +76,7 @@
     )
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
-    now = context.clock()
-    context.reports.run = round(now * 1000)
-    context.reports.began_at = context.reports.counted_since = now
+    start_counting(context.reports, context.clock(), is_first=settings.first_start)
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -201,6 +201,17 @@
     """Advances with each list of relays, so that all gateways serve as relays."""
 
 
+def start_counting(table: ReportTable, now: float, *, is_first: bool) -> None:
+    """Record the start of this control.
+
+    ``is_first`` says that the whole system starts for the first time: no gateway has
+    sent anything before.
+    """
+    table.run = round(now * 1000)
+    table.began_at = now
+    table.counted_since = -math.inf if is_first else now
+
+
 def receive_report(table: ReportTable, report: GatewayReport, now: float) -> None:
     """Store a report of an attached gateway."""
     held = table.attached.get(report.gateway)
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -317,13 +317,11 @@
 def knows_window(table: RetryTable, limits: RetryLimits, now: float) -> bool:
     """Return whether all retries that this gateway has sent in the window are known.
 
-    Its earlier process may have sent some, of which only controls know.
+    Its earlier process may have sent some, of which only controls know. Whole totals
+    have told of them, and count until the window is over.
     """
-    if now - table.began_at >= limits.window:
-        return True
-
-    is_recent = now - table.others_at <= MAX_TOTAL_AGE_SECONDS
-    return is_recent and not table.is_partial
+    was_told = table.earlier_at > -math.inf
+    return was_told or now - table.began_at >= limits.window
 
 
 def may_retry(
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -31,6 +31,7 @@
 from waxwingwell.routing.reports import make_total
 from waxwingwell.routing.reports import receive_control_report
 from waxwingwell.routing.reports import receive_report
+from waxwingwell.routing.reports import start_counting
 from waxwingwell.routing.reports import sum_fleet
 from waxwingwell.routing.reports import sum_totals
 
@@ -303,6 +304,14 @@
                 found = sum_fleet(table, now).counted
                 self.assertEqual(found or None, expected)
 
+    def test_a_control_that_starts(self) -> None:
+        """Guards against retries that are refused as a system starts first."""
+        for is_first, expected in ((True, None), (False, 2.0)):
+            with self.subTest(is_first=is_first):
+                table = ReportTable()
+                start_counting(table, 100.0, is_first=is_first)
+                self.assertEqual(sum_fleet(table, 102.0).counted or None, expected)
+
     def test_counts_of_a_control_that_ends(self) -> None:
         """Guards against retries that are forgotten with the control that knew them."""
         for name, run, heard, expected in (
