Resume streams that ended unread while the counts of retries are lost

Callers that read slowly had their streams cut when gateways and all controls were stopped by plan within seconds of each other.

Cause: the controls of a system that is restarted as a whole, also by plan, know no window, and a gateway that had started within it retried nothing. A stream that ended while its caller did not read follows a good response, as a larger model does: its upstream had not failed.

Change: such a stream is asked for again within the part for optional retries of the gateway's own requests."

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -154,6 +154,8 @@
         """Attempts that may run in all."""
         self.retry_part = FAILURE_PART
         """Part of the retry budget that the next attempt may use."""
+        self.follows_good = False
+        """Whether the last attempt ended only as its caller did not read."""
         self.retried_at = now
         """Time at which the last attempt ended or was dropped."""
         self.relayed = relayed
--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -119,7 +119,10 @@
     is_optional = outcome is AttemptOutcome.UNREAD
     is_optional = is_optional or is_asked_for_rest(exchange.attempt)
     exchange.retry_part = OPTIONAL_PART if is_optional else FAILURE_PART
-    return has_retry_budget(exchange, now, exchange.retry_part)
+    exchange.follows_good = outcome is AttemptOutcome.UNREAD
+    return has_retry_budget(
+        exchange, now, exchange.retry_part, is_choice=exchange.follows_good
+    )
 
 
 def is_asked_for_rest(attempt: Attempt | None) -> bool:
@@ -138,7 +141,8 @@
 ) -> bool:
     """Return whether the retry budget of all gateways allows one more retry.
 
-    ``is_choice`` says that the last response was good, and a better one is wanted.
+    ``is_choice`` says that the last response was good: a better one is wanted, or its
+    caller did not read it.
     """
     context = exchange.context
     limits = context.settings.retries
@@ -173,6 +177,7 @@
         return True
 
     part = exchange.retry_part
+    is_choice = is_choice or exchange.follows_good
     if not has_retry_budget(exchange, now, part, is_choice=is_choice):
         return False
 
--- a/tests/adapters/gateway/test_slow_readers.py
+++ b/tests/adapters/gateway/test_slow_readers.py
@@ -12,6 +12,7 @@
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.server import MAX_UNPARSED_BYTES
 from waxwingwell.routing.records import RouteKind
+from waxwingwell.routing.retries import RetryLimits
 from waxwingwell.routing.tallies import RolloutTally
 
 from .byte_plays import PIECE_BYTES
@@ -29,6 +30,7 @@
 from .support import make_chunk
 from .support import make_gateway
 from .support import make_response
+from .support import make_settings
 from .support import make_stream_head
 from .test_relaying import Relayed
 from .test_relaying import cut_off
@@ -426,3 +428,21 @@
 
                 self.assertTrue(stop.ended)
                 self.assertEqual(gateway.context.exchanges, set())
+
+
+class LostCountsTest(unittest.TestCase):
+    """Slow readers at a gateway that does not know the window of the retry budget."""
+
+    def test_a_stream_that_ended_unread_goes_on(self) -> None:
+        """Guards against streams that a planned stop of all controls cuts."""
+        gateway = make_gateway("u1", "u2")
+        limits = RetryLimits(ratio=4.0)
+        gateway.context.settings = make_settings(retries=limits)
+        gateway.context.retries.began_at = gateway.reactor.seconds()
+        caller, upstream = open_stream(gateway)
+        fill_up(upstream)
+        upstream.reset()
+        caller.transport.release()
+        gateway.reactor.advance(0.1)
+        self.assertEqual(len(gateway.calls), 2)
+        self.assertFalse(caller.transport.aborted)
