Check addresses, stored evidence and bodies of the API in one place each

The registry's hub had the check of an IP address that announcements added once more: both call names.is_ip_address. A decoder for stored data served one file and one message of our own; the file's reader catches the errors itself, and the message is decoded as before. The administration client read and checked a body in two places.

--- a/src/waxwingwell/adapters/admin_transport.py
+++ b/src/waxwingwell/adapters/admin_transport.py
@@ -13,7 +13,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from email.message import Message
 
 
 MAX_RESPONSE_BYTES = 64_000_000
@@ -82,9 +81,7 @@
         )
         try:
             with opener.open(http_request, timeout=request.timeout) as response:
-                body = response.read(MAX_RESPONSE_BYTES)
-                check_complete(response.headers, body)
-                return AdminResponse(response.status, body)
+                return AdminResponse(response.status, read_body(response))
         except urllib.error.HTTPError as error:
             return read_failure(request, error)
         except (OSError, ValueError, HTTPException) as error:
@@ -99,8 +96,7 @@
     """Return a response with an error status, if it is complete."""
     with error:
         try:
-            body = error.read(MAX_RESPONSE_BYTES)
-            check_complete(error.headers, body)
+            body = read_body(error)
         except (OSError, HTTPException) as broken:
             return Unreachable(f"{request.url}: {broken}")
 
@@ -108,21 +104,22 @@
         return AdminResponse(error.code, body, wait)
 
 
-def check_complete(headers: Message, body: bytes) -> None:
-    """Check that a response was not broken off; raises ``ConnectionError``.
+def read_body(response: Any) -> bytes:
+    """Return a response's body; raises ``ConnectionError`` if it was broken off.
 
     The standard library takes the end of the connection for the end of the headers, and
     a body without a length for a complete one. The API states all lengths.
     """
-    if headers.get("Transfer-Encoding", "").lower() == "chunked":
-        return
-
-    length = headers.get("Content-Length", "")
-    if length != str(len(body)):
+    body: bytes = response.read(MAX_RESPONSE_BYTES)
+    is_chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    length = response.headers.get("Content-Length", "")
+    if not is_chunked and length != str(len(body)):
         raise ConnectionError(
             f"the response was broken off after {len(body)} of {length or '?'} bytes"
         )
 
+    return body
+
 
 def parse_retry_after(text: str) -> float | None:
     """Return the seconds of a ``Retry-After`` header, or None if it holds no number."""
--- a/src/waxwingwell/adapters/decoding.py
+++ b/src/waxwingwell/adapters/decoding.py
@@ -46,14 +46,6 @@
     return value
 
 
-def decode_msgpack(data: bytes, kind: type[ValueT]) -> ValueT:
-    """Decode stored data; raises ``msgspec.DecodeError`` with the invalid place."""
-    try:
-        return msgspec.msgpack.decode(data, type=kind)
-    except (RecursionError, UnicodeDecodeError) as error:
-        raise msgspec.DecodeError(f"data can't be read: {error}") from error
-
-
 def find_problems(value: Any, place: str) -> Iterator[str]:
     """Yield a message for each number in a decoded value that can't be passed on."""
     if isinstance(value, int):
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -43,7 +43,6 @@
 from ...routing.warmup import record_return
 from ..announcement_checks import take_valid
 from ..connections import make_tcp_connector
-from ..decoding import decode_msgpack
 from ..events import log_event
 from ..links import close_link
 from ..links import is_link_up
@@ -212,7 +211,7 @@
     held_version = -1 if context.index is None else context.index.document.version
     if body.document and body.version > held_version:
         data = zlib.decompress(body.document)
-        document = decode_msgpack(data, Document)
+        document = msgspec.msgpack.decode(data, type=Document)
         context.index = index_document(document)
         log_event(
             "gateway: Document in force",
--- a/src/waxwingwell/adapters/registry/evidence.py
+++ b/src/waxwingwell/adapters/registry/evidence.py
@@ -15,7 +15,6 @@
 from ...routing.quarantine import list_evidence
 from ...routing.quarantine import merge_evidence
 from ...state.storage import sync_folder
-from ..decoding import decode_msgpack
 from ..events import log_event
 
 
@@ -35,10 +34,15 @@
     path = context.settings.data_folder / FILE_NAME
     try:
         data = path.read_bytes()
-        evidence = decode_msgpack(data, tuple[CrashEvidence, ...])
+        evidence = msgspec.msgpack.decode(data, type=tuple[CrashEvidence, ...])
     except FileNotFoundError:
         return
-    except (OSError, msgspec.MsgspecError) as error:
+    except (
+        OSError,
+        RecursionError,
+        UnicodeDecodeError,
+        msgspec.MsgspecError,
+    ) as error:
         log_event("registry: Evidence is unreadable", reason=f"{path}: {error}")
         return
 
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import zlib
-from ipaddress import ip_address
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -23,6 +22,7 @@
 from ...routing.messages import ShareNews
 from ...routing.messages import ShareRouting
 from ...routing.messages import SubmitRouting
+from ...routing.names import is_ip_address
 from ...routing.quarantine import drop_expired as drop_expired_evidence
 from ...routing.reports import address_totals
 from ...routing.reports import drop_expired
@@ -86,12 +86,7 @@
 
 def is_control(name: str) -> bool:
     """Tell whether a process is a control: controls are named by their IP address."""
-    try:
-        ip_address(name)
-    except ValueError:
-        return False
-
-    return True
+    return is_ip_address(name)
 
 
 def handle_connection(context: RegistryContext, protocol: LinkProtocol) -> None:
--- a/src/waxwingwell/routing/announcements.py
+++ b/src/waxwingwell/routing/announcements.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 import math
 from typing import TYPE_CHECKING
 
 from ..records import Finding
 from .fleet import UpstreamState
 from .names import is_header_value
+from .names import is_ip_address
 
 
 if TYPE_CHECKING:
@@ -90,13 +90,3 @@
     """Return whether a number may be the start of an upstream, in milliseconds."""
     latest = math.inf if wall_time is None else wall_time + MAX_CLOCK_SKEW_SECONDS
     return 0 <= number <= latest * 1000
-
-
-def is_ip_address(host: str) -> bool:
-    """Return whether a text is an IPv4 or IPv6 address, without brackets."""
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-
-    return True
--- a/src/waxwingwell/routing/names.py
+++ b/src/waxwingwell/routing/names.py
@@ -1,7 +1,9 @@
-"""Names that are sent in headers."""
+"""Checks of names: those sent in headers, and addresses."""
 
 from __future__ import annotations
 
+import ipaddress
+
 
 def is_header_value(text: str) -> bool:
     """Return whether a text can be sent as a header's value, and arrives unchanged."""
@@ -11,3 +13,13 @@
         return False
 
     return text.isprintable() and text == text.strip()
+
+
+def is_ip_address(host: str) -> bool:
+    """Return whether a text is an IPv4 or IPv6 address, without brackets."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+
+    return True
