Ask once per retry whether the window of the budget is known

Each decision asked it twice: for the counter, and in the budget itself. The reason is looked up only where a retry was refused. No behaviour changes; test_exchange, test_slow_readers and test_retries pass as they are.

--- a/src/waxwingwell/adapters/gateway/retrying.py
+++ b/src/waxwingwell/adapters/gateway/retrying.py
@@ -146,10 +146,6 @@
     """
     context = exchange.context
     limits = context.settings.retries
-    if not (is_choice or knows_window(context.retries, limits, now)):
-        REFUSED_RETRIES.labels("counts_lost").inc()
-        return False
-
     allowed = may_retry(
         context.retries,
         exchange.find_service(),
@@ -160,7 +156,8 @@
         is_choice=is_choice,
     )
     if not allowed:
-        REFUSED_RETRIES.labels("budget").inc()
+        is_known = is_choice or knows_window(context.retries, limits, now)
+        REFUSED_RETRIES.labels("budget" if is_known else "counts_lost").inc()
 
     return allowed
 
