Keep what a lost control had been told in one table, also in the plays

The gateway and the plays of the budget each had the rule for how long it is reported, so that the plays did not test the gateway's. It stands beside the other counts of lost controls now. Controls add up what gateways had told former ones only while some control has ended, and take how long retries are known from the sums of the attached gateways, in place of once more. No behaviour changes; the tests keep their assertions.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -23,7 +23,7 @@
 from ...routing.limits import LimitTable
 from ...routing.load import LoadTable
 from ...routing.lookup import DocumentIndex
-from ...routing.messages import FormerCounts
+from ...routing.lost_counts import FormerTable
 from ...routing.messages import RelayGateway
 from ...routing.messages import RolloutState
 from ...routing.messages import ServiceDemand
@@ -162,10 +162,8 @@
     """Control that has got the last report."""
     reported_over: Any = None
     """Connection over which reports go."""
-    former: FormerCounts | None = None
+    former: FormerTable = field(default_factory=FormerTable)
     """What had been reported over the connection before, if it was lost."""
-    former_at: float = -math.inf
-    """Time at which that was found."""
     health: HealthTable = field(default_factory=HealthTable)
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -15,6 +15,8 @@
 from ...routing.load import count_known_gateways
 from ...routing.load import list_own_load
 from ...routing.load import sum_recent_prefill
+from ...routing.lost_counts import FormerTable
+from ...routing.lost_counts import find_former
 from ...routing.messages import FormerCounts
 from ...routing.messages import GatewayReport
 from ...routing.messages import RelayGateway
@@ -83,10 +85,10 @@
         return
 
     context.reported_over = protocol
-    context.former = None
+    context.former = FormerTable()
     if before is not None and before.closed.called:
-        context.former = FormerCounts(context.reported_to, context.reported_retries)
-        context.former_at = context.clock()
+        counts = FormerCounts(context.reported_to, context.reported_retries)
+        context.former = FormerTable(counts, context.clock())
 
 
 def report_crashes(context: GatewayContext) -> None:
@@ -132,21 +134,10 @@
         workspaces=list_workspaces(context.queues, context.exchanges) or msgspec.UNSET,
         room=make_room_field(context),
         paces=list_reported_paces(context, now) or msgspec.UNSET,
-        former=make_former_field(context, now),
+        former=find_former(context.former, context.settings.retries.window, now),
     )
 
 
-def make_former_field(
-    context: GatewayContext, now: float
-) -> FormerCounts | msgspec.UnsetType:
-    """Return the counts reported to the control before, within the window."""
-    if context.former is None:
-        return msgspec.UNSET
-
-    age = now - context.former_at
-    return context.former if age <= context.settings.retries.window else msgspec.UNSET
-
-
 def make_room_field(context: GatewayContext) -> float | msgspec.UnsetType:
     """Return the room for a report; unset while it is ample, to save its bytes."""
     room = report_room(context.room)
--- a/src/waxwingwell/routing/lost_counts.py
+++ b/src/waxwingwell/routing/lost_counts.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .messages import FormerCounts
 from .messages import LostCounts
 from .messages import ServiceRepeats
@@ -39,6 +42,25 @@
     entries: dict[tuple[str, int], LostEntry] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class FormerTable:
+    """What a gateway had reported over the last link that it lost."""
+
+    counts: FormerCounts | None = None
+    at: float = -math.inf
+    """Time at which the loss was found."""
+
+
+def find_former(
+    table: FormerTable, window: float, now: float
+) -> FormerCounts | msgspec.UnsetType:
+    """Return the counts for a report; unset without any that are in the window."""
+    if table.counts is None or now - table.at > window:
+        return msgspec.UNSET
+
+    return table.counts
+
+
 def record_lost(
     table: LostTable,
     control: str,
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -694,6 +694,9 @@
 
 def list_missing_counts(table: ReportTable) -> Iterable[ServiceRepeats]:
     """Return the counts of ended controls that no running gateway reports any more."""
+    if not table.lost.entries:
+        return ()
+
     told = (part for one in table.controls.values() for part in one.report.former or ())
     return list_missing(table.lost, (*list_former(table), *told))
 
@@ -713,7 +716,7 @@
         grants=True,
         late=late or msgspec.UNSET,
         repeats=sum_retries([*total.repeats, *list_missing_counts(table)]),
-        counted=describe_counted(table, now),
+        counted=attached.counted,
     )
     table.blocks_for_gateways.clear()
     return total
--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -27,6 +27,8 @@
 from waxwingwell.routing.load import LoadTable
 from waxwingwell.routing.load import apply_totals
 from waxwingwell.routing.load import count_gateways
+from waxwingwell.routing.lost_counts import FormerTable
+from waxwingwell.routing.lost_counts import find_former
 from waxwingwell.routing.messages import ControlReport
 from waxwingwell.routing.messages import FleetReport
 from waxwingwell.routing.messages import FormerCounts
@@ -129,15 +131,7 @@
     run: int = 0
     process: tuple[str, int] | None = None
     """Control that gets its reports, and which process of it."""
-    former: FormerCounts | None = None
-    former_at: float = 0.0
-
-    def find_former(self, now: float) -> FormerCounts | msgspec.UnsetType:
-        """Return what it had reported to the control before, within the window."""
-        if self.former is None or now - self.former_at > WINDOW:
-            return msgspec.UNSET
-
-        return self.former
+    former: FormerTable = field(default_factory=FormerTable)
 
 
 @dataclass(slots=True)
@@ -343,7 +337,8 @@
             gateway.lateness = LatenessTable()
             gateway.run += 1
             gateway.reported = ()
-            gateway.process = gateway.former = None
+            gateway.process = None
+            gateway.former = FormerTable()
             gateway.up = True
 
         self._schedule_at(when, kill)
@@ -387,7 +382,7 @@
                 repeats=repeats,
                 reported_at=now,
                 late=estimate_lateness(gateway.lateness, now),
-                former=gateway.find_former(now),
+                former=find_former(gateway.former, WINDOW, now),
             )
             gateway.reported = repeats
             gateway.lateness.sent.append(body)
@@ -408,8 +403,8 @@
         process = f"control-{gateway.control_index}", control.run
         if gateway.process not in (None, process):
             name = gateway.process[0] if gateway.process else ""
-            gateway.former = FormerCounts(name, gateway.reported)
-            gateway.former_at = now
+            counts = FormerCounts(name, gateway.reported)
+            gateway.former = FormerTable(counts, now)
 
         gateway.process = process
 
