Run and end the soak's additional callers with one piece of code

The outages had their own loop of short calls and the cancelling that the mode retries has. call_forever takes the kinds and the budget, end_calls serves both; kill_in_series is kill_half twice.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -67,10 +67,14 @@
     crowd: Crowd = field(default_factory=Crowd)
 
 
-async def call_forever(caller: Caller) -> None:
-    """Send one request after the other."""
+async def call_forever(
+    caller: Caller,
+    kinds: tuple[str, ...] = KINDS,
+    budget: float = BUDGET_SECONDS,
+) -> None:
+    """Send one request after the other, each with a budget in seconds."""
     while True:
-        await call_once(caller, caller.rng.choice(KINDS))
+        await call_once(caller, caller.rng.choice(kinds), budget=budget)
         await asyncio.sleep(MAX_PAUSE_SECONDS * caller.rng.random())
 
 
@@ -192,6 +196,16 @@
         request.intact = expected == response.body
 
 
+async def end_calls(calls: list[asyncio.Task[None]], callers: list[Caller]) -> None:
+    """End callers that call forever; their open requests are cancelled."""
+    for call in calls:
+        call.cancel()
+
+    await asyncio.gather(*calls, return_exceptions=True)
+    for caller in callers:
+        drop_connection(caller)
+
+
 def drop_connection(caller: Caller) -> None:
     """Abort the persistent connection, if there is one."""
     if caller.connection is not None:
--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -6,10 +6,8 @@
 import signal
 from typing import TYPE_CHECKING
 
-from .callers import MAX_PAUSE_SECONDS
 from .callers import call_forever
-from .callers import call_once
-from .callers import drop_connection
+from .callers import end_calls
 from .processes import kill_member
 from .processes import restart_member
 from .processes import signal_member
@@ -30,6 +28,8 @@
     from .schedule import SoakEnvironment
     from .upstreams import Upstream
 
+    Disturbance = Callable[[SoakEnvironment], Awaitable[None]]
+
 
 EXTRA_CALLERS_PER_GATEWAY = 12
 SHORT_CALLERS_PER_GATEWAY = 4
@@ -74,14 +74,6 @@
         await end_calls(calls, callers)
 
 
-async def call_briefly(caller: Caller) -> None:
-    """Send one call after the other, each with little time."""
-    while True:
-        kind = caller.rng.choice(CALL_KINDS)
-        await call_once(caller, kind, budget=SHORT_BUDGET_SECONDS)
-        await asyncio.sleep(MAX_PAUSE_SECONDS * caller.rng.random())
-
-
 async def run_outage(
     environment: SoakEnvironment,
     seconds: float,
@@ -95,7 +87,10 @@
         make_caller(environment, f"short{number}")
         for number in range(SHORT_CALLERS_PER_GATEWAY * len(environment.fleet.gateways))
     ]
-    short_calls = [asyncio.create_task(call_briefly(caller)) for caller in short]
+    short_calls = [
+        asyncio.create_task(call_forever(caller, CALL_KINDS, SHORT_BUDGET_SECONDS))
+        for caller in short
+    ]
     is_rejected = environment.seed // len(DISTURBANCES) % 2 == 1
     for upstream in environment.upstreams:
         set_failing(upstream, rejects=is_rejected, fails=True)
@@ -119,16 +114,6 @@
         upstream.truncated_share = float(fails)
 
 
-async def end_calls(calls: list[asyncio.Task[None]], callers: list[Caller]) -> None:
-    """End the additional callers; their open requests are cancelled."""
-    for call in calls:
-        call.cancel()
-
-    await asyncio.gather(*calls, return_exceptions=True)
-    for caller in callers:
-        drop_connection(caller)
-
-
 async def end_burst(environment: SoakEnvironment) -> None:
     """Wait while only the usual callers remain."""
     await asyncio.sleep(QUIET_SECONDS)
@@ -139,10 +124,11 @@
     await kill_at_once(environment, environment.fleet.members)
 
 
-async def kill_half(environment: SoakEnvironment) -> None:
+async def kill_half(environment: SoakEnvironment, first: int = 0) -> None:
     """Kill every second gateway and registry at once, and restart them."""
     fleet = environment.fleet
-    await kill_at_once(environment, [*fleet.gateways[::2], *fleet.registries[::2]])
+    half = [*fleet.gateways[first::2], *fleet.registries[first::2]]
+    await kill_at_once(environment, half)
 
 
 async def kill_gateways(environment: SoakEnvironment) -> None:
@@ -157,9 +143,8 @@
 
 async def kill_in_series(environment: SoakEnvironment) -> None:
     """Kill half of the processes, and the others as soon as those have restarted."""
-    fleet = environment.fleet
-    await kill_at_once(environment, [*fleet.gateways[::2], *fleet.registries[::2]])
-    await kill_at_once(environment, [*fleet.gateways[1::2], *fleet.registries[1::2]])
+    await kill_half(environment)
+    await kill_half(environment, first=1)
 
 
 async def kill_at_once(environment: SoakEnvironment, members: list[Member]) -> None:
@@ -231,10 +216,6 @@
     restart_member(member)
 
 
-if TYPE_CHECKING:
-    Disturbance = Callable[[SoakEnvironment], Awaitable[None]]
-
-
 DISTURBANCES: tuple[Disturbance, ...] = (
     kill_all,
     kill_half,
--- a/bench/soak/retries.py
+++ b/bench/soak/retries.py
@@ -12,6 +12,7 @@
 from .callers import call_forever
 from .callers import call_once
 from .callers import drop_connection
+from .callers import end_calls
 from .processes import kill_member
 from .processes import signal_member
 from .processes import start_member
@@ -89,12 +90,7 @@
     try:
         await asyncio.gather(*tasks, *callers)
     finally:
-        for call in calls:
-            call.cancel()
-
-        await asyncio.gather(*calls, return_exceptions=True)
-        for caller in extra:
-            drop_connection(caller)
+        await end_calls(calls, extra)
 
 
 async def call_long(caller: Caller, until: float) -> None:
