--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -24,6 +24,7 @@
 from .cuts import run_cuts
 from .evacuations import prepare_evacuations
 from .evacuations import run_evacuations
+from .herds import run_herds
 from .limits import run_limits
 from .operators import publish
 from .operators import read_documents_forever
@@ -59,6 +60,7 @@
 from .seeds import SoakCase
 from .starts import run_starts
 from .statements import run_statements
+from .stops import fork_random
 from .stops import run_stops
 from .stops import start_slow_callers
 from .upstreams import EVENT_SECONDS
@@ -97,6 +99,7 @@
     "rollouts": run_rollouts,
     "retries": run_retries,
     "outages": run_outages,
+    "herds": run_herds,
 }
 PREPARATIONS: dict[str, Callable[[SoakEnvironment], None]] = {
     "evacuations": prepare_evacuations,
@@ -113,25 +116,31 @@
     seconds: float,
     registries: int,
     gateways: int,
+    *,
+    keeps_settings: bool = False,
     **modes: bool,
 ) -> tuple[Journal, list[str]]:
     """Run one seed; return its journal and the guarantees that were violated.
 
-    Of ``modes``, which ``SCHEDULES`` names, at most one is true; without one, all
-    faults are injected.
+    Those of ``modes`` that are true, which ``SCHEDULES`` names, run side by side;
+    without one, all faults are injected. With ``keeps_settings`` processes are
+    restarted with the settings of their first start.
     """
-    mode = next((name for name, chosen in modes.items() if chosen), "")
+    chosen = [name for name, is_chosen in modes.items() if is_chosen]
+    counts = [UPSTREAMS_OF_MODES.get(name, UPSTREAMS_PER_SERVICE) for name in chosen]
     environment = await open_environment(
         folder,
         random.Random(seed),
         registries=registries,
         gateways=gateways,
-        upstreams_per_service=UPSTREAMS_OF_MODES.get(mode, UPSTREAMS_PER_SERVICE),
+        upstreams_per_service=max(counts, default=UPSTREAMS_PER_SERVICE),
+        keeps_settings=keeps_settings,
     )
     environment.seed = seed
     journal = environment.journal
-    if mode in PREPARATIONS:
-        PREPARATIONS[mode](environment)
+    for prepare in dict.fromkeys(map(PREPARATIONS.get, chosen)):
+        if prepare is not None:
+            prepare(environment)
 
     background = environment.background
     background.append(asyncio.create_task(watch_stalls(journal)))
@@ -139,10 +148,10 @@
     gc.disable()
     try:
         await start_traffic(environment, background)
-        if mode in SLOW_CALLER_MODES:
+        if SLOW_CALLER_MODES.intersection(chosen):
             background += start_slow_callers(environment)
 
-        await SCHEDULES.get(mode, run_faults)(environment, seconds)
+        await run_schedules(environment, seconds, chosen)
         await check_recovery(environment)
     finally:
         gc.enable()
@@ -157,6 +166,20 @@
     return journal, findings
 
 
+async def run_schedules(
+    environment: SoakEnvironment, seconds: float, chosen: Sequence[str]
+) -> None:
+    """Run the chosen schedules side by side, each with its own random generator."""
+    if len(chosen) < 2:
+        schedule = SCHEDULES[chosen[0]] if chosen else run_faults
+        await schedule(environment, seconds)
+        return
+
+    await asyncio.gather(
+        *[SCHEDULES[name](fork_random(environment), seconds) for name in chosen]
+    )
+
+
 async def open_environment(
     folder: Path,
     rng: random.Random,
@@ -165,9 +188,10 @@
     gateways: int,
     upstreams_per_service: int,
     event_interval: float = EVENT_SECONDS,
+    keeps_settings: bool = False,
 ) -> SoakEnvironment:
     """Start the product's processes behind proxies, without starting upstreams."""
-    fleet = make_fleet(folder, registries, gateways)
+    fleet = make_fleet(folder, registries, gateways, keeps_settings=keeps_settings)
     links = [
         await open_proxy(
             (member.record.address, fleet.proxy_port),
@@ -187,7 +211,7 @@
         Upstream(
             f"{service}-{number}",
             service,
-            f"127.0.3.{place}",
+            f"{fleet.network}.3.{place}",
             journal,
             random.Random(rng.getrandbits(64)),
             controls,
@@ -313,10 +337,14 @@
     rollouts: bool = False,
     retries: bool = False,
     outages: bool = False,
+    herds: bool = False,
+    keeps_settings: bool = False,
     kept: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
+    Several modes run side by side.
+
     With ``planned`` there are only planned stops, and some callers read slowly; with
     ``starts`` processes are also signalled while they restart. With ``evacuations``
     data centres are evacuated while registries fail; with ``limits`` upstreams name
@@ -326,7 +354,9 @@
     own content, with ``crowds`` most new connections go to one gateway, with
     ``rollouts`` versions are rolled out, some of them bad, with ``retries`` services
     fail as a whole, callers stand still, and messages and processes are late, with
-    ``outages`` both services fail at once, and processes are killed meanwhile.
+    ``outages`` both services fail at once, and processes are killed meanwhile, with
+    ``herds`` groups of processes are killed at once. With ``keeps_settings`` processes
+    are restarted with the settings of their first start.
     Without ``first`` the seeds are random; with ``kept`` they are those that have
     failed before. The logs of failed seeds, and of those with a roll-out that ended
     wrongly, are copied to ``keep``.
@@ -350,6 +380,8 @@
             rollouts=rollouts,
             retries=retries,
             outages=outages,
+            herds=herds,
+            keeps_settings=keeps_settings,
         )
         for seed in range(start, start + seeds)
     ]
@@ -390,6 +422,7 @@
         case.seconds,
         registries,
         gateways,
+        keeps_settings=case.keeps_settings,
         **{name: getattr(case, name) for name in SCHEDULES},
     )
 
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -121,4 +121,5 @@
     """Crash an upstream, and restart it under the same id."""
     stop_upstream(upstream)
     await asyncio.sleep(DOWN_SECONDS)
-    await start_upstream(upstream)
+    if not upstream.up:
+        await start_upstream(upstream)
--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -148,16 +148,22 @@
 
 
 async def kill_at_once(environment: SoakEnvironment, members: list[Member]) -> None:
-    """Kill processes at the same moment, and restart them together."""
-    for member in members:
+    """Kill processes at the same moment, and restart them together.
+
+    Those with another fault are left out.
+    """
+    killed = [member for member in members if not member.has_fault]
+    for member in killed:
+        member.has_fault = True
         signal_member(member, signal.SIGKILL)
 
-    for member in members:
+    for member in killed:
         kill_member(member)
 
     await asyncio.sleep(RESTART_SECONDS)
-    for member in members:
+    for member in killed:
         restart_member(member)
+        member.has_fault = False
 
 
 async def suspend_gateways(environment: SoakEnvironment) -> None:
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -25,6 +25,10 @@
 PACKAGES = (str(ROOT / "src"), str(ROOT / "platform"), sysconfig.get_path("purelib"))
 """Import path of the processes: the product's packages and the libraries."""
 PORT_ATTEMPTS = 100
+NETWORKS = tuple(f"127.{number}" for number in range(1, 255))
+"""First halves of the loopback addresses that a run may use alone."""
+CLAIM_PORT = 7009
+"""Port that a run holds on the first address of its network."""
 PORTS = 8
 """Consecutive ports of a process: three internal ones of the registries, three of the
 gateways, and two for callers, operators and readiness checks."""
@@ -44,6 +48,8 @@
     started_at: float = 0.0
     has_fault: bool = False
     """Whether a fault is being injected into the process."""
+    keeps_settings: bool = False
+    """Whether it is restarted with the settings of its first start."""
 
     @property
     def settings(self) -> Path:
@@ -61,6 +67,10 @@
     """All processes of one run."""
 
     folder: Path
+    network: str
+    """First half of the loopback addresses that belong to this run."""
+    claim: socket.socket
+    """Keeps other runs from using the network."""
     registries: list[Member] = field(default_factory=list)
     gateways: list[Member] = field(default_factory=list)
     link_port: int = 0
@@ -74,12 +84,21 @@
         return [*self.registries, *self.gateways]
 
 
-def make_fleet(folder: Path, registries: int, gateways: int) -> Fleet:
-    """Return a fleet whose processes have not been started."""
-    registry_addresses = tuple(f"127.0.1.{number + 1}" for number in range(registries))
-    gateway_addresses = tuple(f"127.0.2.{number + 1}" for number in range(gateways))
+def make_fleet(
+    folder: Path, registries: int, gateways: int, *, keeps_settings: bool = False
+) -> Fleet:
+    """Return a fleet whose processes have not been started.
+
+    With ``keeps_settings`` its processes are always restarted with the settings of
+    their first start.
+    """
+    network, claim = claim_network()
+    registry_addresses = tuple(
+        f"{network}.1.{number + 1}" for number in range(registries)
+    )
+    gateway_addresses = tuple(f"{network}.2.{number + 1}" for number in range(gateways))
     ports = find_ports(registry_addresses + gateway_addresses, PORTS)
-    fleet = Fleet(folder, link_port=ports[0], proxy_port=ports[3])
+    fleet = Fleet(folder, network, claim, link_port=ports[0], proxy_port=ports[3])
     for number, address in enumerate(registry_addresses + gateway_addresses):
         is_registry = address in registry_addresses
         name = f"registry-{number}" if is_registry else f"gateway-{number - registries}"
@@ -95,12 +114,30 @@
             first_start=True,
         )
         role = "registry" if is_registry else "gateway"
-        member = Member(role, record, folder)
+        member = Member(role, record, folder, keeps_settings=keeps_settings)
         (fleet.registries if is_registry else fleet.gateways).append(member)
 
     return fleet
 
 
+def claim_network() -> tuple[str, socket.socket]:
+    """Return a network that no other run uses, and the socket that claims it.
+
+    Two runs at the same addresses would disturb each other as processes restart.
+    """
+    for network in NETWORKS:
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.0.1", CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+
+        return network, claim
+
+    raise RuntimeError("all loopback networks are in use")
+
+
 def find_ports(addresses: tuple[str, ...], count: int) -> list[int]:
     """Return consecutive ports that are free on all addresses."""
     for _ in range(PORT_ATTEMPTS):
@@ -191,9 +228,17 @@
         shutil.rmtree(member.record.data_folder, ignore_errors=True)
 
 
+def replace_disk(member: Member) -> None:
+    """Give a stopped process an empty disk, as a member of a running system."""
+    wipe_member(member)
+    member.record = replace(member.record, first_start=False)
+
+
 def restart_member(member: Member) -> None:
     """Restart a process as a member of a system that has started before."""
-    member.record = replace(member.record, first_start=False)
+    if not member.keeps_settings:
+        member.record = replace(member.record, first_start=False)
+
     start_member(member)
 
 
@@ -206,3 +251,5 @@
     for member in fleet.members:
         if member.process is not None:
             member.process.wait()
+
+    fleet.claim.close()
--- a/bench/soak/prompt_checks.py
+++ b/bench/soak/prompt_checks.py
@@ -19,7 +19,7 @@
 
 MAX_ENDED = 3
 """Upstreams that may end under one request."""
-DISTURBANCES = frozenset({"kill_gateway", "disturb_registry"})
+DISTURBANCES = frozenset({"kill_gateway", "disturb_registry", "kill_herd"})
 """Faults through which gateways learn of crashes late."""
 MIN_REQUESTS = 20
 """Requests from which on the share of them that is served is checked."""
--- a/bench/soak/rollouts.py
+++ b/bench/soak/rollouts.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -63,9 +62,7 @@
 
     until: float
     """Time after which no roll-out is ordered."""
-    hosts: Iterator[str] = field(
-        default_factory=lambda: (f"127.0.4.{place}" for place in itertools.count(1))
-    )
+    hosts: Iterator[str]
     """Addresses of further upstreams."""
 
 
@@ -81,7 +78,9 @@
 async def run_rollouts(environment: SoakEnvironment, seconds: float) -> None:
     """Order roll-outs of all services for ``seconds``, while processes fail."""
     await await_contact(environment)
-    operation = Operation(read_clock() + seconds)
+    network = environment.fleet.network
+    hosts = (f"{network}.4.{place}" for place in itertools.count(1))
+    operation = Operation(read_clock() + seconds, hosts)
     planned = replace(environment, random=random.Random(environment.seed))
     services = sorted({one.service for one in environment.upstreams})
     over = asyncio.Event()
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -22,9 +22,9 @@
 from .processes import Member
 from .processes import describe_state
 from .processes import kill_member
+from .processes import replace_disk
 from .processes import restart_member
 from .processes import signal_member
-from .processes import wipe_member
 from .proxies import Proxy
 from .proxies import ProxyFault
 from .proxies import blackhole_pairs
@@ -158,7 +158,7 @@
         return None
 
     kill_member(member)
-    wipe_member(member)
+    replace_disk(member)
     await hold_fault(environment)
     restart_member(member)
     await asyncio.sleep(MAX_FAULT_SECONDS)
@@ -276,7 +276,9 @@
 
     stop_upstream(upstream, resets=environment.random.random() < 0.5)
     await hold_fault(environment)
-    await start_upstream(upstream)
+    if not upstream.up:
+        await start_upstream(upstream)
+
     return upstream.name
 
 
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -25,6 +25,8 @@
     rollouts: bool = False
     retries: bool = False
     outages: bool = False
+    herds: bool = False
+    keeps_settings: bool = False
 
 
 RELOADED_AT_START = "a settings reload signal ended a process that was starting"
--- a/tests/system/test_soak_records.py
+++ b/tests/system/test_soak_records.py
@@ -12,6 +12,7 @@
 
 from bench.soak.processes import describe_state
 from bench.soak.processes import make_fleet
+from bench.soak.processes import stop_fleet
 from bench.soak.records import STALL_SECONDS
 from bench.soak.records import Journal
 from bench.soak.records import Stall
@@ -92,7 +93,9 @@
     """The description of a process that does not stop."""
 
     def test_running_and_ended_processes(self) -> None:
-        [member, *_] = make_fleet(Path(), 1, 0).members
+        fleet = make_fleet(Path(), 1, 0)
+        self.addCleanup(stop_fleet, fleet)
+        [member] = fleet.members
         self.assertEqual(describe_state(member), "not started")
         member.process = subprocess.Popen(
             [sys.executable, "-c", "import sys; sys.stdin.read()"],
