Take only the founding of the group for the first start of a system

Callers of services that fail saw them fail for longer: processes that were killed together and started again with the settings of their first start sent a second budget of retries. Each control took that setting as proof that no gateway had sent anything before.

A control now knows it from having founded the group, which takes empty disks at all seeds; the others learn it with the totals. Without it the counts of the window are unknown, as after any other restart.

The new test fails with the setting in place of the founding.

--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -76,7 +76,7 @@
     )
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
-    start_counting(context.reports, context.clock(), is_first=settings.first_start)
+    start_counting(context.reports, context.clock())
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -12,6 +12,7 @@
 from ...routing.messages import NotAccepted
 from ...routing.messages import RoutingNow
 from ...routing.messages import SetEvacuation
+from ...routing.reports import record_founding
 from ...state.consensus.records import Membership
 from ...state.consensus.records import Timing
 from ...state.exceptions import CorruptStorageError
@@ -187,6 +188,8 @@
     else:
         tick_group(group, now)
         flush_group(group, now)
+        if group.replica.founded:
+            record_founding(context.reports)
 
     report_membership(context, now)
 
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -201,15 +201,19 @@
     """Advances with each list of relays, so that all gateways serve as relays."""
 
 
-def start_counting(table: ReportTable, now: float, *, is_first: bool) -> None:
-    """Record the start of this control.
-
-    ``is_first`` says that the whole system starts for the first time: no gateway has
-    sent anything before.
-    """
+def start_counting(table: ReportTable, now: float) -> None:
+    """Record the start of this control."""
     table.run = round(now * 1000)
     table.began_at = now
-    table.counted_since = -math.inf if is_first else now
+    table.counted_since = now
+
+
+def record_founding(table: ReportTable) -> None:
+    """Record that the system starts for the first time, as its group is founded.
+
+    No gateway has sent anything before.
+    """
+    table.counted_since = -math.inf
 
 
 def receive_report(table: ReportTable, report: GatewayReport, now: float) -> None:
--- a/src/waxwingwell/state/consensus/bootstrap.py
+++ b/src/waxwingwell/state/consensus/bootstrap.py
@@ -112,6 +112,7 @@
 
     ids = [member for member, _ in replica.probe_responses.values()]
     set_membership(replica, Membership(voters=(replica.member, *ids)), 0)
+    replica.founded = True
     start_election(replica, now)
 
 
--- a/src/waxwingwell/state/consensus/replica.py
+++ b/src/waxwingwell/state/consensus/replica.py
@@ -60,6 +60,8 @@
     timing: Timing
     random: random.Random
     bootstrap: bool = False
+    founded: bool = False
+    """Whether this process has founded the group: all configured members were empty."""
     list_contacts: Callable[[], Collection[str]] = tuple
     """Returns the names of the members that can be reached now, in the settings or
     not."""
--- a/tests/adapters/registry/test_members.py
+++ b/tests/adapters/registry/test_members.py
@@ -10,12 +10,16 @@
 from typing import cast
 from unittest import mock
 
+import msgspec
+
 from waxwingwell.adapters.registry import hub
 from waxwingwell.adapters.registry.hub import connect_control
 from waxwingwell.adapters.registry.members import REOPEN_SECONDS
 from waxwingwell.adapters.registry.members import count_voters
 from waxwingwell.adapters.registry.members import open_member
 from waxwingwell.adapters.registry.members import tick_member
+from waxwingwell.routing.reports import start_counting
+from waxwingwell.routing.reports import sum_fleet
 from waxwingwell.state.consensus.bootstrap import may_bootstrap
 from waxwingwell.state.consensus.messages import JoinRequest
 
@@ -127,6 +131,27 @@
         self.assertIn(LINKED, list_asked(registry))
 
 
+class CountingTest(unittest.TestCase):
+    """What a control knows of the retries before its start."""
+
+    def test_a_restart_with_the_settings_of_the_first_start(self) -> None:
+        """Guards against a budget that opens anew for a setting that was kept."""
+        with tempfile.TemporaryDirectory() as folder:
+            for name, is_known in (("first start", True), ("restart", False)):
+                with self.subTest(name):
+                    registry = make_registry(
+                        seeds=("127.0.0.1",),
+                        data_folder=Path(folder),
+                        first_start=True,
+                    )
+                    start_counting(registry.context.reports, 0.0)
+                    open_member(registry.context)
+                    tick(registry)
+                    found = sum_fleet(registry.context.reports, 2.0).counted
+                    self.assertIs(found is msgspec.UNSET, is_known)
+                    close_store(registry)
+
+
 def replica_of(registry: Registry) -> Replica:
     """Return the replica of an open registry."""
     group = registry.context.group
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -31,6 +31,7 @@
 from waxwingwell.routing.reports import make_total
 from waxwingwell.routing.reports import receive_control_report
 from waxwingwell.routing.reports import receive_report
+from waxwingwell.routing.reports import record_founding
 from waxwingwell.routing.reports import start_counting
 from waxwingwell.routing.reports import sum_fleet
 from waxwingwell.routing.reports import sum_totals
@@ -309,7 +310,10 @@
         for is_first, expected in ((True, None), (False, 2.0)):
             with self.subTest(is_first=is_first):
                 table = ReportTable()
-                start_counting(table, 100.0, is_first=is_first)
+                start_counting(table, 100.0)
+                if is_first:
+                    record_founding(table)
+
                 self.assertEqual(sum_fleet(table, 102.0).counted or None, expected)
 
     def test_counts_of_a_control_that_ends(self) -> None:
