Count an upstream that leaves as ended by a request that has crashed others

A request that crashes each upstream that begins to serve it was sent to a fourth one: the third had said 0.06 s before its end that it leaves, so its end was a planned one and no evidence. The upstreams of callers of other requests went with it.

The end of an upstream that leaves, rests no longer in the list or whose version was replaced now counts against the content of a request under which another one has crashed before. It says nothing about prompt blocks, which others share, nor about a request that has crashed none.

--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -20,6 +20,7 @@
 from ...routing.quarantine import SURVIVAL_SECONDS
 from ...routing.quarantine import drop_expired
 from ...routing.quarantine import find_group
+from ...routing.quarantine import has_crashed
 from ...routing.quarantine import is_quarantined
 from ...routing.quarantine import is_sound
 from ...routing.quarantine import is_suspected
@@ -159,7 +160,9 @@
     if lag is not None and lag >= BEGIN_SECONDS:
         return
 
-    if is_planned_end(context, upstream):
+    table = context.quarantine
+    planned = is_planned_end(context, upstream)
+    if planned and not has_crashed(table, exchange.content):
         return
 
     if attempt.connected_at is not None:
@@ -265,9 +268,17 @@
 
 def confirm_crash(context: GatewayContext, held: Break, now: float) -> None:
     """Record that an upstream has crashed under requests whose connections broke."""
-    if held.crashed or is_planned_end(context, held.upstream):
+    if held.crashed:
         return
 
+    if is_planned_end(context, held.upstream):
+        table = context.quarantine
+        held.requests = [
+            one for one in held.requests if has_crashed(table, one.request.content)
+        ]
+        if not held.requests:
+            return
+
     held.crashed = True
     UPSTREAM_CRASHES.inc()
     log_event(
@@ -295,20 +306,28 @@
 ) -> None:
     """Record the requests that a crashed upstream was starting to serve."""
     crash = find_key(held)
+    planned = is_planned_end(context, held.upstream)
     evidence: list[CrashEvidence] = []
     for one in requests:
-        one.request.crashes += one.lag is not None and not one.survived
-        evidence += list_suspects(one, crash)
+        clears = planned or one.survived
+        one.request.crashes += one.lag is not None and not clears
+        evidence += list_suspects(one, crash, clears=clears)
 
     if record_evidence(context.quarantine, evidence, now):
         apply_quarantine(context)
         report_crashes(context)
 
 
-def list_suspects(broken: BrokenRequest, crash: int) -> list[CrashEvidence]:
-    """Return what a crash says about a request and its blocks."""
+def list_suspects(
+    broken: BrokenRequest, crash: int, *, clears: bool
+) -> list[CrashEvidence]:
+    """Return what a crash says about a request and, unless it ``clears`` them, blocks.
+
+    One that an upstream's planned end explains says nothing about blocks that others
+    share.
+    """
     request = broken.request
-    blocks = () if broken.survived else request.blocks
+    blocks = () if clears else request.blocks
     name = shorten_content(request.content)
     return [
         CrashEvidence(key, crash, name, broken.lag)
--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -203,6 +203,14 @@
     return count_similar(held) + len(unconfirmed) >= MAX_ENDED
 
 
+def has_crashed(table: QuarantineTable, key: int) -> bool:
+    """Return whether a block or request is suspected of a crash.
+
+    An upstream that is expected to end may then have been ended by it.
+    """
+    return bool(list_suspected(table.blocks.get(key, {})))
+
+
 def is_quarantined(table: QuarantineTable, blocks: Collection[int]) -> bool:
     """Return whether a request with these blocks is quarantined."""
     return find_group(table, blocks) is not None
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -14,6 +14,7 @@
 from waxwingwell.routing.fleet import apply_heartbeats
 from waxwingwell.routing.hashes import hash_block
 from waxwingwell.routing.hashes import is_content
+from waxwingwell.routing.limits import record_leave
 
 from .paths import make_sole_gateway
 from .request_plays import MAX_ENDED
@@ -140,6 +141,32 @@
 
         self.assertEqual(count_suspected(gateway), 2)
 
+    def test_an_upstream_that_leaves_may_be_crashed_as_well(self) -> None:
+        """Guards against a request that goes on as an upstream under it had to end."""
+        for name, leaves, crashes in (
+            ("it leaves first", (True, False), 1),
+            ("it leaves after a crash", (False, True), 2),
+            ("it leaves twice", (True, True), 0),
+        ):
+            with self.subTest(name):
+                gateway = make_sole_gateway("u1")
+                for leaving in leaves:
+                    gateway.context.limits.leaves.clear()
+                    gateway.reactor.advance(1.0)
+                    gateway.ask()
+                    upstream = gateway.calls[-1]
+                    upstream.accept()
+                    if leaving:
+                        now = gateway.reactor.seconds()
+                        record_leave(gateway.context.limits, "u1", 1, now)
+
+                    upstream.reset()
+                    for check in gateway.checks:
+                        if check.port == upstream.port:
+                            check.refuse()
+
+                self.assertEqual(count_suspected(gateway), crashes)
+
     def test_an_upstream_that_falls_silent_has_crashed(self) -> None:
         """Guards against crashes that no later process shows."""
         for name, heard, others, answers, crashes in (
