Keep what binds others for a span of time in checkpoints of the controls

After all processes were killed at once nobody retried for a whole window, though most of the budget was left: streams that broke off in those seconds were lost. What was sent or learned and binds others for a span was counted by processes that live shorter, each kind in a way of its own: retries in memory of the controls, rests in that of one gateway, limits and brittle services in both, crashes on the disks once they sufficed for a quarantine.

One rule now: gateways tell their control, controls tell each other, and each control writes all of it to a checkpoint several times a second, without a sync, in a thread beside the reactor. A control that starts takes over what is still in its span, by the clock of the same boot. It knows the retries of the window if its former process wrote the checkpoint at most 2 s before; otherwise the caution of before stays. The requests of ended gateways allow retries until their window is over, shared by all, while no gateway is missing.

The crash evidence of a quarantine is still synced, in a file of its own, as a torn checkpoint must not take it along.

test_an_unreadable_file_is_ignored now covers both files and wrong checksums; in place of no file at all without a quarantine, no sync without a change.

--- a/src/waxwingwell/adapters/clock.py
+++ b/src/waxwingwell/adapters/clock.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import time
+from pathlib import Path
+
+
+BOOT_PATH = Path("/proc/sys/kernel/random/boot_id")
 
 
 def read_clock() -> float:
@@ -14,6 +18,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def read_boot() -> str:
+    """Return a text that differs between boots; empty if the kernel tells none."""
+    try:
+        return BOOT_PATH.read_text().strip()
+    except OSError:
+        return ""
+
+
 def read_wall_clock() -> float:
     """Return seconds since the epoch, for timestamps that people read."""
     return time.time()
--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -27,6 +27,7 @@
 from ...routing.quarantine import list_evidence
 from ...routing.quarantine import list_unreported
 from ...routing.reachability import has_lost_path
+from ...routing.rests import list_own_rests
 from ...routing.retries import list_retries
 from ...routing.room import list_statements
 from ...routing.sessions import list_kept_sessions
@@ -135,6 +136,8 @@
         room=make_room_field(context),
         paces=list_reported_paces(context, now) or msgspec.UNSET,
         former=find_former(context.former, context.settings.retries.window, now),
+        rests=list_own_rests(context.limits, context.settings.node, now)
+        or msgspec.UNSET,
     )
 
 
--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -35,6 +35,7 @@
 from ...routing.permits import apply_grants
 from ...routing.prefixes import apply_reported_blocks
 from ...routing.records import Document
+from ...routing.rests import apply_rests
 from ...routing.retries import apply_retry_totals
 from ...routing.room import apply_statements
 from ...routing.sessions import apply_kept_sessions
@@ -107,6 +108,7 @@
         apply_kept_sessions(context.sessions, body.kept, body.held)
         serve_queues(context)
         receive_speeds(context, sender, body.speeds or (), now)
+        apply_rests(context.limits, body.rests or (), now)
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
@@ -141,6 +143,7 @@
         now,
         late=late,
         is_partial=body.counted is not msgspec.UNSET,
+        hides=body.hides is True,
     )
 
 
--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -22,6 +22,7 @@
 from ..links import Link
 from ..links import LinkNode
 from ..links import LinkProtocol
+from .checkpoints import start_thread
 from .settings import RegistrySettings
 
 
@@ -89,10 +90,18 @@
     reports: ReportTable = field(default_factory=ReportTable)
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
     trials: TrialTable = field(default_factory=TrialTable)
+    boot: str = ""
+    """Distinguishes this boot of the VM from others."""
     stored_blocks: frozenset[int] = frozenset()
-    """Quarantined prompt blocks of which the evidence was stored last."""
-    store_evidence_at: float = -math.inf
-    """Earliest time of the next attempt to store it, after one that has failed."""
+    """Quarantined prompt blocks in the checkpoint that was stored durably last."""
+    storing: bool = False
+    """Whether a checkpoint is being written."""
+    store_at: float = -math.inf
+    """Earliest time of the next checkpoint."""
+    store_error: str = ""
+    """Why the last checkpoint was not stored; empty if it was."""
+    run_beside: Callable[[Callable[[], None]], None] = start_thread
+    """Runs a function that may wait for the disk."""
     watches: dict[tuple[str, float], RolloutWatch] = field(default_factory=dict)
     last_runs: dict[str, float] = field(default_factory=dict)
     """Time of the last run of each periodic task, by its name."""
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from ...routing.reports import start_counting
+from ..clock import read_boot
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
@@ -22,9 +23,9 @@
 from ..links import LinkHandlers
 from ..links import LinkNode
 from ..metrics_listener import serve_metrics
+from .checkpoints import load_checkpoints
 from .context import RegistryBody
 from .context import RegistryContext
-from .evidence import load_evidence
 from .hub import connect_control
 from .hub import handle_call
 from .hub import handle_cast
@@ -72,7 +73,11 @@
     the present time.
     """
     context = RegistryContext(
-        settings=settings, reactor=reactor, clock=read_clock, wall_clock=time.time
+        settings=settings,
+        reactor=reactor,
+        clock=read_clock,
+        wall_clock=time.time,
+        boot=read_boot(),
     )
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
@@ -105,7 +110,7 @@
         ports.append(serve_metrics(reactor, settings.metrics))
 
     settings.data_folder.mkdir(parents=True, exist_ok=True)
-    load_evidence(context)
+    load_checkpoints(context, started_at or context.clock())
     open_member(context, started_at)
     for name in settings.controls:
         connect_control(context, name)
--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -50,8 +50,8 @@
 from .announcements import list_news
 from .announcements import receive_news
 from .announcements import resend_announcements
+from .checkpoints import store_checkpoint
 from .context import SentState
-from .evidence import store_evidence
 from .members import is_current
 from .members import read_local_state
 from .members import request_flush
@@ -260,7 +260,7 @@
     """Send the periodic messages that are due."""
     share_routing(context, now)
     resend_announcements(context)
-    store_evidence(context, now)
+    store_checkpoint(context, now)
     if is_due(context, "exchange", EXCHANGE_SECONDS, now):
         exchange_reports(context, now)
 
--- a/src/waxwingwell/routing/lost_counts.py
+++ b/src/waxwingwell/routing/lost_counts.py
@@ -1,8 +1,12 @@
 """Retries that a control had counted before it ended.
 
 The others keep its last totals until the window of the budget is over, and tell
-controls that have just started. Gateways that were attached to it and still run report
-the same retries to another control; what they had reported before is subtracted.
+controls that have just started; so does its checkpoint. Gateways that were attached to
+it and still run report the same retries to another control; what they had reported
+before is subtracted.
+
+The requests of gateways that have ended still allow retries within the window. They are
+kept beside the others' as former requests.
 """
 
 from __future__ import annotations
@@ -10,6 +14,7 @@
 import math
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -22,6 +27,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -33,6 +39,10 @@
     repeats: tuple[ServiceRepeats, ...]
     at: float
     """Time at which they were received."""
+    gateways: int = 0
+    """Gateways in these totals."""
+    counted_at: float = 0.0
+    """Time at which they were counted, by that control's clock."""
 
 
 @dataclass(slots=True)
@@ -61,16 +71,21 @@
     return table.counts
 
 
-def record_lost(
-    table: LostTable,
-    control: str,
-    run: int,
-    repeats: tuple[ServiceRepeats, ...],
-    at: float,
-) -> None:
+def close_counts(parts: Iterable[ServiceRepeats]) -> tuple[ServiceRepeats, ...]:
+    """Return counts as those of processes that have ended."""
+    return tuple(
+        ServiceRepeats(
+            one.service, 0, one.repeats, one.drawn, former=one.requests + one.former
+        )
+        for one in parts
+        if one.repeats or one.requests or one.former
+    )
+
+
+def record_lost(table: LostTable, control: str, run: int, entry: LostEntry) -> None:
     """Record the last totals of a control that has ended."""
-    if repeats:
-        table.entries[control, run] = LostEntry(repeats, at)
+    if entry.repeats:
+        table.entries[control, run] = entry
 
 
 def receive_lost(
@@ -80,11 +95,18 @@
     *,
     is_running: Callable[[str, int], bool],
 ) -> None:
-    """Store what another control tells of controls that have ended."""
+    """Store what another control tells of controls that have ended.
+
+    Of two counts of the same process the later one is kept.
+    """
     for one in told:
         key = one.control, one.run
-        if key not in table.entries and not is_running(*key):
-            table.entries[key] = LostEntry(one.repeats, now - one.age)
+        known = table.entries.get(key)
+        is_later = known is None or one.counted_at > known.counted_at
+        if is_later and not is_running(*key):
+            table.entries[key] = LostEntry(
+                one.repeats, now - one.age, one.gateways, one.counted_at
+            )
 
 
 def drop_lost(table: LostTable, before: float) -> None:
@@ -97,7 +119,14 @@
 def list_lost(table: LostTable, now: float) -> tuple[LostCounts, ...]:
     """Return the entries for a message."""
     return tuple(
-        LostCounts(control, run, now - entry.at, entry.repeats)
+        LostCounts(
+            control,
+            run,
+            now - entry.at,
+            entry.repeats,
+            entry.gateways,
+            entry.counted_at,
+        )
         for (control, run), entry in table.entries.items()
     )
 
@@ -114,15 +143,26 @@
     )
 
 
+def count_lost_gateways(table: LostTable) -> int:
+    """Return the gateways that were attached to controls that have ended."""
+    return sum(entry.gateways for entry in table.entries.values())
+
+
 def list_missing(
     table: LostTable, former: Iterable[FormerCounts]
 ) -> Iterator[ServiceRepeats]:
-    """Yield the counts of ended controls that no running gateway reports any more."""
+    """Yield the counts of ended controls that no running gateway reports any more.
+
+    Requests count as former only where none of a control's gateways has been heard
+    since: others may have moved to another control before they ended, which has counted
+    them as well.
+    """
     returned = {
         (one.control, part.service): part
         for one in sum_former(former)
         for part in one.repeats
     }
+    drop_returned(table, {control for control, _ in returned})
     for (control, _), entry in table.entries.items():
         for part in entry.repeats:
             key = control, part.service
@@ -133,5 +173,21 @@
                 part.service, 0, back.repeats - repeats, back.drawn - drawn
             )
             yield ServiceRepeats(
-                part.service, 0, part.repeats - repeats, part.drawn - drawn
+                part.service,
+                0,
+                part.repeats - repeats,
+                part.drawn - drawn,
+                former=part.former,
             )
+
+
+def drop_returned(table: LostTable, controls: Collection[str]) -> None:
+    """Drop the former requests of controls whose gateways still run."""
+    for key, entry in table.entries.items():
+        if key[0] in controls:
+            table.entries[key] = replace(entry, repeats=drop_former(entry.repeats))
+
+
+def drop_former(parts: Iterable[ServiceRepeats]) -> tuple[ServiceRepeats, ...]:
+    """Return counts without the requests of processes that have ended."""
+    return tuple(msgspec.structs.replace(one, former=0) for one in parts)
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -235,6 +235,8 @@
     """Retries that the gateways' own parts of the budget do not cover."""
     shares: int = 0
     """Gateways whose share of the slack is included."""
+    former: int = 0
+    """Requests of processes that have ended; their retries are in ``repeats``."""
 
 
 class VersionEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -358,6 +360,19 @@
     running: int
 
 
+class RestState(msgspec.Struct, frozen=True, array_like=True):
+    """A rest that an upstream has asked a gateway for."""
+
+    gateway: str
+    upstream: str
+    incarnation: int
+    """Latest incarnation that was known when it asked."""
+    asked_at: float
+    """Time at which it asked, by the gateway's clock."""
+    left: float
+    """Seconds until the rest ends."""
+
+
 class FormerCounts(msgspec.Struct, frozen=True, array_like=True):
     """What gateways had reported to a control when they lost their links to it."""
 
@@ -374,6 +389,10 @@
     age: float
     """Seconds since its last report."""
     repeats: tuple[ServiceRepeats, ...]
+    gateways: int = 0
+    """Gateways in these totals."""
+    counted_at: float = 0.0
+    """Time at which that control counted them, by its own clock."""
 
 
 class GatewayReport(Message, frozen=True, kw_only=True):
@@ -422,6 +441,8 @@
     former: FormerCounts | msgspec.UnsetType = msgspec.UNSET
     """Retries within the window as reported to the control before, if it may have
     ended."""
+    rests: tuple[RestState, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Rests that upstreams have asked this gateway for; not sent if there are none."""
 
 
 class IncludedReport(msgspec.Struct, frozen=True, array_like=True):
@@ -462,6 +483,11 @@
     speeds: tuple[EngineSpeed, ...] | msgspec.UnsetType = msgspec.UNSET
     """Engines that are slower or faster than the median one, once a second; one that
     has returned is listed with the factor 1 for some seconds."""
+    rests: tuple[RestState, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Rests that the receiver's former process was asked for."""
+    hides: bool | msgspec.UnsetType = msgspec.UNSET
+    """Whether fewer gateways report than within the last window: some may be cut off,
+    and use what their requests allow."""
 
 
 class ReceivedReport(msgspec.Struct, frozen=True, array_like=True):
@@ -512,6 +538,8 @@
     """Controls that have ended within the window; not sent if there are none."""
     former: tuple[FormerCounts, ...] | msgspec.UnsetType = msgspec.UNSET
     """Sums of what the attached gateways had reported to former controls."""
+    rests: tuple[RestState, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Rests of all gateways; not sent if there are none."""
 
 
 RoutingBody = (
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -25,7 +25,10 @@
 from .limits import LimitTable
 from .limits import apply_states
 from .limits import list_states
+from .lost_counts import LostEntry
 from .lost_counts import LostTable
+from .lost_counts import close_counts
+from .lost_counts import count_lost_gateways
 from .lost_counts import drop_lost
 from .lost_counts import list_lost
 from .lost_counts import list_missing
@@ -40,6 +43,7 @@
 from .messages import GatewayReport
 from .messages import GrantPermits
 from .messages import IncludedReport
+from .messages import LostCounts
 from .messages import ReceivedReport
 from .messages import RelayGateway
 from .messages import ServiceDemand
@@ -56,6 +60,10 @@
 from .permits import GrantTable
 from .permits import drop_buckets
 from .permits import grant_permits
+from .rests import RestTable
+from .rests import drop_rests
+from .rests import list_rests
+from .rests import merge_rests
 from .retries import sum_retries
 from .room import BrittleTable
 from .room import apply_statements
@@ -74,6 +82,9 @@
 another control is counted at both for as long."""
 REPORT_INTERVAL_SECONDS = 0.3
 """Seconds within which the next report of a gateway or control should arrive."""
+RESTS_SECONDS = 2.0
+"""Seconds from the first report of a gateway's process in which it is told the rests of
+its former one: until controls that have started themselves know them."""
 SETTLE_SECONDS = 1.0
 """Seconds after its start within which a control hears of all running ones."""
 REPORT_TTL_SECONDS = 3.0
@@ -115,6 +126,8 @@
 
     report: GatewayReport
     received_at: float
+    first_at: float
+    """Time of the first report of this process."""
     sent_evidence: dict[EvidenceKey, SentEvidence] = field(default_factory=dict)
     """Evidence that was last sent to the other controls."""
     offered_at: float = -math.inf
@@ -187,6 +200,10 @@
     process, or of the oldest one that has told what it knows."""
     lost: LostTable = field(default_factory=LostTable)
     """What controls that have ended had counted."""
+    peak_gateways: int = 0
+    """Largest number of gateways counted within the retry window."""
+    peak_at: float = -math.inf
+    """Time at which that number was last counted."""
     blocks_for_gateways: dict[int, None] = field(default_factory=dict)
     """Hashes of prompt blocks for the next totals to the attached gateways."""
     blocks_for_controls: dict[int, None] = field(default_factory=dict)
@@ -195,6 +212,7 @@
     """Permits for requests to limited upstreams."""
     limits: LimitTable = field(default_factory=LimitTable)
     brittle: BrittleTable = field(default_factory=BrittleTable)
+    rests: RestTable = field(default_factory=RestTable)
     paces: PaceTable = field(default_factory=PaceTable)
     deviations: DeviationTable = field(default_factory=DeviationTable)
     relay_position: int = 0
@@ -220,10 +238,11 @@
     """Store a report of an attached gateway."""
     held = table.attached.get(report.gateway)
     if held is None:
-        table.attached[report.gateway] = GatewayEntry(report, now)
+        table.attached[report.gateway] = GatewayEntry(report, now, now)
     else:
         if report.run != held.report.run:
             record_departed(table, held)
+            held.first_at = now
 
         held.report = report
         held.received_at = now
@@ -233,6 +252,7 @@
     queue_blocks(table.blocks_for_gateways, report.read)
     queue_blocks(table.blocks_for_controls, report.read)
     receive_paces(table.paces, report.paces or (), now)
+    merge_rests(table.rests, report.rests or (), now)
 
 
 def respond_to_report(
@@ -372,7 +392,7 @@
     Gateways that are killed while a service fails and its budget is used up know of no
     retry after their restart, and would use the budget again within its window.
     """
-    used = drop_requests(held.report.repeats)
+    used = close_counts(held.report.repeats)
     if used:
         table.departed.append(DepartedGateway(used, held.received_at))
 
@@ -393,15 +413,25 @@
 
     apply_states(table.limits, report.limits, now)
     apply_statements(table.brittle, report.brittle, now)
+    merge_rests(table.rests, report.rests or (), now)
     receive_shared_paces(table.paces, control, report.paces or (), now)
     queue_blocks(table.blocks_for_gateways, report.total.read)
 
 
 def record_lost_control(table: ReportTable, control: str, held: ControlEntry) -> None:
     """Record what a control that has ended or stopped reporting had counted."""
-    repeats = drop_requests(held.report.total.repeats)
-    run = held.report.run or 0
-    record_lost(table.lost, control, run, repeats, held.received_at)
+    record_lost(table.lost, control, held.report.run or 0, close_entry(held))
+
+
+def close_entry(held: ControlEntry) -> LostEntry:
+    """Return a control's last totals as those of a process that has ended."""
+    report = held.report
+    return LostEntry(
+        close_counts(report.total.repeats),
+        held.received_at,
+        report.total.gateways,
+        report.sent_at or 0.0,
+    )
 
 
 def receive_known(
@@ -457,13 +487,20 @@
 def address_totals(
     table: ReportTable, gateway: str, total: FleetReport, now: float
 ) -> FleetReport:
-    """Return totals for an attached gateway, with the time of its report in them."""
+    """Return totals for an attached gateway, with the time of its report in them.
+
+    One that has just started is told the rests that its former process was asked for.
+    """
     held = table.attached.get(gateway)
     if held is None or held.report.reported_at is None:
         return total
 
+    is_new = now - held.first_at <= RESTS_SECONDS
+    rests = list_rests(table.rests, now, gateway) if is_new else ()
     included = IncludedReport(held.report.reported_at, now - held.received_at)
-    return msgspec.structs.replace(total, included=included)
+    return msgspec.structs.replace(
+        total, included=included, rests=rests or msgspec.UNSET
+    )
 
 
 def is_gateway_fresh(held: GatewayEntry, now: float) -> bool:
@@ -548,6 +585,7 @@
             record_lost_control(table, name, one)
 
     drop_lost(table.lost, now - table.retry_window)
+    drop_rests(table.rests, now)
     table.controls = {
         name: one
         for name, one in table.controls.items()
@@ -661,6 +699,7 @@
         run=table.run or msgspec.UNSET,
         lost=list_lost(table.lost, now) or msgspec.UNSET,
         former=list_former(table) or msgspec.UNSET,
+        rests=list_rests(table.rests, now) or msgspec.UNSET,
     )
 
 
@@ -679,6 +718,16 @@
     )
 
 
+def list_own_counts(table: ReportTable, now: float) -> tuple[LostCounts, ...]:
+    """Return this control's counts as those of a process that has ended."""
+    repeats = close_counts(sum_attached(table, now).repeats)
+    if not repeats:
+        return ()
+
+    gateways = len(table.attached)
+    return (LostCounts(table.name, table.run, 0.0, repeats, gateways, now),)
+
+
 def describe_counted(table: ReportTable, now: float) -> float | msgspec.UnsetType:
     """Return the seconds for which the retries of all gateways are known to a control.
 
@@ -714,18 +763,32 @@
     attached = sum_attached(table, now)
     total = sum_totals([attached, *others])
     late = max(attached.late or 0.0, find_others_lateness(table, now))
+    repeats = sum_retries([*total.repeats, *list_missing_counts(table)])
     total = msgspec.structs.replace(
         total,
         read=tuple(table.blocks_for_gateways),
         grants=True,
         late=late or msgspec.UNSET,
-        repeats=sum_retries([*total.repeats, *list_missing_counts(table)]),
+        repeats=repeats,
         counted=attached.counted,
+        hides=not is_complete(table, total.gateways, now) or msgspec.UNSET,
     )
     table.blocks_for_gateways.clear()
     return total
 
 
+def is_complete(table: ReportTable, gateways: int, now: float) -> bool:
+    """Return whether as many gateways report as within the last window.
+
+    If one does not, it may be cut off, and still use what its requests allow.
+    """
+    if gateways >= table.peak_gateways or now - table.peak_at > table.retry_window:
+        table.peak_gateways = gateways
+        table.peak_at = now
+
+    return gateways >= max(table.peak_gateways, count_lost_gateways(table.lost))
+
+
 def make_total(report: GatewayReport, *, fresh: bool = True) -> FleetReport:
     """Return the totals of one gateway."""
     total = FleetReport(
@@ -763,9 +826,9 @@
 def drop_requests(parts: Iterable[ServiceRepeats]) -> tuple[ServiceRepeats, ...]:
     """Return counts of retries without the requests, which would allow more of them."""
     return tuple(
-        ServiceRepeats(one.service, 0, one.repeats, one.drawn)
+        ServiceRepeats(one.service, 0, one.repeats, one.drawn, former=one.former)
         for one in parts
-        if one.repeats
+        if one.repeats or one.former
     )
 
 
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -11,9 +11,13 @@
 
 Retries are counted by the process that sends them and by the controls that get its
 reports. If all of these end together, the retries are still within the window, and
-nobody knows of them. Until some control has counted for a whole window, a gateway that
-has started within it retries nothing that has failed, and the others assume that
-nothing of what was counted before the loss has left the window.
+nobody knows of them, unless a control finds them in its checkpoint. Until some control
+has counted for a whole window, a gateway that has started within it retries nothing
+that has failed, and the others assume that nothing of what was counted before the loss
+has left the window.
+
+Requests of gateways that have ended allow retries until their window is over. What they
+allow beyond the others' requests is shared by all gateways.
 """
 
 from __future__ import annotations
@@ -24,6 +28,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .load import MAX_TOTAL_AGE_SECONDS
 from .messages import ServiceRepeats
 
@@ -53,6 +59,19 @@
 that is measured by round trips is half of what is measured."""
 
 
+FORMER_PART = 0.9
+"""Part of the requests of processes that have ended which still counts. Of requests at
+a steady rate, one of the windows by which the budget is judged holds at least as
+many."""
+
+
+UNREPORTED_SECONDS = 0.4
+"""Seconds before the end of a process of which nobody knows: most of those between two
+reports and between two checkpoints."""
+UNREPORTED_RETRIES = 2.0
+"""Retries that are assumed for each request within that time."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
     """Limits of the retry budget over all gateways."""
@@ -108,6 +127,8 @@
     """Time at which the totals were received."""
     is_partial: bool = False
     """Whether the totals miss retries of processes that have ended."""
+    hides: bool = False
+    """Whether gateways of the last window are missing in the totals."""
     earlier: dict[str, ServiceRepeats] = field(default_factory=dict)
     """The last totals of the others that missed none."""
     earlier_at: float = -math.inf
@@ -254,6 +275,7 @@
             previous.repeats + part.repeats,
             previous.drawn + part.drawn,
             previous.shares + part.shares,
+            previous.former + part.former,
         )
 
     return tuple(totals.values())
@@ -267,11 +289,13 @@
     *,
     late: float = 0.0,
     is_partial: bool = False,
+    hides: bool = False,
 ) -> None:
     """Store the totals over all gateways, less what they include of this gateway.
 
-    ``late`` is the number of seconds by which a part of the totals may be late, and
-    ``is_partial`` says that they miss a part of the window.
+    ``late`` is the number of seconds by which a part of the totals may be late,
+    ``is_partial`` says that they miss a part of the window, and ``hides`` that they
+    miss gateways.
     """
     own_counts = {one.service: one for one in reported}
     table.others = {}
@@ -283,11 +307,13 @@
             max(one.repeats - own.repeats, 0),
             max(one.drawn - own.drawn, 0),
             max(one.shares - own.shares, 0),
+            one.former,
         )
 
     table.others_at = now
     table.late = late
     table.is_partial = is_partial
+    table.hides = hides
     if not is_partial:
         table.earlier, table.earlier_at = table.others, now
 
@@ -300,7 +326,11 @@
     Where the totals miss a part of the window, what was known before the loss counts
     until it has left the window.
     """
-    one = table.others.get(service, ServiceRepeats(service, 0, 0))
+    known = table.others.get(service, ServiceRepeats(service, 0, 0))
+    one = add_unreported(known, limits)
+    if table.hides:
+        one = msgspec.structs.replace(one, former=0)
+
     if not table.is_partial or now - table.earlier_at > limits.window:
         return one
 
@@ -311,6 +341,17 @@
         max(one.repeats, before.repeats),
         max(one.drawn, before.drawn),
         one.shares,
+        one.former,
+    )
+
+
+def add_unreported(one: ServiceRepeats, limits: RetryLimits) -> ServiceRepeats:
+    """Return counts with the retries that ended processes may not have reported."""
+    part = UNREPORTED_RETRIES * UNREPORTED_SECONDS / limits.window
+    return msgspec.structs.replace(
+        one,
+        repeats=one.repeats + math.ceil(part * one.former),
+        drawn=one.drawn + part * one.former,
     )
 
 
@@ -352,9 +393,7 @@
         left = estimate_left(table, others, allowance, limits, part, now)
         return retries <= own_part + left
 
-    requests = len(account.requests) + others.requests
-    allowed = limits.ratio * requests + limits.slack
-    if retries + others.repeats > part * allowed:
+    if retries + others.repeats > part * sum_allowed(account, others, limits):
         return False
 
     if retries <= own_part:
@@ -364,6 +403,21 @@
     return account.credit >= 1.0
 
 
+def sum_allowed(
+    account: ServiceAccount, others: ServiceRepeats, limits: RetryLimits
+) -> float:
+    """Return the retries that the budget allows all gateways within the window."""
+    running = len(account.requests) + others.requests
+    requests = running + count_extra_requests(account, others)
+    return limits.ratio * requests + limits.slack
+
+
+def count_extra_requests(account: ServiceAccount, others: ServiceRepeats) -> float:
+    """Return by how many requests the former ones exceed those of running gateways."""
+    requests = len(account.requests) + others.requests
+    return max(FORMER_PART * others.former - requests, 0.0)
+
+
 def estimate_left(
     table: RetryTable,
     others: ServiceRepeats,
@@ -392,6 +446,25 @@
     return allowance + limits.ratio * others.requests + slack
 
 
+def count_former_allowance(
+    table: RetryTable,
+    account: ServiceAccount,
+    others: ServiceRepeats,
+    limits: RetryLimits,
+    now: float,
+) -> float:
+    """Return what the requests of ended gateways allow beyond those of running ones.
+
+    That includes the slack of gateways in their first window.
+    """
+    if not others.former:
+        return 0.0
+
+    shares = count_slack_shares(table, limits, now) + others.shares
+    slack = limits.slack * max(1.0 - shares / table.gateways, 0.0)
+    return limits.ratio * count_extra_requests(account, others) + slack
+
+
 def accrue_credit(
     table: RetryTable,
     account: ServiceAccount,
@@ -407,11 +480,21 @@
     """
     allowance = count_allowance(table, account, limits, now)
     total_allowance = sum_allowances(table, others, allowance, limits)
+    former = count_former_allowance(table, account, others, limits, now)
+    allowance += former / table.gateways
+    total_allowance += former
     if total_allowance <= 0.0:
         return
 
     drawn = count_drawn(table, account, limits, now) + others.drawn
-    remainder = max(FAILURE_PART * SHARED_PART * total_allowance - drawn, 0.0)
+    remainder = FAILURE_PART * SHARED_PART * total_allowance - drawn
+    if former:
+        # Ended gateways may have used less than their own parts, or more.
+        used = account.used + others.repeats
+        left = FAILURE_PART * sum_allowed(account, others, limits) - used
+        remainder = min(remainder, left)
+
+    remainder = max(remainder, 0.0)
     own_remainder = remainder * allowance / total_allowance
     # Without newer totals the remainder is not known any more.
     valid_until = min(now, table.others_at + TOTAL_VALID_SECONDS)
--- a/tests/adapters/gateway/hubs.py
+++ b/tests/adapters/gateway/hubs.py
@@ -20,14 +20,16 @@
 from twisted.internet.defer import Deferred
 
 from waxwingwell.adapters.gateway.steering import handle_cast as handle_gateway_cast
+from waxwingwell.adapters.registry.checkpoints import load_checkpoints
 from waxwingwell.adapters.registry.context import RegistryContext
-from waxwingwell.adapters.registry.evidence import load_evidence
 from waxwingwell.adapters.registry.hub import handle_cast as handle_control_cast
 from waxwingwell.adapters.registry.hub import handle_connection
 from waxwingwell.adapters.registry.hub import run_sharing
 from waxwingwell.adapters.registry.settings import RegistrySettings
 from waxwingwell.routing.messages import RoutingBody
 
+from ..registry.support import run_now
+
 
 if TYPE_CHECKING:
     from .engines import EngineReactor
@@ -108,9 +110,11 @@
             reactor=self.reactor,
             clock=self.reactor.seconds,
             wall_clock=self.reactor.seconds,
+            boot="boot",
+            run_beside=run_now,
         )
         context.settings.data_folder.mkdir(exist_ok=True)
-        load_evidence(context)
+        load_checkpoints(context, self.reactor.seconds())
         accepting: Any = FakeNode()
         context.node = accepting
         for other_name, other in self.controls.items():
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
 
@@ -19,6 +20,10 @@
 from waxwingwell.state.consensus.replica import Replica
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 @dataclass(eq=False, slots=True)
 class Connection:
     """A fake link connection that records sent messages unless it is at capacity."""
@@ -52,6 +57,11 @@
         return connection
 
 
+def run_now(run: Callable[[], None]) -> None:
+    """Run at once what waits for the disk in a thread otherwise."""
+    run()
+
+
 def make_registry(
     address: str = "127.0.0.1",
     *,
@@ -75,6 +85,8 @@
         reactor=clock,
         clock=clock.seconds,
         wall_clock=clock.seconds,
+        boot="boot",
+        run_beside=run_now,
     )
     node: Any = LinkNode(
         name=address,
--- a/tests/adapters/registry/test_checkpoints.py
+++ b/tests/adapters/registry/test_checkpoints.py
@@ -1,16 +1,21 @@
-"""Tests of the evidence on quarantined prompt blocks in the data folder."""
+"""Tests of the checkpoints in the data folder."""
 
 from __future__ import annotations
 
+import os
 import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
-
-from waxwingwell.adapters.registry.evidence import FILE_NAME
-from waxwingwell.adapters.registry.evidence import RETRY_SECONDS
-from waxwingwell.adapters.registry.evidence import load_evidence
-from waxwingwell.adapters.registry.evidence import store_evidence
+from unittest import mock
+
+from waxwingwell.adapters.registry.checkpoints import CHECKPOINT_SECONDS
+from waxwingwell.adapters.registry.checkpoints import DURABLE_NAME
+from waxwingwell.adapters.registry.checkpoints import FILE_NAME
+from waxwingwell.adapters.registry.checkpoints import RETRY_SECONDS
+from waxwingwell.adapters.registry.checkpoints import load_checkpoints
+from waxwingwell.adapters.registry.checkpoints import make_checksum
+from waxwingwell.adapters.registry.checkpoints import store_checkpoint
 from waxwingwell.routing.quarantine import MIN_CRASHES
 from waxwingwell.routing.quarantine import is_quarantined
 from waxwingwell.routing.quarantine import record_crash
@@ -37,7 +42,7 @@
         registry.context.settings = replace(
             registry.context.settings, data_folder=folder or self.folder
         )
-        load_evidence(registry.context)
+        load_checkpoints(registry.context, registry.clock.seconds())
         return registry
 
     def quarantine(self, registry: Registry) -> None:
@@ -50,37 +55,44 @@
         """Guards against a quarantine that ends as all processes end at once."""
         registry = self.start()
         self.quarantine(registry)
-        store_evidence(registry.context, 0.0)
+        store_checkpoint(registry.context, 0.0)
         self.assertTrue(is_quarantined(self.start().context.quarantine, (BLOCK,)))
 
     def test_its_end_is_stored_as_well(self) -> None:
         registry = self.start()
         self.quarantine(registry)
-        store_evidence(registry.context, 0.0)
+        store_checkpoint(registry.context, 0.0)
         record_survival(registry.context.quarantine, (BLOCK,), 1.0)
-        store_evidence(registry.context, 1.0)
+        store_checkpoint(registry.context, 1.0)
         self.assertFalse(is_quarantined(self.start().context.quarantine, (BLOCK,)))
 
     def test_an_unreadable_file_is_ignored(self) -> None:
         """Guards against a control that does not start for a torn file."""
-        for data in (b"", b"\x92", b"nonsense"):
-            with self.subTest(data):
-                (self.folder / FILE_NAME).write_bytes(data)
-                self.assertEqual(self.start().context.quarantine.blocks, {})
+        invalid = make_checksum(b"\x92") + b"\x92"
+        for data in (b"", b"\x92", b"nonsense", b"\0" * 40, invalid):
+            for name in (FILE_NAME, DURABLE_NAME):
+                with self.subTest(data, name=name):
+                    (self.folder / name).write_bytes(data)
+                    self.assertEqual(self.start().context.quarantine.blocks, {})
 
     def test_a_failed_write_is_repeated(self) -> None:
         """Guards against evidence lost to a disk that is full for some seconds."""
         folder = self.folder / "later"
         registry = self.start(folder)
         self.quarantine(registry)
-        store_evidence(registry.context, 0.0)
+        store_checkpoint(registry.context, 0.0)
         folder.mkdir()
-        store_evidence(registry.context, RETRY_SECONDS / 2)
-        self.assertFalse((folder / FILE_NAME).exists())
-        store_evidence(registry.context, RETRY_SECONDS)
-        self.assertTrue((folder / FILE_NAME).exists())
+        store_checkpoint(registry.context, RETRY_SECONDS / 2)
+        self.assertFalse((folder / DURABLE_NAME).exists())
+        store_checkpoint(registry.context, RETRY_SECONDS)
+        self.assertTrue((folder / DURABLE_NAME).exists())
 
-    def test_nothing_is_written_without_a_change(self) -> None:
+    def test_nothing_is_synced_without_a_change(self) -> None:
+        """Guards against a control that waits for its disk several times a second."""
         registry = self.start()
-        store_evidence(registry.context, 0.0)
-        self.assertEqual(list(self.folder.iterdir()), [])
+        with mock.patch.object(os, "fsync") as sync:
+            store_checkpoint(registry.context, 0.0)
+            store_checkpoint(registry.context, CHECKPOINT_SECONDS)
+
+        sync.assert_not_called()
+        self.assertEqual(list(self.folder.iterdir()), [self.folder / FILE_NAME])
--- a/tests/routing/budget_plays.py
+++ b/tests/routing/budget_plays.py
@@ -18,8 +18,12 @@
 
 import msgspec
 
+from waxwingwell.adapters.registry.checkpoints import CHECKPOINT_SECONDS
 from waxwingwell.adapters.registry.hub import EXCHANGE_SECONDS
 from waxwingwell.adapters.registry.hub import REPORT_SECONDS
+from waxwingwell.routing.checkpoints import Checkpoint
+from waxwingwell.routing.checkpoints import apply_checkpoint
+from waxwingwell.routing.checkpoints import make_checkpoint
 from waxwingwell.routing.lateness import LatenessTable
 from waxwingwell.routing.lateness import estimate_lateness
 from waxwingwell.routing.lateness import find_included
@@ -34,6 +38,7 @@
 from waxwingwell.routing.messages import FormerCounts
 from waxwingwell.routing.messages import GatewayReport
 from waxwingwell.routing.messages import ServiceRepeats
+from waxwingwell.routing.quarantine import QuarantineTable
 from waxwingwell.routing.reports import ReportTable
 from waxwingwell.routing.reports import address_totals
 from waxwingwell.routing.reports import drop_expired
@@ -57,6 +62,7 @@
 
 
 SERVICE = "chat"
+BOOT = "boot"
 CONTROLS = 5
 WINDOW = 10.0
 START_SECONDS = 12.0
@@ -105,6 +111,8 @@
     herd: tuple[float, float] | None = None
     """Time at which a share of the gateways and controls is killed at once, and that
     share."""
+    keeps_disks: bool = True
+    """Whether controls that restart find their checkpoints."""
     unlinked: tuple[float, float] | None = None
     """Interval in which a third of the gateways reach no control."""
     uncontrolled: bool = False
@@ -142,6 +150,8 @@
     up: bool = True
     paused: bool = False
     run: int = 0
+    checkpoint: Checkpoint | None = None
+    """The last one on its disk."""
 
 
 @dataclass(slots=True)
@@ -173,6 +183,17 @@
         ]
         return sum(used for used, _ in windows) / sum(allowed for _, allowed in windows)
 
+    def find_use_of_left(self, scenario: Scenario, killed_at: float) -> float:
+        """Return the part of the unused budget that was used after a kill.
+
+        Counted is the window that begins as the service fails.
+        """
+        first = START_SECONDS + scenario.fail_at
+        used, allowed = self._count(scenario, first)
+        since = bisect_left(self.sent_retries, first)
+        before = bisect_left(self.sent_retries, killed_at) - since
+        return (used - before) / max(allowed - before, 1.0)
+
     def _count(self, scenario: Scenario, at: float) -> tuple[float, float]:
         most = max(
             count_between(self.requests, at - back) for back in (0, WINDOW / 2, WINDOW)
@@ -197,6 +218,7 @@
         )
         self.random = random.Random(scenario.seed)
         self.outcome = Outcome()
+        self.quarantine = QuarantineTable()
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order = count()
         self.controls = [
@@ -252,6 +274,7 @@
         for index in range(CONTROLS):
             self._schedule_periodic(EXCHANGE_SECONDS, self._make_exchange_sender(index))
             self._schedule_periodic(REPORT_SECONDS, self._make_total_sender(index))
+            self._schedule_periodic(CHECKPOINT_SECONDS, self._make_saver(index))
 
         self._schedule_at(START_SECONDS, self._handle_request)
         self._schedule_faults()
@@ -307,13 +330,19 @@
             self.controls[index].run += 1
 
         def start(now: float) -> None:
-            self.controls[index].reports = ReportTable(
+            control = self.controls[index]
+            control.reports = ReportTable(
                 name=f"control-{index}",
-                run=self.controls[index].run,
+                run=control.run,
                 began_at=now,
                 counted_since=now,
             )
-            self.controls[index].up = True
+            if control.checkpoint is not None and self.scenario.keeps_disks:
+                apply_checkpoint(
+                    control.reports, self.quarantine, control.checkpoint, BOOT, now, now
+                )
+
+            control.up = True
 
         self._schedule_at(when, kill)
         self._schedule_at(when + 1.0, start)
@@ -492,6 +521,17 @@
 
         return arrive
 
+    def _make_saver(self, index: int) -> Callable[[float], None]:
+        control = self.controls[index]
+
+        def save(now: float) -> None:
+            if control.up and not control.paused:
+                control.checkpoint = make_checkpoint(
+                    control.reports, self.quarantine, BOOT, now
+                )
+
+        return save
+
     def _make_total_sender(self, index: int) -> Callable[[float], None]:
         control = self.controls[index]
 
@@ -526,6 +566,7 @@
                 at,
                 late=late,
                 is_partial=body.counted is not msgspec.UNSET,
+                hides=body.hides is True,
             )
 
         return arrive
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import Any
 
+from .budget_plays import START_SECONDS
 from .budget_plays import Scenario
 from .budget_plays import draw_late_scenario
 from .budget_plays import draw_scenario
@@ -13,6 +14,8 @@
 
 MIN_MEAN_USE = 0.85
 """Least part of the budget that must be used if every request fails."""
+MIN_USE_OF_LEFT = 0.5
+"""Least part of what is left that must be used after all processes were killed."""
 LATE_SEEDS = (1, 3)
 DRAWN_SCENARIOS = 12
 """Number of random scenarios."""
@@ -162,14 +165,35 @@
             {"gateways": 78, "rate": 390, "ratio": 0.2, "slack": 58.0},
         )
         for fields in deployments:
-            for share in (0.6, 1.0):
+            for share, keeps_disks in ((0.6, True), (1.0, True), (1.0, False)):
                 for after in (2.0, 4.0):
-                    herd = (14.0 + after, share)
-                    scenario = Scenario(**fields, herd=herd, seconds=32.0)
+                    scenario = Scenario(
+                        **fields,
+                        herd=(14.0 + after, share),
+                        keeps_disks=keeps_disks,
+                        seconds=32.0,
+                    )
                     with self.subTest(scenario):
                         used, allowed = run_scenario(scenario).peak_use(scenario)
                         self.assertLessEqual(used, allowed)
 
+    def test_what_is_left_is_used_after_all_are_killed(self) -> None:
+        """Guards against a window without retries though most of them are unused."""
+        deployments: tuple[dict[str, Any], ...] = (
+            {"gateways": 8, "rate": 48, "ratio": 0.9, "slack": 56.0},
+            {"gateways": 9, "rate": 35, "ratio": 0.9, "slack": 58.0},
+        )
+        for fields in deployments:
+            for after in (0.5, 1.0, 2.0):
+                scenario = Scenario(**fields, herd=(14.0 + after, 1.0), seconds=30.0)
+                with self.subTest(scenario):
+                    outcome = run_scenario(scenario)
+                    used, allowed = outcome.peak_use(scenario)
+                    self.assertLessEqual(used, allowed)
+                    killed_at = START_SECONDS + 14.0 + after
+                    left = outcome.find_use_of_left(scenario, killed_at)
+                    self.assertGreaterEqual(left, MIN_USE_OF_LEFT)
+
     def test_gateways_are_killed_with_the_controls_that_count_them(self) -> None:
         """Guards against counts that are lost with the last process that had them."""
         killed = (14.262853873237459, 15.9159159066602, 15.607264500164058)
