--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -45,6 +45,10 @@
 
     await asyncio.gather(*background[:2])
     background[2].cancel()
+    await asyncio.gather(background[2], return_exceptions=True)
+    for upstream in environment.upstreams:
+        if not upstream.up:
+            await start_upstream(upstream)
 
 
 async def name_limits(environment: SoakEnvironment) -> str | None:
@@ -79,6 +83,7 @@
 async def be_brittle(environment: SoakEnvironment) -> str | None:
     """Let all upstreams be brittle for a while."""
     began_at = read_clock()
+    slots = {upstream.name: upstream.slots for upstream in environment.upstreams}
     for upstream in environment.upstreams:
         upstream.rejection_limit = environment.random.randint(1, MAX_REJECTIONS)
         upstream.slots = BRITTLE_SLOTS
@@ -87,6 +92,7 @@
     environment.journal.brittle_spans.append((began_at, read_clock()))
     for upstream in environment.upstreams:
         upstream.rejection_limit = None
+        upstream.slots = slots.get(upstream.name, upstream.slots)
 
     return "upstreams"
 
@@ -119,6 +125,9 @@
 
 async def restart_upstream(upstream: Upstream) -> None:
     """Crash an upstream, and restart it under the same id."""
+    if not upstream.up:
+        return
+
     stop_upstream(upstream)
     await asyncio.sleep(DOWN_SECONDS)
     if not upstream.up:
--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -15,6 +15,7 @@
 from .proxies import ProxyFault
 from .proxies import reset_pairs
 from .records import read_clock
+from .schedule import await_member
 from .schedule import record_fault
 from .stops import record_stop
 
@@ -217,9 +218,11 @@
 async def add_gateway(environment: SoakEnvironment) -> None:
     """Restart a gateway that has been down for longer than others remember it."""
     member = environment.fleet.gateways[-1]
+    await await_member(member)
     kill_member(member)
     await asyncio.sleep(CUT_SECONDS)
     restart_member(member)
+    member.has_fault = False
 
 
 DISTURBANCES: tuple[Disturbance, ...] = (
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -118,6 +118,14 @@
     return member
 
 
+async def await_member(member: Member) -> None:
+    """Reserve a process for a fault as soon as it has none."""
+    while member.has_fault:
+        await asyncio.sleep(POLL_SECONDS)
+
+    member.has_fault = True
+
+
 def reserve_any_member(environment: SoakEnvironment) -> Member | None:
     """Reserve a gateway or a registry; a majority of registries stays intact."""
     if environment.random.random() < 0.5:
--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -13,6 +13,7 @@
 from .callers import call_once
 from .readers import LARGE_STREAM_SECONDS
 from .records import read_clock
+from .schedule import await_member
 from .schedule import change
 from .schedule import hang_up
 from .schedule import record_fault
@@ -128,6 +129,7 @@
     async def stop(environment: SoakEnvironment) -> str:
         return await stop_member(environment, member, number)
 
+    await await_member(member)
     await record_fault(environment, stop)
 
 
