--- a/src/waxwingwell/adapters/registry/hub.py
+++ b/src/waxwingwell/adapters/registry/hub.py
@@ -26,13 +26,13 @@
 from ...routing.quarantine import drop_expired as drop_expired_evidence
 from ...routing.reports import address_totals
 from ...routing.reports import drop_expired
-from ...routing.reports import has_invalid_demand
 from ...routing.reports import make_control_report
 from ...routing.reports import make_full_report
 from ...routing.reports import receive_control_report
 from ...routing.reports import receive_report
 from ...routing.reports import stamp_report
 from ...routing.reports import sum_fleet
+from ...routing.totals import has_invalid_demand
 from ...routing.trials import drop_trials
 from ...state.consensus.messages import ConsensusMessage
 from ...state.consensus.records import name_of
--- a/src/waxwingwell/experiments/placement_simulation.py
+++ b/src/waxwingwell/experiments/placement_simulation.py
@@ -39,7 +39,7 @@
 from ..routing.prefixes import mark_reported
 from ..routing.prefixes import record_blocks
 from ..routing.records import Service
-from ..routing.reports import sum_use
+from ..routing.totals import sum_use
 
 
 TOTALS_INTERVAL_SECONDS = 0.25
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -62,6 +62,10 @@
     run()
 
 
+def drop_write(_: Callable[[], None]) -> None:
+    """Stand for a disk whose writes are not looked at."""
+
+
 def make_registry(
     address: str = "127.0.0.1",
     *,
@@ -86,7 +90,7 @@
         clock=clock.seconds,
         wall_clock=clock.seconds,
         boot="boot",
-        run_beside=run_now,
+        run_beside=run_now if data_folder else drop_write,
     )
     node: Any = LinkNode(
         name=address,
--- a/tests/adapters/registry/test_checkpoints.py
+++ b/tests/adapters/registry/test_checkpoints.py
@@ -5,7 +5,6 @@
 import os
 import tempfile
 import unittest
-from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
@@ -38,10 +37,7 @@
 
     def start(self, folder: Path | None = None) -> Registry:
         """Start a control with the folder, or another one."""
-        registry = make_registry()
-        registry.context.settings = replace(
-            registry.context.settings, data_folder=folder or self.folder
-        )
+        registry = make_registry(data_folder=folder or self.folder)
         load_checkpoints(registry.context, registry.clock.seconds())
         return registry
 
--- a/tests/routing/queue_plays.py
+++ b/tests/routing/queue_plays.py
@@ -41,9 +41,6 @@
 from waxwingwell.routing.messages import ServiceDemand
 from waxwingwell.routing.messages import UpstreamUse
 from waxwingwell.routing.messages import WorkspaceUse
-from waxwingwell.routing.reports import sum_demand
-from waxwingwell.routing.reports import sum_use
-from waxwingwell.routing.reports import sum_workspaces
 from waxwingwell.routing.scheduling import FLOOR_PART
 from waxwingwell.routing.scheduling import Waiting
 from waxwingwell.routing.scheduling import choose_start
@@ -51,6 +48,9 @@
 from waxwingwell.routing.scheduling import find_over_share
 from waxwingwell.routing.scheduling import list_hopeless
 from waxwingwell.routing.scheduling import sort_waiting
+from waxwingwell.routing.totals import sum_demand
+from waxwingwell.routing.totals import sum_use
+from waxwingwell.routing.totals import sum_workspaces
 
 
 if TYPE_CHECKING:
--- a/tests/routing/test_reports.py
+++ b/tests/routing/test_reports.py
@@ -24,17 +24,17 @@
 from waxwingwell.routing.reports import ReportTable
 from waxwingwell.routing.reports import count_reporting
 from waxwingwell.routing.reports import drop_expired
-from waxwingwell.routing.reports import has_invalid_demand
 from waxwingwell.routing.reports import list_gateways_without_state
 from waxwingwell.routing.reports import make_control_report
 from waxwingwell.routing.reports import make_full_report
-from waxwingwell.routing.reports import make_total
 from waxwingwell.routing.reports import receive_control_report
 from waxwingwell.routing.reports import receive_report
 from waxwingwell.routing.reports import record_founding
 from waxwingwell.routing.reports import start_counting
 from waxwingwell.routing.reports import sum_fleet
-from waxwingwell.routing.reports import sum_totals
+from waxwingwell.routing.totals import has_invalid_demand
+from waxwingwell.routing.totals import make_total
+from waxwingwell.routing.totals import sum_totals
 
 
 USE = (UpstreamUse(upstream="u1", running=2, backlog=10),)
