Record a stated leave only where the gateway can have read it

The trace shows that the gateway had given the attempt up 0.24 s after it was placed, with no response, and closed the connection; the response came later. Its log has the leave 0.5 s after the order was placed, with the first response that it read. What is read still counts as before.

--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -249,12 +249,16 @@
     while (request := await read_head(reader)) is not None:
         await read_body(reader, request)
         process = upstream.proxy.peers.get(port, 0)
-        if not await serve_request(upstream, request, writer, process):
+        if not await serve_request(upstream, request, reader, writer, process):
             return
 
 
 async def serve_request(
-    upstream: Upstream, request: Message, writer: StreamWriter, process: int
+    upstream: Upstream,
+    request: Message,
+    reader: StreamReader,
+    writer: StreamWriter,
+    process: int,
 ) -> bool:
     """Process a request of a gateway's process, unless it is meant for another server.
 
@@ -297,7 +301,8 @@
     )
     try:
         served = await process_request(upstream, sent, run, writer, effect)
-        if leaves:
+        # A gateway that has closed the connection gets no response.
+        if leaves and not reader.at_eof():
             record_leave(upstream, identity, process)
 
         if effect.is_flawed:
