--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -43,6 +43,8 @@
 bytes."""
 PLANNED_FAULTS = frozenset({"stop", "hang_up", "change"})
 """Planned operations, during which no response may be lost."""
+OUTAGES = frozenset({"fail_services", "kill_herd"})
+"""Faults of whole services, and of groups of processes."""
 DRAIN_SECONDS = 2.0
 """Seconds after an acknowledged leave during which new work may still arrive."""
 STAT_PATH = Path("/proc/stat")
@@ -309,6 +311,20 @@
     )
 
 
+def list_outages(journal: Journal) -> list[Fault]:
+    """Return the faults by which no gateway, or no upstream, may serve for a while."""
+    return [fault for fault in journal.faults if fault.name in OUTAGES]
+
+
+def is_beside(request: CallerRequest, faults: list[Fault]) -> bool:
+    """Return whether a request overlapped or just followed one of some faults."""
+    return any(
+        fault.began_at <= request.ended_at
+        and request.began_at <= fault.ended_at + SETTLE_SECONDS
+        for fault in faults
+    )
+
+
 def is_large(path: str) -> bool:
     """Return whether a request has a large response."""
     return path.endswith(LARGE_SUFFIX)
