--- a/src/waxwingwell/routing/quarantine.py
+++ b/src/waxwingwell/routing/quarantine.py
@@ -20,7 +20,6 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
-from dataclasses import replace
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -46,8 +45,6 @@
 BEGIN_SECONDS = 1.0
 """Seconds of a response after which a crash says nothing about its request: one that
 crashes its upstream does so as it begins."""
-TOGETHER_SECONDS = 0.1
-"""Time from one crash to another within which both count as one."""
 EXPLAINED_WEIGHT = 1.5
 """Weight of all crashes under one request that has ended as many as it may."""
 QUEUED_WEIGHT = 0.3
@@ -394,30 +391,12 @@
         return False
 
     weights: defaultdict[int, float] = defaultdict(float)
-    for held in list_separate(suspected):
+    for held in suspected:
         weights[held.request] += QUEUED_WEIGHT if held.lag is None else 1.0
 
     return sum(map(limit_weight, weights.values())) >= MIN_CRASHES
 
 
-def list_separate(suspected: Iterable[Suspicion]) -> list[Suspicion]:
-    """Return crashes without those that just followed another one.
-
-    Upstreams that crash together, such as under a burst, have a cause in common, and
-    take along whatever they were starting to serve. Of such crashes, the one that says
-    most is kept.
-    """
-    separate: list[Suspicion] = []
-    for held in sorted(suspected, key=lambda one: one.at):
-        if separate and held.at - separate[-1].at < TOGETHER_SECONDS:
-            if separate[-1].lag is None:
-                separate[-1] = replace(held, at=separate[-1].at)
-        else:
-            separate.append(held)
-
-    return separate
-
-
 def limit_weight(weight: float) -> float:
     """Return what crashes under one request say against a block that others share.
 
