End a quarantine by a trial that breaks off while its upstream lives

Twelve brittle upstreams had crashed together under a burst, which quarantined the block; no response could clear it during the outage, the trial after 15 s was broken off, and the next one comes four times as late.

A trial asks whether its block crashes upstreams. If the response breaks off and the upstream still accepts connections, it does not. The new test: refused for good before, served after the first trial now.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -69,6 +69,8 @@
     workspace: Workspace | None
     ended: set[int]
     """Keys of the crashes that may have ended its attempts."""
+    is_trial: bool
+    """Whether it is sent to test whether its quarantined block crashes upstreams."""
 
     @property
     def content(self) -> int:
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -223,7 +223,7 @@
         if result is CheckResult.REFUSED:
             confirm_crash(context, held, context.clock())
         elif result is CheckResult.ACCEPTED:
-            excuse_upstream(held)
+            excuse_upstream(context, held)
 
     held.checked = True
     ConnectionCheck(
@@ -234,10 +234,15 @@
     )
 
 
-def excuse_upstream(held: Break) -> None:
-    """Record that an upstream lives whose connections broke, as far as is known."""
+def excuse_upstream(context: GatewayContext, held: Break) -> None:
+    """Record that an upstream lives whose connections broke, as far as is known.
+
+    The blocks of a trial have crashed nothing then, though its response broke off.
+    """
     for one in held.requests:
         one.request.ended.discard(find_key(held))
+        if one.request.is_trial:
+            record_sound(context, one.request.blocks, context.clock())
 
 
 def has_survived(attempt: Attempt) -> bool:
--- a/tests/adapters/gateway/engines.py
+++ b/tests/adapters/gateway/engines.py
@@ -85,6 +85,8 @@
     falls_silent: bool = False
     """Whether the connections of an engine that crashes stay open without an end."""
     crash_seconds: float = CRASH_SECONDS
+    fails_until: float = 0.0
+    """Time until which engines break off all responses, and live."""
     crashes_early: bool = False
     """Whether such a request crashes the engine before the first byte."""
 
@@ -126,6 +128,11 @@
         request_id = read_header(request, b"X-Id").decode()
         head = make_stream_head(f"X-Id: {request_id}", *self.statements)
         call.respond(head + make_event(first))
+        if self.reactor.seconds() < self.fails_until:
+            engine.calls.remove(call)
+            call.reset()
+            return
+
         if is_poisoned(request):
             self.begun.append(self.reactor.seconds())
             self.reactor.callLater(self.crash_seconds, self.crash_running, engine, call)
--- a/tests/adapters/gateway/test_crashes.py
+++ b/tests/adapters/gateway/test_crashes.py
@@ -406,6 +406,14 @@
         self.assertEqual([one.status for one in callers[-4:]], [200] * 4)
         self.assertEqual(engines.crashes, [])
 
+    def test_a_trial_that_is_broken_off_ends_a_wrong_quarantine(self) -> None:
+        """Guards against sound requests refused for long after their service failed."""
+        engines, _ = self.make(hash_block("chat", "sound"))
+        engines.fails_until = engines.reactor.seconds() + FIRST_TRIAL_SECONDS + 2.0
+        callers = self.ask_often(engines, "sound", FIRST_TRIAL_SECONDS + 8.0)
+        self.assertEqual(callers[0].status, 503)
+        self.assertEqual([one.status for one in callers[-4:]], [200] * 4)
+
     def test_a_trial_of_a_poisoned_block_is_the_only_one(self) -> None:
         """Guards against trials at each gateway, and trials that are retried."""
         engines, _ = self.make()
