Ask another upstream if a larger model is not reached while counts are lost

A caller whose poor response was dropped for a larger model got 502 if the connection to that one was refused, at a gateway that had just started and no control of which knew the retries of the window: the attempt in its place counted as one that follows a failure. It follows a good response, as the one that was not reached does.

--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -363,6 +363,7 @@
         )
         self.runs += 1
         self.response_dropped = True
+        self.follows_good = True
         self.retried_at = now
         self._send_to(larger, now, is_choice=True)
 
--- a/tests/adapters/gateway/test_exchange.py
+++ b/tests/adapters/gateway/test_exchange.py
@@ -333,6 +333,19 @@
 
                 self.assertEqual(len(gateway.calls), upstreams)
 
+    def test_a_larger_model_that_is_not_reached_while_counts_are_lost(self) -> None:
+        """Guards against a caller that gets no response, as a poor one was dropped."""
+        gateway = make_gateway("u1", "u2", "u3", models=("small", "large"))
+        gateway.context.settings = make_settings(retries=RetryLimits(ratio=4.0))
+        gateway.context.retries.began_at = gateway.reactor.seconds()
+        caller = gateway.ask(X_Model="*")
+        first = gateway.calls[0]
+        first.accept()
+        first.respond(make_stream_head("X-Confidence: 0.2"))
+        gateway.calls[1].refuse()
+        self.assertEqual(caller.received, b"")
+        self.assertEqual(len(gateway.calls), 3)
+
     def test_the_largest_model_is_first_while_retries_run_short(self) -> None:
         """Guards against poor responses that are kept as no escalation is allowed."""
         spent = RetryLimits(ratio=0.0, slack=0.0)
