--- a/src/waxwingwell/adapters/gateway/reporting.py
+++ b/src/waxwingwell/adapters/gateway/reporting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,6 +20,7 @@
 from ...routing.messages import GatewayReport
 from ...routing.messages import RelayGateway
 from ...routing.messages import ShareNews
+from ...routing.names import number_process
 from ...routing.permits import take_requests
 from ...routing.prefixes import list_unreported_blocks
 from ...routing.prefixes import mark_reported
@@ -111,7 +111,7 @@
     session_lifetime = context.settings.session_life
     return GatewayReport(
         gateway=context.settings.node,
-        run=identify_run(context),
+        run=number_process(context.retries.began_at),
         use=list_own_load(context.load),
         evidence=list_version_evidence(context.tallies, now),
         work=sum_recent_prefill(context.load, now),
@@ -182,12 +182,6 @@
     return RelayGateway(settings.node, *settings.relay, settings.data_centre)
 
 
-def identify_run(context: GatewayContext) -> int:
-    """Return the number that distinguishes this process from others of this gateway."""
-    began_at = context.retries.began_at
-    return round(began_at * 1000) if math.isfinite(began_at) else 0
-
-
 def attach_to_control(context: GatewayContext) -> None:
     """Attach to a random reachable control, preferably in this data centre.
 
--- a/src/waxwingwell/routing/names.py
+++ b/src/waxwingwell/routing/names.py
@@ -1,8 +1,17 @@
-"""Checks of names: those sent in headers, and addresses."""
+"""Names of processes, and checks of names: those sent in headers, and addresses."""
 
 from __future__ import annotations
 
 import ipaddress
+import math
+
+
+def number_process(started_at: float) -> int:
+    """Return the number that distinguishes a process from others of its VM.
+
+    ``started_at`` is the time of its start, which may be infinite if it is not known.
+    """
+    return round(started_at * 1000) if math.isfinite(started_at) else 0
 
 
 def is_header_value(text: str) -> bool:
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -45,6 +45,7 @@
 from .messages import RelayGateway
 from .messages import ServiceRepeats
 from .messages import VersionEvidence
+from .names import number_process
 from .pace_means import PaceTable
 from .pace_means import drop_decayed
 from .pace_means import list_shared_paces
@@ -218,7 +219,7 @@
 
 def start_counting(table: ReportTable, now: float) -> None:
     """Record the start of this control."""
-    table.run = round(now * 1000)
+    table.run = number_process(now)
     table.began_at = now
     table.counted_since = now
 
