--- a/bench/soak/outages.py
+++ b/bench/soak/outages.py
@@ -58,7 +58,7 @@
     """
     gateways = len(environment.fleet.gateways)
     callers = [
-        make_caller(environment, f"extra{number}")
+        make_caller(environment, f"outage{number}")
         for number in range(EXTRA_CALLERS_PER_GATEWAY * gateways)
     ]
     calls = [asyncio.create_task(call_forever(caller)) for caller in callers]
