--- a/src/waxwingwell/adapters/registry/checkpoints.py
+++ b/src/waxwingwell/adapters/registry/checkpoints.py
@@ -64,11 +64,15 @@
         return
 
     now = context.clock()
-    apply_checkpoint(
+    is_recent = apply_checkpoint(
         context.reports, context.quarantine, checkpoint, context.boot, started_at, now
     )
-    age = round(now - checkpoint.saved_at, 2)
-    log_event("registry: Checkpoint loaded", name=path.name, age=age)
+    log_event(
+        "registry: Checkpoint loaded",
+        name=path.name,
+        age=round(now - checkpoint.saved_at, 2),
+        recent=is_recent,
+    )
 
 
 def decode_checkpoint(data: bytes) -> Checkpoint:
--- a/src/waxwingwell/routing/checkpoints.py
+++ b/src/waxwingwell/routing/checkpoints.py
@@ -103,16 +103,17 @@
     boot: str,
     started_at: float,
     now: float,
-) -> None:
+) -> bool:
     """Store what a former process of this control knew and is still in its span.
 
     ``started_at`` is the start of this process. After another boot only the evidence on
-    crashes is of use, which binds for longer than a VM takes to start.
+    crashes is of use, which binds for longer than a VM takes to start. Returns whether
+    the checkpoint is recent enough to know the retries of the window by it.
     """
     is_same_boot = bool(boot) and checkpoint.boot == boot
     elapsed = now - checkpoint.saved_at if is_same_boot else 0.0
     if elapsed < 0.0:
-        return
+        return False
 
     crashes = (
         msgspec.structs.replace(one, age=one.age + elapsed)
@@ -120,14 +121,17 @@
     )
     merge_evidence(quarantine, crashes, now)
     if not is_same_boot:
-        return
+        return False
 
     saved_at = checkpoint.saved_at
     apply_states(table.limits, checkpoint.limits, saved_at)
     apply_statements(table.brittle, checkpoint.brittle, saved_at)
     merge_rests(table.rests, checkpoint.rests, saved_at)
     receive_lost(table.lost, checkpoint.lost, saved_at, is_running=lambda *_: False)
-    if started_at - saved_at <= MAX_UNSEEN_SECONDS:
-        counted = checkpoint.counted
-        known = counted if isinstance(counted, float) else math.inf
-        table.counted_since = min(table.counted_since, saved_at - known)
+    if started_at - saved_at > MAX_UNSEEN_SECONDS:
+        return False
+
+    counted = checkpoint.counted
+    known = counted if isinstance(counted, float) else math.inf
+    table.counted_since = min(table.counted_since, saved_at - known)
+    return True
