Let former requests leave the window, so that kills in a row don't add up

Requests of gateways that have ended allowed retries at 0.9 of their number until their window was over. After several kills within one window those of each generation would have been added up.

They leave the window evenly now, as requests at a steady rate do.

--- a/src/waxwingwell/routing/lost_counts.py
+++ b/src/waxwingwell/routing/lost_counts.py
@@ -5,8 +5,8 @@
 it and still run report the same retries to another control; what they had reported
 before is subtracted.
 
-The requests of gateways that have ended still allow retries within the window. They are
-kept beside the others' as former requests.
+The requests of gateways that have ended still allow retries while they are within the
+window. They are kept beside the others' as former requests, and leave it evenly.
 """
 
 from __future__ import annotations
@@ -148,8 +148,17 @@
     return sum(entry.gateways for entry in table.entries.values())
 
 
+def decay_former(part: ServiceRepeats, age: float, window: float) -> ServiceRepeats:
+    """Return counts with those former requests that are still within the window.
+
+    ``age`` is the seconds since they were counted.
+    """
+    kept = max(1.0 - age / window, 0.0)
+    return msgspec.structs.replace(part, former=int(part.former * kept))
+
+
 def list_missing(
-    table: LostTable, former: Iterable[FormerCounts]
+    table: LostTable, former: Iterable[FormerCounts], window: float, now: float
 ) -> Iterator[ServiceRepeats]:
     """Yield the counts of ended controls that no running gateway reports any more.
 
@@ -172,13 +181,14 @@
             returned[key] = ServiceRepeats(
                 part.service, 0, back.repeats - repeats, back.drawn - drawn
             )
-            yield ServiceRepeats(
+            missing = ServiceRepeats(
                 part.service,
                 0,
                 part.repeats - repeats,
                 part.drawn - drawn,
                 former=part.former,
             )
+            yield decay_former(missing, now - entry.at, window)
 
 
 def drop_returned(table: LostTable, controls: Collection[str]) -> None:
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -26,6 +26,7 @@
 from .lost_counts import LostTable
 from .lost_counts import close_counts
 from .lost_counts import count_lost_gateways
+from .lost_counts import decay_former
 from .lost_counts import drop_lost
 from .lost_counts import list_lost
 from .lost_counts import list_missing
@@ -707,7 +708,11 @@
         make_total(held.report, fresh=is_gateway_fresh(held, now))
         for held in table.attached.values()
     )
-    departed = (part for one in table.departed for part in one.repeats)
+    departed = (
+        decay_former(part, now - one.received_at, table.retry_window)
+        for one in table.departed
+        for part in one.repeats
+    )
     repeats = sum_retries([*total.repeats, *departed])
     late = find_attached_lateness(table, now)
     counted = describe_counted(table, now)
@@ -743,13 +748,14 @@
     )
 
 
-def list_missing_counts(table: ReportTable) -> Iterable[ServiceRepeats]:
+def list_missing_counts(table: ReportTable, now: float) -> Iterable[ServiceRepeats]:
     """Return the counts of ended controls that no running gateway reports any more."""
     if not table.lost.entries:
         return ()
 
     told = (part for one in table.controls.values() for part in one.report.former or ())
-    return list_missing(table.lost, (*list_former(table), *told))
+    former = (*list_former(table), *told)
+    return list_missing(table.lost, former, table.retry_window, now)
 
 
 def sum_fleet(table: ReportTable, now: float) -> FleetReport:
@@ -761,7 +767,7 @@
     attached = sum_attached(table, now)
     total = sum_totals([attached, *others])
     late = max(attached.late or 0.0, find_others_lateness(table, now))
-    repeats = sum_retries([*total.repeats, *list_missing_counts(table)])
+    repeats = sum_retries([*total.repeats, *list_missing_counts(table, now)])
     total = msgspec.structs.replace(
         total,
         read=tuple(table.blocks_for_gateways),
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -16,8 +16,8 @@
 that has failed, and the others assume that nothing of what was counted before the loss
 has left the window.
 
-Requests of gateways that have ended allow retries until their window is over. What they
-allow beyond the others' requests is shared by all gateways.
+Requests of gateways that have ended allow retries until their window is over, which all
+gateways share.
 """
 
 from __future__ import annotations
@@ -60,9 +60,8 @@
 
 
 FORMER_PART = 0.9
-"""Part of the requests of processes that have ended which still counts. Of requests at
-a steady rate, one of the windows by which the budget is judged holds at least as
-many."""
+"""Part of the former requests that allows retries, as they may have been early in the
+window."""
 
 
 UNREPORTED_SECONDS = 0.4
@@ -408,14 +407,7 @@
 ) -> float:
     """Return the retries that the budget allows all gateways within the window."""
     running = len(account.requests) + others.requests
-    requests = running + count_extra_requests(account, others)
-    return limits.ratio * requests + limits.slack
-
-
-def count_extra_requests(account: ServiceAccount, others: ServiceRepeats) -> float:
-    """Return by how many requests the former ones exceed those of running gateways."""
-    requests = len(account.requests) + others.requests
-    return max(FORMER_PART * others.former - requests, 0.0)
+    return limits.ratio * (running + FORMER_PART * others.former) + limits.slack
 
 
 def estimate_left(
@@ -447,13 +439,9 @@
 
 
 def count_former_allowance(
-    table: RetryTable,
-    account: ServiceAccount,
-    others: ServiceRepeats,
-    limits: RetryLimits,
-    now: float,
+    table: RetryTable, others: ServiceRepeats, limits: RetryLimits, now: float
 ) -> float:
-    """Return what the requests of ended gateways allow beyond those of running ones.
+    """Return the retries that the requests of ended gateways allow.
 
     That includes the slack of gateways in their first window.
     """
@@ -462,7 +450,7 @@
 
     shares = count_slack_shares(table, limits, now) + others.shares
     slack = limits.slack * max(1.0 - shares / table.gateways, 0.0)
-    return limits.ratio * count_extra_requests(account, others) + slack
+    return limits.ratio * FORMER_PART * others.former + slack
 
 
 def accrue_credit(
@@ -480,7 +468,7 @@
     """
     allowance = count_allowance(table, account, limits, now)
     total_allowance = sum_allowances(table, others, allowance, limits)
-    former = count_former_allowance(table, account, others, limits, now)
+    former = count_former_allowance(table, others, limits, now)
     allowance += former / table.gateways
     total_allowance += former
     if total_allowance <= 0.0:
