--- a/src/waxwingwell/routing/checkpoints.py
+++ b/src/waxwingwell/routing/checkpoints.py
@@ -16,8 +16,10 @@
 
 from .limits import apply_states
 from .limits import list_states
+from .lost_counts import LostTable
 from .lost_counts import list_lost
 from .lost_counts import receive_lost
+from .lost_counts import record_lost
 from .messages import BrittleState
 from .messages import CrashEvidence
 from .messages import LimitState
@@ -80,20 +82,11 @@
 
 def list_counts(table: ReportTable, now: float) -> tuple[LostCounts, ...]:
     """Return the counts of all controls as those of processes that have ended."""
-    others = tuple(
-        LostCounts(
-            name,
-            held.report.run or 0,
-            now - held.received_at,
-            entry.repeats,
-            entry.gateways,
-            entry.counted_at,
-        )
-        for name, held in table.controls.items()
-        if (entry := close_entry(held)).repeats
-    )
-    own = list_own_counts(table, now)
-    return (*own, *others, *list_lost(table.lost, now))
+    known = LostTable(dict(table.lost.entries))
+    for name, held in table.controls.items():
+        record_lost(known, name, held.report.run or 0, close_entry(held))
+
+    return (*list_own_counts(table, now), *list_lost(known, now))
 
 
 def apply_checkpoint(
