--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -323,11 +323,12 @@
     """Return the other gateways' counts of a service.
 
     Where the totals miss a part of the window, what was known before the loss counts
-    until it has left the window.
+    until it has left the window. Requests of ended gateways allow retries only where
+    nothing is missing.
     """
     known = table.others.get(service, ServiceRepeats(service, 0, 0))
     one = add_unreported(known, limits)
-    if table.hides:
+    if table.hides or table.is_partial:
         one = msgspec.structs.replace(one, former=0)
 
     if not table.is_partial or now - table.earlier_at > limits.window:
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -243,6 +243,21 @@
                 table.began_at = 1.0 - age
                 self.assertEqual(count_allowed(table, 1.0, 10, 1.0), expected)
 
+    def test_requests_of_ended_gateways(self) -> None:
+        """Guards against retries for requests whose own retries are not known."""
+        for name, fields, expected in (
+            ("all is known", {}, 40),
+            ("a part of the window is not", {"is_partial": True}, 0),
+            ("a gateway is missing", {"hides": True}, 0),
+        ):
+            with self.subTest(name):
+                table = RetryTable()
+                total = ServiceRepeats("chat", 0, 10, 0.0, 0, 40)
+                apply_retry_totals(table, (total,), (), 0.0, **fields)
+                found = find_others(table, "chat", LIMITS, 1.0)
+                self.assertEqual(found.former, expected)
+                self.assertGreater(found.repeats, total.repeats)
+
     def test_invalid_limits(self) -> None:
         for name, fields in (
             ("ratio", {"ratio": -0.1}),
