--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -314,9 +314,9 @@
     planned = is_planned_end(context, held.upstream)
     evidence: list[CrashEvidence] = []
     for one in requests:
-        clears = planned or one.survived
-        one.request.crashes += one.lag is not None and not clears
-        evidence += list_suspects(one, crash, clears=clears)
+        spares_blocks = planned or one.survived
+        one.request.crashes += one.lag is not None and not spares_blocks
+        evidence += list_suspects(one, crash, spares_blocks=spares_blocks)
 
     if record_evidence(context.quarantine, evidence, now):
         apply_quarantine(context)
@@ -324,15 +324,14 @@
 
 
 def list_suspects(
-    broken: BrokenRequest, crash: int, *, clears: bool
+    broken: BrokenRequest, crash: int, *, spares_blocks: bool
 ) -> list[CrashEvidence]:
-    """Return what a crash says about a request and, unless it ``clears`` them, blocks.
+    """Return what a crash says about a request and, unless it spares them, its blocks.
 
-    One that an upstream's planned end explains says nothing about blocks that others
-    share.
+    An end that was planned says nothing about blocks that other requests share.
     """
     request = broken.request
-    blocks = () if clears else request.blocks
+    blocks = () if spares_blocks else request.blocks
     name = shorten_content(request.content)
     return [
         CrashEvidence(key, crash, name, broken.lag)
