--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -121,6 +121,8 @@
     """Times of rejections within the last second."""
     leaving: bool = False
     up: bool = False
+    starting: asyncio.Lock = field(default_factory=asyncio.Lock)
+    """Held by the schedule that starts it."""
     unread_limit: float | None = None
     """Seconds after which it cuts off a response of which nothing could be sent; its
     connections have small buffers then."""
@@ -132,6 +134,13 @@
 
 
 async def start_upstream(upstream: Upstream) -> None:
+    """Listen behind a proxy, and enable heartbeats; one start at a time."""
+    async with upstream.starting:
+        if not upstream.up:
+            await open_upstream(upstream)
+
+
+async def open_upstream(upstream: Upstream) -> None:
     """Listen behind a proxy, and enable heartbeats."""
 
     async def serve(reader: StreamReader, writer: StreamWriter) -> None:
