Send no longer totals than before, and tell rests with permits

The rests of a gateway's former process go with the response to its report now. Where gateways are missing, the control leaves their former requests out instead of saying so.

--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -108,11 +108,11 @@
         apply_kept_sessions(context.sessions, body.kept, body.held)
         serve_queues(context)
         receive_speeds(context, sender, body.speeds or (), now)
-        apply_rests(context.limits, body.rests or (), now)
     elif isinstance(body, GrantPermits):
         apply_grants(context.permits, body.permits, body.reported_at, now)
         apply_states(context.limits, body.limits, now)
         apply_statements(context.brittle, body.brittle, now)
+        apply_rests(context.limits, body.rests or (), now)
     elif isinstance(body, ShareRelays):
         receive_relays(context, body, now)
 
@@ -143,7 +143,6 @@
         now,
         late=late,
         is_partial=body.counted is not msgspec.UNSET,
-        hides=body.hides is True,
     )
 
 
--- a/src/waxwingwell/routing/messages.py
+++ b/src/waxwingwell/routing/messages.py
@@ -307,7 +307,7 @@
 
 
 class GrantPermits(Message, frozen=True, kw_only=True):
-    """A control's response to a gateway's report while some upstreams are limited."""
+    """A control's response to a report, while upstreams are limited or rest."""
 
     reported_at: float
     """Time of the report by the gateway's own clock, from which permits count."""
@@ -315,6 +315,9 @@
     """Upstreams to which the gateway may send a request, one entry for each."""
     limits: tuple[LimitState, ...] = ()
     brittle: tuple[BrittleState, ...] = ()
+    rests: tuple[RestState, ...] | msgspec.UnsetType = msgspec.UNSET
+    """Rests that the receiver's former process was asked for; not sent if there are
+    none."""
 
 
 class RelayGateway(msgspec.Struct, frozen=True, array_like=True):
@@ -483,11 +486,6 @@
     speeds: tuple[EngineSpeed, ...] | msgspec.UnsetType = msgspec.UNSET
     """Engines that are slower or faster than the median one, once a second; one that
     has returned is listed with the factor 1 for some seconds."""
-    rests: tuple[RestState, ...] | msgspec.UnsetType = msgspec.UNSET
-    """Rests that the receiver's former process was asked for."""
-    hides: bool | msgspec.UnsetType = msgspec.UNSET
-    """Whether fewer gateways report than within the last window: some may be cut off,
-    and use what their requests allow."""
 
 
 class ReceivedReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -27,6 +27,7 @@
 from .lost_counts import close_counts
 from .lost_counts import count_lost_gateways
 from .lost_counts import decay_former
+from .lost_counts import drop_former
 from .lost_counts import drop_lost
 from .lost_counts import list_lost
 from .lost_counts import list_missing
@@ -44,6 +45,7 @@
 from .messages import LostCounts
 from .messages import ReceivedReport
 from .messages import RelayGateway
+from .messages import RestState
 from .messages import ServiceRepeats
 from .messages import VersionEvidence
 from .names import number_process
@@ -266,7 +268,9 @@
     apply_statements(table.brittle, report.brittle, now)
     limits = list_states(table.limits, now)
     brittle = list_statements(table.brittle, now)
-    if report.reported_at is None or not (report.permits or limits or brittle):
+    rests = list_former_rests(table, report.gateway, now)
+    is_needed = report.permits or limits or brittle or rests
+    if report.reported_at is None or not is_needed:
         return None
 
     permits: tuple[str, ...] = ()
@@ -282,6 +286,7 @@
         permits=permits,
         limits=limits,
         brittle=brittle,
+        rests=rests or msgspec.UNSET,
     )
 
 
@@ -486,20 +491,27 @@
 def address_totals(
     table: ReportTable, gateway: str, total: FleetReport, now: float
 ) -> FleetReport:
-    """Return totals for an attached gateway, with the time of its report in them.
-
-    One that has just started is told the rests that its former process was asked for.
-    """
+    """Return totals for an attached gateway, with the time of its report in them."""
     held = table.attached.get(gateway)
     if held is None or held.report.reported_at is None:
         return total
 
-    is_new = now - held.first_at <= RESTS_SECONDS
-    rests = list_rests(table.rests, now, gateway) if is_new else ()
     included = IncludedReport(held.report.reported_at, now - held.received_at)
-    return msgspec.structs.replace(
-        total, included=included, rests=rests or msgspec.UNSET
-    )
+    return msgspec.structs.replace(total, included=included)
+
+
+def list_former_rests(
+    table: ReportTable, gateway: str, now: float
+) -> tuple[RestState, ...]:
+    """Return the rests that a gateway's former process was asked for.
+
+    There are none unless its process has just started.
+    """
+    held = table.attached.get(gateway)
+    if held is None or now - held.first_at > RESTS_SECONDS:
+        return ()
+
+    return list_rests(table.rests, now, gateway)
 
 
 def is_gateway_fresh(held: GatewayEntry, now: float) -> bool:
@@ -768,6 +780,9 @@
     total = sum_totals([attached, *others])
     late = max(attached.late or 0.0, find_others_lateness(table, now))
     repeats = sum_retries([*total.repeats, *list_missing_counts(table, now)])
+    if not is_complete(table, total.gateways, now):
+        repeats = drop_former(repeats)
+
     total = msgspec.structs.replace(
         total,
         read=tuple(table.blocks_for_gateways),
@@ -775,7 +790,6 @@
         late=late or msgspec.UNSET,
         repeats=repeats,
         counted=attached.counted,
-        hides=not is_complete(table, total.gateways, now) or msgspec.UNSET,
     )
     table.blocks_for_gateways.clear()
     return total
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -126,8 +126,6 @@
     """Time at which the totals were received."""
     is_partial: bool = False
     """Whether the totals miss retries of processes that have ended."""
-    hides: bool = False
-    """Whether gateways of the last window are missing in the totals."""
     earlier: dict[str, ServiceRepeats] = field(default_factory=dict)
     """The last totals of the others that missed none."""
     earlier_at: float = -math.inf
@@ -288,13 +286,11 @@
     *,
     late: float = 0.0,
     is_partial: bool = False,
-    hides: bool = False,
 ) -> None:
     """Store the totals over all gateways, less what they include of this gateway.
 
-    ``late`` is the number of seconds by which a part of the totals may be late,
-    ``is_partial`` says that they miss a part of the window, and ``hides`` that they
-    miss gateways.
+    ``late`` is the number of seconds by which a part of the totals may be late, and
+    ``is_partial`` says that they miss a part of the window.
     """
     own_counts = {one.service: one for one in reported}
     table.others = {}
@@ -312,7 +308,6 @@
     table.others_at = now
     table.late = late
     table.is_partial = is_partial
-    table.hides = hides
     if not is_partial:
         table.earlier, table.earlier_at = table.others, now
 
@@ -323,12 +318,11 @@
     """Return the other gateways' counts of a service.
 
     Where the totals miss a part of the window, what was known before the loss counts
-    until it has left the window. Requests of ended gateways allow retries only where
-    nothing is missing.
+    until it has left the window, and requests of ended gateways allow no retries.
     """
     known = table.others.get(service, ServiceRepeats(service, 0, 0))
     one = add_unreported(known, limits)
-    if table.hides or table.is_partial:
+    if table.is_partial:
         one = msgspec.structs.replace(one, former=0)
 
     if not table.is_partial or now - table.earlier_at > limits.window:
