Separate the recording of the peak of gateways from the check by it

From reading the whole change once more; behaviour stays as it is:

- is_complete recorded the largest number of gateways as well; record_peak does.
- add_unreported copied counts at each question for a retry, also where no gateway has ended.
- Callers of the soak's start_upstream checked what it now checks itself, and be_brittle found the slots of upstreams by names that may change.

--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -47,8 +47,7 @@
     background[2].cancel()
     await asyncio.gather(background[2], return_exceptions=True)
     for upstream in environment.upstreams:
-        if not upstream.up:
-            await start_upstream(upstream)
+        await start_upstream(upstream)
 
 
 async def name_limits(environment: SoakEnvironment) -> str | None:
@@ -83,16 +82,16 @@
 async def be_brittle(environment: SoakEnvironment) -> str | None:
     """Let all upstreams be brittle for a while."""
     began_at = read_clock()
-    slots = {upstream.name: upstream.slots for upstream in environment.upstreams}
+    former_slots = [(one, one.slots) for one in environment.upstreams]
     for upstream in environment.upstreams:
         upstream.rejection_limit = environment.random.randint(1, MAX_REJECTIONS)
         upstream.slots = BRITTLE_SLOTS
 
     await asyncio.sleep(SPAN_SECONDS)
     environment.journal.brittle_spans.append((began_at, read_clock()))
-    for upstream in environment.upstreams:
+    for upstream, slots in former_slots:
         upstream.rejection_limit = None
-        upstream.slots = slots.get(upstream.name, upstream.slots)
+        upstream.slots = slots
 
     return "upstreams"
 
@@ -130,5 +129,4 @@
 
     stop_upstream(upstream)
     await asyncio.sleep(DOWN_SECONDS)
-    if not upstream.up:
-        await start_upstream(upstream)
+    await start_upstream(upstream)
--- a/bench/soak/prompts.py
+++ b/bench/soak/prompts.py
@@ -167,7 +167,5 @@
         stop_upstream(upstream, resets=environment.random.random() < 0.5)
 
     await asyncio.sleep(environment.random.uniform(*DOWN_SECONDS))
-    if not upstream.up:
-        await start_upstream(upstream)
-
+    await start_upstream(upstream)
     return upstream.name
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -284,9 +284,7 @@
 
     stop_upstream(upstream, resets=environment.random.random() < 0.5)
     await hold_fault(environment)
-    if not upstream.up:
-        await start_upstream(upstream)
-
+    await start_upstream(upstream)
     return upstream.name
 
 
--- a/bench/soak/statements.py
+++ b/bench/soak/statements.py
@@ -90,5 +90,4 @@
 
     await hold_fault(environment)
     upstream.says_leaving = False
-    if not upstream.up:
-        await start_upstream(upstream)
+    await start_upstream(upstream)
--- a/src/waxwingwell/routing/reports.py
+++ b/src/waxwingwell/routing/reports.py
@@ -780,7 +780,8 @@
     total = sum_totals([attached, *others])
     late = max(attached.late or 0.0, find_others_lateness(table, now))
     repeats = sum_retries([*total.repeats, *list_missing_counts(table, now)])
-    if not is_complete(table, total.gateways, now):
+    record_peak(table, total.gateways, now)
+    if not is_complete(table, total.gateways):
         repeats = drop_former(repeats)
 
     total = msgspec.structs.replace(
@@ -795,15 +796,18 @@
     return total
 
 
-def is_complete(table: ReportTable, gateways: int, now: float) -> bool:
-    """Return whether as many gateways report as within the last window.
-
-    If one does not, it may be cut off, and still use what its requests allow.
-    """
+def record_peak(table: ReportTable, gateways: int, now: float) -> None:
+    """Record how many gateways report, if it is the most within the last window."""
     if gateways >= table.peak_gateways or now - table.peak_at > table.retry_window:
         table.peak_gateways = gateways
         table.peak_at = now
 
+
+def is_complete(table: ReportTable, gateways: int) -> bool:
+    """Return whether as many gateways report as within the last window.
+
+    If one does not, it may be cut off, and still use what its requests allow.
+    """
     return gateways >= max(table.peak_gateways, count_lost_gateways(table.lost))
 
 
--- a/src/waxwingwell/routing/retries.py
+++ b/src/waxwingwell/routing/retries.py
@@ -341,6 +341,9 @@
 
 def add_unreported(one: ServiceRepeats, limits: RetryLimits) -> ServiceRepeats:
     """Return counts with the retries that ended processes may not have reported."""
+    if not one.former:
+        return one
+
     part = UNREPORTED_RETRIES * UNREPORTED_SECONDS / limits.window
     return msgspec.structs.replace(
         one,
