--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -12,6 +12,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -180,7 +181,11 @@
 def make_fleet(
     registries: int, gateways: int, *, memory: int = 150, bootstrap: bool = True
 ) -> Fleet:
-    """Return a fleet in a temporary folder, whose processes are not started."""
+    """Return a fleet in a temporary folder, whose processes are not started.
+
+    A signal to end the script ends its processes as well.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNUSABLE))
     network, claim = claim_network()
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     fleet = Fleet(folder, network, claim, find_port(f"{network}.1.1"))
@@ -275,6 +280,7 @@
             member.process.wait()
 
     fleet.claim.close()
+    shutil.rmtree(fleet.folder, ignore_errors=True)
 
 
 def read_memory(member: Member) -> float:
