--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,16 +1,11 @@
-"""Large requests to servers that read slowly; gateways must stay within their memory.
-
-The stand-in of the platform kills a process that uses more memory than its settings
-allow, and starts it again.
-"""
+"""A configuration takes away the last tenant; its key must not be served any more."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
-import time
 from pathlib import Path
+from typing import Any
 
 
 FOLDER = Path(__file__).resolve().parent
@@ -19,110 +14,53 @@
 import harness  # noqa: E402
 
 
-MEMORY_MB = 150
-MEGABYTE = 1 << 20
-BODY_BYTES = 4_000_000
-"""The configuration allows 4,194,304."""
-CLIENTS = 20
-"""Clients of each gateway, which send one request after the other."""
-PAUSE_SECONDS = 5.0
-DEADLINE_SECONDS = 20.0
-QUIET_SECONDS = 8.0
-SLOW_SECONDS = 70.0
-BYTES_PER_SECOND = 200_000
-"""Pace at which a slow server reads each request."""
-ENDS = 3
-"""Ends of its process for which a machine counts; two machines at least."""
-
-
-class Trouble:
-    """Whether servers read slowly at present."""
-
-    slow = False
-
-
-class ReadingServer(harness.Server):
-    """A server that may read slowly."""
-
-    async def handle(
-        self,
-        request: harness.Message,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Read the body, run the request and respond."""
-        left = int(request.headers.get("content-length", "0"))
-        while left:
-            data = await reader.read(min(left, 16_384))
-            if not data:
-                raise EOFError
-
-            left -= len(data)
-            if Trouble.slow:
-                await asyncio.sleep(len(data) / BYTES_PER_SECOND)
-
-        self.note_run(request)
-        await self.respond(writer, 200, b"done", self.sign(request))
-
-
-async def send_requests(
-    fleet: harness.Fleet, record: harness.Record, gateway: harness.Member, place: int
-) -> None:
-    """Send one large request after the other to a gateway."""
-    await asyncio.sleep(PAUSE_SECONDS * place / CLIENTS)
-    number = 0
-    while True:
-        number += 1
-        name = f"{place:04x}{gateway.ip[-1]:>04}{number:08x}"
+UNKNOWN_KEY = "zz9x0unknownkey00000"
+"""A key that no configuration holds."""
+WAIT_SECONDS = 6.0
+"""Seconds after the acknowledgement; ``propagation_ms`` is 2,000."""
+REQUESTS = 20
+
+
+def configure(version: int, tenants: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return a configuration with these tenants."""
+    route = harness.make_route("order", "/order/", "non_idempotent", 5_000, 400)
+    config = harness.make_config(version, [route])
+    config["tenants"] = tenants
+    return config
+
+
+async def send_all(
+    fleet: harness.Fleet, record: harness.Record, key: str, mark: int
+) -> list[tuple[str, int]]:
+    """Send requests with a key; return their ids and statuses."""
+    results = []
+    for number in range(REQUESTS):
+        name = f"{mark:08x}{number:08x}"
+        gateway = fleet.gateways[number % len(fleet.gateways)]
         headers = {
             "Host": harness.HOST,
-            "Api-Key": harness.KEY,
+            "Api-Key": key,
             "Waxwingwell-Attempt-Id": name,
-            "Waxwingwell-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+            "Waxwingwell-Deadline-Ms": "3000",
         }
-        record(f"client sends {name} to {gateway.name}")
+        record(f"client sends {name} with key {key} to {gateway.name}")
         try:
             answer = await harness.call(
                 (gateway.ip, fleet.frontend_port),
                 "POST",
-                "/upload/x",
-                bytes(BODY_BYTES),
+                "/order/x",
+                b"one",
                 headers,
-                wait=DEADLINE_SECONDS,
+                wait=3.5,
             )
-            record(f"client gets {answer.status} for {name}")
-        except harness.NO_RESPONSE as error:
-            record(f"client gets no answer for {name}: {type(error).__name__}")
-
-        await asyncio.sleep(PAUSE_SECONDS)
-
-
-async def watch_memory(
-    record: harness.Record, gateway: harness.Member, ends: dict[str, int]
-) -> None:
-    """Kill a gateway that uses more memory than it may, and start it again."""
-    peak = 0.0
-    while True:
-        await asyncio.sleep(0.02)
-        if gateway.process is not None and gateway.process.poll() is not None:
-            record(f"{gateway.name} has ended by itself")
-            ends[gateway.name] += 1
-            harness.start(gateway)
-
-        used = harness.read_memory(gateway) * 1_000_000 / MEGABYTE
-        if used > peak + 10.0:
-            peak = used
-            record(f"{gateway.name} uses {used:.0f} MB")
+            status = answer.status
+        except harness.NO_RESPONSE:
+            status = 0
 
-        if used <= MEMORY_MB:
-            continue
+        record(f"client gets {status} for {name}")
+        results.append((name, status))
 
-        record(f"platform kills {gateway.name}: {used:.0f} MB of {MEMORY_MB}")
-        harness.send_signal(gateway, signal.SIGKILL)
-        ends[gateway.name] += 1
-        peak = 0.0
-        await asyncio.sleep(0.5)
-        harness.start(gateway)
+    return results
 
 
 async def run(fleet: harness.Fleet, record: harness.Record) -> tuple[int, str]:
@@ -131,50 +69,49 @@
         harness.start(member)
 
     await asyncio.sleep(1.0)
-    servers = [
-        ReadingServer(fleet, record, number, slots=64, buffer=65_536)
-        for number in range(3)
-    ]
+    servers = [harness.Server(fleet, record, number) for number in range(3)]
     for server in servers:
         await server.open()
 
-    route = harness.make_route("upload", "/upload/", "non_idempotent", 25_000, 4_000)
-    config = harness.make_config(1, [route])
-    answer = await harness.order(fleet, record, "PUT", "/-/config", config)
+    tenant = {"name": harness.TENANT, "api_keys": [harness.KEY], "priority": 1}
+    answer = await harness.order(
+        fleet, record, "PUT", "/-/config", configure(1, [tenant])
+    )
     if answer is None or not await harness.await_ready(fleet, record):
         return harness.UNUSABLE, "the system did not start"
 
     await asyncio.sleep(2.0)
-    ends = {gateway.name: 0 for gateway in fleet.gateways}
-    tasks = [
-        asyncio.create_task(send_requests(fleet, record, gateway, place))
-        for gateway in fleet.gateways
-        for place in range(CLIENTS)
-    ]
-    watches = [
-        asyncio.create_task(watch_memory(record, gateway, ends))
-        for gateway in fleet.gateways
-    ]
-    await asyncio.sleep(QUIET_SECONDS)
-    Trouble.slow = harness.has_trouble()
-    record(f"servers read slowly: {Trouble.slow}")
-    until = time.monotonic() + SLOW_SECONDS
-    while time.monotonic() < until and min(ends.values()) < ENDS:
-        await asyncio.sleep(0.2)
-
-    for task in (*tasks, *watches):
-        task.cancel()
-
-    text = ", ".join(f"{name} {count}" for name, count in ends.items())
-    reason = f"processes that ended over their memory: {text}"
-    is_broken = sum(count >= ENDS for count in ends.values()) >= 2
+    before = await send_all(fleet, record, harness.KEY, 1)
+    unknown = await send_all(fleet, record, UNKNOWN_KEY, 2)
+    if {status for _, status in before} != {200}:
+        return harness.UNUSABLE, f"requests with the key got {before}"
+
+    if {status for _, status in unknown} != {401}:
+        return harness.UNUSABLE, f"requests with an unknown key got {unknown}"
+
+    left = [] if harness.has_trouble() else [{**tenant, "api_keys": []}]
+    answer = await harness.order(fleet, record, "PUT", "/-/config", configure(2, left))
+    if answer is None or answer.status != 200:
+        return harness.UNUSABLE, "the second configuration was not acknowledged"
+
+    await asyncio.sleep(WAIT_SECONDS)
+    dropped = await send_all(fleet, record, harness.KEY, 3)
+    unknown = await send_all(fleet, record, UNKNOWN_KEY, 4)
+    runs = {name for server in servers for name in server.runs}
+    dropped_runs = sum(name in runs for name, _ in dropped)
+    unknown_runs = sum(name in runs for name, _ in unknown)
+    reason = (
+        f"{dropped_runs} requests ran with a dropped key, {unknown_runs} with a key"
+        " that no configuration held"
+    )
+    is_broken = dropped_runs or unknown_runs
     return (harness.BROKEN if is_broken else harness.HELD), reason
 
 
 def main() -> None:
     """Run the case and end with its exit code."""
     record = harness.Record(FOLDER / "record.txt")
-    fleet = harness.make_fleet(5, 2, memory=MEMORY_MB)
+    fleet = harness.make_fleet(5, 2)
     try:
         code, reason = asyncio.run(run(fleet, record))
     except (OSError, RuntimeError) as error:
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -525,6 +525,7 @@
     async def open(self) -> None:
         """Listen and begin to send heartbeats."""
         listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self.buffer is not None:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.buffer)
 
