Watch each test, and the whole run, against hanging

The runner ended itself 1,200 s after its start.

Each test now has a watch of its own, which prints tracebacks and thereby names the test that hangs. No test is dropped.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import faulthandler
+import os
 import sys
+import threading
 import unittest
 from pathlib import Path
+from typing import Any
 
 from hypothesis import settings
 
@@ -18,15 +21,41 @@
 
 
 ROOT = Path(__file__).resolve().parent.parent
-HANG_SECONDS = 1200
-"""Seconds after which a hanging run prints tracebacks and fails; not a target time."""
+TEST_SECONDS = 400
+"""Seconds after which a hanging test prints tracebacks and ends the run; not a target
+time."""
+RUN_SECONDS = 4_800
+"""The same for the whole run: above the sum of what all tests take."""
 
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 
 
+class WatchedResult(unittest.TextTestResult):
+    """A result that ends the run if one test hangs."""
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Start to watch a test."""
+        super().startTest(test)
+        faulthandler.dump_traceback_later(TEST_SECONDS, exit=True)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Stop to watch a test."""
+        faulthandler.cancel_dump_traceback_later()
+        super().stopTest(test)
+
+
+def end_hanging_run() -> None:
+    """Print tracebacks and end the process."""
+    print(f"the run takes over {RUN_SECONDS} s", file=sys.stderr)
+    faulthandler.dump_traceback()
+    os._exit(1)
+
+
 def run_tests(pattern: str) -> int:
     """Run the tests in files that match ``pattern``; return the exit code."""
-    faulthandler.dump_traceback_later(HANG_SECONDS, exit=True)
+    watch = threading.Timer(RUN_SECONDS, end_hanging_run)
+    watch.daemon = True
+    watch.start()
     settings.load_profile("ci")
     known = read_entries(ROOT / "KNOWN-RED.txt")
     for entry in known:
@@ -35,13 +64,15 @@
     suite = unittest.TestLoader().discover(
         str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT)
     )
-    result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
+    kind: Any = WatchedResult
+    runner = unittest.TextTestRunner(verbosity=1, buffer=False, resultclass=kind)
+    result = runner.run(suite)
     cases = [case for case, _ in result.failures + result.errors]
     cases += result.unexpectedSuccesses
     # Each failed subtest is a case of its own, with its test in ``test_case``.
     bad = {getattr(case, "test_case", case).id() for case in cases}
     new = [name for name in bad if not is_known(name, known)]
-    faulthandler.cancel_dump_traceback_later()
+    watch.cancel()
     passed = result.testsRun - len(bad) - len(result.skipped)
     print(f"{passed} passed, {len(bad)} failed, {len(result.skipped)} skipped")
     return 1 if new or result.testsRun == 0 else 0
