--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -199,9 +200,18 @@
     upstreams_per_service: int,
     event_interval: float = EVENT_SECONDS,
     keeps_settings: bool = False,
+    memory_mb: int = 0,
+    descriptors: int | None = None,
 ) -> SoakEnvironment:
-    """Start the product's processes behind proxies, without starting upstreams."""
+    """Start the product's processes behind proxies, without starting upstreams.
+
+    Each process gets a limit on its memory and on its descriptors if they are given.
+    """
     fleet = make_fleet(folder, registries, gateways, keeps_settings=keeps_settings)
+    for member in fleet.members:
+        member.record = replace(member.record, memory_mb=memory_mb)
+        member.descriptors = descriptors
+
     links = [
         await open_proxy(
             (member.record.address, fleet.proxy_port),
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -50,6 +51,8 @@
     """Whether a fault is being injected into the process."""
     keeps_settings: bool = False
     """Whether it is restarted with the settings of its first start."""
+    descriptors: int | None = None
+    """Limit on its open descriptors; None for that of this process."""
 
     @property
     def settings(self) -> Path:
@@ -193,6 +196,10 @@
             },
         )
 
+    if member.descriptors is not None:
+        limits = (member.descriptors, member.descriptors)
+        resource.prlimit(member.process.pid, resource.RLIMIT_NOFILE, limits)
+
 
 def signal_member(member: Member, number: signal.Signals) -> None:
     """Send a signal to a process of this run if it is still running."""
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -28,6 +28,7 @@
 from .proxies import reset_connection
 from .proxies import reset_pairs
 from .readers import LARGE_STREAM_SECONDS
+from .readers import SlowReader
 from .records import CRASHING_SUFFIX
 from .records import EARLY_SUFFIX
 from .records import POISONED_BLOCK
@@ -55,6 +56,7 @@
     from asyncio import StreamReader
     from asyncio import StreamWriter
 
+    from .http import ByteReader
     from .http import Message
 
 
@@ -142,6 +144,9 @@
     """Models whose responses have a random confidence."""
     flood: str = ""
     """What it sends without end in place of responses, by name; empty for none."""
+    read_rate: float | None = None
+    """Bytes per second at which it reads the bodies of requests; its connections have
+    small buffers then."""
     unread_limit: float | None = None
     """Seconds after which it cuts off a response of which nothing could be sent; its
     connections have small buffers then."""
@@ -180,10 +185,12 @@
     if upstream.proxy.server is None:
         await listen_at(upstream.proxy, upstream.proxy.address)
 
-    if upstream.unread_limit is not None:
-        limit_buffers(upstream.server)
-        if upstream.proxy.server is not None:
-            limit_buffers(upstream.proxy.server)
+    for server in (upstream.server, upstream.proxy.server):
+        if server is not None and upstream.unread_limit is not None:
+            limit_buffers(server)
+
+        if server is not None and upstream.read_rate is not None:
+            limit_receive_buffers(server)
 
     upstream.born = time.time_ns() // 1_000_000
     upstream.sequence = 0
@@ -198,6 +205,12 @@
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SMALL_SEGMENT_BYTES)
 
 
+def limit_receive_buffers(server: asyncio.Server) -> None:
+    """Give the connections that a listener accepts small buffers of unread bytes."""
+    for listener in server.sockets:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+
+
 def stop_upstream(upstream: Upstream, *, resets: bool = True) -> None:
     """Crash an upstream without announcing a leave.
 
@@ -274,8 +287,12 @@
     """Serve one request after the other."""
     assert upstream.proxy is not None
     port = int(writer.get_extra_info("peername")[1])
+    source: ByteReader = reader
+    if upstream.read_rate is not None:
+        source = SlowReader(reader, read_clock(), upstream.read_rate)
+
     while (request := await read_head(reader)) is not None:
-        await read_body(reader, request)
+        await read_body(source, request)
         process = upstream.proxy.peers.get(port, 0)
         if not await serve_request(upstream, request, reader, writer, process):
             return
--- a/tests/system/environments.py
+++ b/tests/system/environments.py
@@ -42,11 +42,19 @@
 
 
 @contextlib.asynccontextmanager
-async def open_small_environment(folder: Path) -> AsyncIterator[SoakEnvironment]:
+async def open_small_environment(
+    folder: Path, *, memory_mb: int = 0, descriptors: int | None = None
+) -> AsyncIterator[SoakEnvironment]:
     """Run one gateway, one registry and one upstream per service, without callers."""
     rng = random.Random(SEED)
     environment = await open_environment(
-        folder, rng, registries=1, gateways=1, upstreams_per_service=1
+        folder,
+        rng,
+        registries=1,
+        gateways=1,
+        upstreams_per_service=1,
+        memory_mb=memory_mb,
+        descriptors=descriptors,
     )
     background: list[asyncio.Task[None]] = []
     try:
