Hold the body of a request once, in pieces

Cause: a body existed as received pieces, was joined for the request, and joined once more with its head for the transport, which keeps all of it until the last byte is sent. A body that waited for its server took 2.5 times its size, and was counted once. Each piece was an object of its own besides: a chunk of two bytes took some 40.

A body now stays in pieces of up to 64 KiB, into which small chunks are merged, from its receipt to the end of its request. The call writes the next piece once the transport has sent those before it, as a pull producer. The key of a request's content is computed from the pieces and is the same as before, so that gateways of both releases agree on it. A request that has ended drops its body at once: requests are in reference cycles, and the collector came too late. The registry's handlers join their small bodies.

CollectedBody, which held responses in the same way, serves both as BodyPieces. Tests construct requests with it; their assertions are the same.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -35,12 +35,12 @@
 from ...routing.tallies import stop_waiting
 from ..http.client import UpstreamCall
 from ..http.connection_check import ConnectionCheck
+from ..http.pieces import BodyPieces
 from ..http.records import HeaderList
 from ..http.records import find_framing
 from ..metrics import ATTEMPTS
 from ..metrics import FIRST_BYTE_SECONDS
 from .choice import Choice
-from .collected import CollectedBody
 from .dialect import ResponseFacts
 from .scheduling import wake_queue
 
@@ -97,7 +97,7 @@
     status: int = 0
     headers: HeaderList | None = None
     facts: ResponseFacts | None = None
-    body: CollectedBody = field(default_factory=CollectedBody)
+    body: BodyPieces = field(default_factory=BodyPieces)
     """What has arrived of a response that is sent as a whole."""
     body_bytes: int = 0
     """Bytes of the body received so far."""
--- a/src/waxwingwell/adapters/gateway/calls.py
+++ b/src/waxwingwell/adapters/gateway/calls.py
@@ -87,8 +87,8 @@
     write = write_relayed_headers if attempt.relayed else write_headers
     headers = write(exchange, attempt, now)
     request = exchange.request
-    if request.body or request.method not in (b"GET", b"HEAD"):
-        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    if request.body.size or request.method not in (b"GET", b"HEAD"):
+        headers.append((b"Content-Length", str(request.body.size).encode()))
 
     return request.method, request.target, headers, request.body
 
--- a/src/waxwingwell/adapters/gateway/crashes.py
+++ b/src/waxwingwell/adapters/gateway/crashes.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from ...routing.delays import explains_timeout
 from ...routing.fleet import UpstreamState
+from ...routing.hashes import frame_parts
 from ...routing.hashes import hash_block
-from ...routing.hashes import hash_content
+from ...routing.hashes import hash_framed
 from ...routing.hashes import hash_process
 from ...routing.hashes import shorten_content
 from ...routing.limits import is_leaving
@@ -86,13 +88,14 @@
     ``varying`` names the headers in which they may differ.
     """
     dropped = varying | {b"host"}  # may name the gateway
-    headers = sorted(
-        b"%b:%b" % (name.lower(), value)
-        for name, value in strip_hop_headers(request.headers)
-        if name.lower() not in dropped
-    )
-    parts = (route.encode(), request.method, request.target, request.body, *headers)
-    return hash_content(parts)
+    lower = [
+        (name.lower(), value) for name, value in strip_hop_headers(request.headers)
+    ]
+    headers = sorted([b"%b:%b" % pair for pair in lower if pair[0] not in dropped])
+    start = (route.encode(), request.method, request.target)
+    body = request.body
+    frame = frame_parts(start) + b"%d:" % body.size
+    return hash_framed(chain((frame,), body, (frame_parts(headers),)))
 
 
 def record_break(exchange: Exchange, attempt: Attempt, now: float) -> None:
--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -34,6 +34,8 @@
 end sooner."""
 STOPPING_RETRY_AFTER = 0.05
 """Seconds after which a caller may retry; other gateways can serve it at once."""
+KEPT_BODY_BYTES = 4_096
+"""Longest body that is left to the garbage collector after its request has ended."""
 STREAM_GRACE_SECONDS = 0.3
 """Seconds past the caller's own deadline before its stream is cut."""
 
@@ -184,8 +186,12 @@
 
 
 def release_held(exchange: Exchange) -> None:
-    """Drop what a request holds of its upstreams' bytes."""
+    """Drop what a request holds of its own and its upstreams' bytes."""
     exchange.last_response = None
+    if exchange.request.body.size > KEPT_BODY_BYTES:
+        exchange.keep_content()
+        exchange.request.body.clear()
+
     exchange.splitter.discard_partial_event()
     if exchange.attempt is not None:
         exchange.attempt.body.clear()
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -527,6 +527,10 @@
             self.route.name, self.request, self.context.dialect.varying
         )
 
+    def keep_content(self) -> int:
+        """Return the key of the request's content, which is known from then on."""
+        return self.content
+
     def find_service(self) -> str:
         """Return the service that the request is sent to."""
         return choose_service(self.route, find_session_key(self.facts))
--- a/src/waxwingwell/adapters/gateway/probing.py
+++ b/src/waxwingwell/adapters/gateway/probing.py
@@ -163,7 +163,7 @@
             b"GET",
             (path or "/").encode(),
             [(b"Host", host)],
-            b"",
+            (),
         ),
         handlers=CallHandlers(
             on_head=handle_head, on_data=lambda _: None, on_end=handle_end
--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -17,15 +18,20 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import TCPTimedOutError
 from twisted.internet.error import TimeoutError as ConnectTimeout
+from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
+from zope.interface import implementer
 
 from ..traffic import Traffic
 from .records import HeaderList
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from twisted.internet.interfaces import IConsumer
     from twisted.internet.interfaces import IPushProducer
     from twisted.internet.interfaces import ITCPTransport
     from twisted.python.failure import Failure
@@ -63,7 +69,7 @@
 class CallHandlers:
     """Callbacks for a response as it arrives.
 
-    ``on_sent`` is called once the connection stands and the request is written to it.
+    ``on_sent`` is called once the connection stands and the request is being written.
     ``on_end`` is called once, last. Its arguments tell how the response ended and
     whether any byte of the request had been sent.
     """
@@ -74,15 +80,16 @@
     on_sent: Callable[[], None] = lambda: None
 
 
-RequestParts = tuple[bytes, bytes, "HeaderList", bytes]
-"""Method, target, headers and body of a request."""
+RequestParts = tuple[bytes, bytes, "HeaderList", Iterable[bytes]]
+"""Method, target, headers and the body of a request in pieces."""
 
 
 class UpstreamCall:
     """A request in progress to one upstream.
 
     ``make_request`` is called once the connection stands. It returns method, target,
-    headers and body, or None if the request must not be written any more.
+    headers and body, or None if the request must not be written any more. A piece of
+    the body is written once those before it were sent.
     """
 
     def __init__(
@@ -122,6 +129,10 @@
         else:
             self._connector.disconnect()
 
+    def drop_connection(self) -> None:
+        """Free the buffers of a lost connection, without the garbage collector."""
+        self._connector.transport = None
+
     def pause(self) -> None:
         """Stop reading the response until ``resume``."""
         if not self.ended and self._protocol is not None:
@@ -153,9 +164,12 @@
             self.handlers.on_end(end, self.sent)
 
 
+@implementer(IPullProducer)
 class _CallProtocol(Protocol):
     def __init__(self, call: UpstreamCall) -> None:
         self._call = call
+        self._pieces: Iterator[bytes] | None = None
+        """Rest of the request's body; None before and after it is written."""
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._closed = False
         """Whether the upstream has closed the connection cleanly."""
@@ -167,7 +181,7 @@
             self.abort()
             return
 
-        transport = cast("ITCPTransport", self.transport)
+        transport: Any = self.transport
         transport.setTcpNoDelay(True)
         request = self._call.make_request()
         if request is None:
@@ -177,16 +191,43 @@
 
         method, target, headers, body = request
         head = h11.Request(method=method, target=target, headers=headers)
-        chunks = [self._h11.send(head)]
-        if body:
-            chunks.append(self._h11.send(h11.Data(data=body)))
-
-        chunks.append(self._h11.send(h11.EndOfMessage()))
+        data = self._h11.send(head) or b""
+        transport.registerProducer(self, False)
         self._call.sent = True
-        data = b"".join(chunk for chunk in chunks if chunk)
+        self._pieces = iter(body)
+        self._write(data + self._encode_piece())
+        self._call.handlers.on_sent()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if not self._call.sent or self._call.ended:
+            return
+
+        data = self._encode_piece()
+        if data:
+            self._write(data)
+            return
+
+        cast("IConsumer", self.transport).unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
+
+    def _encode_piece(self) -> bytes:
+        """Return the next bytes of the request, or none after its end."""
+        if self._pieces is None:
+            return b""
+
+        piece = next(self._pieces, None)
+        if piece is not None:
+            return self._h11.send(h11.Data(data=piece)) or b""
+
+        self._pieces = None
+        return self._h11.send(h11.EndOfMessage()) or b""
+
+    def _write(self, data: bytes) -> None:
         self._call.traffic.sent += len(data)
+        transport: Any = self.transport
         transport.write(data)
-        self._call.handlers.on_sent()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._call.traffic.received += len(data)
@@ -194,12 +235,16 @@
         self._process_events()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        if not self._call.ended and reason.check(ConnectionDone):
+        is_clean = not self._call.ended and reason.check(ConnectionDone) is not None
+        if is_clean:
             self._closed = True
             self._h11.receive_data(b"")
             self._process_events()
 
         self._call.finish(ResponseEnd.CUT)
+        self._pieces = None
+        self.transport = None
+        self._call.drop_connection()
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -227,20 +272,21 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
 
-        if isinstance(event, h11.Response):
+        kind = type(event)
+        if kind is h11.Response:
             self._call.handle_head(event.status_code, list(event.headers.raw_items()))
-        elif isinstance(event, h11.Data):
+        elif kind is h11.Data:
             self._call.handle_data(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
+        elif kind is h11.EndOfMessage:
             self._call.finish(
                 ResponseEnd.UNSTATED if self._closed else ResponseEnd.STATED
             )
             self.abort()
             return False
-        elif isinstance(event, h11.InformationalResponse):
+        elif kind is h11.InformationalResponse:
             return self._count_informational()
 
-        return not isinstance(event, h11.ConnectionClosed)
+        return kind is not h11.ConnectionClosed
 
     def _count_informational(self) -> bool:
         """Return whether one more informational response is accepted."""
--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -9,13 +9,13 @@
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
 
+from .pieces import CHUNK_BYTES
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
-CHUNK_BYTES = 65_536
-"""Most bytes given to the transport at a time; it requests more once they are sent."""
 HIGH_WATER_BYTES = 262_144
 """Unsent bytes of a connection above which no more are produced for it: 4 s of a stream
 of 60 KB/s."""
--- a/src/waxwingwell/adapters/gateway/collected.py
+++ b/src/waxwingwell/adapters/http/pieces.py
@@ -1,18 +1,20 @@
-"""The body of a response that is collected before it is sent."""
+"""The body of a request or response that is held in memory."""
 
 from __future__ import annotations
 
 from collections import deque
 from typing import TYPE_CHECKING
 
-from ..http.output import CHUNK_BYTES
-
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 
-class CollectedBody:
+CHUNK_BYTES = 65_536
+"""Most bytes of a piece, and most given to a transport at a time."""
+
+
+class BodyPieces:
     """Bytes in pieces of up to ``CHUNK_BYTES``.
 
     Many small chunks would take a multiple of their bytes as objects of their own. One
@@ -21,9 +23,15 @@
 
     __slots__ = ("_pieces", "size")
 
-    def __init__(self) -> None:
+    def __init__(self, data: bytes = b"") -> None:
         self._pieces: deque[bytearray] = deque()
         self.size = 0
+        if data:
+            self.add(data)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the pieces in order."""
+        return map(bytes, self._pieces)
 
     def add(self, data: bytes) -> None:
         """Add bytes at the end."""
@@ -31,8 +39,10 @@
         pieces = self._pieces
         if pieces and len(pieces[-1]) + len(data) <= CHUNK_BYTES:
             pieces[-1].extend(data)
-        else:
-            pieces.append(bytearray(data))
+            return
+
+        for start in range(0, len(data), CHUNK_BYTES):
+            pieces.append(bytearray(data[start : start + CHUNK_BYTES]))
 
     def join(self) -> bytes:
         """Return all bytes."""
@@ -41,9 +51,13 @@
     def take(self) -> Iterator[bytes]:
         """Remove and return the pieces in order."""
         while self._pieces:
-            piece = self._pieces.popleft()
-            self.size -= len(piece)
-            yield bytes(piece)
+            yield self.take_first()
+
+    def take_first(self) -> bytes:
+        """Remove and return the first piece; there must be one."""
+        piece = self._pieces.popleft()
+        self.size -= len(piece)
+        return bytes(piece)
 
     def clear(self) -> None:
         """Remove all bytes."""
--- a/src/waxwingwell/adapters/http/records.py
+++ b/src/waxwingwell/adapters/http/records.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from .pieces import BodyPieces  # a dataclass's field
+
 
 HeaderList = list[tuple[bytes, bytes]]
 """Names and values in the order in which they were received or are to be sent."""
@@ -43,7 +45,7 @@
     method: bytes
     target: bytes
     headers: HeaderList
-    body: bytes
+    body: BodyPieces
 
 
 def strip_hop_headers(headers: HeaderList) -> HeaderList:
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -23,6 +23,7 @@
 from .output import LOW_WATER_BYTES
 from .output import HeldBytes
 from .output import SendBuffer
+from .pieces import BodyPieces
 from .records import HeaderList
 from .records import HttpLimits
 from .records import HttpRequest
@@ -146,7 +147,7 @@
         self.service = service
         self._h11 = self._new_h11()
         self._request: h11.Request | None = None
-        self._body: list[bytes] = []
+        self._body = BodyPieces()
         self._size = 0
         self._responder: Responder | None = None
         self._timer: Any = None
@@ -226,7 +227,7 @@
             PAUSED_CONNECTIONS.dec()
 
     def _release_body(self) -> None:
-        self._body = []
+        self._body = BodyPieces()
         self.service.held.total -= self._size
         self._size = 0
 
@@ -422,7 +423,7 @@
             self._reject(413)
             return False
 
-        self._body.append(data)
+        self._body.add(data)
         return True
 
     def _dispatch_when_read(self) -> None:
@@ -437,7 +438,7 @@
     def _dispatch(self) -> None:
         self._stop_timer()
         request = cast("h11.Request", self._request)
-        body, self._body = b"".join(self._body), []  # counted until the response ends
+        body, self._body = self._body, BodyPieces()  # counted until the response ends
         self._responder = Responder(self)
         headers = list(request.headers.raw_items())
         self.service.handle(
--- a/src/waxwingwell/adapters/registry/operators.py
+++ b/src/waxwingwell/adapters/registry/operators.py
@@ -41,7 +41,7 @@
         path = request.target.decode("latin-1").partition("?")[0]
         method = request.method.decode("latin-1")
         if path == API + QUARANTINE:
-            handle_quarantine(context, method, request.body, responder)
+            handle_quarantine(context, method, request.body.join(), responder)
             return
 
         prefix = API + EVACUATIONS
@@ -50,7 +50,7 @@
             return
 
         name = path.removeprefix(prefix)
-        handle_evacuations(context, method, name, request.body, responder)
+        handle_evacuations(context, method, name, request.body.join(), responder)
 
     return serve
 
--- a/src/waxwingwell/routing/hashes.py
+++ b/src/waxwingwell/routing/hashes.py
@@ -5,6 +5,7 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from xxhash import xxh3_64
 from xxhash import xxh3_64_intdigest
 
 
@@ -23,8 +24,21 @@
 
     It is negative, while keys of prompt blocks are not.
     """
-    framed = b"".join(b"%d:%b" % (len(part), part) for part in parts)
-    return -1 - (xxh3_64_intdigest(framed) >> 1)
+    return hash_framed((frame_parts(parts),))
+
+
+def frame_parts(parts: Iterable[bytes]) -> bytes:
+    """Return parts of a request's content in a form that can't be parsed otherwise."""
+    return b"".join([b"%d:%b" % (len(part), part) for part in parts])
+
+
+def hash_framed(pieces: Iterable[bytes]) -> int:
+    """Return the key of a request's content, whose framed parts come in pieces."""
+    digest = xxh3_64()
+    for piece in pieces:
+        digest.update(piece)
+
+    return -1 - (digest.intdigest() >> 1)
 
 
 def is_content(key: int) -> bool:
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -10,6 +10,7 @@
 from waxwingwell.adapters.gateway.crashes import SILENT_SECONDS
 from waxwingwell.adapters.gateway.crashes import hash_request_content
 from waxwingwell.adapters.gateway.crashes import review_breaks
+from waxwingwell.adapters.http.pieces import BodyPieces
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.routing.fleet import apply_heartbeats
 from waxwingwell.routing.hashes import hash_block
@@ -109,7 +110,9 @@
     def test_all_attempts_of_a_request_have_one_key(self) -> None:
         """Guards against attempts that are taken for other requests."""
         common = ((b"X-Tokens", b"9"), (b"X-Blocks", b"a,b"))
-        base = HttpRequest(b"POST", b"/chat/x", [(b"X-Id", b"1"), *common], b"hi")
+        base = HttpRequest(
+            b"POST", b"/chat/x", [(b"X-Id", b"1"), *common], BodyPieces(b"hi")
+        )
         cases = (
             ("another id", base, [(b"X-Id", b"2"), *common], b"hi", True),
             ("later", base, [(b"X-Budget", b"2"), *common], b"hi", True),
@@ -121,7 +124,9 @@
         )
         for name, first, headers, body, expected in cases:
             with self.subTest(name):
-                other = HttpRequest(first.method, first.target, list(headers), body)
+                other = HttpRequest(
+                    first.method, first.target, list(headers), BodyPieces(body)
+                )
                 keys = {
                     hash_request_content("r1", one, VARYING_HEADERS)
                     for one in (first, other)
--- a/tests/adapters/http/test_output.py
+++ b/tests/adapters/http/test_output.py
@@ -5,8 +5,8 @@
 import unittest
 
 from tests.adapters.gateway.support import make_transport
-from waxwingwell.adapters.http.output import CHUNK_BYTES
 from waxwingwell.adapters.http.output import SendBuffer
+from waxwingwell.adapters.http.pieces import CHUNK_BYTES
 
 
 class Protocol:
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -9,7 +9,7 @@
 
 from tests.adapters.gateway.support import capture_log
 from tests.adapters.gateway.support import make_transport
-from waxwingwell.adapters.http.output import CHUNK_BYTES
+from waxwingwell.adapters.http.pieces import CHUNK_BYTES
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.records import strip_hop_headers
@@ -85,7 +85,7 @@
                 server = Server()
                 server.send(data)
                 [request] = server.requests
-                self.assertEqual(request.body, body)
+                self.assertEqual(request.body.join(), body)
                 self.assertIn(b"200 OK", server.received)
 
     def test_pipelined_requests_get_responses_in_order(self) -> None:
--- a/tests/adapters/registry/test_quarantine.py
+++ b/tests/adapters/registry/test_quarantine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from waxwingwell.adapters.http.pieces import BodyPieces
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.registry.operators import serve_operators
 from waxwingwell.routing.quarantine import MIN_CRASHES
@@ -55,7 +56,7 @@
 def call(registry: Registry, method: bytes, body: bytes = b"") -> Responder:
     """Call a control."""
     responder = Responder()
-    request = HttpRequest(method, PATH, [], body)
+    request = HttpRequest(method, PATH, [], BodyPieces(body))
     handle = serve_operators(registry.context, lambda *_: None)
     handle(request, cast("Any", responder))
     return responder
--- a/tests/platform_adapter/test_evacuations.py
+++ b/tests/platform_adapter/test_evacuations.py
@@ -13,6 +13,7 @@
 
 from tests.adapters.registry.support import Registry
 from tests.adapters.registry.support import make_registry
+from waxwingwell.adapters.http.pieces import BodyPieces
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.registry import api
 from waxwingwell.adapters.registry.operators import serve_operators
@@ -58,7 +59,7 @@
     ) -> Responder:
         """Call the control; ``leave`` disconnects before the order is executed."""
         responder = Responder()
-        request = HttpRequest(method.encode(), path.encode(), [], body)
+        request = HttpRequest(method.encode(), path.encode(), [], BodyPieces(body))
         with patch.object(api, "submit", self.submit):
             handle = serve_operators(self.context, make_handler(self.context))
             handle(request, cast("Any", responder))
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -12,6 +12,7 @@
 from tests.adapters.registry.support import make_registry
 from waxwingwell.adapters.gateway.relaying import RUNS_HEADER
 from waxwingwell.adapters.gateway.relaying import read_count
+from waxwingwell.adapters.http.pieces import BodyPieces
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.registry.announcements import list_announcements
 from waxwingwell.adapters.registry.announcements import list_news
@@ -62,7 +63,9 @@
     def call(self, method: str, path: str, body: bytes) -> Responder:
         """Return the response to a call."""
         responder = Responder()
-        request = HttpRequest(method.encode(), path.encode("latin-1"), [], body)
+        request = HttpRequest(
+            method.encode(), path.encode("latin-1"), [], BodyPieces(body)
+        )
         make_handler(self.context)(request, cast("Any", responder))
         return responder
 
--- a/tests/platform_adapter/test_rollout_orders.py
+++ b/tests/platform_adapter/test_rollout_orders.py
@@ -13,6 +13,7 @@
 
 from tests.adapters.registry.support import Registry
 from tests.adapters.registry.support import make_registry
+from waxwingwell.adapters.http.pieces import BodyPieces
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.registry import api
 from waxwingwell.routing.messages import Accepted
@@ -45,7 +46,7 @@
     def order(self, target: bytes, *, leave: bool = False) -> int:
         """Order a roll-out; ``leave`` disconnects before the order is executed."""
         responder = Responder()
-        request = HttpRequest(b"POST", b"/-/rollouts", [], ORDER % target)
+        request = HttpRequest(b"POST", b"/-/rollouts", [], BodyPieces(ORDER % target))
         with patch.object(api, "submit", self.submit):
             handle = make_handler(self.registry.context)
             handle(request, cast("Any", responder))
