Count what each connection holds, and give up first who gets nowhere

Crowds of callers made a gateway exceed its memory: unfinished bodies, heads of thousands of fields, bytes behind a request in progress, and long responses that were hardly read. Whoever came next was refused meanwhile, so that a crowd that stopped short of its end kept ordinary bodies out.

Cause: only bodies and unsent bytes were counted. Bytes in the parser, heads (some 300 bytes a field), connections and running requests were not, and nothing that was held was ever taken back: the bound refused newcomers.

Every connection now has a holding in the budget of its process, in which each byte is counted once, where it is held. Before a peer holds more, room is made by one rule: whoever keeps the process waiting, takes up most and has not moved for longest (bytes times seconds) goes first. A few bytes at a time are no progress. A peer that waits for this system is never given up. A peer must also leave three times its own bytes free, at most a quarter of the bound, so that large bodies are refused before small ones; one alone may take three quarters. A stated length is refused at the head: 413 if it is over the limit, 503 if there is no room for it.

A given-up request that has not begun gets 503 with Retry-After; a reader is reset. A lost connection frees its buffers itself, as the collector came too late for those of Twisted and h11. The send buffer keeps pieces, as one buffer was held as a whole until half was sent.

The bound is a quarter of the memory, half before.

test_new_requests_are_refused_without_memory stated a memory of 1,000 bytes, less than a head takes now that heads are counted. It states 12,000 and checks the same: the second request is refused, the first one goes on.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -23,7 +23,6 @@
 from .endings import can_finish
 from .endings import retry_after
 from .exchange import Exchange
-from .held import has_room
 from .relaying import NO_ATTEMPTS
 from .relaying import EarlierAttempts
 from .relaying import needs_room
@@ -117,7 +116,7 @@
         refuse(facts, responder, 503, NO_CONFIGURATION, pause)
         return
 
-    if not has_room(context):
+    if not responder.has_room():
         BOUNDS_PASSED.labels("memory").inc()
         refuse(facts, responder, 503, "no memory for another request")
         return
--- a/src/waxwingwell/adapters/gateway/bounds.py
+++ b/src/waxwingwell/adapters/gateway/bounds.py
@@ -29,7 +29,9 @@
 
     size = attempt.body.size + len(data)
     is_long = size > exchange.context.settings.collected_bytes
-    if is_long and may_forward(exchange, attempt):
+    if (is_long or not exchange.responder.has_room()) and may_forward(
+        exchange, attempt
+    ):
         start_forwarding(exchange, attempt)
         exchange.responder.write(data)
     else:
--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -45,7 +45,7 @@
 from ...routing.tallies import RolloutTally
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
-from ..http.output import HeldBytes
+from ..http.budget import Budget
 from ..links import Link
 from ..links import LinkNode
 from ..traffic import TrafficTable
@@ -232,8 +232,8 @@
     reported_workspaces: tuple[WorkspaceUse, ...] = ()
     control_seen_at: float = 0.0
     """Time of the last message from any control."""
-    held: HeldBytes = field(default_factory=HeldBytes)
-    """Bytes held for callers and upstreams."""
+    held: Budget = field(default_factory=Budget)
+    """What callers and upstreams take up."""
     stopping: bool = False
     exit_at: float = math.inf
     """Latest time at which a stopping process exits."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -20,6 +20,7 @@
 from ...routing.delays import is_late
 from ...routing.delays import measure_queue
 from ...routing.delays import record_turn
+from ...routing.gateway_room import MEMORY_PART
 from ...routing.messages import RoutingBody
 from ...routing.silence import drop_known_silences
 from ..caller_port import CallerPort
@@ -43,7 +44,6 @@
 from .arrivals import handle_request
 from .context import GatewayContext
 from .crashes import review_breaks
-from .held import has_room
 from .probing import probe_path
 from .reporting import send_report
 from .room_checks import check_room
@@ -102,6 +102,7 @@
         random=random.Random(settings.node),
         dialect=dialect,
     )
+    context.held.memory = settings.memory_bytes * MEMORY_PART
     context.control_seen_at = read_clock()
     context.retries.began_at = read_clock()
     context.warm_up.began_at = read_clock()
@@ -123,7 +124,6 @@
         limits=partial(read_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.CALLERS, Place.UNKNOWN),
         held=context.held,
-        has_room=partial(has_room, context),
     )
     health = HttpService(
         reactor=reactor,
@@ -136,7 +136,6 @@
         limits=partial(read_relay_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.RELAYS, Place.UNKNOWN),
         held=context.held,
-        has_room=partial(has_room, context),
     )
     port = CallerPort(reactor, callers or open_port(settings.callers))
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
--- a/src/waxwingwell/adapters/gateway/held.py
+++ b/src/waxwingwell/adapters/gateway/held.py
@@ -4,11 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from ...routing.gateway_room import MEMORY_PART
+from ..http.budget import add_bytes
 
 
 if TYPE_CHECKING:
-    from .context import GatewayContext
     from .exchange import Exchange
 
 
@@ -21,11 +20,5 @@
     if exchange.last_response is not None:
         held += len(exchange.last_response[2])
 
-    exchange.context.held.total += held - exchange.held
+    add_bytes(exchange.responder.holding, held - exchange.held)
     exchange.held = held
-
-
-def has_room(context: GatewayContext) -> bool:
-    """Return whether the gateway has memory for another request."""
-    memory = context.settings.memory_bytes
-    return not memory or context.held.total <= memory * MEMORY_PART
--- a/src/waxwingwell/adapters/http/output.py
+++ b/src/waxwingwell/adapters/http/output.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet.error import ConnectionAborted
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPullProducer
+from twisted.internet.tcp import Connection
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from .budget import add_bytes
 from .pieces import CHUNK_BYTES
+from .pieces import BodyPieces
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .budget import Holding
+
 
 HIGH_WATER_BYTES = 262_144
 """Unsent bytes of a connection above which no more are produced for it: 4 s of a stream
@@ -24,13 +31,6 @@
 the connection does not run dry meanwhile."""
 
 
-@dataclass(slots=True)
-class HeldBytes:
-    """Number of bytes that a process holds for its callers and upstreams."""
-
-    total: int = 0
-
-
 @implementer(IPullProducer)
 class SendBuffer:
     """Bytes written to a connection that the kernel has not accepted yet.
@@ -38,48 +38,40 @@
     A transport does not report how much it buffers, and drops its buffer when the
     reactor stops or the connection is aborted. So it gets one chunk at a time and
     requests the next when its buffer is empty. ``on_progress`` is called then. The
-    unsent bytes are counted in ``held``.
+    unsent bytes are counted in ``holding``.
     """
 
     def __init__(
         self,
         transport: Any,
         on_progress: Callable[[], None],
-        held: HeldBytes | None = None,
+        holding: Holding | None = None,
     ) -> None:
         self._transport = transport
         self._on_progress = on_progress
-        self._held = held or HeldBytes()
-        self._is_counted = True
-        self._pending = bytearray()
+        self._holding = holding
+        self._pending = BodyPieces()
         self._in_transport = 0
         self.unsent = 0
         """Upper bound on the bytes that have not been sent."""
+        self.sent = 0
+        """Bytes that have been sent."""
         self._finishing = False
         transport.registerProducer(self, False)
 
     def write(self, data: bytes) -> None:
         """Append bytes to the buffer and send as many as possible."""
         size = len(data)
-        self.unsent += size
-        if self._is_counted:
-            self._held.total += size
-
-        if not self._pending and self._in_transport + size <= CHUNK_BYTES:
+        self._count(size)
+        if not self._pending.size and self._in_transport + size <= CHUNK_BYTES:
             self._in_transport += size
             self._transport.write(data)
             return
 
-        self._pending += data
-        if self._in_transport < CHUNK_BYTES:
+        self._pending.add(data)
+        if not self._in_transport:
             self._send_chunk()
 
-    def release(self) -> None:
-        """Stop to count the unsent bytes, as the connection is lost."""
-        if self._is_counted:
-            self._is_counted = False
-            self._held.total -= self.unsent
-
     def finish(self) -> None:
         """Close the write side once everything was sent; the peer closes its own.
 
@@ -101,13 +93,11 @@
         if not self._in_transport:
             return
 
-        if self._is_counted:
-            self._held.total -= self._in_transport
-
-        self.unsent -= self._in_transport
-        self._in_transport = 0
+        sent, self._in_transport = self._in_transport, 0
+        self._count(-sent)
+        self.sent += sent
         self._on_progress()
-        if self._pending:
+        if self._pending.size and not self._in_transport:
             self._send_chunk()
         elif self._finishing and not self.unsent:
             self._half_close()
@@ -115,13 +105,31 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the protocol's ``connectionLost`` handles the loss."""
 
+    def _count(self, size: int) -> None:
+        self.unsent += size
+        if self._holding is not None:
+            add_bytes(self._holding, size)
+
     def _send_chunk(self) -> None:
-        size = CHUNK_BYTES - self._in_transport
-        chunk = bytes(self._pending[:size])
-        del self._pending[:size]
-        self._in_transport += len(chunk)
+        chunk = self._pending.take_first()
+        self._in_transport = len(chunk)
         self._transport.write(chunk)
 
     def _half_close(self) -> None:
         self._transport.unregisterProducer()
         self._transport.loseWriteConnection()
+
+
+def close_at_once(transport: Any, *, is_clean: bool) -> None:
+    """Close a connection and free its descriptor, without another turn of the loop.
+
+    A connection that is not closed cleanly is reset, as its response is not complete.
+    """
+    if not isinstance(transport, Connection):
+        transport.abortConnection()
+        return
+
+    transport.stopReading()
+    transport.stopWriting()
+    reason = ConnectionDone() if is_clean else ConnectionAborted()
+    transport.connectionLost(Failure(reason))
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import chain
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
@@ -19,14 +20,24 @@
 from ..metrics import PAUSED_CONNECTIONS
 from ..metrics import TRUNCATED_RESPONSES
 from ..traffic import Traffic
+from .budget import Budget
+from .budget import Shortage
+from .budget import Standing
+from .budget import add_bytes
+from .budget import close_holding
+from .budget import make_room
+from .budget import open_holding
+from .budget import record_moved
+from .budget import record_progress
 from .output import HIGH_WATER_BYTES
 from .output import LOW_WATER_BYTES
-from .output import HeldBytes
 from .output import SendBuffer
+from .output import close_at_once
 from .pieces import BodyPieces
 from .records import HeaderList
 from .records import HttpLimits
 from .records import HttpRequest
+from .records import find_header
 
 
 if TYPE_CHECKING:
@@ -57,6 +68,8 @@
 no longer read. Until it is read again, the loss of the connection goes unnoticed."""
 NO_ROOM_RETRY_AFTER = b"0.5"
 """Seconds after which a caller may retry whose body there was no memory for."""
+FIELD_BYTES = 320
+"""Memory of a header field besides its bytes."""
 
 
 @dataclass(slots=True)
@@ -64,16 +77,15 @@
     """State shared by all connections of a listener.
 
     ``handle`` is called with each complete request. ``limits`` is called for each
-    request, as a newer configuration may have changed the limits. ``has_room`` tells
-    whether the process has memory for the body of another request.
+    request, as a newer configuration may have changed the limits. ``held`` is
+    that of the process, for all its listeners.
     """
 
     reactor: Any
     handle: Callable[[HttpRequest, Responder], None]
     limits: Callable[[], HttpLimits]
     stopping: bool = False
-    held: HeldBytes = field(default_factory=HeldBytes)
-    has_room: Callable[[], bool] = lambda: True
+    held: Budget = field(default_factory=Budget)
     connections: set[HttpConnection] = field(default_factory=set)
     traffic: Traffic = field(default_factory=Traffic)
     """Counts the bytes of all connections."""
@@ -85,6 +97,7 @@
     __slots__ = (
         "_connection",
         "ended",
+        "holding",
         "lost_reason",
         "on_lost",
         "on_pause",
@@ -95,6 +108,8 @@
 
     def __init__(self, connection: HttpConnection) -> None:
         self._connection = connection
+        self.holding = connection.holding
+        """What the connection takes up."""
         self.request_id = ""
         """Identifies the request in the log."""
         self.started = False
@@ -107,6 +122,10 @@
         self.on_resume: Callable[[], None] = lambda: None
         """Called when the caller has read most of them."""
 
+    def has_room(self) -> bool:
+        """Return whether more may be held for the request."""
+        return self._connection.has_room()
+
     def send(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
         length = (b"Content-Length", str(len(body)).encode())
@@ -145,10 +164,17 @@
 
     def __init__(self, service: HttpService) -> None:
         self.service = service
+        self.holding = open_holding(
+            service.held, self._stand, self._give_up, service.reactor.seconds()
+        )
+        """What this connection takes up."""
         self._h11 = self._new_h11()
         self._request: h11.Request | None = None
+        self._headers: HeaderList = []
         self._body = BodyPieces()
+        """Body of the request that is received or in progress."""
         self._size = 0
+        """Bytes that are counted for the request."""
         self._responder: Responder | None = None
         self._timer: Any = None
         self._close_after_response = False
@@ -165,7 +191,11 @@
         self._is_waiting = False
         """Whether a complete request waits until its caller has read more."""
         self._unparsed = 0
-        """Bytes that arrived after a request that is still in progress."""
+        """Bytes that have arrived and can't be parsed yet."""
+        self._reads = True
+        """Whether bytes of the caller are received."""
+        self._sent_at_progress = 0
+        """Bytes that had been sent when the caller last got on."""
         self._awaiting_first_bytes = True
         """Whether no bytes have been received yet."""
 
@@ -178,7 +208,7 @@
         self.service.connections.add(self)
         cast("ITCPTransport", self.transport).setTcpNoDelay(True)
         self._send_buffer = SendBuffer(
-            self.transport, self._handle_progress, self.service.held
+            self.transport, self._handle_progress, self.holding
         )
         self._start_timer(self.service.limits().header_timeout)
 
@@ -188,22 +218,23 @@
         if self._closing:
             return
 
-        self._awaiting_first_bytes = False
+        if self._awaiting_first_bytes:
+            self._awaiting_first_bytes = False
+            record_progress(self.holding, self.service.reactor.seconds())
+
         self._h11.receive_data(data)
         if self._responder is None and not self._is_waiting:
             self._parse()
-            return
-
-        self._unparsed += len(data)
-        if self._unparsed > MAX_UNPARSED_BYTES:
-            cast("IPushProducer", self.transport).pauseProducing()
+        else:
+            self._set_unparsed(self._unparsed + len(data))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Notify the handler of a request in progress that its caller is gone."""
         self.service.connections.discard(self)
         self._stop_timer()
         self._release_memory()
-        responder, self._responder = self._responder, None
+        responder = self._responder
+        self._set_responder(None)
         if responder is None or not responder.started:
             self._log_undelivered(reason)
 
@@ -211,6 +242,16 @@
             responder.ended = True
             responder.on_lost()
 
+        self._drop_buffers()
+
+    def _drop_buffers(self) -> None:
+        """Free what a lost connection holds, without the garbage collector."""
+        self._release_body()
+        self._h11 = self._new_h11()
+        self._request = None
+        self.transport = None
+        self._send_buffer = None
+
     @property
     def unsent(self) -> int:
         """Upper bound on the bytes of responses that have not been sent."""
@@ -218,21 +259,62 @@
 
     def _release_memory(self) -> None:
         """Stop to count what is held for a connection that is lost."""
-        self._release_body()
-        if self._send_buffer is not None:
-            self._send_buffer.release()
-
+        close_holding(self.holding)
         if self._paused:
             self._paused = False
             PAUSED_CONNECTIONS.dec()
 
     def _release_body(self) -> None:
         self._body = BodyPieces()
-        self.service.held.total -= self._size
-        self._size = 0
+        self._count_request(-self._size)
+
+    def _count_request(self, size: int) -> None:
+        """Count bytes that are held for the request that is being received."""
+        self._size += size
+        add_bytes(self.holding, size)
+
+    def has_room(self, expected: int = 0) -> bool:
+        """Return whether more may be held, which may end other connections."""
+        if not self.service.held.memory:
+            return True
+
+        return make_room(self.holding, self.service.reactor.seconds(), expected)
+
+    def _stand(self) -> Standing:
+        """Return whose turn it is."""
+        if self._responder is not None or self._is_waiting:
+            return Standing.READING if self.unsent else Standing.WAITING
+
+        if self.unsent:
+            return Standing.READING
+
+        if self._closing or (self.idle and not self._unparsed):
+            return Standing.IDLE
+
+        return Standing.SENDING
+
+    def _give_up(self, cause: Shortage) -> None:
+        """End the connection, or refuse its request, as the process lacks something."""
+        standing = self._stand()
+        if standing is Standing.READING:
+            if self._responder is not None:
+                self._responder.lost_reason = f"{cause.value} ran short"
+
+            self.abort()
+            self._release_memory()
+        elif cause is Shortage.MEMORY and self._request is not None:
+            self._reject_for_memory()
+        else:
+            self._release_memory()
+            close_at_once(self.transport, is_clean=standing is Standing.IDLE)
 
     def _handle_progress(self) -> None:
         """Handle that the caller has read a chunk."""
+        if self._send_buffer is not None:
+            moved = self._send_buffer.sent - self._sent_at_progress
+            self._sent_at_progress = self._send_buffer.sent
+            record_moved(self.holding, moved, self.service.reactor.seconds())
+
         if self._closing or self._paused or self._responder is None:
             self._restart_timeout()
 
@@ -335,9 +417,10 @@
         if self._responder is not None:
             self._last_request_id = self._responder.request_id
 
-        self._responder = None
+        self._set_responder(None)
         self._request = None
         self._release_body()
+        record_progress(self.holding, self.service.reactor.seconds())
         reusable = self._h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if self._close_after_response or not reusable:
             self._close_gracefully()
@@ -359,9 +442,16 @@
 
         self.service.traffic.sent += len(data)
         self._send_buffer.write(data)
-        if not self._paused and self._send_buffer.unsent > HIGH_WATER_BYTES:
+        if not self._paused and self._is_overfull():
             self._pause()
 
+    def _is_overfull(self) -> bool:
+        """Return whether the caller has to read before more is produced for it."""
+        if self.unsent > HIGH_WATER_BYTES:
+            return True
+
+        return self.unsent > LOW_WATER_BYTES and not self.has_room()
+
     def _parse(self) -> None:
         self._has_unparsed_bytes = False
         if self._responder is not None or not self._is_open():
@@ -372,15 +462,34 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
-        if self._unparsed:
-            is_held = self._responder is not None or self._is_waiting
-            self._set_unparsed(len(self._h11.trailing_data[0]) if is_held else 0)
+        self._set_unparsed(0 if self._closing else len(self._h11.trailing_data[0]))
+        if self._unparsed and self._request is None and not self.has_room():
+            self._reject_for_memory()
 
     def _set_unparsed(self, count: int) -> None:
-        """Set the number of unparsed bytes; read again once they are few."""
-        was_full, self._unparsed = self._unparsed > MAX_UNPARSED_BYTES, count
-        if was_full and count <= MAX_UNPARSED_BYTES:
-            cast("IPushProducer", self.transport).resumeProducing()
+        """Count the bytes that can't be parsed yet; read only while they are few."""
+        if count != self._unparsed:
+            add_bytes(self.holding, count - self._unparsed)
+            self._unparsed = count
+
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Receive bytes of the caller unless enough of them wait to be parsed."""
+        limit = MAX_UNPARSED_BYTES
+        if self._unparsed and self._responder is not None and not self.has_room():
+            limit = 0
+
+        reads = self._unparsed <= limit
+        if reads == self._reads or self not in self.service.connections:
+            return
+
+        self._reads = reads
+        transport = cast("IPushProducer", self.transport)
+        if reads:
+            transport.resumeProducing()
+        else:
+            transport.pauseProducing()
 
     def _is_open(self) -> bool:
         return not self._closing and self in self.service.connections
@@ -398,12 +507,8 @@
                 return
 
             if isinstance(event, h11.Request):
-                if measure_head(event) > self.service.limits().header_bytes:
-                    self._reject(431)
+                if not self._receive_head(event):
                     return
-
-                self._request = event
-                self._start_timer(self.service.limits().header_timeout)
             elif isinstance(event, h11.Data):
                 if not self._receive_body(bytes(event.data)):
                     return
@@ -411,21 +516,49 @@
                 self._dispatch_when_read()
                 return
 
-    def _receive_body(self, data: bytes) -> bool:
-        self._size += len(data)
-        self.service.held.total += len(data)
-        if not self.service.has_room():
-            BOUNDS_PASSED.labels("memory").inc()
-            self._reject(503)
+    def _receive_head(self, request: h11.Request) -> bool:
+        """Return whether the body of a request is received."""
+        limits = self.service.limits()
+        headers = list(request.headers.raw_items())
+        size = measure_head(request, headers)
+        if size > limits.header_bytes:
+            self._reject(431)
             return False
 
-        if self._size > self.service.limits().body_bytes:
+        length = read_length(headers)
+        if length > limits.body_bytes:
             self._reject(413)
             return False
 
+        self._request = request
+        self._headers = headers
+        self._start_timer(limits.header_timeout)
+        self._count_request(size + FIELD_BYTES * len(headers))
+        record_progress(self.holding, self.service.reactor.seconds())
+        if not self.has_room(length):
+            self._reject_for_memory()
+            return False
+
+        return True
+
+    def _receive_body(self, data: bytes) -> bool:
         self._body.add(data)
+        self._count_request(len(data))
+        record_moved(self.holding, len(data), self.service.reactor.seconds())
+        if not self.has_room():
+            self._reject_for_memory()
+            return False
+
+        if self._body.size > self.service.limits().body_bytes:
+            self._reject(413)
+            return False
+
         return True
 
+    def _reject_for_memory(self) -> None:
+        BOUNDS_PASSED.labels("memory").inc()
+        self._reject(503)
+
     def _dispatch_when_read(self) -> None:
         """Handle a request once its caller has read most of the former responses."""
         if not self._paused:
@@ -438,13 +571,16 @@
     def _dispatch(self) -> None:
         self._stop_timer()
         request = cast("h11.Request", self._request)
-        body, self._body = self._body, BodyPieces()  # counted until the response ends
-        self._responder = Responder(self)
-        headers = list(request.headers.raw_items())
-        self.service.handle(
-            HttpRequest(request.method, request.target, headers, body),
-            self._responder,
-        )
+        responder = Responder(self)
+        self._set_responder(responder)
+        parts = (request.method, request.target, self._headers, self._body)
+        self.service.handle(HttpRequest(*parts), responder)
+
+    def _set_responder(self, responder: Responder | None) -> None:
+        """Begin a response, or end the one in progress."""
+        was_running = self._responder is not None
+        self._responder = responder
+        self.service.held.requests += (responder is not None) - was_running
 
     def _reject(self, status: int) -> None:
         """Send an error response to an invalid request, and close."""
@@ -509,18 +645,25 @@
             return
 
         self._closing = True
+        self._request = None
+        self._h11 = self._new_h11()  # drops what will not be parsed
         self._set_unparsed(0)
         self._start_timer(self.service.limits().idle_timeout)
         self._send_buffer.finish()
 
 
-def measure_head(request: h11.Request) -> int:
+def measure_head(request: h11.Request, headers: HeaderList) -> int:
     """Return the approximate size in bytes of a request's head.
 
     h11 limits only heads that arrive in several segments.
     """
-    size = len(request.method) + len(request.target)
-    return size + sum(len(name) + len(value) + 4 for name, value in request.headers)
+    size = len(request.method) + len(request.target) + 4 * len(headers)
+    return size + sum(map(len, chain.from_iterable(headers)))
+
+
+def read_length(headers: HeaderList) -> int:
+    """Return the length of a request's body, 0 if it is not stated."""
+    return int(find_header(headers, b"content-length") or b"0")
 
 
 class HttpFactory(Factory):
--- a/src/waxwingwell/adapters/metrics.py
+++ b/src/waxwingwell/adapters/metrics.py
@@ -174,6 +174,12 @@
     "Connections of callers that have too much left to read.",
     registry=REGISTRY,
 )
+GIVEN_UP_CONNECTIONS = Counter(
+    "waxwingwell_connections_given_up",
+    "Connections ended for lack of memory or connections, by what was short.",
+    ["cause"],
+    registry=REGISTRY,
+)
 BOUNDS_PASSED = Counter(
     "waxwingwell_bounds_passed",
     "Bounds on bytes and counts that were passed, by kind.",
--- a/src/waxwingwell/routing/gateway_room.py
+++ b/src/waxwingwell/routing/gateway_room.py
@@ -38,9 +38,9 @@
 
 RATE_SECONDS = 1.0
 """Seconds over which the bytes of the link are summed."""
-MEMORY_PART = 0.5
-"""Part of the memory that may be held before new requests are refused. Python objects,
-buffers of h11 and copies in progress take the rest."""
+MEMORY_PART = 0.25
+"""Part of the memory that may be held before new requests are refused. The process
+itself takes a third of a small VM, and fragmentation about as much as what is held."""
 SMOOTHING = 0.5
 """Weight of the newest delay in the mean: half of a change counts at once."""
 LITTLE_ROOM = 0.4
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -27,7 +27,6 @@
 from waxwingwell.adapters.gateway.dialect import RelayedRequest
 from waxwingwell.adapters.gateway.dialect import RequestFacts
 from waxwingwell.adapters.gateway.dialect import ResponseFacts
-from waxwingwell.adapters.gateway.held import has_room
 from waxwingwell.adapters.gateway.settings import GatewaySettings
 from waxwingwell.adapters.http.records import HeaderList
 from waxwingwell.adapters.http.records import HttpLimits
@@ -333,7 +332,6 @@
         ),
         limits=HttpLimits,
         held=gateway.context.held,
-        has_room=lambda: has_room(gateway.context),
     )
     return gateway
 
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -9,6 +9,7 @@
 
 from waxwingwell.adapters.gateway.events import EventSplitter
 from waxwingwell.adapters.http.client import MAX_INFORMATIONAL
+from waxwingwell.routing.gateway_room import MEMORY_PART
 from waxwingwell.routing.records import RouteKind
 
 from .byte_plays import BARE_HEAD
@@ -26,7 +27,6 @@
 from .support import make_chunk
 from .support import make_gateway
 from .support import make_response
-from .support import make_settings
 from .support import make_stream_head
 
 
@@ -321,11 +321,11 @@
         for name, memory, status in (
             ("unknown", 0, 0),
             ("enough", 4 * MIB, 0),
-            ("too little", 1_000, 503),
+            ("too little", 12_000, 503),
         ):
             with self.subTest(name):
                 gateway = make_gateway(kind=CALL)
-                gateway.context.settings = make_settings(memory_bytes=memory)
+                gateway.context.held.memory = memory * MEMORY_PART
                 running = gateway.ask()
                 upstream = gateway.calls[-1]
                 upstream.accept()
