Bound what a registry holds for calls of operators and upstreams

Twenty callers with bodies of 8 MiB but a byte took a registry to 216 MB.

Cause: only gateways knew their memory, and the registry's port had no bound.

--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -10,11 +10,13 @@
 
 from twisted.internet.task import LoopingCall
 
+from ...routing.gateway_room import MEMORY_PART
 from ...routing.reports import start_counting
 from ..clock import read_boot
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
+from ..http.budget import Budget
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -82,6 +84,9 @@
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
     start_counting(context.reports, context.clock())
+    held = Budget(
+        memory=settings.memory_bytes * MEMORY_PART,
+    )
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
@@ -97,6 +102,7 @@
         reactor=reactor,
         handle=serve_operators(context, make_handler(context)),
         limits=lambda: HttpLimits(body_bytes=MAX_BODY_BYTES),
+        held=held,
     )
     ports = [
         reactor.listenTCP(
--- a/src/waxwingwell/adapters/registry/settings.py
+++ b/src/waxwingwell/adapters/registry/settings.py
@@ -34,3 +34,5 @@
     exposure: ExposureLimits = ExposureLimits()
     """Limits on the requests that a version on trial may get."""
     metrics: tuple[str, int] | None = None
+    memory_bytes: int = 0
+    """Memory that the process may use; 0 if unknown."""
