Take no bodies at ports that need none

Twenty-five callers with unfinished bodies of 4 MiB took a gateway to 151 MB by its port for readiness checks, and gateway and registry to 148 and 149 MB by those for metrics.

Cause: these ports had the limits of the port for callers, 4 MiB a body, and none of them counted. A request with a body gets 413 there now, at its head or its first chunk, and what their connections hold counts in the budget of the process.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -27,6 +27,7 @@
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
+from ..http.records import WITHOUT_BODIES
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -128,7 +129,8 @@
     health = HttpService(
         reactor=reactor,
         handle=partial(respond_readiness, context),
-        limits=HttpLimits,
+        limits=lambda: WITHOUT_BODIES,
+        held=context.held,
     )
     relays = HttpService(
         reactor=reactor,
@@ -149,7 +151,7 @@
         ports.append(reactor.listenTCP(number, HttpFactory(relays), interface=host))
 
     if settings.metrics is not None:
-        ports.append(serve_metrics(reactor, settings.metrics))
+        ports.append(serve_metrics(reactor, settings.metrics, context.held))
 
     for name in settings.controls:
         connect_control(context, name)
--- a/src/waxwingwell/adapters/http/records.py
+++ b/src/waxwingwell/adapters/http/records.py
@@ -38,6 +38,10 @@
     idle_timeout: float = 30.0
 
 
+WITHOUT_BODIES = HttpLimits(body_bytes=0)
+"""Limits of ports whose requests need no body."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request that was received completely."""
--- a/src/waxwingwell/adapters/metrics_listener.py
+++ b/src/waxwingwell/adapters/metrics_listener.py
@@ -8,13 +8,14 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
-from .http.records import HttpLimits
+from .http.records import WITHOUT_BODIES
 from .http.server import HttpFactory
 from .http.server import HttpService
 from .metrics import REGISTRY
 
 
 if TYPE_CHECKING:
+    from .http.budget import Budget
     from .http.records import HttpRequest
     from .http.server import Responder
 
@@ -32,7 +33,15 @@
     responder.send(200, [kind], generate_latest(REGISTRY))
 
 
-def serve_metrics(reactor: Any, address: tuple[str, int]) -> Any:
-    """Listen for requests for the metrics; errors: ``CannotListenError``."""
-    service = HttpService(reactor=reactor, handle=send_metrics, limits=HttpLimits)
+def serve_metrics(reactor: Any, address: tuple[str, int], held: Budget) -> Any:
+    """Listen for requests for the metrics; errors: ``CannotListenError``.
+
+    ``held`` is that of the process.
+    """
+    service = HttpService(
+        reactor=reactor,
+        handle=send_metrics,
+        limits=lambda: WITHOUT_BODIES,
+        held=held,
+    )
     return reactor.listenTCP(address[1], HttpFactory(service), interface=address[0])
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -113,7 +113,7 @@
         ),
     ]
     if settings.metrics is not None:
-        ports.append(serve_metrics(reactor, settings.metrics))
+        ports.append(serve_metrics(reactor, settings.metrics, held))
 
     settings.data_folder.mkdir(parents=True, exist_ok=True)
     load_checkpoints(context, started_at or context.clock())
