Bound the frames that a registry receives on links

Twenty strangers that announced frames of 60 MB, sent 8 MiB of each and then a byte at times took a registry to 212 MB.

Cause: the unpacker of a link takes up to 64 MiB before anything else looks at it, also before the peer has greeted, and none of it was counted. Before the greeting a frame may have 4 KiB now. What a partial frame holds counts in the budget of the process, with the same rule for who is given up first; links that this end has opened are counted, and never given up.

Each unpacker also kept a buffer of a megabyte from its start: 16 KiB now.

test_stalled_frames_at_the_port_for_links: 212 MB before, 45 MB now of 96 allowed. test_all_kinds_at_once keeps its bounds with this: 196 MB in the gateway and 214 MB in the registry on, 87 and 68 MB now.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -118,6 +118,7 @@
         ),
         timing=ROUTING_TIMING,
         count_bytes=partial(count_link_bytes, context),
+        held=context.held,
     )
     service = HttpService(
         reactor=reactor,
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -35,6 +35,16 @@
 from ..messages import Reply
 from .exceptions import LinkDownError
 from .exceptions import LinkLostError
+from .http.budget import Budget
+from .http.budget import Shortage
+from .http.budget import Standing
+from .http.budget import add_bytes
+from .http.budget import close_holding
+from .http.budget import make_room
+from .http.budget import open_holding
+from .http.budget import record_moved
+from .http.budget import record_progress
+from .http.output import close_at_once
 
 
 if TYPE_CHECKING:
@@ -52,6 +62,10 @@
 """Seconds in which a process that has stood still reads what has arrived."""
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 """Bytes of the largest frame; a snapshot of the control state must fit."""
+READ_BYTES = 16_384
+"""Bytes of the buffer that each connection keeps."""
+MAX_GREETING_BYTES = 4_096
+"""Bytes of the largest frame before the peer has greeted."""
 
 Frame = Hello | Beat | Call | Reply | Cast
 
@@ -114,17 +128,27 @@
     """Called for each connection, in either direction, once the peer has greeted."""
     count_bytes: Callable[[str, int, int], None] = lambda *_: None
     """Called with a peer and the bytes that were sent to it and received from it."""
+    held: Budget = field(default_factory=Budget)
+    """What all peers of the process take up."""
 
 
 @implementer(IPushProducer)
 class LinkProtocol(Protocol):
     """One connection: sends and receives frames, and closes if it is unresponsive."""
 
-    def __init__(self, node: LinkNode) -> None:
+    def __init__(self, node: LinkNode, *, is_own: bool = False) -> None:
         self.node = node
+        self.is_own = is_own
+        """Whether this end has opened the connection."""
         self.remote = ""
         self.closed: Deferred[None] = Deferred()
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_FRAME_BYTES, read_size=READ_BYTES
+        )
+        self._received = 0
+        self._holding = open_holding(
+            node.held, self._stand, self._give_up, node.reactor.seconds()
+        )
         self._pending: dict[int, Deferred[Any]] = {}
         self._unanswered_calls = 0
         self._finishing = False
@@ -155,14 +179,46 @@
             self._unpacker.feed(data)
             for item in self._unpacker:
                 self._handle_frame(msgspec.convert(item, type=Frame))
+
+            self._count_partial(len(data))
         except (msgspec.ValidationError, ValueError, msgpack.UnpackException) as error:
             logger.warning(
                 "link: Closed the connection to {}: bad frame, {}.", self.remote, error
             )
             self.abort()
 
+    def _count_partial(self, received: int) -> None:
+        """Count the bytes of the frame that is being received, and bound them."""
+        now = self._seconds()
+        self._received += received
+        partial = self._received - self._unpacker.tell()
+        add_bytes(self._holding, partial - self._holding.size)
+        record_moved(self._holding, received, now)
+        if not partial:
+            record_progress(self._holding, now)
+        elif self.is_own:
+            return
+        elif not self._greeted and partial > MAX_GREETING_BYTES:
+            raise ValueError(f"{partial} bytes before a greeting")
+        elif not make_room(self._holding, now):
+            raise ValueError(f"no memory for a frame of over {partial} bytes")
+
+    def _stand(self) -> Standing:
+        """Return whose turn it is."""
+        if self.is_own or (self._greeted and not self._holding.size):
+            return Standing.WAITING
+
+        return Standing.SENDING if self._holding.size else Standing.IDLE
+
+    def _give_up(self, cause: Shortage) -> None:
+        """End the connection at once for lack of memory or descriptors."""
+        logger.warning("link: Gave up {}: {} ran short.", self.remote, cause.value)
+        close_holding(self._holding)
+        close_at_once(self.transport, is_clean=False)
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Fail all pending calls; each may have run at the other end."""
+        close_holding(self._holding)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
@@ -456,7 +512,7 @@
         self.node = node
 
     def buildProtocol(self, addr: object) -> LinkProtocol:  # noqa: N802
-        return LinkProtocol(self.node)
+        return LinkProtocol(self.node, is_own=True)
 
 
 def open_link(
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -97,6 +97,7 @@
         ),
         timing=ROUTING_TIMING,
         on_greeted=partial(handle_connection, context),
+        held=held,
     )
     service = HttpService(
         reactor=reactor,
