Bound the connections of peers, and let the longest silent one give way

Silent connections took all descriptors of a process. A new caller was then accepted and reset, and a request in progress had no descriptor for its server; a registry could not take a heartbeat or a gateway's link.

Cause: nothing counted descriptors. A process now leaves 32 of its limit to itself and a quarter of the rest to the connections that it opens. At the bound, a new connection replaces one without a request, else one whose request is not complete, in each case that which has been silent for longest; requests in progress are never ended for it. The descriptor is freed within the same turn, as a batch of connections is accepted in one.

--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -27,6 +27,7 @@
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
+from ..http.budget import limit_connections
 from ..http.records import WITHOUT_BODIES
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
@@ -104,6 +105,7 @@
         dialect=dialect,
     )
     context.held.memory = settings.memory_bytes * MEMORY_PART
+    context.held.max_connections = limit_connections()
     context.control_seen_at = read_clock()
     context.retries.began_at = read_clock()
     context.warm_up.began_at = read_clock()
--- a/src/waxwingwell/adapters/http/budget.py
+++ b/src/waxwingwell/adapters/http/budget.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -39,6 +40,10 @@
 large bodies are refused before small ones."""
 HEADROOM_PART = 0.25
 """Part of the memory that must be left free at most."""
+OWN_DESCRIPTORS = 32
+"""Descriptors for files, listening ports and links of a process."""
+CONNECTIONS_PART = 0.75
+"""Part of the other descriptors for connections that peers open."""
 RELIEF_PART = 0.125
 """Part of the memory that is freed beyond what is needed, so that peers are compared
 only now and then."""
@@ -88,6 +93,8 @@
 
     memory: float = 0.0
     """Most bytes that may be held; 0 without a bound."""
+    max_connections: int = 0
+    """Most connections of peers; 0 without a bound."""
     total: int = 0
     """Bytes held for all peers."""
     requests: int = 0
@@ -97,6 +104,15 @@
     compared_at: float = -math.inf
 
 
+def limit_connections() -> int:
+    """Return the most connections of peers by the limit on open descriptors."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return 0
+
+    return max(int(CONNECTIONS_PART * (soft - OWN_DESCRIPTORS)), 1)
+
+
 def open_holding(
     budget: Budget,
     stand: Callable[[], Standing],
@@ -206,6 +222,32 @@
     return (holding.size + CONNECTION_BYTES) * (now - holding.moved_at)
 
 
+def admit_connection(budget: Budget, now: float) -> bool:
+    """Return whether a connection may be opened, after giving up one if need be.
+
+    Connections without a request go first, the one that has been silent for longest
+    before the others.
+    """
+    if not budget.max_connections or len(budget.holdings) < budget.max_connections:
+        return True
+
+    chosen: Holding | None = None
+    standing = Standing.READING
+    for one in budget.holdings:
+        stands = one.stand()
+        if stands < standing:
+            chosen, standing = one, stands
+
+        if standing is Standing.IDLE:
+            break
+
+    if chosen is None:
+        return False
+
+    give_up(chosen, Shortage.CONNECTIONS, now)
+    return True
+
+
 def give_up(holding: Holding, cause: Shortage, now: float) -> None:
     """End a connection or its request for lack of memory or connections."""
     GIVEN_UP_CONNECTIONS.labels(cause.value).inc()
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -18,12 +18,14 @@
 from ..events import log_event
 from ..metrics import BOUNDS_PASSED
 from ..metrics import PAUSED_CONNECTIONS
+from ..metrics import REFUSED_CONNECTIONS
 from ..metrics import TRUNCATED_RESPONSES
 from ..traffic import Traffic
 from .budget import Budget
 from .budget import Shortage
 from .budget import Standing
 from .budget import add_bytes
+from .budget import admit_connection
 from .budget import close_holding
 from .budget import make_room
 from .budget import open_holding
@@ -679,7 +681,15 @@
 
     def buildProtocol(self, addr: object) -> HttpConnection | None:  # noqa: N802
         """Return the protocol of a new connection, or None to close it unread."""
-        return HttpConnection(self.service) if self._admit() else None
+        if not self._admit():
+            return None
+
+        now = self.service.reactor.seconds()
+        if not admit_connection(self.service.held, now):
+            REFUSED_CONNECTIONS.inc()
+            return None
+
+        return HttpConnection(self.service)
 
 
 def is_drained(service: HttpService) -> bool:
--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -39,6 +39,7 @@
 from .http.budget import Shortage
 from .http.budget import Standing
 from .http.budget import add_bytes
+from .http.budget import admit_connection
 from .http.budget import close_holding
 from .http.budget import make_room
 from .http.budget import open_holding
@@ -483,8 +484,14 @@
     def __init__(self, node: LinkNode) -> None:
         self.node = node
 
-    def buildProtocol(self, addr: object) -> LinkProtocol:  # noqa: N802
-        """Return a protocol that is tracked until its connection closes."""
+    def buildProtocol(self, addr: object) -> LinkProtocol | None:  # noqa: N802
+        """Return a protocol that is tracked until its connection closes.
+
+        It is None, so that the connection is closed, if too many are open.
+        """
+        if not admit_connection(self.node.held, float(self.node.reactor.seconds())):
+            return None
+
         protocol = LinkProtocol(self.node)
         self.node.accepted.add(protocol)
         protocol.closed.addCallback(lambda _: self.node.accepted.discard(protocol))
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -17,6 +17,7 @@
 from ..events import log_event
 from ..events import run_logged
 from ..http.budget import Budget
+from ..http.budget import limit_connections
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -86,6 +87,7 @@
     start_counting(context.reports, context.clock())
     held = Budget(
         memory=settings.memory_bytes * MEMORY_PART,
+        max_connections=limit_connections(),
     )
     context.node = LinkNode(
         name=settings.address,
--- a/tests/adapters/http/test_budget.py
+++ b/tests/adapters/http/test_budget.py
@@ -1,4 +1,4 @@
-"""Who is given up first when memory runs short."""
+"""Who is given up first when memory or connections run short."""
 
 from __future__ import annotations
 
@@ -16,11 +16,13 @@
 from waxwingwell.adapters.http.budget import Shortage
 from waxwingwell.adapters.http.budget import Standing
 from waxwingwell.adapters.http.budget import add_bytes
+from waxwingwell.adapters.http.budget import admit_connection
 from waxwingwell.adapters.http.budget import close_holding
 from waxwingwell.adapters.http.budget import count_used
 from waxwingwell.adapters.http.budget import make_room
 from waxwingwell.adapters.http.budget import open_holding
 from waxwingwell.adapters.http.budget import record_moved
+from waxwingwell.adapters.http.budget import record_progress
 
 
 MEMORY = 1_000_000
@@ -61,9 +63,9 @@
         return holding
 
 
-def open_process(*peers: Peer) -> Process:
+def open_process(*peers: Peer, connections: int = 0) -> Process:
     """Return a process with the connections of peers, the oldest first."""
-    process = Process(Budget(memory=MEMORY))
+    process = Process(Budget(memory=MEMORY, max_connections=connections))
     for peer in sorted(peers, key=lambda one: -one.silent):
         process.open(peer)
 
@@ -153,5 +155,36 @@
         self.assertEqual(count_used(budget), 0)
 
 
+class ConnectionTest(unittest.TestCase):
+    """A process that can't open more connections."""
+
+    def test_who_gives_way(self) -> None:
+        """Guards against a new caller that is turned away for silent connections."""
+        idle = Peer("idle", 0, 5.0, Standing.IDLE)
+        sending = Peer("sending", 10, 9.0)
+        serving = Peer("serving", 10, 20.0, Standing.WAITING)
+        reading = Peer("reading", 10, 30.0, Standing.READING)
+        newer = Peer("newer", 0, 1.0, Standing.IDLE)
+        for name, peers, expected in (
+            ("idle before sending", (idle, sending), ["idle"]),
+            ("the longest silent one", (newer, idle), ["idle"]),
+            ("sending before serving", (sending, serving), ["sending"]),
+            ("only requests in progress", (serving, reading), []),
+        ):
+            with self.subTest(name):
+                process = open_process(*peers, connections=2)
+                admitted = admit_connection(process.budget, NOW)
+                self.assertEqual(process.given_up, expected)
+                self.assertIs(admitted, bool(expected))
+
+    def test_activity_counts(self) -> None:
+        first = Peer("first", 0, 5.0, Standing.IDLE)
+        second = Peer("second", 0, 4.0, Standing.IDLE)
+        process = open_process(first, second, connections=2)
+        record_progress(process.holdings["first"], NOW)
+        admit_connection(process.budget, NOW)
+        self.assertEqual(process.given_up, ["second"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -446,6 +446,7 @@
         def build_casting(addr: object) -> Any:
             # Sends a cast right after its greeting, without waiting for the peer's.
             protocol = build(addr)
+            assert protocol is not None
             begin = protocol.connectionMade
 
             def send() -> None:
@@ -484,6 +485,7 @@
                 node = self.make_node("far")
                 node.read_names = lambda transport: frozenset({"near"})
                 protocol = LinkFactory(node).buildProtocol(None)
+                assert protocol is not None
                 transport: Any = FakeTransport()  # type: ignore[no-untyped-call]
                 protocol.makeConnection(transport)  # type: ignore[no-untyped-call]
                 protocol.dataReceived(b"".join(map(msgspec.msgpack.encode, frames)))
