Parse bodies in small chunks by fair turns

Three callers that sent chunks of two bytes left 4 of 19 ordinary requests served, and twenty left one of six and none for a while after they had gone.

Cause: a read of 64 KiB holds over 9,000 such chunks, and the parser makes an event of each: 0.05 s of work in one turn of the event loop, for each caller. The gateway then counts as late and refuses connections.

Work per turn no longer grows with the callers, and the time for a request ends such a body as before, with 408.

A body in chunks of an ordinary size is parsed in one slice as before.

--- a/src/waxwingwell/adapters/gateway/context.py
+++ b/src/waxwingwell/adapters/gateway/context.py
@@ -46,6 +46,7 @@
 from ...routing.trials import TrialTable
 from ...routing.warmup import WarmUpTable
 from ..http.budget import Budget
+from ..http.turns import TurnQueue
 from ..links import Link
 from ..links import LinkNode
 from ..traffic import TrafficTable
@@ -234,6 +235,7 @@
     """Time of the last message from any control."""
     held: Budget = field(default_factory=Budget)
     """What callers and upstreams take up."""
+    turns: TurnQueue = field(default_factory=TurnQueue)
     stopping: bool = False
     exit_at: float = math.inf
     """Latest time at which a stopping process exits."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -128,12 +128,14 @@
         limits=partial(read_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.CALLERS, Place.UNKNOWN),
         held=context.held,
+        turns=context.turns,
     )
     health = HttpService(
         reactor=reactor,
         handle=partial(respond_readiness, context),
         limits=lambda: WITHOUT_BODIES,
         held=context.held,
+        turns=context.turns,
     )
     relays = HttpService(
         reactor=reactor,
@@ -141,6 +143,7 @@
         limits=partial(read_relay_limits, context),
         traffic=find_traffic(context.traffic, TrafficKind.RELAYS, Place.UNKNOWN),
         held=context.held,
+        turns=context.turns,
     )
     port = CallerPort(reactor, callers or open_port(settings.callers))
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
@@ -154,7 +157,9 @@
         ports.append(reactor.listenTCP(number, HttpFactory(relays), interface=host))
 
     if settings.metrics is not None:
-        ports.append(serve_metrics(reactor, settings.metrics, context.held))
+        ports.append(
+            serve_metrics(reactor, settings.metrics, context.held, context.turns)
+        )
 
     for name in settings.controls:
         connect_control(context, name)
--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -40,6 +40,9 @@
 from .records import HttpLimits
 from .records import HttpRequest
 from .records import find_header
+from .turns import EVENTS_PER_SLICE
+from .turns import TurnQueue
+from .turns import wait_for_turn
 
 
 if TYPE_CHECKING:
@@ -79,8 +82,8 @@
     """State shared by all connections of a listener.
 
     ``handle`` is called with each complete request. ``limits`` is called for each
-    request, as a newer configuration may have changed the limits. ``held`` is
-    that of the process, for all its listeners.
+    request, as a newer configuration may have changed the limits. ``held`` and
+    ``turns`` are those of the process, for all its listeners.
     """
 
     reactor: Any
@@ -88,6 +91,7 @@
     limits: Callable[[], HttpLimits]
     stopping: bool = False
     held: Budget = field(default_factory=Budget)
+    turns: TurnQueue = field(default_factory=TurnQueue)
     connections: set[HttpConnection] = field(default_factory=set)
     traffic: Traffic = field(default_factory=Traffic)
     """Counts the bytes of all connections."""
@@ -194,6 +198,8 @@
         """Whether a complete request waits until its caller has read more."""
         self._unparsed = 0
         """Bytes that have arrived and can't be parsed yet."""
+        self._awaits_turn = False
+        """Whether other connections have their turn before more of a body is parsed."""
         self._reads = True
         """Whether bytes of the caller are received."""
         self._sent_at_progress = 0
@@ -225,7 +231,7 @@
             record_progress(self.holding, self.service.reactor.seconds())
 
         self._h11.receive_data(data)
-        if self._responder is None and not self._is_waiting:
+        if self._responder is None and not self._is_waiting and not self._awaits_turn:
             self._parse()
         else:
             self._set_unparsed(self._unparsed + len(data))
@@ -482,7 +488,7 @@
         if self._unparsed and self._responder is not None and not self.has_room():
             limit = 0
 
-        reads = self._unparsed <= limit
+        reads = self._unparsed <= limit and not self._awaits_turn
         if reads == self._reads or self not in self.service.connections:
             return
 
@@ -493,11 +499,17 @@
         else:
             transport.pauseProducing()
 
+    def _take_turn(self) -> None:
+        """Go on with a body of which much could be parsed."""
+        self._awaits_turn = False
+        self._parse()
+        self._update_reading()
+
     def _is_open(self) -> bool:
         return not self._closing and self in self.service.connections
 
     def _parse_events(self) -> None:
-        while True:
+        for _ in range(EVENTS_PER_SLICE):
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 if self._h11.they_are_waiting_for_100_continue:
@@ -518,6 +530,9 @@
                 self._dispatch_when_read()
                 return
 
+        self._awaits_turn = True
+        wait_for_turn(self.service.turns, self.service.reactor, self._take_turn)
+
     def _receive_head(self, request: h11.Request) -> bool:
         """Return whether the body of a request is received."""
         limits = self.service.limits()
--- a/src/waxwingwell/adapters/metrics_listener.py
+++ b/src/waxwingwell/adapters/metrics_listener.py
@@ -18,6 +18,7 @@
     from .http.budget import Budget
     from .http.records import HttpRequest
     from .http.server import Responder
+    from .http.turns import TurnQueue
 
 
 PATH = b"/metrics"
@@ -33,15 +34,18 @@
     responder.send(200, [kind], generate_latest(REGISTRY))
 
 
-def serve_metrics(reactor: Any, address: tuple[str, int], held: Budget) -> Any:
+def serve_metrics(
+    reactor: Any, address: tuple[str, int], held: Budget, turns: TurnQueue
+) -> Any:
     """Listen for requests for the metrics; errors: ``CannotListenError``.
 
-    ``held`` is that of the process.
+    ``held`` and ``turns`` are those of the process.
     """
     service = HttpService(
         reactor=reactor,
         handle=send_metrics,
         limits=lambda: WITHOUT_BODIES,
         held=held,
+        turns=turns,
     )
     return reactor.listenTCP(address[1], HttpFactory(service), interface=address[0])
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -21,6 +21,7 @@
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
+from ..http.turns import TurnQueue
 from ..links import ROUTING_TIMING
 from ..links import LinkFactory
 from ..links import LinkHandlers
@@ -89,6 +90,7 @@
         memory=settings.memory_bytes * MEMORY_PART,
         max_connections=limit_connections(),
     )
+    turns = TurnQueue()
     context.node = LinkNode(
         name=settings.address,
         reactor=reactor,
@@ -106,6 +108,7 @@
         handle=serve_operators(context, make_handler(context)),
         limits=lambda: HttpLimits(body_bytes=MAX_BODY_BYTES),
         held=held,
+        turns=turns,
     )
     ports = [
         reactor.listenTCP(
@@ -116,7 +119,7 @@
         ),
     ]
     if settings.metrics is not None:
-        ports.append(serve_metrics(reactor, settings.metrics, held))
+        ports.append(serve_metrics(reactor, settings.metrics, held, turns))
 
     settings.data_folder.mkdir(parents=True, exist_ok=True)
     load_checkpoints(context, started_at or context.clock())
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -332,6 +332,7 @@
         ),
         limits=HttpLimits,
         held=gateway.context.held,
+        turns=gateway.context.turns,
     )
     return gateway
 
