Accept an end without a length only after the whole request was received

A server answered an upload at once with a 200 that had no length, sent a part, closed its side and reset the connection while the upload was still being written.

Cause: the end of the server's side was taken for the end of the answer, and the connection was closed without a look at how the upload ended.

The end of a side doesn't prove that an answer is whole while a part of the request is under way: the outcome of the write does. The connection now stays open for writing. Once the kernel has accepted all of the request, and the server's host has acknowledged it, the end counts; after a reset the answer was cut. Answers with a length or in chunks are whole by themselves, early or not, and a server that reads on to the end of the upload is answered for, as is every request that was received before the end.

Not covered: an upload that fits the receive buffer of a server which closes its side before it resets; nothing on the wire tells that apart.

--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+import fcntl
+import socket
+import struct
+import termios
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -18,14 +22,17 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import TCPTimedOutError
 from twisted.internet.error import TimeoutError as ConnectTimeout
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
+from twisted.internet.tcp import Connection
 from zope.interface import implementer
 
 from ..traffic import Traffic
 from .records import HeaderList
+from .records import find_framing
 
 
 if TYPE_CHECKING:
@@ -42,6 +49,8 @@
 """Informational responses to one request; an upstream has cause for one or two."""
 TOO_LONG = 431
 """Status by which h11 reports that a head, a trailer or a chunk size is too long."""
+RECEIPT_SECONDS = 0.01
+"""Seconds between two looks at whether the upstream's host has received a request."""
 
 
 class ResponseEnd(Enum):
@@ -50,11 +59,21 @@
     STATED = "stated"
     """Its length was reached, or its last chunk received."""
     UNSTATED = "unstated"
-    """It has neither a length nor chunks, and its connection was closed cleanly."""
+    """It has neither a length nor chunks, and its connection was closed cleanly after
+    the whole request had been received."""
     CUT = "cut"
     """It ended early, or there was none."""
 
 
+class Receipt(Enum):
+    """What a peer's host has done with the bytes that were written to it."""
+
+    RECEIVED = "received"
+    UNDER_WAY = "under way"
+    RESET = "reset"
+    """It has reset the connection, and may have received some."""
+
+
 @dataclass(frozen=True, slots=True)
 class PassedBound:
     """A bound that the bytes of a response have passed."""
@@ -102,6 +121,7 @@
         connect_timeout: float,
         traffic: Traffic | None = None,
     ) -> None:
+        self.reactor = reactor
         self.traffic = traffic or Traffic()
         """Counts the bytes of the call."""
         self.make_request = make_request
@@ -164,15 +184,19 @@
             self.handlers.on_end(end, self.sent)
 
 
-@implementer(IPullProducer)
+@implementer(IPullProducer, IHalfCloseableProtocol)
 class _CallProtocol(Protocol):
     def __init__(self, call: UpstreamCall) -> None:
         self._call = call
         self._pieces: Iterator[bytes] | None = None
         """Rest of the request's body; None before and after it is written."""
+        self._is_written = False
+        """Whether the kernel has accepted the whole request."""
+        self._is_unstated = False
+        """Whether the response ends with its connection."""
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._closed = False
-        """Whether the upstream has closed the connection cleanly."""
+        """Whether the upstream has closed its side of the connection cleanly."""
         self._informational = 0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -207,7 +231,10 @@
             self._write(data)
             return
 
+        self._is_written = True
         cast("IConsumer", self.transport).unregisterProducer()
+        if self._closed:
+            self._process_end()
 
     def stopProducing(self) -> None:  # noqa: N802
         pass
@@ -234,9 +261,16 @@
         self._h11.receive_data(data)
         self._process_events()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        self._closed = True
+        self._process_end()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        pass
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         is_clean = not self._call.ended and reason.check(ConnectionDone) is not None
-        if is_clean:
+        if is_clean and self._is_written:
             self._closed = True
             self._h11.receive_data(b"")
             self._process_events()
@@ -246,6 +280,30 @@
         self.transport = None
         self._call.drop_connection()
 
+    def _process_end(self) -> None:
+        """Handle that the upstream has closed its side.
+
+        While a part of the request is under way, the upstream may still reset the
+        connection, and a response that ends with it is then not complete.
+        """
+        if self._call.ended:
+            return
+
+        if self._is_unstated and not self._is_written:
+            return
+
+        receipt = find_receipt(self.transport)
+        if self._is_unstated and receipt is Receipt.UNDER_WAY:
+            self._call.reactor.callLater(RECEIPT_SECONDS, self._process_end)
+            return
+
+        if receipt is not Receipt.RESET:
+            self._h11.receive_data(b"")
+            self._process_events()
+
+        self._call.finish(ResponseEnd.CUT)
+        self.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             cast("ITCPTransport", self.transport).abortConnection()
@@ -274,7 +332,9 @@
 
         kind = type(event)
         if kind is h11.Response:
-            self._call.handle_head(event.status_code, list(event.headers.raw_items()))
+            headers = list(event.headers.raw_items())
+            self._is_unstated = find_framing(headers) == "close"
+            self._call.handle_head(event.status_code, headers)
         elif kind is h11.Data:
             self._call.handle_data(bytes(event.data))
         elif kind is h11.EndOfMessage:
@@ -302,6 +362,19 @@
         return False
 
 
+def find_receipt(transport: Any) -> Receipt:
+    """Return what the peer's host has done with the bytes that were written."""
+    if not isinstance(transport, Connection):
+        return Receipt.RECEIVED
+
+    handle = transport.getHandle()
+    if handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return Receipt.RESET
+
+    [count] = struct.unpack("i", fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(4)))
+    return Receipt.UNDER_WAY if count else Receipt.RECEIVED
+
+
 class _CallFactory(ClientFactory):
     noisy = False
 
