Take only statuses of the protocol for answers

A status of 600 or 999 was passed on as an answer to calls, orders and streams, also through a relay. At entries, 000 and 099 were as well. The command line took 600 and 999 of a registry for a refusal, and did not ask another one.

Cause: h11 accepts any three digits, and Twisted's agent any number. All readers of answers now share one range, 100 to 599 (RFC 9110, 15), and take anything else for a broken answer: 502, retried where that is allowed.

Bodies without a stated end never counted as complete at entries, and the command line requires a length or chunks.

--- a/src/waxwingwell/adapters/admin_transport.py
+++ b/src/waxwingwell/adapters/admin_transport.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from .http.records import STATUSES
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -94,6 +96,9 @@
     request: AdminRequest, error: urllib.error.HTTPError
 ) -> AdminResponse | Unreachable:
     """Return a response with an error status, if it is complete."""
+    if error.code not in STATUSES:
+        return Unreachable(f"{request.url}: status {error.code}")
+
     with error:
         try:
             body = read_body(error)
--- a/src/waxwingwell/adapters/entry/upstream_client.py
+++ b/src/waxwingwell/adapters/entry/upstream_client.py
@@ -19,6 +19,8 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from ..http.records import STATUSES
+
 
 if TYPE_CHECKING:
     from ...decisions.tables import UpstreamRow
@@ -160,6 +162,10 @@
     except Exception as error:
         raise AttemptError(repr(error), may_have_run=True) from error
 
+    if response.code not in STATUSES:
+        discard_response(response)
+        raise AttemptError(f"status {response.code}", may_have_run=True)
+
     if response.code in NOT_RUN_STATUSES and _reports_not_run(response):
         discard_response(response)
         raise AttemptError(f"refused with {response.code}", may_have_run=False)
--- a/src/waxwingwell/adapters/http/client.py
+++ b/src/waxwingwell/adapters/http/client.py
@@ -31,6 +31,7 @@
 from zope.interface import implementer
 
 from ..traffic import Traffic
+from .records import STATUSES
 from .records import HeaderList
 from .records import find_framing
 
@@ -332,6 +333,9 @@
 
         kind = type(event)
         if kind is h11.Response:
+            if event.status_code not in STATUSES:
+                raise h11.RemoteProtocolError(f"status {event.status_code}")
+
             headers = list(event.headers.raw_items())
             self._is_unstated = find_framing(headers) == "close"
             self._call.handle_head(event.status_code, headers)
--- a/src/waxwingwell/adapters/http/records.py
+++ b/src/waxwingwell/adapters/http/records.py
@@ -10,6 +10,8 @@
 HeaderList = list[tuple[bytes, bytes]]
 """Names and values in the order in which they were received or are to be sent."""
 
+STATUSES = range(100, 600)
+"""Statuses of responses (RFC 9110, 15). Libraries accept others too."""
 HOP_BY_HOP = frozenset(
     {
         b"connection",
--- a/tests/adapters/test_admin_transport.py
+++ b/tests/adapters/test_admin_transport.py
@@ -91,6 +91,16 @@
 
                     self.assertIsInstance(reply, Unreachable)
 
+    def test_statuses_that_are_none(self) -> None:
+        """Guards against a number outside the protocol that is taken for an answer."""
+        send = make_transport()
+        for status in ("000", "099", "600", "999", "1000", "2x0"):
+            with self.subTest(status):
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n"
+                url = self.serve_once(head.encode() + b"{}")
+                reply = send(AdminRequest("GET", url, "secret", timeout=5.0))
+                self.assertIsInstance(reply, Unreachable)
+
     def serve_once(self, data: bytes) -> str:
         """Return the URL of a server that sends this to one request, and closes."""
         listener = socket.create_server(("127.0.0.1", 0))
