Accept as many connections as there is room for

Cause: all connections in the kernel's queue are accepted in one turn of the event loop. A caller whose request lay in its socket gave way to those that were accepted behind it, before anything was read.

At the bound a port now accepts in a turn only as many as can be replaced: a connection without a complete request is kept for 0.1 s, in which its first bytes arrive. The others wait in the kernel's queue. If none can ever give way, as all have requests in progress, the next one is closed at once.

test_an_ordinary_caller_is_answered: with four connections and 20 silent callers, one with a request at the head of the queue was closed unread before; it is answered in each place now.

--- a/src/waxwingwell/adapters/caller_port.py
+++ b/src/waxwingwell/adapters/caller_port.py
@@ -17,12 +17,14 @@
 
 from .ports import BACKLOG
 from .ports import adopt_port
+from .ports import bound_accepts
 from .ports import close_port
 from .ports import open_port
 
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from twisted.internet.protocol import Factory
 
@@ -30,8 +32,14 @@
 class CallerPort:
     """A port for callers that can be paused."""
 
-    def __init__(self, reactor: Any, listening: socket.socket) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        listening: socket.socket,
+        count_acceptable: Callable[[], int] = lambda: BACKLOG,
+    ) -> None:
         self._reactor = reactor
+        self._count_acceptable = count_acceptable
         self._address: tuple[str, int] = listening.getsockname()
         self._listening: socket.socket | None = listening
         self._factory: Factory | None = None
@@ -79,6 +87,7 @@
 
         self._listening = None
         self._port = adopt_port(self._reactor, listening, self._factory)
+        bound_accepts(self._port, self._reactor, self._count_acceptable)
 
     def close(self) -> Deferred[None]:
         """Accept the connections queued by the kernel, then stop listening for good."""
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -23,6 +23,8 @@
 from ...routing.gateway_room import MEMORY_PART
 from ...routing.messages import RoutingBody
 from ...routing.silence import drop_known_silences
+from ..bounded_ports import listen_bounded
+from ..bounded_ports import make_counter
 from ..caller_port import CallerPort
 from ..clock import read_clock
 from ..events import log_event
@@ -145,16 +147,15 @@
         held=context.held,
         turns=context.turns,
     )
-    port = CallerPort(reactor, callers or open_port(settings.callers))
+    count = make_counter(reactor, context.held)
+    port = CallerPort(reactor, callers or open_port(settings.callers), count)
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
+    served = [(settings.readiness, health), (settings.relay, relays)]
     ports = [
-        reactor.listenTCP(
-            settings.readiness[1], HttpFactory(health), interface=settings.readiness[0]
-        ),
+        listen_bounded(reactor, address, HttpFactory(one), context.held)
+        for address, one in served
+        if address is not None
     ]
-    if settings.relay is not None:
-        host, number = settings.relay
-        ports.append(reactor.listenTCP(number, HttpFactory(relays), interface=host))
 
     if settings.metrics is not None:
         ports.append(
--- a/src/waxwingwell/adapters/http/budget.py
+++ b/src/waxwingwell/adapters/http/budget.py
@@ -40,6 +40,10 @@
 large bodies are refused before small ones."""
 HEADROOM_PART = 0.25
 """Part of the memory that must be left free at most."""
+FIRST_BYTES_SECONDS = 0.1
+"""Seconds in which the first bytes of a new connection arrive."""
+MAX_ACCEPTS = 100
+"""Most connections that are accepted in one turn of the event loop."""
 OWN_DESCRIPTORS = 32
 """Descriptors for files, listening ports and links of a process."""
 CONNECTIONS_PART = 0.75
@@ -222,6 +226,24 @@
     return (holding.size + CONNECTION_BYTES) * (now - holding.moved_at)
 
 
+def count_acceptable(budget: Budget, now: float) -> int:
+    """Return how many connections may be opened at once.
+
+    A connection that may give way is kept for a moment, as its request may be on its
+    way. Without any, one connection is accepted, to be closed at once.
+    """
+    if not budget.max_connections:
+        return MAX_ACCEPTS
+
+    free = budget.max_connections - len(budget.holdings)
+    if free > 0:
+        return min(free, MAX_ACCEPTS)
+
+    replaceable = [one for one in budget.holdings if one.stand() < Standing.READING]
+    silent = sum(now - one.moved_at >= FIRST_BYTES_SECONDS for one in replaceable)
+    return min(silent, MAX_ACCEPTS) if replaceable else 1
+
+
 def admit_connection(budget: Budget, now: float) -> bool:
     """Return whether a connection may be opened, after giving up one if need be.
 
--- a/src/waxwingwell/adapters/metrics_listener.py
+++ b/src/waxwingwell/adapters/metrics_listener.py
@@ -8,6 +8,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
+from .bounded_ports import listen_bounded
 from .http.records import WITHOUT_BODIES
 from .http.server import HttpFactory
 from .http.server import HttpService
@@ -48,4 +49,4 @@
         held=held,
         turns=turns,
     )
-    return reactor.listenTCP(address[1], HttpFactory(service), interface=address[0])
+    return listen_bounded(reactor, address, HttpFactory(service), held)
--- a/src/waxwingwell/adapters/ports.py
+++ b/src/waxwingwell/adapters/ports.py
@@ -15,10 +15,14 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.defer import Deferred
     from twisted.internet.protocol import Factory
 
 
+ACCEPT_PAUSE_SECONDS = 0.02
+"""Seconds after which a port that could accept none is read again."""
 BACKLOG = 1024
 """Connections that the kernel queues at most for a listening socket."""
 
@@ -45,6 +49,29 @@
     return adopted
 
 
+def bound_accepts(port: Any, reactor: Any, count_acceptable: Callable[[], int]) -> None:
+    """Let a port accept at most as many connections in a turn as may be opened.
+
+    The others wait in the kernel's queue meanwhile.
+    """
+    accept = port.doRead
+
+    def accept_some() -> None:
+        count = count_acceptable()
+        if count:
+            port.numberAccepts = min(count, port.numberAccepts)
+            accept()
+        else:
+            port.stopReading()
+            reactor.callLater(ACCEPT_PAUSE_SECONDS, resume)
+
+    def resume() -> None:
+        if port.connected and not port.disconnecting:
+            port.startReading()
+
+    port.doRead = accept_some
+
+
 def close_port(port: Any) -> Deferred[None]:
     """Accept the connections queued for a listening port, then stop listening.
 
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -12,6 +12,7 @@
 
 from ...routing.gateway_room import MEMORY_PART
 from ...routing.reports import start_counting
+from ..bounded_ports import listen_bounded
 from ..clock import read_boot
 from ..clock import read_clock
 from ..events import log_event
@@ -110,13 +111,10 @@
         held=held,
         turns=turns,
     )
+    link_address = (settings.address, settings.link_port)
     ports = [
-        reactor.listenTCP(
-            settings.link_port, LinkFactory(context.node), interface=settings.address
-        ),
-        reactor.listenTCP(
-            settings.admin[1], HttpFactory(service), interface=settings.admin[0]
-        ),
+        listen_bounded(reactor, link_address, LinkFactory(context.node), held),
+        listen_bounded(reactor, settings.admin, HttpFactory(service), held),
     ]
     if settings.metrics is not None:
         ports.append(serve_metrics(reactor, settings.metrics, held, turns))
