Measure a reader's silence from the first byte that it has to read

A caller was given up as memory ran short, though it had read all it was sent: its silence counted from its request, so that the time its server took, or a slow stream of a few bytes a second, looked like a stall.

Cause: progress of a response was 16 KiB that had been read, and nothing recorded that the turn had passed to the caller. It is recorded now when a byte is written while nothing is unsent, which is also when the caller has caught up.

--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -449,6 +449,10 @@
             return
 
         self.service.traffic.sent += len(data)
+        if not self._send_buffer.unsent:
+            # From now on it is the caller's turn.
+            record_progress(self.holding, self.service.reactor.seconds())
+
         self._send_buffer.write(data)
         if not self._paused and self._is_overfull():
             self._pause()
