Apply a changed limit on heads to kept connections

Cause: the limit is given to the parser as a connection is opened and stays for all its requests. Between two requests the parser is now replaced if the limit in force is another one.

test_a_limit_that_changes_holds_for_the_next_request failed before.

--- a/src/waxwingwell/adapters/http/server.py
+++ b/src/waxwingwell/adapters/http/server.py
@@ -174,6 +174,8 @@
             service.held, self._stand, self._give_up, service.reactor.seconds()
         )
         """What this connection takes up."""
+        self._head_bytes = 0
+        """Limit on a head that the parser applies."""
         self._h11 = self._new_h11()
         self._request: h11.Request | None = None
         self._headers: HeaderList = []
@@ -208,8 +210,13 @@
         """Whether no bytes have been received yet."""
 
     def _new_h11(self) -> h11.Connection:
-        limit = self.service.limits().header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self._head_bytes = self.service.limits().header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._head_bytes)
+
+    def _update_head_limit(self) -> None:
+        """Apply the limit on heads that is in force to the next request."""
+        if self.service.limits().header_bytes != self._head_bytes:
+            self._h11 = self._new_h11()
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and wait for the first request."""
@@ -230,6 +237,9 @@
             self._awaiting_first_bytes = False
             record_progress(self.holding, self.service.reactor.seconds())
 
+        if self._request is None and not self._unparsed:
+            self._update_head_limit()
+
         self._h11.receive_data(data)
         if self._responder is None and not self._is_waiting and not self._awaits_turn:
             self._parse()
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.task import Clock
@@ -116,6 +118,20 @@
         server.transport.abortConnection()
         self.assertEqual(lost, [True])
 
+    def test_a_limit_that_changes_holds_for_the_next_request(self) -> None:
+        """Guards against heads that a kept connection denies by a former limit."""
+        for bound, size, status in ((500, 800, b"431"), (1_000, 800, b"200")):
+            with self.subTest(bound=bound):
+                server = Server()
+                server.send(make_request())
+                limits = replace(LIMITS, header_bytes=bound)
+                server.service.limits = partial(replace, limits)
+                head = make_request("/b/", b"", "X: " + "y" * size)
+                server.send(head[:600])
+                server.send(head[600:])
+                last = server.received.rpartition(b"HTTP/1.1 ")[2]
+                self.assertTrue(last.startswith(status))
+
 
 class BadRequestTest(unittest.TestCase):
     """Requests that are rejected unread."""
