Count the buffer of a partial frame at its size

Strangers that greet as processes of the system do, and then send 8 MiB of a frame of 60 MB each, took a registry to 98 MB of 96 allowed.

Cause: the unpacker's buffer doubles as it grows, so that a partial frame takes up to twice its bytes; they were counted once. They count twice now.

test_stalled_frames_after_a_greeting: 98 MB before, and none of it counted on; it keeps its bound now (81 MB in a trial).

--- a/src/waxwingwell/adapters/links.py
+++ b/src/waxwingwell/adapters/links.py
@@ -63,6 +63,9 @@
 """Seconds in which a process that has stood still reads what has arrived."""
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 """Bytes of the largest frame; a snapshot of the control state must fit."""
+BUFFER_FACTOR = 2
+"""Bytes that the unpacker takes for each byte of a partial frame at most, as its buffer
+doubles."""
 READ_BYTES = 16_384
 """Bytes of the buffer that each connection keeps."""
 MAX_GREETING_BYTES = 4_096
@@ -193,7 +196,8 @@
         now = self._seconds()
         self._received += received
         partial = self._received - self._unpacker.tell()
-        add_bytes(self._holding, partial - self._holding.size)
+        held = BUFFER_FACTOR * partial
+        add_bytes(self._holding, held - self._holding.size)
         record_moved(self._holding, received, now)
         if not partial:
             record_progress(self._holding, now)
--- a/tests/system/crowds.py
+++ b/tests/system/crowds.py
@@ -12,11 +12,15 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 from bench.soak.http import IncompleteMessageError
 from bench.soak.http import read_body
 from bench.soak.http import read_head
 from bench.soak.readers import open_slowly
 
+from waxwingwell.adapters.links import PROTOCOL_VERSION
+from waxwingwell.messages import Hello
+
 from .environments import open_small_environment
 from .environments import write_request
 
@@ -331,11 +335,15 @@
     return send
 
 
-def make_frame_client(size: int) -> Client:
+def make_frame_client(size: int, *, greets: bool = False) -> Client:
     """Return a client that sends the beginning of a frame, then a byte at times."""
 
     async def send(address: Address, name: str) -> None:
         async with open_client(address) as (_, writer):
+            if greets:
+                hello = Hello(node=name, protocol=PROTOCOL_VERSION)
+                writer.write(msgspec.msgpack.encode(hello))
+
             writer.write(b"\xc6" + FRAME_BYTES.to_bytes(4, "big"))
             await write_pieces(writer, size)
             while not writer.is_closing():
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -105,6 +105,11 @@
         client = make_frame_client(ADMIN_BODY_BYTES)
         self.check_crowds(Crowd(door=Door.LINKS, count=20, client=client))
 
+    def test_stalled_frames_after_a_greeting(self) -> None:
+        """Guards against the same of strangers that greet as processes do."""
+        client = make_frame_client(ADMIN_BODY_BYTES, greets=True)
+        self.check_crowds(Crowd(door=Door.LINKS, count=20, client=client))
+
     def test_bodies_that_upstreams_read_slowly(self) -> None:
         """Guards against a gateway that holds each body more than once."""
         client = make_body_client(Door.CALLERS, BODY_BYTES, missing=0)
