Bound the log's tail by its size too

test_the_tail_is_bounded_by_count_and_size: with entries of a tenth, three fifths and five times the bound, 50 were retained before; ten, one and none are now. Small entries are retained as before. tests/state: 156 passed.

--- a/src/waxwingwell/state/consensus/records.py
+++ b/src/waxwingwell/state/consensus/records.py
@@ -93,6 +93,8 @@
     """Log size that triggers compaction; the last snapshot's size if larger."""
     snapshot_tail: int = 1_000
     """Entries retained before a snapshot, for members that lag slightly."""
+    snapshot_tail_bytes: int = 4 << 20
+    """Limit of their size; members that lag more get the snapshot."""
     repair: bool = True
     """Whether the leader promotes learners and removes the voters they replace."""
     open_to_all: bool = False
--- a/src/waxwingwell/state/consensus/snapshots.py
+++ b/src/waxwingwell/state/consensus/snapshots.py
@@ -20,6 +20,8 @@
 
 
 if TYPE_CHECKING:
+    from .log import Log
+    from .records import Timing
     from .replica import Progress
     from .replica import Replica
 
@@ -47,10 +49,23 @@
     replica.snapshot = snapshot
     replica.snapshot_dirty = True
     replica.snapshot_staged = True
-    base = max(log.base_index, snapshot.index - replica.timing.snapshot_tail)
+    base = find_tail(log, snapshot.index, replica.timing)
     compact_log(log, base, term_at(log, base) or 0)
 
 
+def find_tail(log: Log, index: int, timing: Timing) -> int:
+    """Return the index after which the entries up to a snapshot are retained."""
+    base, size = index, 0
+    while base > log.base_index and index - base < timing.snapshot_tail:
+        size += len(entry_at(log, base).data)
+        if size > timing.snapshot_tail_bytes:
+            break
+
+        base -= 1
+
+    return base
+
+
 def membership_at(replica: Replica, index: int) -> tuple[Membership, int]:
     """Return the membership in effect after ``index``, and its entry's index."""
     if 0 < replica.membership_index <= index:
