Believe a refusal only if it is of the request itself

Cause: that a response says "not run" was looked at before its echoed id. A response with another id is no response to the request, whatever it says: it breaks the attempt off, and what may not be repeated gets 502.

test_only_a_refusal_of_the_request_itself_is_believed failed before, for the other id; refusals with the request's id or none are believed as before.

--- a/src/waxwingwell/adapters/gateway/attempts.py
+++ b/src/waxwingwell/adapters/gateway/attempts.py
@@ -202,15 +202,17 @@
     upstream, or a content encoding that the gateway never requests.
     """
     facts = attempt.facts
-    if facts is None or facts.encoded:
-        return False
-
-    if facts.request_id not in (None, request_id):
+    if facts is None or facts.encoded or not is_for_request(attempt, request_id):
         return False
 
     return facts.signed or attempt.status >= 300
 
 
+def is_for_request(attempt: Attempt, request_id: str) -> bool:
+    """Return whether a response doesn't bear the id of another request."""
+    return attempt.facts is not None and attempt.facts.request_id in (None, request_id)
+
+
 def is_asked_for_rest(attempt: Attempt | None) -> bool:
     """Return whether an attempt's upstream asks for rest.
 
--- a/src/waxwingwell/adapters/gateway/response_ends.py
+++ b/src/waxwingwell/adapters/gateway/response_ends.py
@@ -20,6 +20,7 @@
 from ..http.connection_check import ConnectionCheck
 from .attempts import AttemptOutcome
 from .attempts import is_delayed_here
+from .attempts import is_for_request
 from .attempts import is_valid_response
 from .bounds import explain_break
 from .bounds import find_passed
@@ -86,7 +87,7 @@
         record_relay_refusal(exchange, attempt)
         reason = f"relay refused {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.UNREACHED, reason)
-    elif attempt.facts.not_run:
+    elif attempt.facts.not_run and is_for_request(attempt, exchange.facts.request_id):
         reason = f"refused {attempt.status}"
         exchange.finish_attempt(attempt, AttemptOutcome.NOT_RUN, reason)
     else:
--- a/tests/adapters/gateway/test_invalid_heads.py
+++ b/tests/adapters/gateway/test_invalid_heads.py
@@ -66,5 +66,26 @@
                     self.assertNotIn(caller.status, (200, 600, 999))
 
 
+class ForeignRefusalTest(unittest.TestCase):
+    """Refusals in which an upstream echoes the id of a request."""
+
+    def test_only_a_refusal_of_the_request_itself_is_believed(self) -> None:
+        """Guards against a request that runs twice, or was refused and has run."""
+        for name, fields, asked in (
+            ("own id", "X-Id: q1\r\n", 2),
+            ("no id", "", 2),
+            ("id of another request", "X-Id: q9\r\n", 1),
+        ):
+            with self.subTest(name):
+                gateway = make_sole_gateway("u1", "u2", kind=RouteKind.ONCE)
+                caller = gateway.ask()
+                upstream = gateway.upstreams[0]
+                upstream.accept()
+                head = f"HTTP/1.1 503 X\r\n{fields}X-Not-Run: 1\r\nContent-Length: 0"
+                upstream.respond(head.encode() + b"\r\n\r\n")
+                self.assertEqual(len(gateway.calls), asked)
+                self.assertEqual(caller.status, 0 if asked > 1 else 502)
+
+
 if __name__ == "__main__":
     unittest.main()
