Require a key as long as a configuration lists tenants

Cause: keys were asked for only if there was a tenant, so that an empty list meant the same as none. The document now says whether requests need a key: with an empty list they all do, but for anonymous routes; without a list none does.

test_a_key_is_needed_while_there_is_a_list_of_tenants: with an empty list no key was needed before.

--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -10,6 +10,7 @@
 from ...routing.gateway_room import takes_request
 from ...routing.lookup import find_route
 from ...routing.lookup import find_workspace
+from ...routing.lookup import must_have_key
 from ...routing.reachability import has_lost_path
 from ...routing.retries import record_request
 from ..events import log_event
@@ -142,7 +143,7 @@
         return
 
     workspace = identify_workspace(index, route, facts)
-    if workspace is None and index.document.workspaces and not route.anonymous:
+    if workspace is None and must_have_key(index, route):
         refuse(
             facts, responder, 401, f"unknown key in document {index.document.version}"
         )
--- a/src/waxwingwell/adapters/gateway/withdrawals.py
+++ b/src/waxwingwell/adapters/gateway/withdrawals.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ...routing.lookup import find_route
+from ...routing.lookup import must_have_key
 from ..events import run_logged
 from ..metrics import QUEUE_REFUSALS
 from .arrivals import identify_workspace
@@ -50,7 +51,7 @@
         return 404, f"no matching route in document {version}"
 
     workspace = identify_workspace(index, route, exchange.facts)
-    if workspace is None and index.document.workspaces and not route.anonymous:
+    if workspace is None and must_have_key(index, route):
         return 401, f"unknown key in document {version}"
 
     if exchange.find_service() not in index.services:
--- a/src/waxwingwell/routing/lookup.py
+++ b/src/waxwingwell/routing/lookup.py
@@ -54,6 +54,12 @@
     return None
 
 
+def must_have_key(index: DocumentIndex, route: Route) -> bool:
+    """Return whether requests on a route need the key of a workspace."""
+    document = index.document
+    return not route.anonymous and (document.needs_key or bool(document.workspaces))
+
+
 def find_workspace(index: DocumentIndex, key: str) -> Workspace | None:
     """Return the workspace that holds a key."""
     return index.workspaces.get(key)
--- a/src/waxwingwell/routing/records.py
+++ b/src/waxwingwell/routing/records.py
@@ -102,3 +102,5 @@
     services: tuple[Service, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     limits: Limits = Limits()
+    needs_key: bool = False
+    """Whether requests need the key of a workspace even if there is none left."""
--- a/tests/platform_adapter/test_bodies.py
+++ b/tests/platform_adapter/test_bodies.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from waxwingwell.routing.fleet import UpstreamState
+from waxwingwell.routing.lookup import index_document
+from waxwingwell.routing.lookup import must_have_key
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.records import Target
 from waxwingwell.routing.validation import find_document_problems
@@ -50,6 +52,21 @@
 class DocumentTest(unittest.TestCase):
     """Configurations."""
 
+    def test_a_key_is_needed_while_there_is_a_list_of_tenants(self) -> None:
+        """Guards against gateways that serve any key once the last tenant has gone."""
+        without = {name: CONFIG[name] for name in CONFIG if name != "tenants"}
+        for name, config, needed in (
+            ("tenants", CONFIG, True),
+            ("an empty list", {**CONFIG, "tenants": []}, True),
+            ("no list", without, False),
+        ):
+            with self.subTest(name):
+                index = index_document(read_document(msgspec.json.encode(config)))
+                [route] = index.document.routes
+                self.assertIs(must_have_key(index, route), needed)
+                anonymous = msgspec.structs.replace(route, anonymous=True)
+                self.assertFalse(must_have_key(index, anonymous))
+
     def test_a_configuration(self) -> None:
         document = read_document(msgspec.json.encode(CONFIG))
         [route] = document.routes
