Drop announcements that take an upstream to an unknown service

Cause: any announcement with a later incarnation replaces the one that is held. One that changes the service of a known upstream to one that the document in force does not name is now dropped and logged. It is still accepted before the first document, and for services that the document names.

test_another_writer_takes_no_upstream_to_an_unknown_service failed before. Open, and not run: under another id such an announcement may hide a server by its address.

--- a/src/waxwingwell/adapters/registry/api.py
+++ b/src/waxwingwell/adapters/registry/api.py
@@ -197,7 +197,19 @@
 
 
 def announce(context: RegistryContext, announcement: Announcement) -> None:
-    """Apply an upstream's announcement; changes are sent before this returns."""
+    """Apply an upstream's announcement; changes are sent before this returns.
+
+    One that takes a known upstream to a service that the document doesn't name is from
+    another writer, and names no upstream.
+    """
+    if is_foreign(context, announcement):
+        log_event(
+            "registry: Announcement dropped",
+            upstream=announcement.upstream,
+            service=announcement.service,
+        )
+        return
+
     context.heard[announcement.upstream] = (
         announcement.incarnation,
         announcement.sequence,
@@ -205,6 +217,19 @@
     broadcast_announcement(context, announcement)
 
 
+def is_foreign(context: RegistryContext, announcement: Announcement) -> bool:
+    """Return whether an announcement takes an upstream to an unknown service."""
+    held = context.fleet.upstreams.get(announcement.upstream)
+    document = context.state.document
+    if held is None or document is None:
+        return False
+
+    if held.announcement.service == announcement.service:
+        return False
+
+    return announcement.service not in {one.name for one in document.services}
+
+
 def withdraw(context: RegistryContext, upstream: str, incarnation: int | None) -> bool:
     """Deregister an upstream; return false if it is unknown and can't be identified.
 
--- a/tests/adapters/registry/test_hub.py
+++ b/tests/adapters/registry/test_hub.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from tests.routing.factories import make_announcement
+from tests.routing.factories import make_document
 from waxwingwell.adapters.registry import hub
 from waxwingwell.adapters.registry.api import announce
 from waxwingwell.adapters.registry.api import withdraw
@@ -21,6 +22,7 @@
 from waxwingwell.routing.messages import ShareHeartbeats
 from waxwingwell.routing.messages import ShareMembers
 from waxwingwell.routing.messages import ShareNews
+from waxwingwell.routing.records import Service
 from waxwingwell.state.consensus.records import Membership
 
 from .support import make_registry
@@ -79,6 +81,35 @@
                 )
                 self.assertEqual(after, (before[0] + 1, before[1] + 1))
 
+    def test_another_writer_takes_no_upstream_to_an_unknown_service(self) -> None:
+        """Guards against a heartbeat that takes a living upstream away for good."""
+        for name, service, document, taken in (
+            ("unknown service", "other", make_document(), False),
+            (
+                "known service",
+                "other",
+                make_document(services=(Service(name="chat"), Service(name="other"))),
+                True,
+            ),
+            ("no document yet", "other", None, True),
+            ("its own, dropped from the document", "desk", make_document(), True),
+        ):
+            with self.subTest(name):
+                registry = make_registry()
+                fleet = registry.context.fleet
+                first = "desk" if service == "desk" else "chat"
+                announce(registry.context, make_announcement("u1", service=first))
+                registry.context.state.document = document
+                later = make_announcement("u1", service=service, incarnation=2)
+                announce(registry.context, later)
+                held = fleet.upstreams["u1"].announcement
+                self.assertEqual(held.service, service if taken else "chat")
+                self.assertEqual(held.incarnation, 2 if taken else 1)
+                own = make_announcement("u1", service=first, sequence=2)
+                announce(registry.context, own)
+                held = fleet.upstreams["u1"].announcement
+                self.assertEqual(held.sequence, 1 if taken else 2)
+
     def test_a_heartbeat_without_changes_is_not_forwarded_at_once(self) -> None:
         registry = make_registry()
         gateway = registry.accept("gateway-1")
