--- a/src/waxwingwell/adapters/gateway/endings.py
+++ b/src/waxwingwell/adapters/gateway/endings.py
@@ -189,8 +189,7 @@
     """Drop what a request holds of its own and its upstreams' bytes."""
     exchange.last_response = None
     if exchange.request.body.size > KEPT_BODY_BYTES:
-        exchange.keep_content()
-        exchange.request.body.clear()
+        exchange.drop_body()
 
     exchange.splitter.discard_partial_event()
     if exchange.attempt is not None:
--- a/src/waxwingwell/adapters/gateway/exchange.py
+++ b/src/waxwingwell/adapters/gateway/exchange.py
@@ -95,7 +95,7 @@
     from ...routing.records import Workspace
     from ..http.records import HeaderList
     from ..http.records import HttpRequest
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from .context import GatewayContext
     from .dialect import RequestFacts
 
@@ -527,9 +527,10 @@
             self.route.name, self.request, self.context.dialect.varying
         )
 
-    def keep_content(self) -> int:
-        """Return the key of the request's content, which is known from then on."""
-        return self.content
+    def drop_body(self) -> None:
+        """Drop the request's body; the key of its content stays known."""
+        _ = self.content  # is computed while there is a body
+        self.request.body.clear()
 
     def find_service(self) -> str:
         """Return the service that the request is sent to."""
