--- a/src/waxwingwell/adapters/gateway/arrivals.py
+++ b/src/waxwingwell/adapters/gateway/arrivals.py
@@ -40,7 +40,7 @@
     from ...routing.records import Route
     from ...routing.records import Workspace
     from ..http.records import HttpRequest
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from .context import GatewayContext
     from .dialect import RequestFacts
 
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -61,7 +61,7 @@
     import socket
 
     from ..http.records import HttpRequest
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from .dialect import Dialect
     from .settings import GatewaySettings
 
--- a/src/waxwingwell/adapters/gateway/waiting.py
+++ b/src/waxwingwell/adapters/gateway/waiting.py
@@ -18,7 +18,7 @@
 
 
 if TYPE_CHECKING:
-    from ..http.server import Responder
+    from ..http.responder import Responder
 
 
 MAX_WAITING = 200
--- a/src/waxwingwell/adapters/metrics_listener.py
+++ b/src/waxwingwell/adapters/metrics_listener.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from .http.budget import Budget
     from .http.records import HttpRequest
-    from .http.server import Responder
+    from .http.responder import Responder
     from .http.turns import TurnQueue
 
 
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -46,7 +46,7 @@
     from collections.abc import Callable
 
     from ..http.records import HttpRequest
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from .settings import RegistrySettings
 
 
--- a/src/waxwingwell/adapters/registry/quarantine.py
+++ b/src/waxwingwell/adapters/registry/quarantine.py
@@ -17,7 +17,7 @@
 
 
 if TYPE_CHECKING:
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from .context import RegistryContext
 
 
--- a/src/waxwingwell/adapters/registry/responses.py
+++ b/src/waxwingwell/adapters/registry/responses.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from ...messages import Message
     from ...routing.messages import GatewayReport
-    from ..http.server import Responder
+    from ..http.responder import Responder
     from ..links import LinkProtocol
     from .context import RegistryContext
 
--- a/tests/adapters/gateway/support.py
+++ b/tests/adapters/gateway/support.py
@@ -28,9 +28,9 @@
 from waxwingwell.adapters.gateway.dialect import RequestFacts
 from waxwingwell.adapters.gateway.dialect import ResponseFacts
 from waxwingwell.adapters.gateway.settings import GatewaySettings
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.records import HeaderList
 from waxwingwell.adapters.http.records import HttpLimits
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.routing.fleet import apply_announcement
 from waxwingwell.routing.lookup import index_document
--- a/tests/adapters/gateway/test_relaying.py
+++ b/tests/adapters/gateway/test_relaying.py
@@ -24,8 +24,8 @@
 from waxwingwell.adapters.gateway.reporting import make_report
 from waxwingwell.adapters.gateway.steering import RELAY_RETENTION_SECONDS
 from waxwingwell.adapters.gateway.steering import handle_cast
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.records import HttpLimits
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.adapters.registry import hub
 from waxwingwell.routing.fleet import UpstreamState
--- a/tests/adapters/gateway/test_slow_readers.py
+++ b/tests/adapters/gateway/test_slow_readers.py
@@ -8,9 +8,9 @@
 
 from waxwingwell.adapters.gateway.flow import UNREAD_SECONDS
 from waxwingwell.adapters.gateway.stopping import STOP_MARGIN
+from waxwingwell.adapters.http.connection import MAX_UNPARSED_BYTES
 from waxwingwell.adapters.http.output import HIGH_WATER_BYTES
 from waxwingwell.adapters.http.records import HttpLimits
-from waxwingwell.adapters.http.server import MAX_UNPARSED_BYTES
 from waxwingwell.routing.records import RouteKind
 from waxwingwell.routing.retries import RetryLimits
 from waxwingwell.routing.tallies import RolloutTally
--- a/tests/adapters/gateway/test_stopping_relays.py
+++ b/tests/adapters/gateway/test_stopping_relays.py
@@ -12,8 +12,8 @@
 from waxwingwell.adapters.gateway.stopping import BALANCER_SECONDS
 from waxwingwell.adapters.gateway.stopping import POLL_SECONDS
 from waxwingwell.adapters.gateway.stopping import STOP_MARGIN
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.records import HttpLimits
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
 from waxwingwell.routing.records import RouteKind
 
--- a/tests/adapters/http/test_server.py
+++ b/tests/adapters/http/test_server.py
@@ -5,24 +5,28 @@
 import unittest
 from dataclasses import replace
 from functools import partial
+from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.task import Clock
 
 from tests.adapters.gateway.support import capture_log
 from tests.adapters.gateway.support import make_transport
+from waxwingwell.adapters.http.connection import FIRST_BYTES_SECONDS
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.pieces import CHUNK_BYTES
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.records import strip_hop_headers
-from waxwingwell.adapters.http.server import FIRST_BYTES_SECONDS
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
-from waxwingwell.adapters.http.server import Responder
 from waxwingwell.adapters.http.server import close_idle
 from waxwingwell.adapters.http.server import is_drained
 
 
+if TYPE_CHECKING:
+    from waxwingwell.adapters.http.responder import Responder
+
+
 LIMITS = HttpLimits(
     header_bytes=500, body_bytes=100, header_timeout=2.0, idle_timeout=5.0
 )
--- a/tests/adapters/http/test_shortage.py
+++ b/tests/adapters/http/test_shortage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.task import Clock
@@ -10,11 +11,14 @@
 from tests.adapters.gateway.support import make_transport
 from waxwingwell.adapters.http.budget import STALL_SECONDS
 from waxwingwell.adapters.http.budget import Budget
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
-from waxwingwell.adapters.http.server import Responder
+
+
+if TYPE_CHECKING:
+    from waxwingwell.adapters.http.responder import Responder
 
 
 MEMORY = 1_000_000
--- a/tests/adapters/registry/test_stop.py
+++ b/tests/adapters/registry/test_stop.py
@@ -19,11 +19,10 @@
 from tests.adapters.transports import deliver_bytes
 from tests.routing.factories import make_announcement
 from waxwingwell.adapters import events
+from waxwingwell.adapters.http.connection import HttpConnection
 from waxwingwell.adapters.http.records import HttpLimits
 from waxwingwell.adapters.http.records import HttpRequest
-from waxwingwell.adapters.http.server import HttpConnection
 from waxwingwell.adapters.http.server import HttpService
-from waxwingwell.adapters.http.server import Responder
 from waxwingwell.adapters.links import ROUTING_TIMING
 from waxwingwell.adapters.links import Link
 from waxwingwell.adapters.links import LinkHandlers
@@ -46,6 +45,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from waxwingwell.adapters.http.responder import Responder
     from waxwingwell.messages import Message
 
 
--- a/tests/adapters/registry/test_stop_sockets.py
+++ b/tests/adapters/registry/test_stop_sockets.py
@@ -37,7 +37,7 @@
 
 if TYPE_CHECKING:
     from waxwingwell.adapters.http.records import HttpRequest
-    from waxwingwell.adapters.http.server import Responder
+    from waxwingwell.adapters.http.responder import Responder
     from waxwingwell.messages import Message
 
 
--- a/tests/adapters/test_bounded_ports.py
+++ b/tests/adapters/test_bounded_ports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
@@ -16,7 +17,10 @@
 from waxwingwell.adapters.http.records import HttpRequest
 from waxwingwell.adapters.http.server import HttpFactory
 from waxwingwell.adapters.http.server import HttpService
-from waxwingwell.adapters.http.server import Responder
+
+
+if TYPE_CHECKING:
+    from waxwingwell.adapters.http.responder import Responder
 
 
 reactor: Any = default_reactor
