Test the room of memory below its bound

test_the_least_part_counts held 30 of 100 bytes and expected what that leaves of the bound. The bound is a quarter of the memory now, so that 30 are above it and leave nothing, which the expectation did not say: it came out below zero. The test holds 10 and checks the same formula; that room ends at zero is checked by the case of a processor at its end.

--- a/tests/routing/test_gateway_room.py
+++ b/tests/routing/test_gateway_room.py
@@ -135,13 +135,13 @@
     def test_the_least_part_counts(self) -> None:
         """Guards against a full link or memory that idle processors hide."""
         link = GatewayLoad(bytes_per_second=90.0, link_bytes_per_second=100.0)
-        held = GatewayLoad(held_bytes=30, memory_bytes=100)
+        held = GatewayLoad(held_bytes=10, memory_bytes=100)
         for name, load, scarcest, room in (
             ("processor", replace(FREE, loop_delay=LATE_SECONDS / 2), "processor", 0.5),
             ("processor at its end", LATE, "processor", 0.0),
             ("link", link, "link", 0.1),
             ("late link", GatewayLoad(link_delay=LATE_SECONDS / 4), "link", 0.75),
-            ("memory", held, "memory", 1.0 - 0.3 / MEMORY_PART),
+            ("memory", held, "memory", 1.0 - 0.1 / MEMORY_PART),
             ("unknown link", GatewayLoad(bytes_per_second=1e9), "processor", 1.0),
             ("unknown memory", GatewayLoad(held_bytes=10**9), "processor", 1.0),
         ):
