--- a/tests/system/crowds.py
+++ b/tests/system/crowds.py
@@ -17,6 +17,8 @@
 from bench.soak.http import read_body
 from bench.soak.http import read_head
 from bench.soak.readers import open_slowly
+from bench.soak.upstreams import start_upstream
+from bench.soak.upstreams import stop_upstream
 
 from waxwingwell.adapters.links import PROTOCOL_VERSION
 from waxwingwell.messages import Hello
@@ -26,7 +28,9 @@
 
 
 if TYPE_CHECKING:
+    from asyncio import StreamReader
     from asyncio import StreamWriter
+    from collections.abc import AsyncIterator
 
     from bench.soak.processes import Member
     from bench.soak.schedule import SoakEnvironment
@@ -128,7 +132,7 @@
             for name in (f"{number}-{place}" for place in range(crowd.count))
         ]
         await asyncio.sleep(CROWD_SECONDS)
-        during = await is_answered_at_last(environment)
+        during = await is_answered_at_last(environment, "during")
         for task in (*tasks, sampler):
             task.cancel()
 
@@ -138,7 +142,7 @@
             descriptors=opened,
             ended=[one.record.name for one in members if has_ended(one)],
             answered_during=during,
-            answered_after=await is_answered_at_last(environment),
+            answered_after=await is_answered_at_last(environment, "after"),
         )
 
 
@@ -146,9 +150,6 @@
     environment: SoakEnvironment, read_rate: float | None
 ) -> None:
     """Let upstreams read requests slowly, through small buffers, from now on."""
-    from bench.soak.upstreams import start_upstream
-    from bench.soak.upstreams import stop_upstream
-
     if read_rate is None:
         return
 
@@ -191,13 +192,13 @@
     return int(line.split()[1]) * 1_024
 
 
-async def is_answered_at_last(environment: SoakEnvironment) -> bool:
+async def is_answered_at_last(environment: SoakEnvironment, name: str) -> bool:
     """Return whether an ordinary caller that returns after refusals is answered."""
     address = find_address(environment, Door.CALLERS)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(ANSWER_SECONDS):
             number = 0
-            while not await is_answered(address, f"ordinary-{id(object())}-{number}"):
+            while not await is_answered(address, f"{name}-{number}"):
                 number += 1
                 await asyncio.sleep(0.2)
 
@@ -355,7 +356,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_client(address: Address):  # type: ignore[no-untyped-def] # noqa: ANN201
+async def open_client(
+    address: Address,
+) -> AsyncIterator[tuple[StreamReader, StreamWriter]]:
     """Connect, and abort the connection at the end."""
     reader, writer = await asyncio.open_connection(*address)
     try:
