Make the budget of a process in one place

Gateways and registries each derived it from their memory and descriptors, and a wrapper stood around one call of partial. The time for which a silent connection is kept had the name of another, longer one in connection.py. No behaviour changes.

--- a/src/waxwingwell/adapters/bounded_ports.py
+++ b/src/waxwingwell/adapters/bounded_ports.py
@@ -11,8 +11,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from twisted.internet.protocol import Factory
 
     from .http.budget import Budget
@@ -26,15 +24,10 @@
     Errors: ``CannotListenError``.
     """
     port = reactor.listenTCP(address[1], factory, interface=address[0])
-    bound_accepts(port, reactor, make_counter(reactor, held))
+    bound_accepts(port, reactor, partial(count_now, reactor, held))
     return port
 
 
-def make_counter(reactor: Any, held: Budget) -> Callable[[], int]:
-    """Return a function that counts the connections which may be opened now."""
-    return partial(count_now, reactor, held)
-
-
 def count_now(reactor: Any, held: Budget) -> int:
     """Return how many connections may be opened now."""
     return count_acceptable(held, float(reactor.seconds()))
--- a/src/waxwingwell/adapters/gateway/daemon.py
+++ b/src/waxwingwell/adapters/gateway/daemon.py
@@ -20,16 +20,15 @@
 from ...routing.delays import is_late
 from ...routing.delays import measure_queue
 from ...routing.delays import record_turn
-from ...routing.gateway_room import MEMORY_PART
 from ...routing.messages import RoutingBody
 from ...routing.silence import drop_known_silences
+from ..bounded_ports import count_now
 from ..bounded_ports import listen_bounded
-from ..bounded_ports import make_counter
 from ..caller_port import CallerPort
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
-from ..http.budget import limit_connections
+from ..http.budget import make_budget
 from ..http.records import WITHOUT_BODIES
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
@@ -105,9 +104,8 @@
         clock=read_clock,
         random=random.Random(settings.node),
         dialect=dialect,
+        held=make_budget(settings.memory_bytes),
     )
-    context.held.memory = settings.memory_bytes * MEMORY_PART
-    context.held.max_connections = limit_connections()
     context.control_seen_at = read_clock()
     context.retries.began_at = read_clock()
     context.warm_up.began_at = read_clock()
@@ -147,7 +145,7 @@
         held=context.held,
         turns=context.turns,
     )
-    count = make_counter(reactor, context.held)
+    count = partial(count_now, reactor, context.held)
     port = CallerPort(reactor, callers or open_port(settings.callers), count)
     port.serve(HttpFactory(service, partial(admit_connection, context, port)))
     served = [(settings.readiness, health), (settings.relay, relays)]
--- a/src/waxwingwell/adapters/http/budget.py
+++ b/src/waxwingwell/adapters/http/budget.py
@@ -16,6 +16,7 @@
 from enum import Enum
 from enum import IntEnum
 
+from ...routing.gateway_room import MEMORY_PART
 from ..events import log_event
 from ..metrics import GIVEN_UP_CONNECTIONS
 
@@ -40,8 +41,8 @@
 large bodies are refused before small ones."""
 HEADROOM_PART = 0.25
 """Part of the memory that must be left free at most."""
-FIRST_BYTES_SECONDS = 0.1
-"""Seconds in which the first bytes of a new connection arrive."""
+GRACE_SECONDS = 0.1
+"""Seconds for which a silent connection is kept before it may give way."""
 MAX_ACCEPTS = 100
 """Most connections that are accepted in one turn of the event loop."""
 OWN_DESCRIPTORS = 32
@@ -108,6 +109,13 @@
     compared_at: float = -math.inf
 
 
+def make_budget(memory_bytes: int) -> Budget:
+    """Return the budget of a process with this memory; 0 if the memory is unknown."""
+    return Budget(
+        memory=memory_bytes * MEMORY_PART, max_connections=limit_connections()
+    )
+
+
 def limit_connections() -> int:
     """Return the most connections of peers by the limit on open descriptors."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -240,7 +248,7 @@
         return min(free, MAX_ACCEPTS)
 
     replaceable = [one for one in budget.holdings if one.stand() < Standing.READING]
-    silent = sum(now - one.moved_at >= FIRST_BYTES_SECONDS for one in replaceable)
+    silent = sum(now - one.moved_at >= GRACE_SECONDS for one in replaceable)
     return min(silent, MAX_ACCEPTS) if replaceable else 1
 
 
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -10,15 +10,13 @@
 
 from twisted.internet.task import LoopingCall
 
-from ...routing.gateway_room import MEMORY_PART
 from ...routing.reports import start_counting
 from ..bounded_ports import listen_bounded
 from ..clock import read_boot
 from ..clock import read_clock
 from ..events import log_event
 from ..events import run_logged
-from ..http.budget import Budget
-from ..http.budget import limit_connections
+from ..http.budget import make_budget
 from ..http.records import HttpLimits
 from ..http.server import HttpFactory
 from ..http.server import HttpService
@@ -87,10 +85,7 @@
     context.reports.name = settings.address
     context.reports.retry_window = settings.retry_window
     start_counting(context.reports, context.clock())
-    held = Budget(
-        memory=settings.memory_bytes * MEMORY_PART,
-        max_connections=limit_connections(),
-    )
+    held = make_budget(settings.memory_bytes)
     turns = TurnQueue()
     context.node = LinkNode(
         name=settings.address,
