Replace a lost connection's parser only if it holds bytes

Every connection that ended built a new parser, for the few whose old one still held bytes that would not be parsed. An empty one is left as it is now.

--- a/src/waxwingwell/adapters/http/connection.py
+++ b/src/waxwingwell/adapters/http/connection.py
@@ -122,6 +122,11 @@
         self._head_bytes = self.service.limits().header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._head_bytes)
 
+    def _drop_unparsed(self) -> None:
+        """Free the bytes that the parser holds and will not parse."""
+        if self._h11.trailing_data[0]:
+            self._h11 = self._new_h11()
+
     def _update_head_limit(self) -> None:
         """Apply the limit on heads that is in force to the next request."""
         if self.service.limits().header_bytes != self._head_bytes:
@@ -174,7 +179,7 @@
     def _drop_buffers(self) -> None:
         """Free what a lost connection holds, without the garbage collector."""
         self._release_body()
-        self._h11 = self._new_h11()
+        self._drop_unparsed()
         self._request = None
         self.transport = None
         self._send_buffer = None
@@ -586,7 +591,7 @@
 
         self._closing = True
         self._request = None
-        self._h11 = self._new_h11()  # drops what will not be parsed
+        self._drop_unparsed()
         self._set_unparsed(0)
         self._start_timer(self.service.limits().idle_timeout)
         self._send_buffer.finish()
