--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -236,6 +236,33 @@
                 self.assertEqual(response.status, 400)
                 self.assertGreater(len(response.body), len(b'{"error":""}'))
 
+    def test_null_is_no_value(self) -> None:
+        """Guards against a null list of tenants that opens all routes to any key."""
+        weight = {"backend": "desk", "weight": 1}
+        for place, fields in (
+            ("$.tenants", {"tenants": None}),
+            ("$.tenants[0].priority", {"tenants": [{"name": "a", "priority": None}]}),
+            ("$.tenants[0].api_keys", {"tenants": [{"name": "a", "api_keys": None}]}),
+            (
+                "$.routes[0].weighted_backends",
+                {"routes": [{**ROUTE, "weighted_backends": None}]},
+            ),
+            (
+                "$.routes[0].backend",
+                {"routes": [{**ROUTE, "backend": None, "weighted_backends": [weight]}]},
+            ),
+            (
+                "$.backends[0].runtime",
+                {"backends": [{"name": "desk", "runtime": None}]},
+            ),
+        ):
+            with self.subTest(place):
+                response = Control().call(
+                    "PUT", "/-/config", encode({**CONFIG, **fields})
+                )
+                self.assertEqual(response.status, 400)
+                self.assertIn(f"got `null` - at `{place}`", response.body.decode())
+
     def test_odd_rollouts(self) -> None:
         """Guards against an order that gets no answer."""
         for name, member in (("nested", NESTED), ("number", b"1" + LONG_NUMBER)):
