--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -263,6 +263,17 @@
                 self.assertEqual(response.status, 400)
                 self.assertIn(f"got `null` - at `{place}`", response.body.decode())
 
+    def test_weights_that_add_up_to_nothing(self) -> None:
+        """Guards against a route that keeps a service its weights took away."""
+        for weights in ([], [{"backend": "desk", "weight": 0}]):
+            with self.subTest(weights):
+                route = {**ROUTE, "weighted_backends": weights}
+                response = Control().call(
+                    "PUT", "/-/config", encode({**CONFIG, "routes": [route]})
+                )
+                self.assertEqual(response.status, 400)
+                self.assertIn("routes[0] (r1)", response.body.decode())
+
     def test_odd_rollouts(self) -> None:
         """Guards against an order that gets no answer."""
         for name, member in (("nested", NESTED), ("number", b"1" + LONG_NUMBER)):
