Require keys under stored documents that don't say so

A missing one means now that a key is needed. As that alone would close deployments that never had tenants, a control reads in the operator's own bytes, which are stored beside the document, whether there is a list; bytes that don't tell open nothing. Only the list is read, so that a configuration which this release would refuse for something else still tells.

Ruled out: reading all stored documents anew, as a mended reader would replace what was acknowledged.

--- a/src/waxwingwell/adapters/registry/context.py
+++ b/src/waxwingwell/adapters/registry/context.py
@@ -13,6 +13,7 @@
 from ...routing.messages import RoutingBody
 from ...routing.quarantine import QuarantineTable
 from ...routing.reports import ReportTable
+from ...routing.sources import KeyCheck
 from ...routing.trials import TrialTable
 from ...routing.version_evidence import EvidenceTable
 from ...state.consensus.messages import ConsensusBody
@@ -68,6 +69,7 @@
     reactor: Any
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
+    requires_key: KeyCheck
     state: RoutingState = field(default_factory=RoutingState)
     group: Group | None = None
     reopen_at: float = 0.0
--- a/src/waxwingwell/adapters/registry/daemon.py
+++ b/src/waxwingwell/adapters/registry/daemon.py
@@ -43,6 +43,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...routing.sources import KeyCheck
     from ..http.records import HttpRequest
     from ..http.responder import Responder
     from .settings import RegistrySettings
@@ -68,18 +69,21 @@
     settings: RegistrySettings,
     reactor: Any,
     make_handler: Callable[[RegistryContext], Callable[[HttpRequest, Responder], None]],
+    requires_key: KeyCheck,
     started_at: float | None = None,
 ) -> RegistryDaemon:
     """Open the ports and the data folder; raises ``CannotListenError``.
 
-    ``started_at`` is the start of the process by its monotonic clock; the default is
-    the present time.
+    ``requires_key`` tells whether a document requires keys by the bytes that its
+    operator sent. ``started_at`` is the start of the process by its monotonic clock;
+    the default is the present time.
     """
     context = RegistryContext(
         settings=settings,
         reactor=reactor,
         clock=read_clock,
         wall_clock=time.time,
+        requires_key=requires_key,
         boot=read_boot(),
     )
     context.reports.name = settings.address
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -10,9 +10,11 @@
 
 from ...routing.messages import Accepted
 from ...routing.messages import NotAccepted
+from ...routing.messages import Publish
 from ...routing.messages import RoutingNow
 from ...routing.messages import SetEvacuation
 from ...routing.reports import record_founding
+from ...routing.sources import complete_document
 from ...state.consensus.records import Membership
 from ...state.consensus.records import Timing
 from ...state.exceptions import CorruptStorageError
@@ -136,6 +138,9 @@
     def apply(index: int, command: bytes) -> bytes:
         decoded = decode_command(command)
         accepted = apply_routing(context.state, decoded)
+        if isinstance(decoded, Publish):
+            complete_state(context)
+
         log_event(
             "registry: Command applied",
             index=index,
@@ -149,12 +154,30 @@
 
     def restore(data: bytes) -> None:
         context.state = load_routing(data)
+        complete_state(context)
 
     return Machine(
         apply=apply, save=lambda: save_routing(context.state), restore=restore
     )
 
 
+def complete_state(context: RegistryContext) -> None:
+    """Complete the document that an earlier release may have stored."""
+    state = context.state
+    if state.document is None:
+        return
+
+    completed = complete_document(state.document, state.source, context.requires_key)
+    if completed.needs_key != state.document.needs_key:
+        log_event(
+            "registry: Document completed",
+            version=completed.version,
+            needs_key=completed.needs_key,
+        )
+
+    state.document = completed
+
+
 def log_evacuations(
     context: RegistryContext, index: int, command: SetEvacuation
 ) -> None:
--- a/src/waxwingwell/routing/records.py
+++ b/src/waxwingwell/routing/records.py
@@ -102,5 +102,6 @@
     services: tuple[Service, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     limits: Limits = Limits()
-    needs_key: bool = False
-    """Whether requests need the key of a workspace even if there is none left."""
+    needs_key: bool = True
+    """Whether requests need the key of a workspace even if there is none left, but for
+    those on anonymous routes."""
--- a/tests/adapters/gateway/hubs.py
+++ b/tests/adapters/gateway/hubs.py
@@ -28,6 +28,7 @@
 from waxwingwell.adapters.registry.settings import RegistrySettings
 from waxwingwell.routing.messages import RoutingBody
 
+from ..registry.support import requires_key
 from ..registry.support import run_now
 
 
@@ -110,6 +111,7 @@
             reactor=self.reactor,
             clock=self.reactor.seconds,
             wall_clock=self.reactor.seconds,
+            requires_key=requires_key,
             boot="boot",
             run_beside=run_now,
         )
--- a/tests/adapters/registry/support.py
+++ b/tests/adapters/registry/support.py
@@ -10,12 +10,14 @@
 from typing import Any
 from typing import cast
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from waxwingwell.adapters.links import LinkNode
 from waxwingwell.adapters.registry.context import RegistryContext
 from waxwingwell.adapters.registry.settings import RegistrySettings
+from waxwingwell.routing.records import Document
 from waxwingwell.state.consensus.records import Timing
 from waxwingwell.state.consensus.replica import Replica
 
@@ -57,6 +59,11 @@
         return connection
 
 
+def requires_key(source: bytes) -> bool:
+    """Return whether a document of these tests requires keys."""
+    return msgspec.json.decode(source, type=Document).needs_key
+
+
 def run_now(run: Callable[[], None]) -> None:
     """Run at once what waits for the disk in a thread otherwise."""
     run()
@@ -89,6 +96,7 @@
         reactor=clock,
         clock=clock.seconds,
         wall_clock=clock.seconds,
+        requires_key=requires_key,
         boot="boot",
         run_beside=run_now if data_folder else drop_write,
     )
--- a/tests/adapters/registry/test_stop_sockets.py
+++ b/tests/adapters/registry/test_stop_sockets.py
@@ -34,6 +34,8 @@
 from waxwingwell.routing.messages import ReadRouting
 from waxwingwell.routing.messages import RoutingNow
 
+from .support import requires_key
+
 
 if TYPE_CHECKING:
     from waxwingwell.adapters.http.records import HttpRequest
@@ -62,7 +64,7 @@
             first_start=False,
         )
         self.daemon: RegistryDaemon = start_registry(
-            settings, reactor, lambda context: self.respond
+            settings, reactor, lambda context: self.respond, requires_key
         )
         self.context: RegistryContext = self.daemon.context
 
