Take a document again that an upgraded control has completed

A gateway that was upgraded before the registries kept what they had told it: it served everyone under a list of tenants that was null, or refused everyone where there never was a list, until the next configuration.

Cause: a gateway takes each version and each index of the log once, and the completed document has the version and the index of the one before. One without workspaces, the only kind that is in doubt, is taken again at its version and index now. The log line of a document in force says whether it needs keys.

test_what_a_gateway_gets_once_the_controls_are_upgraded: both cases failed before.

--- a/src/waxwingwell/adapters/gateway/steering.py
+++ b/src/waxwingwell/adapters/gateway/steering.py
@@ -60,6 +60,7 @@
 
 if TYPE_CHECKING:
     from ...messages import Message
+    from ...routing.lookup import DocumentIndex
     from ...routing.messages import EngineSpeed
     from .context import GatewayContext
 
@@ -207,11 +208,15 @@
     A control that lags behind shares an older state. Applying it would make keys and
     routes valid again that have been removed.
     """
-    if body.index <= context.routing_index:
+    completes = completes_document(context.index, body)
+    if body.index < context.routing_index:
+        return
+
+    if body.index == context.routing_index and not completes:
         return
 
     held_version = -1 if context.index is None else context.index.document.version
-    if body.document and body.version > held_version:
+    if body.document and (completes or body.version > held_version):
         data = zlib.decompress(body.document)
         document = msgspec.msgpack.decode(data, type=Document)
         context.index = index_document(document)
@@ -220,6 +225,7 @@
             version=document.version,
             index=body.index,
             routes=len(document.routes),
+            needs_key=document.needs_key,
         )
         held_version = document.version
 
@@ -237,6 +243,18 @@
         serve_waiting(context.startup_queue)
 
 
+def completes_document(index: DocumentIndex | None, body: ShareRouting) -> bool:
+    """Return whether a control shares the version in force, and may know more of it.
+
+    Whether a document without workspaces requires keys is in doubt if it came from a
+    control of an earlier release. Others share it at the same index in the log.
+    """
+    if index is None or index.document.workspaces or not body.document:
+        return False
+
+    return body.version == index.document.version
+
+
 def apply_evacuations(context: GatewayContext, body: ShareRouting) -> None:
     """Apply which data centres are evacuated."""
     evacuated = frozenset(body.evacuated)
--- a/tests/platform_adapter/test_earlier_releases.py
+++ b/tests/platform_adapter/test_earlier_releases.py
@@ -72,17 +72,20 @@
     return context.state.document
 
 
-def ask(encoded: bytes) -> int:
+def ask(*encoded: bytes) -> int:
     """Return the status of a request with an unknown key, 0 if it is sent.
 
-    Its gateway has received the document from a control.
+    Its gateway has received these documents from controls, in order: all of one
+    version, at one index in the log.
     """
     gateway = make_gateway()
     gateway.context.index = None
-    body = ShareRouting(
-        index=3, version=3, document=zlib.compress(encoded), rollouts=()
-    )
-    handle_cast(gateway.context, "control", body)
+    for document in encoded:
+        body = ShareRouting(
+            index=3, version=3, document=zlib.compress(document), rollouts=()
+        )
+        handle_cast(gateway.context, "control", body)
+
     return gateway.ask(X_Key="unknown").status
 
 
@@ -121,6 +124,19 @@
                 encoded = msgspec.msgpack.encode(store(config, release))
                 self.assertEqual(ask(encoded), status)
 
+    def test_what_a_gateway_gets_once_the_controls_are_upgraded(self) -> None:
+        """Guards against a gateway that keeps what an earlier release left open."""
+        for name, config, release, status in (
+            ("an empty list", EMPTY, "open", 401),
+            ("no list", WITHOUT, "no word on keys", 0),
+        ):
+            with self.subTest(f"{name}, {release}"):
+                stored = store(config, release)
+                completed = replay(stored, msgspec.json.encode(config))
+                before = msgspec.msgpack.encode(stored)
+                self.assertNotEqual(ask(before), status)
+                self.assertEqual(ask(before, msgspec.msgpack.encode(completed)), status)
+
 
 if __name__ == "__main__":
     unittest.main()
