Refuse a configuration with an empty key

Cause: an empty key was looked up like any other. A configuration with one is refused with the place of its workspace, and no finding shows a key. As documents stored before may hold one, a lookup doesn't find it either.

test_an_empty_key (200 before, 400 now), test_an_empty_key_is_no_key and the case of test_findings failed before.

--- a/src/waxwingwell/routing/lookup.py
+++ b/src/waxwingwell/routing/lookup.py
@@ -61,5 +61,8 @@
 
 
 def find_workspace(index: DocumentIndex, key: str) -> Workspace | None:
-    """Return the workspace that holds a key."""
-    return index.workspaces.get(key)
+    """Return the workspace that holds a key.
+
+    Nobody holds an empty one, though documents of earlier releases may list it.
+    """
+    return index.workspaces.get(key) if key else None
--- a/src/waxwingwell/routing/validation.py
+++ b/src/waxwingwell/routing/validation.py
@@ -21,6 +21,7 @@
     return (
         *check_routes(document),
         *find_duplicate_routes(document),
+        *find_empty_keys(document),
         *find_duplicate_keys(document),
         *check_header_names(document),
         *check_limits(document),
@@ -88,6 +89,13 @@
             yield Finding("routes", f"{count} routes share {host}{prefix}")
 
 
+def find_empty_keys(document: Document) -> Iterator[Finding]:
+    """Yield a finding for each workspace with an empty key."""
+    for index, workspace in enumerate(document.workspaces):
+        if "" in workspace.keys:
+            yield Finding(f"workspaces[{index}] ({workspace.name})", "a key is empty")
+
+
 def find_duplicate_keys(document: Document) -> Iterator[Finding]:
     """Yield a finding for each key of two workspaces; findings don't hold the key."""
     owners: dict[str, str] = {}
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -263,6 +263,16 @@
                 self.assertEqual(response.status, 400)
                 self.assertIn(f"got `null` - at `{place}`", response.body.decode())
 
+    def test_an_empty_key(self) -> None:
+        """Guards against a tenant whose key callers without one can send."""
+        tenants = [{"name": "a", "api_keys": ["secret", ""]}]
+        response = Control().call(
+            "PUT", "/-/config", encode({**CONFIG, "tenants": tenants})
+        )
+        self.assertEqual(response.status, 400)
+        self.assertIn("workspaces[0] (a)", response.body.decode())
+        self.assertNotIn("secret", response.body.decode())
+
     def test_weights_that_add_up_to_nothing(self) -> None:
         """Guards against a route that keeps a service its weights took away."""
         for weights in ([], [{"backend": "desk", "weight": 0}]):
--- a/tests/routing/test_document.py
+++ b/tests/routing/test_document.py
@@ -53,6 +53,11 @@
                 make_document(workspaces=(team, other)),
                 ["workspaces[1] (other)"],
             ),
+            (
+                "empty key",
+                make_document(workspaces=(Workspace(name="a", keys=("k1", "")),)),
+                ["workspaces[0] (a)"],
+            ),
             (
                 "several at once",
                 make_document(
@@ -106,3 +111,10 @@
             with self.subTest(key):
                 found = find_workspace(index, key)
                 self.assertEqual(found.name if found else None, name)
+
+    def test_an_empty_key_is_no_key(self) -> None:
+        """Guards against callers without a key under a document stored earlier."""
+        team = Workspace(name="team", keys=("", "k1"))
+        index = index_document(make_document(workspaces=(team,)))
+        self.assertIsNone(find_workspace(index, ""))
+        self.assertIs(find_workspace(index, "k1"), team)
