Refuse two workspaces of one name that share a key

Two tenants that share a key make a configuration invalid. Two entries with the same name passed, as owners were compared by their names: the key then belonged to the later entry, with its priority. They are compared by their places now; one entry that lists a key twice stays valid.

The case "key shared under one name" of test_findings failed before.

--- a/src/waxwingwell/routing/validation.py
+++ b/src/waxwingwell/routing/validation.py
@@ -98,10 +98,11 @@
 
 def find_duplicate_keys(document: Document) -> Iterator[Finding]:
     """Yield a finding for each key of two workspaces; findings don't hold the key."""
-    owners: dict[str, str] = {}
+    owners: dict[str, int] = {}
     for index, workspace in enumerate(document.workspaces):
         for key in workspace.keys:
-            owner = owners.setdefault(key, workspace.name)
-            if owner != workspace.name:
+            owner = owners.setdefault(key, index)
+            if owner != index:
                 location = f"workspaces[{index}] ({workspace.name})"
-                yield Finding(location, f"a key is also held by {owner}")
+                name = document.workspaces[owner].name
+                yield Finding(location, f"a key is also held by {name}")
--- a/tests/routing/test_document.py
+++ b/tests/routing/test_document.py
@@ -53,6 +53,16 @@
                 make_document(workspaces=(team, other)),
                 ["workspaces[1] (other)"],
             ),
+            (
+                "key shared under one name",
+                make_document(workspaces=(team, team)),
+                ["workspaces[1] (team)"],
+            ),
+            (
+                "key repeated in one workspace",
+                make_document(workspaces=(Workspace(name="a", keys=("k1", "k1")),)),
+                [],
+            ),
             (
                 "empty key",
                 make_document(workspaces=(Workspace(name="a", keys=("k1", "")),)),
