Let nobody in by the digest of an empty key

Where an operator's key was listed by the digest of an empty string, as sha256sum gives it for a variable that is not set, everybody could operate the system: a request without any header got 200 from the administration API. A workspace with such a key served callers that sent an empty one.

Cause: what was missing from a request was hashed and compared like a key. A request with an empty key is refused before that, so that what is stored already opens nothing either; settings and answers with the digest are refused with its place.

--- a/src/waxwingwell/adapters/control/admin.py
+++ b/src/waxwingwell/adapters/control/admin.py
@@ -75,7 +75,11 @@
 def find_operator(context: ControlContext, request: Request) -> OperatorKey | None:
     """Return the operator of the request's key; digests compare in constant time."""
     header = request.getHeader("authorization") or ""
-    digest = hash_key(header.removeprefix(BEARER).strip())
+    key = header.removeprefix(BEARER).strip()
+    if not key:
+        return None
+
+    digest = hash_key(key)
     found = None
     for operator in context.settings.operators:
         if hmac.compare_digest(operator.digest, digest):
--- a/src/waxwingwell/adapters/entry/callers.py
+++ b/src/waxwingwell/adapters/entry/callers.py
@@ -35,14 +35,15 @@
 
 def find_workspace(keys: CallerKeys, authorization: str) -> WorkspaceId:
     """Return the workspace of a caller; ``Problem`` 401 without a valid key."""
-    if not authorization.startswith(BEARER):
+    key = authorization.removeprefix(BEARER).strip()
+    if not authorization.startswith(BEARER) or not key:
         raise Problem(
             status=401,
             code="missing_key",
             message="Authorization: a key is needed, as 'Bearer KEY'",
         )
 
-    workspace = keys.workspaces.get(hash_key(authorization[len(BEARER) :].strip()))
+    workspace = keys.workspaces.get(hash_key(key))
     if workspace is None:
         raise Problem(
             status=401, code="invalid_api_key", message="Authorization: unknown key"
--- a/src/waxwingwell/adapters/settings.py
+++ b/src/waxwingwell/adapters/settings.py
@@ -18,6 +18,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from ..keys import EMPTY_DIGEST
 from ..records import Finding
 
 
@@ -91,6 +92,15 @@
     workspace: str = ""
     """Workspace to which the key is limited; empty for the whole system."""
 
+    @field_validator("digest")
+    @classmethod
+    def check_digest(cls, value: str) -> str:
+        """Reject the digest of an empty key, which every caller would hold."""
+        if value == EMPTY_DIGEST:
+            raise ValueError("this is the digest of an empty key")
+
+        return value
+
 
 class EntrySettings(_Model):
     """Settings of an entry."""
--- a/src/waxwingwell/answers/contradictions.py
+++ b/src/waxwingwell/answers/contradictions.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..keys import EMPTY_DIGEST
 from ..keys import hash_key
 from ..records import Finding
 from .generation import PACES
@@ -231,7 +232,7 @@
 
 
 def check_keys(draft: Draft) -> Iterator[Finding]:
-    """Check that key names and digests are unique and the demo key isn't used."""
+    """Check that key names and digests are unique, and that no key is known to all."""
     yield from find_duplicates(
         [(f"{place}.name", key.name) for place, key in draft.keys], "the key"
     )
@@ -243,3 +244,5 @@
         if key.sha256 == demo:
             message = f"{DEMO_KEY!r} is the demo's key; everyone knows it"
             yield Finding(f"{place}.sha256", message)
+        elif key.sha256 == EMPTY_DIGEST:
+            yield Finding(f"{place}.sha256", "this is the digest of an empty key")
--- a/src/waxwingwell/keys.py
+++ b/src/waxwingwell/keys.py
@@ -12,3 +12,7 @@
 def hash_key(key: str) -> str:
     """Return the SHA-256 hex digest under which a key is stored."""
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+EMPTY_DIGEST = hash_key("")
+"""Digest of an empty key, which nobody holds."""
--- a/tests/adapters/test_settings.py
+++ b/tests/adapters/test_settings.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from waxwingwell.adapters.settings import read_settings
+from waxwingwell.keys import hash_key
 
 
 ENTRY: dict[str, Any] = {
@@ -67,6 +68,11 @@
         {**CONTROL, "operators": [{"name": "a", "digest": "secret"}]},
         ("control.operators.0.digest",),
     ),
+    (
+        "operator key that is empty",
+        {**CONTROL, "operators": [{"name": "a", "digest": hash_key("")}]},
+        ("control.operators.0.digest",),
+    ),
 )
 
 
--- a/tests/answers/test_findings.py
+++ b/tests/answers/test_findings.py
@@ -37,6 +37,7 @@
 )
 DEMO = json.loads((EXAMPLES / "demo.json").read_bytes())
 KEY = {"name": "app", "sha256": "0" * 64}
+EMPTY_DIGEST = hashlib.sha256(b"").hexdigest()
 DEMO_DIGEST = hashlib.sha256(b"demo-key").hexdigest()
 
 
@@ -185,6 +186,11 @@
         modify_demo(keys=[{"name": "app", "sha256": DEMO_DIGEST}]),
         ["keys.0.sha256"],
     ),
+    (
+        "empty key",
+        modify_demo(keys=[{"name": "app", "sha256": EMPTY_DIGEST}]),
+        ["keys.0.sha256"],
+    ),
 )
 
 
