Refuse an operator key whose workspace is empty

An operator key that settings limit to a workspace had the whole system if the name was empty, as a template without a value writes it.

Cause: an empty name and a missing one read alike. A missing one still means the whole system, as SETTINGS.md says; an empty one is refused with its place. A null was refused before.

The case of test_settings failed before.

--- a/src/waxwingwell/adapters/settings.py
+++ b/src/waxwingwell/adapters/settings.py
@@ -89,8 +89,8 @@
 
     name: str = Field(min_length=1)
     digest: str = Field(pattern="^[0-9a-f]{64}$")
-    workspace: str = ""
-    """Workspace to which the key is limited; empty for the whole system."""
+    workspace: str = Field(default="", min_length=1)
+    """Workspace to which the key is limited; if it is left out, the whole system."""
 
     @field_validator("digest")
     @classmethod
--- a/tests/adapters/test_settings.py
+++ b/tests/adapters/test_settings.py
@@ -68,6 +68,19 @@
         {**CONTROL, "operators": [{"name": "a", "digest": "secret"}]},
         ("control.operators.0.digest",),
     ),
+    *(
+        (
+            f"operator key for the workspace {workspace!r}",
+            {
+                **CONTROL,
+                "operators": [
+                    {"name": "a", "digest": hash_key("k"), "workspace": workspace}
+                ],
+            },
+            ("control.operators.0.workspace",),
+        )
+        for workspace in ("", None)
+    ),
     (
         "operator key that is empty",
         {**CONTROL, "operators": [{"name": "a", "digest": hash_key("")}]},
