Warn of a version that opens all routes

A configuration without tenants after one that had them serves everyone, and nothing in the logs said so. PROTOCOL.md asks for a key "if the configuration contains tenants", and none of the reasons for which a configuration is invalid is a missing list, so that it has to be acknowledged; that "a configuration contains tenants" is told of the contract of that name, and names no answer to one that doesn't. The controls log a warning with both versions as they apply it.

test_a_version_that_opens_all_routes_is_logged: two of its five cases fail without the warning.

--- a/src/waxwingwell/adapters/events.py
+++ b/src/waxwingwell/adapters/events.py
@@ -178,3 +178,8 @@
 def log_event(event: str, **fields: Any) -> None:
     """Log an event with its fields, such as the inputs of a decision."""
     logger.bind(**fields).info(event)
+
+
+def log_warning(event: str, **fields: Any) -> None:
+    """Log an event that its operator may not have meant, with its fields."""
+    logger.bind(**fields).warning(event)
--- a/src/waxwingwell/adapters/registry/members.py
+++ b/src/waxwingwell/adapters/registry/members.py
@@ -36,6 +36,7 @@
 from ...state.routing import version_of
 from ...state.storage import open_store
 from ..events import log_event
+from ..events import log_warning
 from ..links import cast_link
 from .member_log import report_membership
 
@@ -43,6 +44,7 @@
 if TYPE_CHECKING:
     from ...messages import Message
     from ...routing.messages import RoutingCommand
+    from ...routing.records import Document
     from ...state.consensus.messages import ConsensusMessage
     from ...state.group import ProposalOutcome
     from .context import RegistryContext
@@ -137,9 +139,11 @@
 
     def apply(index: int, command: bytes) -> bytes:
         decoded = decode_command(command)
+        former = context.state.document
         accepted = apply_routing(context.state, decoded)
         if isinstance(decoded, Publish):
             complete_state(context)
+            warn_of_open_routes(former, context.state.document)
 
         log_event(
             "registry: Command applied",
@@ -178,6 +182,19 @@
     state.document = completed
 
 
+def warn_of_open_routes(former: Document | None, document: Document | None) -> None:
+    """Log a warning if a document drops the need of a key."""
+    if former is None or document is None:
+        return
+
+    if former.needs_key and not document.needs_key:
+        log_warning(
+            "registry: All routes are open",
+            version=document.version,
+            former=former.version,
+        )
+
+
 def log_evacuations(
     context: RegistryContext, index: int, command: SetEvacuation
 ) -> None:
--- a/tests/adapters/registry/test_members.py
+++ b/tests/adapters/registry/test_members.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import unittest
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,12 +13,16 @@
 
 import msgspec
 
+from tests.adapters.gateway.support import capture_log
+from tests.routing.factories import make_document
 from waxwingwell.adapters.registry import hub
 from waxwingwell.adapters.registry.hub import connect_control
 from waxwingwell.adapters.registry.members import REOPEN_SECONDS
 from waxwingwell.adapters.registry.members import count_voters
+from waxwingwell.adapters.registry.members import make_machine
 from waxwingwell.adapters.registry.members import open_member
 from waxwingwell.adapters.registry.members import tick_member
+from waxwingwell.routing.messages import Publish
 from waxwingwell.routing.reports import start_counting
 from waxwingwell.routing.reports import sum_fleet
 from waxwingwell.state.consensus.bootstrap import may_bootstrap
@@ -31,6 +36,7 @@
 
 if TYPE_CHECKING:
     from waxwingwell.state.consensus.replica import Replica
+    from waxwingwell.state.group import Machine
 
 
 LINKED = "127.0.0.2"
@@ -131,6 +137,36 @@
         self.assertIn(LINKED, list_asked(registry))
 
 
+class PublicationTest(unittest.TestCase):
+    """Documents that a control applies."""
+
+    def test_a_version_that_opens_all_routes_is_logged(self) -> None:
+        """Guards against a list of workspaces that goes missing without a trace."""
+        open_fields: dict[str, Any] = {"workspaces": (), "needs_key": False}
+        empty_fields: dict[str, Any] = {"workspaces": ()}
+        for name, former, fields, warned in (
+            ("its workspaces are left out", {}, open_fields, True),
+            ("its empty list is left out", empty_fields, open_fields, True),
+            ("it had none", open_fields, open_fields, False),
+            ("they stay", {}, {}, False),
+            ("the last one goes", {}, empty_fields, False),
+        ):
+            with self.subTest(name):
+                machine = make_machine(make_registry().context)
+                apply_document(machine, 1, former)
+                records = capture_log(partial(apply_document, machine, 2, fields))
+                levels = {one["message"]: one["level"].name for one in records}
+                self.assertEqual("WARNING" in levels.values(), warned)
+                self.assertEqual("registry: All routes are open" in levels, warned)
+
+
+def apply_document(machine: Machine, version: int, fields: dict[str, Any]) -> None:
+    """Apply the publication of a document."""
+    document = make_document(version=version, **fields)
+    command = Publish(document=document, source=msgspec.json.encode(document))
+    machine.apply(version, msgspec.msgpack.encode(command))
+
+
 class CountingTest(unittest.TestCase):
     """What a control knows of the retries before its start."""
 
